--- /dev/null
+++ b/src/pipe/index.ts
@@ -0,0 +1,8 @@
+/** The parts of which every pipe is built. No other folder composes `most` operators of its own. */
+export { applyFilter } from './apply-filter.js';
+export { Filter } from './filter.js';
+export type { Step } from './filter.js';
+export { Inbox } from './inbox.js';
+export { Task } from './task.js';
+export type { ReportFailure } from './task.js';
+export { WakeTimer } from './wake-timer.js';
