Add the typed messages and the first filter of each pipe

Notes fold into whole configurations by a set digest that is updated in time proportional to the delta; the log, the spread, the membership and the calls each have one thin filter, so that the edges can be built against them.

--- /dev/null
+++ b/src/messages/index.ts
@@ -0,0 +1,10 @@
+/** The typed messages that tasks exchange. They carry no encoding. */
+export type * from './call.js';
+export type * from './link.js';
+export type * from './log.js';
+export type * from './member.js';
+export type * from './note.js';
+export { formKey } from './resource.js';
+export type * from './resource.js';
+export type * from './spread.js';
+export type * from './version.js';
--- /dev/null
+++ b/src/messages/member.ts
@@ -0,0 +1,46 @@
+/** Membership: proxies, and the backend servers that announce themselves beside them. */
+import type {
+  Address,
+  DataCentreId,
+  HostId,
+  Incarnation,
+  Instant,
+  RegionId,
+  ServiceName,
+  Version,
+} from '../ids.js';
+
+/** Where a backend server stands in its life. */
+export type ServerState = 'starting' | 'ready' | 'draining' | 'leaving';
+
+/** What a backend server announces to the proxy beside it. */
+export interface Announcement {
+  readonly service: ServiceName;
+  readonly address: Address;
+  /** Calls that the backend server runs at once. */
+  readonly slots: number;
+  /** Connections that the backend server accepts at once. */
+  readonly connections: number;
+  readonly state: ServerState;
+  /** The announcement lapses here unless a later one arrives. */
+  readonly heartbeatDeadline: Instant;
+}
+
+/** Whether a proxy answers probes. */
+export type Liveness = 'alive' | 'suspect' | 'dead';
+
+/** One proxy and the backend server beside it, as the membership knows them. */
+export interface Member {
+  readonly host: HostId;
+  readonly region: RegionId;
+  readonly dataCentre: DataCentreId;
+  /** Where other processes of the system reach this one. */
+  readonly control: Address;
+  /** Where callers and other proxies send calls. */
+  readonly calls: Address;
+  readonly incarnation: Incarnation;
+  readonly liveness: Liveness;
+  /** The configuration version that the proxy last told of; a hint only. */
+  readonly version: Version;
+  readonly servers: readonly Announcement[];
+}
--- /dev/null
+++ b/src/messages/note.ts
@@ -0,0 +1,76 @@
+/** Release notes: what operators ask for, and what they are answered. */
+import type { Digest, HostId, NoteNumber, ResourceKey, Revision, Version } from '../ids.js';
+import type { Resource } from './resource.js';
+
+/** A release note that has been read, but not yet been accepted. */
+export interface NoteDraft {
+  readonly number: NoteNumber;
+  readonly title: string;
+  readonly add: readonly Resource[];
+  readonly change: readonly Resource[];
+  readonly withdraw: readonly ResourceKey[];
+  /** The earlier notes whose effects this one overwrites or withdraws. */
+  readonly supersedes: readonly NoteNumber[];
+}
+
+/** What an operator asks of the source. */
+export type NoteCommand =
+  | { readonly kind: 'submit'; readonly draft: NoteDraft }
+  | { readonly kind: 'amend'; readonly draft: NoteDraft; readonly readAt: Revision }
+  | { readonly kind: 'withdraw'; readonly number: NoteNumber; readonly readAt: Revision };
+
+/** One fault of a note, with its place in the file, for example `add[2].service`. */
+export interface NoteFault {
+  readonly place: string;
+  readonly message: string;
+}
+
+/** The proof that a note was accepted; a resend gets the same one again. */
+export interface NoteReceipt {
+  readonly number: NoteNumber;
+  readonly revision: Revision;
+  readonly version: Version;
+  readonly digest: Digest;
+}
+
+/** How the source answers a {@link NoteCommand}. */
+export type NoteAnswer =
+  | { readonly kind: 'accepted'; readonly receipt: NoteReceipt }
+  | { readonly kind: 'refused'; readonly faults: readonly NoteFault[] }
+  /** The number already belongs to another note. */
+  | { readonly kind: 'number-taken'; readonly winner: NoteReceipt }
+  /** The note has been amended since the revision that the operator read. */
+  | { readonly kind: 'stale-revision'; readonly current: Revision }
+  /** The note would undo these earlier notes without naming them. */
+  | { readonly kind: 'would-undo'; readonly notes: readonly NoteNumber[] }
+  /** Later notes rest on what this withdrawal would take out. */
+  | { readonly kind: 'rested-on'; readonly notes: readonly NoteNumber[] }
+  | { readonly kind: 'unknown-note'; readonly number: NoteNumber };
+
+/** Why a proxy does not hold a version yet. */
+export type StragglerReason = 'unreachable' | 'catching-up' | 'stale';
+
+/** A proxy that does not hold a version yet. */
+export interface Straggler {
+  readonly host: HostId;
+  readonly reason: StragglerReason;
+}
+
+/** How far a version has spread. */
+export interface Coverage {
+  /** Proxies known to the source. */
+  readonly known: number;
+  /** Proxies that hold the version or a later one. */
+  readonly holding: number;
+  readonly stragglers: readonly Straggler[];
+}
+
+/** The state of one note, as read back by an operator. */
+export interface NoteStatus {
+  readonly receipt: NoteReceipt;
+  readonly title: string;
+  readonly withdrawn: boolean;
+  /** Whether every known proxy holds the version of the note. */
+  readonly inForce: boolean;
+  readonly coverage: Coverage;
+}
--- /dev/null
+++ b/src/notes/whole.ts
@@ -0,0 +1,114 @@
+/** A whole configuration: every resource that one version holds. */
+import type { Digest, ResourceKey, Version } from '../ids.js';
+import { NO_VERSION } from '../ids.js';
+import type {
+  Change,
+  Resource,
+  RouteResource,
+  VersionDelta,
+  WholeSnapshot,
+} from '../messages/index.js';
+import { formKey } from '../messages/index.js';
+import { addToSum, EMPTY_SUM, formatSum, removeFromSum } from './digest.js';
+import type { SetSum } from './digest.js';
+
+/** One version of the configuration, whole. It is never changed after it was built. */
+export interface Whole {
+  readonly version: Version;
+  readonly resources: ReadonlyMap<ResourceKey, Resource>;
+  readonly sum: SetSum;
+}
+
+/** A reference to a resource that the same whole does not hold. */
+export interface DanglingReference {
+  readonly from: ResourceKey;
+  readonly to: ResourceKey;
+}
+
+/** Why a delta was not applied; the whole that is held stays as it was. */
+export type ApplyFault =
+  | { readonly kind: 'not-next'; readonly held: Version; readonly offered: Version }
+  | { readonly kind: 'wrong-digest'; readonly expected: Digest; readonly found: Digest }
+  | { readonly kind: 'dangling'; readonly references: readonly DanglingReference[] };
+
+/** The configuration before the first version. */
+export const EMPTY_WHOLE: Whole = { version: NO_VERSION, resources: new Map(), sum: EMPTY_SUM };
+
+/** Builds the resources that result from `changes`, beside the given whole. */
+export function buildNext(whole: Whole, changes: readonly Change[]): Whole {
+  const resources = new Map(whole.resources);
+  let sum = whole.sum;
+  for (const change of changes) {
+    const key = change.op === 'put' ? formKey(change.resource) : change.key;
+    const former = resources.get(key);
+    if (former !== undefined) sum = removeFromSum(sum, former);
+    resources.delete(key);
+    if (change.op === 'put') {
+      resources.set(key, change.resource);
+      sum = addToSum(sum, change.resource);
+    }
+  }
+  return { version: (whole.version + 1) as Version, resources, sum };
+}
+
+/** Lists the references of routes and splits that point at nothing. */
+export function findDangling(whole: Whole): DanglingReference[] {
+  const dangling: DanglingReference[] = [];
+  for (const resource of whole.resources.values()) {
+    if (resource.kind !== 'route') continue;
+    for (const to of listReferences(resource)) {
+      if (!whole.resources.has(to)) dangling.push({ from: formKey(resource), to });
+    }
+  }
+  return dangling;
+}
+
+/**
+ * Applies a delta whole or not at all.
+ *
+ * @returns the next whole, or the fault for which the delta was left out.
+ */
+export function applyDelta(whole: Whole, delta: VersionDelta): Whole | ApplyFault {
+  if (delta.version !== whole.version + 1) {
+    return { kind: 'not-next', held: whole.version, offered: delta.version };
+  }
+  return checkWhole(buildNext(whole, delta.changes), delta.digest);
+}
+
+/** Builds a whole from a snapshot, or tells why the snapshot cannot be trusted. */
+export function openSnapshot(snapshot: WholeSnapshot): Whole | ApplyFault {
+  const resources = new Map(snapshot.resources.map((resource) => [formKey(resource), resource]));
+  const sum = snapshot.resources.reduce(addToSum, EMPTY_SUM);
+  return checkWhole({ version: snapshot.version, resources, sum }, snapshot.digest);
+}
+
+/** Packs a whole for transit. */
+export function formSnapshot(whole: Whole): WholeSnapshot {
+  return {
+    version: whole.version,
+    digest: formatSum(whole.sum),
+    resources: [...whole.resources.values()],
+  };
+}
+
+/** Tells a fault from a whole. */
+export function isApplyFault(result: Whole | ApplyFault): result is ApplyFault {
+  return 'kind' in result;
+}
+
+// Internals.
+
+function checkWhole(next: Whole, expected: Digest): Whole | ApplyFault {
+  const found = formatSum(next.sum);
+  if (found !== expected) return { kind: 'wrong-digest', expected, found };
+  const references = findDangling(next);
+  if (references.length > 0) return { kind: 'dangling', references };
+  return next;
+}
+
+function listReferences(route: RouteResource): ResourceKey[] {
+  return [
+    formKey({ kind: 'service', name: route.service }),
+    formKey({ kind: 'request-kind', name: route.requestKind }),
+  ];
+}
