Serve a call end to end: note, source, two proxies, two backend servers

The first whole path, as separate processes on loopback: the command line submits a note, the source syncs and accepts it, both proxies hold it, a call to either is answered by the backend server beside it, and `note show` says that the note is in force. test/thin-path.test.ts runs it.

--- /dev/null
+++ b/bench/mesh.ts
@@ -0,0 +1,125 @@
+/** Starts a small mesh of separate processes on loopback, for tests, benchmarks and the demonstration. */
+import type { ChildProcess } from 'node:child_process';
+import { spawn } from 'node:child_process';
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+const BUILD = join(import.meta.dirname, '..');
+const MAIN = join(BUILD, 'src', 'program', 'main.js');
+const STAND_IN = join(BUILD, 'bench', 'stand-in-server.js');
+
+/** One process of the mesh, by the name that it was given. */
+export interface MeshProcess {
+  readonly name: string;
+  readonly child: ChildProcess;
+  /** What the process has written so far. */
+  readonly output: () => string;
+}
+
+/** Returns a port on loopback that was free a moment ago. */
+export async function findFreePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, '127.0.0.1', () => {
+      const address = server.address();
+      server.close(() => {
+        if (address === null || typeof address === 'string') reject(new Error('no port'));
+        else resolve(address.port);
+      });
+    });
+  });
+}
+
+/** Returns an `ip:port` on loopback that was free a moment ago. */
+export async function findFreeAddress(): Promise<string> {
+  return `127.0.0.1:${await findFreePort()}`;
+}
+
+/** Polls until `check` gives a value, or fails at the deadline. */
+export async function waitFor<T>(
+  what: string,
+  check: () => Promise<T | undefined> | T | undefined,
+  timeoutMs = 15_000,
+): Promise<T> {
+  const deadline = Date.now() + timeoutMs;
+  for (;;) {
+    const value = await check();
+    if (value !== undefined) return value;
+    if (Date.now() > deadline) throw new Error(`timed out waiting for ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+}
+
+/** Owns the processes and the folder of one mesh. */
+export class Mesh {
+  /** A fresh folder for settings, tokens and data. */
+  readonly folder = mkdtempSync(join(tmpdir(), 'bilberryswitch-'));
+  readonly #processes: MeshProcess[] = [];
+
+  /** Writes a file below the mesh's folder and returns its path. */
+  writeFile(name: string, text: string): string {
+    const path = join(this.folder, name);
+    writeFileSync(path, text);
+    return path;
+  }
+
+  /** Creates a folder below the mesh's folder and returns its path. */
+  makeFolder(name: string): string {
+    const path = join(this.folder, name);
+    mkdirSync(path, { recursive: true });
+    return path;
+  }
+
+  /** Starts the program with the given settings. */
+  startNode(name: string, settings: string): MeshProcess {
+    const path = this.writeFile(`${name}.toml`, settings);
+    return this.#start(name, [MAIN, 'run', '--settings', path]);
+  }
+
+  /** Starts a stand-in backend server beside the proxy that listens at `announce`. */
+  startServer(service: string, port: number, announce: string): MeshProcess {
+    return this.#start(`${service}-${port}`, [STAND_IN, service, `${port}`, announce]);
+  }
+
+  /** Runs a command of the program and returns its exit code and output. */
+  async runCommand(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
+    const child = spawn(process.execPath, [MAIN, ...args]);
+    let out = '';
+    let err = '';
+    child.stdout.on('data', (chunk: Buffer) => (out += chunk.toString()));
+    child.stderr.on('data', (chunk: Buffer) => (err += chunk.toString()));
+    const code = await new Promise<number>((resolve) => child.once('close', resolve));
+    return { code, out, err };
+  }
+
+  /** Stops every process, then removes the folder. */
+  async stop(): Promise<void> {
+    await Promise.all(this.#processes.map((one) => stopProcess(one)));
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  // Internals.
+
+  #start(name: string, args: readonly string[]): MeshProcess {
+    const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    let output = '';
+    child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
+    child.stderr.on('data', (chunk: Buffer) => (output += chunk.toString()));
+    const started = { name, child, output: () => output };
+    this.#processes.push(started);
+    return started;
+  }
+}
+
+/** Sends SIGTERM and waits; kills the process when it does not end in time. */
+export async function stopProcess({ child }: MeshProcess, timeoutMs = 10_000): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  const ended = new Promise((resolve) => child.once('exit', resolve));
+  child.kill('SIGTERM');
+  const timer = setTimeout(() => child.kill('SIGKILL'), timeoutMs);
+  await ended;
+  clearTimeout(timer);
+}
--- /dev/null
+++ b/src/edge/link-task.ts
@@ -0,0 +1,272 @@
+/** Links: the `ws` connections between the processes of the system. */
+import type { Stream } from 'most';
+import { WebSocket, WebSocketServer } from 'ws';
+import type { CancelTimer, Clock } from '../clock.js';
+import { addMs } from '../clock.js';
+import type { Address, HostId } from '../ids.js';
+import { splitAddress } from '../ids.js';
+import type { Channel, LinkCommand, LinkEvent } from '../messages/index.js';
+import type { ReportFailure } from '../pipe/index.js';
+import { Task } from '../pipe/index.js';
+import type { Random } from '../random.js';
+import type { Hello } from './link-codec.js';
+import { decodeFrame, encodeHello, encodeMessage } from './link-codec.js';
+
+/** Bytes that went over links on one channel. */
+export interface ChannelBytes {
+  sent: number;
+  received: number;
+}
+
+/** What a link task needs. */
+export interface LinkOptions {
+  readonly host: HostId;
+  /** Where this process listens for links. */
+  readonly control: Address;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly reportFailure: ReportFailure;
+  /** Receives every event; it must hand it on to the inbox of another task. */
+  readonly notify: (event: LinkEvent) => void;
+}
+
+/** One address and how to reach it. */
+interface Route {
+  /** The open connection, by whichever side it was dialled. */
+  socket: WebSocket | undefined;
+  dialling: WebSocket | undefined;
+  /** Messages that wait for the connection. */
+  waiting: { channel: Channel; bytes: Buffer }[];
+  keep: boolean;
+  attempts: number;
+  cancelRetry: CancelTimer | undefined;
+}
+
+/**
+ * Owns the listening socket and every link of a process.
+ *
+ * A link is dialled when the first message needs it. Links that are kept are dialled again after they
+ * break, with full jitter and a capped delay; the others are dialled again by the next message.
+ * Delivery is not guaranteed: a message is dropped when its link breaks, and the pipes repair that.
+ */
+export class LinkTask extends Task<LinkCommand> {
+  readonly #options: LinkOptions;
+  readonly #routes = new Map<Address, Route>();
+  readonly #bytes = new Map<Channel, ChannelBytes>();
+  #server: WebSocketServer | undefined;
+  #closed = false;
+
+  constructor(options: LinkOptions) {
+    super('links', options.reportFailure);
+    this.#options = options;
+  }
+
+  /** The bytes of message bodies so far, per channel. */
+  get bytes(): ReadonlyMap<Channel, Readonly<ChannelBytes>> {
+    return this.#bytes;
+  }
+
+  protected override createPipe(messages: Stream<LinkCommand>): Stream<unknown> {
+    return messages.tap((command) => {
+      this.#obey(command);
+    });
+  }
+
+  protected override async open(): Promise<void> {
+    const { host, port } = splitAddress(this.#options.control);
+    const server = new WebSocketServer({
+      host,
+      port,
+      perMessageDeflate: false,
+      maxPayload: MAX_MESSAGE_BYTES,
+    });
+    this.#server = server;
+    server.on('connection', (socket) => {
+      this.#accept(socket);
+    });
+    await new Promise<void>((resolve, reject) => {
+      server.once('listening', resolve);
+      server.once('error', reject);
+    });
+  }
+
+  protected override async close(): Promise<void> {
+    this.#closed = true;
+    for (const route of this.#routes.values()) {
+      route.cancelRetry?.();
+      route.socket?.terminate();
+      route.dialling?.terminate();
+    }
+    const server = this.#server;
+    if (server === undefined) return;
+    for (const client of server.clients) client.terminate();
+    await new Promise<void>((resolve) => {
+      server.close(() => {
+        resolve();
+      });
+    });
+  }
+
+  // Internals.
+
+  #obey(command: LinkCommand): void {
+    switch (command.kind) {
+      case 'send':
+        this.#send(command.to, command.channel, command.body);
+        return;
+      case 'keep':
+        this.#keep(command.to);
+        return;
+      case 'drop':
+        this.#drop(command.to);
+        return;
+    }
+  }
+
+  #send(to: Address, channel: Channel, body: unknown): void {
+    const bytes = encodeMessage(channel, body);
+    const route = this.#findRoute(to);
+    if (route.socket !== undefined) {
+      this.#write(route.socket, channel, bytes);
+      return;
+    }
+    if (route.waiting.length < MAX_WAITING_MESSAGES) route.waiting.push({ channel, bytes });
+    if (route.dialling === undefined && route.cancelRetry === undefined) this.#dial(to, route);
+  }
+
+  #write(socket: WebSocket, channel: Channel, bytes: Buffer): void {
+    this.#countBytes(channel).sent += bytes.length;
+    socket.send(bytes);
+  }
+
+  #keep(to: Address): void {
+    const route = this.#findRoute(to);
+    route.keep = true;
+    if (route.socket === undefined && route.dialling === undefined && !route.cancelRetry) {
+      this.#dial(to, route);
+    }
+  }
+
+  #drop(to: Address): void {
+    const route = this.#findRoute(to);
+    route.keep = false;
+    route.cancelRetry?.();
+    route.cancelRetry = undefined;
+    route.socket?.close();
+    route.dialling?.terminate();
+  }
+
+  #dial(to: Address, route: Route): void {
+    const socket = new WebSocket(`ws://${to}`, {
+      perMessageDeflate: false,
+      handshakeTimeout: DIAL_TIMEOUT_MS,
+      maxPayload: MAX_MESSAGE_BYTES,
+    });
+    route.dialling = socket;
+    socket.on('open', () => {
+      socket.send(encodeHello(this.#hello));
+    });
+    this.#listen(socket, to);
+  }
+
+  #accept(socket: WebSocket): void {
+    socket.send(encodeHello(this.#hello));
+    this.#listen(socket, undefined);
+  }
+
+  /** Reads frames; the peer's hello tells to which address the socket belongs. */
+  #listen(socket: WebSocket, dialled: Address | undefined): void {
+    let peer: Hello | undefined;
+    socket.on('message', (data: Buffer) => {
+      const frame = decodeFrame(data);
+      if (frame.kind === 'hello') {
+        peer = frame.hello;
+        this.#adopt(dialled ?? peer.control, peer.host, socket);
+        return;
+      }
+      if (peer === undefined) return;
+      this.#countBytes(frame.channel).received += data.length;
+      const { channel, body } = frame;
+      const address = dialled ?? peer.control;
+      this.#options.notify({ kind: 'received', from: peer.host, address, channel, body });
+    });
+    socket.on('error', () => {
+      // The close event follows every error and does the clean-up.
+    });
+    socket.on('close', () => {
+      const address = dialled ?? peer?.control;
+      if (address !== undefined) this.#release(address, peer?.host, socket);
+    });
+  }
+
+  #adopt(address: Address, host: HostId, socket: WebSocket): void {
+    const route = this.#findRoute(address);
+    if (route.dialling === socket) route.dialling = undefined;
+    if (route.socket !== undefined) return;
+    route.socket = socket;
+    route.attempts = 0;
+    for (const { channel, bytes } of route.waiting.splice(0)) this.#write(socket, channel, bytes);
+    this.#options.notify({ kind: 'link-up', host, address });
+  }
+
+  #release(address: Address, host: HostId | undefined, socket: WebSocket): void {
+    const route = this.#findRoute(address);
+    const wasDialling = route.dialling === socket;
+    const wasOpen = route.socket === socket;
+    if (wasDialling) route.dialling = undefined;
+    if (wasOpen) route.socket = undefined;
+    if (!wasDialling && !wasOpen) return;
+    if (this.#closed) return;
+    route.waiting = [];
+    this.#options.notify({ kind: 'link-down', host, address });
+    if (route.keep) this.#retryLater(address, route);
+    else if (route.dialling === undefined && route.socket === undefined)
+      this.#routes.delete(address);
+  }
+
+  #retryLater(address: Address, route: Route): void {
+    if (route.cancelRetry !== undefined || route.socket !== undefined) return;
+    const { clock, random } = this.#options;
+    const ceiling = Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** route.attempts);
+    route.attempts += 1;
+    route.cancelRetry = clock.callAt(addMs(clock.read(), random.next() * ceiling), () => {
+      route.cancelRetry = undefined;
+      this.#dial(address, route);
+    });
+  }
+
+  #findRoute(address: Address): Route {
+    const known = this.#routes.get(address);
+    if (known !== undefined) return known;
+    const route: Route = {
+      socket: undefined,
+      dialling: undefined,
+      waiting: [],
+      keep: false,
+      attempts: 0,
+      cancelRetry: undefined,
+    };
+    this.#routes.set(address, route);
+    return route;
+  }
+
+  #countBytes(channel: Channel): ChannelBytes {
+    const known = this.#bytes.get(channel);
+    if (known !== undefined) return known;
+    const fresh = { sent: 0, received: 0 };
+    this.#bytes.set(channel, fresh);
+    return fresh;
+  }
+
+  get #hello(): Hello {
+    return { host: this.#options.host, control: this.#options.control };
+  }
+}
+
+// Internals.
+
+const DIAL_TIMEOUT_MS = 2_000;
+const MIN_RETRY_DELAY_MS = 100;
+const MAX_RETRY_DELAY_MS = 5_000;
+const MAX_WAITING_MESSAGES = 1_000;
+const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
--- a/src/pipe/task.ts
+++ b/src/pipe/task.ts
@@ -51,6 +51,11 @@
     this.#inbox.close();
   }
 
+  /** Reports a failure that arose outside the pipe, for example while writing to a file. */
+  protected fail(error: unknown): void {
+    this.#reportFailure(this.name, error);
+  }
+
   /** Composes the filters of this task; the returned stream is run for its effects. */
   protected abstract createPipe(messages: Stream<In>): Stream<unknown>;
 
--- /dev/null
+++ b/src/program/run-command.ts
@@ -0,0 +1,72 @@
+/** The `run` command: starts the roles of a process and stops them on a signal. */
+import { randomInt } from 'node:crypto';
+import { SystemClock } from '../clock.js';
+import { LinkTask } from '../edge/index.js';
+import type { LinkCommand, LinkEvent } from '../messages/index.js';
+import type { ReportFailure } from '../pipe/index.js';
+import { SeededRandom } from '../random.js';
+import { createLogger } from './logger.js';
+import type { Log } from './logger.js';
+import type { RunningRole } from './running-role.js';
+import { runProxy } from './run-proxy.js';
+import { runSource } from './run-source.js';
+import type { Settings } from './settings.js';
+
+/** Runs until SIGTERM or SIGINT, then stops gracefully. Resolves with the exit code. */
+export async function runProcess(settings: Settings): Promise<number> {
+  const logger = createLogger(settings.host, settings.logLevel);
+  const log: Log = (event, fields) => {
+    logger.info({ event, ...fields });
+  };
+  const reportFailure: ReportFailure = (task, error) => {
+    logger.fatal({ event: 'task-failed', task, err: error });
+    process.exit(EXIT_FAILED);
+  };
+  const clock = new SystemClock();
+  const random = new SeededRandom(randomInt(MAX_SEED));
+  const roles: RunningRole[] = [];
+  const links = new LinkTask({
+    host: settings.host,
+    control: settings.control,
+    clock,
+    random,
+    reportFailure,
+    notify: (event: LinkEvent) => {
+      for (const role of roles) role.handleLink(event);
+    },
+  });
+  const postLink = (command: LinkCommand): void => {
+    links.post(command);
+  };
+
+  await links.start();
+  const { source, proxy, dataFolder } = settings;
+  if (settings.roles.includes('source') && source && dataFolder !== undefined) {
+    roles.push(await runSource({ settings: source, dataFolder, clock, reportFailure, postLink }));
+  }
+  if (settings.roles.includes('proxy') && proxy) {
+    roles.push(await runProxy({ settings, proxy, clock, log, reportFailure, postLink }));
+  }
+  log('started', { roles: settings.roles, control: settings.control });
+  await waitForSignal();
+  log('stopping');
+  for (const role of roles.toReversed()) await role.stop();
+  await links.stop();
+  log('stopped');
+  return 0;
+}
+
+// Internals.
+
+const EXIT_FAILED = 70;
+const MAX_SEED = 2 ** 31;
+
+function waitForSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      process.once(signal, () => {
+        resolve();
+      });
+    }
+  });
+}
--- /dev/null
+++ b/src/program/running-role.ts
@@ -0,0 +1,10 @@
+/** One role of a process, as the program sees it. */
+import type { LinkEvent } from '../messages/index.js';
+
+/** A role whose tasks are running. */
+export interface RunningRole {
+  /** Hands an event of the links to the tasks that it is for. */
+  readonly handleLink: (event: LinkEvent) => void;
+  /** Stops the tasks of the role, in the order that cuts nothing off. */
+  readonly stop: () => Promise<void>;
+}
