--- a/scripts/build-binary.mjs
+++ b/scripts/build-binary.mjs
@@ -12,6 +12,18 @@
 const binary = join(dist, 'bilberryswitch');
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
+// Optional native parts of ws and msgpackr: both fall back to JavaScript when they are absent.
+const OPTIONAL_NATIVE = /^(msgpackr-extract|bufferutil|utf-8-validate)$/;
+const leaveOutNative = {
+  name: 'leave-out-native',
+  setup(bundler) {
+    bundler.onResolve({ filter: OPTIONAL_NATIVE }, ({ path }) => ({ path, namespace: 'absent' }));
+    bundler.onLoad({ filter: /.*/, namespace: 'absent' }, ({ path }) => ({
+      contents: `throw new Error('${path} is left out of the binary');`,
+    }));
+  },
+};
+
 mkdirSync(dist, { recursive: true });
 await build({
   entryPoints: [join(root, 'src/program/main.ts')],
@@ -23,7 +35,7 @@
   format: 'cjs',
   target: 'node20',
   legalComments: 'none',
-  external: ['msgpackr-extract', 'bufferutil', 'utf-8-validate'],
+  plugins: [leaveOutNative],
   logLevel: 'warning',
 });
 writeFileSync(
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -4,10 +4,13 @@
 import { compileSources } from './compile.mjs';
 
 const root = join(import.meta.dirname, '..');
-await compileSources();
-const named = process.argv.slice(2).map((name) => `build/test/${name}.test.js`);
 const ava = join(root, 'node_modules', 'ava', 'entrypoints', 'cli.mjs');
-const run = spawnSync(process.execPath, [ava, ...named], {
+const args = process.argv.slice(2);
+const flags = args.filter((arg) => arg.startsWith('--'));
+const files = args.filter((arg) => !arg.startsWith('--')).map((n) => `build/test/${n}.test.js`);
+
+await compileSources();
+const run = spawnSync(process.execPath, [ava, ...flags, ...files], {
   cwd: root,
   stdio: 'inherit',
   env: { ...process.env, NODE_OPTIONS: '--enable-source-maps' },
--- a/src/calls/call-filter.ts
+++ b/src/calls/call-filter.ts
@@ -1,10 +1,11 @@
 /** Routes calls. So far it picks the ready backend server with the fewest calls outstanding. */
-import type { Address, CallId, ServiceName } from '../ids.js';
+import type { Address, CallId, HostId, ServiceName } from '../ids.js';
 import type {
   Announcement,
   CallHead,
   CallTarget,
   Member,
+  MemberEvent,
   RefusalOutcome,
   RefusalReason,
   RouteResource,
@@ -16,7 +17,7 @@
 /** What the call pipe is told. */
 export type CallIn =
   | { readonly kind: 'whole'; readonly whole: Whole }
-  | { readonly kind: 'members'; readonly members: readonly Member[] }
+  | MemberEvent
   | { readonly kind: 'arrived'; readonly head: CallHead }
   | { readonly kind: 'ended'; readonly id: CallId };
 
@@ -33,7 +34,7 @@
 /** The state of the call pipe. */
 export interface CallState {
   readonly whole: Whole | undefined;
-  readonly members: readonly Member[];
+  readonly members: Map<HostId, Member>;
   /** The backend server that each outstanding call was sent to. */
   readonly outstanding: Map<CallId, Address>;
 }
@@ -41,15 +42,19 @@
 /** Decides where each call goes. */
 export class CallFilter extends Filter<CallState, CallIn, CallOut> {
   override createState(): CallState {
-    return { whole: undefined, members: [], outstanding: new Map() };
+    return { whole: undefined, members: new Map(), outstanding: new Map() };
   }
 
   override decide(state: CallState, message: CallIn): Step<CallState, CallOut> {
     switch (message.kind) {
       case 'whole':
         return { state: { ...state, whole: message.whole }, outputs: [] };
-      case 'members':
-        return { state: { ...state, members: message.members }, outputs: [] };
+      case 'member-up':
+        state.members.set(message.member.host, message.member);
+        return { state, outputs: [] };
+      case 'member-gone':
+        state.members.delete(message.host);
+        return { state, outputs: [] };
       case 'arrived':
         return { state, outputs: [routeCall(state, message.head)] };
       case 'ended':
@@ -89,7 +94,7 @@
 function pickServer(state: CallState, service: ServiceName): CallTarget | undefined {
   const loads = countLoads(state);
   let best: { target: CallTarget; load: number } | undefined;
-  for (const member of state.members) {
+  for (const member of state.members.values()) {
     for (const server of member.servers.filter((candidate) => isUsable(candidate, service))) {
       const load = loads.get(server.address) ?? 0;
       if (best !== undefined && best.load <= load) continue;
--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -1,6 +1,6 @@
 /** Membership. So far it knows only the backend servers beside its own proxy. */
 import type { Address } from '../ids.js';
-import type { Announcement, Member } from '../messages/index.js';
+import type { Announcement, Member, MemberEvent } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import type { Instant } from '../ids.js';
@@ -10,9 +10,7 @@
   { readonly kind: 'announce'; readonly announcement: Announcement } | { readonly kind: 'tick' };
 
 /** What the membership pipe sends on. */
-export type MembersOut =
-  | { readonly kind: 'members'; readonly members: readonly Member[] }
-  | { readonly kind: 'wake'; readonly at: Instant };
+export type MembersOut = MemberEvent | { readonly kind: 'wake'; readonly at: Instant };
 
 /** The state of the membership pipe. */
 export interface MembersState {
@@ -62,7 +60,7 @@
   servers: readonly Announcement[],
 ): Step<MembersState, MembersOut> {
   const self = { ...state.self, servers };
-  const outputs: MembersOut[] = [{ kind: 'members', members: [self] }];
+  const outputs: MembersOut[] = [{ kind: 'member-up', member: self }];
   const deadlines = servers.map((server) => server.heartbeatDeadline);
   if (deadlines.length > 0) outputs.push({ kind: 'wake', at: Math.min(...deadlines) as Instant });
   return { state: { self }, outputs };
--- a/src/messages/index.ts
+++ b/src/messages/index.ts
@@ -1,5 +1,7 @@
 /** The typed messages that tasks exchange. They carry no encoding. */
 export type * from './call.js';
+export type * from './coverage.js';
+export type * from './ledger.js';
 export type * from './link.js';
 export type * from './log.js';
 export type * from './member.js';
--- a/src/messages/member.ts
+++ b/src/messages/member.ts
@@ -2,6 +2,7 @@
 import type {
   Address,
   DataCentreId,
+  Digest,
   HostId,
   Incarnation,
   Instant,
@@ -44,3 +45,19 @@
   readonly version: Version;
   readonly servers: readonly Announcement[];
 }
+
+/** What the membership tells the other pipes of a proxy, one member at a time. */
+export type MemberEvent =
+  /** A member is new or has changed. */
+  | { readonly kind: 'member-up'; readonly member: Member }
+  /** A member has left or has been declared dead. */
+  | { readonly kind: 'member-gone'; readonly host: HostId };
+
+/** A small fact that every proxy should learn within seconds. It lapses at its deadline. */
+export interface Broadcast {
+  /** A backend server died while a request with this fingerprint was in flight at it. */
+  readonly kind: 'crash-seen';
+  readonly fingerprint: Digest;
+  readonly server: Address;
+  readonly until: Instant;
+}
--- a/src/messages/note.ts
+++ b/src/messages/note.ts
@@ -1,5 +1,6 @@
 /** Release notes: what operators ask for, and what they are answered. */
-import type { Digest, HostId, NoteNumber, ResourceKey, Revision, Version } from '../ids.js';
+import type { Digest, NoteNumber, ResourceKey, Revision, Version } from '../ids.js';
+import type { Straggler } from './coverage.js';
 import type { Resource } from './resource.js';
 
 /** A release note that has been read, but not yet been accepted. */
@@ -47,15 +48,6 @@
   | { readonly kind: 'rested-on'; readonly notes: readonly NoteNumber[] }
   | { readonly kind: 'unknown-note'; readonly number: NoteNumber };
 
-/** Why a proxy does not hold a version yet. */
-export type StragglerReason = 'unreachable' | 'catching-up' | 'stale';
-
-/** A proxy that does not hold a version yet. */
-export interface Straggler {
-  readonly host: HostId;
-  readonly reason: StragglerReason;
-}
-
 /** How far a version has spread. */
 export interface Coverage {
   /** Proxies known to the source. */
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -1,7 +1,8 @@
 /** Answers operators and hands accepted versions on. */
-import type { NoteNumber, RequestId } from '../ids.js';
+import type { NoteNumber, RequestId, Version } from '../ids.js';
 import type {
   Coverage,
+  CoverageReport,
   LogNotice,
   LogRefusal,
   LogRequest,
@@ -21,13 +22,7 @@
   | { readonly kind: 'show'; readonly id: RequestId; readonly number: NoteNumber }
   | { readonly kind: 'list'; readonly id: RequestId }
   | { readonly kind: 'log'; readonly notice: LogNotice<NoteCommand> }
-  | { readonly kind: 'coverage'; readonly coverage: readonly VersionCoverage[] };
-
-/** How far one version has spread. */
-export interface VersionCoverage {
-  readonly version: number;
-  readonly coverage: Coverage;
-}
+  | { readonly kind: 'coverage'; readonly report: CoverageReport };
 
 /** What the notes pipe sends on. */
 export type NotesOut =
@@ -42,13 +37,13 @@
   readonly book: NoteBook;
   /** Reads that wait until the log has confirmed that this replica still leads. */
   readonly reads: ReadonlyMap<RequestId, NoteNumber | 'all'>;
-  readonly coverage: ReadonlyMap<number, Coverage>;
+  readonly coverage: CoverageReport;
 }
 
 /** Decides on commands and read-backs of operators, and on what the log has committed. */
 export class NotesFilter extends Filter<NotesState, NotesIn, NotesOut> {
   override createState(): NotesState {
-    return { book: EMPTY_BOOK, reads: new Map(), coverage: new Map() };
+    return { book: EMPTY_BOOK, reads: new Map(), coverage: NO_COVERAGE };
   }
 
   override decide(state: NotesState, message: NotesIn): Step<NotesState, NotesOut> {
@@ -62,7 +57,7 @@
       case 'log':
         return this.#handleNotice(state, message.notice);
       case 'coverage':
-        return { state: { ...state, coverage: indexCoverage(message.coverage) }, outputs: [] };
+        return { state: { ...state, coverage: message.report }, outputs: [] };
     }
   }
 
@@ -124,10 +119,10 @@
 
 // Internals.
 
-const NO_COVERAGE: Coverage = { known: 0, holding: 0, stragglers: [] };
+const NO_COVERAGE: CoverageReport = { known: 0, held: [], stragglers: [] };
 
 function formStatus(state: NotesState, entry: NoteEntry): NoteStatus {
-  const coverage = state.coverage.get(entry.receipt.version) ?? NO_COVERAGE;
+  const coverage = countCoverage(state.coverage, entry.receipt.version);
   return {
     receipt: entry.receipt,
     title: entry.draft.title,
@@ -137,8 +132,13 @@
   };
 }
 
-function indexCoverage(list: readonly VersionCoverage[]): ReadonlyMap<number, Coverage> {
-  return new Map(list.map(({ version, coverage }) => [version, coverage]));
+function countCoverage(report: CoverageReport, version: Version): Coverage {
+  const holders = report.held.filter((group) => group.version >= version);
+  return {
+    known: report.known,
+    holding: holders.reduce((sum, group) => sum + group.count, 0),
+    stragglers: report.stragglers.filter((straggler) => straggler.version < version),
+  };
 }
 
 function forgetRead(state: NotesState, id: RequestId): NotesState {
--- a/src/spread/source-spread-filter.ts
+++ b/src/spread/source-spread-filter.ts
@@ -1,6 +1,7 @@
 /** The source's side of distribution. So far it sends each delta to every proxy that asked. */
-import type { Address, HostId, Version } from '../ids.js';
-import type { Coverage, SpreadMessage, VersionDelta } from '../messages/index.js';
+import type { Address, HostId, Instant, Version } from '../ids.js';
+import type { CoverageReport, SpreadMessage, Straggler, VersionDelta } from '../messages/index.js';
+import { NO_VERSION } from '../ids.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 
@@ -18,16 +19,14 @@
 /** What the source's spread pipe sends on. */
 export type SourceSpreadOut =
   | { readonly kind: 'send'; readonly to: Address; readonly body: SpreadMessage }
-  | {
-      readonly kind: 'coverage';
-      readonly coverage: readonly { readonly version: Version; readonly coverage: Coverage }[];
-    };
+  | { readonly kind: 'coverage'; readonly report: CoverageReport };
 
 /** A proxy as the source sees it. */
 interface KnownProxy {
   readonly address: Address;
   readonly linked: boolean;
   readonly held: Version;
+  readonly heardAt: Instant;
 }
 
 /** The state of the source's spread pipe. */
@@ -45,12 +44,13 @@
   override decide(
     state: SourceSpreadState,
     message: SourceSpreadIn,
+    now: Instant,
   ): Step<SourceSpreadState, SourceSpreadOut> {
     switch (message.kind) {
       case 'version':
         return this.#spreadVersion(state, message.delta);
       case 'received':
-        return this.#handleMessage(state, message.from, message.address, message.body);
+        return this.#handleMessage(state, message, now);
       case 'link-down':
         return this.#unlinkProxy(state, message.address);
     }
@@ -70,17 +70,16 @@
 
   #handleMessage(
     state: SourceSpreadState,
-    from: HostId,
-    address: Address,
-    body: SpreadMessage,
+    { from, address, body }: Extract<SourceSpreadIn, { kind: 'received' }>,
+    heardAt: Instant,
   ): Step<SourceSpreadState, SourceSpreadOut> {
     if (body.kind === 'pull') {
-      const next = updateProxy(state, from, { address, linked: true, held: body.after });
+      const next = updateProxy(state, from, { address, linked: true, held: body.after, heardAt });
       const missing = state.deltas.filter((delta) => delta.version > body.after);
       return { state: next, outputs: [formPush(address, missing), formCoverage(next)] };
     }
     if (body.kind === 'ack') {
-      const next = updateProxy(state, from, { address, linked: true, held: body.version });
+      const next = updateProxy(state, from, { address, linked: true, held: body.version, heardAt });
       return { state: next, outputs: [formCoverage(next)] };
     }
     return { state, outputs: [] };
@@ -110,22 +109,19 @@
 }
 
 function formCoverage(state: SourceSpreadState): SourceSpreadOut {
-  const coverage = state.deltas.map(({ version }) => ({
-    version,
-    coverage: countCoverage(state, version),
-  }));
-  return { kind: 'coverage', coverage };
+  const newest = state.deltas.at(-1)?.version ?? NO_VERSION;
+  const proxies = [...state.proxies];
+  const counts = new Map<Version, number>();
+  for (const [, { held }] of proxies) counts.set(held, (counts.get(held) ?? 0) + 1);
+  const held = [...counts].map(([version, count]) => ({ version, count }));
+  const stragglers = proxies
+    .filter(([, proxy]) => proxy.held < newest)
+    .map(([host, proxy]) => formStraggler(host, proxy));
+  const sorted = held.sort((left, right) => left.version - right.version);
+  return { kind: 'coverage', report: { known: proxies.length, held: sorted, stragglers } };
 }
 
-function countCoverage(state: SourceSpreadState, version: Version): Coverage {
-  const proxies = [...state.proxies];
-  const behind = proxies.filter(([, proxy]) => proxy.held < version);
-  return {
-    known: proxies.length,
-    holding: proxies.length - behind.length,
-    stragglers: behind.map(([host, proxy]) => ({
-      host,
-      reason: proxy.linked ? 'catching-up' : 'unreachable',
-    })),
-  };
+function formStraggler(host: HostId, proxy: KnownProxy): Straggler {
+  const reason = proxy.linked ? 'catching-up' : 'unreachable';
+  return { host, version: proxy.held, reason, since: proxy.heardAt };
 }
