--- a/scripts/set-up.mjs
+++ b/scripts/set-up.mjs
@@ -1,17 +1,16 @@
-// Installs the locked packages when node_modules is absent or older than the lock file.
-import { existsSync, statSync } from 'node:fs';
+// Installs the locked packages unless the installed ones are those of the present lock file.
+import { createHash } from 'node:crypto';
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
 import { execFileSync } from 'node:child_process';
 import { join } from 'node:path';
 
 const root = join(import.meta.dirname, '..');
-const lock = join(root, 'package-lock.json');
-const installed = join(root, 'node_modules', '.package-lock.json');
+const marker = join(root, 'node_modules', '.installed-lock-digest');
+const lockDigest = createHash('sha256')
+  .update(readFileSync(join(root, 'package-lock.json')))
+  .digest('hex');
 
-function needsInstall() {
-  if (!existsSync(installed)) return true;
-  return statSync(installed).mtimeMs < statSync(lock).mtimeMs;
-}
-
-if (needsInstall()) {
+if (!existsSync(marker) || readFileSync(marker, 'utf8') !== lockDigest) {
   execFileSync('npm', ['ci'], { cwd: root, stdio: 'inherit' });
+  writeFileSync(marker, lockDigest);
 }
--- /dev/null
+++ b/src/metrics/index.ts
@@ -0,0 +1,9 @@
+/** Metrics: counters, gauges and quantiles of durations. */
+export { Counter } from './counter.js';
+export { DurationSummary } from './duration-summary.js';
+export { Gauge } from './gauge.js';
+export type { Reading } from './gauge.js';
+export type { Labels } from './labels.js';
+export { Metric } from './metric.js';
+export type { Sample } from './metric.js';
+export { MetricsRegistry } from './metrics-registry.js';
