--- a/scripts/set-up.mjs
+++ b/scripts/set-up.mjs
@@ -10,7 +10,10 @@
   .update(readFileSync(join(root, 'package-lock.json')))
   .digest('hex');
 
+// CI installs the packages itself and only has them marked.
+const isInstalled = process.argv.includes('--installed');
+
 if (!existsSync(marker) || readFileSync(marker, 'utf8') !== lockDigest) {
-  execFileSync('npm', ['ci'], { cwd: root, stdio: 'inherit' });
+  if (!isInstalled) execFileSync('npm', ['ci'], { cwd: root, stdio: 'inherit' });
   writeFileSync(marker, lockDigest);
 }
