--- /dev/null
+++ b/src/traces/otlp-tracer.ts
@@ -0,0 +1,85 @@
+/** Exports spans by OTLP over HTTP. */
+import type { Span, Tracer } from '@opentelemetry/api';
+import { ROOT_CONTEXT, SpanKind, SpanStatusCode, trace } from '@opentelemetry/api';
+import { OTLPTraceExporter } from '@opentelemetry/exporter-trace-otlp-http';
+import {
+  BasicTracerProvider,
+  BatchSpanProcessor,
+  ParentBasedSampler,
+  TraceIdRatioBasedSampler,
+} from '@opentelemetry/sdk-trace-base';
+import type { HostId } from '../ids.js';
+import type { Hop, HopAttributes, HopSide } from './hop-tracer.js';
+import { HopTracer } from './hop-tracer.js';
+import { formatTraceParent, parseTraceParent } from './trace-parent.js';
+
+/** What the exporter needs. */
+export interface OtlpTracerOptions {
+  readonly host: HostId;
+  /** Where a collector takes spans, for example `http://10.0.0.9:4318/v1/traces`. */
+  readonly url: string;
+  /** The share of calls without a `traceparent` that begin a trace, from 0 to 1. */
+  readonly sampleRatio: number;
+}
+
+/**
+ * Records spans with the OpenTelemetry SDK and exports them in batches. A call whose caller has
+ * already decided whether to sample keeps that decision.
+ */
+export class OtlpTracer extends HopTracer {
+  readonly #provider: BasicTracerProvider;
+  readonly #tracer: Tracer;
+  readonly #host: HostId;
+
+  constructor({ host, url, sampleRatio }: OtlpTracerOptions) {
+    super();
+    this.#host = host;
+    const root = new TraceIdRatioBasedSampler(sampleRatio);
+    const exporter = new OTLPTraceExporter({ url });
+    this.#provider = new BasicTracerProvider({
+      sampler: new ParentBasedSampler({ root }),
+      spanProcessors: [
+        new BatchSpanProcessor(exporter, { scheduledDelayMillis: EXPORT_INTERVAL_MS }),
+      ],
+    });
+    this.#tracer = this.#provider.getTracer('bilberryswitch');
+  }
+
+  override startHop(
+    side: HopSide,
+    name: string,
+    traceParent: string | undefined,
+    attributes: HopAttributes,
+  ): Hop {
+    const remote = parseTraceParent(traceParent);
+    const parent = remote ? trace.setSpanContext(ROOT_CONTEXT, remote) : ROOT_CONTEXT;
+    const kind = side === 'server' ? SpanKind.SERVER : SpanKind.CLIENT;
+    const all = { ...attributes, 'host.id': this.#host };
+    const span = this.#tracer.startSpan(name, { kind, attributes: all }, parent);
+    return {
+      traceParent: formatTraceParent(span.spanContext()),
+      end: (ending) => {
+        endSpan(span, ending);
+      },
+    };
+  }
+
+  override async stop(): Promise<void> {
+    await this.#provider.shutdown();
+  }
+}
+
+// Internals.
+
+const EXPORT_INTERVAL_MS = 1_000;
+const FIRST_ERROR_STATUS = 500;
+
+function endSpan(span: Span, attributes: HopAttributes): void {
+  span.setAttributes(attributes);
+  const status = attributes['http.response.status_code'];
+  const failed = typeof status === 'number' && status >= FIRST_ERROR_STATUS;
+  if (failed || attributes['bilberryswitch.reason'] !== undefined) {
+    span.setStatus({ code: SpanStatusCode.ERROR });
+  }
+  span.end();
+}
