Take test ports below the range of outgoing connections; run the harness on the binary too

Cause: a port that was free at the look-up could be taken by an outgoing connection before the process bound it, since both came from one range.

--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -7,9 +7,13 @@
 import { join } from 'node:path';
 
 const BUILD = join(import.meta.dirname, '..');
-const MAIN = join(BUILD, 'src', 'program', 'main.js');
 const STAND_IN = join(BUILD, 'bench', 'stand-in-server.js');
 
+/** The command that starts the program: the compiled sources, unless a binary is named. */
+const PROGRAM = process.env.BILBERRYSWITCH_BINARY
+  ? [process.env.BILBERRYSWITCH_BINARY]
+  : [process.execPath, join(BUILD, 'src', 'program', 'main.js')];
+
 /** One process of the mesh, by the name that it was given. */
 export interface MeshProcess {
   readonly name: string;
@@ -18,19 +22,17 @@
   readonly output: () => string;
 }
 
-/** Returns a port on loopback that was free a moment ago. */
+/**
+ * Returns a port on loopback that was free a moment ago, each one once. The ports lie below the range
+ * from which the system takes ports for outgoing connections, so none is lost to those in between.
+ */
 export async function findFreePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const address = server.address();
-      server.close(() => {
-        if (address === null || typeof address === 'string') reject(new Error('no port'));
-        else resolve(address.port);
-      });
-    });
-  });
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (usedPorts.has(port)) continue;
+    usedPorts.add(port);
+    if (await isFree(port)) return port;
+  }
 }
 
 /** Returns an `ip:port` on loopback that was free a moment ago. */
@@ -76,17 +78,19 @@
   /** Starts the program with the given settings. */
   startNode(name: string, settings: string): MeshProcess {
     const path = this.writeFile(`${name}.toml`, settings);
-    return this.#start(name, [MAIN, 'run', '--settings', path]);
+    return this.#start(name, [...PROGRAM, 'run', '--settings', path]);
   }
 
   /** Starts a stand-in backend server beside the proxy that listens at `announce`. */
   startServer(service: string, port: number, announce: string): MeshProcess {
-    return this.#start(`${service}-${port}`, [STAND_IN, service, `${port}`, announce]);
+    const command = [process.execPath, STAND_IN, service, `${port}`, announce];
+    return this.#start(`${service}-${port}`, command);
   }
 
   /** Runs a command of the program and returns its exit code and output. */
   async runCommand(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
-    const child = spawn(process.execPath, [MAIN, ...args]);
+    const [program = '', ...rest] = PROGRAM;
+    const child = spawn(program, [...rest, ...args]);
     let out = '';
     let err = '';
     child.stdout.on('data', (chunk: Buffer) => (out += chunk.toString()));
@@ -103,8 +107,9 @@
 
   // Internals.
 
-  #start(name: string, args: readonly string[]): MeshProcess {
-    const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+  #start(name: string, command: readonly string[]): MeshProcess {
+    const [program = '', ...args] = command;
+    const child = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'] });
     let output = '';
     child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
     child.stderr.on('data', (chunk: Buffer) => (output += chunk.toString()));
@@ -123,3 +128,23 @@
   await ended;
   clearTimeout(timer);
 }
+
+// Internals.
+
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 18_000;
+const usedPorts = new Set<number>();
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
