--- a/src/program/settings.ts
+++ b/src/program/settings.ts
@@ -1,15 +1,40 @@
-/** Settings: read from TOML, checked before anything is started. */
-import { existsSync, readFileSync, statSync } from 'node:fs';
+/**
+ * Settings: read from TOML, checked before anything is started.
+ *
+ * Each section has a schema of its own in `settings/`; this module composes them.
+ */
+import { readFileSync } from 'node:fs';
 import { dirname, resolve } from 'node:path';
 import { parse, TomlError } from 'smol-toml';
 import { z } from 'zod';
 import type { Address, DataCentreId, HostId, RegionId } from '../ids.js';
-import { parseAddress, parseDataCentreId, parseHostId, parseRegionId } from '../ids.js';
+import { parseDataCentreId, parseHostId, parseRegionId } from '../ids.js';
+import { checkSettings } from './settings/check-settings.js';
+import type { LedgerSettings } from './settings/ledger-settings.js';
+import { ledgerSchema } from './settings/ledger-settings.js';
+import type { ProxySettings } from './settings/proxy-settings.js';
+import { proxySchema } from './settings/proxy-settings.js';
+import { addressSchema, formIdSchema, pathSchema } from './settings/schema-parts.js';
+import { formFaults, SettingsError } from './settings/settings-fault.js';
+import type { SourceSettings } from './settings/source-settings.js';
+import { sourceSchema } from './settings/source-settings.js';
+import type { SpreadSettings } from './settings/spread-settings.js';
+import { spreadSchema } from './settings/spread-settings.js';
+import type { TracesSettings } from './settings/traces-settings.js';
+import { tracesSchema } from './settings/traces-settings.js';
 
-/** Thrown when settings cannot be used; the message lists each fault with file, key and remedy. */
-export class SettingsError extends Error {
-  override readonly name = 'SettingsError';
-}
+export { SettingsError } from './settings/settings-fault.js';
+export type { LedgerSettings } from './settings/ledger-settings.js';
+export type { ProxySettings } from './settings/proxy-settings.js';
+export type { SourceSettings } from './settings/source-settings.js';
+export type { SpreadPolicyName, SpreadSettings } from './settings/spread-settings.js';
+export type { TracesSettings } from './settings/traces-settings.js';
+
+/** What a process does. */
+export type Role = 'proxy' | 'source' | 'ledger';
+
+/** How much a process logs. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
 /** Checked settings of one process. Paths are absolute. */
 export interface Settings {
@@ -19,133 +44,75 @@
   readonly roles: readonly Role[];
   /** The address at which this process listens for links of other processes. */
   readonly control: Address;
+  /** Where this process serves its status and metrics; nowhere without it. */
+  readonly status: Address | undefined;
   readonly logLevel: LogLevel;
   readonly dataFolder: string | undefined;
+  readonly spread: SpreadSettings;
+  readonly traces: TracesSettings;
   readonly proxy: ProxySettings | undefined;
   readonly source: SourceSettings | undefined;
+  readonly ledger: LedgerSettings | undefined;
 }
 
-/** What a process does. */
-export type Role = 'proxy' | 'source';
-
-/** How much a process logs. */
-export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
-
-/** Settings of the proxy role. */
-export interface ProxySettings {
-  /** Where callers send calls. */
-  readonly calls: Address;
-  /** Where the backend server beside this proxy announces itself. */
-  readonly announce: Address;
-  /** The control addresses of the source hosts. */
-  readonly sources: readonly Address[];
-}
-
-/** Settings of the source role. */
-export interface SourceSettings {
-  /** Where operators reach this source. */
-  readonly operator: Address;
-  readonly tokenFile: string;
-}
-
-/** Reads and checks a settings file. */
+/**
+ * Reads and checks a settings file. It writes nothing and starts nothing.
+ *
+ * @throws {@link SettingsError} with every fault that was found.
+ */
 export function loadSettings(path: string): Settings {
-  const table = readTable(path);
-  const checked = settingsSchema.safeParse(table);
+  const checked = settingsSchema.safeParse(readTable(path));
   if (!checked.success) {
-    const lines = checked.error.issues.map((issue) => `${path}: ${describeIssue(issue)}`);
-    throw new SettingsError(lines.join('\n'));
+    const faults = checked.error.issues.flatMap((issue) => formFaults(issue, settingsSchema));
+    throw new SettingsError(path, faults);
   }
   const settings = resolvePaths(checked.data, dirname(resolve(path)));
-  checkRoles(settings, path);
+  const faults = checkSettings(settings);
+  if (faults.length > 0) throw new SettingsError(path, faults);
   return settings;
 }
 
 // Internals.
 
-function brandWith<T>(parseId: (text: string) => T) {
-  return z.string().transform((text, context): T => {
-    try {
-      return parseId(text);
-    } catch (error) {
-      context.addIssue({ code: 'custom', message: (error as Error).message });
-      return z.NEVER;
-    }
-  });
-}
-
-const addressSchema = brandWith(parseAddress);
-
 const settingsSchema = z.strictObject({
-  host: brandWith(parseHostId),
-  region: brandWith(parseRegionId),
-  data_centre: brandWith(parseDataCentreId),
-  roles: z.array(z.enum(['proxy', 'source'])).min(1),
+  host: formIdSchema(parseHostId),
+  region: formIdSchema(parseRegionId),
+  data_centre: formIdSchema(parseDataCentreId),
+  roles: z.array(z.enum(['proxy', 'source', 'ledger'])).min(1, 'expected at least one role'),
   control: addressSchema,
+  status: addressSchema.optional(),
   log_level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
-  data_folder: z.string().min(1).optional(),
-  proxy: z
-    .strictObject({
-      calls: addressSchema,
-      announce: addressSchema,
-      sources: z.array(addressSchema).min(1),
-    })
-    .optional(),
-  source: z.strictObject({ operator: addressSchema, token_file: z.string().min(1) }).optional(),
+  data_folder: pathSchema.optional(),
+  spread: spreadSchema.prefault({}),
+  traces: tracesSchema.prefault({}),
+  proxy: proxySchema.optional(),
+  source: sourceSchema.optional(),
+  ledger: ledgerSchema.optional(),
 });
 
 function readTable(path: string): unknown {
   try {
     return parse(readFileSync(path, 'utf8'));
   } catch (error) {
-    if (error instanceof TomlError) {
-      throw new SettingsError(
-        `${path}: line ${error.line}, column ${error.column}: ${error.message}`,
-      );
+    const message = (error as Error).message;
+    if (!(error instanceof TomlError)) {
+      throw new SettingsError(path, [{ key: 'file', expected: message }]);
     }
-    throw new SettingsError(`${path}: ${(error as Error).message}`);
-  }
-}
-
-function describeIssue(issue: z.core.$ZodIssue): string {
-  const key = issue.path.map(String).join('.');
-  if (issue.code === 'unrecognized_keys') {
-    const names = issue.keys.map((name) => (key === '' ? name : `${key}.${name}`));
-    return `unknown key ${names.join(', ')}; remove it or correct its spelling`;
+    const key = `line ${error.line}, column ${error.column}`;
+    throw new SettingsError(path, [{ key, expected: message }]);
   }
-  return `${key === '' ? 'settings' : key}: ${issue.message}`;
 }
 
 function resolvePaths(table: z.output<typeof settingsSchema>, folder: string): Settings {
-  const { source } = table;
+  const { data_centre, log_level, data_folder, source, ...rest } = table;
   return {
-    host: table.host,
-    region: table.region,
-    dataCentre: table.data_centre,
-    roles: table.roles,
-    control: table.control,
-    logLevel: table.log_level,
-    dataFolder: table.data_folder === undefined ? undefined : resolve(folder, table.data_folder),
+    ...rest,
+    status: table.status,
     proxy: table.proxy,
-    source: source && {
-      operator: source.operator,
-      tokenFile: resolve(folder, source.token_file),
-    },
+    ledger: table.ledger,
+    dataCentre: data_centre,
+    logLevel: log_level,
+    dataFolder: data_folder === undefined ? undefined : resolve(folder, data_folder),
+    source: source && { ...source, tokenFile: resolve(folder, source.tokenFile) },
   };
 }
-
-function checkRoles(settings: Settings, path: string): void {
-  for (const role of settings.roles) {
-    if (settings[role] === undefined) {
-      throw new SettingsError(`${path}: ${role}: the role "${role}" needs a section [${role}]`);
-    }
-  }
-  if (!settings.roles.includes('source')) return;
-  const folder = settings.dataFolder;
-  if (folder === undefined) {
-    throw new SettingsError(`${path}: data_folder: the role "source" needs a folder on a disk`);
-  }
-  if (!existsSync(folder) || !statSync(folder).isDirectory()) {
-    throw new SettingsError(`${path}: data_folder: ${folder} is no folder; create it first`);
-  }
-}
--- /dev/null
+++ b/src/program/settings/schema-parts.ts
@@ -0,0 +1,43 @@
+/** Parts that the schemas of all settings sections share. */
+import { isIP } from 'node:net';
+import { z } from 'zod';
+import { parseAddress, splitAddress } from '../../ids.js';
+
+/** Forms a schema of a text that `parseId` turns into a branded id. */
+export function formIdSchema<T>(parseId: (text: string) => T) {
+  return z.string().transform((text, context): T => {
+    try {
+      return parseId(text);
+    } catch (error) {
+      context.addIssue({ code: 'custom', message: (error as Error).message });
+      return z.NEVER;
+    }
+  });
+}
+
+/** An IP number with a port, at which a process listens or reaches another one. */
+export const addressSchema = formIdSchema(parseAddress).refine((address) => {
+  const { host, port } = splitAddress(address);
+  return port > 0 && isIP(host) !== 0;
+}, 'expected an IP number and a port from 1 to 65535, for example "10.0.0.7:7000"');
+
+/** The path of a file or folder; a relative one starts at the folder of the settings file. */
+export const pathSchema = z.string().min(1, 'expected a path');
+
+/** Forms a schema of a time in milliseconds; its key ends in `_ms`. */
+export function formMillisecondsSchema(min: number, max: number) {
+  const expected = `expected a whole number of milliseconds from ${min} to ${max}, without quotes`;
+  return z.int(expected).min(min, expected).max(max, expected);
+}
+
+/** The number of replicas of a log: a quorum needs an odd number. */
+export const replicasSchema = z
+  .array(addressSchema)
+  .refine(
+    (replicas) => REPLICA_COUNTS.includes(replicas.length),
+    'expected the control addresses of 1, 3 or 5 replicas, this process included',
+  );
+
+// Internals.
+
+const REPLICA_COUNTS = [1, 3, 5];
