--- a/src/edge/note-toml.ts
+++ b/src/edge/note-toml.ts
@@ -1,4 +1,4 @@
-/** Reads release notes from TOML and checks them against a schema. */
+/** Reads release notes from TOML or JSON and checks them against a schema. */
 import { parse, TomlError } from 'smol-toml';
 import { z } from 'zod';
 import type { Result } from '../errors.js';
@@ -10,30 +10,46 @@
   parseRequestKindName,
   parseServiceName,
 } from '../ids.js';
-import type { NoteDraft, NoteFault } from '../messages/index.js';
+import type { NoteDraft, NoteFault, Resource } from '../messages/index.js';
+
+/** How a note is written down. Both forms have the same keys. */
+export type NoteFormat = 'toml' | 'json';
 
 /** Reads a note; a failure lists every fault with its place in the file. */
-export function readNote(text: string): Result<NoteDraft, readonly NoteFault[]> {
-  let table: unknown;
-  try {
-    table = parse(text);
-  } catch (error) {
-    if (!(error instanceof TomlError)) throw error;
-    return makeError([
-      { place: `line ${error.line}, column ${error.column}`, message: error.message },
-    ]);
-  }
-  const checked = noteSchema.safeParse(table);
+export function readNote(
+  text: string,
+  format: NoteFormat = 'toml',
+): Result<NoteDraft, readonly NoteFault[]> {
+  const table = format === 'toml' ? parseToml(text) : parseJson(text);
+  if (!table.ok) return table;
+  const checked = noteSchema.safeParse(table.value);
   if (checked.success) return makeOk(checked.data);
-  return makeError(
-    checked.error.issues.map((issue) => ({ place: formPlace(issue.path), message: issue.message })),
-  );
+  return makeError(checked.error.issues.flatMap((issue) => formFaults(issue)));
 }
 
 // Internals.
 
 const MAX_TIMEOUT_MS = 86_400_000;
 const WHOLE_SHARE = 10_000;
+const PATH_PATTERN = /^\/$|^(\/[^/?#\s]+)+$/;
+
+function parseToml(text: string): Result<unknown, readonly NoteFault[]> {
+  try {
+    return makeOk(parse(text));
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    const place = `line ${error.line}, column ${error.column}`;
+    return makeError([{ place, message: error.message }]);
+  }
+}
+
+function parseJson(text: string): Result<unknown, readonly NoteFault[]> {
+  try {
+    return makeOk(JSON.parse(text));
+  } catch (error) {
+    return makeError([{ place: 'note', message: (error as Error).message }]);
+  }
+}
 
 function brandWith<T>(parseId: (text: string) => T) {
   return z.string().transform((text, context): T => {
@@ -56,8 +72,13 @@
   .strictObject({
     kind: z.literal('route'),
     name: nameSchema,
-    generation: brandWith(parseGeneration),
-    path_prefix: z.string().startsWith('/', 'expected an absolute path such as "/orders"'),
+    generation: brandWith(parseGeneration).optional(),
+    path_prefix: z
+      .string()
+      .regex(
+        PATH_PATTERN,
+        'expected an absolute path such as "/orders", without a slash at its end',
+      ),
     method: z.string().regex(/^(\*|[A-Z]+)$/, 'expected a method in capitals, or "*"'),
     service: brandWith(parseServiceName),
     request_kind: brandWith(parseRequestKindName),
@@ -78,6 +99,10 @@
     claim: z.boolean().default(false),
     hedge: z.boolean().default(false),
   })
+  .refine(({ idempotent, hedge }) => idempotent || !hedge, {
+    path: ['hedge'],
+    error: 'only an idempotent kind may be hedged',
+  })
   .transform(({ timeout_ms, ...rest }) => ({ ...rest, timeoutMs: timeout_ms }));
 
 const splitSchema = z.strictObject({
@@ -93,6 +118,10 @@
     .refine(
       (shares) => shares.reduce((sum, { share }) => sum + share, 0) === WHOLE_SHARE,
       `the shares must add up to ${WHOLE_SHARE}`,
+    )
+    .refine(
+      (shares) => new Set(shares.map(({ generation }) => generation)).size === shares.length,
+      'each generation may stand only once',
     ),
 });
 
@@ -109,14 +138,49 @@
 
 const numberSchema = z.int().min(1).transform(parseNoteNumber);
 
-const noteSchema = z.strictObject({
-  number: numberSchema,
-  title: z.string().min(1),
-  supersedes: z.array(numberSchema).default([]),
-  add: z.array(resourceSchema).default([]),
-  change: z.array(resourceSchema).default([]),
-  withdraw: z.array(keySchema).default([]),
-});
+const noteSchema = z
+  .strictObject({
+    number: numberSchema,
+    title: z.string().min(1),
+    generation: brandWith(parseGeneration).optional(),
+    supersedes: z.array(numberSchema).default([]),
+    add: z.array(resourceSchema).default([]),
+    change: z.array(resourceSchema).default([]),
+    withdraw: z.array(keySchema).default([]),
+  })
+  .transform(({ generation, add, change, ...rest }, context): NoteDraft => {
+    const complete = (list: 'add' | 'change', resources: readonly ReadResource[]): Resource[] =>
+      resources.flatMap((resource, index) => {
+        if (resource.kind !== 'route') return resource;
+        const own = resource.generation ?? generation;
+        if (own !== undefined) return { ...resource, generation: own };
+        const message = 'missing; name a generation here or at the top of the note';
+        context.addIssue({ code: 'custom', path: [list, index, 'generation'], message });
+        return [];
+      });
+    return {
+      ...rest,
+      ...(generation === undefined ? {} : { generation }),
+      add: complete('add', add),
+      change: complete('change', change),
+    };
+  });
+
+/** A resource before a route takes over the generation of its note. */
+type ReadResource = z.output<typeof resourceSchema>;
+
+function formFaults(issue: z.core.$ZodIssue): NoteFault[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => ({
+      place: formPlace([...issue.path, key]),
+      message: 'unknown key; remove it or correct its spelling',
+    }));
+  }
+  const message = issue.message.replace(MISSING_PATTERN, 'missing; expected $1');
+  return [{ place: formPlace(issue.path), message }];
+}
+
+const MISSING_PATTERN = /^Invalid input: expected (.*), received undefined$/;
 
 function formPlace(path: readonly PropertyKey[]): string {
   const parts = path.map((part) => (typeof part === 'number' ? `[${part}]` : `.${String(part)}`));
--- /dev/null
+++ b/src/edge/operator-answer.ts
@@ -0,0 +1,83 @@
+/** Writes the answers to operators: HTTP status and JSON body. */
+import type { Address, HostId } from '../ids.js';
+import type { LogRefusal, NoteAnswer } from '../messages/index.js';
+import type { OperatorRequestFault } from './operator-request.js';
+
+/** An answer as it goes over HTTP. */
+export interface OperatorAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Finds the address at which operators reach another source host, where it is known. */
+export type FindOperator = (host: HostId) => Address | undefined;
+
+/** Forms the answer to a command. */
+export function formCommandAnswer(answer: NoteAnswer): OperatorAnswer {
+  return { status: ANSWER_STATUS[answer.kind], body: answer };
+}
+
+/** Forms the answer to a request that was not understood. */
+export function formFaultAnswer(fault: OperatorRequestFault): OperatorAnswer {
+  return { status: FAULT_STATUS[fault.kind], body: fault };
+}
+
+/** Forms the answer of a replica that could not do what it was asked for. */
+export function formRefusalAnswer(refusal: LogRefusal, findOperator: FindOperator): OperatorAnswer {
+  if (refusal.kind !== 'not-leader') return OUTCOME_UNKNOWN;
+  const { leader } = refusal;
+  const operator = leader === undefined ? undefined : findOperator(leader);
+  const message = `nothing was done: this source host does not lead; ${formAdvice(leader, operator)}`;
+  return { status: UNAVAILABLE, body: { kind: refusal.kind, message, leader, operator } };
+}
+
+/** The answer when no quorum answered in time. */
+export const OUTCOME_UNKNOWN: OperatorAnswer = {
+  status: 503,
+  body: {
+    kind: 'outcome-unknown',
+    message:
+      'no quorum of the source has answered; a command may or may not take effect; send the same one again, it takes effect once at most',
+  },
+};
+
+/** The answer to a request without the right token. */
+export const UNAUTHORIZED: OperatorAnswer = {
+  status: 401,
+  body: {
+    kind: 'unauthorized',
+    message: 'send "Authorization: Bearer TOKEN" with the token of this source',
+  },
+};
+
+/** The answer when too many requests are open. */
+export const BUSY: OperatorAnswer = {
+  status: 503,
+  body: { kind: 'busy', message: 'nothing was done: too many open requests; try again later' },
+};
+
+// Internals.
+
+const UNAVAILABLE = 503;
+
+const ANSWER_STATUS: Record<NoteAnswer['kind'], number> = {
+  accepted: 200,
+  refused: 422,
+  'number-taken': 409,
+  'stale-revision': 409,
+  'would-undo': 409,
+  'rested-on': 409,
+  'unknown-note': 404,
+};
+
+const FAULT_STATUS: Record<OperatorRequestFault['kind'], number> = {
+  'unknown-path': 404,
+  'wrong-method': 405,
+  'bad-request': 400,
+  refused: 422,
+};
+
+function formAdvice(leader: HostId | undefined, operator: Address | undefined): string {
+  if (leader === undefined) return 'no leader is known yet; try again later';
+  return operator === undefined ? `ask ${leader}` : `ask ${leader} at ${operator}`;
+}
--- /dev/null
+++ b/src/edge/operator-request.ts
@@ -0,0 +1,118 @@
+/** Reads what an operator asks for out of the method, path and body of an HTTP request. */
+import type { Result } from '../errors.js';
+import { makeError, makeOk } from '../errors.js';
+import type { NoteNumber, Revision, Version } from '../ids.js';
+import { IdError, NO_VERSION, parseNoteNumber } from '../ids.js';
+import type { NoteCommand, NoteFault } from '../messages/index.js';
+import type { NoteFormat } from './note-toml.js';
+import { readNote } from './note-toml.js';
+
+/** The parts of an HTTP request that matter here. */
+export interface OperatorHttpRequest {
+  readonly method: string;
+  /** The path with its query. */
+  readonly url: string;
+  readonly format: NoteFormat;
+  readonly body: string;
+}
+
+/** What an operator asks for. */
+export type OperatorRequest =
+  | { readonly kind: 'command'; readonly command: NoteCommand }
+  | { readonly kind: 'show'; readonly number: NoteNumber }
+  | { readonly kind: 'list'; readonly after: Version; readonly limit: number }
+  /** Waits at most `timeoutMs`; the operator's own limit when it gives one. */
+  | { readonly kind: 'wait'; readonly number: NoteNumber; readonly timeoutMs: number | undefined };
+
+/** Why a request was not understood. */
+export type OperatorRequestFault =
+  | { readonly kind: 'unknown-path'; readonly message: string }
+  | { readonly kind: 'wrong-method'; readonly message: string }
+  | { readonly kind: 'bad-request'; readonly message: string }
+  | { readonly kind: 'refused'; readonly faults: readonly NoteFault[] };
+
+/** Reads a request. */
+export function readOperatorRequest(
+  request: OperatorHttpRequest,
+): Result<OperatorRequest, OperatorRequestFault> {
+  const url = new URL(request.url, 'http://operator');
+  const match = PATH_PATTERN.exec(url.pathname);
+  if (match === null) {
+    const message = 'use /notes, /notes/NUMBER or /notes/NUMBER/wait';
+    return makeError({ kind: 'unknown-path', message });
+  }
+  try {
+    const number = match[1] === undefined ? undefined : parseNoteNumber(Number(match[1]));
+    if (number === undefined) return readListRequest(request, url.searchParams);
+    const isWait = match[2] !== undefined;
+    return readNoteRequest(request, number, isWait, url.searchParams);
+  } catch (error) {
+    if (!(error instanceof IdError)) throw error;
+    return makeError({ kind: 'bad-request', message: error.message });
+  }
+}
+
+// Internals.
+
+type ReadResult = Result<OperatorRequest, OperatorRequestFault>;
+
+const PATH_PATTERN = /^\/notes(?:\/(\d+)(\/wait)?)?$/;
+const DEFAULT_PAGE = 100;
+const MAX_PAGE = 1000;
+
+function readListRequest(request: OperatorHttpRequest, query: URLSearchParams): ReadResult {
+  if (request.method === 'GET') {
+    const after = readNumber(query, 'after') ?? NO_VERSION;
+    const limit = Math.min(readNumber(query, 'limit') ?? DEFAULT_PAGE, MAX_PAGE);
+    return makeOk({ kind: 'list', after: after as Version, limit: Math.max(limit, 1) });
+  }
+  if (request.method !== 'POST') return refuseMethod('GET or POST');
+  const note = readNote(request.body, request.format);
+  if (!note.ok) return makeError({ kind: 'refused', faults: note.error });
+  return makeOk({ kind: 'command', command: { kind: 'submit', draft: note.value } });
+}
+
+function readNoteRequest(
+  request: OperatorHttpRequest,
+  number: NoteNumber,
+  isWait: boolean,
+  query: URLSearchParams,
+): ReadResult {
+  if (request.method === 'GET') {
+    if (!isWait) return makeOk({ kind: 'show', number });
+    return makeOk({ kind: 'wait', number, timeoutMs: readNumber(query, 'timeout_ms') });
+  }
+  if (isWait || !['PUT', 'DELETE'].includes(request.method)) {
+    return refuseMethod(isWait ? 'GET' : 'GET, PUT or DELETE');
+  }
+  const readAt = readNumber(query, 'revision');
+  if (readAt === undefined || readAt < 1) {
+    const message = 'add ?revision=N with the revision at which you read the note';
+    return makeError({ kind: 'bad-request', message });
+  }
+  if (request.method === 'PUT') return readAmend(request, number, readAt as Revision);
+  const command: NoteCommand = { kind: 'withdraw', number, readAt: readAt as Revision };
+  return makeOk({ kind: 'command', command });
+}
+
+function readAmend(request: OperatorHttpRequest, number: NoteNumber, readAt: Revision): ReadResult {
+  const note = readNote(request.body, request.format);
+  if (!note.ok) return makeError({ kind: 'refused', faults: note.error });
+  const draft = note.value;
+  if (draft.number !== number) {
+    const message = `the note says ${draft.number}, the request ${number}; a number never changes`;
+    return makeError({ kind: 'refused', faults: [{ place: 'number', message }] });
+  }
+  return makeOk({ kind: 'command', command: { kind: 'amend', draft, readAt } });
+}
+
+function refuseMethod(allowed: string): ReadResult {
+  return makeError({ kind: 'wrong-method', message: `use ${allowed}` });
+}
+
+function readNumber(query: URLSearchParams, name: string): number | undefined {
+  const text = query.get(name);
+  if (text === null) return undefined;
+  if (/^\d{1,15}$/.test(text)) return Number(text);
+  throw new IdError(`${name}: "${text}" is not a whole number`);
+}
--- a/src/edge/operator-task.ts
+++ b/src/edge/operator-task.ts
@@ -1,169 +1,195 @@
-/** The operators' HTTP interface of the source: JSON answers, notes in TOML, a bearer token. */
+/** The operators' HTTP interface of the source: JSON answers, notes in TOML or JSON, a bearer token. */
 import { createHash, randomUUID, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Stream } from 'most';
-import type { Address, NoteNumber, RequestId, Revision } from '../ids.js';
-import { parseNoteNumber } from '../ids.js';
-import type { NoteAnswer, NoteCommand } from '../messages/index.js';
+import type { Clock } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
+import type { Address, Instant, RequestId } from '../ids.js';
 import type { NotesIn, NotesOut } from '../notes/index.js';
 import type { ReportFailure } from '../pipe/index.js';
+import { WakeTimer } from '../pipe/index.js';
 import { BodyTooLargeError, readText, sendJson } from './http-body.js';
 import { HttpTask } from './http-task.js';
-import { readNote } from './note-toml.js';
+import type { FindOperator, OperatorAnswer } from './operator-answer.js';
+import {
+  BUSY,
+  formCommandAnswer,
+  formFaultAnswer,
+  formRefusalAnswer,
+  OUTCOME_UNKNOWN,
+  UNAUTHORIZED,
+} from './operator-answer.js';
+import type { OperatorRequest } from './operator-request.js';
+import { readOperatorRequest } from './operator-request.js';
 
 /** What the operator interface is told: the answers of the notes pipe. */
-export type OperatorIn = Extract<NotesOut, { kind: 'answer' | 'statuses' | 'refusal' }>;
+export type OperatorIn =
+  | Extract<NotesOut, { kind: 'answer' | 'status' | 'page' | 'refusal' }>
+  /** Ends the requests whose answer is overdue. */
+  | { readonly kind: 'tick' };
 
 /** What an operator task needs. */
 export interface OperatorOptions {
   readonly address: Address;
+  readonly clock: Clock;
   /** The secret that each request must bring. */
   readonly token: string;
+  /** The longest time that a request to wait is held open, in milliseconds. */
+  readonly waitLimitMs: number;
+  readonly findOperator: FindOperator;
   readonly reportFailure: ReportFailure;
   /** Hands a request on to the notes pipe. */
   readonly request: (message: NotesIn) => void;
 }
 
-/** A request whose answer is not there yet. */
-interface OpenRequest {
-  readonly response: ServerResponse;
-  /** Whether the operator asked for one note, so that its absence is an error. */
-  readonly single: boolean;
-}
-
 /** Owns the operators' socket and the requests that wait for an answer. */
 export class OperatorTask extends HttpTask<OperatorIn> {
   readonly #options: OperatorOptions;
+  readonly #secret: Buffer;
   readonly #open = new Map<RequestId, OpenRequest>();
+  readonly #timer: WakeTimer;
 
   constructor(options: OperatorOptions) {
-    super({ name: 'operator', ...options });
+    super({ name: 'operator', server: SERVER_LIMITS, ...options });
     this.#options = options;
+    this.#secret = digestSecret(`Bearer ${options.token}`);
+    this.#timer = new WakeTimer(options.clock, () => {
+      this.post({ kind: 'tick' });
+    });
   }
 
   protected override createPipe(messages: Stream<OperatorIn>): Stream<unknown> {
     return messages.tap((message) => {
-      this.#answer(message);
+      this.#handleMessage(message);
     });
   }
 
   protected override handle(request: IncomingMessage, response: ServerResponse): void {
-    this.#handle(request, response).catch((error: unknown) => {
-      sendFailure(response, error);
+    this.#handleRequest(request, response).catch((error: unknown) => {
+      const status = error instanceof BodyTooLargeError ? PAYLOAD_TOO_LARGE : BAD_REQUEST;
+      const body = { kind: 'bad-request', message: (error as Error).message };
+      sendAnswer(response, { status, body });
     });
   }
 
+  protected override async close(): Promise<void> {
+    this.#timer.stop();
+    await super.close();
+  }
+
   // Internals.
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (!this.#isAllowed(request)) {
-      sendJson(response, 401, { kind: 'unauthorized', message: 'send the bearer token' });
-      return;
-    }
-    const url = new URL(request.url ?? '/', 'http://operator');
-    const match = /^\/notes(?:\/(\d+))?$/.exec(url.pathname);
-    if (match === null) {
-      sendJson(response, 404, { kind: 'unknown-path', message: 'use /notes or /notes/NUMBER' });
+  async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!timingSafeEqual(digestSecret(request.headers.authorization ?? ''), this.#secret)) {
+      sendAnswer(response, UNAUTHORIZED);
       return;
     }
-    const number = match[1] === undefined ? undefined : parseNoteNumber(Number(match[1]));
-    const readAt = Number(url.searchParams.get('revision') ?? '0') as Revision;
-    await this.#route(request, response, number, readAt);
+    const body = await readText(request, MAX_NOTE_BYTES);
+    const format = isJson(request) ? 'json' : 'toml';
+    const { method = '', url = '/' } = request;
+    const read = readOperatorRequest({ method, url, format, body });
+    if (!read.ok) sendAnswer(response, formFaultAnswer(read.error));
+    else if (this.#open.size >= MAX_OPEN_REQUESTS) sendAnswer(response, BUSY);
+    else this.#pass(read.value, response);
   }
 
-  async #route(
-    request: IncomingMessage,
-    response: ServerResponse,
-    number: NoteNumber | undefined,
-    readAt: Revision,
-  ): Promise<void> {
-    const single = number !== undefined;
-    if (request.method === 'GET') {
-      const id = this.#remember(response, single);
-      this.#options.request(single ? { kind: 'show', id, number } : { kind: 'list', id });
-      return;
-    }
-    if (request.method === 'DELETE' && single) {
-      this.#command(response, { kind: 'withdraw', number, readAt });
-      return;
-    }
-    const isSubmit = request.method === 'POST' && !single;
-    const isAmend = request.method === 'PUT' && single;
-    if (!isSubmit && !isAmend) {
-      sendJson(response, 405, { kind: 'wrong-method', message: 'use GET, POST, PUT or DELETE' });
+  #pass(request: OperatorRequest, response: ServerResponse): void {
+    const now = this.#options.clock.read();
+    if (request.kind === 'wait') {
+      const limit = this.#options.waitLimitMs;
+      const deadline = addMs(now, Math.min(request.timeoutMs ?? limit, limit));
+      const id = this.#remember(response, addMs(deadline, ANSWER_TIMEOUT_MS));
+      const { kind, number } = request;
+      this.#options.request({ kind: 'question', id, question: { kind, number, deadline } });
       return;
     }
-    const note = readNote(await readText(request, MAX_NOTE_BYTES));
-    if (!note.ok) {
-      sendAnswer(response, { kind: 'refused', faults: note.error });
-      return;
-    }
-    const draft = note.value;
-    this.#command(
-      response,
-      isSubmit ? { kind: 'submit', draft } : { kind: 'amend', draft, readAt },
-    );
-  }
-
-  #isAllowed(request: IncomingMessage): boolean {
-    const given = digestSecret(request.headers.authorization ?? '');
-    return timingSafeEqual(given, digestSecret(`Bearer ${this.#options.token}`));
+    const id = this.#remember(response, addMs(now, ANSWER_TIMEOUT_MS));
+    if (request.kind === 'command') this.#options.request({ ...request, id });
+    else this.#options.request({ kind: 'question', id, question: request });
   }
 
-  #command(response: ServerResponse, command: NoteCommand): void {
-    const id = this.#remember(response, false);
-    this.#options.request({ kind: 'command', id, command });
-  }
-
-  #remember(response: ServerResponse, single: boolean): RequestId {
+  #remember(response: ServerResponse, deadline: Instant): RequestId {
     const id = randomUUID() as string as RequestId;
-    this.#open.set(id, { response, single });
+    this.#open.set(id, { response, deadline });
+    this.#timer.wakeAt(deadline);
     response.on('close', () => {
-      this.#open.delete(id);
+      if (this.#open.delete(id)) this.#options.request({ kind: 'cancel', id });
     });
     return id;
   }
 
-  #answer(message: OperatorIn): void {
-    const open = this.#open.get(message.id);
-    if (open === undefined) return;
+  #handleMessage(message: OperatorIn): void {
     switch (message.kind) {
       case 'answer':
-        sendAnswer(open.response, message.answer);
+        this.#answer(message.id, formCommandAnswer(message.answer));
         return;
       case 'refusal':
-        sendJson(open.response, 503, message.refusal);
+        this.#answer(message.id, formRefusalAnswer(message.refusal, this.#options.findOperator));
+        return;
+      case 'status':
+        this.#answer(message.id, { status: OK, body: message.status });
+        return;
+      case 'page':
+        this.#answer(message.id, { status: OK, body: message.page });
         return;
-      case 'statuses':
-        if (!open.single) sendJson(open.response, 200, message.notes);
-        else if (message.notes[0]) sendJson(open.response, 200, message.notes[0]);
-        else sendJson(open.response, 404, { kind: 'unknown-note' });
+      case 'tick':
+        this.#endOverdue();
         return;
     }
   }
+
+  #answer(id: RequestId, answer: OperatorAnswer): void {
+    const open = this.#open.get(id);
+    if (open === undefined) return;
+    this.#open.delete(id);
+    sendAnswer(open.response, answer);
+  }
+
+  #endOverdue(): void {
+    const now = this.#options.clock.read();
+    let next = NEVER;
+    for (const [id, { deadline }] of [...this.#open]) {
+      if (deadline > now) {
+        next = Math.min(next, deadline) as Instant;
+        continue;
+      }
+      this.#answer(id, OUTCOME_UNKNOWN);
+      this.#options.request({ kind: 'cancel', id });
+    }
+    this.#timer.wakeAt(next);
+  }
 }
 
 // Internals.
 
-const MAX_NOTE_BYTES = 4 * 1024 * 1024;
+/** A request whose answer is not there yet. */
+interface OpenRequest {
+  readonly response: ServerResponse;
+  /** After this instant the operator is told that the outcome is unknown. */
+  readonly deadline: Instant;
+}
 
-const ANSWER_STATUS: Record<NoteAnswer['kind'], number> = {
-  accepted: 200,
-  refused: 422,
-  'number-taken': 409,
-  'stale-revision': 409,
-  'would-undo': 409,
-  'rested-on': 409,
-  'unknown-note': 404,
+const OK = 200;
+const BAD_REQUEST = 400;
+const PAYLOAD_TOO_LARGE = 413;
+const MAX_NOTE_BYTES = 4 * 1024 * 1024;
+const MAX_OPEN_REQUESTS = 1024;
+const ANSWER_TIMEOUT_MS = 10_000;
+
+const SERVER_LIMITS = {
+  maxHeaderSize: 8 * 1024,
+  headersTimeout: 5_000,
+  requestTimeout: 15_000,
+  keepAliveTimeout: 5_000,
+  connectionsCheckingInterval: 1_000,
 };
 
-function sendAnswer(response: ServerResponse, answer: NoteAnswer): void {
-  sendJson(response, ANSWER_STATUS[answer.kind], answer);
+function isJson(request: IncomingMessage): boolean {
+  return request.headers['content-type']?.startsWith('application/json') ?? false;
 }
 
-function sendFailure(response: ServerResponse, error: unknown): void {
-  const status = error instanceof BodyTooLargeError ? 413 : 400;
-  sendJson(response, status, { kind: 'bad-request', message: (error as Error).message });
+function sendAnswer(response: ServerResponse, { status, body }: OperatorAnswer): void {
+  sendJson(response, status, body);
 }
 
 /** Hashing gives both sides the same length, which the constant-time comparison needs. */
--- a/src/messages/note.ts
+++ b/src/messages/note.ts
@@ -1,5 +1,5 @@
 /** Release notes: what operators ask for, and what they are answered. */
-import type { Digest, NoteNumber, ResourceKey, Revision, Version } from '../ids.js';
+import type { Digest, Generation, NoteNumber, ResourceKey, Revision, Version } from '../ids.js';
 import type { Straggler } from './coverage.js';
 import type { Resource } from './resource.js';
 
@@ -7,10 +7,12 @@
 export interface NoteDraft {
   readonly number: NoteNumber;
   readonly title: string;
+  /** The generation that the note is about, where it names one. */
+  readonly generation?: Generation;
   readonly add: readonly Resource[];
   readonly change: readonly Resource[];
   readonly withdraw: readonly ResourceKey[];
-  /** The earlier notes whose effects this one overwrites or withdraws. */
+  /** The earlier notes whose effects this one overwrites, withdraws or brings back. */
   readonly supersedes: readonly NoteNumber[];
 }
 
@@ -65,4 +67,26 @@
   /** Whether every known proxy holds the version of the note. */
   readonly inForce: boolean;
   readonly coverage: Coverage;
+  readonly draft: NoteDraft;
+  /** The receipts of all revisions, from the first one. */
+  readonly history: readonly NoteReceipt[];
+}
+
+/** The state of one note in a list. */
+export interface NoteSummary {
+  readonly receipt: NoteReceipt;
+  readonly title: string;
+  readonly withdrawn: boolean;
+  readonly inForce: boolean;
+  /** Proxies known to the source. */
+  readonly known: number;
+  /** Proxies that hold the version of the note or a later one. */
+  readonly holding: number;
+}
+
+/** Some accepted notes, in the order of their first acceptance. */
+export interface NotePage {
+  readonly notes: readonly NoteSummary[];
+  /** Ask for the notes after this version to read on; absent on the last page. */
+  readonly next: Version | undefined;
 }
--- /dev/null
+++ b/src/notes/decide-command.ts
@@ -0,0 +1,149 @@
+/** Decides on one command about a note, without changing anything. */
+import type { Digest, NoteNumber, Revision, Version } from '../ids.js';
+import type {
+  NoteAnswer,
+  NoteCommand,
+  NoteDraft,
+  NoteFault,
+  NoteReceipt,
+} from '../messages/index.js';
+import type { Edit, EditDecision, NoteTables } from './decide-edit.js';
+import { decideEdit } from './decide-edit.js';
+import { digestValue } from './digest.js';
+import type { AcceptedStep, NoteEntry } from './note-entry.js';
+import { isWithdrawn, readPosition, readReceipt } from './note-entry.js';
+
+/** The outcome of a command: an answer that changes nothing, or a step to be applied. */
+export type NoteVerdict =
+  | { readonly kind: 'unchanged'; readonly answer: NoteAnswer }
+  | {
+      readonly kind: 'step';
+      readonly step: AcceptedStep;
+      readonly draft: NoteDraft;
+      readonly position: Version;
+      readonly decision: EditDecision;
+    };
+
+/** Decides on one command. The verdict depends on the arguments alone, so that replicas agree. */
+export function decideCommand(tables: NoteTables, command: NoteCommand): NoteVerdict {
+  switch (command.kind) {
+    case 'submit':
+      return decideSubmit(tables, command.draft);
+    case 'amend':
+      return decideAmend(tables, command.draft, command.readAt);
+    case 'withdraw':
+      return decideWithdraw(tables, command.number, command.readAt);
+  }
+}
+
+// Internals.
+
+function decideSubmit(tables: NoteTables, draft: NoteDraft): NoteVerdict {
+  const digest = digestValue(draft);
+  const first = tables.entries.get(draft.number)?.steps[0].receipt;
+  if (first?.digest === digest) return unchanged({ kind: 'accepted', receipt: first });
+  if (first !== undefined) return unchanged({ kind: 'number-taken', winner: first });
+  const position = (tables.whole.version + 1) as Version;
+  const edit: Edit = { number: draft.number, position, former: undefined, next: draft };
+  return formVerdict(tables, edit, draft, {
+    kind: 'submit',
+    receipt: formReceipt(tables, draft.number, FIRST_REVISION, digest),
+  });
+}
+
+function decideAmend(tables: NoteTables, draft: NoteDraft, readAt: Revision): NoteVerdict {
+  const { number } = draft;
+  const entry = tables.entries.get(number);
+  if (entry === undefined) return unchanged({ kind: 'unknown-note', number });
+  const digest = digestValue(draft);
+  const made = findStep(entry, readAt);
+  if (made?.kind === 'amend' && made.receipt.digest === digest) {
+    return unchanged({ kind: 'accepted', receipt: made.receipt });
+  }
+  const stale = findStaleness(entry, readAt);
+  if (stale !== undefined) return unchanged(stale);
+  const position = readPosition(entry);
+  return formVerdict(tables, { number, position, former: entry.draft, next: draft }, draft, {
+    kind: 'amend',
+    receipt: formReceipt(tables, number, nextRevision(readAt), digest),
+  });
+}
+
+function decideWithdraw(tables: NoteTables, number: NoteNumber, readAt: Revision): NoteVerdict {
+  const entry = tables.entries.get(number);
+  if (entry === undefined) return unchanged({ kind: 'unknown-note', number });
+  const made = findStep(entry, readAt);
+  if (made?.kind === 'withdraw') return unchanged({ kind: 'accepted', receipt: made.receipt });
+  const stale = findStaleness(entry, readAt);
+  if (stale !== undefined) return unchanged(stale);
+  const { draft } = entry;
+  const edit: Edit = { number, position: readPosition(entry), former: draft, next: undefined };
+  return formVerdict(tables, edit, draft, {
+    kind: 'withdraw',
+    receipt: formReceipt(tables, number, nextRevision(readAt), readReceipt(entry).digest),
+  });
+}
+
+const FIRST_REVISION = 1 as Revision;
+
+/** Finds the step that followed the revision that an operator had read. */
+function findStep(entry: NoteEntry, readAt: Revision): AcceptedStep | undefined {
+  return entry.steps[readAt];
+}
+
+function findStaleness(entry: NoteEntry, readAt: Revision): NoteAnswer | undefined {
+  const { number, revision } = readReceipt(entry);
+  if (readAt !== revision) return { kind: 'stale-revision', current: revision };
+  if (!isWithdrawn(entry)) return undefined;
+  const message = `note ${number} has been withdrawn; submit a new note instead`;
+  return { kind: 'refused', faults: [{ place: 'number', message }] };
+}
+
+function nextRevision(readAt: Revision): Revision {
+  return (readAt + 1) as Revision;
+}
+
+function formReceipt(
+  { whole }: NoteTables,
+  number: NoteNumber,
+  revision: Revision,
+  digest: Digest,
+): NoteReceipt {
+  return { number, revision, version: (whole.version + 1) as Version, digest };
+}
+
+/** Turns all that speaks against an edit into one answer, or accepts it. */
+function formVerdict(
+  tables: NoteTables,
+  edit: Edit,
+  draft: NoteDraft,
+  step: AcceptedStep,
+): NoteVerdict {
+  const decision = decideEdit(tables, edit);
+  const { undone, resting } = decision;
+  const faults = [...findUnknownSuperseded(tables, edit), ...decision.faults];
+  // A withdrawal has no file with faults in it: what stands in the way comes first.
+  if (edit.next === undefined && resting.length > 0) return unchanged(formResting(resting));
+  if (faults.length > 0) return unchanged({ kind: 'refused', faults });
+  if (undone.length > 0) return unchanged({ kind: 'would-undo', notes: undone });
+  if (resting.length > 0) return unchanged(formResting(resting));
+  return { kind: 'step', step, draft, position: edit.position, decision };
+}
+
+function findUnknownSuperseded({ entries }: NoteTables, { number, next }: Edit): NoteFault[] {
+  const faults: NoteFault[] = [];
+  next?.supersedes.forEach((named, index) => {
+    const place = `supersedes[${index}]`;
+    if (named === number) faults.push({ place, message: 'a note cannot supersede itself' });
+    else if (!entries.has(named)) faults.push({ place, message: `note ${named} is unknown` });
+  });
+  return faults;
+}
+
+function formResting(notes: readonly NoteNumber[]): NoteAnswer {
+  return { kind: 'rested-on', notes };
+}
+
+function unchanged(answer: NoteAnswer): NoteVerdict {
+  return { kind: 'unchanged', answer };
+}
--- a/src/notes/index.ts
+++ b/src/notes/index.ts
@@ -1,9 +1,12 @@
 /** Release notes: checking, ordering and folding them into whole configurations. */
 export { digestValue, formatCanonical, formatSum } from './digest.js';
-export { applyCommand, EMPTY_BOOK } from './note-book.js';
-export type { NoteBook, NoteEntry, NoteOutcome } from './note-book.js';
+export type { NoteVerdict } from './decide-command.js';
+export { NoteBook } from './note-book.js';
+export type { BookSnapshot, NoteOutcome } from './note-book.js';
+export { isWithdrawn, readReceipt } from './note-entry.js';
+export type { AcceptedStep, NoteEntry } from './note-entry.js';
 export { NotesFilter } from './notes-filter.js';
-export type { NotesIn, NotesOut, NotesState } from './notes-filter.js';
+export type { NoteQuestion, NotesIn, NotesOut, NotesState } from './notes-filter.js';
 export {
   applyDelta,
   EMPTY_WHOLE,
@@ -13,3 +16,5 @@
   openSnapshot,
 } from './whole.js';
 export type { ApplyFault, DanglingReference, Whole } from './whole.js';
+export { WholeTable } from './whole-table.js';
+export type { Break } from './whole-table.js';
--- a/src/notes/note-book.ts
+++ b/src/notes/note-book.ts
@@ -1,154 +1,180 @@
 /** The note book: every accepted note, and the whole configuration that they add up to. */
-import type { Digest, NoteNumber, ResourceKey, Revision } from '../ids.js';
+import type { Digest, NoteNumber, Version } from '../ids.js';
 import type {
-  Change,
   NoteAnswer,
   NoteCommand,
-  NoteDraft,
-  NoteFault,
   NoteReceipt,
-  Resource,
   VersionDelta,
+  WholeSnapshot,
 } from '../messages/index.js';
-import { formKey } from '../messages/index.js';
-import { digestValue, formatSum } from './digest.js';
-import type { Whole } from './whole.js';
-import { buildNext, EMPTY_WHOLE, findDangling } from './whole.js';
-
-/** One accepted note. */
-export interface NoteEntry {
-  readonly draft: NoteDraft;
-  readonly receipt: NoteReceipt;
-  readonly withdrawn: boolean;
-}
-
-/** The state that the source replicates. */
-export interface NoteBook {
-  readonly whole: Whole;
-  readonly notes: ReadonlyMap<NoteNumber, NoteEntry>;
-  /** The note that last set each resource. */
-  readonly setBy: ReadonlyMap<ResourceKey, NoteNumber>;
-}
-
-/** What a command leads to: the next book, the answer, and the version that it made, if any. */
+import type { NoteVerdict } from './decide-command.js';
+import { decideCommand } from './decide-command.js';
+import type { NoteTables } from './decide-edit.js';
+import { LayerTable } from './layer-table.js';
+import type { NoteEntry } from './note-entry.js';
+import { isWithdrawn, listActions, readPosition } from './note-entry.js';
+import { WholeTable } from './whole-table.js';
+
+/** What a command leads to: the answer, and the version that it made, if any. */
 export interface NoteOutcome {
-  readonly book: NoteBook;
   readonly answer: NoteAnswer;
   readonly delta: VersionDelta | undefined;
 }
 
-/** The book before the first note. */
-export const EMPTY_BOOK: NoteBook = { whole: EMPTY_WHOLE, notes: new Map(), setBy: new Map() };
+/** A note book as plain data, for the snapshots of the log. */
+export interface BookSnapshot {
+  readonly version: Version;
+  /** The set digest of the configuration that the notes add up to. */
+  readonly digest: Digest;
+  /** The accepted notes, in the order of their first acceptance. */
+  readonly entries: readonly NoteEntry[];
+}
 
-/** Applies one command. The result depends on the arguments alone, so that replicas agree. */
-export function applyCommand(book: NoteBook, command: NoteCommand): NoteOutcome {
-  switch (command.kind) {
-    case 'submit':
-      return submitNote(book, command.draft);
-    case 'amend':
-    case 'withdraw':
-      return refuse(book, [{ place: 'command', message: `${command.kind} is not supported yet` }]);
+/**
+ * The state that the source replicates: a fold over the committed commands.
+ *
+ * The book is updated in place, so that a command costs the same however many notes there are. It
+ * has one owner, who never hands it to another task. The same commands in the same order make the
+ * same book at every replica.
+ *
+ * @example
+ * const book = new NoteBook();
+ * const { answer, delta } = book.apply({ kind: 'submit', draft });
+ */
+export class NoteBook {
+  readonly #entries = new Map<NoteNumber, NoteEntry>();
+  /** The numbers of the notes in the order of their first acceptance. */
+  readonly #order: NoteNumber[] = [];
+  readonly #layers: LayerTable;
+  readonly #whole: WholeTable;
+
+  /** Creates a book without notes; other tables than empty ones come from {@link NoteBook.open}. */
+  constructor(layers = new LayerTable(), whole = new WholeTable()) {
+    this.#layers = layers;
+    this.#whole = whole;
   }
-}
 
-// Internals.
+  /** Opens a book from plain data; throws when the data does not add up to its own digest. */
+  static open(snapshot: BookSnapshot): NoteBook {
+    const layers = new LayerTable();
+    for (const entry of snapshot.entries) addLayers(layers, entry);
+    const { version, digest } = snapshot;
+    const whole = WholeTable.open({ version, digest, resources: layers.listResources() });
+    const book = new NoteBook(layers, whole);
+    for (const entry of snapshot.entries) book.#setEntry(entry);
+    if (book.digest === digest) return book;
+    throw new Error(
+      `the snapshot of the notes at version ${version} is damaged: its notes add up to ${book.digest}, not to ${digest}; empty the data folder, so that this replica is rebuilt from the others`,
+    );
+  }
 
-function submitNote(book: NoteBook, draft: NoteDraft): NoteOutcome {
-  const digest = digestValue(draft);
-  const former = book.notes.get(draft.number);
-  if (former !== undefined) return answerKnownNumber(book, former, digest);
-  const faults = findFaults(book, draft);
-  if (faults.length > 0) return refuse(book, faults);
-  const undone = findUndone(book, draft);
-  if (undone.length > 0) return answer(book, { kind: 'would-undo', notes: undone });
-  return acceptNote(book, draft, digest);
-}
+  /** The newest version of the configuration. */
+  get version(): Version {
+    return this.#whole.version;
+  }
 
-function answerKnownNumber(book: NoteBook, former: NoteEntry, digest: Digest): NoteOutcome {
-  const { receipt } = former;
-  if (receipt.digest === digest) return answer(book, { kind: 'accepted', receipt });
-  return answer(book, { kind: 'number-taken', winner: receipt });
-}
+  /** The set digest of the configuration. */
+  get digest(): Digest {
+    return this.#whole.digest;
+  }
 
-function acceptNote(book: NoteBook, draft: NoteDraft, digest: Digest): NoteOutcome {
-  const changes = listChanges(draft);
-  const whole = buildNext(book.whole, changes);
-  const receipt: NoteReceipt = {
-    number: draft.number,
-    revision: 1 as Revision,
-    version: whole.version,
-    digest,
-  };
-  const entry: NoteEntry = { draft, receipt, withdrawn: false };
-  const next: NoteBook = {
-    whole,
-    notes: new Map(book.notes).set(draft.number, entry),
-    setBy: updateSetters(book.setBy, changes, draft.number),
-  };
-  const delta: VersionDelta = {
-    version: whole.version,
-    note: draft.number,
-    revision: receipt.revision,
-    changes,
-    digest: formatSum(whole.sum),
-  };
-  return { book: next, answer: { kind: 'accepted', receipt }, delta };
-}
+  /** How many notes have been accepted. */
+  get size(): number {
+    return this.#entries.size;
+  }
 
-function listChanges(draft: NoteDraft): Change[] {
-  const puts = [...draft.add, ...draft.change].map((resource) => formPut(resource));
-  const removals = draft.withdraw.map((key): Change => ({ op: 'remove', key }));
-  return [...removals, ...puts];
-}
+  /** Finds an accepted note, also when it has been withdrawn. */
+  findEntry(number: NoteNumber): NoteEntry | undefined {
+    return this.#entries.get(number);
+  }
 
-function formPut(resource: Resource): Change {
-  return { op: 'put', resource };
-}
+  /** Lists at most `limit` notes that were first accepted after a version, in that order. */
+  listEntries(after: Version, limit: number): NoteEntry[] {
+    const start = this.#findStart(after);
+    return this.#order.slice(start, start + limit).flatMap((one) => this.#entries.get(one) ?? []);
+  }
 
-function findFaults(book: NoteBook, draft: NoteDraft): NoteFault[] {
-  const held = book.whole.resources;
-  const faults: NoteFault[] = [];
-  draft.add.forEach((resource, index) => {
-    const key = formKey(resource);
-    if (held.has(key)) faults.push({ place: `add[${index}]`, message: `${key} exists already` });
-  });
-  draft.change.forEach((resource, index) => {
-    const key = formKey(resource);
-    if (!held.has(key)) faults.push({ place: `change[${index}]`, message: `${key} is absent` });
-  });
-  draft.withdraw.forEach((key, index) => {
-    if (!held.has(key)) faults.push({ place: `withdraw[${index}]`, message: `${key} is absent` });
-  });
-  for (const { from, to } of findDangling(buildNext(book.whole, listChanges(draft)))) {
-    faults.push({ place: from, message: `refers to ${to}, which would be absent` });
-  }
-  return faults;
-}
+  /** Decides on a command without changing anything, so that it can be refused early. */
+  decide(command: NoteCommand): NoteVerdict {
+    return decideCommand(this.#tables(), command);
+  }
 
-function findUndone(book: NoteBook, draft: NoteDraft): NoteNumber[] {
-  const touched = [...draft.change.map((resource) => formKey(resource)), ...draft.withdraw];
-  const setters = touched.flatMap((key) => book.setBy.get(key) ?? []);
-  const unnamed = setters.filter((number) => !draft.supersedes.includes(number));
-  return [...new Set(unnamed)].sort((left, right) => left - right);
-}
+  /** Applies one command. The result depends on the book and the command alone. */
+  apply(command: NoteCommand): NoteOutcome {
+    const verdict = this.decide(command);
+    if (verdict.kind === 'unchanged') return { answer: verdict.answer, delta: undefined };
+    return this.#applyStep(verdict);
+  }
 
-function updateSetters(
-  setBy: NoteBook['setBy'],
-  changes: readonly Change[],
-  number: NoteNumber,
-): NoteBook['setBy'] {
-  const next = new Map(setBy);
-  for (const change of changes) {
-    if (change.op === 'put') next.set(formKey(change.resource), number);
-    else next.delete(change.key);
-  }
-  return next;
-}
+  /** Packs the configuration for transit. */
+  formWholeSnapshot(): WholeSnapshot {
+    return this.#whole.formSnapshot();
+  }
+
+  /** Packs the book as plain data. */
+  formSnapshot(): BookSnapshot {
+    return { version: this.version, digest: this.digest, entries: [...this.#entries.values()] };
+  }
+
+  // Internals.
+
+  #tables(): NoteTables {
+    return { entries: this.#entries, layers: this.#layers, whole: this.#whole };
+  }
+
+  #applyStep({
+    step,
+    draft,
+    position,
+    decision,
+  }: Extract<NoteVerdict, { kind: 'step' }>): NoteOutcome {
+    const { receipt } = step;
+    const former = this.#entries.get(receipt.number);
+    const steps: NoteEntry['steps'] = former === undefined ? [step] : [...former.steps, step];
+    this.#setEntry({ draft, steps });
+    for (const { key, layer } of decision.updates) this.#layers.update(key, position, layer);
+    this.#whole.apply(decision.changes);
+    return { answer: { kind: 'accepted', receipt }, delta: this.#formDelta(receipt, decision) };
+  }
 
-function refuse(book: NoteBook, faults: readonly NoteFault[]): NoteOutcome {
-  return answer(book, { kind: 'refused', faults });
+  #setEntry(entry: NoteEntry): void {
+    const { number } = entry.draft;
+    if (!this.#entries.has(number)) this.#order.push(number);
+    this.#entries.set(number, entry);
+  }
+
+  /** Finds the first note that was accepted after a version, by bisection. */
+  #findStart(after: Version): number {
+    let low = 0;
+    let high = this.#order.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (this.#readPositionAt(middle) <= after) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+
+  #readPositionAt(index: number): Version {
+    const number = this.#order[index];
+    const entry = number === undefined ? undefined : this.#entries.get(number);
+    return entry === undefined ? this.version : readPosition(entry);
+  }
+
+  #formDelta(
+    { number, revision, version }: NoteReceipt,
+    { changes }: Pick<VersionDelta, 'changes'>,
+  ): VersionDelta {
+    return { version, note: number, revision, changes, digest: this.digest };
+  }
 }
 
-function answer(book: NoteBook, noteAnswer: NoteAnswer): NoteOutcome {
-  return { book, answer: noteAnswer, delta: undefined };
+// Internals.
+
+function addLayers(layers: LayerTable, entry: NoteEntry): void {
+  if (isWithdrawn(entry)) return;
+  const position = readPosition(entry);
+  for (const { key, action, resource } of listActions(entry.draft)) {
+    layers.update(key, position, { note: entry.draft.number, position, action, resource });
+  }
 }
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -1,148 +1,208 @@
 /** Answers operators and hands accepted versions on. */
-import type { NoteNumber, RequestId, Version } from '../ids.js';
+import type { Instant, NoteNumber, RequestId, Version } from '../ids.js';
 import type {
-  Coverage,
   CoverageReport,
   LogNotice,
   LogRefusal,
   LogRequest,
   NoteAnswer,
   NoteCommand,
+  NotePage,
   NoteStatus,
   VersionDelta,
 } from '../messages/index.js';
+import type { Step, Tick, Wake } from '../pipe/index.js';
 import { Filter } from '../pipe/index.js';
-import type { Step } from '../pipe/index.js';
-import type { NoteBook, NoteEntry } from './note-book.js';
-import { applyCommand, EMPTY_BOOK } from './note-book.js';
+import { NoteBook } from './note-book.js';
+import { formPage, formStatus, isInForce, NO_COVERAGE } from './note-status.js';
+
+/** A question of an operator. It is answered only after the log has confirmed that this replica leads. */
+export type NoteQuestion =
+  | { readonly kind: 'show'; readonly number: NoteNumber }
+  /** At most `limit` notes that were accepted after a version. */
+  | { readonly kind: 'list'; readonly after: Version; readonly limit: number }
+  /** Like `show`, but answered when the note is in force, at the deadline at the latest. */
+  | { readonly kind: 'wait'; readonly number: NoteNumber; readonly deadline: Instant };
 
 /** What the notes pipe is told. */
 export type NotesIn =
   | { readonly kind: 'command'; readonly id: RequestId; readonly command: NoteCommand }
-  | { readonly kind: 'show'; readonly id: RequestId; readonly number: NoteNumber }
-  | { readonly kind: 'list'; readonly id: RequestId }
+  | { readonly kind: 'question'; readonly id: RequestId; readonly question: NoteQuestion }
+  /** The operator has gone; the answer is not wanted any more. */
+  | { readonly kind: 'cancel'; readonly id: RequestId }
   | { readonly kind: 'log'; readonly notice: LogNotice<NoteCommand> }
-  | { readonly kind: 'coverage'; readonly report: CoverageReport };
+  | { readonly kind: 'coverage'; readonly report: CoverageReport }
+  | Tick;
 
 /** What the notes pipe sends on. */
 export type NotesOut =
   | { readonly kind: 'log'; readonly request: LogRequest<NoteCommand> }
   | { readonly kind: 'answer'; readonly id: RequestId; readonly answer: NoteAnswer }
-  | { readonly kind: 'statuses'; readonly id: RequestId; readonly notes: readonly NoteStatus[] }
+  | { readonly kind: 'status'; readonly id: RequestId; readonly status: NoteStatus }
+  | { readonly kind: 'page'; readonly id: RequestId; readonly page: NotePage }
   | { readonly kind: 'refusal'; readonly id: RequestId; readonly refusal: LogRefusal }
-  | { readonly kind: 'version'; readonly delta: VersionDelta; readonly book: NoteBook };
+  | { readonly kind: 'version'; readonly delta: VersionDelta }
+  | Wake;
+
+/** What is done once the log has confirmed that this replica leads. */
+type Pending = NoteQuestion | { readonly kind: 'command'; readonly command: NoteCommand };
 
-/** The state of the notes pipe. */
+/** The state of the notes pipe. The book and the tables are updated in place. */
 export interface NotesState {
   readonly book: NoteBook;
-  /** Reads that wait until the log has confirmed that this replica still leads. */
-  readonly reads: ReadonlyMap<RequestId, NoteNumber | 'all'>;
+  readonly pending: Map<RequestId, Pending>;
+  /** Operators who wait until a note is in force. */
+  readonly waits: Map<RequestId, Extract<NoteQuestion, { kind: 'wait' }>>;
   readonly coverage: CoverageReport;
 }
 
-/** Decides on commands and read-backs of operators, and on what the log has committed. */
+type NotesStep = Step<NotesState, NotesOut>;
+
+/**
+ * Decides on commands and read-backs of operators, and on what the log has committed.
+ *
+ * A command that would be refused does not enter the log, but the refusal is answered only after this
+ * replica has confirmed that it leads: its book may be old. Whether a command is accepted is decided
+ * when it is committed.
+ */
 export class NotesFilter extends Filter<NotesState, NotesIn, NotesOut> {
   override createState(): NotesState {
-    return { book: EMPTY_BOOK, reads: new Map(), coverage: NO_COVERAGE };
+    return { book: new NoteBook(), pending: new Map(), waits: new Map(), coverage: NO_COVERAGE };
   }
 
-  override decide(state: NotesState, message: NotesIn): Step<NotesState, NotesOut> {
+  override decide(state: NotesState, message: NotesIn, now: Instant): NotesStep {
     switch (message.kind) {
       case 'command':
-        return { state, outputs: [this.#propose(message.id, message.command)] };
-      case 'show':
-        return this.#confirmRead(state, message.id, message.number);
-      case 'list':
-        return this.#confirmRead(state, message.id, 'all');
+        return this.#handleCommand(state, message.id, message.command);
+      case 'question':
+        return confirm(state, message.id, message.question);
+      case 'cancel':
+        state.pending.delete(message.id);
+        state.waits.delete(message.id);
+        return { state, outputs: [] };
       case 'log':
-        return this.#handleNotice(state, message.notice);
+        return this.#handleNotice(state, message.notice, now);
       case 'coverage':
-        return { state: { ...state, coverage: message.report }, outputs: [] };
+        return this.#handleCoverage({ ...state, coverage: message.report });
+      case 'tick':
+        return this.#endWaits(state, now);
     }
   }
 
   // Internals.
 
-  #propose(id: RequestId, command: NoteCommand): NotesOut {
-    return { kind: 'log', request: { kind: 'propose', id, command } };
+  #handleCommand(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
+    if (state.book.decide(command).kind === 'step') return propose(state, id, command);
+    return confirm(state, id, { kind: 'command', command });
   }
 
-  #confirmRead(
-    state: NotesState,
-    id: RequestId,
-    what: NoteNumber | 'all',
-  ): Step<NotesState, NotesOut> {
-    const reads = new Map(state.reads).set(id, what);
-    return {
-      state: { ...state, reads },
-      outputs: [{ kind: 'log', request: { kind: 'confirm', id } }],
-    };
-  }
-
-  #handleNotice(state: NotesState, notice: LogNotice<NoteCommand>): Step<NotesState, NotesOut> {
+  #handleNotice(state: NotesState, notice: LogNotice<NoteCommand>, now: Instant): NotesStep {
     switch (notice.kind) {
       case 'committed':
         return this.#applyCommitted(state, notice.command, notice.id);
       case 'confirmed':
-        return this.#answerRead(state, notice.id);
-      case 'refused':
-        return {
-          state: forgetRead(state, notice.id),
-          outputs: [{ kind: 'refusal', id: notice.id, refusal: notice.refusal }],
-        };
+        return this.#handleConfirmed(state, notice.id, now);
+      case 'refused': {
+        state.pending.delete(notice.id);
+        const { id, refusal } = notice;
+        return { state, outputs: [{ kind: 'refusal', id, refusal }] };
+      }
       case 'leading':
         return { state, outputs: [] };
     }
   }
 
-  #applyCommitted(
-    state: NotesState,
-    command: NoteCommand,
-    id: RequestId | undefined,
-  ): Step<NotesState, NotesOut> {
-    const { book, answer, delta } = applyCommand(state.book, command);
+  #applyCommitted(state: NotesState, command: NoteCommand, id: RequestId | undefined): NotesStep {
+    const { answer, delta } = state.book.apply(command);
     const outputs: NotesOut[] = [];
-    if (delta !== undefined) outputs.push({ kind: 'version', delta, book });
+    if (delta !== undefined) outputs.push({ kind: 'version', delta });
     if (id !== undefined) outputs.push({ kind: 'answer', id, answer });
-    return { state: { ...state, book }, outputs };
+    return { state, outputs };
   }
 
-  #answerRead(state: NotesState, id: RequestId): Step<NotesState, NotesOut> {
-    const what = state.reads.get(id);
-    if (what === undefined) return { state, outputs: [] };
-    const entries = [...state.book.notes.values()];
-    const wanted = entries.filter((entry) => what === 'all' || entry.draft.number === what);
-    const notes = wanted.map((entry) => formStatus(state, entry));
-    return { state: forgetRead(state, id), outputs: [{ kind: 'statuses', id, notes }] };
+  #handleConfirmed(state: NotesState, id: RequestId, now: Instant): NotesStep {
+    const pending = state.pending.get(id);
+    state.pending.delete(id);
+    switch (pending?.kind) {
+      case undefined:
+        return { state, outputs: [] };
+      case 'command':
+        return this.#answerCommand(state, id, pending.command);
+      case 'list': {
+        const page = formPage(state.book, state.coverage, pending.after, pending.limit);
+        return { state, outputs: [{ kind: 'page', id, page }] };
+      }
+      case 'show':
+        return this.#answerStatus(state, id, pending.number);
+      case 'wait':
+        return this.#answerWait(state, id, pending, now);
+    }
+  }
+
+  /** Answers a command that was about to be refused, or proposes it when that is no longer so. */
+  #answerCommand(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
+    const verdict = state.book.decide(command);
+    if (verdict.kind === 'step') return propose(state, id, command);
+    return { state, outputs: [{ kind: 'answer', id, answer: verdict.answer }] };
+  }
+
+  #answerStatus(state: NotesState, id: RequestId, number: NoteNumber): NotesStep {
+    const entry = state.book.findEntry(number);
+    if (entry === undefined) {
+      return { state, outputs: [{ kind: 'answer', id, answer: { kind: 'unknown-note', number } }] };
+    }
+    const status = formStatus(entry, state.coverage);
+    return { state, outputs: [{ kind: 'status', id, status }] };
+  }
+
+  #answerWait(
+    state: NotesState,
+    id: RequestId,
+    wait: Extract<NoteQuestion, { kind: 'wait' }>,
+    now: Instant,
+  ): NotesStep {
+    const entry = state.book.findEntry(wait.number);
+    const waitsOn = entry !== undefined && !isInForce(entry, state.coverage);
+    if (!waitsOn || wait.deadline <= now) return this.#answerStatus(state, id, wait.number);
+    state.waits.set(id, wait);
+    return { state, outputs: [{ kind: 'wake', at: wait.deadline }] };
+  }
+
+  #handleCoverage(state: NotesState): NotesStep {
+    const ended = [...state.waits].filter(([, { number }]) => {
+      const entry = state.book.findEntry(number);
+      return entry === undefined || isInForce(entry, state.coverage);
+    });
+    return { state, outputs: ended.flatMap(([id, wait]) => endWait(state, id, wait)) };
+  }
+
+  #endWaits(state: NotesState, now: Instant): NotesStep {
+    const outputs: NotesOut[] = [];
+    for (const [id, wait] of [...state.waits]) {
+      if (wait.deadline <= now) outputs.push(...endWait(state, id, wait));
+      else outputs.push({ kind: 'wake', at: wait.deadline });
+    }
+    return { state, outputs };
   }
 }
 
 // Internals.
 
-const NO_COVERAGE: CoverageReport = { known: 0, held: [], stragglers: [] };
-
-function formStatus(state: NotesState, entry: NoteEntry): NoteStatus {
-  const coverage = countCoverage(state.coverage, entry.receipt.version);
-  return {
-    receipt: entry.receipt,
-    title: entry.draft.title,
-    withdrawn: entry.withdrawn,
-    inForce: coverage.known > 0 && coverage.holding === coverage.known,
-    coverage,
-  };
+function propose(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
+  return { state, outputs: [{ kind: 'log', request: { kind: 'propose', id, command } }] };
 }
 
-function countCoverage(report: CoverageReport, version: Version): Coverage {
-  const holders = report.held.filter((group) => group.version >= version);
-  return {
-    known: report.known,
-    holding: holders.reduce((sum, group) => sum + group.count, 0),
-    stragglers: report.stragglers.filter((straggler) => straggler.version < version),
-  };
+function confirm(state: NotesState, id: RequestId, pending: Pending): NotesStep {
+  state.pending.set(id, pending);
+  return { state, outputs: [{ kind: 'log', request: { kind: 'confirm', id } }] };
 }
 
-function forgetRead(state: NotesState, id: RequestId): NotesState {
-  const reads = new Map(state.reads);
-  reads.delete(id);
-  return { ...state, reads };
+/** Confirms once more before a wait is answered: much may have happened meanwhile. */
+function endWait(
+  state: NotesState,
+  id: RequestId,
+  wait: Extract<NoteQuestion, { kind: 'wait' }>,
+): readonly NotesOut[] {
+  state.waits.delete(id);
+  return confirm(state, id, wait).outputs;
 }
--- a/src/notes/whole.ts
+++ b/src/notes/whole.ts
@@ -1,16 +1,11 @@
 /** A whole configuration: every resource that one version holds. */
 import type { Digest, ResourceKey, Version } from '../ids.js';
 import { NO_VERSION } from '../ids.js';
-import type {
-  Change,
-  Resource,
-  RouteResource,
-  VersionDelta,
-  WholeSnapshot,
-} from '../messages/index.js';
+import type { Change, Resource, VersionDelta, WholeSnapshot } from '../messages/index.js';
 import { formKey } from '../messages/index.js';
 import { addToSum, EMPTY_SUM, formatSum, removeFromSum } from './digest.js';
 import type { SetSum } from './digest.js';
+import { listProvided, listReferences } from './references.js';
 
 /** One version of the configuration, whole. It is never changed after it was built. */
 export interface Whole {
@@ -53,14 +48,12 @@
 
 /** Lists the references of routes and splits that point at nothing. */
 export function findDangling(whole: Whole): DanglingReference[] {
-  const dangling: DanglingReference[] = [];
-  for (const resource of whole.resources.values()) {
-    if (resource.kind !== 'route') continue;
-    for (const to of listReferences(resource)) {
-      if (!whole.resources.has(to)) dangling.push({ from: formKey(resource), to });
-    }
-  }
-  return dangling;
+  const resources = [...whole.resources.values()];
+  const provided = new Set(resources.flatMap((resource) => listProvided(resource)));
+  return resources.flatMap((resource) => {
+    const missing = listReferences(resource).filter(({ to }) => !provided.has(to));
+    return missing.map(({ to }) => ({ from: formKey(resource), to }));
+  });
 }
 
 /**
@@ -105,10 +98,3 @@
   if (references.length > 0) return { kind: 'dangling', references };
   return next;
 }
-
-function listReferences(route: RouteResource): ResourceKey[] {
-  return [
-    formKey({ kind: 'service', name: route.service }),
-    formKey({ kind: 'request-kind', name: route.requestKind }),
-  ];
-}
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -6,7 +6,7 @@
 import type { LinkCommand, LinkEvent, NoteCommand, SpreadMessage } from '../messages/index.js';
 import type { NotesIn, NotesOut, NotesState } from '../notes/index.js';
 import { NotesFilter } from '../notes/index.js';
-import type { ReportFailure } from '../pipe/index.js';
+import type { ReportFailure, Wake } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type { SourceSpreadIn, SourceSpreadOut, SourceSpreadState } from '../spread/index.js';
 import { SourceSpreadFilter } from '../spread/index.js';
@@ -31,6 +31,7 @@
     clock,
     reportFailure,
     send: routeNotes,
+    formTick: () => ({ kind: 'tick' }),
   });
   const log = new LogTask<NoteCommand>({
     path: join(options.dataFolder, 'notes.log'),
@@ -49,6 +50,9 @@
   });
   const operator = new OperatorTask({
     address: settings.operator,
+    clock,
+    waitLimitMs: settings.waitLimitMs,
+    findOperator: (host) => settings.operators.get(host),
     token: readFileSync(settings.tokenFile, 'utf8').trim(),
     reportFailure,
     request: (message) => {
@@ -56,7 +60,7 @@
     },
   });
 
-  function routeNotes(output: NotesOut): void {
+  function routeNotes(output: Exclude<NotesOut, Wake>): void {
     if (output.kind === 'log') log.post({ kind: 'request', request: output.request });
     else if (output.kind === 'version') spread.post({ kind: 'version', delta: output.delta });
     else operator.post(output);
--- a/src/program/settings/source-settings.ts
+++ b/src/program/settings/source-settings.ts
@@ -1,8 +1,10 @@
 /** The section `[source]`. */
 import { z } from 'zod';
-import type { Address } from '../../ids.js';
+import type { Address, HostId } from '../../ids.js';
+import { parseHostId } from '../../ids.js';
 import {
   addressSchema,
+  formIdSchema,
   formMillisecondsSchema,
   pathSchema,
   replicasSchema,
@@ -20,6 +22,8 @@
   readonly tokenFile: string;
   /** The control addresses of all replicas of the source; empty means this process alone. */
   readonly replicas: readonly Address[];
+  /** Where operators reach each source host, so that a replica can name the leader's address. */
+  readonly operators: ReadonlyMap<HostId, Address>;
   /** The longest time that a request to wait for a note is held open, in milliseconds. */
   readonly waitLimitMs: number;
 }
@@ -30,11 +34,13 @@
     operator: addressSchema,
     token_file: pathSchema,
     replicas: replicasSchema.optional(),
+    operators: z.record(formIdSchema(parseHostId), addressSchema).default({}),
     wait_limit_ms: formMillisecondsSchema(MIN_WAIT_MS, MAX_WAIT_MS).default(DEFAULT_WAIT_MS),
   })
-  .transform(({ operator, token_file, replicas, wait_limit_ms }): SourceSettings => ({
+  .transform(({ operator, token_file, replicas, operators, wait_limit_ms }): SourceSettings => ({
     operator,
     tokenFile: token_file,
     replicas: replicas ?? [],
+    operators: new Map(Object.entries(operators) as [HostId, Address][]),
     waitLimitMs: wait_limit_ms,
   }));
--- /dev/null
+++ b/test/naive-book.ts
@@ -0,0 +1,269 @@
+/** A naive note book: a plain list of notes, folded anew for every command. */
+import type { NoteNumber, ResourceKey, Revision, Version } from '../src/ids.js';
+import type { NoteAnswer, NoteCommand, NoteDraft, NoteReceipt } from '../src/messages/index.js';
+import type { Resource } from '../src/messages/index.js';
+import { formKey } from '../src/messages/index.js';
+import { digestValue, formatCanonical } from '../src/notes/index.js';
+
+interface NaiveStep {
+  readonly kind: string;
+  readonly receipt: NoteReceipt;
+}
+
+/** An accepted note. Its place in the list is the order of acceptance. */
+interface NaiveNote {
+  readonly number: NoteNumber;
+  readonly draft: NoteDraft;
+  readonly steps: readonly [NaiveStep, ...NaiveStep[]];
+}
+
+interface NaiveAction {
+  readonly note: NoteNumber;
+  readonly order: number;
+  readonly key: ResourceKey;
+  readonly place: string;
+  readonly action: 'add' | 'change' | 'withdraw';
+  readonly resource: Resource | undefined;
+}
+
+/** What a list of notes adds up to, and what is wrong with it. */
+interface Folding {
+  readonly whole: ReadonlyMap<ResourceKey, Resource>;
+  /** The last action on each resource. */
+  readonly last: ReadonlyMap<ResourceKey, NaiveAction>;
+  readonly wrong: readonly { readonly action: NaiveAction; readonly undone?: NoteNumber }[];
+}
+
+/** Applies commands as {@link NoteBook} does, at a cost that grows with everything. */
+export class NaiveBook {
+  notes: readonly NaiveNote[] = [];
+  version = 0;
+
+  apply(command: NoteCommand): NoteAnswer {
+    const number = command.kind === 'withdraw' ? command.number : command.draft.number;
+    const note = this.notes.find((one) => one.number === number);
+    if (command.kind === 'submit') return this.#submit(command.draft, note);
+    if (note === undefined) return { kind: 'unknown-note', number };
+    const digest = command.kind === 'amend' ? digestValue(command.draft) : undefined;
+    const step = note.steps[command.readAt];
+    if (step?.kind === command.kind && (digest ?? step.receipt.digest) === step.receipt.digest) {
+      return { kind: 'accepted', receipt: step.receipt };
+    }
+    const { revision } = this.#readReceipt(note);
+    if (command.readAt !== revision) return { kind: 'stale-revision', current: revision };
+    if (note.steps.at(-1)?.kind === 'withdraw') return formRefused(['number']);
+    const draft = command.kind === 'amend' ? command.draft : undefined;
+    const kept = draft ?? note.draft;
+    return this.#accept(command.kind, number, note, kept, digest ?? digestValue(note.draft));
+  }
+
+  get whole(): ReadonlyMap<ResourceKey, Resource> {
+    return foldNotes(this.notes).whole;
+  }
+
+  readRevision(number: NoteNumber): Revision {
+    const note = this.notes.find((one) => one.number === number);
+    return note === undefined ? (1 as Revision) : this.#readReceipt(note).revision;
+  }
+
+  // Internals.
+
+  #readReceipt(note: NaiveNote): NoteReceipt {
+    return (note.steps.at(-1) ?? note.steps[0]).receipt;
+  }
+
+  #submit(draft: NoteDraft, note: NaiveNote | undefined): NoteAnswer {
+    const digest = digestValue(draft);
+    const first = note?.steps[0].receipt;
+    if (first?.digest === digest) return { kind: 'accepted', receipt: first };
+    if (first !== undefined) return { kind: 'number-taken', winner: first };
+    return this.#accept('submit', draft.number, undefined, draft, digest);
+  }
+
+  #accept(
+    kind: NoteCommand['kind'],
+    number: NoteNumber,
+    former: NaiveNote | undefined,
+    draft: NoteDraft,
+    digest: NoteReceipt['digest'],
+  ): NoteAnswer {
+    const revision = ((former?.steps.length ?? 0) + 1) as Revision;
+    const receipt = { number, revision, version: (this.version + 1) as Version, digest };
+    const next: NaiveNote = {
+      number,
+      draft,
+      steps: former ? [...former.steps, { kind, receipt }] : [{ kind, receipt }],
+    };
+    const notes = former
+      ? this.notes.map((one) => (one === former ? next : one))
+      : [...this.notes, next];
+    const answer = this.#judge(notes, next, kind);
+    if (answer !== undefined) return answer;
+    this.notes = notes;
+    this.version += 1;
+    return { kind: 'accepted', receipt };
+  }
+
+  #judge(
+    notes: readonly NaiveNote[],
+    note: NaiveNote,
+    kind: NoteCommand['kind'],
+  ): NoteAnswer | undefined {
+    const before = foldNotes(this.notes);
+    const after = foldNotes(notes);
+    const places: string[] = [];
+    const undone = new Set<NoteNumber>();
+    const resting = new Set<NoteNumber>();
+    if (kind !== 'withdraw') places.push(...this.#judgeDraft(note));
+    for (const { action, undone: lost } of after.wrong) {
+      if (action.note !== note.number) resting.add(action.note);
+      else if (lost === undefined) places.push(action.place);
+      else undone.add(lost);
+    }
+    const order = notes.indexOf(note);
+    for (const one of findBreaks(before, after, note, order)) {
+      if (typeof one === 'string') places.push(one);
+      else resting.add(one);
+    }
+    const sorted = (numbers: ReadonlySet<NoteNumber>) => [...numbers].sort((a, b) => a - b);
+    if (kind === 'withdraw' && resting.size > 0)
+      return { kind: 'rested-on', notes: sorted(resting) };
+    if (places.length > 0) return formRefused(places);
+    if (undone.size > 0) return { kind: 'would-undo', notes: sorted(undone) };
+    return resting.size > 0 ? { kind: 'rested-on', notes: sorted(resting) } : undefined;
+  }
+
+  #judgeDraft({ number, draft }: NaiveNote): string[] {
+    const known = (one: NoteNumber) => this.notes.some((note) => note.number === one);
+    const unknown = draft.supersedes.flatMap((one, index) =>
+      one === number || !known(one) ? [`supersedes[${index}]`] : [],
+    );
+    const keys = listActions(draft, 0).map(({ key }) => key);
+    const twice = listActions(draft, 0).filter(({ key }, index) => keys.indexOf(key) < index);
+    return [...unknown, ...twice.map(({ place }) => place)];
+  }
+}
+
+// Internals.
+
+function formRefused(places: readonly string[]): NoteAnswer {
+  return { kind: 'refused', faults: places.map((place) => ({ place, message: '' })) };
+}
+
+function listActions(draft: NoteDraft, order: number): NaiveAction[] {
+  const note = draft.number;
+  const puts = (action: 'add' | 'change'): NaiveAction[] =>
+    draft[action].map((resource, index) => {
+      return {
+        note,
+        order,
+        key: formKey(resource),
+        place: `${action}[${index}]`,
+        action,
+        resource,
+      };
+    });
+  const withdrawals = draft.withdraw.map((key, index): NaiveAction => {
+    const place = `withdraw[${index}]`;
+    return { note, order, key, place, action: 'withdraw', resource: undefined };
+  });
+  return [...puts('add'), ...puts('change'), ...withdrawals];
+}
+
+function listOwn(note: NaiveNote, order: number): NaiveAction[] {
+  if (note.steps.at(-1)?.kind === 'withdraw') return [];
+  const all = listActions(note.draft, order);
+  return all.filter(({ key }, index) => all.findIndex((one) => one.key === key) === index);
+}
+
+function foldNotes(notes: readonly NaiveNote[]): Folding {
+  const last = new Map<ResourceKey, NaiveAction>();
+  const wrong: { action: NaiveAction; undone?: NoteNumber }[] = [];
+  notes.forEach((note, order) => {
+    for (const action of listOwn(note, order)) {
+      const below = last.get(action.key);
+      const present = below?.resource !== undefined;
+      if (present === (action.action === 'add')) wrong.push({ action });
+      else if (below && !note.draft.supersedes.includes(below.note)) {
+        wrong.push({ action, undone: below.note });
+      }
+      last.set(action.key, action);
+    }
+  });
+  const whole = new Map<ResourceKey, Resource>();
+  for (const [key, { resource }] of last) if (resource) whole.set(key, resource);
+  return { whole, last, wrong };
+}
+
+/** Lists what the new whole breaks: a place in the note, or the later note that stands in the way. */
+function findBreaks(
+  before: Folding,
+  after: Folding,
+  note: NaiveNote,
+  order: number,
+): (string | NoteNumber)[] {
+  const own = listOwn(note, order);
+  const blame = (from: ResourceKey, other: ResourceKey, field: string): string | NoteNumber => {
+    const setter = after.last.get(from);
+    if (setter && setter.order > order) return setter.note;
+    const mine = own.find((one) => one.key === from && one.resource);
+    if (mine) return `${mine.place}${field}`;
+    const remover = after.last.get(other);
+    if (remover && remover.order > order) return remover.note;
+    const cause =
+      own.find((one) => one.key === other) ??
+      own.find((one) => formGeneration(before.whole.get(one.key)) === other);
+    return cause?.place ?? 'note';
+  };
+  const provided = new Set<string | undefined>(after.whole.keys());
+  for (const resource of after.whole.values()) provided.add(formGeneration(resource));
+  const breaks: (string | NoteNumber)[] = [];
+  for (const [from, resource] of after.whole) {
+    for (const [field, to] of listNeeds(resource)) {
+      if (!provided.has(to)) breaks.push(blame(from, to, field));
+    }
+  }
+  for (const [from, other] of findClashes(before, after, own)) breaks.push(blame(from, other, ''));
+  return breaks;
+}
+
+function formGeneration(resource: Resource | undefined): ResourceKey | undefined {
+  if (resource?.kind !== 'route') return undefined;
+  return `generation/${resource.generation}` as ResourceKey;
+}
+
+function listNeeds(resource: Resource): [field: string, to: ResourceKey][] {
+  if (resource.kind === 'route') {
+    return [
+      ['.service', `service/${resource.service}` as ResourceKey],
+      ['.request_kind', `request-kind/${resource.requestKind}` as ResourceKey],
+    ];
+  }
+  if (resource.kind !== 'split') return [];
+  return resource.shares.map(({ generation }, index) => {
+    return [`.shares[${index}].generation`, `generation/${generation}` as ResourceKey];
+  });
+}
+
+function findClashes(
+  before: Folding,
+  after: Folding,
+  own: readonly NaiveAction[],
+): [from: ResourceKey, other: ResourceKey][] {
+  const groups = new Map<string, ResourceKey[]>();
+  const rank = (key: ResourceKey) => {
+    if (formatCanonical(before.whole.get(key)) === formatCanonical(after.whole.get(key))) return -1;
+    const index = own.findIndex((one) => one.key === key);
+    return index < 0 ? own.length : index;
+  };
+  const keys = [...after.whole.keys()].sort((a, b) => rank(a) - rank(b));
+  for (const key of keys) {
+    const route = after.whole.get(key);
+    if (route?.kind !== 'route') continue;
+    const pattern = `${route.generation} ${route.method} ${route.pathPrefix}`;
+    groups.set(pattern, [...(groups.get(pattern) ?? []), key]);
+  }
+  return [...groups.values()].flatMap(([first, ...others]) =>
+    first === undefined ? [] : others.map((from): [ResourceKey, ResourceKey] => [from, first]),
+  );
+}
