--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -59,6 +59,8 @@
 export class Mesh {
   /** A fresh folder for settings, tokens and data. */
   readonly folder = mkdtempSync(join(tmpdir(), 'bilberryswitch-'));
+  /** Where the backend servers record their runs, one JSON line each. */
+  readonly runsFile = join(this.folder, 'runs');
   readonly #processes: MeshProcess[] = [];
 
   /** Writes a file below the mesh's folder and returns its path. */
@@ -81,10 +83,19 @@
     return this.#start(name, [...PROGRAM, 'run', '--settings', path]);
   }
 
-  /** Starts a stand-in backend server beside the proxy that listens at `announce`. */
+  /**
+   * Starts a stand-in backend server beside the proxy that listens at `announce`. It records its runs
+   * in {@link Mesh.runsFile}.
+   */
   startServer(service: string, port: number, announce: string): MeshProcess {
-    const command = [process.execPath, STAND_IN, service, `${port}`, announce];
-    return this.#start(`${service}-${port}`, command);
+    const options = {
+      service,
+      port: `${port}`,
+      announce,
+      runs: this.runsFile,
+    };
+    const args = Object.entries(options).flatMap(([name, value]) => [`--${name}`, value]);
+    return this.#start(`${service}-${port}`, [process.execPath, STAND_IN, ...args]);
   }
 
   /** Runs a command of the program and returns its exit code and output. */
--- a/bench/stand-in-server.ts
+++ b/bench/stand-in-server.ts
@@ -1,47 +1,121 @@
 /**
- * A stand-in backend server, run as a process of its own.
+ * A stand-in backend server, run as a process of its own: it announces itself to the proxy beside it,
+ * records each run in a file, and answers with the nonce of the request.
  *
- * Arguments: service, own port, announce address of the proxy beside it. It answers every request with
- * its service and the request's nonce, counts runs, and announces itself until it is stopped.
+ * A request tells how it is to be treated: `x-work-ms` is how long it runs, `x-answer-bytes` how long
+ * its answer is, and `x-crash` ends the process while the request runs.
  */
+import { appendFileSync } from 'node:fs';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import { parseArgs } from 'node:util';
 import { request } from 'undici';
 
-const [service = '', port = '0', announce = ''] = process.argv.slice(2);
+/** One run as it stands in the file of runs, one JSON line each. */
+export interface RunRecord {
+  readonly service: string;
+  readonly nonce: string | undefined;
+  readonly key: string | undefined;
+  readonly startedAt: number;
+}
+
 const HEARTBEAT_MS = 3_000;
 const ANNOUNCE_EVERY_MS = 500;
-let runs = 0;
+const LEAVE_POLL_MS = 20;
+const MAX_LEAVE_MS = 10_000;
+const CRASH_EXIT_CODE = 86;
+
+const { values } = parseArgs({
+  options: {
+    service: { type: 'string', default: '' },
+    port: { type: 'string', default: '0' },
+    announce: { type: 'string', default: '' },
+    runs: { type: 'string' },
+    slots: { type: 'string', default: '20' },
+    connections: { type: 'string', default: '100' },
+  },
+});
+const { service, announce } = values;
+const port = Number(values.port);
+let running = 0;
+let state: 'ready' | 'leaving' = 'ready';
 
 const server = createServer((call, response) => {
-  runs += 1;
+  recordRun(call);
+  running += 1;
+  response.once('close', () => {
+    running -= 1;
+  });
+  if (call.headers['x-crash'] !== undefined) process.exit(CRASH_EXIT_CODE);
   call.resume();
-  call.on('end', () => {
-    const nonce = call.headers['x-nonce'] ?? null;
-    response.setHeader('content-type', 'application/json');
-    response.end(JSON.stringify({ service, port: Number(port), path: call.url, nonce, runs }));
+  call.once('end', () => {
+    setTimeout(
+      () => {
+        answerCall(call, response);
+      },
+      readNumber(call, 'x-work-ms'),
+    );
   });
 });
 
-async function announceState(state: string): Promise<void> {
+server.listen(port, '127.0.0.1', () => {
+  announceState();
+  setInterval(announceState, ANNOUNCE_EVERY_MS);
+});
+process.once('SIGTERM', () => {
+  state = 'leaving';
+  announceState();
+  leaveWhenIdle(Date.now() + MAX_LEAVE_MS);
+});
+
+function recordRun(call: IncomingMessage): void {
+  if (values.runs === undefined) return;
+  const run: RunRecord = {
+    service,
+    nonce: readHeader(call, 'x-nonce'),
+    key: readHeader(call, 'idempotency-key'),
+    startedAt: Date.now(),
+  };
+  appendFileSync(values.runs, `${JSON.stringify(run)}\n`);
+}
+
+function answerCall(call: IncomingMessage, response: ServerResponse): void {
+  const nonce = readHeader(call, 'x-nonce') ?? null;
+  const filling = 'x'.repeat(readNumber(call, 'x-answer-bytes'));
+  const text = JSON.stringify({ service, port, path: call.url, nonce, filling });
+  response.writeHead(200, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+function announceState(): void {
   const body = JSON.stringify({
     service,
     address: `127.0.0.1:${port}`,
-    slots: 20,
-    connections: 100,
+    slots: Number(values.slots),
+    connections: Number(values.connections),
     state,
     heartbeat_ms: HEARTBEAT_MS,
   });
-  const answer = await request(`http://${announce}/announce`, { method: 'POST', body });
-  await answer.body.dump();
+  request(`http://${announce}/announce`, { method: 'POST', body })
+    .then((answer) => answer.body.dump())
+    .catch(() => undefined);
 }
 
-server.listen(Number(port), '127.0.0.1', () => {
-  const repeat = (): void => {
-    announceState('ready').catch(() => undefined);
-  };
-  repeat();
-  setInterval(repeat, ANNOUNCE_EVERY_MS);
-});
-process.once('SIGTERM', () => {
-  process.exit(0);
-});
+function leaveWhenIdle(deadline: number): void {
+  if (running === 0 || Date.now() > deadline) process.exit(0);
+  setTimeout(() => {
+    leaveWhenIdle(deadline);
+  }, LEAVE_POLL_MS);
+}
+
+function readHeader(call: IncomingMessage, name: string): string | undefined {
+  const value = call.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+function readNumber(call: IncomingMessage, name: string): number {
+  return Number(readHeader(call, name) ?? '0');
+}
