--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -21,8 +21,10 @@
 /** What a link task needs. */
 export interface LinkOptions {
   readonly host: HostId;
-  /** Where this process listens for links. */
+  /** Where other processes reach this one. */
   readonly control: Address;
+  /** Where this process listens; its IP number is also the origin of the links that it dials. */
+  readonly bind: Address;
   readonly clock: Clock;
   readonly random: Random;
   readonly reportFailure: ReportFailure;
@@ -73,7 +75,7 @@
   }
 
   protected override async open(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.control);
+    const { host, port } = splitAddress(this.#options.bind);
     const server = new WebSocketServer({
       host,
       port,
@@ -158,6 +160,7 @@
 
   #dial(to: Address, route: Route): void {
     const socket = new WebSocket(`ws://${to}`, {
+      localAddress: splitAddress(this.#options.bind).host,
       perMessageDeflate: false,
       handshakeTimeout: DIAL_TIMEOUT_MS,
       maxPayload: MAX_MESSAGE_BYTES,
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -28,6 +28,7 @@
   const links = new LinkTask({
     host: settings.host,
     control: settings.control,
+    bind: settings.bind,
     clock,
     random,
     reportFailure,
--- a/src/program/settings.ts
+++ b/src/program/settings.ts
@@ -44,6 +44,8 @@
   readonly roles: readonly Role[];
   /** The address at which this process listens for links of other processes. */
   readonly control: Address;
+  /** Where it listens, when others reach it by a different address, as behind a forwarder. */
+  readonly bind: Address;
   /** Where this process serves its status and metrics; nowhere without it. */
   readonly status: Address | undefined;
   readonly logLevel: LogLevel;
@@ -80,6 +82,7 @@
   data_centre: formIdSchema(parseDataCentreId),
   roles: z.array(z.enum(['proxy', 'source', 'ledger'])).min(1, 'expected at least one role'),
   control: addressSchema,
+  bind: addressSchema.optional(),
   status: addressSchema.optional(),
   log_level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   data_folder: pathSchema.optional(),
@@ -108,6 +111,7 @@
   return {
     ...rest,
     status: table.status,
+    bind: table.bind ?? table.control,
     proxy: table.proxy,
     ledger: table.ledger,
     dataCentre: data_centre,
