Let every process learn of the members and of the backend servers beside them

Probes, indirect probes, suspicion with refutation, piggybacked updates, joining by seeds, leaving and anti-entropy as one filter; a datagram socket on the control port; announcements of backend servers published in the record of the proxy beside them. The roles get the members' events one at a time.

members-process: a proxy without a server answers from the one beside another proxy, and refuses once that proxy has left.

--- a/bench/small-mesh.ts
+++ b/bench/small-mesh.ts
@@ -1,5 +1,6 @@
 /** A mesh of one source, two proxies and a backend server beside each, all on loopback. */
 import { findFreeAddress, findFreePort, Mesh, waitFor } from './mesh.js';
+import type { MeshProcess } from './mesh.js';
 
 /** The addresses of a running small mesh. */
 export interface SmallMesh {
@@ -9,6 +10,8 @@
   /** Where callers reach each proxy. */
   readonly calls: readonly string[];
   readonly announces: readonly string[];
+  /** The source, then the proxies. */
+  readonly nodes: readonly MeshProcess[];
 }
 
 /** A note that adds one service, one request kind and one route. */
@@ -36,8 +39,8 @@
 request_kind = "browse"
 `;
 
-/** Starts the mesh and waits until every process runs. */
-export async function startSmallMesh(proxyCount = 2): Promise<SmallMesh> {
+/** Starts the mesh and waits until every process runs; the first proxies have servers beside them. */
+export async function startSmallMesh(proxyCount = 2, serverCount = proxyCount): Promise<SmallMesh> {
   const mesh = new Mesh();
   const sourceControl = await findFreeAddress();
   const operator = await findFreeAddress();
@@ -56,12 +59,12 @@
     announces.push(announce);
     const settings = formProxy(`proxy-${index}`, control, call, announce, sourceControl);
     nodes.push(mesh.startNode(`proxy-${index}`, settings));
-    mesh.startServer('catalogue', await findFreePort(), announce);
+    if (index < serverCount) mesh.startServer('catalogue', await findFreePort(), announce);
   }
   for (const node of nodes) {
     await waitFor(`${node.name} to start`, () => node.output().includes('"started"') || undefined);
   }
-  return { mesh, operator, tokenFile, calls, announces };
+  return { mesh, operator, tokenFile, calls, announces, nodes };
 }
 
 // Internals.
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -6,3 +6,5 @@
 export { LogTask } from './log-task.js';
 export { readNote } from './note-toml.js';
 export { OperatorTask } from './operator-task.js';
+export { ProbeTask } from './probe-task.js';
+export { decodeSync, encodeSync } from './sync-codec.js';
--- /dev/null
+++ b/src/edge/sync-codec.ts
@@ -0,0 +1,64 @@
+/** The compact form of anti-entropy messages as the link carries them. */
+import type { EntrySummary, SyncMessage } from '../messages/index.js';
+import {
+  decodeUpdate,
+  encodeUpdate,
+  MemberCodecError,
+  readCount,
+  readHost,
+  readIncarnation,
+  readList,
+} from './member-codec.js';
+
+/** Encodes a message as nested arrays, which the link then packs. */
+export function encodeSync(message: SyncMessage): unknown[] {
+  switch (message.kind) {
+    case 'sync-root':
+      return [ROOT, message.root];
+    case 'sync-buckets':
+      return [BUCKETS, message.digests];
+    case 'sync-entries': {
+      const entries = message.entries.flatMap(({ host, incarnation }) => [host, incarnation]);
+      return [ENTRIES, message.buckets, entries];
+    }
+    case 'sync-updates':
+      return [UPDATES, message.updates.map(encodeUpdate), message.wanted];
+  }
+}
+
+/** Decodes the body of a link's message; throws when it is none. */
+export function decodeSync(body: unknown): SyncMessage {
+  const fields = readList(body);
+  switch (fields[0]) {
+    case ROOT:
+      return { kind: 'sync-root', root: readCount(fields[1]) };
+    case BUCKETS:
+      return { kind: 'sync-buckets', digests: readList(fields[1]).map(readCount) };
+    case ENTRIES: {
+      const buckets = readList(fields[1]).map(readCount);
+      return { kind: 'sync-entries', buckets, entries: decodeEntries(readList(fields[2])) };
+    }
+    case UPDATES: {
+      const updates = readList(fields[1]).map(decodeUpdate);
+      return { kind: 'sync-updates', updates, wanted: readList(fields[2]).map(readHost) };
+    }
+    default:
+      throw new MemberCodecError('no anti-entropy message has this tag');
+  }
+}
+
+// Internals.
+
+const ROOT = 0;
+const BUCKETS = 1;
+const ENTRIES = 2;
+const UPDATES = 3;
+
+function decodeEntries(values: readonly unknown[]): EntrySummary[] {
+  const entries: EntrySummary[] = [];
+  for (let index = 0; index < values.length; index += 2) {
+    const host = readHost(values[index]);
+    entries.push({ host, incarnation: readIncarnation(values[index + 1]) });
+  }
+  return entries;
+}
--- a/src/members/index.ts
+++ b/src/members/index.ts
@@ -1,3 +1,3 @@
-/** Membership of proxies and announcements of backend servers. */
+/** Membership of proxies and sources, and announcements of backend servers. */
 export { MembersFilter } from './members-filter.js';
-export type { MembersIn, MembersOut, MembersState } from './members-filter.js';
+export type { MembersIn, MembersOptions, MembersOut, MembersState } from './members-state.js';
--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -1,33 +1,36 @@
-/** Membership. So far it knows only the backend servers beside its own proxy. */
-import type { Address } from '../ids.js';
-import type { Announcement, Member, MemberEvent } from '../messages/index.js';
+/** Membership: which processes take part, and which backend servers stand beside them. */
+import { addMs, NEVER } from '../clock.js';
+import type { Instant } from '../ids.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
-import type { Instant } from '../ids.js';
-
-/** What the membership pipe is told. */
-export type MembersIn =
-  { readonly kind: 'announce'; readonly announcement: Announcement } | { readonly kind: 'tick' };
-
-/** What the membership pipe sends on. */
-export type MembersOut = MemberEvent | { readonly kind: 'wake'; readonly at: Instant };
-
-/** The state of the membership pipe. */
-export interface MembersState {
-  readonly self: Member;
-}
+import { handleDatagram } from './answer-probe.js';
+import { addSuspect, applyBroadcast, applyStatus } from './apply-update.js';
+import { runGossip, sendLeave } from './gossip.js';
+import { runJoin, runReconnect } from './joining.js';
+import type { MembersIn, MembersOptions, MembersOut, MembersState } from './members-state.js';
+import { createMembersState } from './members-state.js';
+import { publishSelf, updateOwnServers } from './own-record.js';
+import { needsHelpers, runProbes } from './probing.js';
+import { handleSync, runSync } from './reconcile.js';
+import { GRACE_MS, PAUSE_MS } from './timing.js';
+import { Turn } from './turn.js';
 
-/** Decides which members and backend servers are known. */
+/**
+ * Decides which members and backend servers are known, after SWIM (Das, Gupta and Motivala 2002).
+ *
+ * It emits `member-up` and `member-gone` for one member at a time, this one included. Its first message
+ * should be a `tick`.
+ */
 export class MembersFilter extends Filter<MembersState, MembersIn, MembersOut> {
-  readonly #self: Member;
+  readonly #options: MembersOptions;
 
-  constructor(self: Member) {
+  constructor(options: MembersOptions) {
     super();
-    this.#self = self;
+    this.#options = options;
   }
 
   override createState(): MembersState {
-    return { self: this.#self };
+    return createMembersState(this.#options);
   }
 
   override decide(
@@ -35,33 +38,132 @@
     message: MembersIn,
     now: Instant,
   ): Step<MembersState, MembersOut> {
-    if (message.kind === 'announce') return announceServer(state, message.announcement);
-    const servers = state.self.servers.filter((server) => server.heartbeatDeadline > now);
-    return updateServers(state, servers);
+    if (state.hasLeft) return { state, outputs: [] };
+    const turn = new Turn(now);
+    if (!state.isStarted) start(state, turn);
+    checkPause(state, turn);
+    handle(state, message, turn);
+    state.turnBy = findDeadline(state, now);
+    turn.add({ kind: 'wake', at: state.turnBy });
+    return { state, outputs: turn.outputs };
   }
 }
 
 // Internals.
 
-function announceServer(
-  state: MembersState,
-  announcement: Announcement,
-): Step<MembersState, MembersOut> {
-  const others = listOthers(state, announcement.address);
-  return updateServers(state, [...others, announcement]);
+function start(state: MembersState, turn: Turn): void {
+  state.isStarted = true;
+  state.turnBy = turn.now;
+  publishSelf(state, state.self.incarnation, turn);
+}
+
+/** A late turn shows that this process was paused: what it waited for proves nothing about others. */
+function checkPause(state: MembersState, turn: Turn): void {
+  if (turn.now - state.turnBy <= PAUSE_MS) return;
+  state.counts.pauses += 1;
+  state.health.addFailure();
+  state.probe = undefined;
+  state.graceUntil = addMs(turn.now, GRACE_MS);
+}
+
+function handle(state: MembersState, message: MembersIn, turn: Turn): void {
+  switch (message.kind) {
+    case 'announce':
+      if (!state.servers.apply(message.announcement, turn.now)) {
+        state.counts.ignoredAnnouncements += 1;
+      }
+      updateOwnServers(state, turn);
+      return;
+    case 'observed':
+      if (message.host === state.self.host) state.servers.observe(message, turn.now);
+      else if (message.outcome === 'failed') state.urgent.add(message.host);
+      updateOwnServers(state, turn);
+      return;
+    case 'broadcast':
+      applyBroadcast(state, message.item, turn.now);
+      return;
+    case 'held':
+      state.self = { ...state.self, version: message.version };
+      return;
+    case 'drain':
+      state.servers.drain();
+      updateOwnServers(state, turn);
+      return;
+    case 'leave':
+      sendLeave(state, turn);
+      state.hasLeft = true;
+      return;
+    case 'datagram':
+      handleDatagram(state, message.from, message.message, turn);
+      return;
+    case 'received':
+      handleSync(state, message.address, message.body, turn);
+      return;
+    case 'tick':
+      runDue(state, turn);
+  }
+}
+
+/** Does everything that is due at this instant. */
+function runDue(state: MembersState, turn: Turn): void {
+  updateOwnServers(state, turn);
+  runSuspects(state, turn);
+  runTombstones(state, turn);
+  runProbes(state, turn);
+  runJoin(state, turn);
+  runReconnect(state, turn);
+  runSync(state, turn);
+  runGossip(state, turn);
+}
+
+/** Declares suspects dead that have not refuted in time. */
+function runSuspects(state: MembersState, turn: Turn): void {
+  if (turn.now < state.graceUntil) return;
+  for (;;) {
+    const status = state.suspects.pickDue(turn.now);
+    if (status === undefined) return;
+    const entry = state.table.find(status.host);
+    if (entry?.liveness !== 'suspect' || entry.incarnation !== status.incarnation) continue;
+    const dataCentre = entry.member?.dataCentre;
+    if (dataCentre !== undefined && state.contacts.isSilent(dataCentre)) {
+      addSuspect(state, status, turn.now);
+      continue;
+    }
+    const { host, incarnation } = status;
+    applyStatus(state, { kind: 'status', host, incarnation, liveness: 'dead' }, turn);
+  }
+}
+
+/** Forgets members that have been dead for long. */
+function runTombstones(state: MembersState, turn: Turn): void {
+  for (;;) {
+    const status = state.tombstones.pickDue(turn.now);
+    if (status === undefined) return;
+    const entry = state.table.find(status.host);
+    if (entry?.liveness !== status.liveness || entry.incarnation !== status.incarnation) continue;
+    state.table.forget(status.host);
+    state.remembered.remove(status.host);
+  }
 }
 
-function listOthers(state: MembersState, address: Address): Announcement[] {
-  return state.self.servers.filter((server) => server.address !== address);
+function findDeadline(state: MembersState, now: Instant): Instant {
+  const { probe } = state;
+  const deadlines = [
+    state.probeAt,
+    probe !== undefined && needsHelpers(probe) ? probe.indirectAt : NEVER,
+    state.queue.size > 0 ? state.gossipAt : NEVER,
+    state.syncAt,
+    state.seedAt,
+    state.reconnectAt,
+    Math.max(state.suspects.deadline, state.graceUntil),
+    state.tombstones.deadline,
+    state.servers.findDeadline(now),
+    findRelayDeadline(state),
+  ];
+  return Math.max(now, Math.min(...deadlines)) as Instant;
 }
 
-function updateServers(
-  state: MembersState,
-  servers: readonly Announcement[],
-): Step<MembersState, MembersOut> {
-  const self = { ...state.self, servers };
-  const outputs: MembersOut[] = [{ kind: 'member-up', member: self }];
-  const deadlines = servers.map((server) => server.heartbeatDeadline);
-  if (deadlines.length > 0) outputs.push({ kind: 'wake', at: Math.min(...deadlines) as Instant });
-  return { state: { self }, outputs };
+function findRelayDeadline(state: MembersState): Instant {
+  for (const { deadline } of state.relays.values()) return deadline;
+  return NEVER;
 }
--- /dev/null
+++ b/src/members/own-servers.ts
@@ -0,0 +1,115 @@
+/** The backend servers beside this proxy, from their announcements and from what calls saw. */
+import { addMs, NEVER } from '../clock.js';
+import type { Address, Instant } from '../ids.js';
+import type { Announcement, Observation, ServerState } from '../messages/index.js';
+import { MAX_OWN_SERVERS } from './timing.js';
+
+/** One backend server beside this proxy. */
+interface OwnServer {
+  announcement: Announcement;
+  /** Calls that failed since the last one that was answered. */
+  failures: number;
+  /** Times that the server was taken out since the last answered call. */
+  strikes: number;
+  /** Until then the server is published as failing. */
+  failingUntil: Instant;
+}
+
+/**
+ * Keeps the announcements until their heartbeat deadlines and forms what is published.
+ *
+ * `leaving` is final: until its announcement has lapsed, only `starting` begins a new life at the
+ * same address. Calls that fail one after another take a server out long before its heartbeat lapses;
+ * it comes back for a trial after a while, or with the first answered call.
+ */
+export class OwnServers {
+  readonly #servers = new Map<Address, OwnServer>();
+  #draining = false;
+
+  /** Takes an announcement. Returns false when it is ignored. */
+  apply(announcement: Announcement, now: Instant): boolean {
+    this.removeLapsed(now);
+    const known = this.#servers.get(announcement.address);
+    if (known === undefined) {
+      if (this.#servers.size >= MAX_OWN_SERVERS) return false;
+      this.#servers.set(announcement.address, makeServer(announcement));
+      return true;
+    }
+    const isNewLife = announcement.state === 'starting' && known.announcement.state !== 'starting';
+    if (known.announcement.state === 'leaving' && announcement.state !== 'leaving' && !isNewLife) {
+      return false;
+    }
+    if (isNewLife) this.#servers.set(announcement.address, makeServer(announcement));
+    else known.announcement = announcement;
+    return true;
+  }
+
+  /** Takes what a call saw at one of the servers. */
+  observe({ server, outcome }: Observation, now: Instant): void {
+    const known = this.#servers.get(server);
+    if (known === undefined) return;
+    if (outcome === 'answered') {
+      known.failures = 0;
+      known.strikes = 0;
+      known.failingUntil = now;
+      return;
+    }
+    if (known.failingUntil > now) return;
+    known.failures += 1;
+    if (known.failures < FAILURES_TO_FAIL) return;
+    known.failingUntil = addMs(now, FAILING_MS * 2 ** Math.min(known.strikes, MAX_DOUBLINGS));
+    known.strikes += 1;
+    known.failures = FAILURES_TO_FAIL - 1;
+  }
+
+  /** Publishes every server as draining from now on. */
+  drain(): void {
+    this.#draining = true;
+  }
+
+  /** Forgets the servers whose heartbeats have lapsed. */
+  removeLapsed(now: Instant): void {
+    for (const [address, { announcement }] of this.#servers) {
+      if (announcement.heartbeatDeadline <= now) this.#servers.delete(address);
+    }
+  }
+
+  /** Forms what is published at `now`, ordered by address. */
+  form(now: Instant): Announcement[] {
+    const published = [...this.#servers.values()].map((server) => ({
+      ...server.announcement,
+      state: this.#formState(server, now),
+      heartbeatDeadline: NEVER,
+    }));
+    return published.sort((left, right) => (left.address < right.address ? -1 : 1));
+  }
+
+  /** When the published servers may change without a message. */
+  findDeadline(now: Instant): Instant {
+    let deadline = NEVER;
+    for (const { announcement, failingUntil } of this.#servers.values()) {
+      deadline = Math.min(deadline, announcement.heartbeatDeadline) as Instant;
+      if (failingUntil > now) deadline = Math.min(deadline, failingUntil) as Instant;
+    }
+    return deadline;
+  }
+
+  // Internals.
+
+  #formState({ announcement, failingUntil }: OwnServer, now: Instant): ServerState {
+    if (announcement.state === 'leaving') return 'leaving';
+    if (this.#draining) return 'draining';
+    if (announcement.state === 'ready' && failingUntil > now) return 'failing';
+    return announcement.state;
+  }
+}
+
+// Internals.
+
+const FAILURES_TO_FAIL = 3;
+const FAILING_MS = 5_000;
+const MAX_DOUBLINGS = 4;
+
+function makeServer(announcement: Announcement): OwnServer {
+  return { announcement, failures: 0, strikes: 0, failingUntil: 0 as Instant };
+}
--- /dev/null
+++ b/src/members/update-size.ts
@@ -0,0 +1,30 @@
+/** The size of updates, so that the filter can keep datagrams short without knowing their encoding. */
+import type { MemberUpdate } from '../messages/index.js';
+
+/** Estimates the encoded size in bytes; never less than what the codec of datagrams needs. */
+export function estimateBytes(update: MemberUpdate): number {
+  switch (update.kind) {
+    case 'record':
+      return estimateRecord(update);
+    case 'status':
+      return FIXED_BYTES + update.host.length;
+    case 'crash-seen':
+      return FIXED_BYTES + update.fingerprint.length + update.server.length;
+  }
+}
+
+// Internals.
+
+const FIXED_BYTES = 28;
+const RECORD_BYTES = 44;
+const SERVER_BYTES = 28;
+
+function estimateRecord({ member }: Extract<MemberUpdate, { kind: 'record' }>): number {
+  const names = [member.host, member.region, member.dataCentre, member.control, member.calls];
+  let bytes = RECORD_BYTES;
+  for (const name of names) bytes += name.length;
+  for (const server of member.servers) {
+    bytes += SERVER_BYTES + server.service.length + server.address.length;
+  }
+  return bytes;
+}
--- a/src/messages/member.ts
+++ b/src/messages/member.ts
@@ -11,8 +11,11 @@
   Version,
 } from '../ids.js';
 
-/** Where a backend server stands in its life. */
-export type ServerState = 'starting' | 'ready' | 'draining' | 'leaving';
+/**
+ * Where a backend server stands in its life. A backend server announces every state but `failing`,
+ * which the proxy beside it publishes after calls have failed there. Only `ready` takes new work.
+ */
+export type ServerState = 'starting' | 'ready' | 'draining' | 'leaving' | 'failing';
 
 /** What a backend server announces to the proxy beside it. */
 export interface Announcement {
@@ -23,21 +26,31 @@
   /** Connections that the backend server accepts at once. */
   readonly connections: number;
   readonly state: ServerState;
-  /** The announcement lapses here unless a later one arrives. */
+  /**
+   * The announcement lapses here unless a later one arrives. Only the proxy beside the backend server
+   * watches it, by its own clock: in a {@link Member} it is `NEVER`, because instants of two
+   * hosts cannot be compared. There the backend server lives as long as its proxy publishes it.
+   */
   readonly heartbeatDeadline: Instant;
 }
 
-/** Whether a proxy answers probes. */
-export type Liveness = 'alive' | 'suspect' | 'dead';
+/**
+ * Whether a member answers probes; `left` means that it said so itself. Among facts of the same
+ * incarnation the later one in this list wins.
+ */
+export type Liveness = 'alive' | 'suspect' | 'dead' | 'left';
 
-/** One proxy and the backend server beside it, as the membership knows them. */
+/**
+ * One process (a proxy or a source) and the backend servers beside it, as the membership knows them.
+ * Its incarnation rises with every change that its owner publishes.
+ */
 export interface Member {
   readonly host: HostId;
   readonly region: RegionId;
   readonly dataCentre: DataCentreId;
   /** Where other processes of the system reach this one. */
   readonly control: Address;
-  /** Where callers and other proxies send calls. */
+  /** Where callers and other proxies send calls; the control address where there is no proxy role. */
   readonly calls: Address;
   readonly incarnation: Incarnation;
   readonly liveness: Liveness;
@@ -50,9 +63,19 @@
 export type MemberEvent =
   /** A member is new or has changed. */
   | { readonly kind: 'member-up'; readonly member: Member }
-  /** A member has left or has been declared dead. */
+  /** A member has left, has been declared dead, or stands in a data centre that is out of reach. */
   | { readonly kind: 'member-gone'; readonly host: HostId };
 
+/** What a call saw at a backend server: the only evidence that outweighs its announcements. */
+export interface Observation {
+  readonly kind: 'observed';
+  /** The host whose proxy stands beside the backend server. */
+  readonly host: HostId;
+  readonly server: Address;
+  /** `failed`: refused, broken off or silent until the deadline. Refusals "not run" are no failure. */
+  readonly outcome: 'answered' | 'failed';
+}
+
 /** A small fact that every proxy should learn within seconds. It lapses at its deadline. */
 export interface Broadcast {
   /** A backend server died while a request with this fingerprint was in flight at it. */
@@ -61,3 +84,9 @@
   readonly server: Address;
   readonly until: Instant;
 }
+
+/** Everything that the membership tells the other pipes of a process. */
+export type MembershipEvent =
+  | MemberEvent
+  /** Another member has broadcast an item. Its deadline is one of the local clock. */
+  | { readonly kind: 'broadcast'; readonly item: Broadcast };
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -8,6 +8,7 @@
 import { createLogger } from './logger.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
+import { runMembers } from './run-members.js';
 import { runProxy } from './run-proxy.js';
 import { runSource } from './run-source.js';
 import type { Settings } from './settings.js';
@@ -32,12 +33,24 @@
     random,
     reportFailure,
     notify: (event: LinkEvent) => {
+      members.handleLink(event);
       for (const role of roles) role.handleLink(event);
     },
   });
   const postLink = (command: LinkCommand): void => {
     links.post(command);
   };
+  const members = runMembers({
+    settings,
+    clock,
+    random,
+    reportFailure,
+    postLink,
+    notify: (event) => {
+      for (const role of roles) role.handleMembership(event);
+    },
+  });
+  const postMembers = members.post;
 
   await links.start();
   const { source, proxy, dataFolder } = settings;
@@ -45,12 +58,17 @@
     roles.push(await runSource({ settings: source, dataFolder, clock, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    roles.push(await runProxy({ settings, proxy, clock, log, reportFailure, postLink }));
+    roles.push(
+      await runProxy({ settings, proxy, clock, log, reportFailure, postLink, postMembers }),
+    );
   }
+  await members.start();
   log('started', { roles: settings.roles, control: settings.control });
   await waitForSignal();
   log('stopping');
+  members.post({ kind: 'drain' });
   for (const role of roles.toReversed()) await role.stop();
+  await members.stop();
   await links.stop();
   log('stopped');
   return 0;
--- /dev/null
+++ b/src/program/run-members.ts
@@ -0,0 +1,115 @@
+/** Wires the membership, in which every process takes part whatever its roles. */
+import type { Clock } from '../clock.js';
+import { decodeSync, encodeSync, ProbeTask } from '../edge/index.js';
+import type { Address, Incarnation } from '../ids.js';
+import { NO_VERSION } from '../ids.js';
+import type { MembersIn, MembersOut, MembersState } from '../members/index.js';
+import { MembersFilter } from '../members/index.js';
+import type { LinkCommand, LinkEvent, Member, MembershipEvent } from '../messages/index.js';
+import type { ReportFailure } from '../pipe/index.js';
+import { FilterTask } from '../pipe/index.js';
+import type { Random } from '../random.js';
+import type { Settings } from './settings.js';
+
+/** What the membership needs. */
+export interface RunMembersOptions {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly reportFailure: ReportFailure;
+  readonly postLink: (command: LinkCommand) => void;
+  /** Receives what the other pipes should know; it must hand it on to their inboxes. */
+  readonly notify: (event: MembershipEvent) => void;
+}
+
+/** The membership of a process. Messages that are posted before its start wait for it. */
+export interface RunningMembers {
+  readonly post: (message: MembersIn) => void;
+  readonly handleLink: (event: LinkEvent) => void;
+  readonly start: () => Promise<void>;
+  /** Tells the others that this process ends, then closes the socket. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Creates the tasks of the membership; nothing is sent before `start`. */
+export function runMembers(options: RunMembersOptions): RunningMembers {
+  const { settings, clock, random, reportFailure, postLink, notify } = options;
+  const members = new FilterTask<MembersState, MembersIn, MembersOut>({
+    name: 'members',
+    filter: new MembersFilter({
+      self: formSelf(settings),
+      startedAt: clock.read(),
+      seeds: listSeeds(settings),
+      random,
+    }),
+    clock,
+    reportFailure,
+    send: route,
+    formTick: () => ({ kind: 'tick' }),
+  });
+  const probes = new ProbeTask({
+    control: settings.control,
+    reportFailure,
+    notify: (from, message) => {
+      members.post({ kind: 'datagram', from, message });
+    },
+  });
+
+  function route(output: Exclude<MembersOut, { kind: 'wake' }>): void {
+    if (output.kind === 'datagram') probes.post(output);
+    else if (output.kind === 'send') {
+      postLink({ kind: 'send', to: output.to, channel: 'members', body: encodeSync(output.body) });
+    } else notify(output);
+  }
+
+  return {
+    post: (message) => {
+      members.post(message);
+    },
+    handleLink: (event) => {
+      const message = readLinkEvent(event);
+      if (message !== undefined) members.post(message);
+    },
+    start: async () => {
+      await probes.start();
+      await members.start();
+      members.post({ kind: 'tick' });
+    },
+    stop: async () => {
+      members.post({ kind: 'leave' });
+      await members.stop();
+      await probes.stop();
+    },
+  };
+}
+
+// Internals.
+
+function formSelf(settings: Settings): Member {
+  return {
+    host: settings.host,
+    region: settings.region,
+    dataCentre: settings.dataCentre,
+    control: settings.control,
+    calls: settings.proxy?.calls ?? settings.control,
+    incarnation: 0 as Incarnation,
+    liveness: 'alive',
+    version: NO_VERSION,
+    servers: [],
+  };
+}
+
+/** Sources count as seeds beside the named ones, so that no island forms without them. */
+function listSeeds({ proxy, source, ledger }: Settings): Address[] {
+  const named = [proxy?.seeds, proxy?.sources, source?.replicas, ledger?.replicas];
+  return [...new Set(named.flatMap((addresses) => addresses ?? []))];
+}
+
+function readLinkEvent(event: LinkEvent): MembersIn | undefined {
+  if (event.kind !== 'received' || event.channel !== 'members') return undefined;
+  try {
+    return { kind: 'received', address: event.address, body: decodeSync(event.body) };
+  } catch {
+    return undefined;
+  }
+}
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -1,11 +1,8 @@
 /** Wires the proxy role: distribution, membership, announcements and calls. */
 import type { Clock } from '../clock.js';
 import { AnnounceTask, CallTask } from '../edge/index.js';
-import type { Incarnation } from '../ids.js';
-import { NO_VERSION } from '../ids.js';
-import type { MembersIn, MembersOut, MembersState } from '../members/index.js';
-import { MembersFilter } from '../members/index.js';
-import type { LinkCommand, LinkEvent, Member, SpreadMessage } from '../messages/index.js';
+import type { MembersIn } from '../members/index.js';
+import type { LinkCommand, LinkEvent, SpreadMessage } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type { ProxySpreadIn, ProxySpreadOut, ProxySpreadState } from '../spread/index.js';
@@ -22,11 +19,12 @@
   readonly log: Log;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
+  readonly postMembers: (message: MembersIn) => void;
 }
 
 /** Starts the tasks of the proxy role. */
 export async function runProxy(options: ProxyOptions): Promise<RunningRole> {
-  const { settings, proxy, clock, log, reportFailure, postLink } = options;
+  const { settings, proxy, clock, log, reportFailure, postLink, postMembers } = options;
   const calls = new CallTask({ address: proxy.calls, clock, reportFailure });
   const spread = new FilterTask<ProxySpreadState, ProxySpreadIn, ProxySpreadOut>({
     name: 'proxy-spread',
@@ -35,22 +33,12 @@
     reportFailure,
     send: routeSpread,
   });
-  const members = new FilterTask<MembersState, MembersIn, MembersOut>({
-    name: 'members',
-    filter: new MembersFilter(formSelf(settings, proxy)),
-    clock,
-    reportFailure,
-    send: (output) => {
-      calls.post(output);
-    },
-    formTick: () => ({ kind: 'tick' }),
-  });
   const announce = new AnnounceTask({
     address: proxy.announce,
     clock,
     reportFailure,
     announce: (announcement) => {
-      members.post({ kind: 'announce', announcement });
+      postMembers({ kind: 'announce', announcement });
     },
   });
 
@@ -69,7 +57,7 @@
     }
   }
 
-  const tasks = [calls, spread, members, announce];
+  const tasks = [calls, spread, announce];
   for (const task of tasks) await task.start();
   for (const to of proxy.sources) postLink({ kind: 'keep', to });
   return {
@@ -77,6 +65,9 @@
       const message = readLinkEvent(event);
       if (message !== undefined) spread.post(message);
     },
+    handleMembership: (event) => {
+      if (event.kind !== 'broadcast') calls.post(event);
+    },
     stop: async () => {
       for (const task of tasks.toReversed()) await task.stop();
     },
@@ -85,20 +76,6 @@
 
 // Internals.
 
-function formSelf(settings: Settings, proxy: ProxySettings): Member {
-  return {
-    host: settings.host,
-    region: settings.region,
-    dataCentre: settings.dataCentre,
-    control: settings.control,
-    calls: proxy.calls,
-    incarnation: 1 as Incarnation,
-    liveness: 'alive',
-    version: NO_VERSION,
-    servers: [],
-  };
-}
-
 function readLinkEvent(event: LinkEvent): ProxySpreadIn | undefined {
   if (event.kind === 'link-up') return { kind: 'link-up', address: event.address };
   if (event.kind !== 'received' || event.channel !== 'spread') return undefined;
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -74,6 +74,9 @@
       const message = readLinkEvent(event);
       if (message !== undefined) spread.post(message);
     },
+    handleMembership: () => {
+      // The source role does not act on members yet; it takes part so that they can find each other.
+    },
     stop: async () => {
       for (const task of tasks.toReversed()) await task.stop();
     },
--- a/src/program/running-role.ts
+++ b/src/program/running-role.ts
@@ -1,10 +1,12 @@
 /** One role of a process, as the program sees it. */
-import type { LinkEvent } from '../messages/index.js';
+import type { LinkEvent, MembershipEvent } from '../messages/index.js';
 
 /** A role whose tasks are running. */
 export interface RunningRole {
   /** Hands an event of the links to the tasks that it is for. */
   readonly handleLink: (event: LinkEvent) => void;
+  /** Hands an event of the membership to the tasks that it is for. */
+  readonly handleMembership: (event: MembershipEvent) => void;
   /** Stops the tasks of the role, in the order that cuts nothing off. */
   readonly stop: () => Promise<void>;
 }
