--- /dev/null
+++ b/src/edge/floor-task.ts
@@ -0,0 +1,53 @@
+/** Keeps the version floor of a proxy on disk. */
+import type { Stream } from 'most';
+import type { VersionMark } from '../messages/index.js';
+import type { ReportFailure } from '../pipe/index.js';
+import { Task } from '../pipe/index.js';
+import { loadFloor, syncFloor } from './floor-file.js';
+
+/** What a floor task needs. */
+export interface FloorOptions {
+  /** The file of the floor, below the data folder. */
+  readonly path: string;
+  readonly reportFailure: ReportFailure;
+  /** Called once, when the file has been read. */
+  readonly notifyLoaded: (floor: VersionMark | undefined) => void;
+  /** Called after each floor that was synced. */
+  readonly notifySaved: (floor: VersionMark) => void;
+}
+
+/** Owns the file of the floor; each message is a floor to save. */
+export class FloorTask extends Task<VersionMark> {
+  readonly #options: FloorOptions;
+  #syncing: Promise<void> = Promise.resolve();
+
+  constructor(options: FloorOptions) {
+    super('floor', options.reportFailure);
+    this.#options = options;
+  }
+
+  protected override async open(): Promise<void> {
+    this.#options.notifyLoaded(await loadFloor(this.#options.path));
+  }
+
+  protected override async close(): Promise<void> {
+    await this.#syncing;
+  }
+
+  protected override createPipe(messages: Stream<VersionMark>): Stream<unknown> {
+    return messages.tap((mark) => {
+      this.#syncing = this.#syncing.then(() => this.#sync(mark));
+    });
+  }
+
+  // Internals.
+
+  async #sync(mark: VersionMark): Promise<void> {
+    try {
+      await syncFloor(this.#options.path, mark);
+      this.#options.notifySaved(mark);
+    } catch (error) {
+      this.fail(error);
+    }
+  }
+}
--- a/src/messages/link.ts
+++ b/src/messages/link.ts
@@ -2,7 +2,8 @@
 import type { Address, HostId } from '../ids.js';
 
 /** Which pipe a message belongs to; control bytes are counted per channel. */
-export type Channel = 'log' | 'ledger-log' | 'spread' | 'members' | 'ledger' | 'calls';
+export type Channel =
+  'log' | 'ledger-log' | 'spread' | 'source-spread' | 'members' | 'ledger' | 'calls';
 
 /** A message that has arrived over a link. `body` is a typed message of the channel's own union. */
 export interface Received<Body = unknown> {
--- a/src/messages/version.ts
+++ b/src/messages/version.ts
@@ -1,4 +1,4 @@
-/** One configuration version as the source hands it out. */
+/** One configuration version as the source hands it out, and as it travels between proxies. */
 import type { Digest, NoteNumber, Revision, Version } from '../ids.js';
 import type { Change, Resource } from './resource.js';
 
@@ -13,9 +13,39 @@
   readonly digest: Digest;
 }
 
+/** A version and the set digest of the whole configuration that it stands for. */
+export interface VersionMark {
+  readonly version: Version;
+  readonly digest: Digest;
+}
+
+/**
+ * The difference between two versions that need not be neighbours.
+ *
+ * It holds the last change to each resource, so it leads to `version` from every version that is at
+ * least `after` and below `version`.
+ */
+export interface DeltaSpan {
+  readonly after: Version;
+  readonly version: Version;
+  readonly changes: readonly Change[];
+  /** The set digest of the whole configuration that results. */
+  readonly digest: Digest;
+}
+
 /** A whole configuration in transit. */
 export interface WholeSnapshot {
   readonly version: Version;
   readonly digest: Digest;
   readonly resources: readonly Resource[];
 }
+
+/** One part of a whole configuration in transit. */
+export interface SnapshotChunk {
+  readonly mark: VersionMark;
+  /** The position of this part, from 0. */
+  readonly index: number;
+  /** The number of parts, at least 1. */
+  readonly count: number;
+  readonly resources: readonly Resource[];
+}
--- a/src/notes/index.ts
+++ b/src/notes/index.ts
@@ -6,6 +6,8 @@
 export type { NotesIn, NotesOut, NotesState } from './notes-filter.js';
 export {
   applyDelta,
+  buildNext,
+  checkWhole,
   EMPTY_WHOLE,
   findDangling,
   formSnapshot,
--- a/src/notes/whole.ts
+++ b/src/notes/whole.ts
@@ -82,6 +82,15 @@
   return checkWhole({ version: snapshot.version, resources, sum }, snapshot.digest);
 }
 
+/** Returns the whole if it has the expected digest and no dangling reference, or else the fault. */
+export function checkWhole(next: Whole, expected: Digest): Whole | ApplyFault {
+  const found = formatSum(next.sum);
+  if (found !== expected) return { kind: 'wrong-digest', expected, found };
+  const references = findDangling(next);
+  if (references.length > 0) return { kind: 'dangling', references };
+  return next;
+}
+
 /** Packs a whole for transit. */
 export function formSnapshot(whole: Whole): WholeSnapshot {
   return {
@@ -98,14 +107,6 @@
 
 // Internals.
 
-function checkWhole(next: Whole, expected: Digest): Whole | ApplyFault {
-  const found = formatSum(next.sum);
-  if (found !== expected) return { kind: 'wrong-digest', expected, found };
-  const references = findDangling(next);
-  if (references.length > 0) return { kind: 'dangling', references };
-  return next;
-}
-
 function listReferences(route: RouteResource): ResourceKey[] {
   return [
     formKey({ kind: 'service', name: route.service }),
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -42,10 +42,12 @@
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    roles.push(await runSource({ settings: source, dataFolder, clock, reportFailure, postLink }));
+    const { control, spread } = settings;
+    const shared = { settings: source, dataFolder, control, spread: spread.policy };
+    roles.push(await runSource({ ...shared, clock, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    roles.push(await runProxy({ settings, proxy, clock, log, reportFailure, postLink }));
+    roles.push(await runProxy({ settings, proxy, clock, random, log, reportFailure, postLink }));
   }
   log('started', { roles: settings.roles, control: settings.control });
   await waitForSignal();
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -1,15 +1,18 @@
 /** Wires the proxy role: distribution, membership, announcements and calls. */
+import { join } from 'node:path';
 import type { Clock } from '../clock.js';
-import { AnnounceTask, CallTask } from '../edge/index.js';
+import type { FloorOptions } from '../edge/index.js';
+import { AnnounceTask, CallTask, FloorTask, readSpreadMessage } from '../edge/index.js';
 import type { Incarnation } from '../ids.js';
 import { NO_VERSION } from '../ids.js';
 import type { MembersIn, MembersOut, MembersState } from '../members/index.js';
 import { MembersFilter } from '../members/index.js';
-import type { LinkCommand, LinkEvent, Member, SpreadMessage } from '../messages/index.js';
+import type { LinkCommand, LinkEvent, Member } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type { ProxySpreadIn, ProxySpreadOut, ProxySpreadState } from '../spread/index.js';
-import { ProxySpreadFilter } from '../spread/index.js';
+import { makePolicy, ProxySpreadFilter } from '../spread/index.js';
+import type { Random } from '../random.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
@@ -19,6 +22,7 @@
   readonly settings: Settings;
   readonly proxy: ProxySettings;
   readonly clock: Clock;
+  readonly random: Random;
   readonly log: Log;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
@@ -26,14 +30,23 @@
 
 /** Starts the tasks of the proxy role. */
 export async function runProxy(options: ProxyOptions): Promise<RunningRole> {
-  const { settings, proxy, clock, log, reportFailure, postLink } = options;
+  const { settings, proxy, clock, random, log, reportFailure, postLink } = options;
   const calls = new CallTask({ address: proxy.calls, clock, reportFailure });
   const spread = new FilterTask<ProxySpreadState, ProxySpreadIn, ProxySpreadOut>({
     name: 'proxy-spread',
-    filter: new ProxySpreadFilter(settings.host),
+    filter: new ProxySpreadFilter({
+      host: settings.host,
+      dataCentre: settings.dataCentre,
+      control: settings.control,
+      sources: proxy.sources,
+      keepsFloor: settings.dataFolder !== undefined,
+      policy: makePolicy(settings.spread.policy),
+      random,
+    }),
     clock,
     reportFailure,
     send: routeSpread,
+    formTick: () => ({ kind: 'tick' }),
   });
   const members = new FilterTask<MembersState, MembersIn, MembersOut>({
     name: 'members',
@@ -42,9 +55,18 @@
     reportFailure,
     send: (output) => {
       calls.post(output);
+      spread.post(output);
     },
     formTick: () => ({ kind: 'tick' }),
   });
+  const floor = createFloorTask(options, {
+    notifyLoaded: (mark) => {
+      spread.post({ kind: 'start', floor: mark });
+    },
+    notifySaved: ({ version }) => {
+      spread.post({ kind: 'floor-saved', version });
+    },
+  });
   const announce = new AnnounceTask({
     address: proxy.announce,
     clock,
@@ -59,6 +81,19 @@
       case 'send':
         postLink({ kind: 'send', to: output.to, channel: 'spread', body: output.body });
         return;
+      case 'send-source':
+        postLink({ kind: 'send', to: output.to, channel: 'source-spread', body: output.body });
+        return;
+      case 'keep':
+      case 'drop':
+        postLink(output);
+        return;
+      case 'held':
+        log('version-held', { version: output.mark.version });
+        return;
+      case 'save-floor':
+        floor?.post(output.mark);
+        return;
       case 'whole':
         log('version-applied', { version: output.whole.version });
         calls.post(output);
@@ -69,9 +104,9 @@
     }
   }
 
-  const tasks = [calls, spread, members, announce];
+  const tasks = [calls, spread, members, announce, ...(floor === undefined ? [] : [floor])];
   for (const task of tasks) await task.start();
-  for (const to of proxy.sources) postLink({ kind: 'keep', to });
+  if (floor === undefined) spread.post({ kind: 'start', floor: undefined });
   return {
     handleLink: (event) => {
       const message = readLinkEvent(event);
@@ -99,8 +134,21 @@
   };
 }
 
+/** A host without a data folder keeps no floor. */
+function createFloorTask(
+  { settings, reportFailure }: ProxyOptions,
+  callbacks: Pick<FloorOptions, 'notifyLoaded' | 'notifySaved'>,
+): FloorTask | undefined {
+  if (settings.dataFolder === undefined) return undefined;
+  const path = join(settings.dataFolder, 'version-floor.json');
+  return new FloorTask({ path, reportFailure, ...callbacks });
+}
+
 function readLinkEvent(event: LinkEvent): ProxySpreadIn | undefined {
-  if (event.kind === 'link-up') return { kind: 'link-up', address: event.address };
-  if (event.kind !== 'received' || event.channel !== 'spread') return undefined;
-  return { kind: 'received', address: event.address, body: event.body as SpreadMessage };
+  const { address } = event;
+  if (event.kind !== 'received') return { kind: event.kind, address };
+  if (event.channel !== 'spread') return undefined;
+  const body = readSpreadMessage(event.body);
+  if (body === undefined) return { kind: 'malformed', address };
+  return { kind: 'received', from: event.from, address, body };
 }
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -2,14 +2,21 @@
 import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import type { Clock } from '../clock.js';
-import { LogTask, OperatorTask } from '../edge/index.js';
-import type { LinkCommand, LinkEvent, NoteCommand, SpreadMessage } from '../messages/index.js';
+import { LogTask, OperatorTask, readSourceSpreadMessage } from '../edge/index.js';
+import type { Address } from '../ids.js';
+import type { LinkCommand, LinkEvent, LogNotice, NoteCommand } from '../messages/index.js';
 import type { NotesIn, NotesOut, NotesState } from '../notes/index.js';
 import { NotesFilter } from '../notes/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
-import type { SourceSpreadIn, SourceSpreadOut, SourceSpreadState } from '../spread/index.js';
-import { SourceSpreadFilter } from '../spread/index.js';
+import type {
+  SourceSpreadIn,
+  SourceSpreadOut,
+  SourceSpreadState,
+  SpreadPolicyName,
+} from '../spread/index.js';
+import { isVouchConfirm, makePolicy, SourceSpreadFilter } from '../spread/index.js';
+import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { SourceSettings } from './settings.js';
 
@@ -17,6 +24,10 @@
 export interface SourceOptions {
   readonly settings: SourceSettings;
   readonly dataFolder: string;
+  /** The address at which this process listens for links of other processes. */
+  readonly control: Address;
+  readonly spread: SpreadPolicyName;
+  readonly log: Log;
   readonly clock: Clock;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
@@ -36,16 +47,18 @@
     path: join(options.dataFolder, 'notes.log'),
     clock,
     reportFailure,
-    notify: (notice) => {
-      notes.post({ kind: 'log', notice });
-    },
+    notify: routeNotice,
   });
   const spread = new FilterTask<SourceSpreadState, SourceSpreadIn, SourceSpreadOut>({
     name: 'source-spread',
-    filter: new SourceSpreadFilter(),
+    filter: new SourceSpreadFilter({
+      policy: makePolicy(options.spread),
+      sources: [options.control, ...settings.replicas],
+    }),
     clock,
     reportFailure,
     send: routeSpread,
+    formTick: () => ({ kind: 'tick' }),
   });
   const operator = new OperatorTask({
     address: settings.operator,
@@ -58,13 +71,35 @@
 
   function routeNotes(output: NotesOut): void {
     if (output.kind === 'log') log.post({ kind: 'request', request: output.request });
-    else if (output.kind === 'version') spread.post({ kind: 'version', delta: output.delta });
-    else operator.post(output);
+    else if (output.kind === 'version') {
+      spread.post({ kind: 'version', delta: output.delta, whole: output.book.whole });
+    } else operator.post(output);
+  }
+
+  /** Confirmations go to whoever asked for them; everything else concerns the notes. */
+  function routeNotice(notice: LogNotice<NoteCommand>): void {
+    if (notice.kind === 'leading') spread.post({ kind: 'log', notice });
+    const isForSpread =
+      (notice.kind === 'confirmed' || notice.kind === 'refused') && isVouchConfirm(notice.id);
+    if (isForSpread) spread.post({ kind: 'log', notice });
+    else notes.post({ kind: 'log', notice });
   }
 
   function routeSpread(output: SourceSpreadOut): void {
-    if (output.kind === 'coverage') notes.post(output);
-    else postLink({ kind: 'send', to: output.to, channel: 'spread', body: output.body });
+    switch (output.kind) {
+      case 'send':
+        postLink({ kind: 'send', to: output.to, channel: 'spread', body: output.body });
+        return;
+      case 'coverage':
+        notes.post(output);
+        return;
+      case 'confirm':
+        log.post({ kind: 'request', request: output });
+        return;
+      case 'rejected':
+        options.log('spread-rejected', { address: output.address, fault: output.fault });
+        return;
+    }
   }
 
   const tasks = [spread, notes, log, operator];
@@ -83,8 +118,10 @@
 // Internals.
 
 function readLinkEvent(event: LinkEvent): SourceSpreadIn | undefined {
-  if (event.kind === 'link-down') return { kind: 'link-down', address: event.address };
-  if (event.kind !== 'received' || event.channel !== 'spread') return undefined;
-  const { from, address } = event;
-  return { kind: 'received', from, address, body: event.body as SpreadMessage };
+  const { address } = event;
+  if (event.kind === 'link-down') return { kind: 'link-down', address };
+  if (event.kind !== 'received' || event.channel !== 'source-spread') return undefined;
+  const body = readSourceSpreadMessage(event.body);
+  if (body === undefined) return { kind: 'malformed', address };
+  return { kind: 'received', from: event.from, address, body };
 }
--- /dev/null
+++ b/src/spread/catch-up.ts
@@ -0,0 +1,197 @@
+/** Decides whom a proxy pulls missing versions from, and when. One pull is under way at a time. */
+import { addMs, NEVER } from '../clock.js';
+import type { Address, Instant, Version } from '../ids.js';
+import { NO_VERSION } from '../ids.js';
+import type { Random } from '../random.js';
+
+/** Somebody who claims to hold a higher version. */
+interface Candidate {
+  readonly version: Version;
+  /** Not asked before this instant. */
+  readonly notBefore: Instant;
+}
+
+/** A pull that has not been answered yet. */
+interface OpenPull {
+  readonly address: Address;
+  readonly deadline: Instant;
+}
+
+/**
+ * Keeps those who advertised a higher version and picks one of them after another.
+ *
+ * A first attempt waits briefly, because a push is usually under way. Failed attempts are spaced by
+ * full jitter below a capped ceiling. A peer that did not deliver what it claimed is left aside for a
+ * while, so a peer that lies about its version delays a pull by a bounded time.
+ */
+export class CatchUp {
+  readonly #random: Random;
+  readonly #candidates = new Map<Address, Candidate>();
+  readonly #bannedUntil = new Map<Address, Instant>();
+  #open: OpenPull | undefined;
+  #dueAt: Instant = NEVER;
+  #failures = 0;
+
+  constructor(random: Random) {
+    this.#random = random;
+  }
+
+  /** The next instant at which {@link CatchUp.pickNext} has something to decide. */
+  get deadline(): Instant {
+    return this.#open?.deadline ?? this.#dueAt;
+  }
+
+  /** Failed attempts since the last version that was applied. */
+  get failures(): number {
+    return this.#failures;
+  }
+
+  /** Tells whether an answer from this address is expected. */
+  isAsking(address: Address): boolean {
+    return this.#open?.address === address;
+  }
+
+  /** Remembers that a peer claims `version`; the pull waits for a push that may be under way. */
+  addClaim(address: Address, version: Version, now: Instant): void {
+    this.#addCandidate(address, version, now);
+    const patience = MIN_PATIENCE_MS + this.#random.next() * PATIENCE_SPREAD_MS;
+    this.#dueAt = earliestOf(this.#dueAt, addMs(now, patience));
+  }
+
+  /** Remembers a peer that certainly holds `version`; the pull starts at the next tick. */
+  addHolder(address: Address, version: Version, now: Instant): void {
+    this.#addCandidate(address, version, now);
+    this.#dueAt = earliestOf(this.#dueAt, now);
+  }
+
+  /** Asks for an attempt even though nobody is known to hold a higher version. */
+  requestAttempt(at: Instant): void {
+    this.#dueAt = earliestOf(this.#dueAt, at);
+  }
+
+  /** Picks the address to pull from now, if any; `fallback` is asked when nobody claims more. */
+  pickNext(held: Version, fallback: readonly Address[], now: Instant): Address | undefined {
+    if (this.#open !== undefined && this.#open.deadline <= now) this.#failOpen(now);
+    if (this.#open !== undefined || this.#dueAt > now) return undefined;
+    this.#dueAt = NEVER;
+    const address = this.#pickAddress(held, fallback, now);
+    if (address === undefined) {
+      if (this.#candidates.size > 0 || this.#failures > 0) this.#resume(now);
+      return undefined;
+    }
+    this.#open = { address, deadline: addMs(now, PULL_TIMEOUT_MS) };
+    return address;
+  }
+
+  /** A part of the answer has arrived: the deadline moves. */
+  extendPull(address: Address, now: Instant): void {
+    if (this.isAsking(address)) this.#open = { address, deadline: addMs(now, PULL_TIMEOUT_MS) };
+  }
+
+  /** A higher version has been applied. Pulls on while somebody claims more. */
+  closeApplied(address: Address, held: Version, now: Instant): void {
+    this.#failures = 0;
+    if (this.isAsking(address)) this.#open = undefined;
+    for (const [peer, { version }] of this.#candidates) {
+      if (version <= held) this.#candidates.delete(peer);
+    }
+    if (this.#candidates.size === 0) this.#dueAt = NEVER;
+    else if (this.#open === undefined) this.#dueAt = now;
+  }
+
+  /** A peer answered that it has nothing newer; that is a fault only if it claimed more. */
+  closeEmpty(address: Address, now: Instant): void {
+    if (!this.isAsking(address)) return;
+    this.#open = undefined;
+    if (this.#candidates.has(address)) {
+      this.ban(address, now);
+      this.#resume(now);
+    } else if (this.#candidates.size > 0) {
+      this.#dueAt = now;
+    }
+  }
+
+  /** A peer refused for load until `retryAt`. */
+  closeRefused(address: Address, retryAt: Instant, now: Instant): void {
+    if (!this.isAsking(address)) return;
+    this.#open = undefined;
+    this.#failures += 1;
+    const latest = addMs(now, MAX_RETRY_DELAY_MS);
+    const notBefore = earliestOf(retryAt, latest);
+    const version = this.#candidates.get(address)?.version ?? NO_VERSION;
+    this.#candidates.set(address, { version, notBefore });
+    const jitter = this.#random.next() * RETRY_SPREAD_MS;
+    this.#dueAt = earliestOf(this.#dueAt, addMs(notBefore, jitter));
+  }
+
+  /** A peer gave something that could not be applied. */
+  closeFailed(address: Address, now: Instant): void {
+    if (this.isAsking(address)) this.#failOpen(now);
+    else this.ban(address, now);
+  }
+
+  /** The link to a peer broke. */
+  closeBroken(address: Address, now: Instant): void {
+    this.#candidates.delete(address);
+    if (this.isAsking(address)) this.#failOpen(now);
+  }
+
+  /** Leaves a peer aside for a while. */
+  ban(address: Address, now: Instant): void {
+    this.#candidates.delete(address);
+    if (this.#bannedUntil.size >= MAX_BANNED) this.#bannedUntil.clear();
+    this.#bannedUntil.set(address, addMs(now, BAN_MS));
+  }
+
+  // Internals.
+
+  #addCandidate(address: Address, version: Version, now: Instant): void {
+    if ((this.#bannedUntil.get(address) ?? now) > now) return;
+    const known = this.#candidates.get(address);
+    if (known === undefined && this.#candidates.size >= MAX_CANDIDATES) return;
+    this.#candidates.set(address, { version, notBefore: known?.notBefore ?? now });
+  }
+
+  #pickAddress(held: Version, fallback: readonly Address[], now: Instant): Address | undefined {
+    const claiming = [...this.#candidates].filter(([, { version }]) => version > held);
+    const ready = claiming.filter(([, { notBefore }]) => notBefore <= now);
+    if (ready.length > 0) return this.#random.pick(ready)[0];
+    const others = fallback.filter((address) => this.#isAllowed(address, now));
+    return others.length > 0 ? this.#random.pick(others) : undefined;
+  }
+
+  #isAllowed(address: Address, now: Instant): boolean {
+    const banned = this.#bannedUntil.get(address) ?? now;
+    const notBefore = this.#candidates.get(address)?.notBefore ?? now;
+    return banned <= now && notBefore <= now;
+  }
+
+  #failOpen(now: Instant): void {
+    const address = this.#open?.address;
+    this.#open = undefined;
+    if (address !== undefined) this.ban(address, now);
+    this.#resume(now);
+  }
+
+  #resume(now: Instant): void {
+    this.#failures += 1;
+    const ceiling = Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** this.#failures);
+    this.#dueAt = addMs(now, this.#random.next() * ceiling);
+  }
+}
+
+// Internals.
+
+const MIN_PATIENCE_MS = 50;
+const PATIENCE_SPREAD_MS = 100;
+const PULL_TIMEOUT_MS = 1_000;
+const BAN_MS = 3_000;
+const MIN_RETRY_DELAY_MS = 50;
+const MAX_RETRY_DELAY_MS = 5_000;
+const RETRY_SPREAD_MS = 200;
+const MAX_CANDIDATES = 8;
+const MAX_BANNED = 256;
+
+function earliestOf(left: Instant, right: Instant): Instant {
+  return Math.min(left, right) as Instant;
+}
--- a/src/spread/proxy-spread-filter.ts
+++ b/src/spread/proxy-spread-filter.ts
@@ -1,73 +1,387 @@
-/** The proxy's side of distribution: applies versions whole or not at all, and only upward. */
-import type { Address, HostId } from '../ids.js';
-import type { SpreadMessage, VersionDelta } from '../messages/index.js';
-import { applyDelta, EMPTY_WHOLE, isApplyFault } from '../notes/index.js';
-import type { ApplyFault, Whole } from '../notes/index.js';
+/** The proxy's side of distribution: takes versions whole and only upward, and passes them on. */
+import { addMs, NEVER } from '../clock.js';
+import type { Address, Instant } from '../ids.js';
+import type { DeltaSpan, SnapshotChunk, SpreadMessage, VersionMark } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
+import { findEpoch } from './overlay.js';
+import type { OverlayMember } from './member-order.js';
+import { ProxyReporter } from './proxy-reporter.js';
+import { ProxyVoucher } from './proxy-voucher.js';
+import { createProxyState } from './proxy-spread-state.js';
+import type {
+  ProxySpreadIn,
+  ProxySpreadOptions,
+  ProxySpreadOut,
+  ProxySpreadState,
+  SpreadFault,
+} from './proxy-spread-state.js';
+import { findNeighbours, listCompared } from './proxy-neighbours.js';
 
-/** What the proxy's spread pipe is told. */
-export type ProxySpreadIn =
-  | { readonly kind: 'link-up'; readonly address: Address }
-  | { readonly kind: 'received'; readonly address: Address; readonly body: SpreadMessage };
-
-/** What the proxy's spread pipe sends on. */
-export type ProxySpreadOut =
-  | { readonly kind: 'send'; readonly to: Address; readonly body: SpreadMessage }
-  | { readonly kind: 'whole'; readonly whole: Whole }
-  | { readonly kind: 'rejected'; readonly address: Address; readonly fault: ApplyFault };
-
-/** The state of the proxy's spread pipe. */
-export interface ProxySpreadState {
-  readonly whole: Whole;
-}
-
-/** Decides which versions a proxy takes. */
+/** Decides which versions a proxy takes, serves and passes on. */
 export class ProxySpreadFilter extends Filter<ProxySpreadState, ProxySpreadIn, ProxySpreadOut> {
-  readonly #host: HostId;
+  readonly #options: ProxySpreadOptions;
+  readonly #reporter: ProxyReporter;
+  readonly #voucher: ProxyVoucher;
 
-  constructor(host: HostId) {
+  constructor(options: ProxySpreadOptions) {
     super();
-    this.#host = host;
+    this.#options = options;
+    this.#reporter = new ProxyReporter(options);
+    this.#voucher = new ProxyVoucher(options);
   }
 
   override createState(): ProxySpreadState {
-    return { whole: EMPTY_WHOLE };
+    return createProxyState(this.#options);
   }
 
   override decide(
     state: ProxySpreadState,
     message: ProxySpreadIn,
+    now: Instant,
   ): Step<ProxySpreadState, ProxySpreadOut> {
-    if (message.kind === 'link-up') {
-      const body = { kind: 'pull', after: state.whole.version } as const;
-      return { state, outputs: [{ kind: 'send', to: message.address, body }] };
-    }
-    if (message.body.kind !== 'push') return { state, outputs: [] };
-    return this.#applyDeltas(state, message.address, message.body.deltas);
+    const outputs = this.#handle(state, message, now);
+    return { state, outputs: [...outputs, ...updateWake(state)] };
   }
 
   // Internals.
 
-  #applyDeltas(
+  #handle(state: ProxySpreadState, message: ProxySpreadIn, now: Instant): ProxySpreadOut[] {
+    switch (message.kind) {
+      case 'start':
+        return this.#start(state, message.floor, now);
+      case 'link-up':
+        return this.#handleLinkUp(state, message.address, now);
+      case 'link-down':
+        state.linked.delete(message.address);
+        state.catchUp.closeBroken(message.address, now);
+        return [];
+      case 'received':
+        state.linked.add(message.address);
+        return this.#handleBody(state, message, now);
+      case 'malformed':
+        return this.#reject(state, message.address, { kind: 'malformed' }, now);
+      case 'floor-saved':
+        return [...state.served.handleSaved(message.version)];
+      case 'member-up':
+        if (message.member.liveness === 'dead')
+          return this.#forgetMember(state, message.member.host);
+        return this.#updateMember(state, message.member);
+      case 'member-gone':
+        return this.#forgetMember(state, message.host);
+      case 'tick':
+        state.deadlines.wake = NEVER;
+        return this.#handleTick(state, now);
+    }
+  }
+
+  #handleBody(
+    state: ProxySpreadState,
+    { from, address, body }: Extract<ProxySpreadIn, { kind: 'received' }>,
+    now: Instant,
+  ): ProxySpreadOut[] {
+    switch (body.kind) {
+      case 'push':
+        return this.#takePush(state, address, body, now);
+      case 'advertise':
+        return this.#takeAdvertisement(state, address, body.held, now);
+      case 'pull':
+        return this.#answerPull(state, address, body.held, now);
+      case 'chunk':
+        return this.#takeChunk(state, address, body.chunk, now);
+      case 'retry-at':
+        state.catchUp.closeRefused(address, body.at, now);
+        return [];
+      case 'ack':
+        this.#reporter.updateReport(state, from, body.report, now);
+        return [];
+      case 'ask-vouch':
+      case 'vouch':
+      case 'ask-served':
+      case 'served':
+        return [...this.#voucher.handle(state, address, body, now), ...this.#serve(state)];
+    }
+  }
+
+  #start(state: ProxySpreadState, floor: VersionMark | undefined, now: Instant): ProxySpreadOut[] {
+    const { random, policy } = this.#options;
+    state.served.loadFloor(floor);
+    state.appliedAt = now;
+    state.deadlines.settle = addMs(now, SETTLE_MS);
+    state.deadlines.compare = addMs(now, random.next() * (policy.decideCompare(now) - now));
+    state.deadlines.refresh = addMs(now, random.next() * (policy.decideRefresh(now) - now));
+    return this.#updateMember(state, this.#options);
+  }
+
+  /** Begins to ask for versions, now that the membership has had time to arrive. */
+  #settle(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
+    if (state.deadlines.settle > now) return [];
+    state.deadlines.settle = NEVER;
+    state.isSettled = true;
+    state.catchUp.requestAttempt(addMs(now, this.#options.random.next() * START_SPREAD_MS));
+    if (state.served.needsVouch) state.vouches.addOwnAsk(now);
+    return this.#updateSources(state);
+  }
+
+  #handleLinkUp(state: ProxySpreadState, address: Address, now: Instant): ProxySpreadOut[] {
+    state.linked.add(address);
+    const { isFirst, parent } = findNeighbours(state, this.#options);
+    const isUpward = isFirst ? this.#isSource(address) : parent?.control === address;
+    if (!isUpward) return [];
+    state.reported = '';
+    state.deadlines.report = now;
+    if (this.#isSource(address)) state.catchUp.requestAttempt(now);
+    return [];
+  }
+
+  #updateMember(state: ProxySpreadState, member: OverlayMember): ProxySpreadOut[] {
+    if (this.#isSource(member.control)) return this.#updateSources(state);
+    if (!state.overlay.updateMember(member)) return [];
+    state.neighbours = undefined;
+    return this.#updateSources(state);
+  }
+
+  #forgetMember(state: ProxySpreadState, host: ProxySpreadOptions['host']): ProxySpreadOut[] {
+    if (host === this.#options.host || !state.overlay.forgetMember(host)) return [];
+    state.neighbours = undefined;
+    return this.#updateSources(state);
+  }
+
+  /** Keeps links to the sources exactly while this proxy is a root. */
+  #updateSources(state: ProxySpreadState): ProxySpreadOut[] {
+    const { isFirst } = findNeighbours(state, this.#options);
+    if (!state.isSettled || isFirst === state.keepsSources) return [];
+    state.keepsSources = isFirst;
+    return this.#options.sources.map((to) => ({ kind: isFirst ? 'keep' : 'drop', to }));
+  }
+
+  #takePush(
     state: ProxySpreadState,
     address: Address,
-    deltas: readonly VersionDelta[],
-  ): Step<ProxySpreadState, ProxySpreadOut> {
-    const outputs: ProxySpreadOut[] = [];
-    let whole = state.whole;
-    for (const delta of deltas) {
-      if (delta.version <= whole.version) continue;
-      const next = applyDelta(whole, delta);
-      if (isApplyFault(next)) {
-        outputs.push({ kind: 'rejected', address, fault: next });
-        break;
-      }
-      whole = next;
+    { spans, newest }: Extract<SpreadMessage, { kind: 'push' }>,
+    now: Instant,
+  ): ProxySpreadOut[] {
+    const isAnswer = state.catchUp.isAsking(address);
+    const { applied, fault, conflict } = state.store.applySpans(spans);
+    const outputs = this.#handleApplied(
+      state,
+      address,
+      isAnswer ? [] : applied,
+      applied.length,
+      now,
+    );
+    if (conflict !== undefined) {
+      outputs.push(...this.#reject(state, address, { kind: 'conflict', offered: conflict }, now));
+    } else if (fault !== undefined) {
+      outputs.push(...this.#handleFault(state, address, fault, newest, now));
+    } else if (applied.length === 0) {
+      state.catchUp.closeEmpty(address, now);
     }
-    if (whole === state.whole) return { state, outputs };
-    const ack = { kind: 'ack', host: this.#host, version: whole.version } as const;
-    outputs.push({ kind: 'whole', whole }, { kind: 'send', to: address, body: ack });
-    return { state: { whole }, outputs };
+    if (fault === undefined) outputs.push(...this.#checkClaim(state, address, newest, now));
+    return outputs;
   }
+
+  /** A gap is pulled from the sender; anything else counts against it. */
+  #handleFault(
+    state: ProxySpreadState,
+    address: Address,
+    fault: SpreadFault,
+    newest: VersionMark,
+    now: Instant,
+  ): ProxySpreadOut[] {
+    const isAnswer = state.catchUp.isAsking(address);
+    const outputs: ProxySpreadOut[] =
+      fault.kind === 'not-next' ? [] : this.#reject(state, address, fault, now);
+    if (isAnswer) state.catchUp.closeFailed(address, now);
+    else state.catchUp.addHolder(address, newest.version, now);
+    return outputs;
+  }
+
+  #takeChunk(
+    state: ProxySpreadState,
+    address: Address,
+    chunk: SnapshotChunk,
+    now: Instant,
+  ): ProxySpreadOut[] {
+    if (!state.catchUp.isAsking(address)) return [];
+    state.catchUp.extendPull(address, now);
+    const snapshot = state.assembly.addChunk(chunk);
+    if (snapshot === undefined) return [];
+    const fault = state.store.applySnapshot(snapshot);
+    if (fault === undefined) return this.#handleApplied(state, address, [], 1, now);
+    if (fault.kind !== 'not-next') return this.#reject(state, address, fault, now);
+    state.catchUp.closeEmpty(address, now);
+    return [];
+  }
+
+  #takeAdvertisement(
+    state: ProxySpreadState,
+    address: Address,
+    held: VersionMark,
+    now: Instant,
+  ): ProxySpreadOut[] {
+    if (held.version < state.store.mark.version && !state.store.hasConflict(held)) {
+      return [this.#formAdvertisement(state, address)];
+    }
+    return this.#checkClaim(state, address, held, now);
+  }
+
+  /** Remembers a claim to a higher version, and reports one that contradicts what is held. */
+  #checkClaim(
+    state: ProxySpreadState,
+    address: Address,
+    claimed: VersionMark,
+    now: Instant,
+  ): ProxySpreadOut[] {
+    if (claimed.version > state.store.mark.version) {
+      state.catchUp.addClaim(address, claimed.version, now);
+      return [];
+    }
+    if (!state.store.hasConflict(claimed)) return [];
+    return this.#reject(state, address, { kind: 'conflict', offered: claimed }, now);
+  }
+
+  #answerPull(
+    state: ProxySpreadState,
+    address: Address,
+    held: VersionMark,
+    now: Instant,
+  ): ProxySpreadOut[] {
+    if (state.store.hasConflict(held)) {
+      return this.#reject(state, address, { kind: 'conflict', offered: held }, now);
+    }
+    const answers = state.store.formAnswer(held, state.admission, now);
+    return answers.map((body) => ({ kind: 'send', to: address, body }));
+  }
+
+  /** Passes on what was applied: spans that were pushed are pushed, anything else is advertised. */
+  #handleApplied(
+    state: ProxySpreadState,
+    sender: Address,
+    pushed: readonly DeltaSpan[],
+    appliedCount: number,
+    now: Instant,
+  ): ProxySpreadOut[] {
+    if (appliedCount === 0) return [];
+    const { store, overlay, deadlines } = state;
+    const { policy } = this.#options;
+    state.appliedAt = now;
+    state.catchUp.closeApplied(sender, store.mark.version, now);
+    const { children } = findNeighbours(state, this.#options);
+    const body: SpreadMessage =
+      pushed.length > 0
+        ? { kind: 'push', spans: pushed, newest: store.mark }
+        : { kind: 'advertise', held: store.mark };
+    const outputs = children.flatMap(({ control }): ProxySpreadOut[] =>
+      control === sender ? [] : [{ kind: 'send', to: control, body }],
+    );
+    deadlines.advertise = Math.min(deadlines.advertise, policy.decideAdvertise(now)) as Instant;
+    this.#reporter.handleApplied(state, now);
+    if (overlay.setEpoch(findEpoch(store.mark.version))) state.neighbours = undefined;
+    return [
+      { kind: 'held', mark: store.mark },
+      ...this.#serve(state),
+      ...outputs,
+      ...this.#updateSources(state),
+    ];
+  }
+
+  #serve(state: ProxySpreadState): ProxySpreadOut[] {
+    return [...state.served.decide(state.store.whole)];
+  }
+
+  #reject(
+    state: ProxySpreadState,
+    address: Address,
+    fault: SpreadFault,
+    now: Instant,
+  ): ProxySpreadOut[] {
+    state.catchUp.closeFailed(address, now);
+    state.rejections.set(fault.kind, (state.rejections.get(fault.kind) ?? 0) + 1);
+    return [{ kind: 'rejected', address, fault }];
+  }
+
+  #handleTick(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
+    return [
+      ...this.#settle(state, now),
+      ...this.#advertise(state, now),
+      ...this.#compare(state, now),
+      ...this.#pull(state, now),
+      ...this.#reporter.decide(state, now),
+      ...this.#voucher.decide(state, now),
+      ...this.#serve(state),
+    ];
+  }
+
+  #pull(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
+    const { catchUp, store } = state;
+    if (catchUp.deadline > now) return [];
+    const fallback = this.#listFallback(state);
+    const address = catchUp.pickNext(store.mark.version, fallback, now);
+    if (address === undefined) return [];
+    state.assembly.forgetAll();
+    return [this.#formPull(state, address)];
+  }
+
+  /** Peers go before the source, unless this proxy is a root or its peers have failed. */
+  #listFallback(state: ProxySpreadState): Address[] {
+    const { isFirst, parent, offTree } = findNeighbours(state, this.#options);
+    const { sources } = this.#options;
+    const peers = [...(parent === undefined ? [] : [parent]), ...offTree].map((one) => one.control);
+    if (isFirst || peers.length === 0) return [...sources];
+    return state.catchUp.failures < PEER_ATTEMPTS ? peers : [...peers, ...sources];
+  }
+
+  #advertise(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
+    if (state.deadlines.advertise > now) return [];
+    state.deadlines.advertise = NEVER;
+    const { offTree } = findNeighbours(state, this.#options);
+    const start = state.store.mark.version % Math.max(1, offTree.length);
+    const turned = [...offTree.slice(start), ...offTree.slice(0, start)];
+    const peers = turned.slice(0, this.#options.policy.advertisePeers);
+    return peers.map(({ control }) => this.#formAdvertisement(state, control));
+  }
+
+  #compare(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
+    if (state.deadlines.compare > now) return [];
+    state.deadlines.compare = this.#options.policy.decideCompare(now);
+    const compared = listCompared(state, this.#options);
+    const address = compared[state.comparisons % Math.max(1, compared.length)];
+    state.comparisons += 1;
+    if (address === undefined) return [];
+    if (!this.#isSource(address)) return [this.#formAdvertisement(state, address)];
+    state.catchUp.requestAttempt(now);
+    return [];
+  }
+
+  #formAdvertisement(state: ProxySpreadState, to: Address): ProxySpreadOut {
+    return { kind: 'send', to, body: { kind: 'advertise', held: state.store.mark } };
+  }
+
+  #formPull(state: ProxySpreadState, to: Address): ProxySpreadOut {
+    const held = state.store.mark;
+    if (!this.#isSource(to)) return { kind: 'send', to, body: { kind: 'pull', held } };
+    const { dataCentre } = this.#options;
+    return { kind: 'send-source', to, body: { kind: 'pull', held, dataCentre } };
+  }
+
+  #isSource(address: Address): boolean {
+    return this.#options.sources.includes(address);
+  }
+}
+
+// Internals.
+
+const SETTLE_MS = 300;
+const START_SPREAD_MS = 100;
+const PEER_ATTEMPTS = 3;
+
+/** Asks to be woken when the earliest deadline has moved forward. */
+function updateWake({ deadlines, catchUp, vouches, poll }: ProxySpreadState): ProxySpreadOut[] {
+  const { settle, advertise, compare, report, refresh } = deadlines;
+  const parts = [catchUp.deadline, vouches.deadline, poll.deadline];
+  const earliest = Math.min(settle, advertise, compare, report, refresh, ...parts) as Instant;
+  if (earliest >= deadlines.wake) return [];
+  deadlines.wake = earliest;
+  return [{ kind: 'wake', at: earliest }];
 }
--- a/src/spread/source-spread-filter.ts
+++ b/src/spread/source-spread-filter.ts
@@ -1,44 +1,111 @@
-/** The source's side of distribution. So far it sends each delta to every proxy that asked. */
-import type { Address, HostId, Instant, Version } from '../ids.js';
-import type { CoverageReport, SpreadMessage, Straggler, VersionDelta } from '../messages/index.js';
-import { NO_VERSION } from '../ids.js';
+/** The source's side of distribution: a constant number of messages per version, whatever the fleet. */
+import { addMs, NEVER } from '../clock.js';
+import type { Address, HostId, Instant, RequestId } from '../ids.js';
+import type {
+  CoverageReport,
+  DeltaSpan,
+  LogNotice,
+  MemberEvent,
+  SourceSpreadMessage,
+  SpreadMessage,
+  VersionDelta,
+  VersionMark,
+} from '../messages/index.js';
+import type { ApplyFault, Whole } from '../notes/index.js';
 import { Filter } from '../pipe/index.js';
-import type { Step } from '../pipe/index.js';
+import type { Step, Tick, Wake } from '../pipe/index.js';
+import { Admission } from './admission.js';
+import { formJoinedSpan, formSpan } from './delta-span.js';
+import { FleetCoverage } from './fleet-coverage.js';
+import type { OverlayMember } from './member-order.js';
+import { findEpoch, Overlay } from './overlay.js';
+import type { SpreadPolicy } from './spread-policy.js';
+import { VersionStore } from './version-store.js';
+import { VouchDesk } from './vouch-desk.js';
+
+/** What the source's spread pipe needs to know. */
+export interface SourceSpreadOptions {
+  readonly policy: SpreadPolicy;
+  /** The control addresses of all source hosts. Members at these addresses relay nothing. */
+  readonly sources: readonly Address[];
+}
 
 /** What the source's spread pipe is told. */
 export type SourceSpreadIn =
-  | { readonly kind: 'version'; readonly delta: VersionDelta }
+  /** A version was committed; `whole` is the configuration that results. */
+  | { readonly kind: 'version'; readonly delta: VersionDelta; readonly whole: Whole }
   | {
       readonly kind: 'received';
       readonly from: HostId;
       readonly address: Address;
-      readonly body: SpreadMessage;
+      readonly body: SourceSpreadMessage;
     }
-  | { readonly kind: 'link-down'; readonly address: Address };
+  | { readonly kind: 'malformed'; readonly address: Address }
+  | { readonly kind: 'link-down'; readonly address: Address }
+  /** What the log said of a confirmation that this pipe asked for, or of its leadership. */
+  | { readonly kind: 'log'; readonly notice: SpreadLogNotice }
+  | MemberEvent
+  | Tick;
+
+/** The notices of the log that concern distribution. */
+export type SpreadLogNotice = Exclude<LogNotice<never>, { readonly kind: 'committed' }>;
+
+/** Why something that a proxy sent, or a committed version, was left out. */
+export type SourceSpreadFault =
+  ApplyFault | { readonly kind: 'malformed' } | { readonly kind: 'conflict'; offered: VersionMark };
 
 /** What the source's spread pipe sends on. */
 export type SourceSpreadOut =
   | { readonly kind: 'send'; readonly to: Address; readonly body: SpreadMessage }
-  | { readonly kind: 'coverage'; readonly report: CoverageReport };
+  | { readonly kind: 'coverage'; readonly report: CoverageReport }
+  /** Asks the log to confirm with a quorum that this replica still leads. */
+  | { readonly kind: 'confirm'; readonly id: RequestId }
+  | { readonly kind: 'rejected'; readonly address: Address; readonly fault: SourceSpreadFault }
+  | Wake;
 
-/** A proxy as the source sees it. */
-interface KnownProxy {
-  readonly address: Address;
-  readonly linked: boolean;
-  readonly held: Version;
+/** A proxy that has pulled from this source by its own decision. */
+interface DirectProxy extends OverlayMember {
   readonly heardAt: Instant;
 }
 
-/** The state of the source's spread pipe. */
+/** The state of the source's spread pipe. Its parts are updated in place. */
 export interface SourceSpreadState {
-  readonly deltas: readonly VersionDelta[];
-  readonly proxies: ReadonlyMap<HostId, KnownProxy>;
+  readonly store: VersionStore;
+  readonly overlay: Overlay;
+  readonly admission: Admission;
+  readonly coverage: FleetCoverage;
+  readonly vouches: VouchDesk;
+  readonly direct: Map<HostId, DirectProxy>;
+  /** Versions that wait to be pushed. */
+  waiting: DeltaSpan[];
+  pushAt: Instant;
+  wakeAt: Instant;
+  /** A replica that follows lets the leader push, and answers pulls. */
+  isFollower: boolean;
 }
 
-/** Decides which deltas go to which proxies, and how far each version has spread. */
+/** Decides what the source pushes and answers, and how far each version has spread. */
 export class SourceSpreadFilter extends Filter<SourceSpreadState, SourceSpreadIn, SourceSpreadOut> {
+  readonly #options: SourceSpreadOptions;
+
+  constructor(options: SourceSpreadOptions) {
+    super();
+    this.#options = options;
+  }
+
   override createState(): SourceSpreadState {
-    return { deltas: [], proxies: new Map() };
+    return {
+      store: new VersionStore(),
+      overlay: new Overlay(this.#options.policy.shape),
+      admission: new Admission(SOURCE_RATE),
+      coverage: new FleetCoverage(),
+      vouches: new VouchDesk(),
+      direct: new Map(),
+      waiting: [],
+      pushAt: NEVER,
+      wakeAt: NEVER,
+      isFollower: false,
+    };
   }
 
   override decide(
@@ -46,82 +113,172 @@
     message: SourceSpreadIn,
     now: Instant,
   ): Step<SourceSpreadState, SourceSpreadOut> {
+    const outputs = this.#handle(state, message, now);
+    return { state, outputs: [...outputs, ...updateWake(state)] };
+  }
+
+  // Internals.
+
+  #handle(state: SourceSpreadState, message: SourceSpreadIn, now: Instant): SourceSpreadOut[] {
     switch (message.kind) {
       case 'version':
-        return this.#spreadVersion(state, message.delta);
+        return this.#takeVersion(state, message.delta, message.whole, now);
       case 'received':
-        return this.#handleMessage(state, message, now);
+        return this.#handleBody(state, message, now);
+      case 'malformed':
+        return [{ kind: 'rejected', address: message.address, fault: { kind: 'malformed' } }];
       case 'link-down':
-        return this.#unlinkProxy(state, message.address);
+        return this.#forgetDirect(state, message.address, now);
+      case 'log':
+        return this.#handleNotice(state, message.notice);
+      case 'member-up':
+        return this.#updateMember(state, message.member, message.member.liveness !== 'dead', now);
+      case 'member-gone':
+        return this.#forgetMember(state, message.host, now);
+      case 'tick':
+        state.wakeAt = NEVER;
+        return this.#push(state, now);
     }
   }
 
-  // Internals.
-
-  #spreadVersion(
+  #takeVersion(
     state: SourceSpreadState,
     delta: VersionDelta,
-  ): Step<SourceSpreadState, SourceSpreadOut> {
-    const next = { ...state, deltas: [...state.deltas, delta] };
-    const linked = [...state.proxies.values()].filter((proxy) => proxy.linked);
-    const pushes = linked.map((proxy) => formPush(proxy.address, [delta]));
-    return { state: next, outputs: [...pushes, formCoverage(next)] };
+    whole: Whole,
+    now: Instant,
+  ): SourceSpreadOut[] {
+    const span = formSpan(delta);
+    const { applied } = state.store.applySpans([span]);
+    if (applied.length === 0) state.store.adoptWhole(whole);
+    else state.waiting.push(...applied);
+    state.overlay.setEpoch(findEpoch(state.store.mark.version));
+    state.pushAt = Math.min(state.pushAt, this.#options.policy.decidePush(now)) as Instant;
+    return [...this.#push(state, now), this.#formCoverage(state, now)];
+  }
+
+  #push(state: SourceSpreadState, now: Instant): SourceSpreadOut[] {
+    if (state.pushAt > now) return [];
+    state.pushAt = NEVER;
+    const waiting = state.waiting;
+    state.waiting = [];
+    const body = this.#formNews(state, waiting);
+    return this.#listTargets(state, now).map((to) => ({ kind: 'send', to, body }));
+  }
+
+  #formNews(state: SourceSpreadState, waiting: readonly DeltaSpan[]): SpreadMessage {
+    const newest = state.store.mark;
+    if (state.isFollower || waiting.length === 0) return { kind: 'advertise', held: newest };
+    const joins = this.#options.policy.joinsVersions;
+    return { kind: 'push', spans: joins ? [formJoinedSpan(waiting)] : waiting, newest };
+  }
+
+  /** The roots of every data centre, and a bounded number of others that take themselves for roots. */
+  #listTargets(state: SourceSpreadState, now: Instant): Address[] {
+    const oldest = addMs(now, -DIRECT_RETENTION_MS);
+    const others = [...state.direct.values()].filter(({ heardAt }) => heardAt >= oldest);
+    const roots = state.overlay.listAllFirst().map((member) => member.control);
+    const targets = [...roots, ...others.slice(0, MAX_DIRECT).map(({ control }) => control)];
+    return [...new Set(targets)];
   }
 
-  #handleMessage(
+  #handleBody(
     state: SourceSpreadState,
     { from, address, body }: Extract<SourceSpreadIn, { kind: 'received' }>,
-    heardAt: Instant,
-  ): Step<SourceSpreadState, SourceSpreadOut> {
-    if (body.kind === 'pull') {
-      const next = updateProxy(state, from, { address, linked: true, held: body.after, heardAt });
-      const missing = state.deltas.filter((delta) => delta.version > body.after);
-      return { state: next, outputs: [formPush(address, missing), formCoverage(next)] };
-    }
-    if (body.kind === 'ack') {
-      const next = updateProxy(state, from, { address, linked: true, held: body.version, heardAt });
-      return { state: next, outputs: [formCoverage(next)] };
+    now: Instant,
+  ): SourceSpreadOut[] {
+    switch (body.kind) {
+      case 'pull':
+        this.#addDirect(state, { host: from, dataCentre: body.dataCentre, control: address }, now);
+        return this.#answerPull(state, address, body.held, now);
+      case 'ack':
+        this.#refreshDirect(state, from, now);
+        state.coverage.updateReport(from, body.report);
+        return [this.#formCoverage(state, now)];
+      case 'ask-vouch':
+        return state.vouches.addAsk({ address, id: body.id });
     }
-    return { state, outputs: [] };
   }
 
-  #unlinkProxy(
+  #answerPull(
     state: SourceSpreadState,
     address: Address,
-  ): Step<SourceSpreadState, SourceSpreadOut> {
-    const proxies = new Map(state.proxies);
-    for (const [host, proxy] of proxies) {
-      if (proxy.address === address) proxies.set(host, { ...proxy, linked: false });
+    held: VersionMark,
+    now: Instant,
+  ): SourceSpreadOut[] {
+    if (state.store.hasConflict(held)) {
+      return [{ kind: 'rejected', address, fault: { kind: 'conflict', offered: held } }];
     }
-    const next = { ...state, proxies };
-    return { state: next, outputs: [formCoverage(next)] };
+    const answers = state.store.formAnswer(held, state.admission, now);
+    return answers.map((body) => ({ kind: 'send', to: address, body }));
   }
-}
 
-// Internals.
+  #handleNotice(state: SourceSpreadState, notice: SpreadLogNotice): SourceSpreadOut[] {
+    switch (notice.kind) {
+      case 'leading':
+        state.isFollower = !notice.leading;
+        return [];
+      case 'confirmed':
+        return state.vouches.handleConfirmed(notice.id, state.store.mark);
+      case 'refused':
+        return state.vouches.handleRefused(notice.id);
+    }
+  }
 
-function updateProxy(state: SourceSpreadState, host: HostId, proxy: KnownProxy): SourceSpreadState {
-  return { ...state, proxies: new Map(state.proxies).set(host, proxy) };
-}
+  #updateMember(
+    state: SourceSpreadState,
+    member: OverlayMember,
+    isAlive: boolean,
+    now: Instant,
+  ): SourceSpreadOut[] {
+    if (!isAlive) return this.#forgetMember(state, member.host, now);
+    if (this.#options.sources.includes(member.control)) return [];
+    state.coverage.addMember(member.host);
+    if (!state.overlay.updateMember(member)) return [];
+    return [this.#formCoverage(state, now)];
+  }
 
-function formPush(to: Address, deltas: readonly VersionDelta[]): SourceSpreadOut {
-  return { kind: 'send', to, body: { kind: 'push', deltas } };
-}
+  #forgetMember(state: SourceSpreadState, host: HostId, now: Instant): SourceSpreadOut[] {
+    if (!state.overlay.forgetMember(host)) return [];
+    state.direct.delete(host);
+    state.coverage.forgetMember(host, now);
+    return [this.#formCoverage(state, now)];
+  }
 
-function formCoverage(state: SourceSpreadState): SourceSpreadOut {
-  const newest = state.deltas.at(-1)?.version ?? NO_VERSION;
-  const proxies = [...state.proxies];
-  const counts = new Map<Version, number>();
-  for (const [, { held }] of proxies) counts.set(held, (counts.get(held) ?? 0) + 1);
-  const held = [...counts].map(([version, count]) => ({ version, count }));
-  const stragglers = proxies
-    .filter(([, proxy]) => proxy.held < newest)
-    .map(([host, proxy]) => formStraggler(host, proxy));
-  const sorted = held.sort((left, right) => left.version - right.version);
-  return { kind: 'coverage', report: { known: proxies.length, held: sorted, stragglers } };
+  #addDirect(state: SourceSpreadState, member: OverlayMember, heardAt: Instant): void {
+    state.direct.set(member.host, { ...member, heardAt });
+    state.coverage.addDirect(member.host);
+  }
+
+  #refreshDirect(state: SourceSpreadState, host: HostId, heardAt: Instant): void {
+    const known = state.direct.get(host);
+    if (known !== undefined) state.direct.set(host, { ...known, heardAt });
+  }
+
+  #forgetDirect(state: SourceSpreadState, address: Address, now: Instant): SourceSpreadOut[] {
+    const gone = [...state.direct.values()].filter(({ control }) => control === address);
+    for (const { host } of gone) {
+      state.direct.delete(host);
+      state.coverage.forgetDirect(host);
+    }
+    return gone.length === 0 ? [] : [this.#formCoverage(state, now)];
+  }
+
+  #formCoverage(state: SourceSpreadState, now: Instant): SourceSpreadOut {
+    const roots = state.overlay.listAllFirst().map((member) => member.host);
+    const reporting = new Set([...roots, ...state.direct.keys()]);
+    const report = state.coverage.formReport(state.store.mark.version, reporting, now);
+    return { kind: 'coverage', report };
+  }
 }
 
-function formStraggler(host: HostId, proxy: KnownProxy): Straggler {
-  const reason = proxy.linked ? 'catching-up' : 'unreachable';
-  return { host, version: proxy.held, reason, since: proxy.heardAt };
+// Internals.
+
+const SOURCE_RATE = { bytesPerSecond: 1024 * 1024, burstBytes: 2 * 1024 * 1024 };
+const DIRECT_RETENTION_MS = 60_000;
+const MAX_DIRECT = 64;
+
+function updateWake(state: SourceSpreadState): SourceSpreadOut[] {
+  if (state.pushAt >= state.wakeAt) return [];
+  state.wakeAt = state.pushAt;
+  return [{ kind: 'wake', at: state.pushAt }];
 }
--- /dev/null
+++ b/src/spread/vouch-desk.ts
@@ -0,0 +1,67 @@
+/** Answers requests for a vouch: only after the log has confirmed with a quorum that it still leads. */
+import type { Address, RequestId } from '../ids.js';
+import type { SpreadMessage, VersionMark } from '../messages/index.js';
+
+/** A proxy that waits for a vouch. */
+export interface VouchClient {
+  readonly address: Address;
+  readonly id: RequestId;
+}
+
+/** What a vouch desk sends on. */
+export type VouchStep =
+  | { readonly kind: 'confirm'; readonly id: RequestId }
+  | { readonly kind: 'send'; readonly to: Address; readonly body: SpreadMessage };
+
+/** Tells the confirmations that distribution asks for from those of other pipes. */
+export function isVouchConfirm(id: RequestId): boolean {
+  return id.startsWith(CONFIRM_PREFIX);
+}
+
+/**
+ * Asks for one confirmation at a time. Requests that arrive while one is under way wait for the next,
+ * because a vouch must rest on a confirmation that began after the request arrived.
+ */
+export class VouchDesk {
+  #waiting: VouchClient[] = [];
+  #confirming: VouchClient[] = [];
+  #confirmation: RequestId | undefined;
+  #count = 0;
+
+  /** Takes in a request. */
+  addAsk(client: VouchClient): VouchStep[] {
+    if (this.#waiting.length < MAX_WAITING) this.#waiting.push(client);
+    return this.#confirmation === undefined ? this.#startNext() : [];
+  }
+
+  /** The log has confirmed; `mark` is the newest committed version. */
+  handleConfirmed(id: RequestId, mark: VersionMark): VouchStep[] {
+    if (id !== this.#confirmation) return [];
+    const answers = this.#confirming.map((client): VouchStep => {
+      return { kind: 'send', to: client.address, body: { kind: 'vouch', id: client.id, mark } };
+    });
+    return [...answers, ...this.#startNext()];
+  }
+
+  /** The log could not confirm: nobody is answered, and the proxies ask again. */
+  handleRefused(id: RequestId): VouchStep[] {
+    return id === this.#confirmation ? this.#startNext() : [];
+  }
+
+  // Internals.
+
+  #startNext(): VouchStep[] {
+    this.#confirming = this.#waiting;
+    this.#waiting = [];
+    this.#confirmation = undefined;
+    if (this.#confirming.length === 0) return [];
+    this.#count += 1;
+    this.#confirmation = `${CONFIRM_PREFIX}${this.#count}` as RequestId;
+    return [{ kind: 'confirm', id: this.#confirmation }];
+  }
+}
+
+// Internals.
+
+const CONFIRM_PREFIX = 'spread-vouch-';
+const MAX_WAITING = 256;
