--- a/src/notes/index.ts
+++ b/src/notes/index.ts
@@ -9,6 +9,8 @@
 export type { NoteQuestion, NotesIn, NotesOut, NotesState } from './notes-filter.js';
 export {
   applyDelta,
+  buildNext,
+  checkWhole,
   EMPTY_WHOLE,
   findDangling,
   formSnapshot,
