--- /dev/null
+++ b/src/calls/attempt-filter.ts
@@ -0,0 +1,343 @@
+/** The third filter of a call: picks backend servers for its attempts, retries, hedges and gives up. */
+import { addMs } from '../clock.js';
+import type { Address, AttemptId, CallId, Instant, ServiceName } from '../ids.js';
+import type {
+  AttemptFailure,
+  AttemptHead,
+  CallTarget,
+  GuardLoad,
+  MemberEvent,
+  RefusalOutcome,
+  RefusalReason,
+} from '../messages/index.js';
+import type { Wake } from '../pipe/index.js';
+import { Filter } from '../pipe/index.js';
+import type { Step } from '../pipe/index.js';
+import type { AttemptState, Cancel, OpenAttempt, OpenCall } from './attempt-state.js';
+import {
+  cancelAttempt,
+  closeCall,
+  findBudget,
+  findLatency,
+  removeAttempt,
+} from './attempt-state.js';
+import type { RoutedCall } from './classify-filter.js';
+import { needsClaim } from './classify-filter.js';
+import { DeadlineHeap } from './deadline-heap.js';
+import { applyFailure, applySuccess } from './outlier.js';
+import type { Picker } from './picker.js';
+import type { Place, ServerRecord } from './server-table.js';
+import { ServerTable } from './server-table.js';
+
+/** What the attempt filter is told. */
+export type AttemptIn =
+  | MemberEvent
+  | { readonly kind: 'claimed'; readonly call: RoutedCall }
+  /** The head of an answer has arrived; nothing of it has been passed on yet. */
+  | {
+      readonly kind: 'answer-started';
+      readonly attempt: AttemptId;
+      readonly status: number;
+      readonly load: GuardLoad | undefined;
+    }
+  /** The whole answer has arrived. */
+  | { readonly kind: 'answer-complete'; readonly attempt: AttemptId }
+  | {
+      readonly kind: 'attempt-failed';
+      readonly attempt: AttemptId;
+      readonly failure: AttemptFailure;
+    }
+  /** The caller has gone, or has its whole answer. */
+  | { readonly kind: 'gone'; readonly id: CallId }
+  | { readonly kind: 'tick' };
+
+/** What the attempt filter sends on. */
+export type AttemptOut =
+  | {
+      readonly kind: 'dispatch';
+      readonly id: CallId;
+      readonly target: CallTarget;
+      readonly head: AttemptHead;
+      /** The attempt count that travels with the call. */
+      readonly count: number;
+      /** Whether a copy of the answer is kept for resends. */
+      readonly keepsAnswer: boolean;
+    }
+  /** The answer of this attempt is the one for the caller. */
+  | { readonly kind: 'relay'; readonly id: CallId; readonly attempt: AttemptId }
+  | Cancel
+  | {
+      readonly kind: 'refuse';
+      readonly id: CallId;
+      readonly reason: RefusalReason;
+      readonly outcome: RefusalOutcome;
+    }
+  | {
+      readonly kind: 'observed';
+      readonly service: ServiceName;
+      readonly server: Address;
+      readonly failed: boolean;
+    }
+  | Wake;
+
+/** What the attempt filter needs. */
+export interface AttemptOptions {
+  readonly place: Place;
+  readonly picker: Picker;
+}
+
+/**
+ * Runs the attempts of each call.
+ *
+ * A call is tried again only while that cannot run it twice or while a second run changes nothing,
+ * within the budget of its service, and only by the first proxy that it passes.
+ */
+export class AttemptFilter extends Filter<AttemptState, AttemptIn, AttemptOut> {
+  readonly #options: AttemptOptions;
+
+  constructor(options: AttemptOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override createState(): AttemptState {
+    return {
+      servers: new ServerTable(this.#options.place),
+      calls: new Map(),
+      attempts: new Map(),
+      budgets: new Map(),
+      latencies: new Map(),
+      timers: new DeadlineHeap(),
+    };
+  }
+
+  override decide(
+    state: AttemptState,
+    message: AttemptIn,
+    now: Instant,
+  ): Step<AttemptState, AttemptOut> {
+    return { state, outputs: this.#handle(state, message, now) };
+  }
+
+  // Internals.
+
+  #handle(state: AttemptState, message: AttemptIn, now: Instant): AttemptOut[] {
+    switch (message.kind) {
+      case 'member-up':
+      case 'member-gone':
+        state.servers.apply(message, now);
+        return [];
+      case 'claimed':
+        return this.#openCall(state, message.call, now);
+      case 'answer-started':
+        return this.#handleAnswer(state, message, now);
+      case 'answer-complete':
+        return this.#endAttempt(state, message.attempt);
+      case 'attempt-failed':
+        return this.#handleFailure(state, message.attempt, message.failure, now);
+      case 'gone':
+        return closeCall(state, state.calls.get(message.id));
+      case 'tick':
+        return this.#handleTimers(state, now);
+    }
+  }
+
+  #openCall(state: AttemptState, routed: RoutedCall, now: Instant): AttemptOut[] {
+    const { id } = routed.head;
+    const call: OpenCall = {
+      routed,
+      tried: new Set(),
+      running: new Set(),
+      started: 0,
+      relayed: undefined,
+      suspect: false,
+      certain: true,
+    };
+    state.calls.set(id, call);
+    findBudget(state, routed.service).addCall();
+    state.timers.add(routed.deadline, { kind: 'deadline', id });
+    const outputs = this.#startAttempt(state, call, now);
+    if (outputs.length === 0) return this.#refuse(state, call, NO_SERVER);
+    const hedgeAt = findHedgeTime(state, routed, now);
+    if (hedgeAt !== undefined) state.timers.add(hedgeAt, { kind: 'hedge', id });
+    return [...outputs, ...formWake(state)];
+  }
+
+  /** Returns no output when there is no server left to try. */
+  #startAttempt(state: AttemptState, call: OpenCall, now: Instant): AttemptOut[] {
+    const { service, head, requestKind, deadline, subject } = call.routed;
+    const tiers = state.servers.listTiers(service);
+    const record = this.#options.picker.pick(tiers, { now, tried: call.tried });
+    if (record === undefined) return [];
+    const server = record.announcement.address;
+    const attempt = `${head.id}.${call.started}` as AttemptId;
+    call.started += 1;
+    call.tried.add(server);
+    call.running.add(attempt);
+    record.outstanding += 1;
+    state.attempts.set(attempt, { call, record, startedAt: now });
+    const { name, worth } = requestKind;
+    const { suspect } = call;
+    return [
+      {
+        kind: 'dispatch',
+        id: head.id,
+        target: formTarget(record, service),
+        head: {
+          attempt,
+          server,
+          requestKind: name,
+          worth,
+          deadline: addMs(deadline, -ANSWER_MARGIN_MS),
+          subject,
+          suspect,
+        },
+        count: head.attempt + call.started - 1,
+        keepsAnswer: needsClaim(requestKind, head),
+      },
+    ];
+  }
+
+  #handleAnswer(state: AttemptState, message: AnswerStarted, now: Instant): AttemptOut[] {
+    const open = state.attempts.get(message.attempt);
+    if (open === undefined) return [{ kind: 'cancel', attempt: message.attempt }];
+    const { call, record } = open;
+    if (message.load !== undefined) {
+      record.load = message.load;
+      record.loadAt = now;
+    }
+    const hasShed = message.status === STATUS_SHED;
+    if (hasShed && call.routed.requestKind.idempotent && call.relayed === undefined) {
+      const retry = this.#retry(state, call, now, 'budgeted');
+      if (retry.length > 0) {
+        removeAttempt(state, message.attempt, open);
+        return [{ kind: 'cancel', attempt: message.attempt }, ...retry];
+      }
+    }
+    if (!hasShed) applySuccess(record);
+    findLatency(state, call.routed.service).add(now - open.startedAt);
+    call.relayed = message.attempt;
+    const losers = [...call.running].filter((attempt) => attempt !== message.attempt);
+    const { id } = call.routed.head;
+    return [
+      { kind: 'relay', id, attempt: message.attempt },
+      ...losers.flatMap((attempt) => cancelAttempt(state, attempt)),
+    ];
+  }
+
+  #endAttempt(state: AttemptState, attempt: AttemptId): AttemptOut[] {
+    const open = state.attempts.get(attempt);
+    if (open === undefined) return [];
+    removeAttempt(state, attempt, open);
+    state.calls.delete(open.call.routed.head.id);
+    return [];
+  }
+
+  #handleFailure(
+    state: AttemptState,
+    attempt: AttemptId,
+    failure: AttemptFailure,
+    now: Instant,
+  ): AttemptOut[] {
+    const open = state.attempts.get(attempt);
+    if (open === undefined) return [];
+    const { call } = open;
+    removeAttempt(state, attempt, open);
+    const observed = noteFailure(state, open, failure, now);
+    if (call.relayed === attempt) return [...observed, ...this.#refuse(state, call, failure)];
+    if (failure.outcome === 'unknown') call.certain = false;
+    const isSafe =
+      failure.reason !== 'quarantined' &&
+      (failure.outcome === 'not-run' || call.routed.requestKind.idempotent);
+    const cost = FREE_REASONS.has(failure.reason) ? 'free' : 'budgeted';
+    const retry = isSafe && call.relayed === undefined ? this.#retry(state, call, now, cost) : [];
+    if (retry.length > 0) return [...observed, ...retry];
+    if (call.running.size > 0) return observed;
+    return [...observed, ...this.#refuse(state, call, failure)];
+  }
+
+  /** Starts another attempt if the call, its deadline and the budget allow it. */
+  #retry(
+    state: AttemptState,
+    call: OpenCall,
+    now: Instant,
+    cost: 'free' | 'budgeted',
+  ): AttemptOut[] {
+    const { head, deadline, service } = call.routed;
+    if (head.attempt > 1 || !head.repeatable) return [];
+    if (call.started >= MAX_ATTEMPTS || deadline <= now) return [];
+    if (cost === 'budgeted' && !findBudget(state, service).spend()) return [];
+    return this.#startAttempt(state, call, now);
+  }
+
+  #handleTimers(state: AttemptState, now: Instant): AttemptOut[] {
+    const outputs: AttemptOut[] = [];
+    for (const timer of state.timers.takeDue(now)) {
+      const call = state.calls.get(timer.id);
+      if (call === undefined) continue;
+      if (timer.kind === 'deadline') {
+        const outcome = call.certain && call.running.size === 0 ? 'not-run' : 'unknown';
+        outputs.push(...this.#refuse(state, call, { reason: 'deadline', outcome }));
+      } else if (call.relayed === undefined) {
+        outputs.push(...this.#retry(state, call, now, 'budgeted'));
+      }
+    }
+    return [...outputs, ...formWake(state)];
+  }
+
+  #refuse(state: AttemptState, call: OpenCall, failure: AttemptFailure): AttemptOut[] {
+    const cancels = closeCall(state, call);
+    const outcome = call.certain ? failure.outcome : 'unknown';
+    const { id } = call.routed.head;
+    return [...cancels, { kind: 'refuse', id, reason: failure.reason, outcome }];
+  }
+}
+
+// Internals.
+
+type AnswerStarted = Extract<AttemptIn, { kind: 'answer-started' }>;
+
+const MAX_ATTEMPTS = 3;
+const STATUS_SHED = 503;
+/** The guard gives up a little earlier, so that its answer "not run" still reaches the caller. */
+const ANSWER_MARGIN_MS = 3;
+const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
+/** Refusals that tell of a stop or a restart: bounded by the attempts of the call alone. */
+const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'not-trusted']);
+
+function formTarget(record: ServerRecord, service: ServiceName): CallTarget {
+  const { member, announcement } = record;
+  return {
+    service,
+    host: member.host,
+    guard: member.calls,
+    pass: member.pass ?? '',
+    server: announcement.address,
+  };
+}
+
+function noteFailure(
+  state: AttemptState,
+  { call, record }: OpenAttempt,
+  failure: AttemptFailure,
+  now: Instant,
+): AttemptOut[] {
+  if (FREE_REASONS.has(failure.reason)) record.refusing = true;
+  if (failure.reason !== 'upstream-failed') return [];
+  if (failure.outcome === 'unknown') call.suspect = true;
+  const { service } = call.routed;
+  applyFailure(record, state.servers.listTiers(service), now);
+  return [{ kind: 'observed', service, server: record.announcement.address, failed: true }];
+}
+
+function findHedgeTime(state: AttemptState, call: RoutedCall, now: Instant): Instant | undefined {
+  const { requestKind, head, service } = call;
+  if (!requestKind.hedge || !requestKind.idempotent || !head.repeatable) return undefined;
+  const delay = findLatency(state, service).findUpper();
+  return delay === undefined ? undefined : addMs(now, delay);
+}
+
+function formWake({ timers }: AttemptState): AttemptOut[] {
+  const at = timers.findNext();
+  return at === undefined ? [] : [{ kind: 'wake', at }];
+}
--- /dev/null
+++ b/src/calls/classify-filter.ts
@@ -0,0 +1,102 @@
+/** The first filter of a call: finds its route, its request kind and its deadline. */
+import { addMs } from '../clock.js';
+import type { CallId, Instant, RequestKindName, ServiceName } from '../ids.js';
+import type { CallHead, RefusalReason, RequestKindResource } from '../messages/index.js';
+import type { Whole } from '../notes/index.js';
+import { Filter } from '../pipe/index.js';
+import type { Step } from '../pipe/index.js';
+import type { RoutedKind } from './route-index.js';
+import { RouteIndex } from './route-index.js';
+import { pickGeneration } from './split.js';
+
+/** A call whose route is known. It keeps what one whole said of it until it ends. */
+export interface RoutedCall {
+  readonly head: CallHead;
+  readonly service: ServiceName;
+  readonly requestKind: RequestKindResource;
+  readonly deadline: Instant;
+  /** Equal for calls that ask for the same. */
+  readonly subject: string;
+}
+
+/** A call that ends before it ran. */
+export interface RefusedCall {
+  readonly kind: 'refused';
+  readonly id: CallId;
+  readonly reason: RefusalReason;
+}
+
+/** What the classify filter is told. */
+export type ClassifyIn =
+  | { readonly kind: 'whole'; readonly whole: Whole }
+  | { readonly kind: 'arrived'; readonly head: CallHead };
+
+/** What the classify filter sends on. */
+export type ClassifyOut = { readonly kind: 'routed'; readonly call: RoutedCall } | RefusedCall;
+
+/** The index of the whole that is in force here. */
+export interface ClassifyState {
+  readonly routes: RouteIndex | undefined;
+}
+
+/** Routes each call by the whole that is in force when it arrives. */
+export class ClassifyFilter extends Filter<ClassifyState, ClassifyIn, ClassifyOut> {
+  override createState(): ClassifyState {
+    return { routes: undefined };
+  }
+
+  override decide(
+    state: ClassifyState,
+    message: ClassifyIn,
+    now: Instant,
+  ): Step<ClassifyState, ClassifyOut> {
+    if (message.kind === 'whole') {
+      return { state: { routes: new RouteIndex(message.whole) }, outputs: [] };
+    }
+    return { state, outputs: [classifyCall(state.routes, message.head, now)] };
+  }
+}
+
+/** The parts of a call by which a repetition is known. */
+export type SubjectParts = Pick<CallHead, 'method' | 'url' | 'caller' | 'key' | 'bodyDigest'>;
+
+/** Forms a text that is equal for calls that ask for the same. */
+export function formSubject(requestKind: RequestKindName, parts: SubjectParts): string {
+  const { method, url, caller, key, bodyDigest } = parts;
+  if (key !== undefined) return `${requestKind} ${caller ?? ''} ${key}`;
+  return `${requestKind} ${method} ${url} ${bodyDigest ?? ''}`;
+}
+
+/** Tells whether a call must be claimed in the ledger before it runs. */
+export function needsClaim(requestKind: RequestKindResource, head: CallHead): boolean {
+  return requestKind.claim && head.key !== undefined;
+}
+
+// Internals.
+
+function classifyCall(routes: RouteIndex | undefined, head: CallHead, now: Instant): ClassifyOut {
+  const { id } = head;
+  if (routes === undefined) return { kind: 'refused', id, reason: 'no-configuration' };
+  const found = findRoute(routes, head);
+  if (found === undefined) return { kind: 'refused', id, reason: 'no-route' };
+  const { route, requestKind } = found;
+  const latest = addMs(now, requestKind.timeoutMs);
+  const deadline = Math.min(head.deadline ?? latest, latest) as Instant;
+  if (deadline <= now) return { kind: 'refused', id, reason: 'deadline' };
+  if (needsClaim(requestKind, head) && !head.repeatable) {
+    return { kind: 'refused', id, reason: 'too-large' };
+  }
+  const subject = formSubject(requestKind.name, head);
+  return { kind: 'routed', call: { head, service: route.service, requestKind, deadline, subject } };
+}
+
+/** Without a split there is only one side: the generations are tried in the order of their names. */
+function findRoute(routes: RouteIndex, head: CallHead): RoutedKind | undefined {
+  const generation = pickGeneration(routes.shares, head.caller ?? head.peer);
+  const sides = generation === undefined ? routes.listGenerations() : [generation];
+  for (const side of sides) {
+    const found = routes.findRoute(side, head.method, head.path);
+    if (found !== undefined) return found;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/calls/guarded-server.ts
@@ -0,0 +1,195 @@
+/** The slots of one backend server, as the proxy beside it grants them. */
+import { addMs } from '../clock.js';
+import type { Address, AttemptId, Instant } from '../ids.js';
+import type { Announcement, AttemptHead, GuardLoad, RefusalReason } from '../messages/index.js';
+import { measureWarmth } from './picker.js';
+import { RunEstimate } from './run-estimate.js';
+import type { SlotPolicy, Waiting } from './slot-policy.js';
+
+/** What follows for an attempt: it runs now, waits, or certainly does not run. */
+export type Admission =
+  | { readonly kind: 'run'; readonly head: AttemptHead; readonly connections: number }
+  | { readonly kind: 'reject'; readonly attempt: AttemptId; readonly reason: RefusalReason };
+
+/**
+ * Grants the slots of one backend server. Every call that reaches the server passes here, so the
+ * number of slots in use is exact and its limit is never passed.
+ */
+export class GuardedServer {
+  readonly #policy: SlotPolicy;
+  readonly #running = new Map<AttemptId, Run>();
+  readonly #estimate = new RunEstimate();
+  /** Slots that are held back until the server has noticed a cancellation. */
+  readonly #settling: Instant[] = [];
+  #announcement: Announcement;
+  #readySince: Instant;
+  #isDown = false;
+
+  constructor(announcement: Announcement, policy: SlotPolicy, now: Instant) {
+    this.#announcement = announcement;
+    this.#policy = policy;
+    this.#readySince = now;
+  }
+
+  /** The address of the backend server. */
+  get address(): Address {
+    return this.#announcement.address;
+  }
+
+  /** Takes in a new announcement. One that was sent later proves that the server is up. */
+  update(announcement: Announcement, now: Instant): Admission[] {
+    const former = this.#announcement;
+    this.#announcement = announcement;
+    if (former.state !== 'ready' && announcement.state === 'ready') this.#readySince = now;
+    if (announcement.heartbeatDeadline > former.heartbeatDeadline) this.#isDown = false;
+    return announcement.state === 'ready' ? this.startWaiting(now) : this.rejectWaiting('draining');
+  }
+
+  /** Marks the server as dead until it announces itself again. */
+  markDown(): Admission[] {
+    this.#isDown = true;
+    return this.rejectWaiting('no-server');
+  }
+
+  /** Decides on an attempt that has just arrived. */
+  admit(head: AttemptHead, now: Instant): Admission[] {
+    const refusal = this.#findRefusal(head, now);
+    if (refusal !== undefined) return [formReject(head.attempt, refusal)];
+    this.#policy.addArrival(head.requestKind, now);
+    this.#policy.add({ head, arrivedAt: now });
+    const started = this.startWaiting(now);
+    if (this.#policy.count() <= this.#announcement.slots * MAX_WAITING_PER_SLOT) return started;
+    return [...started, ...this.#evictLeast()];
+  }
+
+  /** Starts as many attempts as there are free slots; rejects those that can't finish in time. */
+  startWaiting(now: Instant): Admission[] {
+    const outcomes: Admission[] = [];
+    for (let free = this.#countFree(now); free > 0; free = this.#countFree(now)) {
+      const next = this.#policy.takeNext(free);
+      if (next === undefined) break;
+      outcomes.push(this.#start(next, now));
+    }
+    return outcomes;
+  }
+
+  /** Rejects the waiting attempts that can no longer finish before their deadlines. */
+  rejectLate(now: Instant): Admission[] {
+    const late = this.#policy.takeMatching(({ head }) => this.#isLate(head, now));
+    return late.map(({ head }) => formReject(head.attempt, 'deadline'));
+  }
+
+  /** Rejects every attempt that waits. */
+  rejectWaiting(reason: RefusalReason): Admission[] {
+    const taken = this.#policy.takeMatching(() => true);
+    return taken.map(({ head }) => formReject(head.attempt, reason));
+  }
+
+  /** Withdraws an attempt that waits; tells whether it did. */
+  withdraw(attempt: AttemptId): boolean {
+    return this.#policy.remove(attempt);
+  }
+
+  /** Finds an attempt that runs. */
+  findRun(attempt: AttemptId): AttemptHead | undefined {
+    return this.#running.get(attempt)?.head;
+  }
+
+  /**
+   * Gives back the slot of an attempt that has ended. After a cancellation the slot stays taken until
+   * the server has had the time to notice it.
+   */
+  endRun(attempt: AttemptId, ending: 'answered' | 'failed' | 'cancelled', now: Instant): void {
+    const run = this.#running.get(attempt);
+    if (run === undefined) return;
+    this.#running.delete(attempt);
+    this.#policy.removeRun(run.head.requestKind);
+    if (ending === 'answered') this.#estimate.add(run.head.requestKind, now - run.startedAt, now);
+    if (ending === 'cancelled') this.#settling.push(addMs(now, CANCEL_SETTLE_MS));
+  }
+
+  /** Lists the attempts that run. */
+  listRunning(): AttemptHead[] {
+    return [...this.#running.values()].map(({ head }) => head);
+  }
+
+  /** The load that entry proxies are told. */
+  measureLoad(): GuardLoad {
+    return { running: this.#running.size, waiting: this.#policy.count() };
+  }
+
+  /** When a slot may become free without a message: a cancellation settles, or the server warms up. */
+  findNextTurn(now: Instant): Instant | undefined {
+    const settled = this.#settling[0];
+    if (settled !== undefined) return settled;
+    const isWarming = measureWarmth(this.#readySince, now) < 1;
+    return isWarming && this.#policy.count() > 0 ? addMs(now, WARM_UP_STEP_MS) : undefined;
+  }
+
+  // Internals.
+
+  #findRefusal(head: AttemptHead, now: Instant): RefusalReason | undefined {
+    if (this.#isDown) return 'no-server';
+    const { state } = this.#announcement;
+    if (state === 'starting') return 'no-server';
+    if (state !== 'ready') return 'draining';
+    if (this.#isLate(head, now)) return 'deadline';
+    if (head.suspect && this.listRunning().some(({ suspect }) => suspect)) return 'overloaded';
+    return this.#findStart(head, now) > this.#findLatestStart(head, now) ? 'overloaded' : undefined;
+  }
+
+  /** When a slot is expected for an attempt that arrives now. */
+  #findStart(head: AttemptHead, now: Instant): Instant {
+    const ahead = this.#policy.countAhead(head.worth) + 1 - this.#countFree(now);
+    const runMs = this.#estimate.find(head.requestKind, now);
+    return addMs(now, (Math.max(0, ahead) * runMs) / this.#countSlots(now));
+  }
+
+  #findLatestStart(head: AttemptHead, now: Instant): Instant {
+    return addMs(now, (head.deadline - now) * MAX_WAIT_SHARE);
+  }
+
+  #isLate(head: AttemptHead, now: Instant): boolean {
+    return addMs(now, this.#estimate.find(head.requestKind, now)) >= head.deadline;
+  }
+
+  #start({ head }: Waiting, now: Instant): Admission {
+    if (this.#isLate(head, now)) return formReject(head.attempt, 'deadline');
+    this.#running.set(head.attempt, { head, startedAt: now });
+    this.#policy.addRun(head.requestKind);
+    return { kind: 'run', head, connections: this.#announcement.connections };
+  }
+
+  #evictLeast(): Admission[] {
+    const least = this.#policy.takeLeast();
+    return least === undefined ? [] : [formReject(least.head.attempt, 'overloaded')];
+  }
+
+  #countFree(now: Instant): number {
+    while ((this.#settling[0] ?? Number.POSITIVE_INFINITY) <= now) this.#settling.shift();
+    return this.#countSlots(now) - this.#running.size - this.#settling.length;
+  }
+
+  #countSlots(now: Instant): number {
+    const { slots, connections } = this.#announcement;
+    const warm = Math.floor(slots * measureWarmth(this.#readySince, now));
+    return Math.max(1, Math.min(warm, connections));
+  }
+}
+
+// Internals.
+
+interface Run {
+  readonly head: AttemptHead;
+  readonly startedAt: Instant;
+}
+
+const MAX_WAITING_PER_SLOT = 50;
+const CANCEL_SETTLE_MS = 20;
+const WARM_UP_STEP_MS = 100;
+/** The part of its remaining time that a call may spend waiting for a slot. */
+const MAX_WAIT_SHARE = 0.8;
+
+function formReject(attempt: AttemptId, reason: RefusalReason): Admission {
+  return { kind: 'reject', attempt, reason };
+}
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -1,3 +1,13 @@
-/** The call path: routing, picking, guarding and retrying. */
-export { CallFilter } from './call-filter.js';
-export type { CallIn, CallOut, CallState } from './call-filter.js';
+/** The call path: routing, claiming, picking, guarding and retrying. */
+export { CallObserver, NoObserver } from './call-observer.js';
+export type { AttemptEnd, CallEnd } from './call-observer.js';
+export { formSubject } from './classify-filter.js';
+export { CallPipe, formForwardedAttempt } from './call-pipe.js';
+export type { CallIn, CallOut, CallPipeOptions, CallPipeState } from './call-pipe.js';
+export type { RunEnding } from './guard-filter.js';
+export { Picker, TwoChoicesPicker } from './picker.js';
+export type { PickContext } from './picker.js';
+export type { Place, ServerRecord, Tiers } from './server-table.js';
+export { SharedSlots } from './shared-slots.js';
+export { SlotPolicy } from './slot-policy.js';
+export type { Waiting } from './slot-policy.js';
--- /dev/null
+++ b/src/calls/slot-policy.ts
@@ -0,0 +1,55 @@
+/** How the slots of a guarded backend server are shared out. */
+import type { AttemptId, Instant, RequestKindName } from '../ids.js';
+import type { AttemptHead } from '../messages/index.js';
+
+/** An attempt that waits for a slot. */
+export interface Waiting {
+  readonly head: AttemptHead;
+  readonly arrivedAt: Instant;
+}
+
+/**
+ * Orders the attempts that wait for a slot of one backend server.
+ *
+ * A policy never decides how many slots there are; the guard asks for the next attempt only when one
+ * is free. Extend this class to share slots out in another way.
+ */
+export abstract class SlotPolicy {
+  /** Notes an arrival, whether it will wait or not. */
+  abstract addArrival(requestKind: RequestKindName, now: Instant): void;
+
+  /** Tells whether an attempt of this kind may take a free slot now. */
+  abstract mayRun(requestKind: RequestKindName, free: number): boolean;
+
+  /** Notes that an attempt of this kind has taken a slot. */
+  abstract addRun(requestKind: RequestKindName): void;
+
+  /** Notes that an attempt of this kind has given its slot back. */
+  abstract removeRun(requestKind: RequestKindName): void;
+
+  /** Adds an attempt to those that wait. */
+  abstract add(waiting: Waiting): void;
+
+  /** Removes an attempt from those that wait; tells whether it was there. */
+  abstract remove(attempt: AttemptId): boolean;
+
+  /** Takes the attempt that runs next out of those that wait. */
+  abstract takeNext(free: number): Waiting | undefined;
+
+  /** Takes out the attempt that is worth least. */
+  abstract takeLeast(): Waiting | undefined;
+
+  /** Takes out every attempt for which `matches` holds. */
+  abstract takeMatching(matches: (waiting: Waiting) => boolean): Waiting[];
+
+  /** Counts the attempts that would run before one of this worth. */
+  abstract countAhead(worth: number): number;
+
+  /** Counts the attempts that wait. */
+  abstract count(): number;
+}
+
+/** Compares two attempts: the one that is worth more first, then the earlier one. */
+export function compareWaiting(left: Waiting, right: Waiting): number {
+  return right.head.worth - left.head.worth || left.arrivedAt - right.arrivedAt;
+}
--- /dev/null
+++ b/src/edge/call-attempt.ts
@@ -0,0 +1,212 @@
+/** One attempt on its connection: sends the request and reads the answer. */
+import type { ServerResponse } from 'node:http';
+import type { Dispatcher } from 'undici';
+import type { CallIn, RunEnding } from '../calls/index.js';
+import type { AttemptId } from '../ids.js';
+import type { AttemptFailure, RefusalOutcome, StoredAnswer } from '../messages/index.js';
+import {
+  listAnswerHeaders,
+  LOAD_HEADER,
+  OUTCOME_HEADER,
+  parseLoad,
+  readHeader,
+  REASON_HEADER,
+} from './call-headers.js';
+import { parseReason } from './call-refusal.js';
+
+/** What an attempt needs. */
+export interface CallAttemptOptions {
+  readonly attempt: AttemptId;
+  /** Whether the peer is another proxy, whose internal headers are believed. */
+  readonly isGuard: boolean;
+  /** Whether a copy of the answer is kept for resends. */
+  readonly keepsAnswer: boolean;
+  readonly method: string;
+  readonly post: (message: CallIn) => void;
+  /** Called once, with the HTTP status when an answer began. */
+  readonly onEnd: (status: number | undefined) => void;
+}
+
+type Controller = Dispatcher.DispatchController;
+
+/**
+ * Reads an answer from its connection and passes it to the caller once {@link CallAttempt.relay} says
+ * so. A slow caller slows the connection down; nothing is gathered in memory but what is kept.
+ */
+export class CallAttempt implements Dispatcher.DispatchHandler {
+  readonly #options: CallAttemptOptions;
+  #controller: Controller | undefined;
+  #status: number | undefined;
+  #statusText = '';
+  #headers: readonly string[] = [];
+  #refusal: AttemptFailure | undefined;
+  #response: ServerResponse | undefined;
+  #added: readonly string[] = [];
+  #kept: Buffer[] | undefined;
+  #keptBytes = 0;
+  #isWhole = true;
+  #cancelReason: CancelReason | undefined;
+  #isDone = false;
+  #isDiscarded = false;
+
+  constructor(options: CallAttemptOptions) {
+    this.#options = options;
+    if (options.keepsAnswer) this.#kept = [];
+  }
+
+  /** Passes the answer on to the caller, with further headers. */
+  relay(response: ServerResponse, added: readonly string[]): void {
+    this.#response = response;
+    this.#added = added;
+    if (!response.destroyed) this.#writeHead(response);
+    this.#controller?.resume();
+  }
+
+  /** Reads the answer to its end without a caller, so that it can be kept. */
+  discard(): void {
+    this.#isDiscarded = true;
+    this.#controller?.resume();
+  }
+
+  /** Closes the connection; nobody waits for the answer. */
+  cancel(reason: CancelReason): void {
+    if (this.#isDone) return;
+    this.#cancelReason ??= reason;
+    this.#controller?.abort(new Error('the attempt was cancelled'));
+  }
+
+  onRequestStart(controller: Controller): void {
+    this.#controller = controller;
+    if (this.#cancelReason !== undefined) controller.abort(new Error('the attempt was cancelled'));
+  }
+
+  onResponseStart(
+    controller: Controller,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+    statusText?: string,
+  ): void {
+    if (status < FIRST_FINAL_STATUS) return;
+    const { attempt, isGuard, post } = this.#options;
+    this.#status = status;
+    this.#statusText = statusText ?? '';
+    this.#headers = decodeHeaders(controller.rawHeaders);
+    this.#isWhole = hasLength(this.#options.method, status, headers);
+    const outcome = isGuard ? readHeader(headers, OUTCOME_HEADER) : undefined;
+    if (outcome !== undefined) {
+      this.#refusal = {
+        outcome: parseOutcome(outcome),
+        reason: parseReason(readHeader(headers, REASON_HEADER)),
+      };
+      return;
+    }
+    const load = isGuard ? parseLoad(readHeader(headers, LOAD_HEADER)) : undefined;
+    post({ kind: 'answer-started', attempt, status, load });
+    const isDecided = this.#response !== undefined || this.#isDiscarded;
+    if (!isDecided && this.#cancelReason === undefined) controller.pause();
+  }
+
+  onResponseData(controller: Controller, chunk: Buffer): void {
+    if (this.#refusal !== undefined) return;
+    this.#keep(chunk);
+    const response = this.#response;
+    if (response === undefined || response.destroyed || response.write(chunk)) return;
+    controller.pause();
+    const resume = (): void => {
+      response.off('drain', resume);
+      response.off('close', resume);
+      controller.resume();
+    };
+    response.on('drain', resume);
+    response.on('close', resume);
+  }
+
+  onResponseEnd(): void {
+    const { attempt, post } = this.#options;
+    if (!this.#finish()) return;
+    if (this.#refusal !== undefined) {
+      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending: 'answered' });
+    } else if (this.#isWhole) {
+      post({ kind: 'answer-complete', attempt, answer: this.#formStoredAnswer() });
+      this.#response?.end();
+    } else {
+      const failure = { outcome: 'unknown', reason: 'upstream-failed' } as const;
+      post({ kind: 'attempt-failed', attempt, failure, ending: 'answered' });
+    }
+  }
+
+  onResponseError(): void {
+    const { attempt, post } = this.#options;
+    if (!this.#finish()) return;
+    const isSent = this.#controller !== undefined;
+    const outcome = isSent ? 'unknown' : 'not-run';
+    const reason = this.#cancelReason === 'deadline' ? 'deadline' : 'upstream-failed';
+    post({
+      kind: 'attempt-failed',
+      attempt,
+      failure: { outcome, reason },
+      ending: this.#findEnding(),
+    });
+  }
+
+  // Internals.
+
+  #finish(): boolean {
+    if (this.#isDone) return false;
+    this.#isDone = true;
+    this.#options.onEnd(this.#status);
+    return true;
+  }
+
+  #findEnding(): RunEnding {
+    if (this.#controller === undefined) return 'not-sent';
+    return this.#cancelReason === undefined ? 'lost' : 'cancelled';
+  }
+
+  #writeHead(response: ServerResponse): void {
+    const headers = listAnswerHeaders(this.#headers, this.#added);
+    response.writeHead(this.#status ?? STATUS_BAD_GATEWAY, this.#statusText, headers);
+  }
+
+  #keep(chunk: Buffer): void {
+    if (this.#kept === undefined) return;
+    this.#keptBytes += chunk.length;
+    if (this.#keptBytes > MAX_KEPT_BYTES) this.#kept = undefined;
+    else this.#kept.push(chunk);
+  }
+
+  #formStoredAnswer(): StoredAnswer | undefined {
+    if (this.#kept === undefined || this.#status === undefined) return undefined;
+    const headers = listAnswerHeaders(this.#headers, []);
+    return { status: this.#status, headers, body: Buffer.concat(this.#kept) };
+  }
+}
+
+/** Why an attempt is cancelled. */
+export type CancelReason = 'withdrawn' | 'deadline';
+
+// Internals.
+
+const FIRST_FINAL_STATUS = 200;
+const STATUS_BAD_GATEWAY = 502;
+const MAX_KEPT_BYTES = 64 * 1024;
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
+function decodeHeaders(raw: Controller['rawHeaders']): string[] {
+  if (!Array.isArray(raw)) return [];
+  return raw.map((text) => (typeof text === 'string' ? text : text.toString('latin1')));
+}
+
+/** An answer that ends with its connection can't be told from a truncated one. */
+function hasLength(
+  method: string,
+  status: number,
+  headers: Record<string, string | string[] | undefined>,
+): boolean {
+  if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(status)) return true;
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+function parseOutcome(text: string): RefusalOutcome {
+  return text === 'not-run' ? 'not-run' : 'unknown';
+}
--- /dev/null
+++ b/src/edge/call-body.ts
@@ -0,0 +1,54 @@
+/** Holds the bodies of calls that are short enough to be sent again. */
+import { createHash } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
+import { Readable } from 'node:stream';
+import type { Digest } from '../ids.js';
+
+/** A body that is held whole, or one that can be read only once. */
+export type CallBody =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'held'; readonly bytes: Buffer; readonly digest: Digest }
+  | { readonly kind: 'stream'; readonly stream: Readable };
+
+/** Tells whether a request brings a body. */
+export function hasBody({ headers }: IncomingMessage): boolean {
+  const length = headers['content-length'];
+  return (length !== undefined && length !== '0') || headers['transfer-encoding'] !== undefined;
+}
+
+/**
+ * Reads a body of at most {@link MAX_HELD_BYTES}; a longer one is left to be streamed.
+ *
+ * @throws when the caller goes before the body is complete.
+ */
+export async function readBody(request: IncomingMessage): Promise<CallBody> {
+  if (!hasBody(request)) return { kind: 'none' };
+  if (Number(request.headers['content-length'] ?? 0) > MAX_HELD_BYTES) {
+    return { kind: 'stream', stream: request };
+  }
+  const chunks: Buffer[] = [];
+  let length = 0;
+  const iterator = (request as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
+  for (let step = await iterator.next(); step.done !== true; step = await iterator.next()) {
+    chunks.push(step.value);
+    length += step.value.length;
+    if (length > MAX_HELD_BYTES) {
+      return { kind: 'stream', stream: Readable.from(joinChunks(chunks, iterator)) };
+    }
+  }
+  const bytes = Buffer.concat(chunks);
+  const digest = createHash('sha256').update(bytes).digest('hex') as Digest;
+  return { kind: 'held', bytes, digest };
+}
+
+// Internals.
+
+const MAX_HELD_BYTES = 64 * 1024;
+
+async function* joinChunks(
+  first: readonly Buffer[],
+  rest: AsyncIterator<Buffer>,
+): AsyncGenerator<Buffer> {
+  yield* first;
+  for (let step = await rest.next(); step.done !== true; step = await rest.next()) yield step.value;
+}
--- /dev/null
+++ b/src/edge/call-headers.ts
@@ -0,0 +1,270 @@
+/** Reads and writes the HTTP headers of calls. */
+import { timingSafeEqual } from 'node:crypto';
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import { formForwardedAttempt, formSubject } from '../calls/index.js';
+import { addMs } from '../clock.js';
+import type { Result } from '../errors.js';
+import { makeError, makeOk } from '../errors.js';
+import type { CallId, Digest, Instant } from '../ids.js';
+import {
+  IdError,
+  parseAddress,
+  parseCallerId,
+  parseIdempotencyKey,
+  parseRequestKindName,
+} from '../ids.js';
+import type { AttemptHead, CallHead, GuardLoad, RefusalReason } from '../messages/index.js';
+
+/** Tells a caller whether a refused call certainly did not run. */
+export const OUTCOME_HEADER = 'bilberryswitch-outcome';
+/** Tells a caller why a call was refused. */
+export const REASON_HEADER = 'bilberryswitch-reason';
+/** Names the caller. */
+export const CALLER_HEADER = 'bilberryswitch-caller';
+/** Milliseconds that are left until the deadline; clocks of different hosts need not agree. */
+export const TIMEOUT_HEADER = 'bilberryswitch-timeout-ms';
+/** Counts the attempts that the call has been through. */
+export const ATTEMPT_HEADER = 'bilberryswitch-attempt';
+/** Marks an attempt that one proxy sends to another. */
+export const FORWARD_HEADER = 'bilberryswitch-forward';
+/** How busy the backend server is, from its guard to the entry proxy. */
+export const LOAD_HEADER = 'bilberryswitch-load';
+
+/** Why the head of a call was not accepted. */
+export interface HeadFault {
+  readonly reason: RefusalReason;
+  readonly message: string;
+}
+
+/** The head of a call, before its body has been read. */
+export type UnreadHead = Omit<CallHead, 'bodyDigest' | 'repeatable'>;
+
+/** An attempt that another proxy has sent. */
+export interface ForwardedHead {
+  readonly head: AttemptHead;
+  readonly count: number;
+}
+
+/** Tells whether a request claims to come from another proxy. */
+export function isForwarded(request: IncomingMessage): boolean {
+  return request.headers[FORWARD_HEADER] !== undefined;
+}
+
+/** Reads the head of a caller's call. */
+export function parseCallHead(
+  request: IncomingMessage,
+  id: CallId,
+  now: Instant,
+): Result<UnreadHead, HeadFault> {
+  const { headers, url = '', method = '' } = request;
+  if (request.httpVersion !== '1.1') return formFault('use HTTP/1.1');
+  if (request.rawHeaders.length > 2 * MAX_HEADERS) {
+    return formFault(`send at most ${MAX_HEADERS} headers`);
+  }
+  try {
+    const path = parsePath(url);
+    const caller = readHeader(headers, CALLER_HEADER);
+    const key = readHeader(headers, 'idempotency-key');
+    return makeOk({
+      id,
+      method,
+      path,
+      url,
+      caller: caller === undefined ? undefined : parseCallerId(caller),
+      peer: request.socket.remoteAddress ?? '',
+      key: key === undefined ? undefined : parseIdempotencyKey(key),
+      deadline: parseDeadline(headers, now),
+      attempt: parseAttempt(headers),
+    });
+  } catch (error) {
+    if (error instanceof IdError) return formFault(error.message);
+    throw error;
+  }
+}
+
+/** Reads the head of an attempt that shows this proxy's own pass. */
+export function parseForwardedHead(
+  request: IncomingMessage,
+  id: CallId,
+  pass: string,
+  now: Instant,
+): Result<ForwardedHead, HeadFault> {
+  const { headers, url = '', method = '' } = request;
+  const fields = (readHeader(headers, FORWARD_HEADER) ?? '').split(';');
+  const [shown = '', server = '', kind = '', worth = '', suspect = '', digest = ''] = fields;
+  if (!isSameText(shown, pass)) {
+    return makeError({ reason: 'not-trusted', message: `${FORWARD_HEADER} is for proxies only` });
+  }
+  try {
+    const requestKind = parseRequestKindName(kind);
+    const caller = readHeader(headers, CALLER_HEADER);
+    const key = readHeader(headers, 'idempotency-key');
+    const subject = formSubject(requestKind, {
+      method,
+      url,
+      caller: caller === undefined ? undefined : parseCallerId(caller),
+      key: key === undefined ? undefined : parseIdempotencyKey(key),
+      bodyDigest: digest === '' ? undefined : (digest as Digest),
+    });
+    const head: AttemptHead = {
+      attempt: formForwardedAttempt(id),
+      server: parseAddress(server),
+      requestKind,
+      worth: Number(worth),
+      deadline: parseDeadline(headers, now) ?? now,
+      subject,
+      suspect: suspect === SUSPECT,
+    };
+    return makeOk({ head, count: parseAttempt(headers) });
+  } catch (error) {
+    if (error instanceof IdError) return formFault(error.message);
+    throw error;
+  }
+}
+
+/** Formats the header by which a guard knows another proxy. */
+export function formatForward(pass: string, head: AttemptHead, bodyDigest?: Digest): string {
+  const { server, requestKind, worth, suspect } = head;
+  const fields = [pass, server, requestKind, worth, suspect ? SUSPECT : '', bodyDigest ?? ''];
+  return fields.join(';');
+}
+
+/** Formats the load that a guard tells an entry proxy. */
+export function formatLoad({ running, waiting }: GuardLoad): string {
+  return `${running};${waiting}`;
+}
+
+/** Reads the load that a guard has told. */
+export function parseLoad(text: string | undefined): GuardLoad | undefined {
+  const [running, waiting] = (text ?? '').split(';').map(Number);
+  if (running === undefined || waiting === undefined) return undefined;
+  return Number.isFinite(running + waiting) ? { running, waiting } : undefined;
+}
+
+/** Lists the headers of a request for the next hop, names and values in turn. */
+export function listRequestHeaders(raw: readonly string[], added: readonly string[]): string[] {
+  return listHeaders(raw, REPLACED_REQUEST_HEADERS, added);
+}
+
+/** Lists the headers of an answer for the caller, names and values in turn. */
+export function listAnswerHeaders(raw: readonly string[], added: readonly string[]): string[] {
+  return listHeaders(raw, HOP_BY_HOP_HEADERS, added);
+}
+
+/** Reads one header that must not be repeated. */
+export function readHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value.join(', ') : value;
+}
+
+// Internals.
+
+const MAX_HEADERS = 128;
+const MAX_ATTEMPT = 1_000;
+const SUSPECT = 'suspect';
+const OWN_PREFIX = 'bilberryswitch-';
+
+const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+const REPLACED_REQUEST_HEADERS: ReadonlySet<string> = new Set([
+  ...HOP_BY_HOP_HEADERS,
+  'expect',
+  'host',
+  'traceparent',
+]);
+
+function listHeaders(
+  raw: readonly string[],
+  dropped: ReadonlySet<string>,
+  added: readonly string[],
+): string[] {
+  const kept: string[] = [];
+  const named = listConnectionHeaders(raw);
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index] ?? '';
+    const lower = name.toLowerCase();
+    if (dropped.has(lower) || named?.has(lower) === true) continue;
+    if (lower.startsWith(OWN_PREFIX) && lower !== CALLER_HEADER) continue;
+    kept.push(name, raw[index + 1] ?? '');
+  }
+  for (const text of added) kept.push(text);
+  return kept;
+}
+
+/** The headers that the `Connection` header declares to be for one hop only. */
+function listConnectionHeaders(raw: readonly string[]): Set<string> | undefined {
+  let named: Set<string> | undefined;
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index] ?? '';
+    if (name.length !== 'connection'.length || name.toLowerCase() !== 'connection') continue;
+    for (const option of (raw[index + 1] ?? '').toLowerCase().split(',')) {
+      const trimmed = option.trim();
+      if (trimmed === 'keep-alive' || trimmed === 'close') continue;
+      named ??= new Set();
+      if (!END_TO_END_HEADERS.has(trimmed)) named.add(trimmed);
+    }
+  }
+  return named;
+}
+
+/** Dropping these at a caller's wish would break a promise. */
+const END_TO_END_HEADERS: ReadonlySet<string> = new Set([
+  'content-length',
+  'idempotency-key',
+  CALLER_HEADER,
+]);
+
+/** Decodes a path, so that no spelling of it escapes its route. */
+function parsePath(url: string): string {
+  if (!url.startsWith('/')) throw new IdError('the request target must be an absolute path');
+  const path = url.split('?', 1)[0] ?? '';
+  if (!NEEDS_DECODING.test(path)) return path;
+  const segments = path.split('/').map(decodeSegment);
+  if (segments.some((one) => one === '.' || one === '..' || /[/\\]/.test(one))) {
+    throw new IdError('the path must have no dot segments, backslashes or encoded slashes');
+  }
+  return segments.join('/');
+}
+
+const NEEDS_DECODING = /%|\\|\/\.{1,2}(?:\/|$)/;
+
+function decodeSegment(segment: string): string {
+  try {
+    return decodeURIComponent(segment);
+  } catch {
+    throw new IdError('the path has a percent sign that encodes nothing; write it as %25');
+  }
+}
+
+function parseDeadline(headers: IncomingHttpHeaders, now: Instant): Instant | undefined {
+  const text = readHeader(headers, TIMEOUT_HEADER);
+  if (text === undefined) return undefined;
+  if (!/^\d{1,9}(?:\.\d{1,9})?$/.test(text)) {
+    throw new IdError(`${TIMEOUT_HEADER} must be a number of milliseconds, for example 1500`);
+  }
+  return addMs(now, Number(text));
+}
+
+function parseAttempt(headers: IncomingHttpHeaders): number {
+  const text = readHeader(headers, ATTEMPT_HEADER);
+  if (text === undefined) return 1;
+  const count = Number(text);
+  if (Number.isInteger(count) && count >= 1 && count <= MAX_ATTEMPT) return count;
+  throw new IdError(`${ATTEMPT_HEADER} must be a whole number from 1 to ${MAX_ATTEMPT}`);
+}
+
+function isSameText(left: string, right: string): boolean {
+  if (left.length !== right.length || right === '') return false;
+  return timingSafeEqual(Buffer.from(left), Buffer.from(right));
+}
+
+function formFault(message: string): Result<never, HeadFault> {
+  return makeError({ reason: 'bad-request', message });
+}
--- /dev/null
+++ b/src/edge/call-refusal.ts
@@ -0,0 +1,97 @@
+/** Answers calls that are refused. */
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { RefusalOutcome, RefusalReason } from '../messages/index.js';
+import { OUTCOME_HEADER, REASON_HEADER } from './call-headers.js';
+
+/** What a refused caller is told. */
+export interface Refusal {
+  readonly reason: RefusalReason;
+  readonly outcome: RefusalOutcome;
+  readonly message?: string;
+}
+
+/**
+ * Refuses a call. An answer that has already begun can't become a refusal: its connection is closed
+ * abnormally instead, so that nobody takes it for whole.
+ */
+export function refuseCall(response: ServerResponse, refusal: Refusal): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const { reason, outcome, message = MESSAGES[reason] } = refusal;
+  const text = JSON.stringify({ kind: reason, outcome, message });
+  const hasUnreadBody = !response.req.complete;
+  response.writeHead(STATUSES[reason], {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    [OUTCOME_HEADER]: outcome,
+    [REASON_HEADER]: reason,
+    ...(hasUnreadBody ? { connection: 'close' } : {}),
+  });
+  response.end(text);
+}
+
+/** Refuses a request that was no HTTP request at all, or one that took too long to arrive. */
+export function refuseSocket(socket: Socket, code: string | undefined): void {
+  if (!socket.writable || socket.bytesWritten > 0) {
+    socket.destroy();
+    return;
+  }
+  const status = SOCKET_STATUSES[code ?? ''] ?? '400 Bad Request';
+  const lines = [
+    `HTTP/1.1 ${status}`,
+    `${OUTCOME_HEADER}: not-run`,
+    `${REASON_HEADER}: bad-request`,
+  ];
+  socket.end(`${lines.join('\r\n')}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+}
+
+/** Reads a reason that another proxy has told. */
+export function parseReason(text: string | undefined): RefusalReason {
+  return text !== undefined && text in STATUSES ? (text as RefusalReason) : 'upstream-failed';
+}
+
+// Internals.
+
+const STATUSES: Readonly<Record<RefusalReason, number>> = {
+  'no-configuration': 503,
+  'no-route': 404,
+  'no-server': 503,
+  overloaded: 503,
+  deadline: 504,
+  draining: 503,
+  'bad-request': 400,
+  'too-large': 413,
+  'not-trusted': 403,
+  quarantined: 422,
+  'in-progress': 409,
+  'may-have-run': 409,
+  'key-reused': 422,
+  'ledger-unavailable': 503,
+  'upstream-failed': 502,
+};
+
+const MESSAGES: Readonly<Record<RefusalReason, string>> = {
+  'no-configuration': 'this proxy has no configuration yet; call another one',
+  'no-route': 'no route matches; check the path, the method and the generation',
+  'no-server': 'no backend server of the service is ready; send the call again later',
+  overloaded: 'no slot would be free in time; send the call again later',
+  deadline: 'the deadline has passed or is too near; allow more time',
+  draining: 'this proxy is stopping; call another one',
+  'bad-request': 'the request is not valid',
+  'too-large': 'the body is too long for a call with a key; shorten it',
+  'not-trusted': 'the internal headers are not those of a proxy of this life',
+  quarantined: 'this request has crashed several backend servers; do not send it again',
+  'in-progress': 'a call with this key is still running; ask again later',
+  'may-have-run': 'an earlier call with this key may have run; it is not run again',
+  'key-reused': 'this key belongs to another request; use a fresh key',
+  'ledger-unavailable': 'the ledger did not answer; send the call again later',
+  'upstream-failed': 'the backend server gave no whole answer',
+};
+
+const SOCKET_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -1,41 +1,100 @@
-/** The callers' HTTP interface of a proxy: takes calls and forwards them to backend servers. */
+/** The calls of a proxy: takes them from callers and other proxies and carries them to backend servers. */
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Stream } from 'most';
 import type { Dispatcher } from 'undici';
-import { Agent } from 'undici';
-import type { CallIn, CallOut } from '../calls/index.js';
-import { CallFilter } from '../calls/index.js';
-import type { Clock } from '../clock.js';
-import type { Address, CallId } from '../ids.js';
-import type { CallTarget, RefusalOutcome, RefusalReason } from '../messages/index.js';
+import type { CallIn, CallObserver, CallOut, Picker, Place, SlotPolicy } from '../calls/index.js';
+import { CallPipe, NoObserver, SharedSlots, TwoChoicesPicker } from '../calls/index.js';
+import type { CancelTimer, Clock } from '../clock.js';
+import { addMs } from '../clock.js';
+import type { Address, AttemptId, CallId } from '../ids.js';
+import type { AttemptHead, StoredAnswer } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
-import { applyFilter } from '../pipe/index.js';
-import { sendJson } from './http-body.js';
+import { applyFilter, WakeTimer } from '../pipe/index.js';
+import type { Random } from '../random.js';
+import type { HopTracer } from '../traces/index.js';
+import { NoTracer } from '../traces/index.js';
+import { CallAttempt } from './call-attempt.js';
+import { readBody } from './call-body.js';
+import type { HeadFault, UnreadHead } from './call-headers.js';
+import {
+  ATTEMPT_HEADER,
+  FORWARD_HEADER,
+  formatForward,
+  formatLoad,
+  isForwarded,
+  listRequestHeaders,
+  LOAD_HEADER,
+  parseCallHead,
+  parseForwardedHead,
+  TIMEOUT_HEADER,
+} from './call-headers.js';
+import { CallPools } from './call-pools.js';
+import { probeServer } from './call-probe.js';
+import type { Refusal } from './call-refusal.js';
+import { refuseSocket } from './call-refusal.js';
 import { HttpTask } from './http-task.js';
+import { OpenCall } from './open-call.js';
+
+/** What the call task hands on to other tasks. */
+export type CallNotice = Extract<CallOut, { kind: 'ledger' | 'observed' | 'broadcast' }>;
 
 /** What a call task needs. */
 export interface CallTaskOptions {
+  /** Where callers and other proxies send calls. */
   readonly address: Address;
+  readonly place: Place;
+  /** What other proxies must show with the calls that they forward; see `Member.pass`. */
+  readonly pass: string;
   readonly clock: Clock;
+  readonly random: Random;
   readonly reportFailure: ReportFailure;
+  readonly send: (notice: CallNotice) => void;
+  readonly tracer?: HopTracer;
+  readonly observer?: CallObserver;
+  readonly picker?: Picker;
+  readonly createPolicy?: () => SlotPolicy;
 }
 
-/** A call whose answer is not complete yet. */
-interface OpenCall {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-}
-
-/** Owns the callers' socket, the connections to backend servers and the calls in flight. */
+/** Owns the callers' socket, the connections to backend servers and proxies, and the calls in flight. */
 export class CallTask extends HttpTask<CallIn> {
   readonly #options: CallTaskOptions;
-  readonly #agent = new Agent({ pipelining: 1 });
-  readonly #open = new Map<CallId, OpenCall>();
+  readonly #tracer: HopTracer;
+  readonly #observer: CallObserver;
+  readonly #pools = new CallPools();
+  readonly #calls = new Map<CallId, OpenCall>();
+  readonly #attempts = new Map<AttemptId, CallAttempt>();
+  readonly #timer: WakeTimer;
+  #notifyIdle: (() => void) | undefined;
+  #isDraining = false;
 
   constructor(options: CallTaskOptions) {
-    super({ name: 'calls', ...options });
+    super({ name: 'calls', ...options, server: SERVER_OPTIONS });
     this.#options = options;
+    this.#tracer = options.tracer ?? new NoTracer();
+    this.#observer = options.observer ?? new NoObserver();
+    this.#timer = new WakeTimer(options.clock, () => {
+      this.post({ kind: 'tick' });
+    });
+  }
+
+  /** Refuses new calls as not run, and resolves when the last one in flight has ended. */
+  async drain(): Promise<void> {
+    this.#isDraining = true;
+    this.post({ kind: 'drain' });
+    await new Promise<void>((resolve) => {
+      this.#notifyIdle = resolve;
+      this.#checkIdle();
+    });
+  }
+
+  protected override prepareServer(server: Server): void {
+    server.maxHeadersCount = 0;
+    server.maxConnections = MAX_CONNECTIONS;
+    server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+      refuseSocket(socket, error.code);
+    });
   }
 
   protected override closeConnections(server: Server): void {
@@ -43,130 +102,271 @@
   }
 
   protected override async close(): Promise<void> {
+    await this.drain();
     await super.close();
-    await this.#agent.close();
+    this.#timer.stop();
+    await this.#pools.close();
   }
 
   protected override createPipe(messages: Stream<CallIn>): Stream<unknown> {
-    return applyFilter(new CallFilter(), this.#options.clock, messages).tap((output) => {
+    const { place, clock, random, picker, createPolicy } = this.#options;
+    const pipe = new CallPipe({
+      place,
+      picker: picker ?? new TwoChoicesPicker(random),
+      createPolicy: createPolicy ?? (() => new SharedSlots()),
+    });
+    return applyFilter(pipe, clock, messages).tap((output) => {
       this.#pass(output);
     });
   }
 
   protected override handle(request: IncomingMessage, response: ServerResponse): void {
-    this.#accept(request, response);
+    const id = randomUUID() as string as CallId;
+    const isFromProxy = isForwarded(request);
+    const call = new OpenCall({
+      id,
+      request,
+      response,
+      isForwarded: isFromProxy,
+      now: this.#options.clock.read(),
+      tracer: this.#tracer,
+      observer: this.#observer,
+    });
+    this.#calls.set(id, call);
+    response.on('close', () => {
+      this.#forget(call);
+    });
+    if (this.#calls.size > MAX_OPEN_CALLS) call.refuse(OVERLOADED);
+    else if (isFromProxy) this.#acceptForwarded(call);
+    else this.#acceptCall(call);
   }
 
   // Internals.
 
-  #accept(request: IncomingMessage, response: ServerResponse): void {
-    const id = randomUUID() as string as CallId;
-    this.#open.set(id, { request, response });
-    response.on('close', () => {
-      this.#open.delete(id);
-      this.post({ kind: 'ended', id });
+  #acceptCall(call: OpenCall): void {
+    const head = parseCallHead(call.request, call.id, this.#options.clock.read());
+    if (!head.ok) {
+      call.refuse(formHeadRefusal(head.error));
+      return;
+    }
+    if (this.#isDraining) {
+      this.post({
+        kind: 'arrived',
+        head: { ...head.value, bodyDigest: undefined, repeatable: true },
+      });
+      return;
+    }
+    this.#readBody(call, head.value).catch(() => {
+      call.refuse({ reason: 'bad-request', outcome: 'not-run', message: 'the body broke off' });
     });
-    const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
-    const method = request.method ?? 'GET';
-    const head = { id, method, path, caller: undefined, key: undefined, deadline: undefined };
-    this.post({ kind: 'arrived', head });
+  }
+
+  async #readBody(call: OpenCall, head: UnreadHead): Promise<void> {
+    const cancelTimer = this.#limitBodyTime(call);
+    try {
+      call.body = await readBody(call.request);
+    } finally {
+      cancelTimer();
+    }
+    if (call.response.writableEnded || !this.#calls.has(call.id)) return;
+    const { body } = call;
+    const bodyDigest = body.kind === 'held' ? body.digest : undefined;
+    const repeatable = body.kind !== 'stream';
+    this.post({ kind: 'arrived', head: { ...head, bodyDigest, repeatable } });
+  }
+
+  #limitBodyTime(call: OpenCall): CancelTimer {
+    const { clock } = this.#options;
+    return clock.callAt(addMs(clock.read(), BODY_TIMEOUT_MS), () => {
+      call.refuse({
+        reason: 'bad-request',
+        outcome: 'not-run',
+        message: 'the body came too slowly',
+      });
+    });
+  }
+
+  #acceptForwarded(call: OpenCall): void {
+    const { clock, pass } = this.#options;
+    const parsed = parseForwardedHead(call.request, call.id, pass, clock.read());
+    if (!parsed.ok) {
+      call.refuse(formHeadRefusal(parsed.error));
+      return;
+    }
+    call.streamBody();
+    this.post({ kind: 'forwarded', id: call.id, ...parsed.value });
+  }
+
+  /** The caller has gone, or has its whole answer. */
+  #forget(call: OpenCall): void {
+    this.#calls.delete(call.id);
+    call.end(this.#options.clock.read());
+    this.post({ kind: 'gone', id: call.id });
+    this.#checkIdle();
   }
 
   #pass(output: CallOut): void {
-    const call = this.#open.get(output.id);
-    if (call === undefined) return;
-    if (output.kind === 'refuse') refuseCall(call.response, output.reason, output.outcome);
-    else this.#dispatch(call, output.target);
-  }
-
-  #dispatch({ request, response }: OpenCall, target: CallTarget): void {
-    const options: Dispatcher.DispatchOptions = {
-      origin: `http://${target.address}`,
-      path: request.url ?? '/',
-      method: request.method ?? 'GET',
-      headers: listForwardedHeaders(request.rawHeaders),
-      body: hasBody(request) ? request : null,
-    };
-    this.#agent.dispatch(options, createAnswerHandler(response));
+    switch (output.kind) {
+      case 'dispatch':
+        this.#dispatch(output);
+        return;
+      case 'run':
+        this.#run(output);
+        return;
+      case 'relay':
+        this.#relay(output);
+        return;
+      case 'cancel':
+        this.#attempts.get(output.attempt)?.cancel('withdrawn');
+        return;
+      case 'stop-run':
+        this.#attempts.get(output.attempt)?.cancel(output.reason);
+        return;
+      case 'refuse':
+        this.#calls.get(output.id)?.refuse(output);
+        return;
+      case 'replay':
+        this.#replay(output.id, output.answer);
+        return;
+      case 'probe':
+        this.#probe(output.server);
+        return;
+      case 'wake':
+        this.#timer.wakeAt(output.at);
+        return;
+      case 'ledger':
+      case 'observed':
+      case 'broadcast':
+        this.#options.send(output);
+        return;
+    }
   }
-}
 
-// Internals.
+  /** Sends an attempt to the proxy beside its backend server. */
+  #dispatch(output: Extract<CallOut, { kind: 'dispatch' }>): void {
+    const call = this.#calls.get(output.id);
+    const { target, head, count, keepsAnswer } = output;
+    if (call === undefined) {
+      this.#reportGone(head.attempt);
+      return;
+    }
+    const { body } = call;
+    const digest = body.kind === 'held' ? body.digest : undefined;
+    const added = [
+      ...this.#listCallHeaders(head, count),
+      FORWARD_HEADER,
+      formatForward(target.pass, head, digest),
+    ];
+    const pool = this.#pools.findPool(target.guard, MAX_CONNECTIONS_PER_GUARD);
+    this.#start(pool, call, head, added, { keepsAnswer, isGuard: true });
+  }
 
-const HOP_BY_HOP_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-  'host',
-]);
-
-const REFUSAL_STATUS: Record<RefusalReason, number> = {
-  'no-configuration': 503,
-  'no-route': 404,
-  'no-server': 503,
-  overloaded: 503,
-  deadline: 504,
-  draining: 503,
-  'bad-request': 400,
-  'upstream-failed': 502,
-};
+  /** Runs an attempt at a backend server beside this proxy. */
+  #run(output: Extract<CallOut, { kind: 'run' }>): void {
+    const call = this.#calls.get(output.id);
+    const { head, count, keepsAnswer, connections } = output;
+    if (call === undefined) {
+      this.#reportGone(head.attempt);
+      return;
+    }
+    const pool = this.#pools.findPool(head.server, connections);
+    const added = this.#listCallHeaders(head, count);
+    this.#start(pool, call, head, added, { keepsAnswer, isGuard: false });
+  }
 
-function hasBody(request: IncomingMessage): boolean {
-  const { headers } = request;
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
+  /** The caller went while its attempt was granted a slot. */
+  #reportGone(attempt: AttemptId): void {
+    const failure = { outcome: 'not-run', reason: 'upstream-failed' } as const;
+    this.post({ kind: 'attempt-failed', attempt, failure, ending: 'not-sent' });
+  }
 
-function listForwardedHeaders(raw: readonly string[]): string[] {
-  const kept: string[] = [];
-  for (let index = 0; index + 1 < raw.length; index += 2) {
-    const [name, value] = [raw[index] ?? '', raw[index + 1] ?? ''];
-    if (!HOP_BY_HOP_HEADERS.has(name.toLowerCase())) kept.push(name, value);
+  #listCallHeaders({ deadline }: AttemptHead, count: number): string[] {
+    const left = Math.max(0, deadline - this.#options.clock.read());
+    return [TIMEOUT_HEADER, left.toFixed(1), ATTEMPT_HEADER, `${count}`];
+  }
+
+  #start(
+    pool: Dispatcher,
+    call: OpenCall,
+    { attempt, server }: AttemptHead,
+    added: readonly string[],
+    { keepsAnswer, isGuard }: { keepsAnswer: boolean; isGuard: boolean },
+  ): void {
+    const { method = 'GET', url = '/', rawHeaders } = call.request;
+    const startedAt = this.#options.clock.read();
+    const hop = this.#tracer.startHop('client', 'attempt', call.traceParent, { server });
+    const trace = hop.traceParent === undefined ? [] : ['traceparent', hop.traceParent];
+    const running = new CallAttempt({
+      attempt,
+      isGuard,
+      keepsAnswer,
+      method,
+      post: (message) => {
+        this.post(message);
+      },
+      onEnd: (status) => {
+        this.#attempts.delete(attempt);
+        this.#checkIdle();
+        hop.end(status === undefined ? {} : { 'http.response.status_code': status });
+        const milliseconds = this.#options.clock.read() - startedAt;
+        const service = undefined;
+        this.#observer.endAttempt({ service, server, isLocal: !isGuard, status, milliseconds });
+      },
+    });
+    this.#attempts.set(attempt, running);
+    const headers = listRequestHeaders(rawHeaders, [...added, ...trace]);
+    pool.dispatch({ path: url, method, headers, body: call.readBody() }, running);
+  }
+
+  #relay({ id, attempt, load }: Extract<CallOut, { kind: 'relay' }>): void {
+    const running = this.#attempts.get(attempt);
+    const call = this.#calls.get(id);
+    const added = load === undefined ? [] : [LOAD_HEADER, formatLoad(load)];
+    if (call === undefined) running?.discard();
+    else running?.relay(call.response, added);
   }
-  return kept;
-}
 
-function refuseCall(
-  response: ServerResponse,
-  reason: RefusalReason,
-  outcome: RefusalOutcome,
-): void {
-  if (response.headersSent) {
-    response.destroy();
-    return;
-  }
-  response.setHeader('bilberryswitch-outcome', outcome);
-  sendJson(response, REFUSAL_STATUS[reason], { kind: reason, outcome });
+  #replay(id: CallId, { status, headers, body }: StoredAnswer): void {
+    const response = this.#calls.get(id)?.response;
+    response?.writeHead(status, [...headers]);
+    response?.end(body);
+  }
+
+  #probe(server: Address): void {
+    probeServer(server).then(
+      (accepts) => {
+        this.post({ kind: 'probed', server, accepts });
+      },
+      (error: unknown) => {
+        this.fail(error);
+      },
+    );
+  }
+
+  #checkIdle(): void {
+    if (this.#calls.size > 0 || this.#attempts.size > 0) return;
+    this.#notifyIdle?.();
+  }
 }
 
-/** Streams an upstream answer to the caller; a broken answer ends the connection abnormally. */
-function createAnswerHandler(response: ServerResponse): Dispatcher.DispatchHandler {
-  return {
-    onRequestStart: (controller) => {
-      response.on('close', () => {
-        if (!response.writableFinished) controller.abort(new Error('the caller has gone'));
-      });
-    },
-    onResponseStart: (_controller, status, headers, message) => {
-      const kept = Object.entries(headers).filter(([name]) => !HOP_BY_HOP_HEADERS.has(name));
-      response.writeHead(status, message, Object.fromEntries(kept));
-    },
-    onResponseData: (controller, chunk) => {
-      if (response.write(chunk)) return;
-      controller.pause();
-      response.once('drain', () => {
-        controller.resume();
-      });
-    },
-    onResponseEnd: () => {
-      response.end();
-    },
-    onResponseError: () => {
-      refuseCall(response, 'upstream-failed', 'unknown');
-    },
-  };
+// Internals.
+
+const MAX_CONNECTIONS = 8_192;
+const MAX_OPEN_CALLS = 8_192;
+const MAX_CONNECTIONS_PER_GUARD = 256;
+const BODY_TIMEOUT_MS = 10_000;
+
+const SERVER_OPTIONS = {
+  maxHeaderSize: 16 * 1024,
+  headersTimeout: 10_000,
+  requestTimeout: 0,
+  connectionsCheckingInterval: 1_000,
+  keepAliveTimeout: 30_000,
+  noDelay: true,
+};
+
+const OVERLOADED: Refusal = { reason: 'overloaded', outcome: 'not-run' };
+
+function formHeadRefusal({ reason, message }: HeadFault): Refusal {
+  return { reason, outcome: 'not-run', message };
 }
--- a/src/edge/http-task.ts
+++ b/src/edge/http-task.ts
@@ -34,6 +34,11 @@
   /** Takes one request. */
   protected abstract handle(request: IncomingMessage, response: ServerResponse): void;
 
+  /** Sets limits and listeners of a fresh server. Override it when the defaults don't do. */
+  protected prepareServer(_server: Server): void {
+    // Node's own limits hold by default.
+  }
+
   /** Closes the connections of a server that is about to close; by default all of them at once. */
   protected closeConnections(server: Server): void {
     server.closeAllConnections();
@@ -44,6 +49,7 @@
       this.handle(request, response);
     });
     this.#server = server;
+    this.prepareServer(server);
     const { host, port } = splitAddress(this.#options.address);
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -1,6 +1,7 @@
 /** Encodings and sockets: everything that touches the network or the disk. */
 export { AnnounceTask } from './announce-task.js';
 export { CallTask } from './call-task.js';
+export type { CallNotice, CallTaskOptions } from './call-task.js';
 export { LinkTask } from './link-task.js';
 export { LogFile } from './log-file.js';
 export { LogTask } from './log-task.js';
--- /dev/null
+++ b/src/edge/open-call.ts
@@ -0,0 +1,91 @@
+/** One call whose caller still waits. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Readable } from 'node:stream';
+import type { CallObserver } from '../calls/index.js';
+import type { CallId, Instant } from '../ids.js';
+import type { Hop, HopTracer } from '../traces/index.js';
+import type { CallBody } from './call-body.js';
+import { hasBody } from './call-body.js';
+import { readHeader } from './call-headers.js';
+import type { Refusal } from './call-refusal.js';
+import { refuseCall } from './call-refusal.js';
+
+/** What an open call needs. */
+export interface OpenCallOptions {
+  readonly id: CallId;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Whether the call came from another proxy. */
+  readonly isForwarded: boolean;
+  readonly now: Instant;
+  readonly tracer: HopTracer;
+  readonly observer: CallObserver;
+}
+
+/** Holds the two streams of a call, its body, and the span of its hop. */
+export class OpenCall {
+  readonly id: CallId;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly isForwarded: boolean;
+  /** The body, once it has been read as far as it is held. */
+  body: CallBody = { kind: 'none' };
+  readonly #observer: CallObserver;
+  readonly #hop: Hop;
+  readonly #startedAt: Instant;
+  #refusal: Refusal | undefined;
+
+  constructor({ id, request, response, isForwarded, now, tracer, observer }: OpenCallOptions) {
+    this.id = id;
+    this.request = request;
+    this.response = response;
+    this.isForwarded = isForwarded;
+    this.#observer = observer;
+    this.#startedAt = now;
+    const traceParent = readHeader(request.headers, 'traceparent');
+    this.#hop = tracer.startHop('server', isForwarded ? 'guard' : 'call', traceParent, {});
+    observer.startCall(isForwarded);
+  }
+
+  /** The `traceparent` header for the attempts of this call. */
+  get traceParent(): string | undefined {
+    return this.#hop.traceParent;
+  }
+
+  /** Passes the body on as it comes, without holding it. */
+  streamBody(): void {
+    if (hasBody(this.request)) this.body = { kind: 'stream', stream: this.request };
+  }
+
+  /** Returns the body for one attempt. */
+  readBody(): Buffer | Readable | null {
+    if (this.body.kind === 'held') return this.body.bytes;
+    return this.body.kind === 'stream' ? this.body.stream : null;
+  }
+
+  /** Refuses the call, unless it has been answered already. */
+  refuse(refusal: Refusal): void {
+    if (this.response.writableEnded || this.response.destroyed) return;
+    this.#refusal = refusal;
+    refuseCall(this.response, refusal);
+  }
+
+  /** Reports the end of the call. */
+  end(now: Instant): void {
+    const { response } = this;
+    const status = response.headersSent ? response.statusCode : undefined;
+    const { reason, outcome } = this.#refusal ?? {};
+    const milliseconds = now - this.#startedAt;
+    this.#observer.endCall({
+      isForwarded: this.isForwarded,
+      status,
+      reason,
+      outcome,
+      milliseconds,
+    });
+    this.#hop.end({
+      ...(status === undefined ? {} : { 'http.response.status_code': status }),
+      ...(reason === undefined ? {} : { 'bilberryswitch.reason': reason }),
+    });
+  }
+}
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -44,6 +44,8 @@
 export type RequestId = Branded<string, 'RequestId'>;
 /** Identifies one call of a caller. */
 export type CallId = Branded<string, 'CallId'>;
+/** Identifies one attempt of a call at one backend server. */
+export type AttemptId = Branded<string, 'AttemptId'>;
 /** The caller's key that makes a non-idempotent call safe to send again. */
 export type IdempotencyKey = Branded<string, 'IdempotencyKey'>;
 /** Identifies a caller (a member or a fitter) for the split between generations. */
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -1,33 +1,72 @@
 /** Calls as the decisions see them: no sockets, no bodies, no encoding. */
 import type {
   Address,
+  AttemptId,
   CallerId,
   CallId,
+  Digest,
   HostId,
   IdempotencyKey,
   Instant,
+  RequestKindName,
   ServiceName,
 } from '../ids.js';
 
-/** The head of a call that has arrived at a proxy. */
+/** The head of a call that has arrived at a proxy from a caller. */
 export interface CallHead {
   readonly id: CallId;
   readonly method: string;
   /** The path without its query. */
   readonly path: string;
+  /** The path with its query. */
+  readonly url: string;
   readonly caller: CallerId | undefined;
+  /** The IP number that the call came from; stands in for a caller who names none. */
+  readonly peer: string;
   readonly key: IdempotencyKey | undefined;
   /** The deadline that the caller set, if any. */
   readonly deadline: Instant | undefined;
+  /** Counts the attempts of the proxies that the call has passed; a caller's own call is 1. */
+  readonly attempt: number;
+  /** Digest of the body. `undefined` when there is none, or when it is too long to be held. */
+  readonly bodyDigest: Digest | undefined;
+  /** Whether the body can be sent a second time. */
+  readonly repeatable: boolean;
 }
 
-/** Where a call goes next. */
+/** What the guard needs to know of one attempt. */
+export interface AttemptHead {
+  readonly attempt: AttemptId;
+  /** The backend server to run at. */
+  readonly server: Address;
+  readonly requestKind: RequestKindName;
+  readonly worth: number;
+  readonly deadline: Instant;
+  /** Equal for calls that ask for the same; the fingerprint of a crashing request is formed of it. */
+  readonly subject: string;
+  /** Whether an earlier attempt of this call was in flight at a server that died. */
+  readonly suspect: boolean;
+}
+
+/** Where an attempt goes. */
 export interface CallTarget {
   readonly service: ServiceName;
   /** The host whose proxy guards the backend server. */
   readonly host: HostId;
-  /** The address to dispatch to. */
-  readonly address: Address;
+  /** Where that proxy takes calls. */
+  readonly guard: Address;
+  /** What that proxy wants to be shown; see {@link Member.pass}. */
+  readonly pass: string;
+  /** The backend server. */
+  readonly server: Address;
+}
+
+/** How busy a guarded backend server is, as its guard tells with each answer. */
+export interface GuardLoad {
+  /** Attempts that run. */
+  readonly running: number;
+  /** Attempts that wait for a slot. */
+  readonly waiting: number;
 }
 
 /** What a refused call is told: whether it certainly did not run. */
@@ -42,4 +81,17 @@
   | 'deadline'
   | 'draining'
   | 'bad-request'
+  | 'too-large'
+  | 'not-trusted'
+  | 'quarantined'
+  | 'in-progress'
+  | 'may-have-run'
+  | 'key-reused'
+  | 'ledger-unavailable'
   | 'upstream-failed';
+
+/** What the proxies know for certain of an attempt that gave no answer. */
+export interface AttemptFailure {
+  readonly outcome: RefusalOutcome;
+  readonly reason: RefusalReason;
+}
--- a/src/messages/member.ts
+++ b/src/messages/member.ts
@@ -39,6 +39,11 @@
   readonly control: Address;
   /** Where callers and other proxies send calls. */
   readonly calls: Address;
+  /**
+   * A random text of this life of the process. Proxies show it with the calls that they forward, so
+   * that a guard can tell them from a caller who forges internal headers.
+   */
+  readonly pass?: string;
   readonly incarnation: Incarnation;
   readonly liveness: Liveness;
   /** The configuration version that the proxy last told of; a hint only. */
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -1,5 +1,7 @@
 /** Wires the proxy role: distribution, membership, announcements and calls. */
+import { randomInt, randomUUID } from 'node:crypto';
 import type { Clock } from '../clock.js';
+import type { CallNotice } from '../edge/index.js';
 import { AnnounceTask, CallTask } from '../edge/index.js';
 import type { Incarnation } from '../ids.js';
 import { NO_VERSION } from '../ids.js';
@@ -8,6 +10,7 @@
 import type { LinkCommand, LinkEvent, Member, SpreadMessage } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
+import { SeededRandom } from '../random.js';
 import type { ProxySpreadIn, ProxySpreadOut, ProxySpreadState } from '../spread/index.js';
 import { ProxySpreadFilter } from '../spread/index.js';
 import type { Log } from './logger.js';
@@ -27,7 +30,16 @@
 /** Starts the tasks of the proxy role. */
 export async function runProxy(options: ProxyOptions): Promise<RunningRole> {
   const { settings, proxy, clock, log, reportFailure, postLink } = options;
-  const calls = new CallTask({ address: proxy.calls, clock, reportFailure });
+  const pass = randomUUID();
+  const calls = new CallTask({
+    address: proxy.calls,
+    place: settings,
+    pass,
+    clock,
+    random: new SeededRandom(randomInt(MAX_SEED)),
+    reportFailure,
+    send: routeCalls,
+  });
   const spread = new FilterTask<ProxySpreadState, ProxySpreadIn, ProxySpreadOut>({
     name: 'proxy-spread',
     filter: new ProxySpreadFilter(settings.host),
@@ -37,7 +49,7 @@
   });
   const members = new FilterTask<MembersState, MembersIn, MembersOut>({
     name: 'members',
-    filter: new MembersFilter(formSelf(settings, proxy)),
+    filter: new MembersFilter(formSelf(settings, proxy, pass)),
     clock,
     reportFailure,
     send: (output) => {
@@ -69,6 +81,15 @@
     }
   }
 
+  /** Until the ledger is wired, every claim is answered as if it were out. */
+  function routeCalls(notice: CallNotice): void {
+    if (notice.kind !== 'ledger') return;
+    calls.post({
+      kind: 'ledger-answer',
+      answer: { kind: 'unavailable', id: notice.request.id },
+    });
+  }
+
   const tasks = [calls, spread, members, announce];
   for (const task of tasks) await task.start();
   for (const to of proxy.sources) postLink({ kind: 'keep', to });
@@ -85,13 +106,16 @@
 
 // Internals.
 
-function formSelf(settings: Settings, proxy: ProxySettings): Member {
+const MAX_SEED = 2 ** 31;
+
+function formSelf(settings: Settings, proxy: ProxySettings, pass: string): Member {
   return {
     host: settings.host,
     region: settings.region,
     dataCentre: settings.dataCentre,
     control: settings.control,
     calls: proxy.calls,
+    pass,
     incarnation: 1 as Incarnation,
     liveness: 'alive',
     version: NO_VERSION,
--- /dev/null
+++ b/test/calls-path.test.ts
@@ -0,0 +1,310 @@
+/** Calls through several proxies on real sockets. */
+import { request as openRequest } from 'node:http';
+import { connect } from 'node:net';
+import test from 'ava';
+import { request } from 'undici';
+import { waitFor } from '../bench/mesh.js';
+import { splitAddress } from '../src/ids.js';
+import { CallMesh } from './call-mesh.js';
+import { makeKind, makeRoute, makeWhole } from './call-resources.js';
+import { answerAfter } from './stand-in.js';
+
+const WHOLE = makeWhole(
+  makeKind('browse'),
+  makeKind('order', { idempotent: false, claim: true, worth: 50 }),
+  makeKind('note', { idempotent: false }),
+  makeRoute('/shop', 'browse'),
+  makeRoute('/orders', 'order'),
+  makeRoute('/notes', 'note'),
+);
+const QUICK = answerAfter(2);
+
+async function call(address: string, path: string, headers: Record<string, string> = {}) {
+  const answer = await request(`http://${address}${path}`, { headers });
+  return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() };
+}
+
+test('one and two hops', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [undefined, QUICK] });
+  t.teardown(() => mesh.stop());
+  for (const [index, { calls }] of mesh.nodes.entries()) {
+    const answer = await call(calls, '/shop/canopies?size=3', { 'x-nonce': `n${index}` });
+    t.is(answer.status, 200);
+    t.is(answer.text, `n${index}`);
+    const own = Object.keys(answer.headers).filter((name) => name.startsWith('bilberryswitch-'));
+    t.deepEqual(own, []);
+  }
+});
+
+test('refused: no route', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK] });
+  t.teardown(() => mesh.stop());
+  const answer = await call(mesh.at(0).calls, '/shopping');
+  t.is(answer.status, 404);
+  t.is(answer.headers['bilberryswitch-outcome'], 'not-run');
+});
+
+test('resend gets stored answer', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK, QUICK, undefined] });
+  t.teardown(() => mesh.stop());
+  const headers = { 'idempotency-key': 'k1', 'x-nonce': 'once' };
+  const first = await call(mesh.at(0).calls, '/orders', headers);
+  const second = await call(mesh.at(2).calls, '/orders', headers);
+  t.deepEqual([first.text, second.text], ['once', 'once']);
+  t.is(mesh.serverAt(0).countRuns() + mesh.serverAt(1).countRuns(), 1);
+});
+
+test('ledger out: only claims refused', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK] });
+  t.teardown(() => mesh.stop());
+  mesh.ledger.isOut = true;
+  const { calls } = mesh.at(0);
+  const order = await call(calls, '/orders', { 'idempotency-key': 'k1' });
+  t.is(order.headers['bilberryswitch-outcome'], 'not-run');
+  t.is((await call(calls, '/shop')).status, 200);
+  t.is(mesh.serverAt(0).countRuns(), 1);
+});
+
+test('caller gone: order runs on', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [undefined, answerAfter(100)] });
+  t.teardown(() => mesh.stop());
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const headers = { 'idempotency-key': 'k1', 'x-nonce': 'once' };
+  const left = openRequest({ host, port, path: '/orders', headers });
+  left.on('error', () => undefined);
+  left.end();
+  await waitFor('the run', () => mesh.serverAt(1).running === 1 || undefined);
+  left.destroy();
+  const answer = await waitFor('the stored answer', async () => {
+    const resent = await call(mesh.at(1).calls, '/orders', headers);
+    return resent.status === 200 ? resent : undefined;
+  });
+  t.is(answer.text, 'once');
+  t.is(mesh.serverAt(1).countRuns(), 1);
+});
+
+test('caller gone: slot comes back', async (t) => {
+  const server = { slots: 1, connections: 1 };
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      undefined,
+      (message, response) => {
+        if (message.url === '/shop/fast') response.end('fast');
+      },
+    ],
+    server,
+  });
+  t.teardown(() => mesh.stop());
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const left = openRequest({ host, port, path: '/shop/hangs' });
+  left.on('error', () => undefined);
+  left.end();
+  await waitFor('the run', () => mesh.serverAt(1).running === 1 || undefined);
+  left.destroy();
+  t.is((await call(mesh.at(0).calls, '/shop/fast')).text, 'fast');
+  t.is(mesh.serverAt(1).cancelled, 1);
+  t.is(mesh.serverAt(1).maxRunning, 1);
+});
+
+test('slots from many proxies', async (t) => {
+  const answers = [answerAfter(5), undefined, undefined, undefined];
+  const server = { slots: 4, connections: 4 };
+  const mesh = await CallMesh.start({ whole: WHOLE, answers, server });
+  t.teardown(() => mesh.stop());
+  const all = Array.from({ length: 200 }, (_, index) =>
+    call(mesh.at(index % 4).calls, '/shop', { 'x-nonce': `n${index}` }),
+  );
+  for (const [index, answer] of (await Promise.all(all)).entries()) {
+    if (answer.status === 200) t.is(answer.text, `n${index}`);
+    else t.is(answer.headers['bilberryswitch-outcome'], 'not-run');
+  }
+  t.true(mesh.serverAt(0).maxRunning <= 4);
+  t.true(mesh.serverAt(0).maxConnections <= 4);
+});
+
+test('truncated answer is no answer', async (t) => {
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      undefined,
+      (message, response) => {
+        if (message.url === '/notes/length') response.writeHead(200, { 'content-length': 100 });
+        response.write('half');
+        setTimeout(() => response.destroy(), 5);
+      },
+    ],
+  });
+  t.teardown(() => mesh.stop());
+  for (const path of ['/notes/length', '/notes/chunked']) {
+    for (const { calls } of mesh.nodes) await t.throwsAsync(call(calls, path));
+  }
+});
+
+test('answer without a length', async (t) => {
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      (_message, response) => {
+        response.socket?.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf');
+      },
+    ],
+  });
+  t.teardown(() => mesh.stop());
+  await t.throwsAsync(call(mesh.at(0).calls, '/notes'));
+});
+
+test('forged internal headers', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK] });
+  t.teardown(() => mesh.stop());
+  const { calls, member } = mesh.at(0);
+  const server = member.servers[0]?.address ?? '';
+  const answer = await call(calls, '/orders', {
+    'bilberryswitch-forward': `guess;${server};order;99;;`,
+    'bilberryswitch-timeout-ms': '500',
+  });
+  t.is(answer.status, 403);
+  t.is(answer.headers['bilberryswitch-outcome'], 'not-run');
+  t.is(mesh.serverAt(0).countRuns(), 0);
+});
+
+test('backend cannot forge outcome', async (t) => {
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      undefined,
+      (_message, response) => {
+        response.writeHead(500, { 'bilberryswitch-outcome': 'not-run' }).end('ran');
+      },
+    ],
+  });
+  t.teardown(() => mesh.stop());
+  const answer = await call(mesh.at(0).calls, '/notes');
+  t.is(answer.headers['bilberryswitch-outcome'], undefined);
+  t.is(mesh.serverAt(1).countRuns(), 1);
+});
+
+test('drain cuts nothing', async (t) => {
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [answerAfter(400), answerAfter(400)],
+  });
+  t.teardown(() => mesh.stop());
+  const { calls, task } = mesh.at(0);
+  const before = [0, 1, 2, 3].map((index) => call(calls, '/notes', { 'x-nonce': `n${index}` }));
+  await waitFor('four runs', () => {
+    return mesh.serverAt(0).countRuns() + mesh.serverAt(1).countRuns() === 4 || undefined;
+  });
+  const drained = task.drain();
+  const refused = await call(calls, '/notes');
+  t.is(refused.headers['bilberryswitch-outcome'], 'not-run');
+  t.is(refused.status, 503);
+  const viaOther = await call(mesh.at(1).calls, '/notes', { 'x-nonce': 'other' });
+  t.is(viaOther.text, 'other');
+  const texts = (await Promise.all(before)).map(({ text }) => text);
+  t.deepEqual(texts, ['n0', 'n1', 'n2', 'n3']);
+  await drained;
+});
+
+test('large answers stream', async (t) => {
+  const total = 64 * 1024 * 1024;
+  let written = 0;
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      undefined,
+      (_message, response) => {
+        const chunk = Buffer.alloc(64 * 1024);
+        const write = (): void => {
+          while (written < total) {
+            written += chunk.length;
+            if (!response.write(chunk)) {
+              response.once('drain', write);
+              return;
+            }
+          }
+          response.end();
+        };
+        write();
+      },
+    ],
+  });
+  t.teardown(() => mesh.stop());
+  const answer = await request(`http://${mesh.at(0).calls}/shop/drawing`);
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  t.true(written < total / 2, `${written} bytes were written ahead of a caller who reads nothing`);
+  let read = 0;
+  for await (const chunk of answer.body) read += (chunk as Buffer).length;
+  t.is(read, total);
+});
+
+test('large bodies stream', async (t) => {
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      undefined,
+      (message, response) => {
+        let length = 0;
+        message.on('data', (chunk: Buffer) => (length += chunk.length));
+        message.on('end', () => response.end(`${length}`));
+      },
+    ],
+  });
+  t.teardown(() => mesh.stop());
+  const body = Buffer.alloc(3 * 1024 * 1024);
+  for (const chunked of [true, false]) {
+    const headers = chunked ? {} : { 'content-length': `${body.length}` };
+    const source = chunked ? [body.subarray(0, 1000), body.subarray(1000)] : body;
+    const answer = await request(`http://${mesh.at(0).calls}/notes`, {
+      method: 'POST',
+      headers,
+      body: chunked ? ((source as Buffer[])[Symbol.iterator]() as never) : body,
+    });
+    t.is(await answer.body.text(), `${body.length}`);
+  }
+});
+
+test('bad input', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK] });
+  t.teardown(() => mesh.stop());
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const send = (text: string): Promise<string> =>
+    new Promise((resolve) => {
+      let answer = '';
+      const socket = connect(port, host, () => socket.write(text));
+      socket.on('data', (chunk) => {
+        answer += chunk.toString();
+        if (answer.includes('\r\n\r\n')) socket.destroy();
+      });
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        resolve(answer);
+      });
+    });
+  const many = Array.from({ length: 200 }, (_, index) => `h${index}: v\r\n`).join('');
+  const cases: [string, string][] = [
+    ['GET /shop HTTP/1.1\r\nhost: a\r\n' + many + '\r\n', '400'],
+    [`GET /shop HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`, '431'],
+    ['GET /shop/../orders HTTP/1.1\r\nhost: a\r\n\r\n', '400'],
+    ['GET /shop/%2e%2e/orders HTTP/1.1\r\nhost: a\r\n\r\n', '400'],
+    ['GET /shop/%zz HTTP/1.1\r\nhost: a\r\n\r\n', '400'],
+    ['GET http://b/shop HTTP/1.1\r\nhost: a\r\n\r\n', '400'],
+    ['GET /shop HTTP/1.0\r\n\r\n', '400'],
+    ['GET /shop HTTP/1.1\r\nhost: a\r\nbilberryswitch-timeout-ms: soon\r\n\r\n', '400'],
+    ['GET /shop HTTP/1.1\r\nhost: a\r\nbilberryswitch-timeout-ms: 0\r\n\r\n', '504'],
+    ['GET /shop HTTP/1.1\r\nhost: a\r\nbilberryswitch-attempt: -1\r\n\r\n', '400'],
+    [`POST /orders HTTP/1.1\r\nhost: a\r\nidempotency-key: ${'k'.repeat(300)}\r\n\r\n`, '400'],
+    ['POST /orders HTTP/1.1\r\nhost: a\r\nidempotency-key: a\r\nidempotency-key: b\r\n\r\n', '400'],
+    [
+      'POST /orders HTTP/1.1\r\nhost: a\r\nidempotency-key: a\r\ncontent-length: 99999\r\n\r\n',
+      '413',
+    ],
+    ['nonsense\r\n\r\n', '400'],
+  ];
+  for (const [text, status] of cases) {
+    const answer = await send(text);
+    t.is(answer.split(' ')[1], status, text.slice(0, 80));
+    t.regex(answer, /bilberryswitch-outcome: not-run/i, text.slice(0, 80));
+  }
+  t.is(mesh.serverAt(0).countRuns(), 0);
+});
