--- /dev/null
+++ b/test/calls-attempt.test.ts
@@ -0,0 +1,265 @@
+/** Claims, picks, retries and hedges, without sockets. */
+import test from 'ava';
+import fc from 'fast-check';
+import type { AttemptIn, AttemptOut } from '../src/calls/attempt-filter.js';
+import { AttemptFilter } from '../src/calls/attempt-filter.js';
+import { ClaimFilter } from '../src/calls/claim-filter.js';
+import type { RoutedCall } from '../src/calls/classify-filter.js';
+import { TwoChoicesPicker } from '../src/calls/index.js';
+import { measureLoad } from '../src/calls/picker.js';
+import type { Place, ServerRecord } from '../src/calls/server-table.js';
+import { ServerTable } from '../src/calls/server-table.js';
+import { addMs } from '../src/clock.js';
+import type {
+  AttemptId,
+  DataCentreId,
+  HostId,
+  IdempotencyKey,
+  Instant,
+  RegionId,
+  RequestId,
+  ServiceName,
+} from '../src/ids.js';
+import type { CallHead, RequestKindResource } from '../src/messages/index.js';
+import { SeededRandom } from '../src/random.js';
+import { makeHead, makeKind, makeMember, makeServer, START } from './call-resources.js';
+
+const SHOP = 'shop' as ServiceName;
+const PLACE: Place = {
+  host: 'entry' as HostId,
+  dataCentre: 'a' as DataCentreId,
+  region: 'hu-central' as RegionId,
+};
+const FAILED = { outcome: 'unknown', reason: 'upstream-failed' } as const;
+const NOT_RUN = { outcome: 'not-run', reason: 'overloaded' } as const;
+
+function makeCall(
+  id: string,
+  kind: Partial<RequestKindResource> = {},
+  head: Partial<CallHead> = {},
+): RoutedCall {
+  const requestKind = makeKind('k', kind);
+  const deadline = addMs(START, requestKind.timeoutMs);
+  return { head: makeHead(id, head), service: SHOP, requestKind, deadline, subject: id };
+}
+
+/** Drives an attempt filter with servers `s0`, `s1`, and so on. */
+class Driver {
+  readonly #filter = new AttemptFilter({
+    place: PLACE,
+    picker: new TwoChoicesPicker(new SeededRandom(1)),
+  });
+  readonly #state = this.#filter.createState();
+
+  constructor(servers: number) {
+    for (let index = 0; index < servers; index += 1) {
+      const server = makeServer(`10.0.0.${index}:1`);
+      this.post({ kind: 'member-up', member: makeMember(`host-${index}`, [server]) });
+    }
+  }
+
+  post(message: AttemptIn, now: Instant = WARM): AttemptOut[] {
+    const { outputs } = this.#filter.decide(this.#state, message, now);
+    return outputs.filter(({ kind }) => kind !== 'wake' && kind !== 'observed');
+  }
+
+  listKinds(message: AttemptIn, now?: Instant): string[] {
+    return this.post(message, now).map((output) =>
+      output.kind === 'refuse' ? `${output.reason} ${output.outcome}` : output.kind,
+    );
+  }
+}
+
+const WARM = addMs(START, 60_000);
+const attemptOf = (id: string, count = 0): AttemptId => `${id}.${count}` as AttemptId;
+
+test('retry: not run', (t) => {
+  const driver = new Driver(2);
+  const call = makeCall('c', { idempotent: false, timeoutMs: 100_000 });
+  t.deepEqual(driver.listKinds({ kind: 'claimed', call }), ['dispatch']);
+  const failed = { kind: 'attempt-failed', attempt: attemptOf('c'), failure: NOT_RUN } as const;
+  t.deepEqual(driver.listKinds(failed), ['dispatch']);
+});
+
+test('no retry: may have run', (t) => {
+  const driver = new Driver(2);
+  driver.post({ kind: 'claimed', call: makeCall('c', { idempotent: false, timeoutMs: 1e6 }) });
+  const failed = { kind: 'attempt-failed', attempt: attemptOf('c'), failure: FAILED } as const;
+  t.deepEqual(driver.listKinds(failed), ['upstream-failed unknown']);
+});
+
+test('no retry: second layer', (t) => {
+  const driver = new Driver(2);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }, { attempt: 2 }) });
+  const failed = { kind: 'attempt-failed', attempt: attemptOf('c'), failure: FAILED } as const;
+  t.deepEqual(driver.listKinds(failed), ['upstream-failed unknown']);
+});
+
+test('unknown stays unknown', (t) => {
+  const driver = new Driver(2);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) });
+  driver.post({ kind: 'attempt-failed', attempt: attemptOf('c'), failure: FAILED });
+  const second = { kind: 'attempt-failed', attempt: attemptOf('c', 1), failure: NOT_RUN } as const;
+  t.deepEqual(driver.listKinds(second), ['overloaded unknown']);
+});
+
+test('retry budget', (t) => {
+  const driver = new Driver(3);
+  let dispatched = 0;
+  for (let index = 0; index < 1_000; index += 1) {
+    const call = makeCall(`c${index}`, { timeoutMs: 1e6 });
+    dispatched += driver.post({ kind: 'claimed', call }).length;
+    for (let count = 0; count < 3; count += 1) {
+      const attempt = attemptOf(`c${index}`, count);
+      const outputs = driver.post({ kind: 'attempt-failed', attempt, failure: NOT_RUN });
+      dispatched += outputs.filter(({ kind }) => kind === 'dispatch').length;
+    }
+  }
+  t.true(dispatched > 1_050 && dispatched <= 1_105, `${dispatched} attempts for 1000 calls`);
+});
+
+test('hedge: first answer wins', (t) => {
+  const driver = new Driver(2);
+  const kind = { hedge: true, timeoutMs: 1e6 };
+  const answer = (attempt: AttemptId) =>
+    ({ kind: 'answer-started', attempt, status: 200, load: undefined }) as const;
+  driver.post({ kind: 'claimed', call: makeCall('a', kind) });
+  driver.post(answer(attemptOf('a')), addMs(WARM, 10));
+  driver.post({ kind: 'answer-complete', attempt: attemptOf('a') });
+  driver.post({ kind: 'claimed', call: makeCall('b', kind) });
+  t.deepEqual(driver.listKinds({ kind: 'tick' }, addMs(WARM, 100)), ['dispatch']);
+  t.deepEqual(driver.listKinds(answer(attemptOf('b', 1))), ['relay', 'cancel']);
+});
+
+test('shed answer: tried elsewhere', (t) => {
+  const driver = new Driver(2);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) });
+  const shed = { kind: 'answer-started', status: 503, load: undefined } as const;
+  t.deepEqual(driver.listKinds({ ...shed, attempt: attemptOf('c') }), ['cancel', 'dispatch']);
+  t.deepEqual(driver.listKinds({ ...shed, attempt: attemptOf('c', 1) }), ['relay']);
+});
+
+test('deadline cancels', (t) => {
+  const driver = new Driver(1);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 100_000 }) });
+  const kinds = driver.listKinds({ kind: 'tick' }, addMs(START, 100_000));
+  t.deepEqual(kinds, ['cancel', 'deadline unknown']);
+});
+
+test('ejection leaves half', (t) => {
+  const driver = new Driver(4);
+  const kind = { idempotent: false, timeoutMs: 1e6 };
+  const used = new Set<string>();
+  for (let index = 0; index < 400; index += 1) {
+    const call = makeCall(`c${index}`, kind);
+    for (const output of driver.post({ kind: 'claimed', call })) {
+      if (output.kind === 'dispatch' && index >= 300) used.add(output.target.server);
+    }
+    driver.post({ kind: 'attempt-failed', attempt: attemptOf(`c${index}`), failure: FAILED });
+  }
+  t.is(used.size, 2);
+});
+
+test('near servers first', (t) => {
+  const table = new ServerTable(PLACE);
+  const far = { dataCentre: 'b' as DataCentreId };
+  for (let index = 0; index < 40; index += 1) {
+    const member = makeMember(
+      `h${index}`,
+      [makeServer(`10.0.0.${index}:1`)],
+      index < 20 ? {} : far,
+    );
+    table.apply({ kind: 'member-up', member }, START);
+  }
+  const picker = new TwoChoicesPicker(new SeededRandom(3));
+  const used = new Set<string>();
+  for (let index = 0; index < 500; index += 1) {
+    const record = picker.pick(table.listTiers(SHOP), { now: WARM, tried: new Set() });
+    t.is(record?.member.dataCentre, PLACE.dataCentre);
+    used.add(record?.announcement.address ?? '');
+  }
+  t.is(used.size, 16);
+});
+
+test('pick near the naive best', (t) => {
+  const run = (choose: (records: readonly ServerRecord[]) => ServerRecord | undefined): number => {
+    const table = new ServerTable(PLACE);
+    const random = new SeededRandom(5);
+    for (let index = 0; index < 12; index += 1) {
+      const member = makeMember(`h${index}`, [makeServer(`10.0.0.${index}:1`)]);
+      table.apply({ kind: 'member-up', member }, START);
+    }
+    const records = table.listTiers(SHOP).flat();
+    let worst = 0;
+    for (let step = 0; step < 5_000; step += 1) {
+      const picked = choose(records);
+      if (picked !== undefined) picked.outstanding += 1;
+      const ended = random.pick(records);
+      if (step > 100 && ended.outstanding > 0) ended.outstanding -= 1;
+      worst = Math.max(worst, ...records.map((one) => one.outstanding));
+    }
+    return worst;
+  };
+  const picker = new TwoChoicesPicker(new SeededRandom(9));
+  const naive = run((records) => records.toSorted((a, b) => a.outstanding - b.outstanding)[0]);
+  const ours = run((records) => picker.pick([[], records], { now: WARM, tried: new Set() }));
+  t.true(ours <= naive * 1.5, `${ours} outstanding at worst, ${naive} by the naive pick`);
+});
+
+test('picked server is usable', (t) => {
+  const states = fc.constantFrom('ready' as const, 'starting' as const, 'draining' as const);
+  const server = fc.record({ state: states, tried: fc.boolean(), load: fc.nat(40) });
+  fc.assert(
+    fc.property(fc.array(server, { maxLength: 8 }), fc.integer(), (list, seed) => {
+      const table = new ServerTable(PLACE);
+      list.forEach(({ state }, index) => {
+        const member = makeMember(`h${index}`, [makeServer(`10.0.0.${index}:1`, { state })]);
+        table.apply({ kind: 'member-up', member }, START);
+      });
+      const records = table.listTiers(SHOP).flat();
+      records.forEach((record, index) => (record.outstanding = list[index]?.load ?? 0));
+      const isTried = (_: unknown, index: number): boolean => list[index]?.tried === true;
+      const tried = new Set(records.filter(isTried).map((one) => one.announcement.address));
+      const usable = records.filter(
+        ({ announcement }) => announcement.state === 'ready' && !tried.has(announcement.address),
+      );
+      const picker = new TwoChoicesPicker(new SeededRandom(seed));
+      const picked = picker.pick(table.listTiers(SHOP), { now: WARM, tried });
+      if (usable.length === 0) return picked === undefined;
+      const worst = Math.max(...usable.map((one) => measureLoad(one, WARM)));
+      return picked !== undefined && usable.includes(picked) && measureLoad(picked, WARM) <= worst;
+    }),
+    { seed: 11 },
+  );
+  t.pass();
+});
+
+test('claim: late grant is released', (t) => {
+  const filter = new ClaimFilter();
+  const state = filter.createState();
+  const call = makeCall('c', { claim: true }, { key: 'k1' as IdempotencyKey });
+  filter.decide(state, { kind: 'routed', call }, START);
+  const kinds = filter.decide(state, { kind: 'tick' }, call.deadline).outputs;
+  t.deepEqual(kinds[0], {
+    kind: 'refuse',
+    id: call.head.id,
+    reason: 'ledger-unavailable',
+    outcome: 'not-run',
+  });
+  const answer = { kind: 'granted', id: 'c' as RequestId } as const;
+  const [late] = filter.decide(state, { kind: 'ledger-answer', answer }, call.deadline).outputs;
+  t.is(late?.kind === 'ledger' ? late.request.kind : late?.kind, 'release');
+});
+
+test('claim: release only if not run', (t) => {
+  for (const outcome of ['not-run', 'unknown'] as const) {
+    const filter = new ClaimFilter();
+    const state = filter.createState();
+    const call = makeCall('c', { claim: true }, { key: 'k1' as IdempotencyKey });
+    filter.decide(state, { kind: 'routed', call }, START);
+    const answer = { kind: 'granted', id: 'c' as RequestId } as const;
+    filter.decide(state, { kind: 'ledger-answer', answer }, START);
+    const { outputs } = filter.decide(state, { kind: 'failed', id: call.head.id, outcome }, START);
+    t.is(outputs.length, outcome === 'not-run' ? 1 : 0);
+  }
+});
--- /dev/null
+++ b/test/calls-guard.test.ts
@@ -0,0 +1,222 @@
+/** The guard and the quarantine, without sockets. */
+import test from 'ava';
+import fc from 'fast-check';
+import type { GuardIn, GuardOut } from '../src/calls/guard-filter.js';
+import { GuardFilter } from '../src/calls/guard-filter.js';
+import { SharedSlots } from '../src/calls/index.js';
+import { addMs } from '../src/clock.js';
+import type { Address, AttemptId, Instant, RequestKindName } from '../src/ids.js';
+import type { Announcement, AttemptHead, Broadcast } from '../src/messages/index.js';
+import { makeServer, START } from './call-resources.js';
+
+const SERVER = '10.0.0.1:80' as Address;
+const WARM = addMs(START, 60_000);
+const NAIVE_SLOTS = 3;
+
+function makeAttempt(attempt: string, fields: Partial<AttemptHead> = {}): AttemptHead {
+  return {
+    attempt: attempt as AttemptId,
+    server: SERVER,
+    requestKind: 'k' as RequestKindName,
+    worth: 1,
+    deadline: addMs(WARM, 1_000),
+    subject: attempt,
+    suspect: false,
+    ...fields,
+  };
+}
+
+/** Drives a guard of one server. */
+class Driver {
+  readonly #filter = new GuardFilter(() => new SharedSlots());
+  readonly #state = this.#filter.createState();
+  readonly #server: Announcement;
+
+  constructor(server: Partial<Announcement> = {}) {
+    this.#server = makeServer(SERVER, { slots: NAIVE_SLOTS, ...server });
+    this.announce({}, START);
+  }
+
+  announce(fields: Partial<Announcement>, now: Instant = WARM): string[] {
+    return this.list({ kind: 'servers', servers: [{ ...this.#server, ...fields }] }, now);
+  }
+
+  post(message: GuardIn, now: Instant = WARM): GuardOut[] {
+    const { outputs } = this.#filter.decide(this.#state, message, now);
+    return outputs.filter(({ kind }) => kind !== 'wake');
+  }
+
+  list(message: GuardIn, now?: Instant): string[] {
+    return this.post(message, now).map((output) => {
+      if (output.kind === 'run') return `run ${output.head.attempt}`;
+      if (output.kind === 'reject') return `${output.reason} ${output.attempt}`;
+      return output.kind;
+    });
+  }
+
+  admit(attempt: string, fields: Partial<AttemptHead> = {}, now?: Instant): string[] {
+    return this.list({ kind: 'admit', head: makeAttempt(attempt, fields) }, now);
+  }
+
+  end(attempt: string, ending: 'answered' | 'lost' | 'cancelled', now?: Instant): string[] {
+    return this.list({ kind: 'run-ended', attempt: attempt as AttemptId, ending }, now);
+  }
+}
+
+/** One list, sorted at every step. */
+class NaiveGuard {
+  #waiting: AttemptHead[] = [];
+  readonly running = new Set<string>();
+
+  admit(head: AttemptHead, now: Instant): string[] {
+    if (head.deadline <= now) return [`deadline ${head.attempt}`];
+    this.#waiting.push(head);
+    return this.#start(now);
+  }
+
+  end(attempt: string, now: Instant): string[] {
+    return this.running.delete(attempt) ? this.#start(now) : [];
+  }
+
+  #start(now: Instant): string[] {
+    const outputs: string[] = [];
+    this.#waiting = this.#waiting.toSorted((left, right) => right.worth - left.worth);
+    while (this.running.size < NAIVE_SLOTS) {
+      const next = this.#waiting.shift();
+      if (next === undefined) break;
+      const isLate = next.deadline <= now;
+      outputs.push(isLate ? `deadline ${next.attempt}` : `run ${next.attempt}`);
+      if (!isLate) this.running.add(next.attempt);
+    }
+    return outputs;
+  }
+}
+
+test('same as naive guard', (t) => {
+  const step = fc.record({
+    end: fc.boolean(),
+    worth: fc.integer({ min: 1, max: 3 }),
+    patience: fc.integer({ min: 0, max: 30 }),
+    pause: fc.integer({ min: 0, max: 5 }),
+    pick: fc.nat(9),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const driver = new Driver();
+      const naive = new NaiveGuard();
+      let now = WARM;
+      steps.forEach(({ end, worth, patience, pause, pick }, index) => {
+        now = addMs(now, pause);
+        const running = [...naive.running];
+        const ended = running[pick % Math.max(1, running.length)] ?? 'none';
+        const head = makeAttempt(`a${index}`, { worth, deadline: addMs(now, patience) });
+        const ours = end
+          ? driver.list({ kind: 'run-ended', attempt: ended as AttemptId, ending: 'not-sent' }, now)
+          : driver.list({ kind: 'admit', head }, now);
+        const theirs = end ? naive.end(ended, now) : naive.admit(head, now);
+        t.deepEqual(ours, theirs);
+      });
+    }),
+    { seed: 13, numRuns: 300 },
+  );
+});
+
+test('worth goes first', (t) => {
+  const driver = new Driver({ slots: 1 });
+  driver.admit('a');
+  driver.admit('low');
+  driver.admit('high', { worth: 50 });
+  t.deepEqual(driver.end('a', 'answered'), ['run high']);
+});
+
+test('cannot finish in time', (t) => {
+  const driver = new Driver({ slots: 1 });
+  driver.admit('a');
+  driver.end('a', 'answered', addMs(WARM, 100));
+  const deadline = addMs(WARM, 150);
+  t.deepEqual(driver.admit('b', { deadline }, addMs(WARM, 100)), ['deadline b']);
+});
+
+test('estimate fades', (t) => {
+  const driver = new Driver({ slots: 1 });
+  driver.admit('a');
+  driver.end('a', 'answered', addMs(WARM, 1_000));
+  const later = addMs(WARM, 20_000);
+  t.deepEqual(driver.admit('b', { deadline: addMs(later, 50) }, later), ['run b']);
+});
+
+test('cold server: a quarter', (t) => {
+  const driver = new Driver({ slots: 8, state: 'starting' });
+  t.deepEqual(driver.admit('a'), ['no-server a']);
+  driver.announce({ state: 'ready' });
+  const started = ['b', 'c', 'd'].flatMap((attempt) => driver.admit(attempt));
+  t.deepEqual(started, ['run b', 'run c']);
+});
+
+test('cancelled slot settles', (t) => {
+  const driver = new Driver({ slots: 1 });
+  driver.admit('a');
+  driver.admit('b');
+  t.deepEqual(driver.end('a', 'cancelled'), []);
+  t.deepEqual(driver.list({ kind: 'tick' }, addMs(WARM, 20)), ['run b']);
+});
+
+test('leaving refuses at once', (t) => {
+  const driver = new Driver({ slots: 1 });
+  driver.admit('a');
+  driver.admit('b');
+  t.deepEqual(driver.announce({ state: 'draining' }), ['draining b']);
+  t.deepEqual(driver.admit('c'), ['draining c']);
+});
+
+test('deadline stops a run', (t) => {
+  const driver = new Driver();
+  driver.admit('a', { deadline: addMs(WARM, 50) });
+  t.deepEqual(driver.list({ kind: 'tick' }, addMs(WARM, 50)), ['stop-run']);
+});
+
+/** Lets a server die with these requests in flight, and returns what its guard tells the others. */
+function crash(driver: Driver, subjects: readonly string[], address: Address): Broadcast[] {
+  for (const subject of subjects) driver.admit(`${subject}@`, { subject });
+  subjects.forEach((subject) => driver.end(`${subject}@`, 'lost'));
+  const outputs = driver.post({ kind: 'probed', server: SERVER, accepts: false });
+  return outputs.flatMap((output) =>
+    output.kind === 'broadcast' ? [{ ...output.item, server: address }] : [],
+  );
+}
+
+test('second crash quarantines', (t) => {
+  const first = crash(new Driver(), ['bad', 'good'], '10.0.0.2:80' as Address);
+  t.is(first.length, 2);
+  const second = crash(new Driver(), ['bad'], '10.0.0.3:80' as Address);
+  const third = new Driver();
+  for (const item of [...first, ...second]) third.post({ kind: 'broadcast', item });
+  t.deepEqual(third.admit('bad!', { subject: 'bad' }), ['quarantined bad!']);
+  t.deepEqual(third.admit('good!', { subject: 'good' }), ['run good!']);
+  const later = addMs(WARM, 120_000);
+  const patient = { subject: 'bad', deadline: addMs(later, 50) };
+  t.deepEqual(third.admit('bad?', patient, later), ['run bad?']);
+});
+
+test('suspects run one by one', (t) => {
+  const driver = new Driver();
+  const crashes = crash(new Driver(), ['bad', 'good'], '10.0.0.2:80' as Address);
+  for (const item of crashes) driver.post({ kind: 'broadcast', item });
+  t.deepEqual(driver.admit('good!', { subject: 'good' }), ['run good!']);
+  t.deepEqual(driver.admit('bad!', { subject: 'bad' }), ['overloaded bad!']);
+});
+
+test('answered requests are innocent', (t) => {
+  const driver = new Driver();
+  driver.admit('a', { subject: 'popular' });
+  driver.end('a', 'answered');
+  t.deepEqual(crash(driver, ['popular'], SERVER), []);
+});
+
+test('broken connection is no crash', (t) => {
+  const driver = new Driver();
+  driver.admit('a');
+  t.deepEqual(driver.end('a', 'lost'), ['probe']);
+  t.deepEqual(driver.list({ kind: 'probed', server: SERVER, accepts: true }), []);
+  t.deepEqual(driver.admit('b'), ['run b']);
+});
--- /dev/null
+++ b/test/calls-route.test.ts
@@ -0,0 +1,96 @@
+/** Routing and the split between generations, without sockets. */
+import test from 'ava';
+import fc from 'fast-check';
+import { ClassifyFilter } from '../src/calls/classify-filter.js';
+import { RouteIndex } from '../src/calls/route-index.js';
+import { pickGeneration } from '../src/calls/split.js';
+import { addMs } from '../src/clock.js';
+import type { CallerId } from '../src/ids.js';
+import type { RouteResource } from '../src/messages/index.js';
+import {
+  makeHead,
+  makeKind,
+  makeRoute,
+  makeSplit,
+  makeWhole,
+  NEW,
+  OLD,
+  START,
+} from './call-resources.js';
+
+/** Looks at every route. */
+function findNaively(routes: readonly RouteResource[], method: string, path: string) {
+  const below = (prefix: string): boolean =>
+    prefix === '/' || path === prefix || path.startsWith(`${prefix}/`);
+  return routes
+    .filter((route) => below(route.pathPrefix) && ['*', method].includes(route.method))
+    .sort((left, right) => {
+      const depth = right.pathPrefix.length - left.pathPrefix.length;
+      return depth === 0 ? Number(left.method === '*') - Number(right.method === '*') : depth;
+    })[0];
+}
+
+test('same as naive', (t) => {
+  const path = fc.array(fc.constantFrom('a', 'b', 'ab'), { maxLength: 4 });
+  const text = path.map((segments) => `/${segments.join('/')}`);
+  const method = fc.constantFrom('*', 'GET', 'POST');
+  const route = fc
+    .tuple(text, method)
+    .map(([prefix, verb]) => makeRoute(prefix, 'k', { method: verb }));
+  const routes = fc.uniqueArray(route, { selector: ({ name }) => name, maxLength: 12 });
+  fc.assert(
+    fc.property(routes, text, (list, wanted) => {
+      const index = new RouteIndex(makeWhole(makeKind('k'), ...list));
+      const found = index.findRoute(OLD, 'GET', wanted)?.route;
+      return found?.name === findNaively(list, 'GET', wanted)?.name;
+    }),
+    { seed: 7 },
+  );
+  t.pass();
+});
+
+test('whole segments only', (t) => {
+  const index = new RouteIndex(makeWhole(makeKind('k'), makeRoute('/shop', 'k')));
+  t.is(index.findRoute(OLD, 'GET', '/shopping'), undefined);
+  t.is(index.findRoute(OLD, 'GET', '/shop/x')?.route.pathPrefix, '/shop');
+});
+
+test('split moves only its share', (t) => {
+  const callers = Array.from({ length: 5_000 }, (_, index) => `member-${index}`);
+  const before = callers.map((caller) => pickGeneration(makeSplit(9_000).shares, caller));
+  const after = callers.map((caller) => pickGeneration(makeSplit(8_000).shares, caller));
+  const moved = callers.filter((_, index) => before[index] !== after[index]);
+  t.true(moved.length > 400 && moved.length < 600, `${moved.length} callers moved`);
+  t.true(after.every((one, index) => one === before[index] || one === NEW));
+});
+
+test('caller stays on one side', (t) => {
+  const filter = new ClassifyFilter();
+  const whole = makeWhole(
+    makeKind('k'),
+    makeSplit(5_000),
+    makeRoute('/shop', 'k'),
+    makeRoute('/shop', 'k', { generation: NEW }),
+  );
+  const state = filter.decide(filter.createState(), { kind: 'whole', whole }, START).state;
+  const sides = Array.from({ length: 20 }, (_, index) => {
+    const head = makeHead(`c${index}`, { caller: 'member-7' as CallerId, peer: `10.0.0.${index}` });
+    const [output] = filter.decide(state, { kind: 'arrived', head }, START).outputs;
+    return output?.kind === 'routed' ? output.call.service : 'refused';
+  });
+  t.is(new Set(sides).size, 1);
+});
+
+test('deadline: the earlier one', (t) => {
+  const filter = new ClassifyFilter();
+  const whole = makeWhole(makeKind('k', { timeoutMs: 100 }), makeRoute('/shop', 'k'));
+  const state = filter.decide(filter.createState(), { kind: 'whole', whole }, START).state;
+  const decide = (milliseconds: number) => {
+    const head = makeHead('c', { deadline: addMs(START, milliseconds) });
+    const [output] = filter.decide(state, { kind: 'arrived', head }, START).outputs;
+    return output?.kind === 'routed' ? output.call.deadline : output?.reason;
+  };
+  t.is(decide(40), addMs(START, 40));
+  t.is(decide(400), addMs(START, 100));
+  t.is(decide(0), 'deadline');
+});
