--- a/bench/member-fleet.ts
+++ b/bench/member-fleet.ts
@@ -145,6 +145,7 @@
       control,
       calls: control.replace('7000', '7001') as Address,
       incarnation: 0 as Incarnation,
+      pass: '',
       liveness: 'alive',
       version: NO_VERSION,
       servers: [],
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -1,5 +1,5 @@
 /** The `run` command: starts the roles of a process and stops them on a signal. */
-import { randomInt } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 import { SystemClock } from '../clock.js';
 import { LinkTask } from '../edge/index.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
@@ -26,6 +26,7 @@
   const clock = new SystemClock();
   const random = new SeededRandom(randomInt(MAX_SEED));
   const roles: RunningRole[] = [];
+  const pass = randomBytes(PASS_BYTES).toString('base64url');
   const links = new LinkTask({
     host: settings.host,
     control: settings.control,
@@ -43,6 +44,7 @@
   };
   const members = runMembers({
     settings,
+    pass,
     clock,
     random,
     reportFailure,
@@ -61,7 +63,7 @@
     roles.push(await runSource({ ...shared, clock, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    const shared = { settings, proxy, clock, random, log, reportFailure };
+    const shared = { settings, proxy, pass, clock, random, log, reportFailure };
     roles.push(await runProxy({ ...shared, postLink, postMembers }));
   }
   await members.start();
@@ -80,6 +82,7 @@
 
 const EXIT_FAILED = 70;
 const MAX_SEED = 2 ** 31;
+const PASS_BYTES = 9;
 
 function waitForSignal(): Promise<void> {
   return new Promise((resolve) => {
