Cut off peers that send malformed frames; count keepers; close idle links

The test 'malformed frames' was red first: a frame that is no pair raised an uncaught exception in the socket's message handler and ended the process. decodeFrame now checks the pair, the channel and the hello, and the link is terminated. 'kept by two' and 'idle link' cover the other two changes: a link that two pipes keep stays up until both have dropped it, and a link that nobody keeps is closed after a minute without messages, so that a change of the forest leaves no links behind.

--- a/src/edge/link-codec.ts
+++ b/src/edge/link-codec.ts
@@ -1,6 +1,7 @@
 /** The encoding of messages between processes: MessagePack of `[channel, body]`. */
 import { Packr } from 'msgpackr';
 import type { Address, HostId } from '../ids.js';
+import { parseAddress, parseHostId } from '../ids.js';
 import type { Channel } from '../messages/index.js';
 
 /** The first message on each connection: who is calling, and where it listens itself. */
@@ -24,10 +25,13 @@
   return packr.pack([HELLO, hello]);
 }
 
-/** Decodes a frame; throws when the bytes are not one. */
+/** Decodes a frame; throws an error when the bytes are not one. */
 export function decodeFrame(bytes: Buffer): Frame {
-  const [tag, body] = packr.unpack(bytes) as [string, unknown];
-  if (tag === HELLO) return { kind: 'hello', hello: body as Hello };
+  const unpacked: unknown = packr.unpack(bytes);
+  if (!Array.isArray(unpacked) || unpacked.length !== 2) throw new Error('the frame is no pair');
+  const [tag, body] = unpacked as [unknown, unknown];
+  if (tag === HELLO) return { kind: 'hello', hello: readHello(body) };
+  if (typeof tag !== 'string') throw new Error('the frame names no channel');
   return { kind: 'message', channel: tag as Channel, body };
 }
 
@@ -35,3 +39,11 @@
 
 const HELLO = 'hello';
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: false });
+
+function readHello(body: unknown): Hello {
+  const { host, control } = body as { host: unknown; control: unknown };
+  if (typeof host !== 'string' || typeof control !== 'string') {
+    throw new Error('the first frame must name a host and its control address');
+  }
+  return { host: parseHostId(host), control: parseAddress(control) };
+}
--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -3,13 +3,13 @@
 import { WebSocket, WebSocketServer } from 'ws';
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs } from '../clock.js';
-import type { Address, HostId } from '../ids.js';
+import type { Address, HostId, Instant } from '../ids.js';
 import { splitAddress } from '../ids.js';
 import type { Channel, LinkCommand, LinkEvent } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { Task } from '../pipe/index.js';
 import type { Random } from '../random.js';
-import type { Hello } from './link-codec.js';
+import type { Frame, Hello } from './link-codec.js';
 import { decodeFrame, encodeHello, encodeMessage } from './link-codec.js';
 
 /** Bytes that went over links on one channel. */
@@ -39,7 +39,10 @@
   dialling: WebSocket | undefined;
   /** Messages that wait for the connection. */
   waiting: { channel: Channel; bytes: Buffer }[];
-  keep: boolean;
+  /** How many users have asked to keep the link open. */
+  keeps: number;
+  /** When the last message went over the link, in either direction. */
+  usedAt: Instant;
   attempts: number;
   cancelRetry: CancelTimer | undefined;
 }
@@ -48,7 +51,8 @@
  * Owns the listening socket and every link of a process.
  *
  * A link is dialled when the first message needs it. Links that are kept are dialled again after they
- * break, with full jitter and a capped delay; the others are dialled again by the next message.
+ * break, with full jitter and a capped delay; the others are dialled again by the next message, and
+ * closed when they have been idle for a while. A peer that sends malformed frames is cut off.
  * Delivery is not guaranteed: a message is dropped when its link breaks, and the pipes repair that.
  */
 export class LinkTask extends Task<LinkCommand> {
@@ -57,6 +61,7 @@
   readonly #bytes = new Map<Channel, ChannelBytes>();
   #server: WebSocketServer | undefined;
   #closed = false;
+  #cancelSweep: CancelTimer | undefined;
 
   constructor(options: LinkOptions) {
     super('links', options.reportFailure);
@@ -90,10 +95,12 @@
       server.once('listening', resolve);
       server.once('error', reject);
     });
+    this.#sweepLater();
   }
 
   protected override async close(): Promise<void> {
     this.#closed = true;
+    this.#cancelSweep?.();
     for (const route of this.#routes.values()) {
       route.cancelRetry?.();
       route.socket?.terminate();
@@ -128,6 +135,7 @@
   #send(to: Address, channel: Channel, body: unknown): void {
     const bytes = encodeMessage(channel, body);
     const route = this.#findRoute(to);
+    route.usedAt = this.#options.clock.read();
     if (route.socket !== undefined) {
       this.#write(route.socket, channel, bytes);
       return;
@@ -139,11 +147,12 @@
   #write(socket: WebSocket, channel: Channel, bytes: Buffer): void {
     this.#countBytes(channel).sent += bytes.length;
     socket.send(bytes);
+    if (socket.bufferedAmount > MAX_BUFFERED_BYTES) socket.terminate();
   }
 
   #keep(to: Address): void {
     const route = this.#findRoute(to);
-    route.keep = true;
+    route.keeps += 1;
     if (route.socket === undefined && route.dialling === undefined && !route.cancelRetry) {
       this.#dial(to, route);
     }
@@ -151,7 +160,8 @@
 
   #drop(to: Address): void {
     const route = this.#findRoute(to);
-    route.keep = false;
+    route.keeps = Math.max(0, route.keeps - 1);
+    if (route.keeps > 0) return;
     route.cancelRetry?.();
     route.cancelRetry = undefined;
     route.socket?.close();
@@ -181,7 +191,11 @@
   #listen(socket: WebSocket, dialled: Address | undefined): void {
     let peer: Hello | undefined;
     socket.on('message', (data: Buffer) => {
-      const frame = decodeFrame(data);
+      const frame = readFrame(data);
+      if (frame === undefined) {
+        socket.terminate();
+        return;
+      }
       if (frame.kind === 'hello') {
         peer = frame.hello;
         this.#adopt(dialled ?? peer.control, peer.host, socket);
@@ -191,6 +205,7 @@
       this.#countBytes(frame.channel).received += data.length;
       const { channel, body } = frame;
       const address = dialled ?? peer.control;
+      this.#findRoute(address).usedAt = this.#options.clock.read();
       this.#options.notify({ kind: 'received', from: peer.host, address, channel, body });
     });
     socket.on('error', () => {
@@ -222,7 +237,7 @@
     if (this.#closed) return;
     route.waiting = [];
     this.#options.notify({ kind: 'link-down', host, address });
-    if (route.keep) this.#retryLater(address, route);
+    if (route.keeps > 0) this.#retryLater(address, route);
     else if (route.dialling === undefined && route.socket === undefined)
       this.#routes.delete(address);
   }
@@ -238,6 +253,22 @@
     });
   }
 
+  /** Closes links that nobody keeps and nothing has used for a while. */
+  #sweep(): void {
+    const oldest = addMs(this.#options.clock.read(), -MAX_IDLE_MS);
+    for (const route of this.#routes.values()) {
+      if (route.keeps === 0 && route.usedAt < oldest) route.socket?.close();
+    }
+    this.#sweepLater();
+  }
+
+  #sweepLater(): void {
+    const { clock } = this.#options;
+    this.#cancelSweep = clock.callAt(addMs(clock.read(), SWEEP_INTERVAL_MS), () => {
+      this.#sweep();
+    });
+  }
+
   #findRoute(address: Address): Route {
     const known = this.#routes.get(address);
     if (known !== undefined) return known;
@@ -245,7 +276,8 @@
       socket: undefined,
       dialling: undefined,
       waiting: [],
-      keep: false,
+      keeps: 0,
+      usedAt: this.#options.clock.read(),
       attempts: 0,
       cancelRetry: undefined,
     };
@@ -273,3 +305,15 @@
 const MAX_RETRY_DELAY_MS = 5_000;
 const MAX_WAITING_MESSAGES = 1_000;
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
+const MAX_IDLE_MS = 60_000;
+const SWEEP_INTERVAL_MS = 30_000;
+
+/** Reads a frame; undefined when the bytes are not one. */
+function readFrame(data: Buffer): Frame | undefined {
+  try {
+    return decodeFrame(data);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/spread/child-reports.ts
+++ b/src/spread/child-reports.ts
@@ -34,11 +34,11 @@
     }
   }
 
-  /** Tells whether every host below the proxy has reached a version. */
-  hasReached(children: readonly OverlayMember[], version: Version): boolean {
-    return children.every((child) => {
+  /** Lists the children that have not reported a version for themselves and everybody below. */
+  listBehind(children: readonly OverlayMember[], version: Version): OverlayMember[] {
+    return children.filter((child) => {
       const report = this.#reports.get(child.host)?.report;
-      return report !== undefined && (findLowest(report) ?? NO_VERSION) >= version;
+      return report === undefined || (findLowest(report) ?? NO_VERSION) < version;
     });
   }
 
--- a/src/spread/control-bytes-policy.ts
+++ b/src/spread/control-bytes-policy.ts
@@ -21,6 +21,10 @@
     return addMs(now, REPORT_DELAY_MS);
   }
 
+  override decideRemind(now: Instant, count: number): Instant {
+    return addMs(now, Math.min(MAX_REMIND_DELAY_MS, REMIND_DELAY_MS * 2 ** count));
+  }
+
   override decideCompare(now: Instant): Instant {
     return addMs(now, COMPARE_INTERVAL_MS);
   }
@@ -35,5 +39,7 @@
 const BATCH_DELAY_MS = 400;
 const ADVERTISE_DELAY_MS = 500;
 const REPORT_DELAY_MS = 1_000;
+const REMIND_DELAY_MS = 1_000;
+const MAX_REMIND_DELAY_MS = 4_000;
 const COMPARE_INTERVAL_MS = 5_000;
-const REFRESH_INTERVAL_MS = 20_000;
+const REFRESH_INTERVAL_MS = 30_000;
--- a/src/spread/convergence-policy.ts
+++ b/src/spread/convergence-policy.ts
@@ -21,6 +21,10 @@
     return addMs(now, REPORT_DELAY_MS);
   }
 
+  override decideRemind(now: Instant, count: number): Instant {
+    return addMs(now, Math.min(MAX_REMIND_DELAY_MS, REMIND_DELAY_MS * 2 ** count));
+  }
+
   override decideCompare(now: Instant): Instant {
     return addMs(now, COMPARE_INTERVAL_MS);
   }
@@ -34,5 +38,7 @@
 
 const ADVERTISE_DELAY_MS = 50;
 const REPORT_DELAY_MS = 200;
+const REMIND_DELAY_MS = 250;
+const MAX_REMIND_DELAY_MS = 4_000;
 const COMPARE_INTERVAL_MS = 1_000;
-const REFRESH_INTERVAL_MS = 5_000;
+const REFRESH_INTERVAL_MS = 30_000;
--- a/src/spread/fleet-coverage.ts
+++ b/src/spread/fleet-coverage.ts
@@ -13,6 +13,7 @@
   addHost,
   addSums,
   countHosts,
+  findLowest,
   formMergedReport,
   NO_HOSTS,
   removeHost,
@@ -68,6 +69,12 @@
     this.#reports.set(host, report);
   }
 
+  /** Finds the lowest version that a root has reported for itself and everybody below. */
+  findReported(host: HostId): Version {
+    const report = this.#reports.get(host);
+    return (report && findLowest(report)) ?? NO_VERSION;
+  }
+
   /**
    * Forms the report for the operators.
    *
--- a/src/spread/proxy-reporter.ts
+++ b/src/spread/proxy-reporter.ts
@@ -1,7 +1,7 @@
 /** Reports up the tree which versions a proxy and the proxies below it hold. */
 import { NEVER } from '../clock.js';
 import type { Address, HostId, Instant } from '../ids.js';
-import type { HeldReport } from '../messages/index.js';
+import type { HeldReport, VersionMark } from '../messages/index.js';
 import { findNeighbours } from './proxy-neighbours.js';
 import type { ProxySpreadOptions, ProxySpreadOut, ProxySpreadState } from './proxy-spread-state.js';
 
@@ -23,28 +23,62 @@
 
   /** A version was applied. */
   handleApplied(state: ProxySpreadState, now: Instant): void {
+    state.reminders = 0;
+    state.deadlines.remind = this.#options.policy.decideRemind(now, 0);
     this.#schedule(state, now);
   }
 
-  /** Sends the report that is due, if any. */
+  /** The neighbours may have changed: a new parent needs a report, and new children a reminder. */
+  handleNeighbours(state: ProxySpreadState, now: Instant): void {
+    const { deadlines } = state;
+    const { policy } = this.#options;
+    state.neighbours = undefined;
+    state.reminders = 0;
+    deadlines.report = Math.min(deadlines.report, policy.decideReport(now)) as Instant;
+    deadlines.remind = Math.min(deadlines.remind, policy.decideRemind(now, 0)) as Instant;
+  }
+
+  /** The parent or a source does not know what this proxy holds: reports even if nothing changed. */
+  handleReminder(state: ProxySpreadState, now: Instant): void {
+    state.reported = '';
+    state.deadlines.report = now;
+  }
+
+  /** Sends what is due: the report, and reminders to children. */
   decide(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
+    return [...this.#report(state, now), ...this.#remind(state, now)];
+  }
+
+  // Internals.
+
+  #remind(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
+    if (state.deadlines.remind > now) return [];
+    const { children } = findNeighbours(state, this.#options);
+    const held = state.store.mark;
+    const behind = state.reports.listBehind(children, held.version);
+    state.reminders += 1;
+    state.deadlines.remind =
+      behind.length === 0 ? NEVER : this.#options.policy.decideRemind(now, state.reminders);
+    return behind.map(({ control }) => formAdvertisement(control, held));
+  }
+
+  #report(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
     const { deadlines } = state;
     const needsRefresh = deadlines.refresh <= now;
     if (!needsRefresh && deadlines.report > now) return [];
     deadlines.report = NEVER;
     if (needsRefresh) deadlines.refresh = this.#options.policy.decideRefresh(now);
     const report = this.#formReport(state, now);
-    const text = JSON.stringify(report);
+    const outputs = this.#formAcks(state, report);
+    const text = JSON.stringify(outputs);
     if (!needsRefresh && text === state.reported) return [];
     state.reported = text;
-    return this.#send(state, report);
+    return outputs;
   }
 
-  // Internals.
-
   #schedule(state: ProxySpreadState, now: Instant): void {
     const { children } = findNeighbours(state, this.#options);
-    const isComplete = state.reports.hasReached(children, state.store.mark.version);
+    const isComplete = state.reports.listBehind(children, state.store.mark.version).length === 0;
     const at = isComplete ? now : this.#options.policy.decideReport(now);
     state.deadlines.report = Math.min(state.deadlines.report, at) as Instant;
   }
@@ -57,7 +91,7 @@
     return state.reports.formReport({ host, held, appliedAt, children, linked }, now);
   }
 
-  #send(state: ProxySpreadState, report: HeldReport): ProxySpreadOut[] {
+  #formAcks(state: ProxySpreadState, report: HeldReport): ProxySpreadOut[] {
     const { isFirst, parent } = findNeighbours(state, this.#options);
     if (isFirst) return this.#options.sources.map((to) => formSourceAck(to, report));
     if (parent === undefined) return [];
@@ -67,6 +101,10 @@
 
 // Internals.
 
+function formAdvertisement(to: Address, held: VersionMark): ProxySpreadOut {
+  return { kind: 'send', to, body: { kind: 'advertise', held } };
+}
+
 function formSourceAck(to: Address, report: HeldReport): ProxySpreadOut {
   return { kind: 'send-source', to, body: { kind: 'ack', report } };
 }
--- a/src/spread/proxy-spread-filter.ts
+++ b/src/spread/proxy-spread-filter.ts
@@ -1,6 +1,6 @@
 /** The proxy's side of distribution: takes versions whole and only upward, and passes them on. */
 import { addMs, NEVER } from '../clock.js';
-import type { Address, Instant } from '../ids.js';
+import type { Address, HostId, Instant } from '../ids.js';
 import type { DeltaSpan, SnapshotChunk, SpreadMessage, VersionMark } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
@@ -65,10 +65,10 @@
         return [...state.served.handleSaved(message.version)];
       case 'member-up':
         if (message.member.liveness === 'dead')
-          return this.#forgetMember(state, message.member.host);
-        return this.#updateMember(state, message.member);
+          return this.#forgetMember(state, message.member.host, now);
+        return this.#updateMember(state, message.member, now);
       case 'member-gone':
-        return this.#forgetMember(state, message.host);
+        return this.#forgetMember(state, message.host, now);
       case 'tick':
         state.deadlines.wake = NEVER;
         return this.#handleTick(state, now);
@@ -110,7 +110,7 @@
     state.deadlines.settle = addMs(now, SETTLE_MS);
     state.deadlines.compare = addMs(now, random.next() * (policy.decideCompare(now) - now));
     state.deadlines.refresh = addMs(now, random.next() * (policy.decideRefresh(now) - now));
-    return this.#updateMember(state, this.#options);
+    return this.#updateMember(state, this.#options, now);
   }
 
   /** Begins to ask for versions, now that the membership has had time to arrive. */
@@ -125,25 +125,22 @@
 
   #handleLinkUp(state: ProxySpreadState, address: Address, now: Instant): ProxySpreadOut[] {
     state.linked.add(address);
-    const { isFirst, parent } = findNeighbours(state, this.#options);
-    const isUpward = isFirst ? this.#isSource(address) : parent?.control === address;
-    if (!isUpward) return [];
-    state.reported = '';
-    state.deadlines.report = now;
+    if (!this.#isUpward(state, address)) return [];
+    this.#reporter.handleReminder(state, now);
     if (this.#isSource(address)) state.catchUp.requestAttempt(now);
     return [];
   }
 
-  #updateMember(state: ProxySpreadState, member: OverlayMember): ProxySpreadOut[] {
+  #updateMember(state: ProxySpreadState, member: OverlayMember, now: Instant): ProxySpreadOut[] {
     if (this.#isSource(member.control)) return this.#updateSources(state);
     if (!state.overlay.updateMember(member)) return [];
-    state.neighbours = undefined;
+    this.#reporter.handleNeighbours(state, now);
     return this.#updateSources(state);
   }
 
-  #forgetMember(state: ProxySpreadState, host: ProxySpreadOptions['host']): ProxySpreadOut[] {
+  #forgetMember(state: ProxySpreadState, host: HostId, now: Instant): ProxySpreadOut[] {
     if (host === this.#options.host || !state.overlay.forgetMember(host)) return [];
-    state.neighbours = undefined;
+    this.#reporter.handleNeighbours(state, now);
     return this.#updateSources(state);
   }
 
@@ -177,7 +174,8 @@
     } else if (applied.length === 0) {
       state.catchUp.closeEmpty(address, now);
     }
-    if (fault === undefined) outputs.push(...this.#checkClaim(state, address, newest, now));
+    const isSound = fault === undefined && conflict === undefined;
+    if (isSound) outputs.push(...this.#checkClaim(state, address, newest, now));
     return outputs;
   }
 
@@ -221,7 +219,11 @@
     now: Instant,
   ): ProxySpreadOut[] {
     if (held.version < state.store.mark.version && !state.store.hasConflict(held)) {
-      return [this.#formAdvertisement(state, address)];
+      return this.#isSource(address) ? [] : [this.#formAdvertisement(state, address)];
+    }
+    const isUpward = this.#isUpward(state, address);
+    if (held.version === state.store.mark.version && isUpward) {
+      this.#reporter.handleReminder(state, now);
     }
     return this.#checkClaim(state, address, held, now);
   }
@@ -277,7 +279,9 @@
     );
     deadlines.advertise = Math.min(deadlines.advertise, policy.decideAdvertise(now)) as Instant;
     this.#reporter.handleApplied(state, now);
-    if (overlay.setEpoch(findEpoch(store.mark.version))) state.neighbours = undefined;
+    if (overlay.setEpoch(findEpoch(store.mark.version))) {
+      this.#reporter.handleNeighbours(state, now);
+    }
     return [
       { kind: 'held', mark: store.mark },
       ...this.#serve(state),
@@ -365,6 +369,12 @@
     return { kind: 'send-source', to, body: { kind: 'pull', held, dataCentre } };
   }
 
+  /** Tells whether reports go to this address. */
+  #isUpward(state: ProxySpreadState, address: Address): boolean {
+    const { isFirst, parent } = findNeighbours(state, this.#options);
+    return isFirst ? this.#isSource(address) : parent?.control === address;
+  }
+
   #isSource(address: Address): boolean {
     return this.#options.sources.includes(address);
   }
@@ -378,9 +388,17 @@
 
 /** Asks to be woken when the earliest deadline has moved forward. */
 function updateWake({ deadlines, catchUp, vouches, poll }: ProxySpreadState): ProxySpreadOut[] {
-  const { settle, advertise, compare, report, refresh } = deadlines;
+  const { settle, advertise, compare, report, refresh, remind } = deadlines;
   const parts = [catchUp.deadline, vouches.deadline, poll.deadline];
-  const earliest = Math.min(settle, advertise, compare, report, refresh, ...parts) as Instant;
+  const earliest = Math.min(
+    settle,
+    advertise,
+    compare,
+    report,
+    refresh,
+    remind,
+    ...parts,
+  ) as Instant;
   if (earliest >= deadlines.wake) return [];
   deadlines.wake = earliest;
   return [{ kind: 'wake', at: earliest }];
--- a/src/spread/proxy-spread-state.ts
+++ b/src/spread/proxy-spread-state.ts
@@ -81,6 +81,8 @@
   compare: Instant;
   report: Instant;
   refresh: Instant;
+  /** When the children that have not reported the present version are told of it again. */
+  remind: Instant;
   /** The instant that the task was last asked to wake the filter at. */
   wake: Instant;
 }
@@ -105,6 +107,8 @@
   isSettled: boolean;
   /** Whether the links to the sources are kept. */
   keepsSources: boolean;
+  /** Counts the reminders since the last version was applied. */
+  reminders: number;
   /** Counts comparisons, so that each goes to another peer. */
   comparisons: number;
   /** Counts what was left out, by the kind of its fault. */
@@ -132,6 +136,7 @@
     neighbours: undefined,
     isSettled: false,
     keepsSources: false,
+    reminders: 0,
     comparisons: 0,
     rejections: new Map(),
     reported: '',
@@ -146,6 +151,7 @@
   compare: NEVER,
   report: NEVER,
   refresh: NEVER,
+  remind: NEVER,
   wake: NEVER,
 };
 
--- a/src/spread/proxy-voucher.ts
+++ b/src/spread/proxy-voucher.ts
@@ -32,7 +32,7 @@
         state.vouches.addAsk({ from: address, id: message.id, hops: message.hops }, now);
         return [];
       case 'vouch':
-        return this.#passVouch(state, message.id, message.mark, now);
+        return passVouch(state, message.id, message.mark);
       case 'ask-served':
         return answerServed(state, address, message.id);
       case 'served':
@@ -52,21 +52,6 @@
 
   // Internals.
 
-  #passVouch(
-    state: ProxySpreadState,
-    id: RequestId,
-    mark: VersionMark,
-    now: Instant,
-  ): ProxySpreadOut[] {
-    return state.vouches.closeAnswered(id, now).flatMap((ask): ProxySpreadOut[] => {
-      if (ask.from !== 'self') {
-        return [{ kind: 'send', to: ask.from, body: { kind: 'vouch', id: ask.id, mark } }];
-      }
-      state.served.addVouch(mark, 'source');
-      return [];
-    });
-  }
-
   #formAsks(state: ProxySpreadState, { id, hops }: VouchRequest): ProxySpreadOut[] {
     const { isFirst, parent, offTree } = findNeighbours(state, this.#options);
     const { sources, random } = this.#options;
@@ -81,17 +66,25 @@
 
   /** Peers are polled only after the source has not answered several times. */
   #startPoll(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
-    const { host, dataCentre, random } = this.#options;
+    const { host, random } = this.#options;
     const { served, vouches, poll } = state;
     if (!served.needsVouch || poll.isOpen || vouches.failures < FAILURES_BEFORE_POLL) return [];
-    const sample = state.overlay.listSample(dataCentre, host, POLLED_PEERS);
-    const asked = sample.map((member) => member.control);
+    const asked = this.#listPolled(state);
     if (asked.length === 0) return [];
     const id = `${host}-${random.nextInt(MAX_NONCE)}` as RequestId;
     poll.open(id, asked, now);
     return asked.map((to) => ({ kind: 'send', to, body: { kind: 'ask-served', id } }));
   }
 
+  /** Polls take turns between the own data centre and the roots of the others. */
+  #listPolled(state: ProxySpreadState): Address[] {
+    const { host, dataCentre } = this.#options;
+    const local = state.overlay.listSample(dataCentre, host, POLLED_PEERS);
+    const remote = state.overlay.listAllFirst().filter((one) => one.dataCentre !== dataCentre);
+    const isLocalTurn = state.poll.count % 2 === 0 || remote.length === 0;
+    return (isLocalTurn ? local : remote).map((member) => member.control);
+  }
+
   #closePoll(state: ProxySpreadState, now: Instant): void {
     const result = state.poll.findResult(now);
     if (result?.kind === 'agreed') state.served.addVouch(result.mark, 'peers');
@@ -104,6 +97,17 @@
 const POLLED_PEERS = 7;
 const MAX_NONCE = 2 ** 32;
 
+/** Hands an answer to everybody who waited for it. */
+function passVouch(state: ProxySpreadState, id: RequestId, mark: VersionMark): ProxySpreadOut[] {
+  return state.vouches.closeAnswered(id).flatMap((ask): ProxySpreadOut[] => {
+    if (ask.from !== 'self') {
+      return [{ kind: 'send', to: ask.from, body: { kind: 'vouch', id: ask.id, mark } }];
+    }
+    state.served.addVouch(mark, 'source');
+    return [];
+  });
+}
+
 /** Only a proxy that serves answers: one that has just started proves nothing. */
 function answerServed(state: ProxySpreadState, to: Address, id: RequestId): ProxySpreadOut[] {
   const whole = state.served.whole;
--- a/src/spread/served-poll.ts
+++ b/src/spread/served-poll.ts
@@ -10,12 +10,13 @@
   /** Too few answered, or two of them serve the same version with different digests. */
   | { readonly kind: 'failed' };
 
-/** One poll at a time over a sample of the own data centre. */
+/** One poll at a time over a sample of the fleet. */
 export class ServedPoll {
   readonly #answers = new Map<Address, VersionMark>();
   #id: RequestId | undefined;
   #asked: readonly Address[] = [];
   #deadline: Instant = NEVER;
+  #count = 0;
 
   /** When the poll ends. */
   get deadline(): Instant {
@@ -27,9 +28,15 @@
     return this.#id !== undefined;
   }
 
+  /** The number of polls so far. */
+  get count(): number {
+    return this.#count;
+  }
+
   /** Starts a poll. */
   open(id: RequestId, asked: readonly Address[], now: Instant): void {
     this.#id = id;
+    this.#count += 1;
     this.#asked = asked;
     this.#answers.clear();
     this.#deadline = addMs(now, POLL_TIMEOUT_MS);
--- a/src/spread/source-spread-filter.ts
+++ b/src/spread/source-spread-filter.ts
@@ -66,7 +66,7 @@
   | { readonly kind: 'rejected'; readonly address: Address; readonly fault: SourceSpreadFault }
   | Wake;
 
-/** A proxy that has pulled from this source by its own decision. */
+/** A proxy that has pulled from this source, but is no member yet. */
 interface DirectProxy extends OverlayMember {
   readonly heardAt: Instant;
 }
@@ -82,6 +82,10 @@
   /** Versions that wait to be pushed. */
   waiting: DeltaSpan[];
   pushAt: Instant;
+  /** When the roots that have not reported the newest version are told of it again. */
+  remindAt: Instant;
+  /** Counts the reminders since the last version was pushed. */
+  reminders: number;
   wakeAt: Instant;
   /** A replica that follows lets the leader push, and answers pulls. */
   isFollower: boolean;
@@ -106,6 +110,8 @@
       direct: new Map(),
       waiting: [],
       pushAt: NEVER,
+      remindAt: NEVER,
+      reminders: 0,
       wakeAt: NEVER,
       isFollower: false,
     };
@@ -142,7 +148,7 @@
         return this.#forgetMember(state, message.host, now);
       case 'tick':
         state.wakeAt = NEVER;
-        return this.#push(state, now);
+        return [...this.#push(state, now), ...this.#remind(state, now)];
     }
   }
 
@@ -169,8 +175,27 @@
     state.pushAt = NEVER;
     const waiting = state.waiting;
     state.waiting = [];
+    state.reminders = 0;
+    state.remindAt = this.#options.policy.decideRemind(now, 0);
     const body = this.#formNews(state, waiting);
-    return this.#listTargets(state, now).map((to) => ({ kind: 'send', to, body }));
+    return this.#listTargets(state).map(({ control }) => ({ kind: 'send', to: control, body }));
+  }
+
+  /** Tells the roots that have not reported the newest version of it again. */
+  #remind(state: SourceSpreadState, now: Instant): SourceSpreadOut[] {
+    if (state.remindAt > now) return [];
+    this.#expireDirect(state, now);
+    state.reminders += 1;
+    state.remindAt = this.#options.policy.decideRemind(now, state.reminders);
+    const held = state.store.mark;
+    const behind = this.#listTargets(state).filter(
+      ({ host }) => state.coverage.findReported(host) < held.version,
+    );
+    return behind.map(({ control }) => ({
+      kind: 'send',
+      to: control,
+      body: { kind: 'advertise', held },
+    }));
   }
 
   #formNews(state: SourceSpreadState, waiting: readonly DeltaSpan[]): SpreadMessage {
@@ -180,13 +205,19 @@
     return { kind: 'push', spans: joins ? [formJoinedSpan(waiting)] : waiting, newest };
   }
 
-  /** The roots of every data centre, and a bounded number of others that take themselves for roots. */
-  #listTargets(state: SourceSpreadState, now: Instant): Address[] {
-    const oldest = addMs(now, -DIRECT_RETENTION_MS);
-    const others = [...state.direct.values()].filter(({ heardAt }) => heardAt >= oldest);
-    const roots = state.overlay.listAllFirst().map((member) => member.control);
-    const targets = [...roots, ...others.slice(0, MAX_DIRECT).map(({ control }) => control)];
-    return [...new Set(targets)];
+  /** The roots of every data centre, and a bounded number of proxies that are no members yet. */
+  #listTargets(state: SourceSpreadState): OverlayMember[] {
+    const others = [...state.direct.values()].slice(0, MAX_DIRECT);
+    const targets = [...others, ...state.overlay.listAllFirst()];
+    return [...new Map(targets.map((target) => [target.host, target])).values()];
+  }
+
+  #expireDirect(state: SourceSpreadState, now: Instant): void {
+    for (const { host, heardAt } of state.direct.values()) {
+      if (now < addMs(heardAt, DIRECT_RETENTION_MS)) continue;
+      state.direct.delete(host);
+      state.coverage.forgetDirect(host);
+    }
   }
 
   #handleBody(
@@ -241,6 +272,8 @@
     if (!isAlive) return this.#forgetMember(state, member.host, now);
     if (this.#options.sources.includes(member.control)) return [];
     state.coverage.addMember(member.host);
+    state.coverage.forgetDirect(member.host);
+    state.direct.delete(member.host);
     if (!state.overlay.updateMember(member)) return [];
     return [this.#formCoverage(state, now)];
   }
@@ -252,7 +285,9 @@
     return [this.#formCoverage(state, now)];
   }
 
+  /** A member has its place in the forest; only proxies that are not members yet are kept apart. */
   #addDirect(state: SourceSpreadState, member: OverlayMember, heardAt: Instant): void {
+    if (state.overlay.findMember(member.host) !== undefined) return;
     state.direct.set(member.host, { ...member, heardAt });
     state.coverage.addDirect(member.host);
   }
@@ -282,11 +317,12 @@
 // Internals.
 
 const SOURCE_RATE = { bytesPerSecond: 1024 * 1024, burstBytes: 2 * 1024 * 1024 };
-const DIRECT_RETENTION_MS = 60_000;
+const DIRECT_RETENTION_MS = 180_000;
 const MAX_DIRECT = 64;
 
 function updateWake(state: SourceSpreadState): SourceSpreadOut[] {
-  if (state.pushAt >= state.wakeAt) return [];
-  state.wakeAt = state.pushAt;
-  return [{ kind: 'wake', at: state.pushAt }];
+  const earliest = Math.min(state.pushAt, state.remindAt) as Instant;
+  if (earliest >= state.wakeAt) return [];
+  state.wakeAt = earliest;
+  return [{ kind: 'wake', at: earliest }];
 }
--- a/src/spread/spread-policy.ts
+++ b/src/spread/spread-policy.ts
@@ -29,6 +29,9 @@
   /** Decides when a proxy that applied a version at `now` reports without its missing children. */
   abstract decideReport(now: Instant): Instant;
 
+  /** Decides when those who have not reported a version are told of it for the `count`-th time. */
+  abstract decideRemind(now: Instant, count: number): Instant;
+
   /** Decides when a proxy next compares versions with a peer, whether or not any was applied. */
   abstract decideCompare(now: Instant): Instant;
 
--- a/src/spread/vouch-relay.ts
+++ b/src/spread/vouch-relay.ts
@@ -19,20 +19,23 @@
 
 /** A request that is under way, and those who wait for its answer. */
 interface OpenRequest {
-  readonly id: RequestId;
   readonly asks: readonly VouchAsk[];
   readonly deadline: Instant;
 }
 
 /**
- * Sends one request at a time upward. An answer serves only those who asked before the request was
- * sent, because a vouch proves something only about versions from before its confirmation.
+ * Gathers those who ask at about the same time into one request upward.
+ *
+ * An answer serves only those who asked before the request was sent, because a vouch proves something
+ * only about versions from before its confirmation.
  */
 export class VouchRelay {
   readonly #random: Random;
   readonly #waiting = new Map<Address | 'self', VouchAsk>();
-  #open: OpenRequest | undefined;
+  readonly #open = new Map<RequestId, OpenRequest>();
   #dueAt: Instant = NEVER;
+  /** Requests are spaced, so that the source hears a bounded number however many ask. */
+  #notBefore = 0 as Instant;
   #failures = 0;
 
   constructor(random: Random) {
@@ -41,7 +44,8 @@
 
   /** The next instant at which {@link VouchRelay.pickRequest} has something to decide. */
   get deadline(): Instant {
-    return this.#open?.deadline ?? this.#dueAt;
+    const [oldest] = this.#open.values();
+    return earliestOf(this.#dueAt, oldest?.deadline ?? NEVER);
   }
 
   /** How many of this proxy's own requests have failed in a row. */
@@ -54,7 +58,8 @@
     if (ask.hops >= MAX_HOPS) return;
     if (this.#waiting.size >= MAX_WAITING && !this.#waiting.has(ask.from)) return;
     this.#waiting.set(ask.from, ask);
-    this.#dueAt = Math.min(this.#dueAt, addMs(now, GATHER_MS)) as Instant;
+    const at = Math.max(addMs(now, GATHER_MS), this.#notBefore) as Instant;
+    this.#dueAt = earliestOf(this.#dueAt, at);
   }
 
   /** Asks on behalf of this proxy itself. */
@@ -64,24 +69,22 @@
 
   /** Picks the request to send upward now, if any. */
   pickRequest(now: Instant): VouchRequest | undefined {
-    if (this.#open !== undefined && this.#open.deadline <= now) this.#failOpen(now);
-    if (this.#open !== undefined || this.#dueAt > now) return undefined;
+    this.#failOverdue(now);
+    if (this.#dueAt > now) return undefined;
     this.#dueAt = NEVER;
     if (this.#waiting.size === 0) return undefined;
     const asks = [...this.#waiting.values()];
     this.#waiting.clear();
     const id = this.#makeId();
-    this.#open = { id, asks, deadline: addMs(now, REQUEST_TIMEOUT_MS) };
+    this.#open.set(id, { asks, deadline: addMs(now, REQUEST_TIMEOUT_MS) });
+    this.#notBefore = addMs(now, SPACING_MS);
     return { id, hops: 1 + Math.max(...asks.map((ask) => ask.hops)) };
   }
 
   /** Closes the request that an answer belongs to and lists those who waited for it. */
-  closeAnswered(id: RequestId, now: Instant): readonly VouchAsk[] {
-    if (this.#open?.id !== id) return [];
-    const { asks } = this.#open;
-    this.#open = undefined;
-    this.#failures = 0;
-    if (this.#waiting.size > 0) this.#dueAt = Math.min(this.#dueAt, now) as Instant;
+  closeAnswered(id: RequestId): readonly VouchAsk[] {
+    const asks = this.#open.get(id)?.asks ?? [];
+    this.#open.delete(id);
     return asks;
   }
 
@@ -93,24 +96,28 @@
   }
 
   /** Peers whose request has failed ask again themselves; this proxy's own request is renewed. */
-  #failOpen(now: Instant): void {
-    const hadOwn = this.#open?.asks.some((ask) => ask.from === 'self') ?? false;
-    this.#open = undefined;
-    if (hadOwn) {
+  #failOverdue(now: Instant): void {
+    for (const [id, { asks, deadline }] of this.#open) {
+      if (deadline > now) return;
+      this.#open.delete(id);
+      if (!asks.some((ask) => ask.from === 'self')) continue;
       this.#failures += 1;
-      this.#waiting.set('self', { from: 'self', id: this.#makeId(), hops: 0 });
+      this.addOwnAsk(addMs(now, this.#random.next() * MAX_RETRY_DELAY_MS));
     }
-    const delay = this.#random.next() * MAX_RETRY_DELAY_MS;
-    if (this.#waiting.size > 0) this.#dueAt = addMs(now, delay);
   }
 }
 
 // Internals.
 
 const GATHER_MS = 20;
+const SPACING_MS = 100;
 const REQUEST_TIMEOUT_MS = 1_000;
 const MAX_RETRY_DELAY_MS = 500;
 const MAX_HOPS = 16;
 const MAX_WAITING = 64;
 const MAX_NONCE = 2 ** 32;
 const NONCE_RADIX = 36;
+
+function earliestOf(left: Instant, right: Instant): Instant {
+  return Math.min(left, right) as Instant;
+}
--- /dev/null
+++ b/test/link-task.test.ts
@@ -0,0 +1,81 @@
+/** Links over loopback: malformed frames, kept links and idle links. */
+import test from 'ava';
+import { WebSocket } from 'ws';
+import { findFreeAddress, waitFor } from '../bench/mesh.js';
+import { LinkTask } from '../src/edge/index.js';
+import { encodeHello, encodeMessage } from '../src/edge/link-codec.js';
+import type { HostId } from '../src/ids.js';
+import { parseAddress } from '../src/ids.js';
+import type { LinkEvent } from '../src/messages/index.js';
+import { SeededRandom } from '../src/random.js';
+import { ManualClock } from './manual-clock.js';
+
+async function startLink(name: string, clock = new ManualClock()) {
+  const events: LinkEvent[] = [];
+  const failures: unknown[] = [];
+  const control = parseAddress(await findFreeAddress());
+  const task = new LinkTask({
+    host: name as HostId,
+    bind: control,
+    control,
+    clock,
+    random: new SeededRandom(1),
+    reportFailure: (_task, error) => failures.push(error),
+    notify: (event) => events.push(event),
+  });
+  await task.start();
+  return { task, control, events, failures, clock };
+}
+
+test('malformed frames', async (t) => {
+  const link = await startLink('one');
+  t.teardown(() => link.task.stop());
+  const control = parseAddress('127.0.0.1:9');
+  const hello = encodeHello({ host: 'two' as HostId, control });
+  const frames = [
+    [Buffer.from([0xc1])],
+    [Buffer.from('not a frame')],
+    [encodeHello({ host: 7, control: {} } as never)],
+    [hello, Buffer.from([0xc1])],
+    [hello, encodeMessage(12 as never, {})],
+  ];
+  for (const sent of frames) {
+    const socket = new WebSocket(`ws://${link.control}`);
+    const closed = new Promise((resolve) => socket.once('close', resolve));
+    socket.once('open', () => {
+      for (const frame of sent) socket.send(frame);
+    });
+    await closed;
+  }
+  t.deepEqual(link.failures, []);
+  t.deepEqual(
+    link.events.filter((event) => event.kind === 'received'),
+    [],
+  );
+});
+
+test('kept by two', async (t) => {
+  const [one, two] = [await startLink('one'), await startLink('two')];
+  t.teardown(() => Promise.all([one.task.stop(), two.task.stop()]));
+  const isUp = () => one.events.some((event) => event.kind === 'link-up') || undefined;
+  one.task.post({ kind: 'keep', to: two.control });
+  one.task.post({ kind: 'keep', to: two.control });
+  await waitFor('the link', isUp);
+  one.task.post({ kind: 'drop', to: two.control });
+  one.task.post({ kind: 'send', to: two.control, channel: 'spread', body: 1 });
+  await waitFor('the message', () => two.events.find((event) => event.kind === 'received'));
+  t.false(one.events.some((event) => event.kind === 'link-down'));
+  one.task.post({ kind: 'drop', to: two.control });
+  await waitFor('the end', () => one.events.find((event) => event.kind === 'link-down'));
+  t.pass();
+});
+
+test('idle link', async (t) => {
+  const [one, two] = [await startLink('one'), await startLink('two')];
+  t.teardown(() => Promise.all([one.task.stop(), two.task.stop()]));
+  one.task.post({ kind: 'send', to: two.control, channel: 'spread', body: 1 });
+  await waitFor('the message', () => two.events.find((event) => event.kind === 'received'));
+  one.clock.advance(150_000);
+  await waitFor('the end', () => two.events.find((event) => event.kind === 'link-down'));
+  t.pass();
+});
