--- a/bench/fake-fleet.ts
+++ b/bench/fake-fleet.ts
@@ -103,8 +103,7 @@
     this.#view = plan.sharesView ? new Overlay(policy.shape) : undefined;
     for (let index = 0; index < plan.sources; index += 1) this.#addNode('source', index);
     for (let index = 0; index < plan.proxies; index += 1) this.#addNode('proxy', index);
-    const sources = this.sources.map((node) => node.address);
-    this.#sourceFilter = new SourceSpreadFilter({ policy, sources });
+    this.#sourceFilter = new SourceSpreadFilter({ policy });
     for (const node of this.proxies) this.#proxyFilters.set(node, this.#makeProxyFilter(node));
   }
 
@@ -158,8 +157,8 @@
   }
 
   /** Hands a committed version to one source. */
-  commit(source: FakeNode, { delta, whole }: MadeVersion): void {
-    this.#postSource(source, { kind: 'version', delta, whole });
+  commit(source: FakeNode, { delta }: MadeVersion): void {
+    this.#postSource(source, { kind: 'version', delta });
   }
 
   /** Runs for a while. */
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -56,8 +56,7 @@
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    const { control, spread } = settings;
-    const shared = { settings: source, dataFolder, control, spread: spread.policy };
+    const shared = { settings: source, dataFolder, spread: settings.spread.policy };
     roles.push(await runSource({ ...shared, clock, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -3,7 +3,6 @@
 import { join } from 'node:path';
 import type { Clock } from '../clock.js';
 import { LogTask, OperatorTask, readSourceSpreadMessage } from '../edge/index.js';
-import type { Address } from '../ids.js';
 import type { LinkCommand, LinkEvent, LogNotice, NoteCommand } from '../messages/index.js';
 import type { NotesIn, NotesOut, NotesState } from '../notes/index.js';
 import { NotesFilter } from '../notes/index.js';
@@ -24,8 +23,6 @@
 export interface SourceOptions {
   readonly settings: SourceSettings;
   readonly dataFolder: string;
-  /** The address at which this process listens for links of other processes. */
-  readonly control: Address;
   readonly spread: SpreadPolicyName;
   readonly log: Log;
   readonly clock: Clock;
@@ -52,10 +49,7 @@
   });
   const spread = new FilterTask<SourceSpreadState, SourceSpreadIn, SourceSpreadOut>({
     name: 'source-spread',
-    filter: new SourceSpreadFilter({
-      policy: makePolicy(options.spread),
-      sources: [options.control, ...settings.replicas],
-    }),
+    filter: new SourceSpreadFilter({ policy: makePolicy(options.spread) }),
     clock,
     reportFailure,
     send: routeSpread,
--- a/src/spread/member-order.ts
+++ b/src/spread/member-order.ts
@@ -1,5 +1,6 @@
 /** The members of one data centre in an order that every proxy computes alike. */
 import type { Address, DataCentreId, HostId } from '../ids.js';
+import type { Member } from '../messages/index.js';
 
 /** What distribution needs to know of a member. */
 export interface OverlayMember {
@@ -8,6 +9,11 @@
   readonly control: Address;
 }
 
+/** Tells whether a member carries versions: it lives, and it has the proxy role, so it takes calls. */
+export function isRelay({ liveness, calls, control }: Member): boolean {
+  return liveness !== 'dead' && calls !== control;
+}
+
 /** A member and its hash. */
 interface RankedMember {
   readonly rank: number;
--- a/src/spread/proxy-spread-filter.ts
+++ b/src/spread/proxy-spread-filter.ts
@@ -1,10 +1,17 @@
 /** The proxy's side of distribution: takes versions whole and only upward, and passes them on. */
 import { addMs, NEVER } from '../clock.js';
 import type { Address, HostId, Instant } from '../ids.js';
-import type { DeltaSpan, SnapshotChunk, SpreadMessage, VersionMark } from '../messages/index.js';
+import type {
+  DeltaSpan,
+  Member,
+  SnapshotChunk,
+  SpreadMessage,
+  VersionMark,
+} from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import { findEpoch } from './overlay.js';
+import { isRelay } from './member-order.js';
 import type { OverlayMember } from './member-order.js';
 import { ProxyReporter } from './proxy-reporter.js';
 import { ProxyVoucher } from './proxy-voucher.js';
@@ -64,9 +71,7 @@
       case 'floor-saved':
         return [...state.served.handleSaved(message.version)];
       case 'member-up':
-        if (message.member.liveness === 'dead')
-          return this.#forgetMember(state, message.member.host, now);
-        return this.#updateMember(state, message.member, now);
+        return this.#handleMember(state, message.member, now);
       case 'member-gone':
         return this.#forgetMember(state, message.host, now);
       case 'tick':
@@ -131,8 +136,12 @@
     return [];
   }
 
+  #handleMember(state: ProxySpreadState, member: Member, now: Instant): ProxySpreadOut[] {
+    if (!isRelay(member)) return this.#forgetMember(state, member.host, now);
+    return this.#updateMember(state, member, now);
+  }
+
   #updateMember(state: ProxySpreadState, member: OverlayMember, now: Instant): ProxySpreadOut[] {
-    if (this.#isSource(member.control)) return this.#updateSources(state);
     if (!state.overlay.updateMember(member)) return [];
     this.#reporter.handleNeighbours(state, now);
     return this.#updateSources(state);
--- a/src/spread/proxy-spread-state.ts
+++ b/src/spread/proxy-spread-state.ts
@@ -28,7 +28,7 @@
   readonly host: HostId;
   readonly dataCentre: DataCentreId;
   readonly control: Address;
-  /** The control addresses of the source hosts. Members at these addresses relay nothing. */
+  /** The control addresses of the source hosts. */
   readonly sources: readonly Address[];
   /** Whether this host has a disk for the version floor. */
   readonly keepsFloor: boolean;
--- a/src/spread/source-spread-filter.ts
+++ b/src/spread/source-spread-filter.ts
@@ -5,6 +5,7 @@
   CoverageReport,
   DeltaSpan,
   LogNotice,
+  Member,
   MemberEvent,
   SourceSpreadMessage,
   SpreadMessage,
@@ -18,6 +19,7 @@
 import { Admission } from './admission.js';
 import { formJoinedSpan, formSpan } from './delta-span.js';
 import { FleetCoverage } from './fleet-coverage.js';
+import { isRelay } from './member-order.js';
 import type { OverlayMember } from './member-order.js';
 import { findEpoch, Overlay } from './overlay.js';
 import type { SpreadPolicy } from './spread-policy.js';
@@ -27,8 +29,6 @@
 /** What the source's spread pipe needs to know. */
 export interface SourceSpreadOptions {
   readonly policy: SpreadPolicy;
-  /** The control addresses of all source hosts. Members at these addresses relay nothing. */
-  readonly sources: readonly Address[];
 }
 
 /** What the source's spread pipe is told. */
@@ -143,7 +143,7 @@
       case 'log':
         return this.#handleNotice(state, message.notice);
       case 'member-up':
-        return this.#updateMember(state, message.member, message.member.liveness !== 'dead', now);
+        return this.#updateMember(state, message.member, now);
       case 'member-gone':
         return this.#forgetMember(state, message.host, now);
       case 'tick':
@@ -263,14 +263,8 @@
     }
   }
 
-  #updateMember(
-    state: SourceSpreadState,
-    member: OverlayMember,
-    isAlive: boolean,
-    now: Instant,
-  ): SourceSpreadOut[] {
-    if (!isAlive) return this.#forgetMember(state, member.host, now);
-    if (this.#options.sources.includes(member.control)) return [];
+  #updateMember(state: SourceSpreadState, member: Member, now: Instant): SourceSpreadOut[] {
+    if (!isRelay(member)) return this.#forgetMember(state, member.host, now);
     state.coverage.addMember(member.host);
     state.coverage.forgetDirect(member.host);
     state.direct.delete(member.host);
