--- a/src/edge/log-file.ts
+++ b/src/edge/log-file.ts
@@ -1,43 +1,48 @@
-/** An append-only file of checksummed records, synced before it reports. */
-import { open } from 'node:fs/promises';
+/** An append-only file of checksummed frames, synced before it reports. */
+import { open, rename, rm } from 'node:fs/promises';
 import type { FileHandle } from 'node:fs/promises';
-import { crc32 } from 'node:zlib';
+import { dirname } from 'node:path';
 import { Packr } from 'msgpackr';
-import type { Fault } from '../errors.js';
-import { FaultError } from '../errors.js';
-
-/** Why a log file cannot be used. */
-export type LogFileFault = Fault<'damaged-record', 'load-log'>;
+import { encodeFrame, readFrames } from './log-frame.js';
 
 /**
- * Keeps records on disk. A record is its length and CRC-32, both 4 bytes big-endian, and its body in
- * MessagePack.
+ * Keeps records on disk. Each append is one frame, so that a torn append is lost as a whole.
  *
  * @example
- * const { file, records } = await LogFile.open<Entry>('data/source.log');
- * await file.append([entry]);
+ * const { file, records } = await LogFile.open<LogRecord>('data/source.log');
+ * await file.append([record]);
  */
 export class LogFile<Item> {
-  readonly #handle: FileHandle;
+  readonly #path: string;
   readonly #packr = createPackr();
+  #handle: FileHandle;
   #end: number;
 
-  private constructor(handle: FileHandle, end: number) {
+  private constructor(path: string, handle: FileHandle, end: number) {
+    this.#path = path;
     this.#handle = handle;
     this.#end = end;
   }
 
   /**
-   * Opens a file, or creates it, and reads its records. A torn record at the end is cut off; a damaged
-   * one before the end throws a {@link FaultError} that carries a {@link LogFileFault}.
+   * Opens a file, or creates it, and reads its records. A torn frame at the end is cut off; a damaged
+   * one before the end throws a `FaultError` that carries a `LogFileFault`.
    */
   static async open<Item>(path: string): Promise<{ file: LogFile<Item>; records: Item[] }> {
+    await rm(formTemporary(path), { force: true });
     const handle = await open(path, 'a+');
-    const bytes = await handle.readFile();
-    const { records, end } = readRecords<Item>(bytes, path);
-    await handle.truncate(end);
-    await handle.datasync();
-    return { file: new LogFile<Item>(handle, end), records };
+    try {
+      const packr = createPackr();
+      const { bodies, end } = readFrames(await handle.readFile(), path);
+      const records = bodies.flatMap((body) => packr.unpack(body) as Item[]);
+      await handle.truncate(end);
+      await handle.datasync();
+      await syncFolder(path);
+      return { file: new LogFile<Item>(path, handle, end), records };
+    } catch (error) {
+      await handle.close();
+      throw error;
+    }
   }
 
   /** The bytes that the file holds. */
@@ -47,63 +52,54 @@
 
   /** Appends records and returns once they are synced. */
   async append(records: readonly Item[]): Promise<void> {
-    const bytes = Buffer.concat(records.map((record) => this.#frameRecord(record)));
+    const bytes = encodeFrame(this.#packr.pack(records));
     await this.#handle.appendFile(bytes);
     await this.#handle.datasync();
     this.#end += bytes.length;
   }
 
+  /**
+   * Replaces all records. A crash leaves either the old file or the new one. An empty frame at the end
+   * shows that the one before it cannot be torn, so that damage to it is not taken for an empty disk.
+   */
+  async rewrite(records: readonly Item[]): Promise<void> {
+    const temporary = formTemporary(this.#path);
+    const whole = encodeFrame(this.#packr.pack(records));
+    const bytes = Buffer.concat([whole, encodeFrame(this.#packr.pack([]))]);
+    const handle = await open(temporary, 'w');
+    await handle.writeFile(bytes);
+    await handle.datasync();
+    await handle.close();
+    await rename(temporary, this.#path);
+    await syncFolder(this.#path);
+    const former = this.#handle;
+    this.#handle = await open(this.#path, 'a+');
+    this.#end = bytes.length;
+    await former.close();
+  }
+
   /** Closes the file. */
   async close(): Promise<void> {
     await this.#handle.close();
   }
-
-  // Internals.
-
-  #frameRecord(record: Item): Buffer {
-    const body = this.#packr.pack(record);
-    const header = Buffer.allocUnsafe(HEADER_BYTES);
-    header.writeUInt32BE(body.length, 0);
-    header.writeUInt32BE(crc32(body), CRC_OFFSET);
-    return Buffer.concat([header, body]);
-  }
 }
 
 // Internals.
 
-const CRC_OFFSET = 4;
-const HEADER_BYTES = 8;
-
 function createPackr(): Packr {
   return new Packr({ useRecords: false });
 }
 
-// The caller names the type of the records that it wrote itself.
-// eslint-disable-next-line @typescript-eslint/no-unnecessary-type-parameters
-function readRecords<Item>(bytes: Buffer, path: string): { records: Item[]; end: number } {
-  const packr = createPackr();
-  const records: Item[] = [];
-  let offset = 0;
-  while (offset + HEADER_BYTES <= bytes.length) {
-    const bodyStart = offset + HEADER_BYTES;
-    const bodyEnd = bodyStart + bytes.readUInt32BE(offset);
-    if (bodyEnd > bytes.length) break;
-    const body = bytes.subarray(bodyStart, bodyEnd);
-    if (crc32(body) !== bytes.readUInt32BE(offset + CRC_OFFSET)) {
-      if (bodyEnd === bytes.length) break;
-      throw new FaultError<LogFileFault>(describeDamage(path, offset));
-    }
-    records.push(packr.unpack(body) as Item);
-    offset = bodyEnd;
-  }
-  return { records, end: offset };
+function formTemporary(path: string): string {
+  return `${path}.new`;
 }
 
-function describeDamage(path: string, offset: number): LogFileFault {
-  return {
-    kind: 'damaged-record',
-    step: 'load-log',
-    peer: { kind: 'file', path },
-    message: `the record at byte ${offset} of ${path} is damaged and later records follow it; restore the file or empty the data folder, so that this replica is rebuilt from the others`,
-  };
+/** A file's name lasts only once its folder is synced. */
+async function syncFolder(path: string): Promise<void> {
+  const folder = await open(dirname(path), 'r');
+  try {
+    await folder.sync();
+  } finally {
+    await folder.close();
+  }
 }
--- /dev/null
+++ b/src/edge/log-frame.ts
@@ -0,0 +1,84 @@
+/**
+ * Frames of a log file. A frame is a header of 16 bytes and a body: a magic number, the length of the
+ * body, the CRC-32 of the body, and the CRC-32 of the header's first 12 bytes, all big-endian.
+ */
+import { crc32 } from 'node:zlib';
+import type { Fault } from '../errors.js';
+import { FaultError } from '../errors.js';
+
+/** Why a log file cannot be used. */
+export type LogFileFault = Fault<'damaged-record', 'load-log'>;
+
+/** The bodies of a file's frames, and where the last whole frame ends. */
+export interface FileFrames {
+  readonly bodies: readonly Uint8Array[];
+  readonly end: number;
+}
+
+/** Puts a body into a frame. */
+export function encodeFrame(body: Uint8Array): Buffer {
+  const header = Buffer.allocUnsafe(HEADER_BYTES);
+  header.writeUInt32BE(MAGIC, 0);
+  header.writeUInt32BE(body.length, LENGTH_OFFSET);
+  header.writeUInt32BE(crc32(body), BODY_CRC_OFFSET);
+  header.writeUInt32BE(crc32(header.subarray(0, HEADER_CRC_OFFSET)), HEADER_CRC_OFFSET);
+  return Buffer.concat([header, body]);
+}
+
+/**
+ * Reads the frames of a file. Each append is synced before the next begins, so only the last frame can
+ * be torn: when a whole frame follows a broken one, the file is damaged, and this throws.
+ */
+export function readFrames(bytes: Buffer, path: string): FileFrames {
+  const bodies: Uint8Array[] = [];
+  let offset = 0;
+  for (;;) {
+    const body = findBody(bytes, offset);
+    if (body === undefined) break;
+    bodies.push(body);
+    offset += HEADER_BYTES + body.length;
+  }
+  const later = findLaterFrame(bytes, offset);
+  if (later !== undefined) throw new FaultError<LogFileFault>(describeDamage(path, offset, later));
+  return { bodies, end: offset };
+}
+
+// Internals.
+
+const MAGIC = 0xb11b_e55e;
+const LENGTH_OFFSET = 4;
+const BODY_CRC_OFFSET = 8;
+const HEADER_CRC_OFFSET = 12;
+const HEADER_BYTES = 16;
+
+/** Finds the body of a whole, undamaged frame. */
+function findBody(bytes: Buffer, offset: number): Buffer | undefined {
+  const bodyStart = offset + HEADER_BYTES;
+  if (bodyStart > bytes.length || bytes.readUInt32BE(offset) !== MAGIC) return undefined;
+  const headerCrc = crc32(bytes.subarray(offset, offset + HEADER_CRC_OFFSET));
+  if (headerCrc !== bytes.readUInt32BE(offset + HEADER_CRC_OFFSET)) return undefined;
+  const bodyEnd = bodyStart + bytes.readUInt32BE(offset + LENGTH_OFFSET);
+  if (bodyEnd > bytes.length) return undefined;
+  const body = bytes.subarray(bodyStart, bodyEnd);
+  return crc32(body) === bytes.readUInt32BE(offset + BODY_CRC_OFFSET) ? body : undefined;
+}
+
+function findLaterFrame(bytes: Buffer, broken: number): number | undefined {
+  const magic = Buffer.allocUnsafe(LENGTH_OFFSET);
+  magic.writeUInt32BE(MAGIC, 0);
+  let offset = bytes.indexOf(magic, broken + 1);
+  while (offset >= 0) {
+    if (findBody(bytes, offset) !== undefined) return offset;
+    offset = bytes.indexOf(magic, offset + 1);
+  }
+  return undefined;
+}
+
+function describeDamage(path: string, offset: number, later: number): LogFileFault {
+  return {
+    kind: 'damaged-record',
+    step: 'load-log',
+    peer: { kind: 'file', path },
+    message: `the frame at byte ${offset} of ${path} is damaged, and a whole frame follows at byte ${later}; restore the file from a copy, or, while a quorum of the other replicas runs, remove it, so that this replica is rebuilt from them`,
+  };
+}
--- a/src/edge/log-task.ts
+++ b/src/edge/log-task.ts
@@ -1,72 +1,112 @@
-/** Runs a replicated log over its file. */
+/** Runs one replica of a log over its file and its links. */
+import { randomUUID } from 'node:crypto';
 import type { Stream } from 'most';
+import { Packr } from 'msgpackr';
 import type { Clock } from '../clock.js';
-import type { LogIndex } from '../ids.js';
-import type { LogEntry, LogIn, LogOut } from '../log/index.js';
-import { LogFilter } from '../log/index.js';
-import type { LogNotice } from '../messages/index.js';
+import type { Address, ReplicaId } from '../ids.js';
+import type { LogIn, LogOptions, LogOut, LogRecord, LogWrite } from '../log/index.js';
+import { buildStoredLog, LogFilter } from '../log/index.js';
+import type { CaptureAnswer, LogNotice, LogPacket, LogSnapshotNotice } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
-import { applyFilter, Task } from '../pipe/index.js';
+import { applyFilter, Task, WakeTimer } from '../pipe/index.js';
 import { LogFile } from './log-file.js';
 
+/** What a log task is told: the filter's messages, with snapshots not yet encoded. */
+export type LogTaskIn<Command, Snapshot> =
+  Exclude<LogIn<Command>, { kind: 'captured' }> | CaptureAnswer<Snapshot>;
+
 /** What a log task needs. */
-export interface LogTaskOptions<Command> {
+export interface LogTaskOptions<Command, Snapshot> extends LogOptions {
   /** The file of the log, below the data folder. */
   readonly path: string;
+  /** Tells this log from others on the same channel. */
+  readonly group: string;
   readonly clock: Clock;
   readonly reportFailure: ReportFailure;
-  readonly notify: (notice: LogNotice<Command>) => void;
+  readonly notify: (notice: LogNotice<Command> | LogSnapshotNotice<Snapshot>) => void;
+  /** Sends a packet over the channel of the log. */
+  readonly send: (to: Address, packet: LogPacket<Command>) => void;
 }
 
-/** Owns the file of one log. Entries that arrive during a sync share the next one. */
-export class LogTask<Command> extends Task<LogIn<Command>> {
-  readonly #options: LogTaskOptions<Command>;
-  #file: LogFile<LogEntry<Command>> | undefined;
-  #waiting: LogEntry<Command>[] = [];
+/** Owns the file of one log. Writes that arrive during a sync share the next one. */
+export class LogTask<Command, Snapshot = never> extends Task<LogTaskIn<Command, Snapshot>> {
+  readonly #options: LogTaskOptions<Command, Snapshot>;
+  readonly #timer: WakeTimer;
+  readonly #packr = new Packr({ useRecords: false });
+  #file: LogFile<LogRecord<Command>> | undefined;
+  #waiting: LogWrite<Command>[] = [];
   #syncing: Promise<void> | undefined;
 
-  constructor(options: LogTaskOptions<Command>) {
-    super('log', options.reportFailure);
+  constructor(options: LogTaskOptions<Command, Snapshot>) {
+    super(`log-${options.group}`, options.reportFailure);
     this.#options = options;
+    this.#timer = new WakeTimer(options.clock, () => {
+      this.post({ kind: 'tick' });
+    });
   }
 
   protected override async open(): Promise<void> {
-    const { file, records } = await LogFile.open<LogEntry<Command>>(this.#options.path);
+    const { file, records } = await LogFile.open<LogRecord<Command>>(this.#options.path);
     this.#file = file;
-    this.post({ kind: 'loaded', entries: records });
+    const freshReplica = randomUUID() as string as ReplicaId;
+    this.post({ kind: 'loaded', stored: buildStoredLog(records), freshReplica });
   }
 
   protected override async close(): Promise<void> {
+    this.#timer.stop();
     await this.#syncing;
     await this.#file?.close();
   }
 
-  protected override createPipe(messages: Stream<LogIn<Command>>): Stream<unknown> {
-    const outputs = applyFilter(new LogFilter<Command>(), this.#options.clock, messages);
-    return outputs.tap((output) => {
+  protected override createPipe(messages: Stream<LogTaskIn<Command, Snapshot>>): Stream<unknown> {
+    const { clock } = this.#options;
+    const encoded = messages.map((message) => this.#encodeCapture(message));
+    return applyFilter(new LogFilter<Command>(this.#options), clock, encoded).tap((output) => {
       this.#pass(output);
     });
   }
 
   // Internals.
 
+  #encodeCapture(message: LogTaskIn<Command, Snapshot>): LogIn<Command> {
+    if (message.kind !== 'captured') return message;
+    const { kind, through, snapshot } = message;
+    return { kind, through, bytes: this.#packr.pack(snapshot) };
+  }
+
   #pass(output: LogOut<Command>): void {
-    if (output.kind === 'notice') {
-      this.#options.notify(output.notice);
-      return;
+    switch (output.kind) {
+      case 'append':
+      case 'rewrite':
+        this.#waiting.push(output);
+        this.#syncing ??= this.#syncWaiting();
+        return;
+      case 'send':
+        this.#options.send(output.to, { group: this.#options.group, message: output.message });
+        return;
+      case 'notice':
+        this.#options.notify(output.notice);
+        return;
+      case 'capture':
+        this.#options.notify(output);
+        return;
+      case 'restore': {
+        const snapshot = this.#packr.unpack(output.bytes) as Snapshot;
+        this.#options.notify({ kind: 'restore', through: output.through, snapshot });
+        return;
+      }
+      case 'wake':
+        this.#timer.wakeAt(output.at);
+        return;
     }
-    this.#waiting.push(...output.entries);
-    this.#syncing ??= this.#syncWaiting();
   }
 
   async #syncWaiting(): Promise<void> {
     try {
       while (this.#waiting.length > 0) {
-        const batch = this.#waiting;
-        this.#waiting = [];
-        await this.#file?.append(batch);
-        const through = batch.at(-1)?.index ?? (0 as LogIndex);
-        this.post({ kind: 'synced', through });
+        const batch = this.#takeBatch();
+        await this.#write(batch);
+        this.post({ kind: 'synced', ticket: batch.at(-1)?.ticket ?? 0 });
       }
     } catch (error) {
       this.fail(error);
@@ -74,4 +114,18 @@
       this.#syncing = undefined;
     }
   }
+
+  /** A rewrite holds everything before it, so the writes before the last one are left out. */
+  #takeBatch(): LogWrite<Command>[] {
+    const batch = this.#waiting;
+    this.#waiting = [];
+    const start = batch.findLastIndex((write) => write.kind === 'rewrite');
+    return start > 0 ? batch.slice(start) : batch;
+  }
+
+  async #write(batch: readonly LogWrite<Command>[]): Promise<void> {
+    const records = batch.flatMap((write) => write.records);
+    if (batch[0]?.kind === 'rewrite') await this.#file?.rewrite(records);
+    else await this.#file?.append(records);
+  }
 }
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -1,3 +1,10 @@
 /** The replicated log that the source and the ledger share. */
+export type { Ticket } from './disk-queue.js';
 export { LogFilter } from './log-filter.js';
-export type { LogEntry, LogIn, LogOut, LogState } from './log-filter.js';
+export type { LoadedReplica } from './loaded-replica.js';
+export type { LogState } from './log-filter.js';
+export type { LogIn, LogOut, LogWrite } from './log-messages.js';
+export { DEFAULT_SNAPSHOTS, DEFAULT_TIMING } from './log-options.js';
+export type { LogOptions, LogTiming, SnapshotPolicy } from './log-options.js';
+export { buildStoredLog, listRecords, START } from './log-record.js';
+export type { LogRecord, StoredLog } from './log-record.js';
--- a/src/log/log-filter.ts
+++ b/src/log/log-filter.ts
@@ -1,99 +1,103 @@
-/** The replicated log. So far it serves a single replica: an entry is committed once it is synced. */
-import type { LogIndex, RequestId, Term } from '../ids.js';
-import type { LogNotice, LogRequest } from '../messages/index.js';
+/** The replicated log as a filter: one replica, driven by messages and instants. */
+import { NEVER } from '../clock.js';
+import type { Instant } from '../ids.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
+import { FollowerRole } from './follower-role.js';
+import type { LoadedReplica } from './loaded-replica.js';
+import { changeRole } from './loaded-replica.js';
+import type { LogIn, LogOut } from './log-messages.js';
+import type { LogOptions } from './log-options.js';
+import type { RoleKind } from './log-role.js';
+import { PeerHandler } from './peer-handler.js';
+import { receiveMessage } from './receive-message.js';
+import { Replica } from './replica.js';
 
-/** One entry as it stands on disk. */
-export interface LogEntry<Command> {
-  readonly index: LogIndex;
-  readonly term: Term;
-  readonly command: Command;
-}
-
-/** What the log is told. */
-export type LogIn<Command> =
-  | { readonly kind: 'loaded'; readonly entries: readonly LogEntry<Command>[] }
-  | { readonly kind: 'request'; readonly request: LogRequest<Command> }
-  | { readonly kind: 'synced'; readonly through: LogIndex };
+/** The state of the log; undefined until the disk has been read. It is updated in place. */
+export type LogState<Command> = LoadedReplica<Command> | undefined;
 
-/** What the log sends on. */
-export type LogOut<Command> =
-  | { readonly kind: 'append'; readonly entries: readonly LogEntry<Command>[] }
-  | { readonly kind: 'notice'; readonly notice: LogNotice<Command> };
-
-/** An entry that is not synced yet, and the request that proposed it. */
-interface PendingEntry<Command> {
-  readonly entry: LogEntry<Command>;
-  readonly id: RequestId;
-}
+/**
+ * A replica of the log, after Raft (Ongaro and Ousterhout 2014), with pre-votes, confirmed reads, and
+ * learners for replicas that have lost their disk.
+ *
+ * @example
+ * const log = new LogFilter<NoteCommand>(options);
+ * const step = log.decide(log.createState(), { kind: 'loaded', stored, freshReplica }, now);
+ */
+export class LogFilter<Command> extends Filter<LogState<Command>, LogIn<Command>, LogOut<Command>> {
+  readonly #options: LogOptions;
 
-/** The state of the log. */
-export interface LogState<Command> {
-  readonly lastIndex: LogIndex;
-  readonly pending: readonly PendingEntry<Command>[];
-}
+  constructor(options: LogOptions) {
+    super();
+    this.#options = options;
+  }
 
-/** Decides what is appended and when it counts as committed. */
-export class LogFilter<Command> extends Filter<LogState<Command>, LogIn<Command>, LogOut<Command>> {
   override createState(): LogState<Command> {
-    return { lastIndex: 0 as LogIndex, pending: [] };
+    return undefined;
   }
 
   override decide(
     state: LogState<Command>,
     message: LogIn<Command>,
+    now: Instant,
   ): Step<LogState<Command>, LogOut<Command>> {
-    switch (message.kind) {
-      case 'loaded':
-        return replayEntries(state, message.entries);
-      case 'request':
-        return handleRequest(state, message.request);
-      case 'synced':
-        return commitThrough(state, message.through);
-    }
+    const loaded = message.kind === 'loaded' ? this.#load(message) : state;
+    if (loaded === undefined) return { state, outputs: refuseUnloaded(message) };
+    changeRole(loaded, handle(loaded, message, now), now);
+    askForTick(loaded, message, now);
+    return { state: loaded, outputs: loaded.replica.takeOutputs() };
   }
-}
 
-// Internals.
+  // Internals.
 
-const ONLY_TERM = 1 as Term;
+  #load(message: Extract<LogIn<Command>, { kind: 'loaded' }>): LoadedReplica<Command> {
+    const replica = new Replica(this.#options, message.stored, message.freshReplica);
+    const peers = new PeerHandler(replica);
+    return { replica, peers, role: new FollowerRole(replica), wakeAt: NEVER };
+  }
+}
 
-type LogStep<Command> = Step<LogState<Command>, LogOut<Command>>;
+// Internals.
 
-function replayEntries<Command>(
-  state: LogState<Command>,
-  entries: readonly LogEntry<Command>[],
-): LogStep<Command> {
-  const outputs = entries.map((entry) => noticeCommitted(entry, undefined));
-  const lastIndex = entries.at(-1)?.index ?? state.lastIndex;
-  return { state: { ...state, lastIndex }, outputs };
+function refuseUnloaded<Command>(message: LogIn<Command>): LogOut<Command>[] {
+  if (message.kind !== 'request') return [];
+  const refusal = { kind: 'not-leader', leader: undefined } as const;
+  return [{ kind: 'notice', notice: { kind: 'refused', id: message.request.id, refusal } }];
 }
 
-function handleRequest<Command>(
-  state: LogState<Command>,
-  request: LogRequest<Command>,
-): LogStep<Command> {
-  if (request.kind === 'confirm') {
-    const notice = { kind: 'confirmed', id: request.id } as const;
-    return { state, outputs: [{ kind: 'notice', notice }] };
+function handle<Command>(
+  loaded: LoadedReplica<Command>,
+  message: LogIn<Command>,
+  now: Instant,
+): RoleKind | undefined {
+  const { replica, role } = loaded;
+  switch (message.kind) {
+    case 'loaded':
+      return role.start(now);
+    case 'request':
+      return role.handleRequest(message.request, now);
+    case 'received':
+      return receiveMessage(loaded, message, now);
+    case 'synced':
+      replica.handleSynced(message.ticket);
+      return role.handleSynced(now);
+    case 'captured':
+      replica.handleCaptured(message.through, message.bytes);
+      return undefined;
+    case 'tick':
+      return role.handleTick(now);
   }
-  const index = (state.lastIndex + 1) as LogIndex;
-  const entry = { index, term: ONLY_TERM, command: request.command };
-  const pending = [...state.pending, { entry, id: request.id }];
-  return { state: { lastIndex: index, pending }, outputs: [{ kind: 'append', entries: [entry] }] };
-}
-
-function commitThrough<Command>(state: LogState<Command>, through: LogIndex): LogStep<Command> {
-  const committed = state.pending.filter(({ entry }) => entry.index <= through);
-  const pending = state.pending.filter(({ entry }) => entry.index > through);
-  const outputs = committed.map(({ entry, id }) => noticeCommitted(entry, id));
-  return { state: { ...state, pending }, outputs };
 }
 
-function noticeCommitted<Command>(
-  { index, term, command }: LogEntry<Command>,
-  id: RequestId | undefined,
-): LogOut<Command> {
-  return { kind: 'notice', notice: { kind: 'committed', index, term, command, id } };
+/** A tick that is under way already serves any deadline after it. */
+function askForTick<Command>(
+  loaded: LoadedReplica<Command>,
+  message: LogIn<Command>,
+  now: Instant,
+): void {
+  if (message.kind === 'tick') loaded.wakeAt = NEVER;
+  const deadline = loaded.role.findDeadline();
+  if (deadline >= loaded.wakeAt) return;
+  loaded.wakeAt = deadline;
+  loaded.replica.wakeAt(deadline < now ? now : deadline);
 }
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -42,7 +42,8 @@
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    roles.push(await runSource({ settings: source, dataFolder, clock, reportFailure, postLink }));
+    const shared = { settings, clock, random, reportFailure, postLink };
+    roles.push(await runSource({ ...shared, source, dataFolder }));
   }
   if (settings.roles.includes('proxy') && proxy) {
     roles.push(await runProxy({ settings, proxy, clock, log, reportFailure, postLink }));
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -6,25 +6,30 @@
 import type { LinkCommand, LinkEvent, NoteCommand, SpreadMessage } from '../messages/index.js';
 import type { NotesIn, NotesOut, NotesState } from '../notes/index.js';
 import { NotesFilter } from '../notes/index.js';
+import type { Random } from '../random.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type { SourceSpreadIn, SourceSpreadOut, SourceSpreadState } from '../spread/index.js';
 import { SourceSpreadFilter } from '../spread/index.js';
+import { DEFAULT_TIMING } from '../log/index.js';
+import { formLogSend, listReplicas, readLogPacket } from './log-wiring.js';
 import type { RunningRole } from './running-role.js';
-import type { SourceSettings } from './settings.js';
+import type { Settings, SourceSettings } from './settings.js';
 
 /** What the source role needs. */
 export interface SourceOptions {
-  readonly settings: SourceSettings;
+  readonly settings: Settings;
+  readonly source: SourceSettings;
   readonly dataFolder: string;
   readonly clock: Clock;
+  readonly random: Random;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
 }
 
 /** Starts the tasks of the source role. */
 export async function runSource(options: SourceOptions): Promise<RunningRole> {
-  const { settings, clock, reportFailure, postLink } = options;
+  const { settings, source, clock, random, reportFailure, postLink } = options;
   const notes = new FilterTask<NotesState, NotesIn, NotesOut>({
     name: 'notes',
     filter: new NotesFilter(),
@@ -34,10 +39,22 @@
   });
   const log = new LogTask<NoteCommand>({
     path: join(options.dataFolder, 'notes.log'),
+    group: LOG_GROUP,
+    host: settings.host,
+    self: settings.control,
+    replicas: listReplicas(source.replicas, settings.control),
+    random,
+    timing: DEFAULT_TIMING,
+    snapshots: undefined,
     clock,
     reportFailure,
     notify: (notice) => {
-      notes.post({ kind: 'log', notice });
+      if (notice.kind !== 'capture' && notice.kind !== 'restore') {
+        notes.post({ kind: 'log', notice });
+      }
+    },
+    send: (to, packet) => {
+      postLink(formLogSend('log', to, packet));
     },
   });
   const spread = new FilterTask<SourceSpreadState, SourceSpreadIn, SourceSpreadOut>({
@@ -48,8 +65,8 @@
     send: routeSpread,
   });
   const operator = new OperatorTask({
-    address: settings.operator,
-    token: readFileSync(settings.tokenFile, 'utf8').trim(),
+    address: source.operator,
+    token: readFileSync(source.tokenFile, 'utf8').trim(),
     reportFailure,
     request: (message) => {
       notes.post(message);
@@ -71,6 +88,8 @@
   for (const task of tasks) await task.start();
   return {
     handleLink: (event) => {
+      const packet = readLogPacket<NoteCommand>(event, 'log');
+      if (packet?.group === LOG_GROUP) log.post(packet.message);
       const message = readLinkEvent(event);
       if (message !== undefined) spread.post(message);
     },
@@ -82,6 +101,8 @@
 
 // Internals.
 
+const LOG_GROUP = 'notes';
+
 function readLinkEvent(event: LinkEvent): SourceSpreadIn | undefined {
   if (event.kind === 'link-down') return { kind: 'link-down', address: event.address };
   if (event.kind !== 'received' || event.channel !== 'spread') return undefined;
