--- a/src/notes/whole.ts
+++ b/src/notes/whole.ts
@@ -1,16 +1,11 @@
 /** A whole configuration: every resource that one version holds. */
 import type { Digest, ResourceKey, Version } from '../ids.js';
 import { NO_VERSION } from '../ids.js';
-import type {
-  Change,
-  Resource,
-  RouteResource,
-  VersionDelta,
-  WholeSnapshot,
-} from '../messages/index.js';
+import type { Change, Resource, VersionDelta, WholeSnapshot } from '../messages/index.js';
 import { formKey } from '../messages/index.js';
 import { addToSum, EMPTY_SUM, formatSum, removeFromSum } from './digest.js';
 import type { SetSum } from './digest.js';
+import { listProvided, listReferences } from './references.js';
 
 /** One version of the configuration, whole. It is never changed after it was built. */
 export interface Whole {
@@ -53,14 +48,12 @@
 
 /** Lists the references of routes and splits that point at nothing. */
 export function findDangling(whole: Whole): DanglingReference[] {
-  const dangling: DanglingReference[] = [];
-  for (const resource of whole.resources.values()) {
-    if (resource.kind !== 'route') continue;
-    for (const to of listReferences(resource)) {
-      if (!whole.resources.has(to)) dangling.push({ from: formKey(resource), to });
-    }
-  }
-  return dangling;
+  const resources = [...whole.resources.values()];
+  const provided = new Set(resources.flatMap((resource) => listProvided(resource)));
+  return resources.flatMap((resource) => {
+    const missing = listReferences(resource).filter(({ to }) => !provided.has(to));
+    return missing.map(({ to }) => ({ from: formKey(resource), to }));
+  });
 }
 
 /**
@@ -82,6 +75,15 @@
   return checkWhole({ version: snapshot.version, resources, sum }, snapshot.digest);
 }
 
+/** Returns the whole if it has the expected digest and no dangling reference, or else the fault. */
+export function checkWhole(next: Whole, expected: Digest): Whole | ApplyFault {
+  const found = formatSum(next.sum);
+  if (found !== expected) return { kind: 'wrong-digest', expected, found };
+  const references = findDangling(next);
+  if (references.length > 0) return { kind: 'dangling', references };
+  return next;
+}
+
 /** Packs a whole for transit. */
 export function formSnapshot(whole: Whole): WholeSnapshot {
   return {
@@ -95,20 +97,3 @@
 export function isApplyFault(result: Whole | ApplyFault): result is ApplyFault {
   return 'kind' in result;
 }
-
-// Internals.
-
-function checkWhole(next: Whole, expected: Digest): Whole | ApplyFault {
-  const found = formatSum(next.sum);
-  if (found !== expected) return { kind: 'wrong-digest', expected, found };
-  const references = findDangling(next);
-  if (references.length > 0) return { kind: 'dangling', references };
-  return next;
-}
-
-function listReferences(route: RouteResource): ResourceKey[] {
-  return [
-    formKey({ kind: 'service', name: route.service }),
-    formKey({ kind: 'request-kind', name: route.requestKind }),
-  ];
-}
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -8,6 +8,7 @@
 import { createLogger } from './logger.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
+import { runMembers } from './run-members.js';
 import { runProxy } from './run-proxy.js';
 import { runSource } from './run-source.js';
 import type { Settings } from './settings.js';
@@ -28,30 +29,48 @@
   const links = new LinkTask({
     host: settings.host,
     control: settings.control,
+    bind: settings.bind,
     clock,
     random,
     reportFailure,
     notify: (event: LinkEvent) => {
+      members.handleLink(event);
       for (const role of roles) role.handleLink(event);
     },
   });
   const postLink = (command: LinkCommand): void => {
     links.post(command);
   };
+  const members = runMembers({
+    settings,
+    clock,
+    random,
+    reportFailure,
+    postLink,
+    notify: (event) => {
+      for (const role of roles) role.handleMembership(event);
+    },
+  });
+  const postMembers = members.post;
 
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    const shared = { settings, clock, random, reportFailure, postLink };
-    roles.push(await runSource({ ...shared, source, dataFolder }));
+    const { host, control, spread } = settings;
+    const shared = { host, settings: source, dataFolder, control, spread: spread.policy };
+    roles.push(await runSource({ ...shared, clock, random, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    roles.push(await runProxy({ settings, proxy, clock, log, reportFailure, postLink }));
+    const shared = { settings, proxy, clock, random, log, reportFailure };
+    roles.push(await runProxy({ ...shared, postLink, postMembers }));
   }
+  await members.start();
   log('started', { roles: settings.roles, control: settings.control });
   await waitForSignal();
   log('stopping');
+  members.post({ kind: 'drain' });
   for (const role of roles.toReversed()) await role.stop();
+  await members.stop();
   await links.stop();
   log('stopped');
   return 0;
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -2,25 +2,42 @@
 import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import type { Clock } from '../clock.js';
-import { LogTask, OperatorTask } from '../edge/index.js';
-import type { LinkCommand, LinkEvent, NoteCommand, SpreadMessage } from '../messages/index.js';
+import { LogTask, OperatorTask, readSourceSpreadMessage } from '../edge/index.js';
+import type { Address, HostId } from '../ids.js';
+import { DEFAULT_TIMING } from '../log/index.js';
+import type {
+  LinkCommand,
+  LinkEvent,
+  LogNotice,
+  LogSnapshotNotice,
+  NoteCommand,
+} from '../messages/index.js';
 import type { NotesIn, NotesOut, NotesState } from '../notes/index.js';
 import { NotesFilter } from '../notes/index.js';
-import type { Random } from '../random.js';
-import type { ReportFailure } from '../pipe/index.js';
+import type { ReportFailure, Wake } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
-import type { SourceSpreadIn, SourceSpreadOut, SourceSpreadState } from '../spread/index.js';
-import { SourceSpreadFilter } from '../spread/index.js';
-import { DEFAULT_TIMING } from '../log/index.js';
+import type { Random } from '../random.js';
+import type {
+  SourceSpreadIn,
+  SourceSpreadOut,
+  SourceSpreadState,
+  SpreadPolicyName,
+} from '../spread/index.js';
+import { isVouchConfirm, makePolicy, SourceSpreadFilter } from '../spread/index.js';
 import { formLogSend, listReplicas, readLogPacket } from './log-wiring.js';
+import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
-import type { Settings, SourceSettings } from './settings.js';
+import type { SourceSettings } from './settings.js';
 
 /** What the source role needs. */
 export interface SourceOptions {
-  readonly settings: Settings;
-  readonly source: SourceSettings;
+  readonly host: HostId;
+  readonly settings: SourceSettings;
   readonly dataFolder: string;
+  /** The address at which this process listens for links of other processes. */
+  readonly control: Address;
+  readonly spread: SpreadPolicyName;
+  readonly log: Log;
   readonly clock: Clock;
   readonly random: Random;
   readonly reportFailure: ReportFailure;
@@ -29,59 +46,85 @@
 
 /** Starts the tasks of the source role. */
 export async function runSource(options: SourceOptions): Promise<RunningRole> {
-  const { settings, source, clock, random, reportFailure, postLink } = options;
+  const { settings, clock, reportFailure, postLink } = options;
   const notes = new FilterTask<NotesState, NotesIn, NotesOut>({
     name: 'notes',
     filter: new NotesFilter(),
     clock,
     reportFailure,
     send: routeNotes,
+    formTick: () => ({ kind: 'tick' }),
   });
   const log = new LogTask<NoteCommand>({
     path: join(options.dataFolder, 'notes.log'),
     group: LOG_GROUP,
-    host: settings.host,
-    self: settings.control,
-    replicas: listReplicas(source.replicas, settings.control),
-    random,
+    host: options.host,
+    self: options.control,
+    replicas: listReplicas(settings.replicas, options.control),
+    random: options.random,
     timing: DEFAULT_TIMING,
     snapshots: undefined,
     clock,
     reportFailure,
-    notify: (notice) => {
-      if (notice.kind !== 'capture' && notice.kind !== 'restore') {
-        notes.post({ kind: 'log', notice });
-      }
-    },
+    notify: routeNotice,
     send: (to, packet) => {
       postLink(formLogSend('log', to, packet));
     },
   });
   const spread = new FilterTask<SourceSpreadState, SourceSpreadIn, SourceSpreadOut>({
     name: 'source-spread',
-    filter: new SourceSpreadFilter(),
+    filter: new SourceSpreadFilter({
+      policy: makePolicy(options.spread),
+      sources: [options.control, ...settings.replicas],
+    }),
     clock,
     reportFailure,
     send: routeSpread,
+    formTick: () => ({ kind: 'tick' }),
   });
   const operator = new OperatorTask({
-    address: source.operator,
-    token: readFileSync(source.tokenFile, 'utf8').trim(),
+    address: settings.operator,
+    clock,
+    waitLimitMs: settings.waitLimitMs,
+    findOperator: (host) => settings.operators.get(host),
+    token: readFileSync(settings.tokenFile, 'utf8').trim(),
     reportFailure,
     request: (message) => {
       notes.post(message);
     },
   });
 
-  function routeNotes(output: NotesOut): void {
+  function routeNotes(output: Exclude<NotesOut, Wake>): void {
     if (output.kind === 'log') log.post({ kind: 'request', request: output.request });
-    else if (output.kind === 'version') spread.post({ kind: 'version', delta: output.delta });
+    else if (output.kind === 'version') spread.post(output);
     else operator.post(output);
   }
 
+  /** Confirmations go to whoever asked for them; everything else concerns the notes. */
+  function routeNotice(notice: LogNotice<NoteCommand> | LogSnapshotNotice<never>): void {
+    if (notice.kind === 'capture' || notice.kind === 'restore') return;
+    if (notice.kind === 'leading') spread.post({ kind: 'log', notice });
+    const isForSpread =
+      (notice.kind === 'confirmed' || notice.kind === 'refused') && isVouchConfirm(notice.id);
+    if (isForSpread) spread.post({ kind: 'log', notice });
+    else notes.post({ kind: 'log', notice });
+  }
+
   function routeSpread(output: SourceSpreadOut): void {
-    if (output.kind === 'coverage') notes.post(output);
-    else postLink({ kind: 'send', to: output.to, channel: 'spread', body: output.body });
+    switch (output.kind) {
+      case 'send':
+        postLink({ kind: 'send', to: output.to, channel: 'spread', body: output.body });
+        return;
+      case 'coverage':
+        notes.post(output);
+        return;
+      case 'confirm':
+        log.post({ kind: 'request', request: output });
+        return;
+      case 'rejected':
+        options.log('spread-rejected', { address: output.address, fault: output.fault });
+        return;
+    }
   }
 
   const tasks = [spread, notes, log, operator];
@@ -93,6 +136,9 @@
       const message = readLinkEvent(event);
       if (message !== undefined) spread.post(message);
     },
+    handleMembership: (event) => {
+      if (event.kind !== 'broadcast') spread.post(event);
+    },
     stop: async () => {
       for (const task of tasks.toReversed()) await task.stop();
     },
@@ -104,8 +150,10 @@
 const LOG_GROUP = 'notes';
 
 function readLinkEvent(event: LinkEvent): SourceSpreadIn | undefined {
-  if (event.kind === 'link-down') return { kind: 'link-down', address: event.address };
-  if (event.kind !== 'received' || event.channel !== 'spread') return undefined;
-  const { from, address } = event;
-  return { kind: 'received', from, address, body: event.body as SpreadMessage };
+  const { address } = event;
+  if (event.kind === 'link-down') return { kind: 'link-down', address };
+  if (event.kind !== 'received' || event.channel !== 'source-spread') return undefined;
+  const body = readSourceSpreadMessage(event.body);
+  if (body === undefined) return { kind: 'malformed', address };
+  return { kind: 'received', from: event.from, address, body };
 }
