Report a replica's role and membership; test three sources as processes

The test kills a leader, empties its disk, kills the next host as soon as the first counts again, empties that disk too, and finds every accepted note; a source without a quorum answers 503.

--- a/src/edge/log-task.ts
+++ b/src/edge/log-task.ts
@@ -4,7 +4,7 @@
 import { Packr } from 'msgpackr';
 import type { Clock } from '../clock.js';
 import type { Address, ReplicaId } from '../ids.js';
-import type { LogIn, LogOptions, LogOut, LogRecord, LogWrite } from '../log/index.js';
+import type { LogIn, LogOptions, LogOut, LogRecord, LogStatus, LogWrite } from '../log/index.js';
 import { buildStoredLog, LogFilter } from '../log/index.js';
 import type { CaptureAnswer, LogNotice, LogPacket, LogSnapshotNotice } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
@@ -24,6 +24,8 @@
   readonly clock: Clock;
   readonly reportFailure: ReportFailure;
   readonly notify: (notice: LogNotice<Command> | LogSnapshotNotice<Snapshot>) => void;
+  /** Takes each change of role, term, leader or membership. */
+  readonly reportStatus: (status: LogStatus) => void;
   /** Sends a packet over the channel of the log. */
   readonly send: (to: Address, packet: LogPacket<Command>) => void;
 }
@@ -95,6 +97,9 @@
         this.#options.notify({ kind: 'restore', through: output.through, snapshot });
         return;
       }
+      case 'status':
+        this.#options.reportStatus(output.status);
+        return;
       case 'wake':
         this.#timer.wakeAt(output.at);
         return;
--- a/src/log/loaded-replica.ts
+++ b/src/log/loaded-replica.ts
@@ -3,6 +3,7 @@
 import { CandidateRole } from './candidate-role.js';
 import { FollowerRole } from './follower-role.js';
 import { LeaderRole } from './leader-role.js';
+import type { LogStatus } from './log-messages.js';
 import type { LogRole, RoleKind } from './log-role.js';
 import type { PeerHandler } from './peer-handler.js';
 import type { Replica } from './replica.js';
@@ -14,6 +15,19 @@
   role: LogRole<Command>;
   /** When the last tick that was asked for comes. */
   wakeAt: Instant;
+  /** The status that was last reported. */
+  status: LogStatus | undefined;
+}
+
+/** Forms the present status of a replica. */
+export function formStatus<Command>({ replica, role }: LoadedReplica<Command>): LogStatus {
+  return {
+    role: role.kind,
+    term: replica.term,
+    leader: replica.leader,
+    isVoter: replica.isVoter,
+    voters: replica.entries.membership?.voters.length ?? 0,
+  };
 }
 
 /** Leaves the present role and enters `kind`, and whatever role that one asks for. */
--- a/src/log/log-filter.ts
+++ b/src/log/log-filter.ts
@@ -5,7 +5,7 @@
 import type { Step } from '../pipe/index.js';
 import { FollowerRole } from './follower-role.js';
 import type { LoadedReplica } from './loaded-replica.js';
-import { changeRole } from './loaded-replica.js';
+import { changeRole, formStatus } from './loaded-replica.js';
 import type { LogIn, LogOut } from './log-messages.js';
 import type { LogOptions } from './log-options.js';
 import type { RoleKind } from './log-role.js';
@@ -45,7 +45,9 @@
     if (loaded === undefined) return { state, outputs: refuseUnloaded(message) };
     changeRole(loaded, handle(loaded, message, now), now);
     askForTick(loaded, message, now);
-    return { state: loaded, outputs: loaded.replica.takeOutputs() };
+    const outputs = loaded.replica.takeOutputs();
+    const change = findStatusChange(loaded);
+    return { state: loaded, outputs: change === undefined ? outputs : [...outputs, change] };
   }
 
   // Internals.
@@ -53,7 +55,7 @@
   #load(message: Extract<LogIn<Command>, { kind: 'loaded' }>): LoadedReplica<Command> {
     const replica = new Replica(this.#options, message.stored, message.freshReplica);
     const peers = new PeerHandler(replica);
-    return { replica, peers, role: new FollowerRole(replica), wakeAt: NEVER };
+    return { replica, peers, role: new FollowerRole(replica), wakeAt: NEVER, status: undefined };
   }
 }
 
@@ -89,6 +91,20 @@
   }
 }
 
+function findStatusChange<Command>(loaded: LoadedReplica<Command>): LogOut<Command> | undefined {
+  const status = formStatus(loaded);
+  const former = loaded.status;
+  const isSame =
+    former?.role === status.role &&
+    former.term === status.term &&
+    former.leader === status.leader &&
+    former.isVoter === status.isVoter &&
+    former.voters === status.voters;
+  if (isSame) return undefined;
+  loaded.status = status;
+  return { kind: 'status', status };
+}
+
 /** A tick that is under way already serves any deadline after it. */
 function askForTick<Command>(
   loaded: LoadedReplica<Command>,
--- a/src/log/log-messages.ts
+++ b/src/log/log-messages.ts
@@ -1,9 +1,10 @@
 /** What the log filter is told and what it sends on. */
-import type { Address, HostId, LogIndex, ReplicaId } from '../ids.js';
+import type { Address, HostId, LogIndex, ReplicaId, Term } from '../ids.js';
 import type { LogMessage, LogNotice, LogRequest } from '../messages/index.js';
 import type { Tick, Wake } from '../pipe/index.js';
 import type { Ticket } from './disk-queue.js';
 import type { LogRecord, StoredLog } from './log-record.js';
+import type { RoleKind } from './log-role.js';
 
 /** What the log is told. */
 export type LogIn<Command> =
@@ -34,8 +35,20 @@
   | { readonly kind: 'notice'; readonly notice: LogNotice<Command> }
   | { readonly kind: 'capture'; readonly through: LogIndex }
   | { readonly kind: 'restore'; readonly through: LogIndex; readonly bytes: Uint8Array }
+  | { readonly kind: 'status'; readonly status: LogStatus }
   | Wake;
 
+/** What operators may see of a replica. */
+export interface LogStatus {
+  readonly role: RoleKind;
+  readonly term: Term;
+  readonly leader: HostId | undefined;
+  /** Whether this replica counts in quorums; one on a fresh disk does not until it has caught up. */
+  readonly isVoter: boolean;
+  /** How many replicas count in quorums. */
+  readonly voters: number;
+}
+
 /** A write; it is answered by a `synced` with its ticket or a later one. */
 export interface LogWrite<Command> {
   /** Whether the records are added to the file or replace all that it holds. */
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -67,6 +67,9 @@
     clock,
     reportFailure,
     notify: routeNotice,
+    reportStatus: (status) => {
+      options.log('log-status', { group: LOG_GROUP, ...status });
+    },
     send: (to, packet) => {
       postLink(formLogSend('log', to, packet));
     },
--- a/test/log-cluster.ts
+++ b/test/log-cluster.ts
@@ -253,6 +253,8 @@
         node.shown = JSON.parse(Buffer.from(output.bytes).toString()) as string[];
         this.checker.checkRestored(node.shown);
         return;
+      case 'status':
+        return;
       case 'wake':
         node.wakeAt = Math.min(node.wakeAt, output.at - node.clockOffset) as Instant;
         return;
--- /dev/null
+++ b/test/source-quorum.test.ts
@@ -0,0 +1,82 @@
+/** Three sources as processes: leaders killed, disks lost, quorums lost. */
+import { rmSync } from 'node:fs';
+import { join } from 'node:path';
+import test from 'ava';
+import { request } from 'undici';
+import type { SourceHost } from '../bench/mesh-plan.js';
+import { NAPERNYO, RunningMesh } from '../bench/mesh-plan.js';
+import { waitFor } from '../bench/mesh.js';
+
+test('sources lose hosts and disks', async (t) => {
+  const mesh = await RunningMesh.start({ ...NAPERNYO, services: {} });
+  t.teardown(() => mesh.stop());
+  const [first, second, third] = mesh.sources as [SourceHost, SourceHost, SourceHost];
+
+  await submit(mesh.sources, 1);
+  await kill(first);
+  await submit([second, third], 2);
+  await loseDisk(mesh, first);
+  await waitFor('the first source to be repaired', () => isRepaired(first));
+  await kill(second);
+  await submit([first, third], 3);
+  await loseDisk(mesh, second);
+  const notes = await ask(mesh.sources, 'GET', '/notes');
+  for (const number of [1, 2, 3]) t.regex(notes, new RegExp(`"number":${number}\\b`));
+
+  await kill(second);
+  await kill(third);
+  const alone = await request(`http://${first.operator}/notes`, { headers: HEADERS });
+  t.is(alone.statusCode, 503, await alone.body.text());
+});
+
+const HEADERS = { authorization: 'Bearer mesh-token' };
+
+async function submit(sources: readonly SourceHost[], number: number): Promise<void> {
+  const note = `number = ${number}
+title = "note ${number}"
+
+[[add]]
+kind = "service"
+name = "service-${number}"
+`;
+  await ask(sources, 'POST', '/notes', note);
+}
+
+/** Asks the sources in turn until one answers with 200. */
+async function ask(
+  sources: readonly SourceHost[],
+  method: 'GET' | 'POST',
+  path: string,
+  body: string | null = null,
+): Promise<string> {
+  let turn = 0;
+  return waitFor(`${method} ${path}`, async () => {
+    turn += 1;
+    const source = sources[turn % sources.length];
+    const url = `http://${source?.operator ?? ''}${path}`;
+    const answer = await request(url, { method, headers: HEADERS, body });
+    const text = await answer.body.text();
+    return answer.statusCode === 200 ? text : undefined;
+  });
+}
+
+async function kill({ process }: SourceHost): Promise<void> {
+  const ended = new Promise((resolve) => process.child.once('exit', resolve));
+  process.child.kill('SIGKILL');
+  await ended;
+}
+
+async function loseDisk(mesh: RunningMesh, source: SourceHost): Promise<void> {
+  rmSync(join(mesh.mesh.folder, `${source.name}-data`), { recursive: true, force: true });
+  mesh.mesh.makeFolder(`${source.name}-data`);
+  await mesh.restartSource(source);
+}
+
+/** Whether a source has said, as the last it said about it, that it counts in a full membership. */
+function isRepaired({ process }: SourceHost): true | undefined {
+  const last = process
+    .output()
+    .split('\n')
+    .findLast((line) => line.includes('"log-status"'));
+  return last?.includes('"isVoter":true,"voters":3') === true || undefined;
+}
