--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -58,8 +58,9 @@
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    const shared = { settings: source, dataFolder, spread: settings.spread.policy };
-    roles.push(await runSource({ ...shared, clock, log, reportFailure, postLink }));
+    const { host, control, spread } = settings;
+    const shared = { host, settings: source, dataFolder, control, spread: spread.policy };
+    roles.push(await runSource({ ...shared, clock, random, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
     const shared = { settings, proxy, pass, clock, random, log, reportFailure };
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -3,11 +3,20 @@
 import { join } from 'node:path';
 import type { Clock } from '../clock.js';
 import { LogTask, OperatorTask, readSourceSpreadMessage } from '../edge/index.js';
-import type { LinkCommand, LinkEvent, LogNotice, NoteCommand } from '../messages/index.js';
+import type { Address, HostId } from '../ids.js';
+import { DEFAULT_TIMING } from '../log/index.js';
+import type {
+  LinkCommand,
+  LinkEvent,
+  LogNotice,
+  LogSnapshotNotice,
+  NoteCommand,
+} from '../messages/index.js';
 import type { NotesIn, NotesOut, NotesState } from '../notes/index.js';
 import { NotesFilter } from '../notes/index.js';
 import type { ReportFailure, Wake } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
+import type { Random } from '../random.js';
 import type {
   SourceSpreadIn,
   SourceSpreadOut,
@@ -15,17 +24,22 @@
   SpreadPolicyName,
 } from '../spread/index.js';
 import { isVouchConfirm, makePolicy, SourceSpreadFilter } from '../spread/index.js';
+import { formLogSend, listReplicas, readLogPacket } from './log-wiring.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { SourceSettings } from './settings.js';
 
 /** What the source role needs. */
 export interface SourceOptions {
+  readonly host: HostId;
   readonly settings: SourceSettings;
   readonly dataFolder: string;
+  /** Where other processes reach this one. */
+  readonly control: Address;
   readonly spread: SpreadPolicyName;
   readonly log: Log;
   readonly clock: Clock;
+  readonly random: Random;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
 }
@@ -43,9 +57,22 @@
   });
   const log = new LogTask<NoteCommand>({
     path: join(options.dataFolder, 'notes.log'),
+    group: LOG_GROUP,
+    host: options.host,
+    self: options.control,
+    replicas: listReplicas(settings.replicas, options.control),
+    random: options.random,
+    timing: DEFAULT_TIMING,
+    snapshots: undefined,
     clock,
     reportFailure,
     notify: routeNotice,
+    reportStatus: (status) => {
+      options.log('log-status', { group: LOG_GROUP, ...status });
+    },
+    send: (to, packet) => {
+      postLink(formLogSend('log', to, packet));
+    },
   });
   const spread = new FilterTask<SourceSpreadState, SourceSpreadIn, SourceSpreadOut>({
     name: 'source-spread',
@@ -74,7 +101,8 @@
   }
 
   /** Confirmations go to whoever asked for them; everything else concerns the notes. */
-  function routeNotice(notice: LogNotice<NoteCommand>): void {
+  function routeNotice(notice: LogNotice<NoteCommand> | LogSnapshotNotice<never>): void {
+    if (notice.kind === 'capture' || notice.kind === 'restore') return;
     if (notice.kind === 'leading') spread.post({ kind: 'log', notice });
     const isForSpread =
       (notice.kind === 'confirmed' || notice.kind === 'refused') && isVouchConfirm(notice.id);
@@ -103,6 +131,8 @@
   for (const task of tasks) await task.start();
   return {
     handleLink: (event) => {
+      const packet = readLogPacket<NoteCommand>(event, 'log');
+      if (packet?.group === LOG_GROUP) log.post(packet.message);
       const message = readLinkEvent(event);
       if (message !== undefined) spread.post(message);
     },
@@ -117,6 +147,8 @@
 
 // Internals.
 
+const LOG_GROUP = 'notes';
+
 function readLinkEvent(event: LinkEvent): SourceSpreadIn | undefined {
   const { address } = event;
   if (event.kind === 'link-down') return { kind: 'link-down', address };
