--- a/src/edge/probe-task.ts
+++ b/src/edge/probe-task.ts
@@ -29,8 +29,8 @@
 
 /** What a probe task needs. */
 export interface ProbeTaskOptions {
-  /** The UDP port has the number of the control address. */
-  readonly control: Address;
+  /** Where this process listens; the UDP port has the number of the links' port. */
+  readonly bind: Address;
   readonly reportFailure: ReportFailure;
   readonly notify: (from: Address, message: ProbeMessage) => void;
 }
@@ -67,7 +67,7 @@
   }
 
   protected override async open(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.control);
+    const { host, port } = splitAddress(this.#options.bind);
     const socket = createSocket(host.includes(':') ? 'udp6' : 'udp4');
     this.#socket = socket;
     socket.on('message', (bytes, sender) => {
--- a/src/edge/sync-codec.ts
+++ b/src/edge/sync-codec.ts
@@ -15,6 +15,8 @@
   switch (message.kind) {
     case 'sync-root':
       return [ROOT, message.root];
+    case 'sync-same':
+      return [SAME];
     case 'sync-buckets':
       return [BUCKETS, message.digests];
     case 'sync-entries': {
@@ -32,6 +34,8 @@
   switch (fields[0]) {
     case ROOT:
       return { kind: 'sync-root', root: readCount(fields[1]) };
+    case SAME:
+      return { kind: 'sync-same' };
     case BUCKETS:
       return { kind: 'sync-buckets', digests: readList(fields[1]).map(readCount) };
     case ENTRIES: {
@@ -53,6 +57,7 @@
 const BUCKETS = 1;
 const ENTRIES = 2;
 const UPDATES = 3;
+const SAME = 4;
 
 function decodeEntries(values: readonly unknown[]): EntrySummary[] {
   const entries: EntrySummary[] = [];
--- a/src/members/answer-probe.ts
+++ b/src/members/answer-probe.ts
@@ -62,7 +62,13 @@
   applyUpdates(state, message.updates, turn);
   const extra = message.to === undefined ? formIntroduction(state, message.from, isKnown) : [];
   const updates = pickUpdates(state, [...formStatusOf(state, message.from), ...extra]);
-  turn.send(from, { kind: 'ack', from: host, sequence: message.sequence, updates });
+  const to = findAddress(state, message.from, from);
+  turn.send(to, { kind: 'ack', from: host, sequence: message.sequence, updates });
+}
+
+/** Answers go to the address that a member published: a forwarder may stand before its socket. */
+function findAddress(state: MembersState, host: HostId, from: Address): Address {
+  return state.table.find(host)?.member?.control ?? from;
 }
 
 /** Names this member to whoever found it by address, and a few others to a newcomer. */
@@ -92,13 +98,14 @@
 
 function relayProbe(
   state: MembersState,
-  requester: Address,
+  from: Address,
   message: Extract<ProbeMessage, { kind: 'ping-request' }>,
   turn: Turn,
 ): void {
   if (state.relays.size >= MAX_RELAYED_PROBES) return;
   state.sequence += 1;
   const { sequence } = state;
+  const requester = findAddress(state, message.from, from);
   const deadline = addMs(turn.now, PROBE_TIMEOUT_MS);
   state.relays.set(sequence, { requester, sequence: message.sequence, deadline });
   turn.send(message.address, {
--- a/src/members/members-state.ts
+++ b/src/members/members-state.ts
@@ -123,6 +123,8 @@
   probeAt: Instant;
   gossipAt: Instant;
   syncAt: Instant;
+  /** Whether an exchange has shown that the table is nearly whole. */
+  isSettled: boolean;
   seedAt: Instant;
   reconnectAt: Instant;
   /** Nobody is suspected or declared dead before this instant. */
@@ -160,6 +162,7 @@
     probeAt: delay(PROBE_INTERVAL_MS),
     gossipAt: delay(GOSSIP_INTERVAL_MS),
     syncAt: delay(SYNC_INTERVAL_MS),
+    isSettled: false,
     seedAt: delay(JOIN_INTERVAL_MS / 10),
     reconnectAt: delay(RECONNECT_INTERVAL_MS),
     graceUntil: startedAt,
--- a/src/members/reconcile.ts
+++ b/src/members/reconcile.ts
@@ -16,7 +16,8 @@
 /** Opens an exchange with a random member when it is time. */
 export function runSync(state: MembersState, turn: Turn): void {
   if (turn.now < state.syncAt) return;
-  state.syncAt = addMs(turn.now, SYNC_INTERVAL_MS * (0.5 + state.random.next()));
+  const interval = state.isSettled ? SYNC_INTERVAL_MS : SYNC_BUSY_INTERVAL_MS;
+  state.syncAt = addMs(turn.now, interval * (0.5 + state.random.next()));
   const [peer] = state.table.pickSome(state.random, 1);
   if (peer === undefined) return;
   send(turn, peer.control, { kind: 'sync-root', root: state.table.digest.root });
@@ -31,8 +32,10 @@
 ): void {
   switch (message.kind) {
     case 'sync-root':
-      if (message.root === state.table.digest.root) return;
-      send(turn, from, { kind: 'sync-buckets', digests: state.table.digest.list() });
+      send(turn, from, formAnswer(state, message.root));
+      return;
+    case 'sync-same':
+      state.isSettled = true;
       return;
     case 'sync-buckets':
       sendEntries(state, from, message.digests, turn);
@@ -51,11 +54,19 @@
 const MAX_RECORDS = 500;
 /** A longer list comes from a first exchange or a long absence; others fetch it themselves. */
 const MAX_PASSED_ON = 200;
+/** News on their way make this many buckets differ at any time. */
+const MAX_SETTLED_BUCKETS = 16;
 
 function send(turn: Turn, to: Address, body: SyncMessage): void {
   turn.add({ kind: 'send', to, body });
 }
 
+function formAnswer(state: MembersState, root: number): SyncMessage {
+  const { digest } = state.table;
+  if (root === digest.root) return { kind: 'sync-same' };
+  return { kind: 'sync-buckets', digests: digest.list() };
+}
+
 function sendEntries(
   state: MembersState,
   from: Address,
@@ -63,6 +74,7 @@
   turn: Turn,
 ): void {
   const differing = state.table.digest.listDiffering(digests);
+  if (differing.length <= MAX_SETTLED_BUCKETS) state.isSettled = true;
   const start = state.random.nextInt(differing.length + 1);
   const buckets = [...differing.slice(start), ...differing.slice(0, start)];
   const chosen = buckets.slice(0, MAX_SYNC_BUCKETS);
--- a/src/messages/sync.ts
+++ b/src/messages/sync.ts
@@ -12,6 +12,8 @@
 export type SyncMessage =
   /** Opens an exchange: the digest of the sender's whole table. */
   | { readonly kind: 'sync-root'; readonly root: number }
+  /** The roots are equal. */
+  | { readonly kind: 'sync-same' }
   /** The roots differ: the digest of each bucket. */
   | { readonly kind: 'sync-buckets'; readonly digests: readonly number[] }
   /** The buckets that differ, and what the sender holds in them. */
--- a/src/program/run-members.ts
+++ b/src/program/run-members.ts
@@ -48,7 +48,7 @@
     formTick: () => ({ kind: 'tick' }),
   });
   const probes = new ProbeTask({
-    control: settings.control,
+    bind: settings.bind,
     reportFailure,
     notify: (from, message) => {
       members.post({ kind: 'datagram', from, message });
