--- /dev/null
+++ b/test/members-codec.test.ts
@@ -0,0 +1,178 @@
+/** The encodings of membership messages. */
+import { createSocket } from 'node:dgram';
+import test from 'ava';
+import fc from 'fast-check';
+import { findFreePort, waitFor } from '../bench/mesh.js';
+import { NEVER } from '../src/clock.js';
+import { decodeProbe, encodeProbe, MAX_DATAGRAM_BYTES } from '../src/edge/probe-codec.js';
+import { ProbeTask } from '../src/edge/probe-task.js';
+import { decodeSync, encodeSync } from '../src/edge/sync-codec.js';
+import type {
+  Address,
+  DataCentreId,
+  Digest,
+  HostId,
+  Incarnation,
+  RegionId,
+  ServiceName,
+  Version,
+} from '../src/ids.js';
+import { UpdateQueue } from '../src/members/update-queue.js';
+import { MAX_UPDATE_BYTES } from '../src/members/timing.js';
+import { estimateBytes } from '../src/members/update-size.js';
+import type { MemberUpdate, ProbeMessage, SyncMessage } from '../src/messages/index.js';
+
+const RUNS = { numRuns: 300, seed: 2 };
+const HEAD_BYTES = 128;
+
+const name = fc.stringMatching(/^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/);
+const host = name as fc.Arbitrary<HostId>;
+const port = fc.integer({ min: 1, max: 65_535 });
+const address = fc.tuple(fc.ipV4(), port).map(([ip, number]) => `${ip}:${number}` as Address);
+const incarnation = fc.integer({ min: 0, max: 2 ** 44 }) as fc.Arbitrary<Incarnation>;
+const server = fc.record({
+  service: name as fc.Arbitrary<ServiceName>,
+  address,
+  slots: fc.nat(100_000),
+  connections: fc.nat(100_000),
+  state: fc.constantFrom('starting', 'ready', 'draining', 'leaving', 'failing'),
+  heartbeatDeadline: fc.constant(NEVER),
+});
+const record = fc.record({
+  kind: fc.constant('record' as const),
+  member: fc.record({
+    host,
+    region: name as fc.Arbitrary<RegionId>,
+    dataCentre: name as fc.Arbitrary<DataCentreId>,
+    control: address,
+    calls: address,
+    incarnation,
+    liveness: fc.constant('alive' as const),
+    version: fc.nat() as fc.Arbitrary<Version>,
+    servers: fc.array(server, { maxLength: 4 }),
+  }),
+});
+const status = fc.record({
+  kind: fc.constant('status' as const),
+  host,
+  incarnation,
+  liveness: fc.constantFrom('suspect', 'dead', 'left'),
+});
+const crash = fc.record({
+  kind: fc.constant('crash-seen' as const),
+  fingerprint: fc.stringMatching(/^[0-9a-f]{16,64}$/) as fc.Arbitrary<Digest>,
+  server: address,
+  remainingMs: fc.nat(80_000_000),
+});
+const update: fc.Arbitrary<MemberUpdate> = fc.oneof(record, status, crash);
+const sequence = fc.nat();
+const few = fc.array(update, { maxLength: 1 });
+const probe: fc.Arbitrary<ProbeMessage> = fc.oneof(
+  fc.record({
+    kind: fc.constant('ping' as const),
+    from: host,
+    to: fc.option(host, { nil: undefined }),
+    sequence,
+    updates: few,
+  }),
+  fc.record({ kind: fc.constant('ack' as const), from: host, sequence, updates: few }),
+  fc.record({ kind: fc.constant('nack' as const), from: host, sequence }),
+  fc.record({ kind: fc.constant('gossip' as const), from: host, updates: few }),
+  fc.record({
+    kind: fc.constant('ping-request' as const),
+    from: host,
+    sequence,
+    target: host,
+    address,
+    updates: few,
+  }),
+);
+
+test('datagram round trip', (t) => {
+  const property = fc.property(probe, (message) => {
+    const bytes = encodeProbe(message);
+    t.true(bytes.length <= MAX_DATAGRAM_BYTES);
+    t.deepEqual(decodeProbe(bytes), message);
+  });
+  fc.assert(property, RUNS);
+});
+
+test('sync round trip', (t) => {
+  const messages: fc.Arbitrary<SyncMessage> = fc.oneof(
+    fc.record({ kind: fc.constant('sync-root' as const), root: fc.nat() }),
+    fc.record({ kind: fc.constant('sync-same' as const) }),
+    fc.record({ kind: fc.constant('sync-buckets' as const), digests: fc.array(fc.nat()) }),
+    fc.record({
+      kind: fc.constant('sync-entries' as const),
+      buckets: fc.array(fc.nat(255)),
+      entries: fc.array(fc.record({ host, incarnation })),
+    }),
+    fc.record({
+      kind: fc.constant('sync-updates' as const),
+      updates: fc.array(update, { maxLength: 5 }),
+      wanted: fc.array(host),
+    }),
+  );
+  const property = fc.property(messages, (message) => {
+    t.deepEqual(decodeSync(encodeSync(message)), message);
+  });
+  fc.assert(property, RUNS);
+});
+
+test('estimate is no less', (t) => {
+  const empty = encodeProbe({ kind: 'gossip', from: 'a' as HostId, updates: [] }).length;
+  const property = fc.property(update, (one) => {
+    const bytes = encodeProbe({ kind: 'gossip', from: 'a' as HostId, updates: [one] }).length;
+    t.true(bytes - empty <= estimateBytes(one));
+  });
+  fc.assert(property, RUNS);
+});
+
+test('datagram keeps its bound', (t) => {
+  const property = fc.property(fc.array(update, { maxLength: 80 }), (updates) => {
+    const queue = new UpdateQueue();
+    for (const [index, one] of updates.entries()) queue.add(`${index}`, one);
+    const picked = queue.pick(MAX_UPDATE_BYTES, 3);
+    const message: ProbeMessage = {
+      kind: 'gossip',
+      from: 'h'.repeat(128) as HostId,
+      updates: picked,
+    };
+    const bytes = encodeProbe(message);
+    t.true(bytes.length <= MAX_UPDATE_BYTES + HEAD_BYTES + 16);
+    t.deepEqual(decodeProbe(bytes), message);
+  });
+  fc.assert(property, RUNS);
+});
+
+test('garbage is refused', (t) => {
+  const property = fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+    t.throws(() => decodeProbe(Buffer.from(bytes)));
+  });
+  fc.assert(property, { numRuns: 1_000, seed: 3 });
+});
+
+test('malformed is counted', async (t) => {
+  const number = await findFreePort();
+  const heard: ProbeMessage[] = [];
+  const task = new ProbeTask({
+    bind: `127.0.0.1:${number}` as Address,
+    reportFailure: (_, error) => {
+      t.fail(String(error));
+    },
+    notify: (_, message) => heard.push(message),
+  });
+  await task.start();
+  const peer = createSocket('udp4');
+  t.teardown(async () => {
+    peer.close();
+    await task.stop();
+  });
+  const good: ProbeMessage = { kind: 'nack', from: 'host-1' as HostId, sequence: 7 };
+  for (const bytes of [Buffer.from('nonsense'), Buffer.alloc(1_401), encodeProbe(good)]) {
+    peer.send(bytes, number, '127.0.0.1');
+  }
+  await waitFor('three datagrams', () => task.counts.received === 3 || undefined);
+  t.deepEqual(heard, [good]);
+  t.is(task.counts.malformed, 2);
+});
