--- /dev/null
+++ b/bench/members-bench.ts
@@ -0,0 +1,328 @@
+/**
+ * Measures the membership: one filter that holds many members, fleets of filters in one process, and
+ * real processes. Arguments: any of `table`, `fleet`, `processes`; without one, all of them.
+ */
+import { readFileSync } from 'node:fs';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { addMs } from '../src/clock.js';
+import { decodeProbe, encodeProbe } from '../src/edge/probe-codec.js';
+import { encodeMessage } from '../src/edge/link-codec.js';
+import { encodeSync } from '../src/edge/sync-codec.js';
+import type { Address, Incarnation, Instant, ServiceName } from '../src/ids.js';
+import type { MembersIn, MembersOut, MembersState } from '../src/members/index.js';
+import { MembersFilter } from '../src/members/index.js';
+import type {
+  Announcement,
+  Member,
+  MemberUpdate,
+  ProbeMessage,
+  ServerState,
+} from '../src/messages/index.js';
+import { SeededRandom } from '../src/random.js';
+import { MemberFleet } from './member-fleet.js';
+import { startSmallMesh } from './small-mesh.js';
+
+const TARGET_MEMBERS = 19_000;
+/** Records published per second at the target size: 2,600 restarts a day of 8 changes each, doubled. */
+const TARGET_CHANGES_PER_S = 0.5;
+const UDP_HEADER_BYTES = 28;
+const TABLE_SIZES = [100, 1_000, 5_000, TARGET_MEMBERS];
+const FLEET_SIZES = [125, 250, 500, 1_000];
+const PROCESS_COUNTS = [8, 32];
+/** Records of one message when a newcomer fetches the table. */
+const JOIN_BATCH = 500;
+const SEED = 7;
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+function formRecord(index: number, incarnation: number, state: ServerState = 'ready'): Member {
+  const member = MemberFleet.formMember(index, 7);
+  return {
+    ...member,
+    incarnation: (1_764_835_200_000 + incarnation) as Incarnation,
+    servers: [formServer(member.control, index, state)],
+  };
+}
+
+function formServer(control: Address, index: number, state: ServerState): Announcement {
+  return {
+    service: `service-${index % 2_000}` as ServiceName,
+    address: control.replace('7000', '8000') as Address,
+    slots: 20,
+    connections: 100,
+    state,
+    heartbeatDeadline: Number.POSITIVE_INFINITY as Instant,
+  };
+}
+
+/** One filter whose peers answer every probe and pass on every change, as a fleet would. */
+class LoneFilter {
+  readonly #filter: MembersFilter;
+  readonly #answers: ProbeMessage[] = [];
+  state: MembersState;
+  now = 1_764_835_200_000 as Instant;
+  wakeAt = this.now;
+  sentBytes = 0;
+  receivedBytes = 0;
+
+  constructor() {
+    const self = MemberFleet.formMember(0, 7);
+    const random = new SeededRandom(SEED);
+    this.#filter = new MembersFilter({ self, startedAt: this.now, seeds: [], random });
+    this.state = this.#filter.createState();
+  }
+
+  post(message: MembersIn): void {
+    const step = this.#filter.decide(this.state, message, this.now);
+    this.state = step.state;
+    for (const output of step.outputs) this.#take(output);
+    for (const answer of this.#answers.splice(0)) this.receive(answer);
+  }
+
+  /** Posts a datagram through the codec, and counts it. */
+  receive(message: ProbeMessage, from = MemberFleet.formMember(1).control): void {
+    const bytes = encodeProbe(message);
+    this.receivedBytes += bytes.length + UDP_HEADER_BYTES;
+    this.post({ kind: 'datagram', from, message: decodeProbe(bytes) });
+  }
+
+  runUntil(end: Instant): void {
+    while (this.wakeAt <= end) {
+      this.now = this.wakeAt;
+      this.wakeAt = Number.POSITIVE_INFINITY as Instant;
+      this.post({ kind: 'tick' });
+    }
+    this.now = end;
+  }
+
+  #take(output: MembersOut): void {
+    if (output.kind === 'wake') this.wakeAt = Math.min(this.wakeAt, output.at) as Instant;
+    if (output.kind !== 'datagram') return;
+    this.sentBytes += encodeProbe(output.message).length + UDP_HEADER_BYTES;
+    if (output.message.kind !== 'ping') return;
+    const { to, sequence } = output.message;
+    if (to === undefined) return;
+    this.#answers.push({ kind: 'ack', from: to, sequence, updates: [] });
+  }
+}
+
+function measureTable(size: number): void {
+  collectGarbage();
+  const heapBefore = process.memoryUsage().heapUsed;
+  const lone = new LoneFilter();
+  lone.post({ kind: 'tick' });
+  const startedAt = performance.now();
+  for (let index = 1; index < size; index += JOIN_BATCH) {
+    const count = Math.min(JOIN_BATCH, size - index);
+    const updates = Array.from({ length: count }, (_, offset): MemberUpdate => ({
+      kind: 'record',
+      member: formRecord(index + offset, 0),
+    }));
+    const bytes = encodeMessage(
+      'members',
+      encodeSync({ kind: 'sync-updates', updates, wanted: [] }),
+    );
+    lone.receivedBytes += bytes.length;
+    lone.post({
+      kind: 'received',
+      address: MemberFleet.formMember(1).control,
+      body: { kind: 'sync-updates', updates, wanted: [] },
+    });
+  }
+  const applyUs = ((performance.now() - startedAt) * 1_000) / size;
+  const joinBytes = lone.receivedBytes / size;
+  lone.runUntil(addMs(lone.now, 60_000));
+  collectGarbage();
+  const heapPerMember = (process.memoryUsage().heapUsed - heapBefore) / size;
+  const { cpuShare, sent, received } = measureChurn(lone, size);
+  console.log(
+    `| ${size} | ${heapPerMember.toFixed(0)} | ${joinBytes.toFixed(0)} | ${applyUs.toFixed(1)} | ` +
+      `${(cpuShare * 100).toFixed(3)} | ${sent.toFixed(0)} | ${received.toFixed(0)} |`,
+  );
+}
+
+/** Runs for ten minutes of fake time with the churn that belongs to the size. */
+function measureChurn(lone: LoneFilter, size: number) {
+  const seconds = 600;
+  const changesPerS = (TARGET_CHANGES_PER_S * size) / TARGET_MEMBERS;
+  const copies = Math.ceil(1.5 * Math.log(size + 1));
+  const random = new SeededRandom(SEED);
+  lone.sentBytes = 0;
+  lone.receivedBytes = 0;
+  const cpuBefore = process.cpuUsage();
+  let due = 0;
+  for (let second = 0; second < seconds; second += 1) {
+    for (due += changesPerS; due >= 1; due -= 1) {
+      const record = formRecord(1 + random.nextInt(size - 1), second + 1, 'draining');
+      for (let copy = 0; copy < copies; copy += 1) {
+        lone.receive({
+          kind: 'gossip',
+          from: record.host,
+          updates: [{ kind: 'record', member: record }],
+        });
+      }
+    }
+    const { host: from } = MemberFleet.formMember(1 + random.nextInt(size - 1));
+    lone.receive({ kind: 'ping', from, to: lone.state.self.host, sequence: second, updates: [] });
+    lone.runUntil(addMs(lone.now, 1_000));
+  }
+  const { user, system } = process.cpuUsage(cpuBefore);
+  return {
+    cpuShare: (user + system) / 1e6 / seconds,
+    sent: lone.sentBytes / seconds,
+    received: lone.receivedBytes / seconds,
+  };
+}
+
+function measureFleet(size: number): void {
+  const fleet = new MemberFleet(size, SEED, 7);
+  let bytes = 0;
+  fleet.network.countDatagram = (_, { message }) => {
+    bytes += encodeProbe(message).length + UDP_HEADER_BYTES;
+  };
+  fleet.network.countSend = (_, { body }) => {
+    bytes += encodeMessage('members', encodeSync(body)).length;
+  };
+  const joinedMs = fleet.runUntil(() => fleet.listMissing().length === 0, 120_000, 1_000);
+  const joinBytes = bytes / size;
+  fleet.run(30_000);
+  bytes = 0;
+  fleet.run(20_000);
+  const idleBytes = bytes / size / 20;
+  const times = measureDrains(fleet);
+  const crashMs = measureCrash(fleet);
+  console.log(
+    `| ${size} | ${joinedMs} | ${joinBytes.toFixed(0)} | ${idleBytes.toFixed(0)} | ` +
+      `${times.half} | ${times.most} | ${times.all} | ${crashMs} |`,
+  );
+}
+
+/** Drains one server after another under loss; returns the worst times over all of them. */
+function measureDrains(fleet: MemberFleet): { half: number; most: number; all: number } {
+  fleet.network.loss = 0.05;
+  const worst = { half: 0, most: 0, all: 0 };
+  for (const node of fleet.nodes.slice(10, 20)) {
+    const announce = (state: ServerState): void => {
+      const heartbeatDeadline = addMs(fleet.now, 3_600_000);
+      const announcement = { ...formServer(node.control, 1, state), heartbeatDeadline };
+      fleet.post(node, { kind: 'announce', announcement });
+    };
+    announce('ready');
+    fleet.run(10_000);
+    announce('draining');
+    const start = fleet.now;
+    const count = (): number =>
+      fleet.nodes.filter(({ view }) => view.get(node.host)?.servers[0]?.state === 'draining')
+        .length;
+    for (const [key, share] of [
+      ['half', 0.5],
+      ['most', 0.99],
+      ['all', 1],
+    ] as const) {
+      fleet.runUntil(() => count() >= share * fleet.nodes.length, 120_000, 20);
+      worst[key] = Math.max(worst[key], fleet.now - start);
+    }
+  }
+  return worst;
+}
+
+/** Kills one process after another under loss; returns the worst time until nobody shows it. */
+function measureCrash(fleet: MemberFleet): number {
+  let worst = 0;
+  for (const node of fleet.nodes.slice(20, 23)) {
+    fleet.kill(node);
+    worst = Math.max(
+      worst,
+      fleet.runUntil(() => fleet.countShowing(node.host) === 0, 120_000),
+    );
+  }
+  return worst;
+}
+
+interface ProcessReading {
+  readonly cpuMs: number;
+  readonly rssMb: number;
+}
+
+const CLOCK_TICK_MS = 10;
+const SETTLE_MS = 10_000;
+const OBSERVE_MS = 20_000;
+
+function readProcess(pid: number): ProcessReading {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
+  const cpuMs = (Number(stat[11]) + Number(stat[12])) * CLOCK_TICK_MS;
+  const rss = /VmRSS:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1];
+  return { cpuMs, rssMb: Number(rss) / 1_024 };
+}
+
+async function measureProcesses(count: number): Promise<void> {
+  const { mesh, nodes } = await startSmallMesh(count, 0);
+  const wait = (milliseconds: number) =>
+    new Promise((resolve) => setTimeout(resolve, milliseconds));
+  await wait(SETTLE_MS);
+  const proxies = nodes.slice(1);
+  const read = () => proxies.map(({ child }) => readProcess(child.pid ?? 0));
+  const before = read();
+  await wait(OBSERVE_MS);
+  const after = read();
+  await mesh.stop();
+  const shares = after.map(
+    ({ cpuMs }, index) => (cpuMs - (before[index]?.cpuMs ?? 0)) / OBSERVE_MS,
+  );
+  const bytes = proxies.map(({ output }) => readBytesPerS(output()));
+  const members = proxies.map(({ output }) => readField(output(), 'members'));
+  console.log(
+    `| ${count} | ${Math.min(...members)} | ${formatSpread(
+      shares.map((share) => share * 100),
+      2,
+    )} | ` +
+      `${formatSpread(
+        after.map(({ rssMb }) => rssMb),
+        0,
+      )} | ${formatSpread(bytes, 0)} |`,
+  );
+}
+
+function readField(output: string, field: string): number {
+  const line = output.split('\n').find((text) => text.includes('"event":"members-left"')) ?? '{}';
+  return Number((JSON.parse(line) as Record<string, unknown>)[field]);
+}
+
+function readBytesPerS(output: string): number {
+  const payload = readField(output, 'sentBytes') + readField(output, 'receivedBytes');
+  const datagrams = readField(output, 'sent') + readField(output, 'received');
+  const seconds = readField(output, 'uptimeMs') / 1_000;
+  return (payload + datagrams * UDP_HEADER_BYTES) / seconds;
+}
+
+function formatSpread(values: readonly number[], digits: number): string {
+  const sorted = values.toSorted((left, right) => left - right);
+  const middle = sorted[Math.floor(sorted.length / 2)] ?? 0;
+  return `${middle.toFixed(digits)} / ${(sorted.at(-1) ?? 0).toFixed(digits)}`;
+}
+
+const asked = process.argv.slice(2);
+const isAsked = (part: string): boolean => asked.length === 0 || asked.includes(part);
+
+if (isAsked('table')) {
+  console.log(
+    '| members | heap B/member | join B/member | apply µs/member | CPU % | sent B/s | received B/s |',
+  );
+  console.log('| --- | --- | --- | --- | --- | --- | --- |');
+  measureTable(100);
+  for (const size of TABLE_SIZES) measureTable(size);
+}
+if (isAsked('fleet')) {
+  console.log(
+    '| filters | joined ms | join B | idle B/s | drain 50 % ms | 99 % | all | crash gone ms |',
+  );
+  console.log('| --- | --- | --- | --- | --- | --- | --- | --- |');
+  for (const size of FLEET_SIZES) measureFleet(size);
+}
+if (isAsked('processes')) {
+  console.log('| proxies | members seen | CPU % p50/max | RSS MB p50/max | UDP B/s p50/max |');
+  console.log('| --- | --- | --- | --- | --- |');
+  for (const count of PROCESS_COUNTS) await measureProcesses(count);
+}
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -45,6 +45,7 @@
     settings,
     clock,
     random,
+    log,
     reportFailure,
     postLink,
     notify: (event) => {
--- a/src/program/run-members.ts
+++ b/src/program/run-members.ts
@@ -1,7 +1,7 @@
 /** Wires the membership, in which every process takes part whatever its roles. */
 import type { Clock } from '../clock.js';
 import { decodeSync, encodeSync, ProbeTask } from '../edge/index.js';
-import type { Address, Incarnation } from '../ids.js';
+import type { Address, HostId, Incarnation } from '../ids.js';
 import { NO_VERSION } from '../ids.js';
 import type { MembersIn, MembersOut, MembersState } from '../members/index.js';
 import { MembersFilter } from '../members/index.js';
@@ -9,6 +9,7 @@
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type { Random } from '../random.js';
+import type { Log } from './logger.js';
 import type { Settings } from './settings.js';
 
 /** What the membership needs. */
@@ -16,6 +17,7 @@
   readonly settings: Settings;
   readonly clock: Clock;
   readonly random: Random;
+  readonly log: Log;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
   /** Receives what the other pipes should know; it must hand it on to their inboxes. */
@@ -33,12 +35,14 @@
 
 /** Creates the tasks of the membership; nothing is sent before `start`. */
 export function runMembers(options: RunMembersOptions): RunningMembers {
-  const { settings, clock, random, reportFailure, postLink, notify } = options;
+  const { settings, clock, random, log, reportFailure, postLink, notify } = options;
+  const startedAt = clock.read();
+  const known = new Set<HostId>();
   const members = new FilterTask<MembersState, MembersIn, MembersOut>({
     name: 'members',
     filter: new MembersFilter({
       self: formSelf(settings),
-      startedAt: clock.read(),
+      startedAt,
       seeds: listSeeds(settings),
       random,
     }),
@@ -59,7 +63,11 @@
     if (output.kind === 'datagram') probes.post(output);
     else if (output.kind === 'send') {
       postLink({ kind: 'send', to: output.to, channel: 'members', body: encodeSync(output.body) });
-    } else notify(output);
+    } else {
+      if (output.kind === 'member-up') known.add(output.member.host);
+      if (output.kind === 'member-gone') known.delete(output.host);
+      notify(output);
+    }
   }
 
   return {
@@ -79,6 +87,8 @@
       members.post({ kind: 'leave' });
       await members.stop();
       await probes.stop();
+      const uptimeMs = clock.read() - startedAt;
+      log('members-left', { members: known.size, uptimeMs, ...probes.counts });
     },
   };
 }
