Bound the gossip of a member, and pass on in time what calls go wrong without

A gossip datagram now carries at most 360 bytes of updates. So that a backlog delays no server that stops taking work, updates have two lanes: draining, leaving, failing, left and crash fingerprints go first, and twice as often.

A record longer than a gossip datagram goes alone ('every update goes out'). A late turn after a pause kills nobody; the mutation that removes the check was missed before.

--- a/src/members/gossip.ts
+++ b/src/members/gossip.ts
@@ -7,6 +7,7 @@
   GOSSIP_FANOUT,
   GOSSIP_INTERVAL_MS,
   LEAVE_FANOUT,
+  MAX_GOSSIP_BYTES,
   MAX_UPDATE_BYTES,
   MIN_RETRANSMITS,
   RETRANSMIT_MULTIPLIER,
@@ -19,7 +20,7 @@
   if (state.queue.size === 0 || turn.now < state.gossipAt) return;
   state.gossipAt = addMs(turn.now, GOSSIP_INTERVAL_MS);
   for (const member of state.table.pickSome(state.random, GOSSIP_FANOUT)) {
-    const updates = pickUpdates(state);
+    const updates = state.queue.pick(MAX_GOSSIP_BYTES, countSends(state), MAX_UPDATE_BYTES);
     if (updates.length === 0) return;
     turn.send(member.control, { kind: 'gossip', from: state.self.host, updates });
   }
--- a/src/members/timing.ts
+++ b/src/members/timing.ts
@@ -14,6 +14,8 @@
 export const LEAVE_FANOUT = 8;
 /** Each member passes an update on at most this many times ln(members). */
 export const RETRANSMIT_MULTIPLIER = 1.5;
+/** How many times more often updates are passed on that every member must know in time. */
+export const URGENT_FACTOR = 2;
 export const MIN_RETRANSMITS = 4;
 /** A suspect is declared dead after this many probe intervals times log10(members). */
 export const SUSPICION_MULTIPLIER = 3;
@@ -38,7 +40,13 @@
 export const GRACE_MS = 3_000;
 /** A data centre is out of reach after this many failed probes without a word from it. */
 export const SILENT_AFTER_PROBES = 3;
-/** The bytes of updates that one datagram may carry. */
+/** The bytes of updates that a probe or an answer may carry, so that the datagram is not split. */
 export const MAX_UPDATE_BYTES = 1_150;
-export const MAX_OWN_SERVERS = 4;
+/**
+ * The bytes of updates that one gossip datagram may carry: with the fan-out and the interval they
+ * bound what a member sends while many updates wait.
+ */
+export const MAX_GOSSIP_BYTES = 360;
+/** With the longest names a record of this many servers still fits a datagram. */
+export const MAX_OWN_SERVERS = 3;
 export const MAX_BROADCASTS = 1_000;
--- a/src/members/update-queue.ts
+++ b/src/members/update-queue.ts
@@ -1,62 +1,56 @@
-/** Updates that wait to be passed on, each a bounded number of times. */
+/** Updates that wait to be passed on, the urgent ones first. */
 import type { MemberUpdate } from '../messages/index.js';
-import { estimateBytes } from './update-size.js';
+import { URGENT_FACTOR } from './timing.js';
+import { UpdateLane } from './update-lane.js';
 
 /**
- * Hands out the updates that were sent least often first, and forgets each one after enough sends.
- * A newer update of the same key replaces the older one.
+ * Keeps two lanes, so that a server that stops taking work is known in time even while thousands of
+ * processes start and join.
  */
 export class UpdateQueue {
-  /** Updates by the number of times they were sent. */
-  readonly #levels: Map<string, MemberUpdate>[] = [];
-  readonly #levelOf = new Map<string, number>();
+  readonly #urgent = new UpdateLane();
+  readonly #usual = new UpdateLane();
 
   get size(): number {
-    return this.#levelOf.size;
+    return this.#urgent.size + this.#usual.size;
   }
 
   /** Adds an update, or replaces the one with the same key. */
   add(key: string, update: MemberUpdate): void {
     this.remove(key);
-    this.#put(0, key, update);
+    const lane = isUrgent(update) ? this.#urgent : this.#usual;
+    lane.add(key, update);
   }
 
   remove(key: string): void {
-    const level = this.#levelOf.get(key);
-    if (level === undefined) return;
-    this.#levelOf.delete(key);
-    this.#levels[level]?.delete(key);
+    this.#urgent.remove(key);
+    this.#usual.remove(key);
   }
 
-  /** Picks updates for one datagram of at most `maxBytes` and counts them as sent. */
-  pick(maxBytes: number, maxSends: number): MemberUpdate[] {
-    const picked = this.#listFitting(maxBytes);
-    for (const { key, update, level } of picked) {
-      this.remove(key);
-      if (level + 1 < maxSends) this.#put(level + 1, key, update);
+  /**
+   * Picks updates for one datagram, as {@link UpdateLane.pick} does, and counts them as sent.
+   * `maxSends` is the bound of the usual ones.
+   */
+  pick(maxBytes: number, maxSends: number, maxSingleBytes = maxBytes): MemberUpdate[] {
+    const urgent = this.#urgent.pick(maxBytes, URGENT_FACTOR * maxSends, maxSingleBytes);
+    if (urgent.updates.length === 0) {
+      return this.#usual.pick(maxBytes, maxSends, maxSingleBytes).updates;
     }
-    return picked.map(({ update }) => update);
-  }
-
-  // Internals.
-
-  #put(level: number, key: string, update: MemberUpdate): void {
-    while (this.#levels.length <= level) this.#levels.push(new Map());
-    this.#levels[level]?.set(key, update);
-    this.#levelOf.set(key, level);
+    const usual = this.#usual.pick(maxBytes - urgent.bytes, maxSends);
+    return [...urgent.updates, ...usual.updates];
   }
+}
 
-  #listFitting(maxBytes: number): { key: string; update: MemberUpdate; level: number }[] {
-    const fitting: { key: string; update: MemberUpdate; level: number }[] = [];
-    let left = maxBytes;
-    for (const [level, updates] of this.#levels.entries()) {
-      for (const [key, update] of updates) {
-        const bytes = estimateBytes(update);
-        if (bytes > left) return fitting;
-        left -= bytes;
-        fitting.push({ key, update, level });
-      }
-    }
-    return fitting;
+// Internals.
+
+/** Tells whether calls go wrong until the update has arrived. */
+function isUrgent(update: MemberUpdate): boolean {
+  switch (update.kind) {
+    case 'record':
+      return update.member.servers.some(({ state }) => state !== 'ready' && state !== 'starting');
+    case 'status':
+      return update.liveness === 'left';
+    case 'crash-seen':
+      return true;
   }
 }
--- a/test/members-fleet.test.ts
+++ b/test/members-fleet.test.ts
@@ -191,6 +191,19 @@
   t.is(sleeper.state.counts.deaths, 0);
 });
 
+test('late turn kills nobody', (t) => {
+  const fleet = startFleet(20);
+  const [node, peer] = [findNode(fleet, 10), findNode(fleet, 11)];
+  const { host, incarnation } = peer.state.self;
+  const updates = [{ kind: 'status', host, incarnation, liveness: 'suspect' } as const];
+  const gossip = { kind: 'gossip', from: peer.host, updates } as const;
+  fleet.post(node, { kind: 'datagram', from: peer.control, message: gossip });
+  const late = addMs(fleet.now, 60_000);
+  const step = node.filter.decide(node.state, { kind: 'tick' }, late);
+  t.false(step.outputs.some((output) => output.kind === 'member-gone'));
+  t.is(step.state.counts.pauses, 1);
+});
+
 test('isolated node harms nobody', (t) => {
   const fleet = startFleet(15);
   const alone = findNode(fleet, 25);
