--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -47,6 +47,7 @@
     pass,
     clock,
     random,
+    log,
     reportFailure,
     postLink,
     notify: (event) => {
