Give every command its help, and serve status, metrics and drain

Each process with a status address serves what its tasks have reported, its members by state, and its metrics. A proxy takes POST /drain beside its announcements. Every answer of the note book has a short test.

--- a/src/edge/announce-task.ts
+++ b/src/edge/announce-task.ts
@@ -1,4 +1,4 @@
-/** The local HTTP interface at which a backend server announces itself to the proxy beside it. */
+/** The local HTTP interface at which a backend server announces itself, and at which a drain begins. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Stream } from 'most';
 import { z } from 'zod';
@@ -17,6 +17,8 @@
   readonly clock: Clock;
   readonly reportFailure: ReportFailure;
   readonly announce: (announcement: Announcement) => void;
+  /** Begins a graceful leave of the backend servers beside this proxy. */
+  readonly drain: () => void;
 }
 
 /** Owns the local socket. It accepts no messages; announcements only go out. */
@@ -41,8 +43,15 @@
   // Internals.
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.method === 'POST' && request.url === '/drain') {
+      request.resume();
+      this.#options.drain();
+      sendJson(response, ACCEPTED, { kind: 'draining' });
+      return;
+    }
     if (request.method !== 'POST' || request.url !== '/announce') {
-      sendJson(response, 404, { kind: 'unknown-path', message: 'use POST /announce' });
+      const message = 'use POST /announce or POST /drain';
+      sendJson(response, 404, { kind: 'unknown-path', message });
       return;
     }
     const body = announcementSchema.parse(JSON.parse(await readText(request, MAX_BODY_BYTES)));
@@ -61,6 +70,7 @@
 
 // Internals.
 
+const ACCEPTED = 202;
 const MAX_BODY_BYTES = 64 * 1024;
 const MAX_HEARTBEAT_MS = 60_000;
 
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -8,3 +8,5 @@
 export { OperatorTask } from './operator-task.js';
 export { ProbeTask } from './probe-task.js';
 export { decodeSync, encodeSync } from './sync-codec.js';
+export { StatusTask } from './status-task.js';
+export type { StatusIn } from './status-task.js';
--- /dev/null
+++ b/src/edge/status-task.ts
@@ -0,0 +1,123 @@
+/** The local HTTP interface that tells how a process is: `/status` in JSON, `/metrics` as text. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Stream } from 'most';
+import type { Clock } from '../clock.js';
+import type { Address, HostId, Instant } from '../ids.js';
+import type { Member, MemberEvent } from '../messages/index.js';
+import type { MetricsRegistry } from '../metrics/index.js';
+import type { ReportFailure } from '../pipe/index.js';
+import { sendJson } from './http-body.js';
+import { HttpTask } from './http-task.js';
+
+/** What the status is told by the other tasks. */
+export type StatusIn =
+  /** The latest value of one section; it replaces the former one. */
+  { readonly kind: 'report'; readonly section: string; readonly value: unknown } | MemberEvent;
+
+/** What a status task needs. */
+export interface StatusOptions {
+  /** Where it listens; without an address it only takes messages. */
+  readonly address: Address | undefined;
+  readonly host: HostId;
+  readonly roles: readonly string[];
+  readonly clock: Clock;
+  readonly registry: MetricsRegistry;
+  readonly reportFailure: ReportFailure;
+}
+
+/**
+ * Keeps the latest report of each section, so that the tasks which send them are never asked.
+ *
+ * @example
+ * status.post({ kind: 'report', section: 'proxy', value: { version: 7 } });
+ */
+export class StatusTask extends HttpTask<StatusIn> {
+  readonly #options: StatusOptions;
+  readonly #startedAt: Instant;
+  readonly #sections = new Map<string, unknown>();
+  readonly #members = new Map<HostId, Member>();
+
+  constructor(options: StatusOptions) {
+    super({ name: 'status', ...options, address: options.address ?? UNUSED_ADDRESS });
+    this.#options = options;
+    this.#startedAt = options.clock.read();
+  }
+
+  protected override createPipe(messages: Stream<StatusIn>): Stream<unknown> {
+    return messages.tap((message) => {
+      this.#handleMessage(message);
+    });
+  }
+
+  protected override async open(): Promise<void> {
+    if (this.#options.address !== undefined) await super.open();
+  }
+
+  protected override handle(request: IncomingMessage, response: ServerResponse): void {
+    request.resume();
+    const path = request.method === 'GET' ? request.url : undefined;
+    if (path === '/status') {
+      sendJson(response, OK, this.#formStatus());
+    } else if (path === '/metrics') {
+      response.writeHead(OK, { 'content-type': METRICS_TYPE });
+      response.end(this.#options.registry.formatText());
+    } else {
+      sendJson(response, NOT_FOUND, {
+        kind: 'unknown-path',
+        message: 'use GET /status or GET /metrics',
+      });
+    }
+  }
+
+  // Internals.
+
+  #handleMessage(message: StatusIn): void {
+    switch (message.kind) {
+      case 'report':
+        this.#sections.set(message.section, message.value);
+        return;
+      case 'member-up':
+        this.#members.set(message.member.host, message.member);
+        return;
+      case 'member-gone':
+        this.#members.delete(message.host);
+        return;
+    }
+  }
+
+  #formStatus(): Record<string, unknown> {
+    const { host, roles, clock } = this.#options;
+    const uptimeSeconds = Math.floor((clock.read() - this.#startedAt) / MILLIS_PER_SECOND);
+    const members = formMembers([...this.#members.values()]);
+    return { host, roles, uptimeSeconds, ...Object.fromEntries(this.#sections), members };
+  }
+}
+
+// Internals.
+
+const OK = 200;
+const NOT_FOUND = 404;
+const MILLIS_PER_SECOND = 1000;
+const METRICS_TYPE = 'text/plain; version=0.0.4';
+const UNUSED_ADDRESS = '127.0.0.1:0' as Address;
+
+/** Members by state, and the backend servers of each service by state. */
+function formMembers(members: readonly Member[]): Record<string, unknown> {
+  const services: Record<string, Record<string, number>> = {};
+  for (const { service, state } of members.flatMap((member) => member.servers)) {
+    const states = (services[service] ??= {});
+    states[state] = (states[state] ?? 0) + 1;
+  }
+  return {
+    byState: countBy(members, (member) => member.liveness),
+    byDataCentre: countBy(members, (member) => member.dataCentre),
+    byVersion: countBy(members, (member) => String(member.version)),
+    servers: services,
+  };
+}
+
+function countBy<T>(items: readonly T[], formName: (item: T) => string): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const item of items) counts[formName(item)] = (counts[formName(item)] ?? 0) + 1;
+  return counts;
+}
--- a/src/notes/index.ts
+++ b/src/notes/index.ts
@@ -18,3 +18,4 @@
 export type { ApplyFault, DanglingReference, Whole } from './whole.js';
 export { WholeTable } from './whole-table.js';
 export type { Break } from './whole-table.js';
+export type { SourceReport } from './note-status.js';
--- a/src/notes/note-status.ts
+++ b/src/notes/note-status.ts
@@ -6,6 +6,7 @@
   NotePage,
   NoteStatus,
   NoteSummary,
+  Straggler,
 } from '../messages/index.js';
 import type { NoteBook } from './note-book.js';
 import type { NoteEntry } from './note-entry.js';
@@ -14,6 +15,29 @@
 /** The coverage before the first report. */
 export const NO_COVERAGE: CoverageReport = { known: 0, held: [], stragglers: [] };
 
+/** How the source stands, for the operators of its host. */
+export interface SourceReport {
+  readonly leading: boolean;
+  /** The newest version that this replica has applied. */
+  readonly version: Version;
+  /** How many notes have been accepted. */
+  readonly notes: number;
+  /** Proxies known to this replica. */
+  readonly proxies: number;
+  /** Proxies that hold the newest version. */
+  readonly holding: number;
+  /** Some of the proxies that do not; the list is cut at a bound. */
+  readonly stragglers: readonly Straggler[];
+}
+
+/** Forms the report on the source. */
+export function formReport(book: NoteBook, report: CoverageReport, leading: boolean): SourceReport {
+  const { version, size } = book;
+  const { known, holding, stragglers } = countCoverage(report, version);
+  const listed = stragglers.slice(0, MAX_REPORTED_STRAGGLERS);
+  return { leading, version, notes: size, proxies: known, holding, stragglers: listed };
+}
+
 /** Forms the whole state of one note. */
 export function formStatus(entry: NoteEntry, report: CoverageReport): NoteStatus {
   const receipt = readReceipt(entry);
@@ -50,6 +74,8 @@
 
 // Internals.
 
+const MAX_REPORTED_STRAGGLERS = 20;
+
 function formSummary(entry: NoteEntry, report: CoverageReport): NoteSummary {
   const receipt = readReceipt(entry);
   const { known, holding } = countCoverage(report, receipt.version);
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -14,7 +14,8 @@
 import type { Step, Tick, Wake } from '../pipe/index.js';
 import { Filter } from '../pipe/index.js';
 import { NoteBook } from './note-book.js';
-import { formPage, formStatus, isInForce, NO_COVERAGE } from './note-status.js';
+import type { SourceReport } from './note-status.js';
+import { formPage, formReport, formStatus, isInForce, NO_COVERAGE } from './note-status.js';
 
 /** A question of an operator. It is answered only after the log has confirmed that this replica leads. */
 export type NoteQuestion =
@@ -42,6 +43,8 @@
   | { readonly kind: 'page'; readonly id: RequestId; readonly page: NotePage }
   | { readonly kind: 'refusal'; readonly id: RequestId; readonly refusal: LogRefusal }
   | { readonly kind: 'version'; readonly delta: VersionDelta }
+  /** How the source stands; sent whenever that has changed. */
+  | { readonly kind: 'report'; readonly report: SourceReport }
   | Wake;
 
 /** What is done once the log has confirmed that this replica leads. */
@@ -54,6 +57,7 @@
   /** Operators who wait until a note is in force. */
   readonly waits: Map<RequestId, Extract<NoteQuestion, { kind: 'wait' }>>;
   readonly coverage: CoverageReport;
+  readonly leading: boolean;
 }
 
 type NotesStep = Step<NotesState, NotesOut>;
@@ -67,7 +71,13 @@
  */
 export class NotesFilter extends Filter<NotesState, NotesIn, NotesOut> {
   override createState(): NotesState {
-    return { book: new NoteBook(), pending: new Map(), waits: new Map(), coverage: NO_COVERAGE };
+    return {
+      book: new NoteBook(),
+      pending: new Map(),
+      waits: new Map(),
+      coverage: NO_COVERAGE,
+      leading: false,
+    };
   }
 
   override decide(state: NotesState, message: NotesIn, now: Instant): NotesStep {
@@ -107,15 +117,17 @@
         const { id, refusal } = notice;
         return { state, outputs: [{ kind: 'refusal', id, refusal }] };
       }
-      case 'leading':
-        return { state, outputs: [] };
+      case 'leading': {
+        const next = { ...state, leading: notice.leading };
+        return { state: next, outputs: [report(next)] };
+      }
     }
   }
 
   #applyCommitted(state: NotesState, command: NoteCommand, id: RequestId | undefined): NotesStep {
     const { answer, delta } = state.book.apply(command);
     const outputs: NotesOut[] = [];
-    if (delta !== undefined) outputs.push({ kind: 'version', delta });
+    if (delta !== undefined) outputs.push({ kind: 'version', delta }, report(state));
     if (id !== undefined) outputs.push({ kind: 'answer', id, answer });
     return { state, outputs };
   }
@@ -173,7 +185,8 @@
       const entry = state.book.findEntry(number);
       return entry === undefined || isInForce(entry, state.coverage);
     });
-    return { state, outputs: ended.flatMap(([id, wait]) => endWait(state, id, wait)) };
+    const answers = ended.flatMap(([id, wait]) => endWait(state, id, wait));
+    return { state, outputs: [report(state), ...answers] };
   }
 
   #endWaits(state: NotesState, now: Instant): NotesStep {
@@ -188,6 +201,10 @@
 
 // Internals.
 
+function report({ book, coverage, leading }: NotesState): NotesOut {
+  return { kind: 'report', report: formReport(book, coverage, leading) };
+}
+
 function propose(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
   return { state, outputs: [{ kind: 'log', request: { kind: 'propose', id, command } }] };
 }
--- a/src/program/command-line.ts
+++ b/src/program/command-line.ts
@@ -1,58 +1,79 @@
-/** The command line. */
+/** The command line: finds the command, reads its options and shows its help. */
 import { parseArgs } from 'node:util';
-
+import type { Command, Terminal } from './commands/index.js';
+import { CommandInput, COMMANDS, UsageError } from './commands/index.js';
+import type { ExitCode as Code } from './exit-code.js';
 import { ExitCode } from './exit-code.js';
-import { sendNoteRequest } from './note-command.js';
-import { runProcess } from './run-command.js';
-import { loadSettings, SettingsError } from './settings.js';
 
 /** Runs one command and resolves with its exit code. */
-export async function runCommandLine(args: readonly string[]): Promise<number> {
-  const { values, positionals } = parseArgs({
-    args: [...args],
-    allowPositionals: true,
-    options: {
-      settings: { type: 'string' },
-      operator: { type: 'string' },
-      'token-file': { type: 'string' },
-      json: { type: 'boolean' },
-    },
-  });
-  const [command, action, argument] = positionals;
-  switch (command) {
-    case 'run':
-      return runWithSettings(values.settings);
-    case 'note':
-      return sendNoteRequest({
-        operator: values.operator ?? '',
-        tokenFile: values['token-file'] ?? '',
-        action: action ?? 'list',
-        argument,
-      });
-    case 'version':
-      process.stdout.write(`${VERSION}\n`);
-      return ExitCode.done;
-    default:
-      process.stderr.write(`${USAGE}\n`);
-      return ExitCode.usage;
+export async function runCommandLine(
+  args: readonly string[],
+  terminal: Terminal = STANDARD_TERMINAL,
+): Promise<Code> {
+  const [first] = args;
+  if (first === 'help' || first === '--help' || first === '-h') {
+    terminal.print(formatOverview());
+    return ExitCode.done;
   }
+  const command = findCommand(args);
+  if (command !== undefined) return runCommand(command, args, terminal);
+  if (first !== undefined) terminal.complain(`"${args.slice(0, 2).join(' ')}" is no command`);
+  terminal.complain(formatOverview());
+  return ExitCode.usage;
 }
 
 // Internals.
 
-const VERSION = '0.1.0';
-const USAGE = 'usage: bilberryswitch run|note|version [options]';
+const STANDARD_TERMINAL: Terminal = {
+  print: (line) => {
+    process.stdout.write(`${line}\n`);
+  },
+  complain: (line) => {
+    process.stderr.write(`${line}\n`);
+  },
+};
+
+function findCommand(args: readonly string[]): Command | undefined {
+  return COMMANDS.find(({ name }) => name.split(' ').every((word, index) => word === args[index]));
+}
 
-async function runWithSettings(path: string | undefined): Promise<number> {
-  if (path === undefined) {
-    process.stderr.write('run needs --settings FILE\n');
+async function runCommand(
+  command: Command,
+  args: readonly string[],
+  terminal: Terminal,
+): Promise<Code> {
+  try {
+    const input = readInput(command, args);
+    if (!input.isSet('help')) return await command.run(input, terminal);
+    terminal.print(command.formatHelp());
+    return ExitCode.done;
+  } catch (error) {
+    if (!(error instanceof UsageError)) throw error;
+    terminal.complain(`${command.name}: ${error.message}`);
+    terminal.complain(`"bilberryswitch ${command.name} --help" tells more`);
     return ExitCode.usage;
   }
+}
+
+function readInput(command: Command, args: readonly string[]): CommandInput {
+  const words = command.name.split(' ').length;
   try {
-    return await runProcess(loadSettings(path));
+    const { values, positionals } = parseArgs({
+      args: args.slice(words),
+      allowPositionals: true,
+      options: command.formParseOptions(),
+    });
+    return new CommandInput(values, positionals);
   } catch (error) {
-    if (!(error instanceof SettingsError)) throw error;
-    process.stderr.write(`${error.message}\n`);
-    return ExitCode.usage;
+    throw new UsageError((error as Error).message);
   }
 }
+
+function formatOverview(): string {
+  const lines = COMMANDS.map(({ name, argument, summary }) => {
+    return `  ${`${name} ${argument}`.padEnd(NAME_WIDTH)}${summary}`;
+  });
+  return `usage: bilberryswitch COMMAND [options]\n\n${lines.join('\n')}\n\n"bilberryswitch COMMAND --help" shows the options of a command`;
+}
+
+const NAME_WIDTH = 24;
--- /dev/null
+++ b/src/program/commands/format-note.ts
@@ -0,0 +1,69 @@
+/** Writes answers about notes for people. */
+import type {
+  NoteAnswer,
+  NotePage,
+  NoteReceipt,
+  NoteStatus,
+  Straggler,
+} from '../../messages/index.js';
+
+/** Writes a receipt. */
+export function formatReceipt({ number, revision, version }: NoteReceipt): string {
+  return `note ${number}, revision ${revision}: accepted as version ${version}`;
+}
+
+/** Writes why a command was refused, and what to do. */
+export function formatRefusal(answer: Exclude<NoteAnswer, { kind: 'accepted' }>): string {
+  switch (answer.kind) {
+    case 'refused':
+      return ['refused:', ...answer.faults.map((one) => `  ${one.place}: ${one.message}`)].join(
+        '\n',
+      );
+    case 'number-taken': {
+      const { number, digest, version } = answer.winner;
+      return `number taken: note ${number} is another note, accepted as version ${version} with digest ${digest}; choose another number`;
+    }
+    case 'stale-revision':
+      return `stale revision: the note is at revision ${answer.current}; read it again and decide anew`;
+    case 'would-undo':
+      return `would undo ${formatNotes(answer.notes)}: name them in "supersedes" if that is meant`;
+    case 'rested-on':
+      return `rested on: ${formatNotes(answer.notes)} need what this would take out; withdraw them first`;
+    case 'unknown-note':
+      return `unknown note: there is no note ${answer.number}`;
+  }
+}
+
+/** Writes the state of one note. */
+export function formatStatus(status: NoteStatus): string {
+  const { receipt, title, withdrawn, inForce, coverage, history } = status;
+  const state = inForce ? 'in force' : 'not yet in force';
+  return [
+    `note ${receipt.number}: ${title}`,
+    `revision ${receipt.revision}, version ${receipt.version}, digest ${receipt.digest}`,
+    `${withdrawn ? 'withdrawn; the withdrawal is ' : ''}${state}: ${coverage.holding} of ${coverage.known} proxies hold it`,
+    `revisions: ${history.map((one) => `${one.revision} as version ${one.version}`).join(', ')}`,
+    ...coverage.stragglers.map((one) => `  behind: ${formatStraggler(one)}`),
+  ].join('\n');
+}
+
+/** Writes one line a note. */
+export function formatPage({ notes, next }: NotePage): string {
+  const lines = notes.map(({ receipt, title, withdrawn, inForce, holding, known }) => {
+    const state = withdrawn ? 'withdrawn' : inForce ? 'in force' : `${holding} of ${known}`;
+    return `${receipt.number}\trevision ${receipt.revision}\tversion ${receipt.version}\t${state}\t${title}`;
+  });
+  const more = next === undefined ? [] : [`more: --after ${next}`];
+  return [...lines, ...more].join('\n');
+}
+
+/** Writes where a proxy stands that does not hold the newest version. */
+export function formatStraggler({ host, version, reason, since }: Straggler): string {
+  return `${host} holds version ${version}, ${reason} since ${new Date(since).toISOString()}`;
+}
+
+// Internals.
+
+function formatNotes(numbers: readonly number[]): string {
+  return `${numbers.length === 1 ? 'note' : 'notes'} ${numbers.join(', ')}`;
+}
--- /dev/null
+++ b/src/program/commands/index.ts
@@ -0,0 +1,31 @@
+/** The commands of the program. */
+import type { Command } from './command.js';
+import { DrainCommand, StatusCommand } from './local-commands.js';
+import {
+  NoteAmendCommand,
+  NoteListCommand,
+  NoteShowCommand,
+  NoteSubmitCommand,
+  NoteWaitCommand,
+  NoteWithdrawCommand,
+} from './note-commands.js';
+import { CheckCommand, RunCommand } from './settings-commands.js';
+import { VersionCommand } from './version-command.js';
+
+export { Command, CommandInput, UsageError } from './command.js';
+export type { Terminal } from './command.js';
+
+/** Every command, in the order of the help. */
+export const COMMANDS: readonly Command[] = [
+  new RunCommand(),
+  new CheckCommand(),
+  new NoteSubmitCommand(),
+  new NoteAmendCommand(),
+  new NoteWithdrawCommand(),
+  new NoteShowCommand(),
+  new NoteListCommand(),
+  new NoteWaitCommand(),
+  new StatusCommand(),
+  new DrainCommand(),
+  new VersionCommand(),
+];
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -3,6 +3,7 @@
 import { SystemClock } from '../clock.js';
 import { LinkTask } from '../edge/index.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
+import { MetricsRegistry } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { SeededRandom } from '../random.js';
 import { createLogger } from './logger.js';
@@ -12,6 +13,8 @@
 import { runProxy } from './run-proxy.js';
 import { runSource } from './run-source.js';
 import type { Settings } from './settings.js';
+import type { ReportStatus } from './status.js';
+import { createStatusTask } from './status.js';
 
 /** Runs until SIGTERM or SIGINT, then stops gracefully. Resolves with the exit code. */
 export async function runProcess(settings: Settings): Promise<number> {
@@ -26,6 +29,8 @@
   const clock = new SystemClock();
   const random = new SeededRandom(randomInt(MAX_SEED));
   const roles: RunningRole[] = [];
+  const registry = new MetricsRegistry();
+  const status = createStatusTask({ settings, clock, registry, reportFailure });
   const links = new LinkTask({
     host: settings.host,
     control: settings.control,
@@ -48,19 +53,26 @@
     reportFailure,
     postLink,
     notify: (event) => {
+      if (event.kind !== 'broadcast') status.post(event);
       for (const role of roles) role.handleMembership(event);
     },
   });
   const postMembers = members.post;
+  const report: ReportStatus = (section, value) => {
+    status.post({ kind: 'report', section, value });
+  };
 
+  await status.start();
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    roles.push(await runSource({ settings: source, dataFolder, clock, reportFailure, postLink }));
+    roles.push(
+      await runSource({ settings: source, dataFolder, clock, reportFailure, postLink, report }),
+    );
   }
   if (settings.roles.includes('proxy') && proxy) {
     roles.push(
-      await runProxy({ settings, proxy, clock, log, reportFailure, postLink, postMembers }),
+      await runProxy({ settings, proxy, clock, log, reportFailure, postLink, postMembers, report }),
     );
   }
   await members.start();
@@ -71,6 +83,7 @@
   for (const role of roles.toReversed()) await role.stop();
   await members.stop();
   await links.stop();
+  await status.stop();
   log('stopped');
   return 0;
 }
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -10,6 +10,7 @@
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
+import type { ReportStatus } from './status.js';
 
 /** What the proxy role needs. */
 export interface ProxyOptions {
@@ -20,11 +21,12 @@
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
   readonly postMembers: (message: MembersIn) => void;
+  readonly report: ReportStatus;
 }
 
 /** Starts the tasks of the proxy role. */
 export async function runProxy(options: ProxyOptions): Promise<RunningRole> {
-  const { settings, proxy, clock, log, reportFailure, postLink, postMembers } = options;
+  const { settings, proxy, clock, log, reportFailure, postLink, postMembers, report } = options;
   const calls = new CallTask({ address: proxy.calls, clock, reportFailure });
   const spread = new FilterTask<ProxySpreadState, ProxySpreadIn, ProxySpreadOut>({
     name: 'proxy-spread',
@@ -40,6 +42,10 @@
     announce: (announcement) => {
       postMembers({ kind: 'announce', announcement });
     },
+    drain: () => {
+      log('draining');
+      postMembers({ kind: 'drain' });
+    },
   });
 
   function routeSpread(output: ProxySpreadOut): void {
@@ -49,6 +55,7 @@
         return;
       case 'whole':
         log('version-applied', { version: output.whole.version });
+        report('proxy', { version: output.whole.version, resources: output.whole.resources.size });
         calls.post(output);
         return;
       case 'rejected':
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -12,6 +12,7 @@
 import { SourceSpreadFilter } from '../spread/index.js';
 import type { RunningRole } from './running-role.js';
 import type { SourceSettings } from './settings.js';
+import type { ReportStatus } from './status.js';
 
 /** What the source role needs. */
 export interface SourceOptions {
@@ -20,11 +21,12 @@
   readonly clock: Clock;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
+  readonly report: ReportStatus;
 }
 
 /** Starts the tasks of the source role. */
 export async function runSource(options: SourceOptions): Promise<RunningRole> {
-  const { settings, clock, reportFailure, postLink } = options;
+  const { settings, clock, reportFailure, postLink, report } = options;
   const notes = new FilterTask<NotesState, NotesIn, NotesOut>({
     name: 'notes',
     filter: new NotesFilter(),
@@ -63,6 +65,7 @@
   function routeNotes(output: Exclude<NotesOut, Wake>): void {
     if (output.kind === 'log') log.post({ kind: 'request', request: output.request });
     else if (output.kind === 'version') spread.post({ kind: 'version', delta: output.delta });
+    else if (output.kind === 'report') report('source', output.report);
     else operator.post(output);
   }
 
--- /dev/null
+++ b/test/notes-answers.test.ts
@@ -0,0 +1,237 @@
+/** Each answer of the note book, one by one. */
+import test from 'ava';
+import type { NoteAnswer, NoteCommand } from '../src/messages/index.js';
+import { digestValue, NoteBook } from '../src/notes/index.js';
+import {
+  amend,
+  formRoute,
+  formService,
+  formWithdrawal,
+  makeDraft,
+  submit,
+  withdraw,
+} from './note-drafts.js';
+
+const BASE = `${formService('stock')}${formRoute('add', 'stock')}`;
+const SPLIT = '[[add]]\nkind = "split"\nname = "main"\n';
+
+/** Applies commands and returns the last answer. */
+function run(...commands: NoteCommand[]): { book: NoteBook; answer: NoteAnswer } {
+  const book = new NoteBook();
+  const answers = commands.map((command) => book.apply(command).answer);
+  return { book, answer: answers.at(-1) ?? { kind: 'refused', faults: [] } };
+}
+
+function listFaults(answer: NoteAnswer): string[] {
+  if (answer.kind !== 'refused') throw new Error(`not refused but ${answer.kind}`);
+  return answer.faults.map(({ place, message }) => `${place}: ${message}`);
+}
+
+function countVersions(book: NoteBook): number {
+  return book.version;
+}
+
+/** The kind of an answer and what it names. */
+function formShort(answer: NoteAnswer): string {
+  const { kind, ...rest } = answer;
+  const named = 'winner' in rest ? [rest.winner.digest] : Object.values(rest);
+  return `${kind} ${named.join()}`;
+}
+
+function readVersion(answer: NoteAnswer): number[] {
+  if (answer.kind !== 'accepted') throw new Error(`not accepted but ${answer.kind}`);
+  return [answer.receipt.version, answer.receipt.revision];
+}
+
+test('first receipt', (t) => {
+  t.deepEqual(readVersion(run(submit(7, BASE)).answer), [1, 1]);
+});
+
+test('submit resend', (t) => {
+  const { book, answer } = run(submit(7, BASE), submit(8, formService('x')), submit(7, BASE));
+  t.deepEqual(readVersion(answer), [1, 1]);
+  t.is(countVersions(book), 2);
+});
+
+test('submit resend after withdrawal', (t) => {
+  const { book, answer } = run(submit(7, BASE), withdraw(7, 1), submit(7, BASE));
+  t.deepEqual(readVersion(answer), [1, 1]);
+  t.is(book.formWholeSnapshot().resources.length, 0);
+});
+
+test('number taken', (t) => {
+  const { book, answer } = run(submit(7, BASE), submit(7, formService('x')));
+  t.is(formShort(answer), `number-taken ${digestValue(makeDraft(7, BASE))}`);
+  t.is(countVersions(book), 1);
+});
+
+test('amend resend', (t) => {
+  const second = amend(7, 1, formService('x'));
+  const { book, answer } = run(submit(7, BASE), second, amend(7, 2, BASE), second);
+  t.deepEqual(readVersion(answer), [2, 2]);
+  t.is(countVersions(book), 3);
+});
+
+test('withdraw resend', (t) => {
+  const { book, answer } = run(submit(7, BASE), withdraw(7, 1), withdraw(7, 1));
+  t.deepEqual(readVersion(answer), [2, 2]);
+  t.is(countVersions(book), 2);
+});
+
+test('stale amend', (t) => {
+  const { answer } = run(submit(7, BASE), amend(7, 1, formService('x')), amend(7, 1, BASE));
+  t.is(formShort(answer), 'stale-revision 2');
+});
+
+test('stale withdrawal', (t) => {
+  const { answer } = run(submit(7, BASE), amend(7, 1, formService('x')), withdraw(7, 1));
+  t.is(formShort(answer), 'stale-revision 2');
+});
+
+test('amend after withdrawal', (t) => {
+  const { answer } = run(submit(7, BASE), withdraw(7, 1), amend(7, 2, BASE));
+  t.regex(listFaults(answer).join(), /^number: note 7 has been withdrawn/);
+});
+
+test('unknown note', (t) => {
+  t.is(formShort(run(withdraw(7, 1)).answer), 'unknown-note 7');
+  t.is(formShort(run(amend(7, 1, BASE)).answer), 'unknown-note 7');
+});
+
+test('change unnamed', (t) => {
+  const moved = formRoute('change', 'stock', 'path_prefix = "/shelf"');
+  const { answer } = run(submit(1, BASE), submit(2, moved));
+  t.is(formShort(answer), 'would-undo 1');
+  t.deepEqual(readVersion(run(submit(1, BASE), submit(2, moved, [1])).answer), [2, 1]);
+});
+
+test('withdraw unnamed', (t) => {
+  const { answer } = run(submit(1, BASE), submit(2, formWithdrawal('route', 'stock')));
+  t.is(formShort(answer), 'would-undo 1');
+});
+
+test('bring back unnamed', (t) => {
+  const gone = submit(2, formWithdrawal('route', 'stock'), [1]);
+  const { answer } = run(submit(1, BASE), gone, submit(3, formRoute('add', 'stock')));
+  t.is(formShort(answer), 'would-undo 2');
+});
+
+test('withdrawal restores', (t) => {
+  const moved = submit(2, formRoute('change', 'stock', 'path_prefix = "/shelf"'), [1]);
+  const before = run(submit(1, BASE)).book;
+  const { book, answer } = run(submit(1, BASE), moved, withdraw(2, 1));
+  t.deepEqual(readVersion(answer), [3, 2]);
+  t.is(book.digest, before.digest);
+});
+
+test('rested on by a change', (t) => {
+  const moved = submit(2, formRoute('change', 'stock', 'path_prefix = "/shelf"'), [1]);
+  const { answer } = run(submit(1, BASE), moved, withdraw(1, 1));
+  t.is(formShort(answer), 'rested-on 2');
+});
+
+test('rested on by a route', (t) => {
+  const { answer } = run(
+    submit(1, formService('stock')),
+    submit(2, formRoute('add', 'stock')),
+    withdraw(1, 1),
+  );
+  t.is(formShort(answer), 'rested-on 2');
+});
+
+test('rested on from between', (t) => {
+  const move = (path: string) => formRoute('change', 'stock', `path_prefix = "/${path}"`);
+  const { answer } = run(
+    submit(1, BASE),
+    submit(2, move('a'), [1]),
+    submit(3, move('b'), [2]),
+    withdraw(2, 1),
+  );
+  t.is(formShort(answer), 'rested-on 3');
+});
+
+test('rested on by an amendment', (t) => {
+  const shelf = formRoute('add', 'shelf')
+    .replace('service = "shelf"', 'service = "stock"')
+    .replace('request_kind = "shelf"', 'request_kind = "stock"');
+  const { answer } = run(submit(1, BASE), submit(2, shelf), amend(1, 1, formService('other')));
+  t.is(formShort(answer), 'rested-on 2');
+});
+
+test('every fault at once', (t) => {
+  const { answer } = run(
+    submit(1, BASE),
+    submit(
+      2,
+      [
+        formRoute('add', 'stock'),
+        formRoute('add', 'lost'),
+        formRoute('change', 'absent'),
+        formWithdrawal('service', 'nowhere'),
+        formWithdrawal('route', 'lost'),
+      ].join('\n'),
+      [9, 2],
+    ),
+  );
+  t.deepEqual(
+    listFaults(answer).map((fault) => fault.split(':')[0]),
+    [
+      'supersedes[0]',
+      'supersedes[1]',
+      'withdraw[1]',
+      'add[0]',
+      'change[0]',
+      'withdraw[0]',
+      'change[0].request_kind',
+      'change[0].service',
+      'add[1].request_kind',
+      'add[1].service',
+    ],
+  );
+});
+
+test('service still needed', (t) => {
+  const { answer } = run(submit(1, BASE), submit(2, formWithdrawal('service', 'stock'), [1]));
+  t.regex(listFaults(answer).join(), /^withdraw\[0\]: route\/stock, set by note 1, refers to/);
+});
+
+test('ambiguous routes', (t) => {
+  const twin = `${formService('shelf')}${formRoute('add', 'shelf', 'path_prefix = "/stock"')}`;
+  const { answer } = run(submit(1, BASE), submit(2, twin));
+  t.regex(
+    listFaults(answer).join(),
+    /^add\[2\]: route\/shelf would match the same .* route\/stock/,
+  );
+});
+
+test('split of an absent generation', (t) => {
+  const shares =
+    'shares = [{ generation = "old", share = 9000 }, { generation = "new", share = 1000 }]';
+  const { answer } = run(submit(1, BASE), submit(2, `${SPLIT}${shares}`));
+  t.regex(
+    listFaults(answer).join(),
+    /^add\[0\]\.shares\[1\]\.generation: generation\/new would be/,
+  );
+});
+
+test('last route of a generation', (t) => {
+  const shares = 'shares = [{ generation = "old", share = 10000 }]';
+  const { answer } = run(
+    submit(1, BASE),
+    submit(2, `${SPLIT}${shares}`),
+    submit(3, formWithdrawal('route', 'stock'), [1]),
+  );
+  t.regex(listFaults(answer).join(), /^withdraw\[0\]: split\/main, set by note 2, refers to/);
+});
+
+test('delta of one note', (t) => {
+  const { delta } = new NoteBook().apply(submit(1, BASE));
+  t.is(delta?.version as number, 1);
+  t.is(delta?.changes.length, 3);
+});
+
+test('damaged snapshot', (t) => {
+  const snapshot = run(submit(1, BASE)).book.formSnapshot();
+  const digest = '0'.repeat(32) as never;
+  t.throws(() => NoteBook.open({ ...snapshot, digest }), { message: /is damaged/ });
+});
