--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -66,14 +66,13 @@
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    roles.push(
-      await runSource({ settings: source, dataFolder, clock, reportFailure, postLink, report }),
-    );
+    const { control, spread } = settings;
+    const shared = { settings: source, dataFolder, control, spread: spread.policy };
+    roles.push(await runSource({ ...shared, clock, log, reportFailure, postLink, report }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    roles.push(
-      await runProxy({ settings, proxy, clock, log, reportFailure, postLink, postMembers, report }),
-    );
+    const shared = { settings, proxy, clock, random, log, reportFailure };
+    roles.push(await runProxy({ ...shared, postLink, postMembers, report }));
   }
   await members.start();
   log('started', { roles: settings.roles, control: settings.control });
