--- /dev/null
+++ b/bench/notes-bench.ts
@@ -0,0 +1,150 @@
+/**
+ * Measures the note book: accepts per second against its size, beside the naive ways.
+ *
+ * `npm run bench -- notes` prints a table in Markdown. The rows of one size run in one process, one
+ * after the other, so that their ratios share the noise of the machine; the spread over the rounds is
+ * printed with them.
+ */
+import { Packr } from 'msgpackr';
+import type { Generation, NoteNumber, RequestKindName, ServiceName, Version } from '../src/ids.js';
+import type { NoteCommand, NoteDraft, Resource } from '../src/messages/index.js';
+import type { Whole } from '../src/notes/index.js';
+import { buildNext, EMPTY_WHOLE, findDangling, NoteBook } from '../src/notes/index.js';
+
+const SIZES = [1_000, 10_000, 100_000];
+const SERVICES = 2_000;
+const TIMED_NOTES = 200;
+const ROUNDS = 7;
+const MILLIS_PER_SECOND = 1_000;
+const BYTES_PER_KB = 1_024;
+
+const browse = 'browse' as RequestKindName;
+const generation = 'old' as Generation;
+
+function formDraft(number: number, more: Partial<NoteDraft>): NoteDraft {
+  const lists = { add: [], change: [], withdraw: [], supersedes: [] };
+  return { number: number as NoteNumber, title: `note ${number}`, ...lists, ...more };
+}
+
+function formRoute(name: string, pathPrefix: string): Resource {
+  const service = `service-${name}` as ServiceName;
+  return { kind: 'route', name, generation, pathPrefix, method: '*', service, requestKind: browse };
+}
+
+/** The first note holds every service and route; each later one moves the route of one service. */
+function formFirst(): NoteCommand {
+  const kind = { kind: 'request-kind', name: browse, idempotent: true, worth: 1 } as const;
+  const add: Resource[] = [{ ...kind, timeoutMs: 1_000, claim: false, hedge: false }];
+  for (let index = 0; index < SERVICES; index += 1) {
+    add.push({ kind: 'service', name: `service-${index}` as ServiceName });
+    add.push(formRoute(`${index}`, `/${index}`));
+  }
+  return { kind: 'submit', draft: formDraft(1, { add }) };
+}
+
+function formMove(number: number): NoteCommand {
+  const name = `${number % SERVICES}`;
+  const former = Math.max(1, number - SERVICES) as NoteNumber;
+  const change = [formRoute(name, `/${name}/${number}`)];
+  return { kind: 'submit', draft: formDraft(number, { change, supersedes: [former] }) };
+}
+
+function fillBook(size: number): NoteBook {
+  const book = new NoteBook();
+  book.apply(formFirst());
+  for (let number = 2; number <= size; number += 1) {
+    const { answer } = book.apply(formMove(number));
+    if (answer.kind !== 'accepted') throw new Error(`note ${number}: ${answer.kind}`);
+  }
+  return book;
+}
+
+/** What a note cost before: a copy of the tables of notes and resources, and a look at every route. */
+class CopyingBook {
+  #whole: Whole = EMPTY_WHOLE;
+  #notes: ReadonlyMap<NoteNumber, NoteDraft>;
+
+  constructor(book: NoteBook) {
+    const { resources } = book.formWholeSnapshot();
+    this.#whole = buildNext(
+      EMPTY_WHOLE,
+      resources.map((resource) => ({ op: 'put', resource })),
+    );
+    const entries = book.listEntries(0 as Version, book.size);
+    this.#notes = new Map(entries.map(({ draft }) => [draft.number, draft]));
+  }
+
+  apply(command: NoteCommand): void {
+    if (command.kind !== 'submit') return;
+    const { draft } = command;
+    const changes = draft.change.map((resource) => ({ op: 'put', resource }) as const);
+    const next = buildNext(this.#whole, changes);
+    if (findDangling(next).length > 0) throw new Error('dangling');
+    this.#whole = next;
+    this.#notes = new Map(this.#notes).set(draft.number, draft);
+  }
+}
+
+/** Times a batch of notes and returns accepts per second. */
+function measureRate(apply: (command: NoteCommand) => unknown, start: number): number {
+  const commands = Array.from({ length: TIMED_NOTES }, (_, index) => formMove(start + index));
+  const begin = performance.now();
+  for (const command of commands) apply(command);
+  return (TIMED_NOTES * MILLIS_PER_SECOND) / (performance.now() - begin);
+}
+
+function formSpread(rates: readonly number[]): string {
+  const sorted = [...rates].sort((left, right) => left - right);
+  const [low = 0, middle = 0, high = 0] = [
+    sorted[0],
+    sorted[Math.floor(sorted.length / 2)],
+    sorted.at(-1),
+  ];
+  return `${Math.round(middle)} (${Math.round(low)}–${Math.round(high)})`;
+}
+
+function reportSize(size: number): void {
+  const heapBefore = measureHeap();
+  const book = fillBook(size);
+  const bytesPerNote = (measureHeap() - heapBefore) / size;
+  const copying = new CopyingBook(book);
+  const inPlace: number[] = [];
+  const copied: number[] = [];
+  let next = size + 1;
+  for (let round = 0; round < ROUNDS; round += 1) {
+    inPlace.push(measureRate((command) => book.apply(command), next));
+    copied.push(
+      measureRate((command) => {
+        copying.apply(command);
+      }, next),
+    );
+    next += TIMED_NOTES;
+  }
+  const packr = new Packr({ useRecords: true });
+  const formedAt = performance.now();
+  const packed = packr.pack(book.formSnapshot());
+  const openedAt = performance.now();
+  NoteBook.open(packr.unpack(packed) as never);
+  const endedAt = performance.now();
+  const cells = [
+    size,
+    formSpread(inPlace),
+    formSpread(copied),
+    Math.round(bytesPerNote),
+    Math.round(packed.length / BYTES_PER_KB),
+    Math.round(openedAt - formedAt),
+    Math.round(endedAt - openedAt),
+  ];
+  console.log(`| ${cells.join(' | ')} |`);
+}
+
+function measureHeap(): number {
+  global.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+console.log(
+  '| notes | in place, accepts/s: median (lowest–highest) | copying tables, accepts/s | heap bytes a note | snapshot KB | pack ms | open ms |',
+);
+console.log('| --- | --- | --- | --- | --- | --- | --- |');
+for (const size of SIZES) reportSize(size);
--- /dev/null
+++ b/test/operator.test.ts
@@ -0,0 +1,216 @@
+/** The operator interface and its client over loopback, with a scripted notes pipe behind it. */
+import { writeFileSync, mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { ExecutionContext } from 'ava';
+import test from 'ava';
+import { request } from 'undici';
+import { findFreeAddress } from '../bench/mesh.js';
+import { OperatorTask } from '../src/edge/index.js';
+import type { Address, HostId, NoteNumber, RequestId, Revision, Version } from '../src/ids.js';
+import type { LogRefusal, NoteReceipt } from '../src/messages/index.js';
+import type { NotesIn } from '../src/notes/index.js';
+import { runCommandLine } from '../src/program/command-line.js';
+import { ManualClock } from './manual-clock.js';
+
+const folder = mkdtempSync(join(tmpdir(), 'bilberryswitch-operator-'));
+const tokenFile = join(folder, 'token');
+const noteFile = join(folder, 'note.toml');
+writeFileSync(tokenFile, 'secret');
+writeFileSync(noteFile, 'number = 7\ntitle = "first"\n');
+test.after.always(() => {
+  rmSync(folder, { recursive: true });
+});
+
+const RECEIPT: NoteReceipt = {
+  number: 7 as NoteNumber,
+  revision: 1 as Revision,
+  version: 4 as Version,
+  digest: 'd' as NoteReceipt['digest'],
+};
+type Script = (message: NotesIn, id: RequestId, operator: OperatorTask) => void;
+
+const accept: Script = (_message, id, operator) => {
+  operator.post({ kind: 'answer', id, answer: { kind: 'accepted', receipt: RECEIPT } });
+};
+
+function refuse(refusal: LogRefusal): Script {
+  return (_message, id, operator) => {
+    operator.post({ kind: 'refusal', id, refusal });
+  };
+}
+
+async function start(t: ExecutionContext, script: Script, leaderAt?: Address) {
+  const address = (await findFreeAddress()) as Address;
+  const clock = new ManualClock();
+  const seen: NotesIn[] = [];
+  const operator: OperatorTask = new OperatorTask({
+    address,
+    clock,
+    token: 'secret',
+    waitLimitMs: 1_000,
+    findOperator: () => leaderAt,
+    reportFailure: (_task, error) => {
+      t.fail(String(error));
+    },
+    request: (message) => {
+      seen.push(message);
+      if ('id' in message && message.kind !== 'cancel') script(message, message.id, operator);
+    },
+  });
+  await operator.start();
+  t.teardown(() => operator.stop());
+  return { address, clock, seen };
+}
+
+async function send(
+  address: string,
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE',
+  path: string,
+  more = {},
+) {
+  const headers = { authorization: 'Bearer secret', ...more };
+  const answer = await request(`http://${address}${path}`, { method, headers, body: 'x = ' });
+  return { status: answer.statusCode, body: (await answer.body.json()) as { kind: string } };
+}
+
+async function run(args: readonly string[], ...operators: readonly string[]) {
+  const [out, err] = [[] as string[], [] as string[]];
+  const access = operators.flatMap((one) => ['--operator', one]);
+  const rest = ['--token-file', tokenFile, '--timeout-ms', '300'];
+  const code = await runCommandLine(operators.length === 0 ? args : [...args, ...access, ...rest], {
+    print: (line) => out.push(line),
+    complain: (line) => err.push(line),
+  });
+  return { code, out: out.join('\n'), err: err.join('\n') };
+}
+
+test('wrong token', async (t) => {
+  const { address, seen } = await start(t, accept);
+  for (const authorization of ['Bearer secreT', 'secret', '']) {
+    t.is((await send(address, 'GET', '/notes', { authorization })).status, 401);
+  }
+  t.deepEqual(seen, []);
+});
+
+test('requests not understood', async (t) => {
+  const { address, seen } = await start(t, accept);
+  t.is((await send(address, 'GET', '/note')).status, 404);
+  t.is((await send(address, 'POST', '/notes/7')).status, 405);
+  t.is((await send(address, 'DELETE', '/notes/7')).status, 400);
+  t.is((await send(address, 'DELETE', '/notes/7?revision=x')).status, 400);
+  t.is((await send(address, 'POST', '/notes')).status, 422);
+  t.deepEqual(seen, []);
+});
+
+test('headers too large', async (t) => {
+  const { address } = await start(t, accept);
+  const answer = await request(`http://${address}/notes`, { headers: { x: 'x'.repeat(9_000) } });
+  await answer.body.dump();
+  t.is(answer.statusCode, 431);
+});
+
+test('body too large', async (t) => {
+  const { address, seen } = await start(t, accept);
+  const headers = { authorization: 'Bearer secret' };
+  const body = 'x'.repeat(5 * 1024 * 1024);
+  const sent = request(`http://${address}/notes`, { method: 'POST', headers, body });
+  const status = await sent.then(
+    async (answer) => {
+      await answer.body.dump();
+      return answer.statusCode;
+    },
+    // The connection may be cut before the answer has been read.
+    () => 413,
+  );
+  t.is(status, 413);
+  t.deepEqual(seen, []);
+});
+
+test('overdue answer', async (t) => {
+  const { address, clock, seen } = await start(t, () => {
+    setImmediate(() => {
+      clock.advance(10_000);
+    });
+  });
+  const { status, body } = await send(address, 'GET', '/notes');
+  t.is(status, 503);
+  t.is(body.kind, 'outcome-unknown');
+  t.is(seen.at(-1)?.kind, 'cancel');
+});
+
+test('wait is bounded', async (t) => {
+  const { address, clock, seen } = await start(t, accept);
+  await send(address, 'GET', '/notes/7/wait?timeout_ms=60000');
+  const [message] = seen;
+  const question = message?.kind === 'question' ? message.question : undefined;
+  t.is(question?.kind === 'wait' ? question.deadline - clock.read() : 0, 1_000);
+});
+
+test('submit by command', async (t) => {
+  const { address } = await start(t, accept);
+  const { code, out } = await run(['note', 'submit', noteFile], address);
+  t.deepEqual([code, out], [0, 'note 7, revision 1: accepted as version 4']);
+});
+
+test('refused command', async (t) => {
+  const { address } = await start(t, (_message, id, operator) => {
+    const notes = [3 as NoteNumber];
+    operator.post({ kind: 'answer', id, answer: { kind: 'would-undo', notes } });
+  });
+  const { code, err } = await run(['note', 'submit', noteFile], address);
+  t.is(code, 1);
+  t.regex(err, /would undo note 3: name them in "supersedes"/);
+});
+
+test('leader is followed', async (t) => {
+  const leader = await start(t, accept);
+  const refusal = { kind: 'not-leader', leader: 'source-1' as HostId } as const;
+  const follower = await start(t, refuse(refusal), leader.address);
+  const { code } = await run(['note', 'submit', noteFile], follower.address);
+  t.is(code, 0);
+});
+
+test('next operator is tried', async (t) => {
+  const { address } = await start(t, accept);
+  const absent = await findFreeAddress();
+  t.is((await run(['note', 'submit', noteFile], absent, address)).code, 0);
+});
+
+test('no source reached', async (t) => {
+  const { code, err } = await run(['note', 'show', '7'], await findFreeAddress());
+  t.is(code, 3);
+  t.regex(err, /nothing was done/);
+});
+
+test('outcome unknown', async (t) => {
+  const { address } = await start(t, refuse({ kind: 'outcome-unknown' }));
+  const { code, err } = await run(['note', 'submit', noteFile], address);
+  t.is(code, 3);
+  t.regex(err, /outcome unknown: .*send the same again/);
+});
+
+test('usage errors', async (t) => {
+  const wrong = [
+    [],
+    ['note'],
+    ['note', 'burn'],
+    ['run'],
+    ['note', 'show', 'x'],
+    ['check', '--colour'],
+  ];
+  for (const args of wrong) t.is((await run(args)).code, 2, args.join(' '));
+  t.is((await run(['note', 'withdraw', '7'], '127.0.0.1:1')).code, 2);
+  t.is((await run(['note', 'show', '7'], 'mesh.example:1')).code, 2);
+});
+
+test('help of each command', async (t) => {
+  const { out } = await run(['--help']);
+  const names = ['run', 'check', 'note submit', 'note amend', 'note withdraw', 'note show'];
+  for (const name of [...names, 'note list', 'note wait', 'status', 'drain', 'version']) {
+    t.true(out.includes(`  ${name}`), name);
+    const help = await run([...name.split(' '), '--help']);
+    t.is(help.code, 0);
+    t.regex(help.out, new RegExp(`^usage: bilberryswitch ${name}`));
+  }
+});
