--- a/bench/notes-bench.ts
+++ b/bench/notes-bench.ts
@@ -5,6 +5,8 @@
  * after the other, so that their ratios share the noise of the machine; the spread over the rounds is
  * printed with them.
  */
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
 import { Packr } from 'msgpackr';
 import type { Generation, NoteNumber, RequestKindName, ServiceName, Version } from '../src/ids.js';
 import type { NoteCommand, NoteDraft, Resource } from '../src/messages/index.js';
@@ -14,10 +16,14 @@
 const SIZES = [1_000, 10_000, 100_000];
 const SERVICES = 2_000;
 const TIMED_NOTES = 200;
+const TIMED_COPIES = 20;
 const ROUNDS = 7;
 const MILLIS_PER_SECOND = 1_000;
 const BYTES_PER_KB = 1_024;
 
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
 const browse = 'browse' as RequestKindName;
 const generation = 'old' as Generation;
 
@@ -49,14 +55,11 @@
   return { kind: 'submit', draft: formDraft(number, { change, supersedes: [former] }) };
 }
 
-function fillBook(size: number): NoteBook {
-  const book = new NoteBook();
-  book.apply(formFirst());
+function fillBook(book: NoteBook, size: number): void {
   for (let number = 2; number <= size; number += 1) {
     const { answer } = book.apply(formMove(number));
     if (answer.kind !== 'accepted') throw new Error(`note ${number}: ${answer.kind}`);
   }
-  return book;
 }
 
 /** What a note cost before: a copy of the tables of notes and resources, and a look at every route. */
@@ -85,12 +88,16 @@
   }
 }
 
-/** Times a batch of notes and returns accepts per second. */
-function measureRate(apply: (command: NoteCommand) => unknown, start: number): number {
-  const commands = Array.from({ length: TIMED_NOTES }, (_, index) => formMove(start + index));
+/** Times some notes and returns accepts per second. */
+function measureRate(
+  apply: (command: NoteCommand) => unknown,
+  start: number,
+  count: number,
+): number {
+  const commands = Array.from({ length: count }, (_, index) => formMove(start + index));
   const begin = performance.now();
   for (const command of commands) apply(command);
-  return (TIMED_NOTES * MILLIS_PER_SECOND) / (performance.now() - begin);
+  return (count * MILLIS_PER_SECOND) / (performance.now() - begin);
 }
 
 function formSpread(rates: readonly number[]): string {
@@ -104,19 +111,25 @@
 }
 
 function reportSize(size: number): void {
+  const book = new NoteBook();
+  book.apply(formFirst());
   const heapBefore = measureHeap();
-  const book = fillBook(size);
-  const bytesPerNote = (measureHeap() - heapBefore) / size;
+  fillBook(book, size);
+  const bytesPerNote = (measureHeap() - heapBefore) / (size - 1);
   const copying = new CopyingBook(book);
   const inPlace: number[] = [];
   const copied: number[] = [];
   let next = size + 1;
   for (let round = 0; round < ROUNDS; round += 1) {
-    inPlace.push(measureRate((command) => book.apply(command), next));
+    inPlace.push(measureRate((command) => book.apply(command), next, TIMED_NOTES));
     copied.push(
-      measureRate((command) => {
-        copying.apply(command);
-      }, next),
+      measureRate(
+        (command) => {
+          copying.apply(command);
+        },
+        next,
+        TIMED_COPIES,
+      ),
     );
     next += TIMED_NOTES;
   }
@@ -139,7 +152,7 @@
 }
 
 function measureHeap(): number {
-  global.gc?.();
+  collectGarbage();
   return process.memoryUsage().heapUsed;
 }
 
--- a/src/notes/whole.ts
+++ b/src/notes/whole.ts
@@ -5,7 +5,7 @@
 import { formKey } from '../messages/index.js';
 import { addToSum, EMPTY_SUM, formatSum, removeFromSum } from './digest.js';
 import type { SetSum } from './digest.js';
-import { listProvided, listReferences } from './references.js';
+import { formGenerationKey, listReferences } from './references.js';
 
 /** One version of the configuration, whole. It is never changed after it was built. */
 export interface Whole {
@@ -48,12 +48,17 @@
 
 /** Lists the references of routes and splits that point at nothing. */
 export function findDangling(whole: Whole): DanglingReference[] {
-  const resources = [...whole.resources.values()];
-  const provided = new Set(resources.flatMap((resource) => listProvided(resource)));
-  return resources.flatMap((resource) => {
-    const missing = listReferences(resource).filter(({ to }) => !provided.has(to));
-    return missing.map(({ to }) => ({ from: formKey(resource), to }));
-  });
+  const dangling: DanglingReference[] = [];
+  const generations = new Set<ResourceKey>();
+  for (const resource of whole.resources.values()) {
+    if (resource.kind === 'route') generations.add(formGenerationKey(resource.generation));
+  }
+  for (const [from, resource] of whole.resources) {
+    for (const { to } of listReferences(resource)) {
+      if (!whole.resources.has(to) && !generations.has(to)) dangling.push({ from, to });
+    }
+  }
+  return dangling;
 }
 
 /**
