--- a/bench/mesh-plan.ts
+++ b/bench/mesh-plan.ts
@@ -91,7 +91,12 @@
 
   /** Starts the backend server beside a proxy again. */
   restartServer(proxy: ProxyHost): void {
-    proxy.server = this.mesh.startServer(proxy.service, proxy.serverPort, proxy.announce);
+    proxy.server = this.mesh.startServer(
+      proxy.service,
+      proxy.serverPort,
+      proxy.announce,
+      proxy.calls,
+    );
   }
 
   /** Stops every process and removes the folder. */
@@ -160,7 +165,7 @@
 `;
     const serverPort = await findFreePort();
     const process = this.mesh.startNode(name, settings);
-    const server = this.mesh.startServer(service, serverPort, announce);
+    const server = this.mesh.startServer(service, serverPort, announce, calls);
     return {
       name,
       service,
@@ -204,3 +209,31 @@
     return process.output().includes('"started"') || undefined;
   });
 }
+
+/** Writes a note that adds one service, one route and one idempotent request kind per name. */
+export function formServicesNote(number: number, services: readonly string[]): string {
+  const adds = services.map(
+    (service) => `
+[[add]]
+kind = "service"
+name = "${service}"
+
+[[add]]
+kind = "request-kind"
+name = "read-${service}"
+idempotent = true
+worth = 1.0
+timeout_ms = 10000
+
+[[add]]
+kind = "route"
+name = "${service}"
+generation = "old"
+path_prefix = "/${service}"
+method = "*"
+service = "${service}"
+request_kind = "read-${service}"
+`,
+  );
+  return `number = ${number}\ntitle = "Services ${services.join(', ')}"\n${adds.join('')}`;
+}
--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -87,11 +87,12 @@
    * Starts a stand-in backend server beside the proxy that listens at `announce`. It records its runs
    * in {@link Mesh.runsFile}.
    */
-  startServer(service: string, port: number, announce: string): MeshProcess {
+  startServer(service: string, port: number, announce: string, calls = ''): MeshProcess {
     const options = {
       service,
       port: `${port}`,
       announce,
+      calls,
       runs: this.runsFile,
     };
     const args = Object.entries(options).flatMap(([name, value]) => [`--${name}`, value]);
--- a/bench/stand-in-server.ts
+++ b/bench/stand-in-server.ts
@@ -3,7 +3,8 @@
  * records each run in a file, and answers with the nonce of the request.
  *
  * A request tells how it is to be treated: `x-work-ms` is how long it runs, `x-answer-bytes` how long
- * its answer is, and `x-crash` ends the process while the request runs.
+ * its answer is, `x-crash` ends the process while the request runs, and `x-next` is a list of paths, of
+ * which the first is called through the proxy beside, with the rest of the list, before the answer.
  */
 import { appendFileSync } from 'node:fs';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -24,12 +25,14 @@
 const LEAVE_POLL_MS = 20;
 const MAX_LEAVE_MS = 10_000;
 const CRASH_EXIT_CODE = 86;
+const PASSED_ON = ['traceparent', 'bilberryswitch-timeout-ms', 'bilberryswitch-attempt'];
 
 const { values } = parseArgs({
   options: {
     service: { type: 'string', default: '' },
     port: { type: 'string', default: '0' },
     announce: { type: 'string', default: '' },
+    calls: { type: 'string', default: '' },
     runs: { type: 'string' },
     slots: { type: 'string', default: '20' },
     connections: { type: 'string', default: '100' },
@@ -49,12 +52,9 @@
   if (call.headers['x-crash'] !== undefined) process.exit(CRASH_EXIT_CODE);
   call.resume();
   call.once('end', () => {
-    setTimeout(
-      () => {
-        answerCall(call, response);
-      },
-      readNumber(call, 'x-work-ms'),
-    );
+    runCall(call, response).catch(() => {
+      response.destroy();
+    });
   });
 });
 
@@ -79,6 +79,25 @@
   appendFileSync(values.runs, `${JSON.stringify(run)}\n`);
 }
 
+async function runCall(call: IncomingMessage, response: ServerResponse): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, readNumber(call, 'x-work-ms')));
+  await callNext(call);
+  answerCall(call, response);
+}
+
+async function callNext(call: IncomingMessage): Promise<void> {
+  const [next, ...rest] = (readHeader(call, 'x-next') ?? '').split(',');
+  if (next === undefined || next === '') return;
+  const headers: Record<string, string> = { 'x-next': rest.join(',') };
+  for (const name of PASSED_ON) {
+    const value = readHeader(call, name);
+    if (value !== undefined) headers[name] = value;
+  }
+  const answer = await request(`http://${values.calls}${next}`, { headers });
+  await answer.body.dump();
+  if (answer.statusCode !== 200) throw new Error(`${next} answered ${answer.statusCode}`);
+}
+
 function answerCall(call: IncomingMessage, response: ServerResponse): void {
   const nonce = readHeader(call, 'x-nonce') ?? null;
   const filling = 'x'.repeat(readNumber(call, 'x-answer-bytes'));
--- /dev/null
+++ b/src/program/process-metrics.ts
@@ -0,0 +1,40 @@
+/** Metrics of the process itself and of its control traffic. */
+import type { LinkTask } from '../edge/index.js';
+import type { MetricsRegistry, Reading } from '../metrics/index.js';
+import { Gauge } from '../metrics/index.js';
+
+/** Adds the metrics that every process has, whatever its roles. */
+export function addProcessMetrics(registry: MetricsRegistry, links: LinkTask): void {
+  registry.add(
+    new Gauge('control_bytes', 'Bytes over links since the start, by channel.', () =>
+      readLinkBytes(links),
+    ),
+  );
+  registry.add(
+    new Gauge('resident_memory_bytes', 'Memory that the process occupies.', () => [
+      { value: process.memoryUsage.rss() },
+    ]),
+  );
+  registry.add(
+    new Gauge('processor_seconds', 'Processor time since the start, by mode.', readProcessorTime),
+  );
+}
+
+// Internals.
+
+const MICROS_PER_SECOND = 1_000_000;
+
+function readLinkBytes(links: LinkTask): Reading[] {
+  return [...links.bytes].flatMap(([channel, { sent, received }]) => [
+    { labels: { channel, direction: 'sent' }, value: sent },
+    { labels: { channel, direction: 'received' }, value: received },
+  ]);
+}
+
+function readProcessorTime(): Reading[] {
+  const { user, system } = process.cpuUsage();
+  return [
+    { labels: { mode: 'user' }, value: user / MICROS_PER_SECOND },
+    { labels: { mode: 'system' }, value: system / MICROS_PER_SECOND },
+  ];
+}
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -6,8 +6,11 @@
 import { MetricsRegistry } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { SeededRandom } from '../random.js';
+import { CallMetrics } from './call-metrics.js';
+import { createTracer } from './create-tracer.js';
 import { createLogger } from './logger.js';
 import type { Log } from './logger.js';
+import { addProcessMetrics } from './process-metrics.js';
 import type { RunningRole } from './running-role.js';
 import { runMembers } from './run-members.js';
 import { runProxy } from './run-proxy.js';
@@ -65,6 +68,10 @@
     status.post({ kind: 'report', section, value });
   };
 
+  addProcessMetrics(registry, links);
+  const tracer = await createTracer(settings.host, settings.traces);
+  const observer = new CallMetrics(registry);
+
   await status.start();
   await links.start();
   const { source, proxy, dataFolder } = settings;
@@ -76,7 +83,7 @@
   }
   if (settings.roles.includes('proxy') && proxy) {
     const shared = { settings, proxy, pass, clock, random, log, reportFailure };
-    roles.push(await runProxy({ ...shared, postLink, postMembers, report }));
+    roles.push(await runProxy({ ...shared, postLink, postMembers, report, tracer, observer }));
   }
   await members.start();
   log('started', { roles: settings.roles, control: settings.control });
@@ -86,6 +93,7 @@
   for (const role of roles.toReversed()) await role.stop();
   await members.stop();
   await links.stop();
+  await tracer.stop();
   await status.stop();
   log('stopped');
   return 0;
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -1,5 +1,6 @@
 /** Wires the proxy role: distribution, membership, announcements and calls. */
 import { join } from 'node:path';
+import type { CallObserver } from '../calls/index.js';
 import type { Clock } from '../clock.js';
 import type { CallNotice, FloorOptions } from '../edge/index.js';
 import { AnnounceTask, CallTask, FloorTask, readSpreadMessage } from '../edge/index.js';
@@ -10,6 +11,7 @@
 import type { ProxySpreadIn, ProxySpreadOut, ProxySpreadState } from '../spread/index.js';
 import { makePolicy, ProxySpreadFilter } from '../spread/index.js';
 import type { Random } from '../random.js';
+import type { HopTracer } from '../traces/index.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
@@ -28,6 +30,8 @@
   /** The random text by which other proxies are known to forward calls; see {@link Member.pass}. */
   readonly pass: string;
   readonly report: ReportStatus;
+  readonly tracer: HopTracer;
+  readonly observer: CallObserver;
 }
 
 /** Starts the tasks of the proxy role. */
@@ -40,6 +44,8 @@
     pass: options.pass,
     clock,
     random,
+    tracer: options.tracer,
+    observer: options.observer,
     reportFailure,
     send: routeCalls,
   });
