--- /dev/null
+++ b/bench/mesh-notes.ts
@@ -0,0 +1,71 @@
+/** The notes of the demonstration and of the runs under failure. */
+
+/** A request kind of a note. */
+export interface PlannedKind {
+  readonly name: string;
+  readonly service: string;
+  readonly idempotent: boolean;
+  readonly worth: number;
+  readonly claim: boolean;
+}
+
+/** Napernyő's services, each with the request kind that matters most there. */
+export const NAPERNYO_KINDS: readonly PlannedKind[] = [
+  { name: 'browse', service: 'catalogue', idempotent: true, worth: 1, claim: false },
+  { name: 'deposit', service: 'orders', idempotent: false, worth: 50, claim: true },
+  { name: 'drawing', service: 'drawings', idempotent: true, worth: 8, claim: false },
+  { name: 'quote', service: 'jobs', idempotent: true, worth: 4, claim: false },
+];
+
+/** Writes a note that adds each kind with its service and a route under the service's name. */
+export function formKindsNote(
+  number: number,
+  generation: string,
+  kinds: readonly PlannedKind[],
+): string {
+  const head = `number = ${number}\ntitle = "Services of the ${generation} mesh"\n`;
+  return head + kinds.map((kind) => formKind(kind, generation)).join('');
+}
+
+/** Writes a note that adds one more route to the catalogue, so that every version differs. */
+export function formExtraRouteNote(number: number): string {
+  return `number = ${number}
+title = "Season ${number}"
+
+[[add]]
+kind = "route"
+name = "season-${number}"
+generation = "old"
+path_prefix = "/season-${number}"
+method = "GET"
+service = "catalogue"
+request_kind = "browse"
+`;
+}
+
+// Internals.
+
+function formKind(kind: PlannedKind, generation: string): string {
+  return `
+[[add]]
+kind = "service"
+name = "${kind.service}"
+
+[[add]]
+kind = "request-kind"
+name = "${kind.name}"
+idempotent = ${kind.idempotent}
+worth = ${kind.worth.toFixed(1)}
+timeout_ms = 4000
+claim = ${kind.claim}
+
+[[add]]
+kind = "route"
+name = "${kind.service}"
+generation = "${generation}"
+path_prefix = "/${kind.service}"
+method = "*"
+service = "${kind.service}"
+request_kind = "${kind.name}"
+`;
+}
--- a/bench/mesh-plan.ts
+++ b/bench/mesh-plan.ts
@@ -1,4 +1,6 @@
 /** Plans of whole meshes: which hosts run in which data centre, with their settings. */
+import type { Address } from '../src/ids.js';
+import { OperatorClient } from '../src/program/commands/operator-client.js';
 import { findFreeAddress, findFreePort, Mesh, waitFor } from './mesh.js';
 import type { MeshProcess } from './mesh.js';
 
@@ -58,7 +60,7 @@
 
   private constructor(plan: MeshPlan) {
     this.plan = plan;
-    this.tokenFile = this.mesh.writeFile('token', 'mesh-token');
+    this.tokenFile = this.mesh.writeFile('token', TOKEN);
   }
 
   /** Starts every process of a plan and waits until each of them runs. */
@@ -71,6 +73,12 @@
     return running;
   }
 
+  /** Reaches the leader of the source. */
+  createClient(): OperatorClient {
+    const operators = this.sources.map(({ operator }) => operator as Address);
+    return new OperatorClient(operators, TOKEN);
+  }
+
   /** The options with which the command line reaches the source. */
   get access(): readonly string[] {
     const operators = this.sources.flatMap(({ operator }) => ['--operator', operator]);
@@ -200,6 +208,7 @@
 // Internals.
 
 const SEED_COUNT = 3;
+const TOKEN = 'mesh-token';
 
 async function waitForStart(process: MeshProcess): Promise<void> {
   await waitFor(`${process.name} to start`, () => {
--- /dev/null
+++ b/scripts/run-demo.mjs
@@ -0,0 +1,16 @@
+// Builds the binary and shows it at work: a small mesh of separate processes on loopback.
+import { spawnSync } from 'node:child_process';
+import { join } from 'node:path';
+import { compileSources } from './compile.mjs';
+
+const root = join(import.meta.dirname, '..');
+const binary = join(root, 'dist', 'bilberryswitch');
+
+await import('./build-binary.mjs');
+await compileSources();
+const run = spawnSync(process.execPath, [join(root, 'build', 'bench', 'demo.js')], {
+  cwd: root,
+  stdio: 'inherit',
+  env: { ...process.env, BILBERRYSWITCH_BINARY: binary },
+});
+process.exitCode = run.status ?? 1;
