--- a/src/edge/member-codec.ts
+++ b/src/edge/member-codec.ts
@@ -85,10 +85,11 @@
 const LIVENESS = [undefined, 'suspect', 'dead', 'left'] as const;
 const CRASH_SEEN = 4;
 const STATES: readonly ServerState[] = ['starting', 'ready', 'draining', 'leaving', 'failing'];
-const RECORD_FIELDS = 8;
+const RECORD_FIELDS = 9;
 const SERVER_FIELDS = 5;
 const MAX_REMAINING_MS = 86_400_000;
 const MAX_FINGERPRINT_LENGTH = 128;
+const MAX_PASS_LENGTH = 64;
 /** Leaves room to refute: an incarnation must be able to rise further. */
 const MAX_INCARNATION = Number.MAX_SAFE_INTEGER - 2 ** 32;
 
@@ -104,6 +105,7 @@
     control,
     encodeNear(member.calls, control),
     member.version,
+    member.pass,
     ...servers,
   ];
 }
@@ -140,11 +142,18 @@
     control,
     calls: decodeNear(fields[6], control),
     version: readCount(fields[7]) as Version,
+    pass: readPass(fields[8]),
     liveness: 'alive',
     servers,
   };
 }
 
+function readPass(value: unknown): string {
+  const pass = readText(value);
+  if (pass.length > MAX_PASS_LENGTH) throw new MemberCodecError('the pass is too long');
+  return pass;
+}
+
 function decodeServer(fields: readonly unknown[], control: Address): Announcement {
   const state = STATES[readCount(fields[4])];
   if (state === undefined) throw new MemberCodecError('unknown state of a backend server');
--- a/src/members/own-record.ts
+++ b/src/members/own-record.ts
@@ -12,8 +12,13 @@
   if (!isSame(servers, state.self.servers)) publishSelf(state, state.self.incarnation, turn);
 }
 
-/** Publishes a record whose incarnation is above `incarnation`. */
-export function publishSelf(state: MembersState, incarnation: Incarnation, turn: Turn): void {
+/** Publishes a record whose incarnation is above `incarnation`, urgently when it refutes a status. */
+export function publishSelf(
+  state: MembersState,
+  incarnation: Incarnation,
+  turn: Turn,
+  isRefutation = false,
+): void {
   state.self = {
     ...state.self,
     incarnation: (Math.max(state.self.incarnation, incarnation) + 1) as Incarnation,
@@ -22,7 +27,7 @@
   };
   const { self } = state;
   updateMember(state, self.host, () => state.table.applyRecord(self), turn);
-  state.queue.add(formRecordKey(self.host), { kind: 'record', member: self });
+  state.queue.add(formRecordKey(self.host), { kind: 'record', member: self }, isRefutation);
 }
 
 /** The key under which a record waits to be passed on. */
--- a/src/program/run-members.ts
+++ b/src/program/run-members.ts
@@ -15,6 +15,8 @@
 /** What the membership needs. */
 export interface RunMembersOptions {
   readonly settings: Settings;
+  /** The random text of this life of the process; see {@link Member.pass}. */
+  readonly pass: string;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
@@ -41,7 +43,7 @@
   const members = new FilterTask<MembersState, MembersIn, MembersOut>({
     name: 'members',
     filter: new MembersFilter({
-      self: formSelf(settings),
+      self: formSelf(settings, options.pass),
       startedAt,
       seeds: listSeeds(settings),
       random,
@@ -95,13 +97,14 @@
 
 // Internals.
 
-function formSelf(settings: Settings): Member {
+function formSelf(settings: Settings, pass: string): Member {
   return {
     host: settings.host,
     region: settings.region,
     dataCentre: settings.dataCentre,
     control: settings.control,
     calls: settings.proxy?.calls ?? settings.control,
+    pass,
     incarnation: 0 as Incarnation,
     liveness: 'alive',
     version: NO_VERSION,
