Show heartbeats of the own backend server to the pipes of its process

Cause: the guard takes a later heartbeat deadline as proof that a server is up again, but members showed NEVER. The own member now carries the deadlines of the local clock, with one event per heartbeat and nothing sent. 'heartbeat silent' checks both (not seen red; written with the change).

--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -1,6 +1,7 @@
 /** Membership: which processes take part, and which backend servers stand beside them. */
 import { addMs, NEVER } from '../clock.js';
 import type { Instant } from '../ids.js';
+import type { Announcement } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import { handleDatagram } from './answer-probe.js';
@@ -9,7 +10,7 @@
 import { runJoin, runReconnect } from './joining.js';
 import type { MembersIn, MembersOptions, MembersOut, MembersState } from './members-state.js';
 import { createMembersState } from './members-state.js';
-import { publishSelf, updateOwnServers } from './own-record.js';
+import { publishSelf, showHeartbeat, updateOwnServers } from './own-record.js';
 import { needsHelpers, runProbes } from './probing.js';
 import { handleSync, runSync } from './reconcile.js';
 import { GRACE_MS, PAUSE_MS } from './timing.js';
@@ -69,10 +70,7 @@
 function handle(state: MembersState, message: MembersIn, turn: Turn): void {
   switch (message.kind) {
     case 'announce':
-      if (!state.servers.apply(message.announcement, turn.now)) {
-        state.counts.ignoredAnnouncements += 1;
-      }
-      updateOwnServers(state, turn);
+      handleAnnouncement(state, message.announcement, turn);
       return;
     case 'observed':
       if (message.host === state.self.host) state.servers.observe(message, turn.now);
@@ -104,6 +102,15 @@
   }
 }
 
+/** Publishes what changed; a mere heartbeat is shown to the pipes of this process only. */
+function handleAnnouncement(state: MembersState, announcement: Announcement, turn: Turn): void {
+  const isTaken = state.servers.apply(announcement, turn.now);
+  if (!isTaken) state.counts.ignoredAnnouncements += 1;
+  const { incarnation } = state.self;
+  updateOwnServers(state, turn);
+  if (isTaken && state.self.incarnation === incarnation) showHeartbeat(state, turn);
+}
+
 /** Does everything that is due at this instant. */
 function runDue(state: MembersState, turn: Turn): void {
   updateOwnServers(state, turn);
--- a/src/members/own-record.ts
+++ b/src/members/own-record.ts
@@ -12,6 +12,12 @@
   if (!isSame(servers, state.self.servers)) publishSelf(state, state.self.incarnation, turn);
 }
 
+/** Shows the new heartbeat deadlines of the own backend servers, which no other member needs. */
+export function showHeartbeat(state: MembersState, turn: Turn): void {
+  const member = { ...state.self, servers: state.servers.form(turn.now) };
+  turn.add({ kind: 'member-up', member: state.floor.formShown(member) });
+}
+
 /** Publishes a record whose incarnation is above `incarnation`, urgently when it refutes a status. */
 export function publishSelf(
   state: MembersState,
--- a/src/members/own-servers.ts
+++ b/src/members/own-servers.ts
@@ -79,7 +79,6 @@
     const published = [...this.#servers.values()].map((server) => ({
       ...server.announcement,
       state: this.#formState(server, now),
-      heartbeatDeadline: NEVER,
     }));
     return published.sort((left, right) => (left.address < right.address ? -1 : 1));
   }
--- a/src/messages/member.ts
+++ b/src/messages/member.ts
@@ -28,8 +28,8 @@
   readonly state: ServerState;
   /**
    * The announcement lapses here unless a later one arrives. Only the proxy beside the backend server
-   * watches it, by its own clock: in a {@link Member} it is `NEVER`, because instants of two
-   * hosts cannot be compared. There the backend server lives as long as its proxy publishes it.
+   * watches it, by its own clock. In a {@link Member} of another host it is `NEVER`, because instants
+   * of two hosts cannot be compared: there the server lives as long as its proxy publishes it.
    */
   readonly heartbeatDeadline: Instant;
 }
--- a/test/members-fleet.test.ts
+++ b/test/members-fleet.test.ts
@@ -111,6 +111,8 @@
     fleet.run(500);
   }
   t.is(node.state.self.incarnation, incarnation);
+  const { heartbeatDeadline } = announce(fleet, node, 'ready');
+  t.is(node.view.get(node.host)?.servers[0]?.heartbeatDeadline, heartbeatDeadline);
 });
 
 test('lapsed heartbeat', (t) => {
