--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -12,3 +12,5 @@
 export { ProbeTask } from './probe-task.js';
 export { decodeSync, encodeSync } from './sync-codec.js';
 export { readSourceSpreadMessage, readSpreadMessage } from './spread-codec.js';
+export { StatusTask } from './status-task.js';
+export type { StatusIn } from './status-task.js';
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -13,6 +13,7 @@
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
+import type { ReportStatus } from './status.js';
 
 /** What the proxy role needs. */
 export interface ProxyOptions {
@@ -26,11 +27,13 @@
   readonly postMembers: (message: MembersIn) => void;
   /** The random text by which other proxies are known to forward calls; see {@link Member.pass}. */
   readonly pass: string;
+  readonly report: ReportStatus;
 }
 
 /** Starts the tasks of the proxy role. */
 export async function runProxy(options: ProxyOptions): Promise<RunningRole> {
-  const { settings, proxy, clock, random, log, reportFailure, postLink, postMembers } = options;
+  const { settings, proxy, clock, random, log, reportFailure } = options;
+  const { postLink, postMembers, report } = options;
   const calls = new CallTask({
     address: proxy.calls,
     place: settings,
@@ -71,6 +74,10 @@
     announce: (announcement) => {
       postMembers({ kind: 'announce', announcement });
     },
+    drain: () => {
+      log('draining');
+      postMembers({ kind: 'drain' });
+    },
   });
 
   function routeSpread(output: ProxySpreadOut): void {
@@ -93,6 +100,7 @@
         return;
       case 'whole':
         log('version-applied', { version: output.whole.version });
+        report('proxy', { version: output.whole.version, resources: output.whole.resources.size });
         calls.post(output);
         return;
       case 'rejected':
