--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -56,6 +56,7 @@
     clock,
     random,
     log,
+    registry,
     reportFailure,
     postLink,
     notify: (event) => {
--- a/src/program/run-members.ts
+++ b/src/program/run-members.ts
@@ -6,6 +6,8 @@
 import type { MembersIn, MembersOut, MembersState } from '../members/index.js';
 import { MembersFilter } from '../members/index.js';
 import type { LinkCommand, LinkEvent, Member, MembershipEvent } from '../messages/index.js';
+import type { MetricsRegistry } from '../metrics/index.js';
+import { Gauge } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type { Random } from '../random.js';
@@ -20,6 +22,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
+  readonly registry: MetricsRegistry;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
   /** Receives what the other pipes should know; it must hand it on to their inboxes. */
@@ -61,6 +64,8 @@
     },
   });
 
+  addMetrics(options.registry, probes);
+
   function route(output: Exclude<MembersOut, { kind: 'wake' }>): void {
     if (output.kind === 'datagram') probes.post(output);
     else if (output.kind === 'send') {
@@ -97,6 +102,21 @@
 
 // Internals.
 
+function addMetrics(registry: MetricsRegistry, { counts }: ProbeTask): void {
+  const datagrams = new Gauge('members_datagrams', 'Datagrams between members, by fate.', () => [
+    { labels: { fate: 'sent' }, value: counts.sent },
+    { labels: { fate: 'received' }, value: counts.received },
+    { labels: { fate: 'malformed' }, value: counts.malformed },
+    { labels: { fate: 'failed' }, value: counts.failed },
+  ]);
+  const bytes = new Gauge('members_datagram_bytes', 'Bytes of datagrams, by direction.', () => [
+    { labels: { direction: 'sent' }, value: counts.sentBytes },
+    { labels: { direction: 'received' }, value: counts.receivedBytes },
+  ]);
+  registry.add(datagrams);
+  registry.add(bytes);
+}
+
 function formSelf(settings: Settings, pass: string): Member {
   return {
     host: settings.host,
