--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -1,12 +1,13 @@
 /** The third filter of a call: picks backend servers for its attempts, retries, hedges and gives up. */
 import { addMs } from '../clock.js';
-import type { Address, AttemptId, CallId, Instant, ServiceName } from '../ids.js';
+import type { AttemptId, CallId, Instant, ServiceName } from '../ids.js';
 import type {
   AttemptFailure,
   AttemptHead,
   CallTarget,
   GuardLoad,
   MemberEvent,
+  Observation,
   RefusalOutcome,
   RefusalReason,
 } from '../messages/index.js';
@@ -72,12 +73,7 @@
       readonly reason: RefusalReason;
       readonly outcome: RefusalOutcome;
     }
-  | {
-      readonly kind: 'observed';
-      readonly service: ServiceName;
-      readonly server: Address;
-      readonly failed: boolean;
-    }
+  | Observation
   | Wake;
 
 /** What the attempt filter needs. */
@@ -214,12 +210,14 @@
         return [{ kind: 'cancel', attempt: message.attempt }, ...retry];
       }
     }
+    const observed = record.failures > 0 && !hasShed ? [formObservation(record, 'answered')] : [];
     if (!hasShed) applySuccess(record);
     findLatency(state, call.routed.service).add(now - open.startedAt);
     call.relayed = message.attempt;
     const losers = [...call.running].filter((attempt) => attempt !== message.attempt);
     const { id } = call.routed.head;
     return [
+      ...observed,
       { kind: 'relay', id, attempt: message.attempt },
       ...losers.flatMap((attempt) => cancelAttempt(state, attempt)),
     ];
@@ -302,8 +300,9 @@
 /** The guard gives up a little earlier, so that its answer "not run" still reaches the caller. */
 const ANSWER_MARGIN_MS = 3;
 const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
-/** Refusals that tell of a stop or a restart: bounded by the attempts of the call alone. */
-const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'not-trusted']);
+const AVOID_MS = 1_000;
+/** Refusals by which nothing can run there for now: bounded by the attempts of the call alone. */
+const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'no-server', 'not-trusted']);
 
 function formTarget(record: ServerRecord, service: ServiceName): CallTarget {
   const { member, announcement } = record;
@@ -322,12 +321,20 @@
   failure: AttemptFailure,
   now: Instant,
 ): AttemptOut[] {
-  if (FREE_REASONS.has(failure.reason)) record.refusing = true;
+  if (FREE_REASONS.has(failure.reason)) record.avoidedUntil = addMs(now, AVOID_MS);
   if (failure.reason !== 'upstream-failed') return [];
   if (failure.outcome === 'unknown') call.suspect = true;
   const { service } = call.routed;
   applyFailure(record, state.servers.listTiers(service), now);
-  return [{ kind: 'observed', service, server: record.announcement.address, failed: true }];
+  return [formObservation(record, 'failed')];
+}
+
+/** Answers are told only where failures were told before. */
+function formObservation(
+  { member, announcement }: ServerRecord,
+  outcome: Observation['outcome'],
+): AttemptOut {
+  return { kind: 'observed', host: member.host, server: announcement.address, outcome };
 }
 
 function findHedgeTime(state: AttemptState, call: RoutedCall, now: Instant): Instant | undefined {
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -1,7 +1,13 @@
 /** The slots of one backend server, as the proxy beside it grants them. */
 import { addMs } from '../clock.js';
 import type { Address, AttemptId, Instant } from '../ids.js';
-import type { Announcement, AttemptHead, GuardLoad, RefusalReason } from '../messages/index.js';
+import type {
+  Announcement,
+  AttemptHead,
+  GuardLoad,
+  RefusalReason,
+  ServerState,
+} from '../messages/index.js';
 import { measureWarmth } from './picker.js';
 import { RunEstimate } from './run-estimate.js';
 import type { SlotPolicy, Waiting } from './slot-policy.js';
@@ -23,7 +29,8 @@
   readonly #settling: Instant[] = [];
   #announcement: Announcement;
   #readySince: Instant;
-  #isDown = false;
+  /** When a dead server is asked again; `undefined` while the server is alive. */
+  #probeAt: Instant | undefined;
 
   constructor(announcement: Announcement, policy: SlotPolicy, now: Instant) {
     this.#announcement = announcement;
@@ -36,21 +43,40 @@
     return this.#announcement.address;
   }
 
-  /** Takes in a new announcement. One that was sent later proves that the server is up. */
+  /** Takes in a new announcement. */
   update(announcement: Announcement, now: Instant): Admission[] {
-    const former = this.#announcement;
+    const wasServing = isServing(this.#announcement.state);
     this.#announcement = announcement;
-    if (former.state !== 'ready' && announcement.state === 'ready') this.#readySince = now;
-    if (announcement.heartbeatDeadline > former.heartbeatDeadline) this.#isDown = false;
-    return announcement.state === 'ready' ? this.startWaiting(now) : this.rejectWaiting('draining');
+    if (!isServing(announcement.state)) return this.rejectWaiting('draining');
+    if (!wasServing) this.#readySince = now;
+    return this.startWaiting(now);
   }
 
-  /** Marks the server as dead until it announces itself again. */
-  markDown(): Admission[] {
-    this.#isDown = true;
+  /** Marks the server as dead: nothing runs there until it accepts connections again. */
+  markDown(now: Instant): Admission[] {
+    this.#probeAt = addMs(now, PROBE_INTERVAL_MS);
     return this.rejectWaiting('no-server');
   }
 
+  /** Marks the server as alive again; it warms up anew, because it was started anew. */
+  markUp(now: Instant): void {
+    if (this.#probeAt === undefined) return;
+    this.#probeAt = undefined;
+    this.#readySince = now;
+  }
+
+  /** Tells whether there is a connection left for asking whether the server is alive. */
+  hasSpareConnection(): boolean {
+    return this.#announcement.connections > 1;
+  }
+
+  /** Tells whether a dead server should be asked again whether it accepts connections. */
+  needsProbe(now: Instant): boolean {
+    if (this.#probeAt === undefined || this.#probeAt > now) return false;
+    this.#probeAt = addMs(now, PROBE_INTERVAL_MS);
+    return true;
+  }
+
   /** Decides on an attempt that has just arrived. */
   admit(head: AttemptHead, now: Instant): Admission[] {
     const refusal = this.#findRefusal(head, now);
@@ -120,7 +146,7 @@
 
   /** When a slot may become free without a message: a cancellation settles, or the server warms up. */
   findNextTurn(now: Instant): Instant | undefined {
-    const settled = this.#settling[0];
+    const settled = this.#settling[0] ?? this.#probeAt;
     if (settled !== undefined) return settled;
     const isWarming = measureWarmth(this.#readySince, now) < 1;
     return isWarming && this.#policy.count() > 0 ? addMs(now, WARM_UP_STEP_MS) : undefined;
@@ -129,10 +155,10 @@
   // Internals.
 
   #findRefusal(head: AttemptHead, now: Instant): RefusalReason | undefined {
-    if (this.#isDown) return 'no-server';
+    if (this.#probeAt !== undefined) return 'no-server';
     const { state } = this.#announcement;
     if (state === 'starting') return 'no-server';
-    if (state !== 'ready') return 'draining';
+    if (!isServing(state)) return 'draining';
     if (this.#isLate(head, now)) return 'deadline';
     if (head.suspect && this.listRunning().some(({ suspect }) => suspect)) return 'overloaded';
     return this.#findStart(head, now) > this.#findLatestStart(head, now) ? 'overloaded' : undefined;
@@ -157,7 +183,7 @@
     if (this.#isLate(head, now)) return formReject(head.attempt, 'deadline');
     this.#running.set(head.attempt, { head, startedAt: now });
     this.#policy.addRun(head.requestKind);
-    return { kind: 'run', head, connections: this.#announcement.connections };
+    return { kind: 'run', head, connections: this.#countConnections() };
   }
 
   #evictLeast(): Admission[] {
@@ -171,9 +197,13 @@
   }
 
   #countSlots(now: Instant): number {
-    const { slots, connections } = this.#announcement;
-    const warm = Math.floor(slots * measureWarmth(this.#readySince, now));
-    return Math.max(1, Math.min(warm, connections));
+    const warm = Math.floor(this.#announcement.slots * measureWarmth(this.#readySince, now));
+    return Math.max(1, Math.min(warm, this.#countConnections()));
+  }
+
+  /** One connection is left for asking whether the server is alive. */
+  #countConnections(): number {
+    return Math.max(1, this.#announcement.connections - 1);
   }
 }
 
@@ -186,10 +216,16 @@
 
 const MAX_WAITING_PER_SLOT = 50;
 const CANCEL_SETTLE_MS = 20;
+const PROBE_INTERVAL_MS = 500;
 const WARM_UP_STEP_MS = 100;
 /** The part of its remaining time that a call may spend waiting for a slot. */
 const MAX_WAIT_SHARE = 0.8;
 
+/** A server that others find failing still takes the few calls that try it. */
+function isServing(state: ServerState): boolean {
+  return state === 'ready' || state === 'failing';
+}
+
 function formReject(attempt: AttemptId, reason: RefusalReason): Admission {
   return { kind: 'reject', attempt, reason };
 }
--- a/src/calls/server-table.ts
+++ b/src/calls/server-table.ts
@@ -1,6 +1,12 @@
 /** The backend servers as an entry proxy knows them: one list per service, nearest first. */
 import type { Address, DataCentreId, HostId, Instant, RegionId, ServiceName } from '../ids.js';
-import type { Announcement, GuardLoad, Member, MemberEvent } from '../messages/index.js';
+import type {
+  Announcement,
+  GuardLoad,
+  Member,
+  MemberEvent,
+  ServerState,
+} from '../messages/index.js';
 import { hashText } from './split.js';
 
 /** Where a proxy stands; decides which backend servers are near. */
@@ -25,8 +31,8 @@
   failures: number;
   ejections: number;
   ejectedUntil: Instant;
-  /** Its guard has refused an attempt because it drains. */
-  refusing: boolean;
+  /** Its guard has refused an attempt because nothing can run there; it is not asked until then. */
+  avoidedUntil: Instant;
 }
 
 /** The candidates of a service, nearest first. */
@@ -96,14 +102,14 @@
     const entry = this.#services.get(service) ?? makeEntry();
     this.#services.set(service, entry);
     const former = entry.servers.get(address);
-    const wasReady = former?.announcement.state === 'ready' && state === 'ready';
+    const isWarm = former !== undefined && isServing(former.announcement.state) && isServing(state);
     const record = former ?? makeRecord(member, announcement, now);
-    const readySince = wasReady ? record.readySince : now;
+    const readySince = isWarm ? record.readySince : now;
     const restarted = former?.member.pass !== member.pass;
     record.member = member;
     record.announcement = announcement;
     record.readySince = readySince;
-    if (restarted || !wasReady) record.refusing = false;
+    if (restarted || !isWarm) record.avoidedUntil = now;
     entry.servers.set(address, record);
     if (former === undefined) entry.tiers = undefined;
   }
@@ -157,10 +163,14 @@
     failures: 0,
     ejections: 0,
     ejectedUntil: now,
-    refusing: false,
+    avoidedUntil: now,
   };
 }
 
+function isServing(state: ServerState): boolean {
+  return state === 'ready' || state === 'failing';
+}
+
 function isSameServer(left: Announcement, right: Announcement): boolean {
   return left.address === right.address && left.service === right.service;
 }
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -1,5 +1,5 @@
 /** The `run` command: starts the roles of a process and stops them on a signal. */
-import { randomInt } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 import { SystemClock } from '../clock.js';
 import { LinkTask } from '../edge/index.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
@@ -8,6 +8,7 @@
 import { createLogger } from './logger.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
+import { runMembers } from './run-members.js';
 import { runProxy } from './run-proxy.js';
 import { runSource } from './run-source.js';
 import type { Settings } from './settings.js';
@@ -33,25 +34,45 @@
     random,
     reportFailure,
     notify: (event: LinkEvent) => {
+      members.handleLink(event);
       for (const role of roles) role.handleLink(event);
     },
   });
   const postLink = (command: LinkCommand): void => {
     links.post(command);
   };
+  const pass = randomBytes(PASS_BYTES).toString('base64url');
+  const members = runMembers({
+    settings,
+    clock,
+    random,
+    pass,
+    reportFailure,
+    postLink,
+    notify: (event) => {
+      for (const role of roles) role.handleMembership(event);
+    },
+  });
+  const postMembers = members.post;
 
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    roles.push(await runSource({ settings: source, dataFolder, clock, reportFailure, postLink }));
+    const { control, spread } = settings;
+    const shared = { settings: source, dataFolder, control, spread: spread.policy };
+    roles.push(await runSource({ ...shared, clock, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    roles.push(await runProxy({ settings, proxy, clock, log, reportFailure, postLink }));
+    const shared = { settings, proxy, clock, random, log, reportFailure };
+    roles.push(await runProxy({ ...shared, postLink, postMembers, pass }));
   }
+  await members.start();
   log('started', { roles: settings.roles, control: settings.control });
   await waitForSignal();
   log('stopping');
+  members.post({ kind: 'drain' });
   for (const role of roles.toReversed()) await role.stop();
+  await members.stop();
   await links.stop();
   log('stopped');
   return 0;
@@ -60,6 +81,7 @@
 // Internals.
 
 const EXIT_FAILED = 70;
+const PASS_BYTES = 12;
 const MAX_SEED = 2 ** 31;
 
 function waitForSignal(): Promise<void> {
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -160,6 +160,24 @@
   t.is(used.size, 2);
 });
 
+test('dead server draws no calls', (t) => {
+  const driver = new Driver(2);
+  const dead = '10.0.0.0:1';
+  let sent = 0;
+  for (let index = 0; index < 100; index += 1) {
+    const [first] = driver.post({
+      kind: 'claimed',
+      call: makeCall(`c${index}`, { timeoutMs: 1e6 }),
+    });
+    if (first?.kind !== 'dispatch' || first.target.server !== dead) continue;
+    sent += 1;
+    const failure = { outcome: 'not-run', reason: 'no-server' } as const;
+    const failed = { kind: 'attempt-failed', attempt: first.head.attempt, failure } as const;
+    t.deepEqual(driver.listKinds(failed), ['dispatch']);
+  }
+  t.is(sent, 1);
+});
+
 test('near servers first', (t) => {
   const table = new ServerTable(PLACE);
   const far = { dataCentre: 'b' as DataCentreId };
