--- /dev/null
+++ b/bench/call-node.ts
@@ -0,0 +1,51 @@
+/** One proxy of a call benchmark, run as a process of its own; its plan is the first argument. */
+import { CallTask } from '../src/edge/index.js';
+import { SystemClock } from '../src/clock.js';
+import type { Member, Resource } from '../src/messages/index.js';
+import { formKey } from '../src/messages/index.js';
+import { EMPTY_WHOLE } from '../src/notes/index.js';
+import { SeededRandom } from '../src/random.js';
+
+/** What a benchmark proxy is told at its start. */
+export interface NodePlan {
+  readonly self: Member;
+  readonly members: readonly Member[];
+  readonly resources: readonly Resource[];
+}
+
+/** What a benchmark proxy tells of itself when it is asked. */
+export interface NodeUsage {
+  readonly cpuMicros: number;
+  readonly residentBytes: number;
+}
+
+const { self, members, resources } = JSON.parse(process.argv[2] ?? '{}') as NodePlan;
+const task = new CallTask({
+  address: self.calls,
+  place: self,
+  pass: self.pass ?? '',
+  clock: new SystemClock(),
+  random: new SeededRandom(1),
+  reportFailure: (name, error) => {
+    throw new Error(`${name} failed`, { cause: error });
+  },
+  send: () => {
+    // Nobody listens in a benchmark.
+  },
+});
+await task.start();
+task.post({
+  kind: 'whole',
+  whole: { ...EMPTY_WHOLE, resources: new Map(resources.map((one) => [formKey(one), one])) },
+});
+for (const member of members) task.post({ kind: 'member-up', member });
+
+process.on('message', () => {
+  const { user, system } = process.cpuUsage();
+  const usage: NodeUsage = { cpuMicros: user + system, residentBytes: process.memoryUsage.rss() };
+  process.send?.(usage);
+});
+process.on('disconnect', () => {
+  process.exit(0);
+});
+process.send?.('ready');
