--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -301,6 +301,8 @@
 const ANSWER_MARGIN_MS = 3;
 const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
 const AVOID_MS = 1_000;
+const HEDGE_DEVIATIONS = 4;
+const MIN_HEDGE_DELAY_MS = 2;
 /** Refusals by which nothing can run there for now: bounded by the attempts of the call alone. */
 const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'no-server', 'not-trusted']);
 
@@ -340,8 +342,8 @@
 function findHedgeTime(state: AttemptState, call: RoutedCall, now: Instant): Instant | undefined {
   const { requestKind, head, service } = call;
   if (!requestKind.hedge || !requestKind.idempotent || !head.repeatable) return undefined;
-  const delay = findLatency(state, service).findUpper();
-  return delay === undefined ? undefined : addMs(now, delay);
+  const delay = findLatency(state, service).findQuantile(HEDGE_DEVIATIONS);
+  return delay === undefined ? undefined : addMs(now, Math.max(MIN_HEDGE_DELAY_MS, delay));
 }
 
 function formWake({ timers }: AttemptState): AttemptOut[] {
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -82,7 +82,7 @@
     const refusal = this.#findRefusal(head, now);
     if (refusal !== undefined) return [formReject(head.attempt, refusal)];
     this.#policy.addArrival(head.requestKind, now);
-    this.#policy.add({ head, arrivedAt: now });
+    this.#policy.add({ head, arrivedAt: now, priority: this.#findPriority(head) });
     const started = this.startWaiting(now);
     if (this.#policy.count() <= this.#announcement.slots * MAX_WAITING_PER_SLOT) return started;
     return [...started, ...this.#evictLeast()];
@@ -91,8 +91,8 @@
   /** Starts as many attempts as there are free slots; rejects those that can't finish in time. */
   startWaiting(now: Instant): Admission[] {
     const outcomes: Admission[] = [];
-    for (let free = this.#countFree(now); free > 0; free = this.#countFree(now)) {
-      const next = this.#policy.takeNext(free);
+    while (this.#countFree(now) > 0) {
+      const next = this.#policy.takeNext(this.#countSlots(now));
       if (next === undefined) break;
       outcomes.push(this.#start(next, now));
     }
@@ -164,11 +164,17 @@
     return this.#findStart(head, now) > this.#findLatestStart(head, now) ? 'overloaded' : undefined;
   }
 
+  /** Worth per millisecond; a kind of which nothing is known counts as quick, so that it is tried. */
+  #findPriority({ requestKind, worth }: AttemptHead): number {
+    return worth / Math.max(1, this.#estimate.findMean(requestKind));
+  }
+
   /** When a slot is expected for an attempt that arrives now. */
   #findStart(head: AttemptHead, now: Instant): Instant {
-    const ahead = this.#policy.countAhead(head.worth) + 1 - this.#countFree(now);
-    const runMs = this.#estimate.find(head.requestKind, now);
-    return addMs(now, (Math.max(0, ahead) * runMs) / this.#countSlots(now));
+    const free = this.#countFree(now);
+    const ahead = this.#policy.countAhead(this.#findPriority(head)) + 1 - free;
+    const turnMs = this.#estimate.findOverall() / this.#countSlots(now);
+    return addMs(now, Math.max(0, ahead) * turnMs);
   }
 
   #findLatestStart(head: AttemptHead, now: Instant): Instant {
@@ -176,7 +182,7 @@
   }
 
   #isLate(head: AttemptHead, now: Instant): boolean {
-    return addMs(now, this.#estimate.find(head.requestKind, now)) >= head.deadline;
+    return addMs(now, this.#estimate.findUpper(head.requestKind, now)) >= head.deadline;
   }
 
   #start({ head }: Waiting, now: Instant): Admission {
--- a/src/calls/latency-estimate.ts
+++ b/src/calls/latency-estimate.ts
@@ -5,7 +5,7 @@
  *
  * @example
  * estimate.add(12);
- * const hedgeDelayMs = estimate.findUpper();
+ * const hedgeDelayMs = estimate.findQuantile(4);
  */
 export class LatencyEstimate {
   #mean: number | undefined;
@@ -28,15 +28,12 @@
     return this.#mean;
   }
 
-  /** A duration in milliseconds that few answers exceed, or none before the first duration. */
-  findUpper(): number | undefined {
-    if (this.#mean === undefined) return undefined;
-    return Math.max(MIN_UPPER_MS, this.#mean + DEVIATIONS * this.#deviation);
+  /** The mean plus so many mean deviations, in milliseconds, or none before the first duration. */
+  findQuantile(deviations: number): number | undefined {
+    return this.#mean === undefined ? undefined : this.#mean + deviations * this.#deviation;
   }
 }
 
 // Internals.
 
 const GAIN = 0.1;
-const DEVIATIONS = 4;
-const MIN_UPPER_MS = 2;
--- a/src/calls/shared-slots.ts
+++ b/src/calls/shared-slots.ts
@@ -1,22 +1,21 @@
-/** One queue for all request kinds, ordered by worth. */
+/** One set of slots for all request kinds, given out by worth. */
 import type { AttemptId } from '../ids.js';
 import type { Waiting } from './slot-policy.js';
 import { SlotPolicy } from './slot-policy.js';
 
-/** Gives each free slot to the attempt that is worth most; of equal ones, to the earliest. */
+/**
+ * Gives each free slot to the request kind that is worth most per millisecond of run time; within a
+ * kind, to the earliest attempt.
+ */
 export class SharedSlots extends SlotPolicy {
-  /** One list per worth, in the order of arrival; the highest worth first. */
-  readonly #levels: WorthLevel[] = [];
-  #count = 0;
+  /** The attempts of one kind and worth, in the order of arrival. Empty queues are removed. */
+  readonly #queues = new Map<string, Map<AttemptId, Waiting>>();
+  readonly #places = new Map<AttemptId, string>();
 
   override addArrival(): void {
     // Arrivals of one kind give it no right over the others.
   }
 
-  override mayRun(): boolean {
-    return true;
-  }
-
   override addRun(): void {
     // Nothing depends on which kinds run.
   }
@@ -26,61 +25,70 @@
   }
 
   override add(waiting: Waiting): void {
-    const { worth, attempt } = waiting.head;
-    this.#findLevel(worth).waiting.set(attempt, waiting);
-    this.#count += 1;
+    const { attempt, requestKind, worth } = waiting.head;
+    const name = `${requestKind} ${worth}`;
+    const queue = this.#queues.get(name) ?? new Map<AttemptId, Waiting>();
+    this.#queues.set(name, queue);
+    this.#places.set(attempt, name);
+    queue.set(attempt, waiting);
   }
 
   override remove(attempt: AttemptId): boolean {
-    const removed = this.#levels.some((level) => level.waiting.delete(attempt));
-    if (removed) this.#count -= 1;
-    return removed;
+    const name = this.#places.get(attempt);
+    if (name === undefined) return false;
+    this.#places.delete(attempt);
+    const queue = this.#queues.get(name);
+    queue?.delete(attempt);
+    if (queue?.size === 0) this.#queues.delete(name);
+    return true;
   }
 
   override takeNext(): Waiting | undefined {
-    const level = this.#levels.find(({ waiting }) => waiting.size > 0);
-    const next = level?.waiting.values().next().value;
-    if (next !== undefined) this.remove(next.head.attempt);
-    return next;
+    let best: Waiting | undefined;
+    for (const queue of this.#queues.values()) {
+      const first = findFirst(queue);
+      if (best === undefined || (first && first.priority > best.priority)) best = first;
+    }
+    if (best !== undefined) this.remove(best.head.attempt);
+    return best;
   }
 
   override takeLeast(): Waiting | undefined {
-    const level = this.#levels.findLast(({ waiting }) => waiting.size > 0);
-    const least = [...(level?.waiting.values() ?? [])].at(-1);
-    if (least !== undefined) this.remove(least.head.attempt);
-    return least;
+    let least: Map<AttemptId, Waiting> | undefined;
+    for (const queue of this.#queues.values()) {
+      if (least === undefined || readPriority(queue) < readPriority(least)) least = queue;
+    }
+    const last = [...(least?.values() ?? [])].at(-1);
+    if (last !== undefined) this.remove(last.head.attempt);
+    return last;
   }
 
   override takeMatching(matches: (waiting: Waiting) => boolean): Waiting[] {
-    const taken = this.#levels.flatMap(({ waiting }) => [...waiting.values()].filter(matches));
+    const all = [...this.#queues.values()].flatMap((queue) => [...queue.values()]);
+    const taken = all.filter(matches);
     for (const { head } of taken) this.remove(head.attempt);
     return taken;
   }
 
-  override countAhead(worth: number): number {
-    const ahead = this.#levels.filter((level) => level.worth >= worth);
-    return ahead.reduce((sum, { waiting }) => sum + waiting.size, 0);
+  override countAhead(priority: number): number {
+    let ahead = 0;
+    for (const queue of this.#queues.values()) {
+      if (readPriority(queue) >= priority) ahead += queue.size;
+    }
+    return ahead;
   }
 
   override count(): number {
-    return this.#count;
-  }
-
-  // Internals.
-
-  #findLevel(worth: number): WorthLevel {
-    const known = this.#levels.find((level) => level.worth === worth);
-    if (known !== undefined) return known;
-    const fresh: WorthLevel = { worth, waiting: new Map() };
-    this.#levels.push(fresh);
-    this.#levels.sort((left, right) => right.worth - left.worth);
-    return fresh;
+    return this.#places.size;
   }
 }
 
 // Internals.
 
-interface WorthLevel {
-  readonly worth: number;
-  readonly waiting: Map<AttemptId, Waiting>;
+function findFirst(queue: ReadonlyMap<AttemptId, Waiting>): Waiting | undefined {
+  return queue.values().next().value;
+}
+
+function readPriority(queue: ReadonlyMap<AttemptId, Waiting>): number {
+  return findFirst(queue)?.priority ?? 0;
 }
--- a/src/calls/slot-policy.ts
+++ b/src/calls/slot-policy.ts
@@ -6,6 +6,8 @@
 export interface Waiting {
   readonly head: AttemptHead;
   readonly arrivedAt: Instant;
+  /** What the call is worth per expected millisecond of its run. */
+  readonly priority: number;
 }
 
 /**
@@ -18,9 +20,6 @@
   /** Notes an arrival, whether it will wait or not. */
   abstract addArrival(requestKind: RequestKindName, now: Instant): void;
 
-  /** Tells whether an attempt of this kind may take a free slot now. */
-  abstract mayRun(requestKind: RequestKindName, free: number): boolean;
-
   /** Notes that an attempt of this kind has taken a slot. */
   abstract addRun(requestKind: RequestKindName): void;
 
@@ -33,8 +32,11 @@
   /** Removes an attempt from those that wait; tells whether it was there. */
   abstract remove(attempt: AttemptId): boolean;
 
-  /** Takes the attempt that runs next out of those that wait. */
-  abstract takeNext(free: number): Waiting | undefined;
+  /**
+   * Takes the attempt that runs next out of those that wait, or none when the free slots are kept for
+   * others. `slots` counts all slots of the server, free or not.
+   */
+  abstract takeNext(slots: number): Waiting | undefined;
 
   /** Takes out the attempt that is worth least. */
   abstract takeLeast(): Waiting | undefined;
@@ -42,14 +44,14 @@
   /** Takes out every attempt for which `matches` holds. */
   abstract takeMatching(matches: (waiting: Waiting) => boolean): Waiting[];
 
-  /** Counts the attempts that would run before one of this worth. */
-  abstract countAhead(worth: number): number;
+  /** Counts the attempts that would run before a fresh one of this priority. */
+  abstract countAhead(priority: number): number;
 
   /** Counts the attempts that wait. */
   abstract count(): number;
 }
 
-/** Compares two attempts: the one that is worth more first, then the earlier one. */
+/** Compares two attempts: the higher priority first, then the earlier one. */
 export function compareWaiting(left: Waiting, right: Waiting): number {
-  return right.head.worth - left.head.worth || left.arrivedAt - right.arrivedAt;
+  return right.priority - left.priority || left.arrivedAt - right.arrivedAt;
 }
