--- a/bench/call-node.ts
+++ b/bench/call-node.ts
@@ -23,7 +23,7 @@
 const task = new CallTask({
   address: self.calls,
   place: self,
-  pass: self.pass ?? '',
+  pass: self.pass,
   clock: new SystemClock(),
   random: new SeededRandom(1),
   reportFailure: (name, error) => {
--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -210,14 +210,14 @@
         return [{ kind: 'cancel', attempt: message.attempt }, ...retry];
       }
     }
-    const observed = record.failures > 0 && !hasShed ? [formObservation(record, 'answered')] : [];
+    const hasRecovered = !hasShed && record.failures + record.ejections > 0;
     if (!hasShed) applySuccess(record);
     findLatency(state, call.routed.service).add(now - open.startedAt);
     call.relayed = message.attempt;
     const losers = [...call.running].filter((attempt) => attempt !== message.attempt);
     const { id } = call.routed.head;
     return [
-      ...observed,
+      ...(hasRecovered ? [formObservation(record, 'answered')] : []),
       { kind: 'relay', id, attempt: message.attempt },
       ...losers.flatMap((attempt) => cancelAttempt(state, attempt)),
     ];
@@ -312,7 +312,7 @@
     service,
     host: member.host,
     guard: member.calls,
-    pass: member.pass ?? '',
+    pass: member.pass,
     server: announcement.address,
   };
 }
@@ -331,11 +331,8 @@
   return [formObservation(record, 'failed')];
 }
 
-/** Answers are told only where failures were told before. */
-function formObservation(
-  { member, announcement }: ServerRecord,
-  outcome: Observation['outcome'],
-): AttemptOut {
+function formObservation(record: ServerRecord, outcome: Observation['outcome']): Observation {
+  const { member, announcement } = record;
   return { kind: 'observed', host: member.host, server: announcement.address, outcome };
 }
 
--- a/src/edge/member-codec.ts
+++ b/src/edge/member-codec.ts
@@ -86,7 +86,6 @@
 const CRASH_SEEN = 4;
 const STATES: readonly ServerState[] = ['starting', 'ready', 'draining', 'leaving', 'failing'];
 const RECORD_FIELDS = 9;
-const MAX_PASS_LENGTH = 64;
 const SERVER_FIELDS = 5;
 const MAX_REMAINING_MS = 86_400_000;
 const MAX_FINGERPRINT_LENGTH = 128;
@@ -105,7 +104,7 @@
     control,
     encodeNear(member.calls, control),
     member.version,
-    member.pass ?? '',
+    member.pass,
     ...servers,
   ];
 }
@@ -130,8 +129,6 @@
 
 function decodeRecord(fields: readonly unknown[]): Member {
   const control = parseAddress(readText(fields[5]));
-  const pass = readText(fields[8]);
-  if (pass.length > MAX_PASS_LENGTH) throw new MemberCodecError('the pass is too long');
   const servers: Announcement[] = [];
   for (let start = RECORD_FIELDS; start < fields.length; start += SERVER_FIELDS) {
     servers.push(decodeServer(fields.slice(start, start + SERVER_FIELDS), control));
@@ -143,8 +140,8 @@
     dataCentre: parseDataCentreId(readText(fields[4])),
     control,
     calls: decodeNear(fields[6], control),
-    ...(pass !== '' && { pass }),
     version: readCount(fields[7]) as Version,
+    pass: readText(fields[8]),
     liveness: 'alive',
     servers,
   };
--- a/src/members/update-size.ts
+++ b/src/members/update-size.ts
@@ -16,12 +16,12 @@
 // Internals.
 
 const FIXED_BYTES = 28;
-const RECORD_BYTES = 46;
+const RECORD_BYTES = 44;
 const SERVER_BYTES = 28;
 
 function estimateRecord({ member }: Extract<MemberUpdate, { kind: 'record' }>): number {
   const names = [member.host, member.region, member.dataCentre, member.control, member.calls];
-  let bytes = RECORD_BYTES + (member.pass?.length ?? 0);
+  let bytes = RECORD_BYTES;
   for (const name of names) bytes += name.length;
   for (const server of member.servers) {
     bytes += SERVER_BYTES + server.service.length + server.address.length;
--- a/src/messages/member.ts
+++ b/src/messages/member.ts
@@ -56,7 +56,7 @@
    * A random text of this life of the process. Proxies show it with the calls that they forward, so
    * that a guard can tell them from a caller who forges internal headers.
    */
-  readonly pass?: string;
+  readonly pass: string;
   readonly incarnation: Incarnation;
   readonly liveness: Liveness;
   /** The configuration version that the proxy last told of; a hint only. */
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -13,6 +13,7 @@
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
+import type { ReportStatus } from './status.js';
 
 /** What the proxy role needs. */
 export interface ProxyOptions {
@@ -24,18 +25,19 @@
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
   readonly postMembers: (message: MembersIn) => void;
-  /** What other proxies must show with the calls that they forward; published as `Member.pass`. */
+  /** The random text by which other proxies are known to forward calls; see {@link Member.pass}. */
   readonly pass: string;
+  readonly report: ReportStatus;
 }
 
 /** Starts the tasks of the proxy role. */
 export async function runProxy(options: ProxyOptions): Promise<RunningRole> {
-  const { settings, proxy, clock, random, log, reportFailure, postLink, postMembers, pass } =
-    options;
+  const { settings, proxy, clock, random, log, reportFailure } = options;
+  const { postLink, postMembers, report } = options;
   const calls = new CallTask({
     address: proxy.calls,
     place: settings,
-    pass,
+    pass: options.pass,
     clock,
     random,
     reportFailure,
@@ -72,6 +74,10 @@
     announce: (announcement) => {
       postMembers({ kind: 'announce', announcement });
     },
+    drain: () => {
+      log('draining');
+      postMembers({ kind: 'drain' });
+    },
   });
 
   function routeSpread(output: ProxySpreadOut): void {
@@ -94,6 +100,7 @@
         return;
       case 'whole':
         log('version-applied', { version: output.whole.version });
+        report('proxy', { version: output.whole.version, resources: output.whole.resources.size });
         calls.post(output);
         return;
       case 'rejected':
