--- a/test/calls-guard.test.ts
+++ b/test/calls-guard.test.ts
@@ -213,6 +213,21 @@
   t.deepEqual(crash(driver, ['popular'], SERVER), []);
 });
 
+test('dead server comes back', (t) => {
+  const driver = new Driver();
+  crash(driver, ['bad'], SERVER);
+  t.deepEqual(driver.admit('a'), ['no-server a']);
+  t.deepEqual(driver.list({ kind: 'tick' }, addMs(WARM, 500)), ['probe']);
+  driver.list({ kind: 'probed', server: SERVER, accepts: true });
+  t.deepEqual(driver.admit('b'), ['run b']);
+});
+
+test('failing server takes trials', (t) => {
+  const driver = new Driver();
+  driver.announce({ state: 'failing' });
+  t.deepEqual(driver.admit('a'), ['run a']);
+});
+
 test('broken connection is no crash', (t) => {
   const driver = new Driver();
   driver.admit('a');
