--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -1,5 +1,5 @@
 /** The `run` command: starts the roles of a process and stops them on a signal. */
-import { randomInt } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 import { SystemClock } from '../clock.js';
 import { LinkTask } from '../edge/index.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
@@ -31,6 +31,7 @@
   const roles: RunningRole[] = [];
   const registry = new MetricsRegistry();
   const status = createStatusTask({ settings, clock, registry, reportFailure });
+  const pass = randomBytes(PASS_BYTES).toString('base64url');
   const links = new LinkTask({
     host: settings.host,
     control: settings.control,
@@ -48,6 +49,7 @@
   };
   const members = runMembers({
     settings,
+    pass,
     clock,
     random,
     reportFailure,
@@ -66,12 +68,12 @@
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    const { control, spread } = settings;
-    const shared = { settings: source, dataFolder, control, spread: spread.policy };
-    roles.push(await runSource({ ...shared, clock, log, reportFailure, postLink, report }));
+    const { host, control, spread } = settings;
+    const shared = { host, settings: source, dataFolder, control, spread: spread.policy };
+    roles.push(await runSource({ ...shared, clock, random, log, reportFailure, postLink, report }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    const shared = { settings, proxy, clock, random, log, reportFailure };
+    const shared = { settings, proxy, pass, clock, random, log, reportFailure };
     roles.push(await runProxy({ ...shared, postLink, postMembers, report }));
   }
   await members.start();
@@ -91,6 +93,7 @@
 
 const EXIT_FAILED = 70;
 const MAX_SEED = 2 ** 31;
+const PASS_BYTES = 9;
 
 function waitForSignal(): Promise<void> {
   return new Promise((resolve) => {
