--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -52,6 +52,7 @@
     pass,
     clock,
     random,
+    log,
     reportFailure,
     postLink,
     notify: (event) => {
