--- a/src/notes/index.ts
+++ b/src/notes/index.ts
@@ -6,7 +6,7 @@
 export { isWithdrawn, readReceipt } from './note-entry.js';
 export type { AcceptedStep, NoteEntry } from './note-entry.js';
 export { NotesFilter } from './notes-filter.js';
-export type { NoteQuestion, NotesIn, NotesOut, NotesState } from './notes-filter.js';
+export type { NoteQuestion, NotesIn, NotesNotice, NotesOut, NotesState } from './notes-filter.js';
 export {
   applyDelta,
   buildNext,
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -1,18 +1,22 @@
 /** Answers operators and hands accepted versions on. */
 import type { Instant, NoteNumber, RequestId, Version } from '../ids.js';
 import type {
+  CaptureAnswer,
   CoverageReport,
   LogNotice,
   LogRefusal,
   LogRequest,
+  LogSnapshotNotice,
   NoteAnswer,
   NoteCommand,
   NotePage,
   NoteStatus,
   VersionDelta,
+  WholeSnapshot,
 } from '../messages/index.js';
 import type { Step, Tick, Wake } from '../pipe/index.js';
 import { Filter } from '../pipe/index.js';
+import type { BookSnapshot } from './note-book.js';
 import { NoteBook } from './note-book.js';
 import type { SourceReport } from './note-status.js';
 import { formPage, formReport, formStatus, isInForce, NO_COVERAGE } from './note-status.js';
@@ -25,13 +29,16 @@
   /** Like `show`, but answered when the note is in force, at the deadline at the latest. */
   | { readonly kind: 'wait'; readonly number: NoteNumber; readonly deadline: Instant };
 
+/** What the log tells the notes pipe. */
+export type NotesNotice = LogNotice<NoteCommand> | LogSnapshotNotice<BookSnapshot>;
+
 /** What the notes pipe is told. */
 export type NotesIn =
   | { readonly kind: 'command'; readonly id: RequestId; readonly command: NoteCommand }
   | { readonly kind: 'question'; readonly id: RequestId; readonly question: NoteQuestion }
   /** The operator has gone; the answer is not wanted any more. */
   | { readonly kind: 'cancel'; readonly id: RequestId }
-  | { readonly kind: 'log'; readonly notice: LogNotice<NoteCommand> }
+  | { readonly kind: 'log'; readonly notice: NotesNotice }
   | { readonly kind: 'coverage'; readonly report: CoverageReport }
   | Tick;
 
@@ -43,6 +50,10 @@
   | { readonly kind: 'page'; readonly id: RequestId; readonly page: NotePage }
   | { readonly kind: 'refusal'; readonly id: RequestId; readonly refusal: LogRefusal }
   | { readonly kind: 'version'; readonly delta: VersionDelta }
+  /** The book was replaced by a snapshot; `whole` is the configuration that it adds up to. */
+  | { readonly kind: 'restored'; readonly whole: WholeSnapshot }
+  /** The book as the log asked for it. */
+  | CaptureAnswer<BookSnapshot>
   /** How the source stands; sent whenever that has changed. */
   | { readonly kind: 'report'; readonly report: SourceReport }
   | Wake;
@@ -106,7 +117,7 @@
     return confirm(state, id, { kind: 'command', command });
   }
 
-  #handleNotice(state: NotesState, notice: LogNotice<NoteCommand>, now: Instant): NotesStep {
+  #handleNotice(state: NotesState, notice: NotesNotice, now: Instant): NotesStep {
     switch (notice.kind) {
       case 'committed':
         return this.#applyCommitted(state, notice.command, notice.id);
@@ -117,6 +128,15 @@
         const { id, refusal } = notice;
         return { state, outputs: [{ kind: 'refusal', id, refusal }] };
       }
+      case 'capture': {
+        const snapshot = state.book.formSnapshot();
+        return { state, outputs: [{ kind: 'captured', through: notice.through, snapshot }] };
+      }
+      case 'restore': {
+        const next = { ...state, book: NoteBook.open(notice.snapshot) };
+        const whole = next.book.formWholeSnapshot();
+        return { state: next, outputs: [{ kind: 'restored', whole }, report(next)] };
+      }
       case 'leading': {
         const next = { ...state, leading: notice.leading };
         return { state: next, outputs: [report(next)] };
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -4,15 +4,9 @@
 import type { Clock } from '../clock.js';
 import { LogTask, OperatorTask, readSourceSpreadMessage } from '../edge/index.js';
 import type { Address, HostId } from '../ids.js';
-import { DEFAULT_TIMING } from '../log/index.js';
-import type {
-  LinkCommand,
-  LinkEvent,
-  LogNotice,
-  LogSnapshotNotice,
-  NoteCommand,
-} from '../messages/index.js';
-import type { NotesIn, NotesOut, NotesState } from '../notes/index.js';
+import { DEFAULT_SNAPSHOTS, DEFAULT_TIMING } from '../log/index.js';
+import type { LinkCommand, LinkEvent, NoteCommand } from '../messages/index.js';
+import type { BookSnapshot, NotesIn, NotesNotice, NotesOut, NotesState } from '../notes/index.js';
 import { NotesFilter } from '../notes/index.js';
 import type { ReportFailure, Wake } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
@@ -57,7 +51,7 @@
     send: routeNotes,
     formTick: () => ({ kind: 'tick' }),
   });
-  const log = new LogTask<NoteCommand>({
+  const log = new LogTask<NoteCommand, BookSnapshot>({
     path: join(options.dataFolder, 'notes.log'),
     group: LOG_GROUP,
     host: options.host,
@@ -65,12 +59,13 @@
     replicas: listReplicas(settings.replicas, options.control),
     random: options.random,
     timing: DEFAULT_TIMING,
-    snapshots: undefined,
+    snapshots: DEFAULT_SNAPSHOTS,
     clock,
     reportFailure,
     notify: routeNotice,
     reportStatus: (status) => {
       options.log('log-status', { group: LOG_GROUP, ...status });
+      report('log', status);
     },
     send: (to, packet) => {
       postLink(formLogSend('log', to, packet));
@@ -97,15 +92,27 @@
   });
 
   function routeNotes(output: Exclude<NotesOut, Wake>): void {
-    if (output.kind === 'log') log.post({ kind: 'request', request: output.request });
-    else if (output.kind === 'version') spread.post(output);
-    else if (output.kind === 'report') report('source', output.report);
-    else operator.post(output);
+    switch (output.kind) {
+      case 'log':
+        log.post({ kind: 'request', request: output.request });
+        return;
+      case 'captured':
+        log.post(output);
+        return;
+      case 'version':
+      case 'restored':
+        spread.post(output);
+        return;
+      case 'report':
+        report('source', output.report);
+        return;
+      default:
+        operator.post(output);
+    }
   }
 
   /** Confirmations go to whoever asked for them; everything else concerns the notes. */
-  function routeNotice(notice: LogNotice<NoteCommand> | LogSnapshotNotice<never>): void {
-    if (notice.kind === 'capture' || notice.kind === 'restore') return;
+  function routeNotice(notice: NotesNotice): void {
     if (notice.kind === 'leading') spread.post({ kind: 'log', notice });
     const isForSpread =
       (notice.kind === 'confirmed' || notice.kind === 'refused') && isVouchConfirm(notice.id);
--- a/test/examples.test.ts
+++ b/test/examples.test.ts
@@ -50,7 +50,8 @@
       if (next === undefined || isApplyFault(next)) throw new Error('a proxy refuses the version');
       proxy = next;
     }
-    t.is(proxy.version, LAST_NOTE);
+    const version: number = proxy.version;
+    t.is(version, LAST_NOTE);
     const routes = [...proxy.resources.values()].filter((one) => one.kind === 'route');
     t.true(routes.length > 0 && routes.every(({ generation }) => generation === 'new'));
     const number = readdirSync(join(EXAMPLES, user, 'notes')).length;
--- a/test/notes-filter.test.ts
+++ b/test/notes-filter.test.ts
@@ -9,8 +9,8 @@
   Term,
   Version,
 } from '../src/ids.js';
-import type { CoverageReport, LogNotice, NoteCommand } from '../src/messages/index.js';
-import type { NotesIn, NotesOut } from '../src/notes/index.js';
+import type { CoverageReport, NoteCommand } from '../src/messages/index.js';
+import type { NotesIn, NotesNotice, NotesOut } from '../src/notes/index.js';
 import { NotesFilter } from '../src/notes/index.js';
 import { formRoute, formService, submit } from './note-drafts.js';
 
@@ -31,7 +31,7 @@
     return outputs.filter((output) => output.kind !== 'report');
   }
 
-  notice(notice: LogNotice<NoteCommand>): NotesOut[] {
+  notice(notice: NotesNotice): NotesOut[] {
     return this.tell({ kind: 'log', notice });
   }
 
@@ -151,6 +151,17 @@
   t.like(driver.notice({ kind: 'confirmed', id: ID }), [{ status: { inForce: false } }]);
 });
 
+test('snapshot of the log', (t) => {
+  const [driver, other] = [new Driver(), new Driver()];
+  driver.commit(FIRST);
+  const through = 1 as LogIndex;
+  const [captured] = driver.notice({ kind: 'capture', through });
+  if (captured?.kind !== 'captured') throw new Error('nothing captured');
+  const { snapshot } = captured;
+  t.like(other.notice({ kind: 'restore', through, snapshot }), [{ whole: { version: 1 } }]);
+  t.like(other.commit(submit(2, formService('other'))), [{ delta: { version: 2 } }]);
+});
+
 test('cancelled wait', (t) => {
   const driver = new Driver();
   driver.commit(FIRST);
