--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -29,9 +29,9 @@
   const clock = new SystemClock();
   const random = new SeededRandom(randomInt(MAX_SEED));
   const roles: RunningRole[] = [];
+  const pass = randomBytes(PASS_BYTES).toString('base64url');
   const registry = new MetricsRegistry();
   const status = createStatusTask({ settings, clock, registry, reportFailure });
-  const pass = randomBytes(PASS_BYTES).toString('base64url');
   const links = new LinkTask({
     host: settings.host,
     control: settings.control,
@@ -71,7 +71,8 @@
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
     const { host, control, spread } = settings;
     const shared = { host, settings: source, dataFolder, control, spread: spread.policy };
-    roles.push(await runSource({ ...shared, clock, random, log, reportFailure, postLink, report }));
+    const tools = { clock, random, log, reportFailure, postLink, report };
+    roles.push(await runSource({ ...shared, ...tools }));
   }
   if (settings.roles.includes('proxy') && proxy) {
     const shared = { settings, proxy, pass, clock, random, log, reportFailure };
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -25,9 +25,9 @@
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
   readonly postMembers: (message: MembersIn) => void;
-  readonly report: ReportStatus;
   /** The random text by which other proxies are known to forward calls; see {@link Member.pass}. */
   readonly pass: string;
+  readonly report: ReportStatus;
 }
 
 /** Starts the tasks of the proxy role. */
