--- /dev/null
+++ b/test/commands.test.ts
@@ -0,0 +1,81 @@
+/** The commands against a real process with every role that it takes to serve a call. */
+import { readdirSync } from 'node:fs';
+import test from 'ava';
+import { request } from 'undici';
+import { findFreeAddress, findFreePort, Mesh, waitFor } from '../bench/mesh.js';
+import { FIRST_NOTE } from '../bench/small-mesh.js';
+
+test('status and drain', async (t) => {
+  const mesh = new Mesh();
+  t.teardown(() => mesh.stop());
+  const [control, operator, calls, announce, status] = await Promise.all([
+    findFreeAddress(),
+    findFreeAddress(),
+    findFreeAddress(),
+    findFreeAddress(),
+    findFreeAddress(),
+  ]);
+  mesh.makeFolder('data');
+  mesh.startNode(
+    'all',
+    `host = "all"
+region = "hu-central"
+data_centre = "a"
+roles = ["proxy", "source"]
+control = "${control}"
+status = "${status}"
+data_folder = "data"
+[proxy]
+calls = "${calls}"
+announce = "${announce}"
+sources = ["${control}"]
+[source]
+operator = "${operator}"
+token_file = "${mesh.writeFile('token', 'secret')}"
+`,
+  );
+  mesh.startServer('catalogue', await findFreePort(), announce);
+  const access = ['--operator', operator, '--token-file', `${mesh.folder}/token`];
+  const run = async (...args: string[]) => {
+    const { code, out, err } = await mesh.runCommand(args);
+    t.is(code, 0, `${args.join(' ')}: ${out}${err}`);
+    return out;
+  };
+  const call = async () => {
+    const answer = await request(`http://${calls}/catalogue/canopies`);
+    await answer.body.dump();
+    return { code: answer.statusCode, outcome: answer.headers['bilberryswitch-outcome'] };
+  };
+
+  await run('note', 'submit', mesh.writeFile('note.toml', FIRST_NOTE), ...access);
+  t.regex(await run('note', 'wait', '1', ...access), /in force: 1 of 1 proxies hold it/);
+  await waitFor('an answer', async () => ((await call()).code === 200 ? true : undefined));
+  t.like(JSON.parse(await run('status', '--address', status, '--json')), {
+    source: { leading: true, version: 1, proxies: 1, holding: 1 },
+    proxy: { version: 1 },
+    members: { servers: { catalogue: { ready: 1 } } },
+  });
+  const metrics = await request(`http://${status}/metrics`);
+  t.is(metrics.statusCode, 200);
+  await metrics.body.dump();
+
+  await run('drain', '--address', announce);
+  const refused = await waitFor('the drain', async () => {
+    const answer = await call();
+    return answer.code === 200 ? undefined : answer;
+  });
+  t.deepEqual(refused, { code: 503, outcome: 'not-run' });
+});
+
+test('faulty settings start nothing', async (t) => {
+  const mesh = new Mesh();
+  t.teardown(() => mesh.stop());
+  const path = mesh.writeFile('node.toml', 'host = "a"\ncolour = "red"\n');
+  for (const command of ['run', 'check']) {
+    const { code, out, err } = await mesh.runCommand([command, '--settings', path]);
+    t.is(code, 2);
+    t.is(out, '');
+    t.regex(err, /node\.toml: colour: unknown key/);
+  }
+  t.deepEqual(readdirSync(mesh.folder), ['node.toml']);
+});
