--- a/bench/fake-fleet.ts
+++ b/bench/fake-fleet.ts
@@ -109,6 +109,7 @@
 
   /** Starts every process; everybody learns of everybody. */
   startAll(): void {
+    for (const node of this.proxies) this.#view?.updateMember(formMember(node));
     for (const node of this.sources) this.#startSource(node);
     for (const node of this.proxies) this.startProxy(node);
   }
@@ -123,8 +124,8 @@
     const state = this.#findFilter(node).createState();
     node.proxy = this.#view === undefined ? state : { ...state, overlay: this.#view };
     this.#postProxy(node, { kind: 'start', floor: node.floor });
-    if (this.#plan.sharesView) this.#view?.updateMember(formMember(node));
-    else this.#announce(node);
+    if (this.#view === undefined) this.#announce(node);
+    else if (this.#view.updateMember(formMember(node))) this.#refreshViews();
   }
 
   /** Kills a process; the others learn of it after `noticeMs`. */
@@ -133,15 +134,17 @@
     node.life += 1;
     node.backlog.length = 0;
     const life = node.life;
+    if (this.#view === undefined) this.#announceGone(node, noticeMs);
+    else {
+      this.queue.addEvent(this.queue.now + noticeMs, () => {
+        if (node.life === life && this.#view?.forgetMember(node.host)) this.#refreshViews();
+      });
+    }
     for (const other of this.#nodes.values()) {
-      const delay = noticeMs * (0.5 + this.random.next());
-      this.#later(other, delay, () => {
-        if (node.life === life) this.#notifyGone(other, node);
+      if (!other.isUp || !isLinked(other, node)) continue;
+      this.#later(other, this.findDelay(node, other), () => {
+        this.#post(other, { kind: 'link-down', address: node.address });
       });
-      if (other.isUp)
-        this.#later(other, this.findDelay(node, other), () => {
-          this.#post(other, { kind: 'link-down', address: node.address });
-        });
     }
   }
 
@@ -268,9 +271,19 @@
     }
   }
 
-  #notifyGone(other: FakeNode, node: FakeNode): void {
-    if (this.#plan.sharesView) this.#view?.forgetMember(node.host);
-    else this.#post(other, { kind: 'member-gone', host: node.host });
+  #announceGone(node: FakeNode, noticeMs: number): void {
+    const { life } = node;
+    for (const other of this.#nodes.values()) {
+      this.#later(other, noticeMs * (0.5 + this.random.next()), () => {
+        if (node.life === life) this.#post(other, { kind: 'member-gone', host: node.host });
+      });
+    }
+  }
+
+  /** A shared view changes under its users, who must look up their neighbours again. */
+  #refreshViews(): void {
+    for (const node of this.proxies)
+      if (node.proxy !== undefined) node.proxy.neighbours = undefined;
   }
 
   #deliver(from: FakeNode, to: FakeNode, body: object): void {
@@ -406,7 +419,10 @@
   ): void {
     from.traffic.sentMessages += 1;
     if (!this.#plan.measuresBytes) return;
-    const size = this.#sizes.get(body) ?? encodeMessage(channel, body).length;
+    const start = performance.now();
+    const isCached = from.role === 'proxy' && this.#sizes.has(body);
+    const size = isCached ? (this.#sizes.get(body) ?? 0) : encodeMessage(channel, body).length;
+    from.traffic.cpuMs += performance.now() - start;
     this.#sizes.set(body, size);
     from.traffic.sentBytes += size;
     if (from.dataCentre !== to.dataCentre) this.crossBytes += size;
@@ -422,6 +438,11 @@
 const SYNC_MS = 2;
 const MAX_SEED = 2 ** 31;
 
+/** Sources learn of every break, so that they forget proxies which are no members yet. */
+function isLinked(node: FakeNode, other: FakeNode): boolean {
+  return node.role === 'source' || (node.proxy?.linked.has(other.address) ?? false);
+}
+
 function formMember({ host, dataCentre, address }: FakeNode): Member {
   return { host, dataCentre, control: address, liveness: 'alive' } as Member;
 }
--- a/bench/fleet-notes.ts
+++ b/bench/fleet-notes.ts
@@ -16,13 +16,15 @@
 /** Makes valid versions: services come and go, and routes point only at services that are there. */
 export class VersionMaker {
   readonly #random: Random;
+  readonly #maxRoutes: number;
   readonly #texts: string[] = [formatWhole(new Map())];
   readonly #naive = new Map<string, Resource>();
   #whole: Whole = EMPTY_WHOLE;
   #names = 0;
 
-  constructor(random: Random) {
+  constructor(random: Random, maxRoutes = 20) {
     this.#random = random;
+    this.#maxRoutes = maxRoutes;
   }
 
   /** The newest version. */
@@ -32,13 +34,12 @@
 
   /** Makes the next version. */
   makeNext(): MadeVersion {
-    const changes = this.#makeChanges();
-    this.#whole = buildNext(this.#whole, changes);
-    const { version, sum } = this.#whole;
-    this.#foldNaively(changes);
-    const note = { note: version as number as NoteNumber, revision: 1 as Revision };
-    const delta: VersionDelta = { version, ...note, changes, digest: formatSum(sum) };
-    return { delta, whole: this.#whole };
+    return this.#make(this.#makeChanges());
+  }
+
+  /** Makes one version that adds many services and routes at once. */
+  makeMany(routes: number): MadeVersion {
+    return this.#make(Array.from({ length: routes }, () => this.#makePuts()).flat());
   }
 
   /** Tells whether a whole equals the naive fold of all notes up to its version. */
@@ -48,9 +49,21 @@
 
   // Internals.
 
+  #make(changes: readonly Change[]): MadeVersion {
+    this.#whole = buildNext(this.#whole, changes);
+    const { version, sum } = this.#whole;
+    this.#foldNaively(changes);
+    const note = { note: version as number as NoteNumber, revision: 1 as Revision };
+    const delta: VersionDelta = { version, ...note, changes, digest: formatSum(sum) };
+    return { delta, whole: this.#whole };
+  }
+
   #makeChanges(): Change[] {
     const routes = [...this.#naive.values()].filter((resource) => resource.kind === 'route');
-    if (routes.length > MAX_ROUTES || (routes.length > 2 && this.#random.next() < REMOVE_SHARE)) {
+    if (
+      routes.length > this.#maxRoutes ||
+      (routes.length > 2 && this.#random.next() < REMOVE_SHARE)
+    ) {
       const route = this.#random.pick(routes);
       const service = formKey({ kind: 'service', name: route.service });
       return [
@@ -100,7 +113,6 @@
 
 // Internals.
 
-const MAX_ROUTES = 20;
 const REMOVE_SHARE = 0.3;
 
 function formatWhole(resources: ReadonlyMap<string, Resource>): string {
--- a/src/spread/catch-up.ts
+++ b/src/spread/catch-up.ts
@@ -31,6 +31,8 @@
   #open: OpenPull | undefined;
   #dueAt: Instant = NEVER;
   #failures = 0;
+  /** A version that is known to exist, whoever holds it. */
+  #wanted: Version = NO_VERSION;
 
   constructor(random: Random) {
     this.#random = random;
@@ -64,6 +66,12 @@
     this.#dueAt = earliestOf(this.#dueAt, now);
   }
 
+  /** Remembers that a version exists; pulls go on until it is held. */
+  requestVersion(version: Version, now: Instant): void {
+    this.#wanted = Math.max(this.#wanted, version) as Version;
+    this.requestAttempt(now);
+  }
+
   /** Asks for an attempt even though nobody is known to hold a higher version. */
   requestAttempt(at: Instant): void {
     this.#dueAt = earliestOf(this.#dueAt, at);
@@ -100,12 +108,14 @@
   }
 
   /** A peer answered that it has nothing newer; that is a fault only if it claimed more. */
-  closeEmpty(address: Address, now: Instant): void {
+  closeEmpty(address: Address, held: Version, now: Instant): void {
     if (!this.isAsking(address)) return;
     this.#open = undefined;
     if (this.#candidates.has(address)) {
       this.ban(address, now);
       this.#resume(now);
+    } else if (held < this.#wanted) {
+      this.#resume(now);
     } else if (this.#candidates.size > 0) {
       this.#dueAt = now;
     }
--- a/src/spread/proxy-spread-filter.ts
+++ b/src/spread/proxy-spread-filter.ts
@@ -13,6 +13,7 @@
 import { findEpoch } from './overlay.js';
 import { isRelay } from './member-order.js';
 import type { OverlayMember } from './member-order.js';
+import { formAdvertisement, ProxyPuller } from './proxy-puller.js';
 import { ProxyReporter } from './proxy-reporter.js';
 import { ProxyVoucher } from './proxy-voucher.js';
 import { createProxyState } from './proxy-spread-state.js';
@@ -23,19 +24,21 @@
   ProxySpreadState,
   SpreadFault,
 } from './proxy-spread-state.js';
-import { findNeighbours, listCompared } from './proxy-neighbours.js';
+import { findNeighbours } from './proxy-neighbours.js';
 
 /** Decides which versions a proxy takes, serves and passes on. */
 export class ProxySpreadFilter extends Filter<ProxySpreadState, ProxySpreadIn, ProxySpreadOut> {
   readonly #options: ProxySpreadOptions;
   readonly #reporter: ProxyReporter;
   readonly #voucher: ProxyVoucher;
+  readonly #puller: ProxyPuller;
 
   constructor(options: ProxySpreadOptions) {
     super();
     this.#options = options;
     this.#reporter = new ProxyReporter(options);
     this.#voucher = new ProxyVoucher(options);
+    this.#puller = new ProxyPuller(options);
   }
 
   override createState(): ProxySpreadState {
@@ -181,7 +184,7 @@
     } else if (fault !== undefined) {
       outputs.push(...this.#handleFault(state, address, fault, newest, now));
     } else if (applied.length === 0) {
-      state.catchUp.closeEmpty(address, now);
+      state.catchUp.closeEmpty(address, state.store.mark.version, now);
     }
     const isSound = fault === undefined && conflict === undefined;
     if (isSound) outputs.push(...this.#checkClaim(state, address, newest, now));
@@ -217,7 +220,7 @@
     const fault = state.store.applySnapshot(snapshot);
     if (fault === undefined) return this.#handleApplied(state, address, [], 1, now);
     if (fault.kind !== 'not-next') return this.#reject(state, address, fault, now);
-    state.catchUp.closeEmpty(address, now);
+    state.catchUp.closeEmpty(address, state.store.mark.version, now);
     return [];
   }
 
@@ -228,12 +231,16 @@
     now: Instant,
   ): ProxySpreadOut[] {
     if (held.version < state.store.mark.version && !state.store.hasConflict(held)) {
-      return this.#isSource(address) ? [] : [this.#formAdvertisement(state, address)];
+      return this.#isSource(address) ? [] : [formAdvertisement(state, address)];
     }
     const isUpward = this.#isUpward(state, address);
     if (held.version === state.store.mark.version && isUpward) {
       this.#reporter.handleReminder(state, now);
     }
+    if (held.version > state.store.mark.version && isUpward) {
+      state.catchUp.addHolder(address, held.version, now);
+      return [];
+    }
     return this.#checkClaim(state, address, held, now);
   }
 
@@ -317,67 +324,13 @@
   #handleTick(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
     return [
       ...this.#settle(state, now),
-      ...this.#advertise(state, now),
-      ...this.#compare(state, now),
-      ...this.#pull(state, now),
+      ...this.#puller.decide(state, now),
       ...this.#reporter.decide(state, now),
       ...this.#voucher.decide(state, now),
       ...this.#serve(state),
     ];
   }
 
-  #pull(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
-    const { catchUp, store } = state;
-    if (catchUp.deadline > now) return [];
-    const fallback = this.#listFallback(state);
-    const address = catchUp.pickNext(store.mark.version, fallback, now);
-    if (address === undefined) return [];
-    state.assembly.forgetAll();
-    return [this.#formPull(state, address)];
-  }
-
-  /** Peers go before the source, unless this proxy is a root or its peers have failed. */
-  #listFallback(state: ProxySpreadState): Address[] {
-    const { isFirst, parent, offTree } = findNeighbours(state, this.#options);
-    const { sources } = this.#options;
-    const peers = [...(parent === undefined ? [] : [parent]), ...offTree].map((one) => one.control);
-    if (isFirst || peers.length === 0) return [...sources];
-    return state.catchUp.failures < PEER_ATTEMPTS ? peers : [...peers, ...sources];
-  }
-
-  #advertise(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
-    if (state.deadlines.advertise > now) return [];
-    state.deadlines.advertise = NEVER;
-    const { offTree } = findNeighbours(state, this.#options);
-    const start = state.store.mark.version % Math.max(1, offTree.length);
-    const turned = [...offTree.slice(start), ...offTree.slice(0, start)];
-    const peers = turned.slice(0, this.#options.policy.advertisePeers);
-    return peers.map(({ control }) => this.#formAdvertisement(state, control));
-  }
-
-  #compare(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
-    if (state.deadlines.compare > now) return [];
-    state.deadlines.compare = this.#options.policy.decideCompare(now);
-    const compared = listCompared(state, this.#options);
-    const address = compared[state.comparisons % Math.max(1, compared.length)];
-    state.comparisons += 1;
-    if (address === undefined) return [];
-    if (!this.#isSource(address)) return [this.#formAdvertisement(state, address)];
-    state.catchUp.requestAttempt(now);
-    return [];
-  }
-
-  #formAdvertisement(state: ProxySpreadState, to: Address): ProxySpreadOut {
-    return { kind: 'send', to, body: { kind: 'advertise', held: state.store.mark } };
-  }
-
-  #formPull(state: ProxySpreadState, to: Address): ProxySpreadOut {
-    const held = state.store.mark;
-    if (!this.#isSource(to)) return { kind: 'send', to, body: { kind: 'pull', held } };
-    const { dataCentre } = this.#options;
-    return { kind: 'send-source', to, body: { kind: 'pull', held, dataCentre } };
-  }
-
   /** Tells whether reports go to this address. */
   #isUpward(state: ProxySpreadState, address: Address): boolean {
     const { isFirst, parent } = findNeighbours(state, this.#options);
@@ -393,7 +346,6 @@
 
 const SETTLE_MS = 300;
 const START_SPREAD_MS = 100;
-const PEER_ATTEMPTS = 3;
 
 /** Asks to be woken when the earliest deadline has moved forward. */
 function updateWake({ deadlines, catchUp, vouches, poll }: ProxySpreadState): ProxySpreadOut[] {
--- a/src/spread/proxy-voucher.ts
+++ b/src/spread/proxy-voucher.ts
@@ -4,6 +4,7 @@
 import { formMark } from './delta-span.js';
 import { findNeighbours } from './proxy-neighbours.js';
 import type { ProxySpreadOptions, ProxySpreadOut, ProxySpreadState } from './proxy-spread-state.js';
+import type { VouchedBy } from './served-version.js';
 import type { VouchRequest } from './vouch-relay.js';
 
 /** The messages that a voucher handles. */
@@ -32,7 +33,7 @@
         state.vouches.addAsk({ from: address, id: message.id, hops: message.hops }, now);
         return [];
       case 'vouch':
-        return passVouch(state, message.id, message.mark);
+        return passVouch(state, message.id, message.mark, now);
       case 'ask-served':
         return answerServed(state, address, message.id);
       case 'served':
@@ -87,7 +88,7 @@
 
   #closePoll(state: ProxySpreadState, now: Instant): void {
     const result = state.poll.findResult(now);
-    if (result?.kind === 'agreed') state.served.addVouch(result.mark, 'peers');
+    if (result?.kind === 'agreed') addVouch(state, result.mark, 'peers', now);
   }
 }
 
@@ -98,16 +99,26 @@
 const MAX_NONCE = 2 ** 32;
 
 /** Hands an answer to everybody who waited for it. */
-function passVouch(state: ProxySpreadState, id: RequestId, mark: VersionMark): ProxySpreadOut[] {
+function passVouch(
+  state: ProxySpreadState,
+  id: RequestId,
+  mark: VersionMark,
+  now: Instant,
+): ProxySpreadOut[] {
   return state.vouches.closeAnswered(id).flatMap((ask): ProxySpreadOut[] => {
     if (ask.from !== 'self') {
       return [{ kind: 'send', to: ask.from, body: { kind: 'vouch', id: ask.id, mark } }];
     }
-    state.served.addVouch(mark, 'source');
+    addVouch(state, mark, 'source', now);
     return [];
   });
 }
 
+function addVouch(state: ProxySpreadState, mark: VersionMark, by: VouchedBy, now: Instant): void {
+  state.served.addVouch(mark, by);
+  if (mark.version > state.store.mark.version) state.catchUp.requestVersion(mark.version, now);
+}
+
 /** Only a proxy that serves answers: one that has just started proves nothing. */
 function answerServed(state: ProxySpreadState, to: Address, id: RequestId): ProxySpreadOut[] {
   const whole = state.served.whole;
--- a/src/spread/source-spread-filter.ts
+++ b/src/spread/source-spread-filter.ts
@@ -183,7 +183,7 @@
 
   /** Tells the roots that have not reported the newest version of it again. */
   #remind(state: SourceSpreadState, now: Instant): SourceSpreadOut[] {
-    if (state.remindAt > now) return [];
+    if (state.remindAt > now || state.waiting.length > 0) return [];
     this.#expireDirect(state, now);
     state.reminders += 1;
     state.remindAt = this.#options.policy.decideRemind(now, state.reminders);
@@ -269,13 +269,20 @@
     state.coverage.forgetDirect(member.host);
     state.direct.delete(member.host);
     if (!state.overlay.updateMember(member)) return [];
-    return [this.#formCoverage(state, now)];
+    return this.#handleNewRoots(state, now);
   }
 
   #forgetMember(state: SourceSpreadState, host: HostId, now: Instant): SourceSpreadOut[] {
     if (!state.overlay.forgetMember(host)) return [];
     state.direct.delete(host);
     state.coverage.forgetMember(host, now);
+    return this.#handleNewRoots(state, now);
+  }
+
+  /** The membership has changed: roots that have not reported are told of the newest version soon. */
+  #handleNewRoots(state: SourceSpreadState, now: Instant): SourceSpreadOut[] {
+    state.reminders = 0;
+    state.remindAt = Math.min(state.remindAt, addMs(now, NEW_ROOTS_DELAY_MS)) as Instant;
     return [this.#formCoverage(state, now)];
   }
 
@@ -313,9 +320,11 @@
 const SOURCE_RATE = { bytesPerSecond: 1024 * 1024, burstBytes: 2 * 1024 * 1024 };
 const DIRECT_RETENTION_MS = 180_000;
 const MAX_DIRECT = 64;
+const NEW_ROOTS_DELAY_MS = 100;
 
 function updateWake(state: SourceSpreadState): SourceSpreadOut[] {
-  const earliest = Math.min(state.pushAt, state.remindAt) as Instant;
+  const remindAt = state.waiting.length > 0 ? NEVER : state.remindAt;
+  const earliest = Math.min(state.pushAt, remindAt) as Instant;
   if (earliest >= state.wakeAt) return [];
   state.wakeAt = earliest;
   return [{ kind: 'wake', at: earliest }];
