--- a/src/edge/member-codec.ts
+++ b/src/edge/member-codec.ts
@@ -85,7 +85,7 @@
 const LIVENESS = [undefined, 'suspect', 'dead', 'left'] as const;
 const CRASH_SEEN = 4;
 const STATES: readonly ServerState[] = ['starting', 'ready', 'draining', 'leaving', 'failing'];
-const RECORD_FIELDS = 8;
+const RECORD_FIELDS = 9;
 const SERVER_FIELDS = 5;
 const MAX_REMAINING_MS = 86_400_000;
 const MAX_FINGERPRINT_LENGTH = 128;
@@ -104,6 +104,7 @@
     control,
     encodeNear(member.calls, control),
     member.version,
+    member.pass,
     ...servers,
   ];
 }
@@ -140,6 +141,7 @@
     control,
     calls: decodeNear(fields[6], control),
     version: readCount(fields[7]) as Version,
+    pass: readText(fields[8]),
     liveness: 'alive',
     servers,
   };
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -1,8 +1,9 @@
 /** The `run` command: starts the roles of a process and stops them on a signal. */
-import { randomInt } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 import { SystemClock } from '../clock.js';
 import { LinkTask } from '../edge/index.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
+import { MetricsRegistry } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { SeededRandom } from '../random.js';
 import { createLogger } from './logger.js';
@@ -12,6 +13,8 @@
 import { runProxy } from './run-proxy.js';
 import { runSource } from './run-source.js';
 import type { Settings } from './settings.js';
+import type { ReportStatus } from './status.js';
+import { createStatusTask } from './status.js';
 
 /** Runs until SIGTERM or SIGINT, then stops gracefully. Resolves with the exit code. */
 export async function runProcess(settings: Settings): Promise<number> {
@@ -26,6 +29,9 @@
   const clock = new SystemClock();
   const random = new SeededRandom(randomInt(MAX_SEED));
   const roles: RunningRole[] = [];
+  const pass = randomBytes(PASS_BYTES).toString('base64url');
+  const registry = new MetricsRegistry();
+  const status = createStatusTask({ settings, clock, registry, reportFailure });
   const links = new LinkTask({
     host: settings.host,
     control: settings.control,
@@ -43,25 +49,34 @@
   };
   const members = runMembers({
     settings,
+    pass,
     clock,
     random,
+    log,
     reportFailure,
     postLink,
     notify: (event) => {
+      if (event.kind !== 'broadcast') status.post(event);
       for (const role of roles) role.handleMembership(event);
     },
   });
   const postMembers = members.post;
+  const report: ReportStatus = (section, value) => {
+    status.post({ kind: 'report', section, value });
+  };
 
+  await status.start();
   await links.start();
   const { source, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
-    const shared = { settings: source, dataFolder, spread: settings.spread.policy };
-    roles.push(await runSource({ ...shared, clock, log, reportFailure, postLink }));
+    const { host, control, spread } = settings;
+    const shared = { host, settings: source, dataFolder, control, spread: spread.policy };
+    const tools = { clock, random, log, reportFailure, postLink, report };
+    roles.push(await runSource({ ...shared, ...tools }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    const shared = { settings, proxy, clock, random, log, reportFailure };
-    roles.push(await runProxy({ ...shared, postLink, postMembers }));
+    const shared = { settings, proxy, pass, clock, random, log, reportFailure };
+    roles.push(await runProxy({ ...shared, postLink, postMembers, report }));
   }
   await members.start();
   log('started', { roles: settings.roles, control: settings.control });
@@ -71,6 +86,7 @@
   for (const role of roles.toReversed()) await role.stop();
   await members.stop();
   await links.stop();
+  await status.stop();
   log('stopped');
   return 0;
 }
@@ -79,6 +95,7 @@
 
 const EXIT_FAILED = 70;
 const MAX_SEED = 2 ** 31;
+const PASS_BYTES = 9;
 
 function waitForSignal(): Promise<void> {
   return new Promise((resolve) => {
