Add the ledger: claims of keyed calls over replicated logs

Each of four groups is a state machine over a log of its own; keys belong to groups by hash. A key that may have run is never granted again until it is forgotten, whoever asks. A claim answered with unavailable may still commit, so the client releases it at once and drops a late grant; a release that comes before its claim is remembered, and the claim is refused when it comes.

Refusing late copies of a released claim is no matter of safety and is covered by a test of its own.

--- /dev/null
+++ b/src/ledger/index.ts
@@ -0,0 +1,8 @@
+/** The ledger: which keyed calls have been claimed, and how they ended. */
+export { LedgerClientFilter } from './ledger-client-filter.js';
+export type { LedgerClientIn, LedgerClientOut, LedgerClientState } from './ledger-client-filter.js';
+export { LedgerFilter } from './ledger-filter.js';
+export type { LedgerIn, LedgerOut, LedgerState } from './ledger-filter.js';
+export { findGroup, LEDGER_GROUPS } from './ledger-group.js';
+export { LedgerTable } from './ledger-table.js';
+export type { LedgerSnapshot } from './ledger-table.js';
--- a/src/messages/ledger.ts
+++ b/src/messages/ledger.ts
@@ -9,7 +9,10 @@
   readonly body: Uint8Array;
 }
 
-/** What the call pipe asks of the ledger. */
+/**
+ * What the call pipe asks of the ledger. The `id` names the attempt to run a call: `settle` and `release`
+ * bring the id of the claim that they end, and all three may be sent again.
+ */
 export type LedgerRequest =
   | {
       readonly kind: 'claim';
@@ -47,3 +50,24 @@
   | { readonly kind: 'recorded'; readonly id: RequestId }
   /** No quorum answered; a claim that is answered so was not granted and must not run. */
   | { readonly kind: 'unavailable'; readonly id: RequestId };
+
+/** One change of a ledger, as it stands in the log. */
+export interface LedgerCommand {
+  readonly request: LedgerRequest;
+  /** When the leader received the request. */
+  readonly at: Instant;
+}
+
+/** What a proxy sends to a ledger host. */
+export interface LedgerAsk {
+  readonly kind: 'ask';
+  /** The group of the key. */
+  readonly group: number;
+  readonly request: LedgerRequest;
+}
+
+/** What a ledger host sends back. */
+export type LedgerReply =
+  | { readonly kind: 'answer'; readonly group: number; readonly answer: LedgerAnswer }
+  /** This host could not do it; asking another one, or again, is safe. */
+  | { readonly kind: 'ask-again'; readonly group: number; readonly id: RequestId };
--- /dev/null
+++ b/src/program/ledger-client.ts
@@ -0,0 +1,59 @@
+/** Wires a proxy's side of the ledger to the links. */
+import type { Clock } from '../clock.js';
+import type { Address } from '../ids.js';
+import type { LedgerClientIn, LedgerClientOut, LedgerClientState } from '../ledger/index.js';
+import { LedgerClientFilter } from '../ledger/index.js';
+import type {
+  LedgerAnswer,
+  LedgerAsk,
+  LedgerReply,
+  LinkCommand,
+  LinkEvent,
+} from '../messages/index.js';
+import type { ReportFailure } from '../pipe/index.js';
+import { FilterTask } from '../pipe/index.js';
+
+/** What a ledger client needs. */
+export interface LedgerClientOptions {
+  /** The control addresses of the ledger hosts. */
+  readonly ledgers: readonly Address[];
+  readonly clock: Clock;
+  readonly reportFailure: ReportFailure;
+  readonly postLink: (command: LinkCommand) => void;
+  /** Takes each answer; it belongs to the request with the same id. */
+  readonly answer: (answer: LedgerAnswer) => void;
+}
+
+/** The task of a ledger client. Post `{ kind: 'request', request }` to it. */
+export type LedgerClientTask = FilterTask<LedgerClientState, LedgerClientIn, LedgerClientOut>;
+
+/**
+ * Creates the client of a proxy.
+ *
+ * @example
+ * const ledger = createLedgerClient({ ledgers, clock, reportFailure, postLink, answer });
+ * ledger.post({ kind: 'request', request: claim });
+ */
+export function createLedgerClient(options: LedgerClientOptions): LedgerClientTask {
+  const { ledgers, clock, reportFailure, postLink } = options;
+  return new FilterTask<LedgerClientState, LedgerClientIn, LedgerClientOut>({
+    name: 'ledger-client',
+    filter: new LedgerClientFilter(ledgers),
+    clock,
+    reportFailure,
+    send: (output) => {
+      if (output.kind === 'answer') options.answer(output.answer);
+      else postLink({ kind: 'send', to: output.to, channel: 'ledger', body: output.ask });
+    },
+    formTick: () => ({ kind: 'tick' }),
+  });
+}
+
+/** Reads what concerns a ledger client from what the links report; undefined for anything else. */
+export function readLedgerReply(event: LinkEvent): LedgerClientIn | undefined {
+  if (event.kind === 'link-down') return { kind: 'link-down', address: event.address };
+  if (event.kind !== 'received' || event.channel !== 'ledger') return undefined;
+  const body = event.body as LedgerAsk | LedgerReply;
+  if (body.kind === 'ask') return undefined;
+  return { kind: 'reply', from: event.address, reply: body };
+}
--- a/test/log-cluster.ts
+++ b/test/log-cluster.ts
@@ -41,6 +41,11 @@
   readonly snapshotEvery?: number;
   /** Lets a test put a broken filter in. */
   readonly makeFilter?: typeof makeFilter;
+  readonly maxClockOffsetMs?: number;
+  /** Takes what the user of a node is told. */
+  readonly notify?: (node: ClusterNode, notice: LogNotice<string>) => void;
+  /** Takes the commands that a node starts from: none, or those of a snapshot. */
+  readonly restore?: (node: ClusterNode, commands: readonly string[]) => void;
 }
 
 /** A cluster that is driven step by step. */
@@ -51,11 +56,13 @@
   /** Everything that the users were told. */
   readonly notices: LogNotice<string>[] = [];
   now = 1_000_000 as Instant;
+  readonly #options: ClusterOptions;
   #packets: Packet[] = [];
   #cuts = new Set<string>();
   #requests = 0;
 
   constructor(options: ClusterOptions) {
+    this.#options = options;
     this.random = new SeededRandom(options.seed);
     const addresses = Array.from(
       { length: options.replicas },
@@ -74,7 +81,7 @@
       disks: 0,
       writes: [],
       shown: [],
-      clockOffset: this.random.nextInt(5_000),
+      clockOffset: this.random.nextInt(options.maxClockOffsetMs ?? 5_000),
     }));
     for (const node of this.nodes) this.start(node);
   }
@@ -91,6 +98,7 @@
     node.frozen = false;
     node.state = node.filter.createState();
     node.shown = [];
+    this.#options.restore?.(node, []);
     const freshReplica = `${node.host}-${node.disks}-${this.random.nextInt(1e9)}` as ReplicaId;
     this.feed(node, { kind: 'loaded', stored: buildStoredLog(node.disk), freshReplica });
   }
@@ -142,9 +150,10 @@
   }
 
   /** Proposes a command at a node. */
-  propose(node: ClusterNode): void {
-    const id = this.#formId('propose');
-    this.feed(node, { kind: 'request', request: { kind: 'propose', id, command: `c-${id}` } });
+  propose(node: ClusterNode, command?: string, requestId?: RequestId): void {
+    const id = requestId ?? this.#formId('propose');
+    const request = { kind: 'propose', id, command: command ?? `c-${id}` } as const;
+    this.feed(node, { kind: 'request', request });
   }
 
   /** Asks a node for a confirmed read. */
@@ -252,6 +261,7 @@
       case 'restore':
         node.shown = JSON.parse(Buffer.from(output.bytes).toString()) as string[];
         this.checker.checkRestored(node.shown);
+        this.#options.restore?.(node, node.shown);
         return;
       case 'status':
         return;
@@ -263,6 +273,7 @@
 
   #handleNotice(node: ClusterNode, notice: LogNotice<string>): void {
     this.notices.push(notice);
+    this.#options.notify?.(node, notice);
     if (notice.kind === 'committed') {
       this.checker.checkCommitted(node.shown.length, notice.index, notice.command);
       node.shown.push(notice.command);
--- a/test/log-disturber.ts
+++ b/test/log-disturber.ts
@@ -23,6 +23,18 @@
   });
 }
 
+/** Takes one random step. */
+export function takeStep(cluster: LogCluster): void {
+  const node = cluster.random.pick(cluster.nodes);
+  let left = cluster.random.next() * TOTAL_WEIGHT;
+  for (const [weight, step] of STEPS) {
+    left -= weight;
+    if (left >= 0) continue;
+    step(cluster, node);
+    return;
+  }
+}
+
 // Internals.
 
 function isVoter(node: ClusterNode): boolean {
@@ -105,14 +117,3 @@
 ];
 
 const TOTAL_WEIGHT = STEPS.reduce((sum, [weight]) => sum + weight, 0);
-
-function takeStep(cluster: LogCluster): void {
-  const node = cluster.random.pick(cluster.nodes);
-  let left = cluster.random.next() * TOTAL_WEIGHT;
-  for (const [weight, step] of STEPS) {
-    left -= weight;
-    if (left >= 0) continue;
-    step(cluster, node);
-    return;
-  }
-}
