--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -1,7 +1,7 @@
 /** Wires the proxy role: distribution, membership, announcements and calls. */
 import { join } from 'node:path';
 import type { Clock } from '../clock.js';
-import type { FloorOptions } from '../edge/index.js';
+import type { CallNotice, FloorOptions } from '../edge/index.js';
 import { AnnounceTask, CallTask, FloorTask, readSpreadMessage } from '../edge/index.js';
 import type { MembersIn } from '../members/index.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
@@ -24,12 +24,22 @@
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
   readonly postMembers: (message: MembersIn) => void;
+  /** The random text by which other proxies are known to forward calls; see {@link Member.pass}. */
+  readonly pass: string;
 }
 
 /** Starts the tasks of the proxy role. */
 export async function runProxy(options: ProxyOptions): Promise<RunningRole> {
   const { settings, proxy, clock, random, log, reportFailure, postLink, postMembers } = options;
-  const calls = new CallTask({ address: proxy.calls, clock, reportFailure });
+  const calls = new CallTask({
+    address: proxy.calls,
+    place: settings,
+    pass: options.pass,
+    clock,
+    random,
+    reportFailure,
+    send: routeCalls,
+  });
   const spread = new FilterTask<ProxySpreadState, ProxySpreadIn, ProxySpreadOut>({
     name: 'proxy-spread',
     filter: new ProxySpreadFilter({
@@ -91,6 +101,18 @@
     }
   }
 
+  /** Until the ledger is wired, every claim is answered as if it were out. */
+  function routeCalls(notice: CallNotice): void {
+    if (notice.kind !== 'ledger') {
+      postMembers(notice);
+      return;
+    }
+    calls.post({
+      kind: 'ledger-answer',
+      answer: { kind: 'unavailable', id: notice.request.id },
+    });
+  }
+
   const tasks = [calls, spread, announce, ...(floor === undefined ? [] : [floor])];
   for (const task of tasks) await task.start();
   if (floor === undefined) spread.post({ kind: 'start', floor: undefined });
@@ -100,9 +122,8 @@
       if (message !== undefined) spread.post(message);
     },
     handleMembership: (event) => {
-      if (event.kind === 'broadcast') return;
       calls.post(event);
-      spread.post(event);
+      if (event.kind !== 'broadcast') spread.post(event);
     },
     stop: async () => {
       for (const task of tasks.toReversed()) await task.stop();
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -34,7 +34,7 @@
   readonly host: HostId;
   readonly settings: SourceSettings;
   readonly dataFolder: string;
-  /** The address at which this process listens for links of other processes. */
+  /** Where other processes reach this one. */
   readonly control: Address;
   readonly spread: SpreadPolicyName;
   readonly log: Log;
@@ -76,10 +76,7 @@
   });
   const spread = new FilterTask<SourceSpreadState, SourceSpreadIn, SourceSpreadOut>({
     name: 'source-spread',
-    filter: new SourceSpreadFilter({
-      policy: makePolicy(options.spread),
-      sources: [options.control, ...settings.replicas],
-    }),
+    filter: new SourceSpreadFilter({ policy: makePolicy(options.spread) }),
     clock,
     reportFailure,
     send: routeSpread,
