--- a/src/ledger/ledger-client-filter.ts
+++ b/src/ledger/ledger-client-filter.ts
@@ -74,6 +74,9 @@
   // Internals.
 
   #open(state: LedgerClientState, request: LedgerRequest, now: Instant): LedgerClientOut[] {
+    if (this.#hosts.length === 0) {
+      return [{ kind: 'answer', answer: { kind: 'unavailable', id: request.id } }];
+    }
     const group = findGroup(request.key);
     const giveUpAt = findGiveUpAt(request, now);
     return this.#ask(state, { request, group, giveUpAt, to: undefined, askAgainAt: now }, now);
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -7,6 +7,7 @@
 import { SeededRandom } from '../random.js';
 import { createLogger } from './logger.js';
 import type { Log } from './logger.js';
+import { runLedger } from './run-ledger.js';
 import type { RunningRole } from './running-role.js';
 import { runMembers } from './run-members.js';
 import { runProxy } from './run-proxy.js';
@@ -56,12 +57,17 @@
   const postMembers = members.post;
 
   await links.start();
-  const { source, proxy, dataFolder } = settings;
+  const { source, ledger, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
     const { host, control, spread } = settings;
     const shared = { host, settings: source, dataFolder, control, spread: spread.policy };
     roles.push(await runSource({ ...shared, clock, random, log, reportFailure, postLink }));
   }
+  if (settings.roles.includes('ledger') && ledger && dataFolder !== undefined) {
+    const { host, control } = settings;
+    const shared = { host, settings: ledger, dataFolder, control };
+    roles.push(await runLedger({ ...shared, clock, random, log, reportFailure, postLink }));
+  }
   if (settings.roles.includes('proxy') && proxy) {
     const shared = { settings, proxy, pass, clock, random, log, reportFailure };
     roles.push(await runProxy({ ...shared, postLink, postMembers }));
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -10,6 +10,7 @@
 import type { ProxySpreadIn, ProxySpreadOut, ProxySpreadState } from '../spread/index.js';
 import { makePolicy, ProxySpreadFilter } from '../spread/index.js';
 import type { Random } from '../random.js';
+import { createLedgerClient, readLedgerReply } from './ledger-client.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
@@ -64,6 +65,15 @@
       spread.post({ kind: 'floor-saved', version });
     },
   });
+  const ledger = createLedgerClient({
+    ledgers: proxy.ledgers,
+    clock,
+    reportFailure,
+    postLink,
+    answer: (answer) => {
+      calls.post({ kind: 'ledger-answer', answer });
+    },
+  });
   const announce = new AnnounceTask({
     address: proxy.announce,
     clock,
@@ -101,23 +111,18 @@
     }
   }
 
-  /** Until the ledger is wired, every claim is answered as if it were out. */
   function routeCalls(notice: CallNotice): void {
-    if (notice.kind !== 'ledger') {
-      postMembers(notice);
-      return;
-    }
-    calls.post({
-      kind: 'ledger-answer',
-      answer: { kind: 'unavailable', id: notice.request.id },
-    });
+    if (notice.kind === 'ledger') ledger.post({ kind: 'request', request: notice.request });
+    else postMembers(notice);
   }
 
-  const tasks = [calls, spread, announce, ...(floor === undefined ? [] : [floor])];
+  const tasks = [ledger, calls, spread, announce, ...(floor === undefined ? [] : [floor])];
   for (const task of tasks) await task.start();
   if (floor === undefined) spread.post({ kind: 'start', floor: undefined });
   return {
     handleLink: (event) => {
+      const reply = readLedgerReply(event);
+      if (reply !== undefined) ledger.post(reply);
       const message = readLinkEvent(event);
       if (message !== undefined) spread.post(message);
     },
