--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -10,6 +10,7 @@
 import { createTracer } from './create-tracer.js';
 import { createLogger } from './logger.js';
 import type { Log } from './logger.js';
+import { runLedger } from './run-ledger.js';
 import { addProcessMetrics } from './process-metrics.js';
 import type { RunningRole } from './running-role.js';
 import { runMembers } from './run-members.js';
@@ -75,13 +76,18 @@
 
   await status.start();
   await links.start();
-  const { source, proxy, dataFolder } = settings;
+  const { source, ledger, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
     const { host, control, spread } = settings;
     const shared = { host, settings: source, dataFolder, control, spread: spread.policy };
     const tools = { clock, random, log, reportFailure, postLink, report };
     roles.push(await runSource({ ...shared, ...tools }));
   }
+  if (settings.roles.includes('ledger') && ledger && dataFolder !== undefined) {
+    const { host, control } = settings;
+    const shared = { host, settings: ledger, dataFolder, control };
+    roles.push(await runLedger({ ...shared, clock, random, log, reportFailure, postLink }));
+  }
   if (settings.roles.includes('proxy') && proxy) {
     const shared = { settings, proxy, pass, clock, random, log, reportFailure };
     roles.push(await runProxy({ ...shared, postLink, postMembers, report, tracer, observer }));
