--- a/bench/cut-relay.ts
+++ b/bench/cut-relay.ts
@@ -24,6 +24,7 @@
   readonly #port: number;
   readonly #target: string;
   readonly #cutPeers = new Set<string>();
+  #isCutFromAll = false;
   readonly #forwarded = new Set<Forwarded>();
   #server: Server | undefined;
   #datagrams: DatagramSocket | undefined;
@@ -45,7 +46,7 @@
     const datagrams = createSocket('udp4');
     this.#datagrams = datagrams;
     datagrams.on('message', (bytes, from) => {
-      if (!this.#cutPeers.has(from.address)) datagrams.send(bytes, this.#port, this.#target);
+      if (!this.#isCut(from.address)) datagrams.send(bytes, this.#port, this.#target);
     });
     await new Promise<void>((resolve) => {
       datagrams.bind(this.#port, this.#host, resolve);
@@ -68,6 +69,18 @@
     }
   }
 
+  /** Cuts off every peer. */
+  cutAll(): void {
+    this.#isCutFromAll = true;
+    for (const one of this.#forwarded) holdBack(one);
+  }
+
+  /** Mends the cut from every peer. */
+  mendAll(): void {
+    this.#isCutFromAll = false;
+    for (const one of this.#forwarded) if (one.cut) one.near.destroy();
+  }
+
   /** Closes every socket. */
   async stop(): Promise<void> {
     for (const one of this.#forwarded) one.near.destroy();
@@ -79,6 +92,10 @@
 
   // Internals.
 
+  #isCut(peer: string): boolean {
+    return this.#isCutFromAll || this.#cutPeers.has(peer);
+  }
+
   #forward(near: Socket): void {
     const peer = near.remoteAddress ?? '';
     const far = connect(this.#port, this.#target);
@@ -94,7 +111,7 @@
         this.#forwarded.delete(one);
       });
     }
-    if (this.#cutPeers.has(peer)) {
+    if (this.#isCut(peer)) {
       holdBack(one);
       return;
     }
--- a/bench/mesh-notes.ts
+++ b/bench/mesh-notes.ts
@@ -43,6 +43,18 @@
 `;
 }
 
+/** Writes a note that adds an idempotent request kind, a service and a route per name. */
+export function formServicesNote(number: number, services: readonly string[]): string {
+  const kinds = services.map((service) => ({
+    name: `read-${service}`,
+    service,
+    idempotent: true,
+    worth: 1,
+    claim: false,
+  }));
+  return formKindsNote(number, 'old', kinds);
+}
+
 // Internals.
 
 function formKind(kind: PlannedKind, generation: string): string {
--- a/bench/mesh-plan.ts
+++ b/bench/mesh-plan.ts
@@ -1,6 +1,7 @@
 /** Plans of whole meshes: which hosts run in which data centre, with their settings. */
 import type { Address } from '../src/ids.js';
 import { OperatorClient } from '../src/program/commands/operator-client.js';
+import { CutRelay } from './cut-relay.js';
 import { findFreeAddress, findFreePort, Mesh, waitFor } from './mesh.js';
 import type { MeshProcess } from './mesh.js';
 
@@ -15,6 +16,15 @@
   readonly policy: 'convergence-time' | 'control-bytes';
   /** Where spans go, if anywhere. */
   readonly otlpUrl?: string;
+  /** Whether each process stands behind a relay that can cut it off. */
+  readonly relayed?: boolean;
+}
+
+/** Where a process is reached, where it listens, and the relay in between, if any. */
+interface Place {
+  readonly control: string;
+  readonly bind: string;
+  readonly relay: CutRelay | undefined;
 }
 
 /** A source host of a running mesh. */
@@ -24,6 +34,7 @@
   readonly operator: string;
   readonly status: string;
   readonly settings: string;
+  readonly folder: string;
   process: MeshProcess;
 }
 
@@ -57,6 +68,7 @@
   readonly sources: SourceHost[] = [];
   readonly proxies: ProxyHost[] = [];
   readonly tokenFile: string;
+  readonly #relays = new Map<string, CutRelay>();
 
   private constructor(plan: MeshPlan) {
     this.plan = plan;
@@ -107,23 +119,42 @@
     );
   }
 
+  /** Cuts a host off from all others, silently and in both directions. Needs `relayed`. */
+  cutOff(name: string): void {
+    for (const [other, relay] of this.#relays) {
+      if (other === name) relay.cutAll();
+      else relay.cut(findBindHost(this.#listNames().indexOf(name)));
+    }
+  }
+
+  /** Mends what {@link RunningMesh.cutOff} cut. */
+  mend(name: string): void {
+    for (const [other, relay] of this.#relays) {
+      if (other === name) relay.mendAll();
+      else relay.mend(findBindHost(this.#listNames().indexOf(name)));
+    }
+  }
+
   /** Stops every process and removes the folder. */
   async stop(): Promise<void> {
     await this.mesh.stop();
+    await Promise.all([...this.#relays.values()].map((relay) => relay.stop()));
   }
 
   // Internals.
 
   async #startSources(): Promise<void> {
-    const controls: string[] = [];
+    const places: Place[] = [];
     for (let index = 0; index < this.plan.sources; index += 1) {
-      controls.push(await findFreeAddress());
+      places.push(await this.#findPlace(`source-${index}`));
     }
-    for (const [index, control] of controls.entries()) {
+    const controls = places.map(({ control }) => control);
+    for (const [index, place] of places.entries()) {
       const name = `source-${index}`;
+      const { control } = place;
       const [operator, status] = [await findFreeAddress(), await findFreeAddress()];
-      this.mesh.makeFolder(`${name}-data`);
-      const settings = `${this.#formHead(name, index, control, status, ['source', 'ledger'])}
+      const folder = this.mesh.makeFolder(`${name}-data`);
+      const settings = `${this.#formHead(name, index, place, status, ['source', 'ledger'])}
 data_folder = "${name}-data"
 
 [source]
@@ -135,7 +166,7 @@
 ${controls.length > 1 ? `replicas = ${JSON.stringify(controls)}` : ''}
 `;
       const process = this.mesh.startNode(name, settings);
-      this.sources.push({ name, control, operator, status, settings, process });
+      this.sources.push({ name, control, operator, status, settings, folder, process });
     }
   }
 
@@ -150,15 +181,16 @@
 
   async #startProxy(index: number, service: string): Promise<ProxyHost> {
     const name = `proxy-${index}`;
-    const [control, calls, announce, status] = [
-      await findFreeAddress(),
+    const place = await this.#findPlace(name);
+    const { control } = place;
+    const [calls, announce, status] = [
       await findFreeAddress(),
       await findFreeAddress(),
       await findFreeAddress(),
     ];
     const sources = JSON.stringify(this.sources.map((source) => source.control));
     const seeds = JSON.stringify(this.proxies.slice(0, SEED_COUNT).map((proxy) => proxy.control));
-    const settings = `${this.#formHead(name, index, control, status, ['proxy'])}
+    const settings = `${this.#formHead(name, index, place, status, ['proxy'])}
 
 [proxy]
 calls = "${calls}"
@@ -188,10 +220,28 @@
     };
   }
 
+  #listNames(): string[] {
+    return [...this.#relays.keys()];
+  }
+
+  async #findPlace(name: string): Promise<Place> {
+    const port = await findFreePort();
+    if (this.plan.relayed !== true) {
+      const address = `127.0.0.1:${port}`;
+      return { control: address, bind: address, relay: undefined };
+    }
+    const index = this.#relays.size;
+    const [near, far] = [`127.1.0.${index + 1}`, findBindHost(index)];
+    const relay = new CutRelay(near, port, far);
+    this.#relays.set(name, relay);
+    await relay.start();
+    return { control: `${near}:${port}`, bind: `${far}:${port}`, relay };
+  }
+
   #formHead(
     host: string,
     index: number,
-    control: string,
+    { control, bind }: Place,
     status: string,
     roles: readonly string[],
   ): string {
@@ -201,6 +251,7 @@
 data_centre = "${dataCentres[index % dataCentres.length] ?? ''}"
 roles = ${JSON.stringify(roles)}
 control = "${control}"
+bind = "${bind}"
 status = "${status}"`;
   }
 }
@@ -210,6 +261,11 @@
 const SEED_COUNT = 3;
 const TOKEN = 'mesh-token';
 
+/** The IP number of a relayed process, by the order in which it was planned. */
+function findBindHost(index: number): string {
+  return `127.2.0.${index + 1}`;
+}
+
 async function waitForStart(process: MeshProcess): Promise<void> {
   await waitFor(`${process.name} to start`, () => {
     if (process.child.exitCode !== null) {
@@ -218,31 +274,3 @@
     return process.output().includes('"started"') || undefined;
   });
 }
-
-/** Writes a note that adds one service, one route and one idempotent request kind per name. */
-export function formServicesNote(number: number, services: readonly string[]): string {
-  const adds = services.map(
-    (service) => `
-[[add]]
-kind = "service"
-name = "${service}"
-
-[[add]]
-kind = "request-kind"
-name = "read-${service}"
-idempotent = true
-worth = 1.0
-timeout_ms = 10000
-
-[[add]]
-kind = "route"
-name = "${service}"
-generation = "old"
-path_prefix = "/${service}"
-method = "*"
-service = "${service}"
-request_kind = "read-${service}"
-`,
-  );
-  return `number = ${number}\ntitle = "Services ${services.join(', ')}"\n${adds.join('')}`;
-}
--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -141,6 +141,14 @@
   clearTimeout(timer);
 }
 
+/** Sends SIGKILL and waits. */
+export async function killProcess({ child }: MeshProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  const ended = new Promise((resolve) => child.once('exit', resolve));
+  child.kill('SIGKILL');
+  await ended;
+}
+
 // Internals.
 
 const FIRST_PORT = 12_000;
--- a/test/trace.test.ts
+++ b/test/trace.test.ts
@@ -2,7 +2,8 @@
 import test from 'ava';
 import { request } from 'undici';
 import { waitFor } from '../bench/mesh.js';
-import { formServicesNote, NAPERNYO, RunningMesh } from '../bench/mesh-plan.js';
+import { formServicesNote } from '../bench/mesh-notes.js';
+import { NAPERNYO, RunningMesh } from '../bench/mesh-plan.js';
 import type { CollectedSpan } from '../bench/span-collector.js';
 import { SpanCollector } from '../bench/span-collector.js';
 
