--- a/src/log/replica.ts
+++ b/src/log/replica.ts
@@ -261,11 +261,13 @@
     this.notify({ kind: 'committed', index, term, command: content.command, id });
   }
 
+  /** A large state is captured more rarely, so that its snapshots cost no more than its entries. */
   #captureWhenDue(): void {
     const policy = this.options.snapshots;
     if (policy === undefined || this.#capturing) return;
     const since = this.#applied - (this.#snapshot?.index ?? START.index);
-    if (since < policy.everyEntries) return;
+    const size = this.#snapshot?.bytes.length ?? 0;
+    if (since < Math.max(policy.everyEntries, size / SNAPSHOT_BYTES_PER_ENTRY)) return;
     this.#capturing = true;
     this.#outputs.push({ kind: 'capture', through: this.#applied });
   }
@@ -294,3 +296,8 @@
 export function isUpToDate(left: LogPosition, right: LogPosition): boolean {
   return left.term > right.term || (left.term === right.term && left.index >= right.index);
 }
+
+// Internals.
+
+/** A snapshot of this size for each new entry writes about as much as the entries themselves. */
+const SNAPSHOT_BYTES_PER_ENTRY = 256;
--- a/test/log-faults.test.ts
+++ b/test/log-faults.test.ts
@@ -78,6 +78,21 @@
   cluster.settle(() => cluster.leader !== undefined);
 });
 
+test('large snapshots come rarely', (t) => {
+  const cluster = new LogCluster({ seed: 1, replicas: 1, snapshotEvery: 12 });
+  cluster.settle(() => cluster.leader !== undefined);
+  const [node] = cluster.nodes;
+  let rewrites = 0;
+  for (let count = 0; count < 3_000 && node !== undefined; count += 1) {
+    cluster.propose(node);
+    rewrites += node.writes.filter(({ kind }) => kind === 'rewrite').length;
+    cluster.sync(node);
+    rewrites += node.writes.filter(({ kind }) => kind === 'rewrite').length;
+    cluster.sync(node);
+  }
+  t.true(rewrites > 10 && rewrites < 100, `${rewrites} snapshots`);
+});
+
 function startWithLeader(replicas: number): { cluster: LogCluster; leader: ClusterNode } {
   const cluster = new LogCluster({ seed: 7, replicas });
   cluster.settle(() => {
