--- a/src/program/ledger-client.ts
+++ b/src/program/ledger-client.ts
@@ -53,7 +53,7 @@
 export function readLedgerReply(event: LinkEvent): LedgerClientIn | undefined {
   if (event.kind === 'link-down') return { kind: 'link-down', address: event.address };
   if (event.kind !== 'received' || event.channel !== 'ledger') return undefined;
-  const body = event.body as LedgerAsk | LedgerReply;
-  if (body.kind === 'ask') return undefined;
+  const body = event.body as LedgerAsk | LedgerReply | null | undefined;
+  if (body?.kind !== 'answer' && body?.kind !== 'ask-again') return undefined;
   return { kind: 'reply', from: event.address, reply: body };
 }
--- a/src/program/log-wiring.ts
+++ b/src/program/log-wiring.ts
@@ -30,6 +30,19 @@
 ): ReceivedPacket<Command> | undefined {
   if (event.kind !== 'received' || event.channel !== channel) return undefined;
   const { from, address } = event;
+  if (!isLogPacket(event.body)) return undefined;
   const { group, message } = event.body as LogPacket<Command>;
   return { group, message: { kind: 'received', from, address, message } };
 }
+
+// Internals.
+
+/** Another program at a replica's address must not end this process. */
+function isLogPacket(value: unknown): boolean {
+  const packet = value as Partial<LogPacket<unknown>> | null | undefined;
+  return (
+    typeof packet?.group === 'string' &&
+    typeof (packet.message as Partial<LogPacket<unknown>['message']> | undefined)?.body?.kind ===
+      'string'
+  );
+}
--- a/src/program/run-ledger.ts
+++ b/src/program/run-ledger.ts
@@ -130,7 +130,7 @@
     return;
   }
   if (event.kind !== 'received' || event.channel !== 'ledger') return;
-  const body = event.body as LedgerAsk | LedgerReply;
-  if (body.kind !== 'ask') return;
+  const body = event.body as LedgerAsk | LedgerReply | null | undefined;
+  if (body?.kind !== 'ask') return;
   groups[body.group]?.ledger.post({ kind: 'ask', from: event.address, ask: body });
 }
--- /dev/null
+++ b/test/log-wiring.test.ts
@@ -0,0 +1,22 @@
+/** What arrives on the channels of logs and ledger from a program that speaks something else. */
+import test from 'ava';
+import type { Address, HostId } from '../src/ids.js';
+import type { Channel, LinkEvent } from '../src/messages/index.js';
+import { readLedgerReply } from '../src/program/ledger-client.js';
+import { readLogPacket } from '../src/program/log-wiring.js';
+
+test('foreign packets', (t) => {
+  for (const body of [undefined, null, 7, 'x', {}, { group: 'notes' }, { group: 1, message: {} }]) {
+    t.is(readLogPacket(formEvent('log', body), 'log'), undefined);
+    t.is(readLedgerReply(formEvent('ledger', body)), undefined);
+  }
+  t.is(
+    readLogPacket(formEvent('ledger-log', { group: 'g', message: { body: {} } }), 'log'),
+    undefined,
+  );
+});
+
+function formEvent(channel: Channel, body: unknown): LinkEvent {
+  const [from, address] = ['h' as HostId, '10.0.0.1:7000' as Address];
+  return { kind: 'received', from, address, channel, body };
+}
