--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -171,7 +171,9 @@
 }
 
 /** One broken connection proves little; the server is asked whether it still accepts others. */
-function noteLoss(state: GuardState, { address }: GuardedServer, head: AttemptHead): GuardOut[] {
+function noteLoss(state: GuardState, server: GuardedServer, head: AttemptHead): GuardOut[] {
+  const { address } = server;
+  if (!server.hasSpareConnection()) return [];
   const lost = state.lost.get(address);
   lost?.push(head.subject);
   if (lost !== undefined) return [];
@@ -188,10 +190,14 @@
   const lost = state.lost.get(address) ?? [];
   state.lost.delete(address);
   const server = state.servers.get(address);
-  if (accepts || server === undefined) return [];
+  if (server === undefined) return [];
+  if (accepts) {
+    server.markUp(now);
+    return [];
+  }
   const running = server.listRunning().map(({ subject }) => subject);
   const suspects = new Set([...lost, ...running]);
-  const rejected = passAdmissions(state, server, server.markDown(), now);
+  const rejected = passAdmissions(state, server, server.markDown(now), now);
   return [...rejected, ...[...suspects].flatMap((one) => reportCrash(state, address, one, now))];
 }
 
@@ -227,6 +233,7 @@
     outputs.push({ kind: 'stop-run', attempt, reason: 'deadline' });
   }
   for (const server of state.servers.values()) {
+    if (server.needsProbe(now)) outputs.push({ kind: 'probe', server: server.address });
     const admissions = [...server.rejectLate(now), ...server.startWaiting(now)];
     outputs.push(...passAdmissions(state, server, admissions, now));
   }
--- a/src/calls/picker.ts
+++ b/src/calls/picker.ts
@@ -83,9 +83,11 @@
 const WARM_UP_MS = 5_000;
 const MIN_WARMTH = 0.25;
 
-function isReady(record: ServerRecord, { tried }: PickContext): boolean {
-  const { announcement, refusing } = record;
-  return announcement.state === 'ready' && !refusing && !tried.has(announcement.address);
+function isReady(
+  { announcement, avoidedUntil }: ServerRecord,
+  { now, tried }: PickContext,
+): boolean {
+  return announcement.state === 'ready' && avoidedUntil <= now && !tried.has(announcement.address);
 }
 
 function isInService(record: ServerRecord, context: PickContext): boolean {
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -65,6 +65,7 @@
   readonly #pools = new CallPools();
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #attempts = new Map<AttemptId, CallAttempt>();
+  readonly #sockets = new Set<Socket>();
   readonly #timer: WakeTimer;
   #notifyIdle: (() => void) | undefined;
   #isDraining = false;
@@ -92,13 +93,33 @@
   protected override prepareServer(server: Server): void {
     server.maxHeadersCount = 0;
     server.maxConnections = MAX_CONNECTIONS;
+    server.on('connection', (socket) => {
+      this.#sockets.add(socket);
+      socket.on('close', () => {
+        this.#sockets.delete(socket);
+      });
+    });
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       refuseSocket(socket, error.code);
     });
   }
 
+  /**
+   * Closes connections as they fall idle. One that never sent a request counts as busy for Node.js;
+   * it is closed as well, and so is one whose request does not become complete.
+   */
   protected override closeConnections(server: Server): void {
-    server.closeIdleConnections();
+    const { clock } = this.#options;
+    const startedAt = clock.read();
+    const timer = setInterval(() => {
+      server.closeIdleConnections();
+      const waited = clock.read() - startedAt;
+      if (waited >= UNUSED_LINGER_MS) this.#closeUnused();
+      if (waited >= MAX_LINGER_MS) server.closeAllConnections();
+    }, CLOSE_INTERVAL_MS);
+    server.once('close', () => {
+      clearInterval(timer);
+    });
   }
 
   protected override async close(): Promise<void> {
@@ -143,6 +164,10 @@
 
   // Internals.
 
+  #closeUnused(): void {
+    for (const socket of this.#sockets) if (socket.bytesRead === 0) socket.destroy();
+  }
+
   #acceptCall(call: OpenCall): void {
     const head = parseCallHead(call.request, call.id, this.#options.clock.read());
     if (!head.ok) {
@@ -354,6 +379,9 @@
 const MAX_CONNECTIONS = 8_192;
 const MAX_OPEN_CALLS = 8_192;
 const MAX_CONNECTIONS_PER_GUARD = 256;
+const CLOSE_INTERVAL_MS = 20;
+const UNUSED_LINGER_MS = 200;
+const MAX_LINGER_MS = 5_000;
 const BODY_TIMEOUT_MS = 10_000;
 
 const SERVER_OPTIONS = {
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -57,6 +57,7 @@
     clock,
     random,
     log,
+    registry,
     reportFailure,
     postLink,
     notify: (event) => {
