--- a/src/members/members-state.ts
+++ b/src/members/members-state.ts
@@ -26,6 +26,7 @@
   JOIN_INTERVAL_MS,
   PROBE_INTERVAL_MS,
   RECONNECT_INTERVAL_MS,
+  SYNC_BUSY_INTERVAL_MS,
   SYNC_INTERVAL_MS,
 } from './timing.js';
 import { UpdateQueue } from './update-queue.js';
@@ -123,8 +124,8 @@
   probeAt: Instant;
   gossipAt: Instant;
   syncAt: Instant;
-  /** Whether an exchange has shown that the table is nearly whole. */
-  isSettled: boolean;
+  /** The present interval between exchanges. It grows while they show that the table is nearly whole. */
+  syncIntervalMs: number;
   seedAt: Instant;
   reconnectAt: Instant;
   /** Nobody is suspected or declared dead before this instant. */
@@ -162,7 +163,7 @@
     probeAt: delay(PROBE_INTERVAL_MS),
     gossipAt: delay(GOSSIP_INTERVAL_MS),
     syncAt: delay(SYNC_INTERVAL_MS),
-    isSettled: false,
+    syncIntervalMs: SYNC_BUSY_INTERVAL_MS,
     seedAt: delay(JOIN_INTERVAL_MS / 10),
     reconnectAt: delay(RECONNECT_INTERVAL_MS),
     graceUntil: startedAt,
--- a/src/members/reconcile.ts
+++ b/src/members/reconcile.ts
@@ -16,8 +16,7 @@
 /** Opens an exchange with a random member when it is time. */
 export function runSync(state: MembersState, turn: Turn): void {
   if (turn.now < state.syncAt) return;
-  const interval = state.isSettled ? SYNC_INTERVAL_MS : SYNC_BUSY_INTERVAL_MS;
-  state.syncAt = addMs(turn.now, interval * (0.5 + state.random.next()));
+  state.syncAt = addMs(turn.now, state.syncIntervalMs * (0.5 + state.random.next()));
   const [peer] = state.table.pickSome(state.random, 1);
   if (peer === undefined) return;
   send(turn, peer.control, { kind: 'sync-root', root: state.table.digest.root });
@@ -35,7 +34,7 @@
       send(turn, from, formAnswer(state, message.root));
       return;
     case 'sync-same':
-      state.isSettled = true;
+      relax(state);
       return;
     case 'sync-buckets':
       sendEntries(state, from, message.digests, turn);
@@ -55,7 +54,7 @@
 /** A longer list comes from a first exchange or a long absence; others fetch it themselves. */
 const MAX_PASSED_ON = 200;
 /** News on their way make this many buckets differ at any time. */
-const MAX_SETTLED_BUCKETS = 16;
+const MAX_NEWS_BUCKETS = 4;
 
 function send(turn: Turn, to: Address, body: SyncMessage): void {
   turn.add({ kind: 'send', to, body });
@@ -74,7 +73,7 @@
   turn: Turn,
 ): void {
   const differing = state.table.digest.listDiffering(digests);
-  if (differing.length <= MAX_SETTLED_BUCKETS) state.isSettled = true;
+  if (differing.length <= MAX_NEWS_BUCKETS) relax(state);
   const start = state.random.nextInt(differing.length + 1);
   const buckets = [...differing.slice(start), ...differing.slice(0, start)];
   const chosen = buckets.slice(0, MAX_SYNC_BUCKETS);
@@ -161,8 +160,14 @@
   if (records.length > 0) sendUpdates(from, records, [], turn);
 }
 
+/** Doubles the interval, because this exchange showed that the table is nearly whole. */
+function relax(state: MembersState): void {
+  state.syncIntervalMs = Math.min(2 * state.syncIntervalMs, SYNC_INTERVAL_MS);
+}
+
 /** Brings the next exchange forward, because this one was not enough. */
 function hasten(state: MembersState, turn: Turn): void {
+  state.syncIntervalMs = SYNC_BUSY_INTERVAL_MS;
   const soon = addMs(turn.now, SYNC_BUSY_INTERVAL_MS * (0.5 + state.random.next()));
   if (soon < state.syncAt) state.syncAt = soon;
 }
