Send a call that was lost twice to no third server

Cause: an idempotent call that kills its server was tried three times within one call, faster than the proxies tell each other of the crashes. Red first: 'lost twice: no third server'. Also keeps the callers' connections in a class of their own, and takes a call without a body through no promise and no timer.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -241,14 +241,12 @@
     if (open === undefined) return [];
     const { call } = open;
     removeAttempt(state, attempt, open);
+    const maySend = maySendAgain(call, failure);
     const observed = noteFailure(state, open, failure, now);
     if (call.relayed === attempt) return [...observed, ...this.#refuse(state, call, failure)];
     if (failure.outcome === 'unknown') call.certain = false;
-    const isSafe =
-      failure.reason !== 'quarantined' &&
-      (failure.outcome === 'not-run' || call.routed.requestKind.idempotent);
     const cost = FREE_REASONS.has(failure.reason) ? 'free' : 'budgeted';
-    const retry = isSafe && call.relayed === undefined ? this.#retry(state, call, now, cost) : [];
+    const retry = maySend && call.relayed === undefined ? this.#retry(state, call, now, cost) : [];
     if (retry.length > 0) return [...observed, ...retry];
     if (call.running.size > 0) return observed;
     return [...observed, ...this.#refuse(state, call, failure)];
@@ -317,6 +315,17 @@
   };
 }
 
+/**
+ * A call may be sent again where it certainly did not run or where a second run changes nothing. One
+ * that has already been lost twice is not: it may be what kills the servers.
+ */
+function maySendAgain(call: OpenCall, { outcome, reason }: AttemptFailure): boolean {
+  if (reason === 'quarantined') return false;
+  if (outcome === 'not-run') return true;
+  const isLostAgain = call.suspect && reason === 'upstream-failed';
+  return call.routed.requestKind.idempotent && !isLostAgain;
+}
+
 function noteFailure(
   state: AttemptState,
   { call, record }: OpenAttempt,
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -16,7 +16,7 @@
 import type { HopTracer } from '../traces/index.js';
 import { NoTracer } from '../traces/index.js';
 import { CallAttempt } from './call-attempt.js';
-import { readBody } from './call-body.js';
+import { hasBody, readBody } from './call-body.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
 import {
   ATTEMPT_HEADER,
@@ -30,6 +30,7 @@
   parseForwardedHead,
   TIMEOUT_HEADER,
 } from './call-headers.js';
+import { CallerConnections } from './caller-connections.js';
 import { CallPools } from './call-pools.js';
 import { probeServer } from './call-probe.js';
 import type { Refusal } from './call-refusal.js';
@@ -65,7 +66,7 @@
   readonly #pools = new CallPools();
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #attempts = new Map<AttemptId, CallAttempt>();
-  readonly #sockets = new Set<Socket>();
+  readonly #connections: CallerConnections;
   readonly #timer: WakeTimer;
   #notifyIdle: (() => void) | undefined;
   #isDraining = false;
@@ -75,6 +76,7 @@
     this.#options = options;
     this.#tracer = options.tracer ?? new NoTracer();
     this.#observer = options.observer ?? new NoObserver();
+    this.#connections = new CallerConnections(options.clock);
     this.#timer = new WakeTimer(options.clock, () => {
       this.post({ kind: 'tick' });
     });
@@ -93,33 +95,14 @@
   protected override prepareServer(server: Server): void {
     server.maxHeadersCount = 0;
     server.maxConnections = MAX_CONNECTIONS;
-    server.on('connection', (socket) => {
-      this.#sockets.add(socket);
-      socket.on('close', () => {
-        this.#sockets.delete(socket);
-      });
-    });
+    this.#connections.watch(server);
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       refuseSocket(socket, error.code);
     });
   }
 
-  /**
-   * Closes connections as they fall idle. One that never sent a request counts as busy for Node.js;
-   * it is closed as well, and so is one whose request does not become complete.
-   */
   protected override closeConnections(server: Server): void {
-    const { clock } = this.#options;
-    const startedAt = clock.read();
-    const timer = setInterval(() => {
-      server.closeIdleConnections();
-      const waited = clock.read() - startedAt;
-      if (waited >= UNUSED_LINGER_MS) this.#closeUnused();
-      if (waited >= MAX_LINGER_MS) server.closeAllConnections();
-    }, CLOSE_INTERVAL_MS);
-    server.once('close', () => {
-      clearInterval(timer);
-    });
+    this.#connections.close(server);
   }
 
   protected override async close(): Promise<void> {
@@ -164,17 +147,13 @@
 
   // Internals.
 
-  #closeUnused(): void {
-    for (const socket of this.#sockets) if (socket.bytesRead === 0) socket.destroy();
-  }
-
   #acceptCall(call: OpenCall): void {
     const head = parseCallHead(call.request, call.id, this.#options.clock.read());
     if (!head.ok) {
       call.refuse(formHeadRefusal(head.error));
       return;
     }
-    if (this.#isDraining) {
+    if (this.#isDraining || !hasBody(call.request)) {
       this.post({
         kind: 'arrived',
         head: { ...head.value, bodyDigest: undefined, repeatable: true },
@@ -379,9 +358,6 @@
 const MAX_CONNECTIONS = 8_192;
 const MAX_OPEN_CALLS = 8_192;
 const MAX_CONNECTIONS_PER_GUARD = 256;
-const CLOSE_INTERVAL_MS = 20;
-const UNUSED_LINGER_MS = 200;
-const MAX_LINGER_MS = 5_000;
 const BODY_TIMEOUT_MS = 10_000;
 
 const SERVER_OPTIONS = {
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -103,6 +103,16 @@
   t.deepEqual(driver.listKinds(second), ['overloaded unknown']);
 });
 
+test('lost twice: no third server', (t) => {
+  const driver = new Driver(3);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) });
+  const lost = (count: number) =>
+    ({ kind: 'attempt-failed', attempt: attemptOf('c', count), failure: FAILED }) as const;
+  const [retry] = driver.post(lost(0));
+  t.true(retry?.kind === 'dispatch' && retry.head.suspect);
+  t.deepEqual(driver.listKinds(lost(1)), ['upstream-failed unknown']);
+});
+
 test('retry budget', (t) => {
   const driver = new Driver(3);
   let dispatched = 0;
--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -5,6 +5,7 @@
 import { request } from 'undici';
 import { waitFor } from '../bench/mesh.js';
 import { splitAddress } from '../src/ids.js';
+import type { CallNode } from './call-mesh.js';
 import { CallMesh } from './call-mesh.js';
 import { makeKind, makeRoute, makeWhole } from './call-resources.js';
 import { answerAfter } from './stand-in.js';
@@ -206,6 +207,29 @@
   await drained;
 });
 
+test('crashing request: two servers', async (t) => {
+  const crashed = new Set<CallNode>();
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [0, 1, 2, 3].map((index) => (message, response) => {
+      if (message.url !== '/shop/bad') {
+        response.end('fine');
+        return;
+      }
+      crashed.add(mesh.at(index));
+      mesh.serverAt(index).kill();
+    }),
+  });
+  t.teardown(() => mesh.stop());
+  for (const { calls } of mesh.nodes) {
+    const answer = await call(calls, '/shop/bad');
+    t.true(answer.status >= 400);
+    t.is((await call(calls, '/shop/good')).text, 'fine');
+  }
+  t.is(crashed.size, 2);
+  t.is((await call(mesh.at(0).calls, '/shop/bad')).status, 422);
+});
+
 test('stop: unused connection', async (t) => {
   const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK] });
   const { host, port } = splitAddress(mesh.at(0).calls);
