--- a/bench/calls-bench.ts
+++ b/bench/calls-bench.ts
@@ -1,9 +1,11 @@
 /**
- * Measures the call path: `npm run bench -- calls [latency|overload]`.
+ * Measures the call path: `npm run bench -- calls [latency|overload|memory]`.
  *
  * `latency` sends calls directly, through a bare TCP splice and through one and two proxies, in turn
  * and in one run. `overload` sends 0.5 to 3 times the capacity through one entry proxy.
  */
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
 import type { RequestKindName, ServiceName, Generation } from '../src/ids.js';
 import type { Resource } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
@@ -23,8 +25,11 @@
 const [mode = 'latency', ...args] = process.argv.slice(2);
 if (mode === 'latency') await measureLatency(Number(args[0] ?? 100), Number(args[1] ?? 20));
 else if (mode === 'overload') await measureOverload(Number(args[0] ?? 8));
+else if (mode === 'memory') await measureMemory(Number(args[0] ?? 1_000));
 else
-  throw new Error('name a mode: latency [CALLS A SECOND PER PATH] [SECONDS], overload [SECONDS]');
+  throw new Error(
+    'name a mode: latency [CALLS A SECOND PER PATH] [SECONDS], overload [SECONDS], memory [CONNECTIONS]',
+  );
 
 async function measureLatency(rate: number, seconds: number): Promise<void> {
   const fleet = new CallFleet();
@@ -85,6 +90,35 @@
   fleet.stop();
 }
 
+async function measureMemory(connections: number): Promise<void> {
+  const fleet = new CallFleet();
+  await fleet.start({ servers: [{ slots: 64, runMs: 0 }], resources: formResources([PLAIN]) });
+  const [guard = ''] = fleet.guards;
+  const paths = [{ name: 'guard', address: guard }];
+  const random = new SeededRandom(SEED);
+  await runLoad({ paths, kinds: [PLAIN], random, rate: 200, seconds: 6 });
+  const [, before] = await fleet.readUsage();
+  const sockets = await Promise.all(Array.from({ length: connections }, () => openIdle(guard)));
+  const [, after] = await fleet.readUsage();
+  const grown = (after?.residentBytes ?? 0) - (before?.residentBytes ?? 0);
+  console.log(`${Math.round(grown / connections)} bytes for each of ${connections} connections`);
+  for (const socket of sockets) socket.destroy();
+  fleet.stop();
+}
+
+/** Opens a connection, sends one call and waits for its answer. */
+function openIdle(address: string): Promise<Socket> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    const socket = connect(Number(port), host ?? '');
+    socket.once('error', reject);
+    socket.once('data', () => {
+      resolve(socket);
+    });
+    socket.write('GET /shop HTTP/1.1\r\nhost: bench\r\n\r\n');
+  });
+}
+
 function formatLatency(
   name: string,
   { latency, answered }: LoadResult,
--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -8,6 +8,7 @@
 import type { CallNode } from './call-mesh.js';
 import { CallMesh } from './call-mesh.js';
 import { makeKind, makeRoute, makeWhole } from './call-resources.js';
+import type { Answer, StandIn } from './stand-in.js';
 import { answerAfter } from './stand-in.js';
 
 const WHOLE = makeWhole(
@@ -207,6 +208,50 @@
   await drained;
 });
 
+test('thirteen deep: cancelled', async (t) => {
+  const timeouts: number[] = [];
+  const answers: Answer[] = [0, 1].map((index) => (message, response) => {
+    const depth = Number(message.url?.split('/').at(-1));
+    const left = message.headers['bilberryswitch-timeout-ms']?.toString() ?? '';
+    timeouts[depth] = Number(left);
+    const leaving = new AbortController();
+    response.on('close', () => {
+      leaving.abort();
+    });
+    if (depth === 13) return;
+    const headers = { 'bilberryswitch-timeout-ms': left };
+    const { calls } = mesh.at(index);
+    request(`http://${calls}/shop/${depth + 1}`, { headers, signal: leaving.signal }).catch(
+      () => undefined,
+    );
+  });
+  const mesh = await CallMesh.start({ whole: WHOLE, answers, server: { slots: 80 } });
+  t.teardown(() => mesh.stop());
+  const caller = new AbortController();
+  const { calls } = mesh.at(0);
+  const answer = request(`http://${calls}/shop/1`, { signal: caller.signal });
+  const servers = [mesh.serverAt(0), mesh.serverAt(1)];
+  const sum = (read: (server: StandIn) => number): number =>
+    servers.reduce((total, server) => total + read(server), 0);
+  await waitFor('the deepest run', () => timeouts[13]);
+  t.is(
+    sum(({ running }) => running),
+    13,
+  );
+  caller.abort();
+  await t.throwsAsync(answer, { any: true });
+  await waitFor(
+    'every run to end',
+    () => servers.every(({ running }) => running === 0) || undefined,
+  );
+  t.is(
+    sum(({ cancelled }) => cancelled),
+    13,
+  );
+  const shrinks = timeouts.slice(2).every((left, index) => left <= (timeouts[index + 1] ?? 0));
+  t.true(shrinks, timeouts.join(' '));
+});
+
 test('crashing request: two servers', async (t) => {
   const crashed = new Set<CallNode>();
   const mesh = await CallMesh.start({
@@ -265,7 +310,13 @@
   });
   t.teardown(() => mesh.stop());
   const answer = await request(`http://${mesh.at(0).calls}/shop/drawing`);
-  await new Promise((resolve) => setTimeout(resolve, 200));
+  let seen = -1;
+  await waitFor('the server to pause', async () => {
+    const before = seen;
+    seen = written;
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    return (before === written && written > 0) || undefined;
+  });
   t.true(written < total / 2, `${written} bytes were written ahead of a caller who reads nothing`);
   let read = 0;
   for await (const chunk of answer.body) read += (chunk as Buffer).length;
