--- a/src/edge/probe-task.ts
+++ b/src/edge/probe-task.ts
@@ -29,7 +29,7 @@
 
 /** What a probe task needs. */
 export interface ProbeTaskOptions {
-  /** Where this process listens; the UDP port has the number of the links' port. */
+  /** Where the socket is bound: the UDP port has the number of the TCP port for links. */
   readonly bind: Address;
   readonly reportFailure: ReportFailure;
   readonly notify: (from: Address, message: ProbeMessage) => void;
