--- a/bench/mesh-plan.ts
+++ b/bench/mesh-plan.ts
@@ -1,4 +1,6 @@
 /** Plans of whole meshes: which hosts run in which data centre, with their settings. */
+import type { Address } from '../src/ids.js';
+import { OperatorClient } from '../src/program/commands/operator-client.js';
 import { findFreeAddress, findFreePort, Mesh, waitFor } from './mesh.js';
 import type { MeshProcess } from './mesh.js';
 
@@ -58,7 +60,7 @@
 
   private constructor(plan: MeshPlan) {
     this.plan = plan;
-    this.tokenFile = this.mesh.writeFile('token', 'mesh-token');
+    this.tokenFile = this.mesh.writeFile('token', TOKEN);
   }
 
   /** Starts every process of a plan and waits until each of them runs. */
@@ -71,6 +73,12 @@
     return running;
   }
 
+  /** Reaches the leader of the source. */
+  createClient(): OperatorClient {
+    const operators = this.sources.map(({ operator }) => operator as Address);
+    return new OperatorClient(operators, TOKEN);
+  }
+
   /** The options with which the command line reaches the source. */
   get access(): readonly string[] {
     const operators = this.sources.flatMap(({ operator }) => ['--operator', operator]);
@@ -91,7 +99,12 @@
 
   /** Starts the backend server beside a proxy again. */
   restartServer(proxy: ProxyHost): void {
-    proxy.server = this.mesh.startServer(proxy.service, proxy.serverPort, proxy.announce);
+    proxy.server = this.mesh.startServer(
+      proxy.service,
+      proxy.serverPort,
+      proxy.announce,
+      proxy.calls,
+    );
   }
 
   /** Stops every process and removes the folder. */
@@ -160,7 +173,7 @@
 `;
     const serverPort = await findFreePort();
     const process = this.mesh.startNode(name, settings);
-    const server = this.mesh.startServer(service, serverPort, announce);
+    const server = this.mesh.startServer(service, serverPort, announce, calls);
     return {
       name,
       service,
@@ -195,6 +208,7 @@
 // Internals.
 
 const SEED_COUNT = 3;
+const TOKEN = 'mesh-token';
 
 async function waitForStart(process: MeshProcess): Promise<void> {
   await waitFor(`${process.name} to start`, () => {
@@ -204,3 +218,31 @@
     return process.output().includes('"started"') || undefined;
   });
 }
+
+/** Writes a note that adds one service, one route and one idempotent request kind per name. */
+export function formServicesNote(number: number, services: readonly string[]): string {
+  const adds = services.map(
+    (service) => `
+[[add]]
+kind = "service"
+name = "${service}"
+
+[[add]]
+kind = "request-kind"
+name = "read-${service}"
+idempotent = true
+worth = 1.0
+timeout_ms = 10000
+
+[[add]]
+kind = "route"
+name = "${service}"
+generation = "old"
+path_prefix = "/${service}"
+method = "*"
+service = "${service}"
+request_kind = "read-${service}"
+`,
+  );
+  return `number = ${number}\ntitle = "Services ${services.join(', ')}"\n${adds.join('')}`;
+}
--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -300,8 +300,11 @@
 /** The guard gives up a little earlier, so that its answer "not run" still reaches the caller. */
 const ANSWER_MARGIN_MS = 3;
 const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
-/** Refusals that tell of a stop or a restart: bounded by the attempts of the call alone. */
-const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'not-trusted']);
+const AVOID_MS = 1_000;
+const HEDGE_DEVIATIONS = 4;
+const MIN_HEDGE_DELAY_MS = 2;
+/** Refusals by which nothing can run there for now: bounded by the attempts of the call alone. */
+const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'no-server', 'not-trusted']);
 
 function formTarget(record: ServerRecord, service: ServiceName): CallTarget {
   const { member, announcement } = record;
@@ -320,7 +323,7 @@
   failure: AttemptFailure,
   now: Instant,
 ): AttemptOut[] {
-  if (FREE_REASONS.has(failure.reason)) record.refusing = true;
+  if (FREE_REASONS.has(failure.reason)) record.avoidedUntil = addMs(now, AVOID_MS);
   if (failure.reason !== 'upstream-failed') return [];
   if (failure.outcome === 'unknown') call.suspect = true;
   const { service } = call.routed;
@@ -336,8 +339,8 @@
 function findHedgeTime(state: AttemptState, call: RoutedCall, now: Instant): Instant | undefined {
   const { requestKind, head, service } = call;
   if (!requestKind.hedge || !requestKind.idempotent || !head.repeatable) return undefined;
-  const delay = findLatency(state, service).findUpper();
-  return delay === undefined ? undefined : addMs(now, delay);
+  const delay = findLatency(state, service).findQuantile(HEDGE_DEVIATIONS);
+  return delay === undefined ? undefined : addMs(now, Math.max(MIN_HEDGE_DELAY_MS, delay));
 }
 
 function formWake({ timers }: AttemptState): AttemptOut[] {
--- a/src/edge/member-codec.ts
+++ b/src/edge/member-codec.ts
@@ -89,6 +89,7 @@
 const SERVER_FIELDS = 5;
 const MAX_REMAINING_MS = 86_400_000;
 const MAX_FINGERPRINT_LENGTH = 128;
+const MAX_PASS_LENGTH = 64;
 /** Leaves room to refute: an incarnation must be able to rise further. */
 const MAX_INCARNATION = Number.MAX_SAFE_INTEGER - 2 ** 32;
 
@@ -141,12 +142,18 @@
     control,
     calls: decodeNear(fields[6], control),
     version: readCount(fields[7]) as Version,
-    pass: readText(fields[8]),
+    pass: readPass(fields[8]),
     liveness: 'alive',
     servers,
   };
 }
 
+function readPass(value: unknown): string {
+  const pass = readText(value);
+  if (pass.length > MAX_PASS_LENGTH) throw new MemberCodecError('the pass is too long');
+  return pass;
+}
+
 function decodeServer(fields: readonly unknown[], control: Address): Announcement {
   const state = STATES[readCount(fields[4])];
   if (state === undefined) throw new MemberCodecError('unknown state of a backend server');
--- a/src/members/apply-update.ts
+++ b/src/members/apply-update.ts
@@ -91,9 +91,10 @@
     if (member.incarnation > state.self.incarnation) refute(state, member.incarnation, turn);
     return;
   }
+  const known = state.table.find(host)?.liveness ?? 'alive';
   const isNews = updateMember(state, host, () => state.table.applyRecord(member), turn);
   if (!isNews) return;
-  if (isPassedOn) state.queue.add(formRecordKey(host), update);
+  if (isPassedOn) state.queue.add(formRecordKey(host), update, known !== 'alive');
   if (state.table.find(host)?.liveness !== 'alive') return;
   state.remembered.remove(host);
   state.queue.remove(formStatusKey(host));
@@ -108,7 +109,7 @@
 
 function refute(state: MembersState, incarnation: Incarnation, turn: Turn): void {
   state.counts.refutations += 1;
-  publishSelf(state, incarnation, turn);
+  publishSelf(state, incarnation, turn, true);
 }
 
 function addTombstone(state: MembersState, status: Status, now: Instant): void {
--- a/src/members/own-record.ts
+++ b/src/members/own-record.ts
@@ -12,8 +12,19 @@
   if (!isSame(servers, state.self.servers)) publishSelf(state, state.self.incarnation, turn);
 }
 
-/** Publishes a record whose incarnation is above `incarnation`. */
-export function publishSelf(state: MembersState, incarnation: Incarnation, turn: Turn): void {
+/** Shows the new heartbeat deadlines of the own backend servers, which no other member needs. */
+export function showHeartbeat(state: MembersState, turn: Turn): void {
+  const member = { ...state.self, servers: state.servers.form(turn.now) };
+  turn.add({ kind: 'member-up', member: state.floor.formShown(member) });
+}
+
+/** Publishes a record whose incarnation is above `incarnation`, urgently when it refutes a status. */
+export function publishSelf(
+  state: MembersState,
+  incarnation: Incarnation,
+  turn: Turn,
+  isRefutation = false,
+): void {
   state.self = {
     ...state.self,
     incarnation: (Math.max(state.self.incarnation, incarnation) + 1) as Incarnation,
@@ -22,7 +33,7 @@
   };
   const { self } = state;
   updateMember(state, self.host, () => state.table.applyRecord(self), turn);
-  state.queue.add(formRecordKey(self.host), { kind: 'record', member: self });
+  state.queue.add(formRecordKey(self.host), { kind: 'record', member: self }, isRefutation);
 }
 
 /** The key under which a record waits to be passed on. */
