Give up lost confirmations; show what was rejected in the status; test vouches alone

A confirmation that the log never answers blocked every later vouch ('lost confirmation'); the next request after two seconds starts a new one. The status names the version held and counts what was left out, by kind.

--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -4,10 +4,17 @@
 import type { CallNotice, FloorOptions } from '../edge/index.js';
 import { AnnounceTask, CallTask, FloorTask, readSpreadMessage } from '../edge/index.js';
 import type { MembersIn } from '../members/index.js';
+import type { Version } from '../ids.js';
+import { NO_VERSION } from '../ids.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
-import type { ProxySpreadIn, ProxySpreadOut, ProxySpreadState } from '../spread/index.js';
+import type {
+  ProxySpreadIn,
+  ProxySpreadOut,
+  ProxySpreadState,
+  SpreadFault,
+} from '../spread/index.js';
 import { makePolicy, ProxySpreadFilter } from '../spread/index.js';
 import type { Random } from '../random.js';
 import type { Log } from './logger.js';
@@ -80,6 +87,8 @@
     },
   });
 
+  const distribution: DistributionStatus = { held: NO_VERSION, rejected: {} };
+
   function routeSpread(output: ProxySpreadOut): void {
     switch (output.kind) {
       case 'send':
@@ -94,6 +103,8 @@
         return;
       case 'held':
         log('version-held', { version: output.mark.version });
+        distribution.held = output.mark.version;
+        report('distribution', distribution);
         return;
       case 'save-floor':
         floor?.post(output.mark);
@@ -105,6 +116,8 @@
         return;
       case 'rejected':
         log('version-rejected', { address: output.address, fault: output.fault });
+        distribution.rejected[output.fault.kind] = output.count;
+        report('distribution', distribution);
         return;
     }
   }
@@ -141,6 +154,12 @@
 
 // Internals.
 
+/** What the status tells of distribution: the version held, and what peers sent that was left out. */
+interface DistributionStatus {
+  held: Version;
+  readonly rejected: Partial<Record<SpreadFault['kind'], number>>;
+}
+
 /** A host without a data folder keeps no floor. */
 function createFloorTask(
   { settings, reportFailure }: ProxyOptions,
--- a/src/spread/proxy-spread-filter.ts
+++ b/src/spread/proxy-spread-filter.ts
@@ -317,8 +317,9 @@
     now: Instant,
   ): ProxySpreadOut[] {
     state.catchUp.closeFailed(address, now);
-    state.rejections.set(fault.kind, (state.rejections.get(fault.kind) ?? 0) + 1);
-    return [{ kind: 'rejected', address, fault }];
+    const count = (state.rejections.get(fault.kind) ?? 0) + 1;
+    state.rejections.set(fault.kind, count);
+    return [{ kind: 'rejected', address, fault, count }];
   }
 
   #handleTick(state: ProxySpreadState, now: Instant): ProxySpreadOut[] {
--- a/src/spread/proxy-spread-state.ts
+++ b/src/spread/proxy-spread-state.ts
@@ -69,7 +69,13 @@
   | { readonly kind: 'drop'; readonly to: Address }
   /** A version is held, though it may not serve yet. */
   | { readonly kind: 'held'; readonly mark: VersionMark }
-  | { readonly kind: 'rejected'; readonly address: Address; readonly fault: SpreadFault }
+  /** Something that a peer sent was left out; `count` counts the faults of this kind so far. */
+  | {
+      readonly kind: 'rejected';
+      readonly address: Address;
+      readonly fault: SpreadFault;
+      readonly count: number;
+    }
   | ServeStep
   | Wake;
 
--- a/src/spread/source-spread-filter.ts
+++ b/src/spread/source-spread-filter.ts
@@ -141,7 +141,7 @@
       case 'link-down':
         return this.#forgetDirect(state, message.address, now);
       case 'log':
-        return this.#handleNotice(state, message.notice);
+        return this.#handleNotice(state, message.notice, now);
       case 'member-up':
         return this.#updateMember(state, message.member, now);
       case 'member-gone':
@@ -234,7 +234,7 @@
         state.coverage.updateReport(from, body.report);
         return [this.#formCoverage(state, now)];
       case 'ask-vouch':
-        return state.vouches.addAsk({ address, id: body.id });
+        return state.vouches.addAsk({ address, id: body.id }, now);
     }
   }
 
@@ -251,15 +251,19 @@
     return answers.map((body) => ({ kind: 'send', to: address, body }));
   }
 
-  #handleNotice(state: SourceSpreadState, notice: SpreadLogNotice): SourceSpreadOut[] {
+  #handleNotice(
+    state: SourceSpreadState,
+    notice: SpreadLogNotice,
+    now: Instant,
+  ): SourceSpreadOut[] {
     switch (notice.kind) {
       case 'leading':
         state.isFollower = !notice.leading;
         return [];
       case 'confirmed':
-        return state.vouches.handleConfirmed(notice.id, state.store.mark);
+        return state.vouches.handleConfirmed(notice.id, state.store.mark, now);
       case 'refused':
-        return state.vouches.handleRefused(notice.id);
+        return state.vouches.handleRefused(notice.id, now);
     }
   }
 
--- a/src/spread/vouch-desk.ts
+++ b/src/spread/vouch-desk.ts
@@ -1,5 +1,6 @@
 /** Answers requests for a vouch: only after the log has confirmed with a quorum that it still leads. */
-import type { Address, RequestId } from '../ids.js';
+import { addMs, NEVER } from '../clock.js';
+import type { Address, Instant, RequestId } from '../ids.js';
 import type { SpreadMessage, VersionMark } from '../messages/index.js';
 
 /** A proxy that waits for a vouch. */
@@ -26,17 +27,21 @@
   #waiting: VouchClient[] = [];
   #confirming: VouchClient[] = [];
   #confirmation: RequestId | undefined;
+  #deadline: Instant = NEVER;
   #count = 0;
 
-  /** Takes in a request. */
-  addAsk(client: VouchClient): VouchStep[] {
+  /** Takes in a request. A confirmation that has been under way for too long is given up. */
+  addAsk(client: VouchClient, now: Instant): VouchStep[] {
     if (this.#waiting.length < MAX_WAITING) this.#waiting.push(client);
-    return this.#confirmation === undefined ? this.#startNext() : [];
+    if (this.#confirmation !== undefined && now < this.#deadline) return [];
+    this.#deadline = addMs(now, CONFIRM_TIMEOUT_MS);
+    return this.#startNext();
   }
 
   /** The log has confirmed; `mark` is the newest committed version. */
-  handleConfirmed(id: RequestId, mark: VersionMark): VouchStep[] {
+  handleConfirmed(id: RequestId, mark: VersionMark, now: Instant): VouchStep[] {
     if (id !== this.#confirmation) return [];
+    this.#deadline = addMs(now, CONFIRM_TIMEOUT_MS);
     const answers = this.#confirming.map((client): VouchStep => {
       return { kind: 'send', to: client.address, body: { kind: 'vouch', id: client.id, mark } };
     });
@@ -44,8 +49,10 @@
   }
 
   /** The log could not confirm: nobody is answered, and the proxies ask again. */
-  handleRefused(id: RequestId): VouchStep[] {
-    return id === this.#confirmation ? this.#startNext() : [];
+  handleRefused(id: RequestId, now: Instant): VouchStep[] {
+    if (id !== this.#confirmation) return [];
+    this.#deadline = addMs(now, CONFIRM_TIMEOUT_MS);
+    return this.#startNext();
   }
 
   // Internals.
@@ -65,3 +72,4 @@
 
 const CONFIRM_PREFIX = 'spread-vouch-';
 const MAX_WAITING = 256;
+const CONFIRM_TIMEOUT_MS = 2_000;
--- a/test/spread-faults.test.ts
+++ b/test/spread-faults.test.ts
@@ -35,6 +35,25 @@
   t.deepEqual(history.faults, []);
 });
 
+test('lost last version', (t) => {
+  for (const policy of ['convergence-time', 'control-bytes'] as const) {
+    const { fleet, maker, history, commitNext } = startFleet({ policy });
+    fleet.linkFault = (from, to, body) => {
+      const isLost = from.role === 'source' && (body as SpreadMessage).kind === 'push';
+      return isLost ? [] : [{ delayMs: fleet.findDelay(from, to), body }];
+    };
+    commitNext();
+    fleet.run(500);
+    fleet.linkFault = (from, to, body) => [{ delayMs: fleet.findDelay(from, to), body }];
+    t.not(
+      fleet.runUntil(() => fleet.hasServed(maker.newest), BOUND_MS - 500),
+      undefined,
+      policy,
+    );
+    t.deepEqual(history.faults, []);
+  }
+});
+
 test('lie about version', (t) => {
   const { fleet, maker, history, commitNext } = startFleet();
   const liar = findProxy(fleet, (node) => !isRoot(node));
