Ask a silent peer again as soon as it is heard of

A pull that timed out left the source aside for 3 s, and its reminders were ignored meanwhile. A silent peer is now left aside for 0.5 s and only until it speaks; one that gave something wrong still for 3 s.

--- a/src/spread/catch-up.ts
+++ b/src/spread/catch-up.ts
@@ -28,6 +28,8 @@
   readonly #random: Random;
   readonly #candidates = new Map<Address, Candidate>();
   readonly #bannedUntil = new Map<Address, Instant>();
+  /** Peers that did not answer; they are asked again as soon as they are heard of. */
+  readonly #silentUntil = new Map<Address, Instant>();
   #open: OpenPull | undefined;
   #dueAt: Instant = NEVER;
   #failures = 0;
@@ -84,7 +86,8 @@
     this.#dueAt = NEVER;
     const address = this.#pickAddress(held, fallback, now);
     if (address === undefined) {
-      if (this.#candidates.size > 0 || this.#failures > 0) this.#resume(now);
+      const isNeeded = this.#candidates.size > 0 || this.#failures > 0;
+      if (isNeeded) this.#dueAt = addMs(now, MIN_RETRY_DELAY_MS * (1 + this.#random.next()));
       return undefined;
     }
     this.#open = { address, deadline: addMs(now, PULL_TIMEOUT_MS) };
@@ -137,7 +140,7 @@
   /** A peer gave something that could not be applied. */
   closeFailed(address: Address, now: Instant): void {
     if (this.isAsking(address)) this.#failOpen(now);
-    else this.ban(address, now);
+    this.ban(address, now);
   }
 
   /** The link to a peer broke. */
@@ -146,16 +149,16 @@
     if (this.isAsking(address)) this.#failOpen(now);
   }
 
-  /** Leaves a peer aside for a while. */
+  /** Leaves a peer aside for a while, because it gave something wrong. */
   ban(address: Address, now: Instant): void {
     this.#candidates.delete(address);
-    if (this.#bannedUntil.size >= MAX_BANNED) this.#bannedUntil.clear();
-    this.#bannedUntil.set(address, addMs(now, BAN_MS));
+    setBounded(this.#bannedUntil, address, addMs(now, FAULT_BAN_MS));
   }
 
   // Internals.
 
   #addCandidate(address: Address, version: Version, now: Instant): void {
+    this.#silentUntil.delete(address);
     if ((this.#bannedUntil.get(address) ?? now) > now) return;
     const known = this.#candidates.get(address);
     if (known === undefined && this.#candidates.size >= MAX_CANDIDATES) return;
@@ -172,14 +175,18 @@
 
   #isAllowed(address: Address, now: Instant): boolean {
     const banned = this.#bannedUntil.get(address) ?? now;
+    const silent = this.#silentUntil.get(address) ?? now;
     const notBefore = this.#candidates.get(address)?.notBefore ?? now;
-    return banned <= now && notBefore <= now;
+    return banned <= now && silent <= now && notBefore <= now;
   }
 
   #failOpen(now: Instant): void {
     const address = this.#open?.address;
     this.#open = undefined;
-    if (address !== undefined) this.ban(address, now);
+    if (address !== undefined) {
+      this.#candidates.delete(address);
+      setBounded(this.#silentUntil, address, addMs(now, SILENCE_BAN_MS));
+    }
     this.#resume(now);
   }
 
@@ -195,7 +202,8 @@
 const MIN_PATIENCE_MS = 50;
 const PATIENCE_SPREAD_MS = 100;
 const PULL_TIMEOUT_MS = 1_000;
-const BAN_MS = 3_000;
+const FAULT_BAN_MS = 3_000;
+const SILENCE_BAN_MS = 500;
 const MIN_RETRY_DELAY_MS = 50;
 const MAX_RETRY_DELAY_MS = 5_000;
 const RETRY_SPREAD_MS = 200;
@@ -205,3 +213,9 @@
 function earliestOf(left: Instant, right: Instant): Instant {
   return Math.min(left, right) as Instant;
 }
+
+/** Sets an entry of a map that is emptied when it has grown too large. */
+function setBounded(map: Map<Address, Instant>, address: Address, until: Instant): void {
+  if (map.size >= MAX_BANNED) map.clear();
+  map.set(address, until);
+}
