--- a/test/members-fleet.test.ts
+++ b/test/members-fleet.test.ts
@@ -269,6 +269,25 @@
   t.deepEqual(fleet.listMissing(), []);
 });
 
+test('small fleets', (t) => {
+  for (const [size, dataCentres] of [
+    [2, 1],
+    [2, 2],
+    [3, 3],
+  ] as const) {
+    const fleet = new MemberFleet(size, 21, dataCentres);
+    fleet.run(10_000);
+    t.deepEqual(fleet.listMissing(), []);
+    const victim = findNode(fleet, 1);
+    fleet.kill(victim);
+    const tookMs = fleet.runUntil(() => fleet.countShowing(victim.host) === 0, 60_000);
+    t.true(tookMs <= 15_000, `${size} members, ${dataCentres} data centres: ${tookMs} ms`);
+    fleet.restart(victim);
+    fleet.run(15_000);
+    t.deepEqual(fleet.listMissing(), []);
+  }
+});
+
 test('clock set back', (t) => {
   const fleet = startFleet(19);
   const node = findNode(fleet, 10);
