End links whose peer has gone silent, and stop without waiting for half-open ones

Cause: a link over a silent partition stayed open until TCP gave up, and a connection that never became a link held the process open at its stop. Now both ends drop a link after 12 s of silence; an idle link carries one ping every 4 to 7 s.

--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -1,4 +1,6 @@
 /** Links: the `ws` connections between the processes of the system. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
 import type { Stream } from 'most';
 import { WebSocket, WebSocketServer } from 'ws';
 import type { CancelTimer, Clock } from '../clock.js';
@@ -32,6 +34,14 @@
   readonly notify: (event: LinkEvent) => void;
 }
 
+/** What an open connection waits for. */
+interface LinkDeadlines {
+  /** A ping is sent when nothing has been heard by then. */
+  readonly pingAt: Instant;
+  /** The connection is ended when nothing has been heard by then. */
+  readonly silentAt: Instant;
+}
+
 /** One address and how to reach it. */
 interface Route {
   /** The open connection, by whichever side it was dialled. */
@@ -58,8 +68,9 @@
 export class LinkTask extends Task<LinkCommand> {
   readonly #options: LinkOptions;
   readonly #routes = new Map<Address, Route>();
+  readonly #links = new Map<WebSocket, LinkDeadlines>();
   readonly #bytes = new Map<Channel, ChannelBytes>();
-  #server: WebSocketServer | undefined;
+  #server: Server | undefined;
   #closed = false;
   #cancelSweep: CancelTimer | undefined;
 
@@ -81,19 +92,19 @@
 
   protected override async open(): Promise<void> {
     const { host, port } = splitAddress(this.#options.bind);
-    const server = new WebSocketServer({
-      host,
-      port,
+    const server = createServer(refuseRequest);
+    this.#server = server;
+    const links = new WebSocketServer({
+      server,
       perMessageDeflate: false,
       maxPayload: MAX_MESSAGE_BYTES,
     });
-    this.#server = server;
-    server.on('connection', (socket) => {
+    links.on('connection', (socket) => {
       this.#accept(socket);
     });
     await new Promise<void>((resolve, reject) => {
-      server.once('listening', resolve);
       server.once('error', reject);
+      server.listen(port, host, resolve);
     });
     this.#sweepLater();
   }
@@ -106,13 +117,15 @@
       route.socket?.terminate();
       route.dialling?.terminate();
     }
+    for (const socket of this.#links.keys()) socket.terminate();
     const server = this.#server;
     if (server === undefined) return;
-    for (const client of server.clients) client.terminate();
     await new Promise<void>((resolve) => {
       server.close(() => {
         resolve();
       });
+      // Ends connections that have not become links yet, which would hold the server open.
+      server.closeAllConnections();
     });
   }
 
@@ -183,6 +196,7 @@
   }
 
   #accept(socket: WebSocket): void {
+    this.#noteSign(socket);
     socket.send(encodeHello(this.#hello));
     this.#listen(socket, undefined);
   }
@@ -190,7 +204,13 @@
   /** Reads frames; the peer's hello tells to which address the socket belongs. */
   #listen(socket: WebSocket, dialled: Address | undefined): void {
     let peer: Hello | undefined;
+    for (const sign of ['open', 'ping', 'pong'] as const) {
+      socket.on(sign, () => {
+        this.#noteSign(socket);
+      });
+    }
     socket.on('message', (data: Buffer) => {
+      this.#noteSign(socket);
       const frame = readFrame(data);
       if (frame === undefined) {
         socket.terminate();
@@ -212,6 +232,7 @@
       // The close event follows every error and does the clean-up.
     });
     socket.on('close', () => {
+      this.#links.delete(socket);
       const address = dialled ?? peer?.control;
       if (address !== undefined) this.#release(address, peer?.host, socket);
     });
@@ -253,15 +274,27 @@
     });
   }
 
-  /** Closes links that nobody keeps and nothing has used for a while. */
+  /** Ends links whose peers have gone silent, and links that nobody keeps or uses. */
   #sweep(): void {
-    const oldest = addMs(this.#options.clock.read(), -MAX_IDLE_MS);
+    const now = this.#options.clock.read();
+    for (const [socket, link] of this.#links) {
+      if (link.silentAt <= now) socket.terminate();
+      else if (link.pingAt <= now) socket.ping();
+    }
+    const oldest = addMs(now, -MAX_IDLE_MS);
     for (const route of this.#routes.values()) {
       if (route.keeps === 0 && route.usedAt < oldest) route.socket?.close();
     }
     this.#sweepLater();
   }
 
+  /** The peer is there: its next sign of life is due by new deadlines. */
+  #noteSign(socket: WebSocket): void {
+    const now = this.#options.clock.read();
+    const deadlines = { pingAt: addMs(now, PING_AFTER_MS), silentAt: addMs(now, MAX_SILENCE_MS) };
+    this.#links.set(socket, deadlines);
+  }
+
   #sweepLater(): void {
     const { clock } = this.#options;
     this.#cancelSweep = clock.callAt(addMs(clock.read(), SWEEP_INTERVAL_MS), () => {
@@ -307,7 +340,15 @@
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 const MAX_IDLE_MS = 60_000;
-const SWEEP_INTERVAL_MS = 30_000;
+const UPGRADE_REQUIRED = 426;
+const SWEEP_INTERVAL_MS = 3_000;
+const PING_AFTER_MS = 4_000;
+const MAX_SILENCE_MS = 12_000;
+
+/** Only links are served here. */
+function refuseRequest(_request: IncomingMessage, response: ServerResponse): void {
+  response.writeHead(UPGRADE_REQUIRED).end();
+}
 
 /** Reads a frame; undefined when the bytes are not one. */
 function readFrame(data: Buffer): Frame | undefined {
