--- a/bench/notes-bench.ts
+++ b/bench/notes-bench.ts
@@ -65,7 +65,7 @@
   return { kind: 'submit', draft: formDraft(number, { change, supersedes: [former] }) };
 }
 
-function fillBook(book: NoteBook, size: number): void {
+function addMoves(book: NoteBook, size: number): void {
   for (let number = 2; number <= size; number += 1) {
     const { answer } = book.apply(formMove(number));
     if (answer.kind !== 'accepted') throw new Error(`note ${number}: ${answer.kind}`);
@@ -123,7 +123,7 @@
   const book = new NoteBook();
   book.apply(formFirst());
   const heapBefore = measureHeap();
-  fillBook(book, size);
+  addMoves(book, size);
   const bytesPerNote = (measureHeap() - heapBefore) / (size - 1);
   const copying = new CopyingBook(book);
   const inPlace: number[] = [];
--- a/src/edge/operator-task.ts
+++ b/src/edge/operator-task.ts
@@ -98,17 +98,17 @@
     if (request.kind === 'wait') {
       const limit = this.#options.waitLimitMs;
       const deadline = addMs(now, Math.min(request.timeoutMs ?? limit, limit));
-      const id = this.#remember(response, addMs(deadline, ANSWER_TIMEOUT_MS));
+      const id = this.#addOpen(response, addMs(deadline, ANSWER_TIMEOUT_MS));
       const { kind, number } = request;
       this.#options.request({ kind: 'question', id, question: { kind, number, deadline } });
       return;
     }
-    const id = this.#remember(response, addMs(now, ANSWER_TIMEOUT_MS));
+    const id = this.#addOpen(response, addMs(now, ANSWER_TIMEOUT_MS));
     if (request.kind === 'command') this.#options.request({ ...request, id });
     else this.#options.request({ kind: 'question', id, question: request });
   }
 
-  #remember(response: ServerResponse, deadline: Instant): RequestId {
+  #addOpen(response: ServerResponse, deadline: Instant): RequestId {
     const id = randomUUID() as string as RequestId;
     this.#open.set(id, { response, deadline });
     this.#timer.wakeAt(deadline);
@@ -133,7 +133,7 @@
         this.#answer(message.id, { status: OK, body: message.page });
         return;
       case 'tick':
-        this.#endOverdue();
+        this.#stopOverdue();
         return;
     }
   }
@@ -145,7 +145,7 @@
     sendAnswer(open.response, answer);
   }
 
-  #endOverdue(): void {
+  #stopOverdue(): void {
     const now = this.#options.clock.read();
     let next = NEVER;
     for (const [id, { deadline }] of [...this.#open]) {
--- a/src/notes/decide-command.ts
+++ b/src/notes/decide-command.ts
@@ -41,8 +41,8 @@
 function decideSubmit(tables: NoteTables, draft: NoteDraft): NoteVerdict {
   const digest = digestValue(draft);
   const first = tables.entries.get(draft.number)?.steps[0].receipt;
-  if (first?.digest === digest) return unchanged({ kind: 'accepted', receipt: first });
-  if (first !== undefined) return unchanged({ kind: 'number-taken', winner: first });
+  if (first?.digest === digest) return answerUnchanged({ kind: 'accepted', receipt: first });
+  if (first !== undefined) return answerUnchanged({ kind: 'number-taken', winner: first });
   const position = (tables.whole.version + 1) as Version;
   const edit: Edit = { number: draft.number, position, former: undefined, next: draft };
   return formVerdict(tables, edit, draft, {
@@ -54,33 +54,34 @@
 function decideAmend(tables: NoteTables, draft: NoteDraft, readAt: Revision): NoteVerdict {
   const { number } = draft;
   const entry = tables.entries.get(number);
-  if (entry === undefined) return unchanged({ kind: 'unknown-note', number });
+  if (entry === undefined) return answerUnchanged({ kind: 'unknown-note', number });
   const digest = digestValue(draft);
   const made = findStep(entry, readAt);
   if (made?.kind === 'amend' && made.receipt.digest === digest) {
-    return unchanged({ kind: 'accepted', receipt: made.receipt });
+    return answerUnchanged({ kind: 'accepted', receipt: made.receipt });
   }
   const stale = findStaleness(entry, readAt);
-  if (stale !== undefined) return unchanged(stale);
+  if (stale !== undefined) return answerUnchanged(stale);
   const position = readPosition(entry);
   return formVerdict(tables, { number, position, former: entry.draft, next: draft }, draft, {
     kind: 'amend',
-    receipt: formReceipt(tables, number, nextRevision(readAt), digest),
+    receipt: formReceipt(tables, number, formNextRevision(readAt), digest),
   });
 }
 
 function decideWithdraw(tables: NoteTables, number: NoteNumber, readAt: Revision): NoteVerdict {
   const entry = tables.entries.get(number);
-  if (entry === undefined) return unchanged({ kind: 'unknown-note', number });
+  if (entry === undefined) return answerUnchanged({ kind: 'unknown-note', number });
   const made = findStep(entry, readAt);
-  if (made?.kind === 'withdraw') return unchanged({ kind: 'accepted', receipt: made.receipt });
+  if (made?.kind === 'withdraw')
+    return answerUnchanged({ kind: 'accepted', receipt: made.receipt });
   const stale = findStaleness(entry, readAt);
-  if (stale !== undefined) return unchanged(stale);
+  if (stale !== undefined) return answerUnchanged(stale);
   const { draft } = entry;
   const edit: Edit = { number, position: readPosition(entry), former: draft, next: undefined };
   return formVerdict(tables, edit, draft, {
     kind: 'withdraw',
-    receipt: formReceipt(tables, number, nextRevision(readAt), readReceipt(entry).digest),
+    receipt: formReceipt(tables, number, formNextRevision(readAt), readReceipt(entry).digest),
   });
 }
 
@@ -99,7 +100,7 @@
   return { kind: 'refused', faults: [{ place: 'number', message }] };
 }
 
-function nextRevision(readAt: Revision): Revision {
+function formNextRevision(readAt: Revision): Revision {
   return (readAt + 1) as Revision;
 }
 
@@ -123,10 +124,10 @@
   const { undone, resting } = decision;
   const faults = [...findUnknownSuperseded(tables, edit), ...decision.faults];
   // A withdrawal has no file with faults in it: what stands in the way comes first.
-  if (edit.next === undefined && resting.length > 0) return unchanged(formResting(resting));
-  if (faults.length > 0) return unchanged({ kind: 'refused', faults });
-  if (undone.length > 0) return unchanged({ kind: 'would-undo', notes: undone });
-  if (resting.length > 0) return unchanged(formResting(resting));
+  if (edit.next === undefined && resting.length > 0) return answerUnchanged(formResting(resting));
+  if (faults.length > 0) return answerUnchanged({ kind: 'refused', faults });
+  if (undone.length > 0) return answerUnchanged({ kind: 'would-undo', notes: undone });
+  if (resting.length > 0) return answerUnchanged(formResting(resting));
   return { kind: 'step', step, draft, position: edit.position, decision };
 }
 
@@ -144,6 +145,6 @@
   return { kind: 'rested-on', notes };
 }
 
-function unchanged(answer: NoteAnswer): NoteVerdict {
+function answerUnchanged(answer: NoteAnswer): NoteVerdict {
   return { kind: 'unchanged', answer };
 }
--- a/src/notes/note-book.ts
+++ b/src/notes/note-book.ts
@@ -96,7 +96,7 @@
 
   /** Decides on a command without changing anything, so that it can be refused early. */
   decide(command: NoteCommand): NoteVerdict {
-    return decideCommand(this.#tables(), command);
+    return decideCommand(this.#formTables(), command);
   }
 
   /** Applies one command. The result depends on the book and the command alone. */
@@ -118,7 +118,7 @@
 
   // Internals.
 
-  #tables(): NoteTables {
+  #formTables(): NoteTables {
     return { entries: this.#entries, layers: this.#layers, whole: this.#whole };
   }
 
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -96,7 +96,7 @@
       case 'command':
         return this.#handleCommand(state, message.id, message.command);
       case 'question':
-        return confirm(state, message.id, message.question);
+        return sendConfirm(state, message.id, message.question);
       case 'cancel':
         state.pending.delete(message.id);
         state.waits.delete(message.id);
@@ -106,15 +106,15 @@
       case 'coverage':
         return this.#handleCoverage({ ...state, coverage: message.report });
       case 'tick':
-        return this.#endWaits(state, now);
+        return this.#stopWaits(state, now);
     }
   }
 
   // Internals.
 
   #handleCommand(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
-    if (state.book.decide(command).kind === 'step') return propose(state, id, command);
-    return confirm(state, id, { kind: 'command', command });
+    if (state.book.decide(command).kind === 'step') return sendProposal(state, id, command);
+    return sendConfirm(state, id, { kind: 'command', command });
   }
 
   #handleNotice(state: NotesState, notice: NotesNotice, now: Instant): NotesStep {
@@ -174,7 +174,7 @@
   /** Answers a command that was about to be refused, or proposes it when that is no longer so. */
   #answerCommand(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
     const verdict = state.book.decide(command);
-    if (verdict.kind === 'step') return propose(state, id, command);
+    if (verdict.kind === 'step') return sendProposal(state, id, command);
     return { state, outputs: [{ kind: 'answer', id, answer: verdict.answer }] };
   }
 
@@ -205,14 +205,14 @@
       const entry = state.book.findEntry(number);
       return entry === undefined || isInForce(entry, state.coverage);
     });
-    const answers = ended.flatMap(([id, wait]) => endWait(state, id, wait));
+    const answers = ended.flatMap(([id, wait]) => stopWait(state, id, wait));
     return { state, outputs: [report(state), ...answers] };
   }
 
-  #endWaits(state: NotesState, now: Instant): NotesStep {
+  #stopWaits(state: NotesState, now: Instant): NotesStep {
     const outputs: NotesOut[] = [];
     for (const [id, wait] of [...state.waits]) {
-      if (wait.deadline <= now) outputs.push(...endWait(state, id, wait));
+      if (wait.deadline <= now) outputs.push(...stopWait(state, id, wait));
       else outputs.push({ kind: 'wake', at: wait.deadline });
     }
     return { state, outputs };
@@ -225,21 +225,21 @@
   return { kind: 'report', report: formReport(book, coverage, leading) };
 }
 
-function propose(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
+function sendProposal(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
   return { state, outputs: [{ kind: 'log', request: { kind: 'propose', id, command } }] };
 }
 
-function confirm(state: NotesState, id: RequestId, pending: Pending): NotesStep {
+function sendConfirm(state: NotesState, id: RequestId, pending: Pending): NotesStep {
   state.pending.set(id, pending);
   return { state, outputs: [{ kind: 'log', request: { kind: 'confirm', id } }] };
 }
 
 /** Confirms once more before a wait is answered: much may have happened meanwhile. */
-function endWait(
+function stopWait(
   state: NotesState,
   id: RequestId,
   wait: Extract<NoteQuestion, { kind: 'wait' }>,
 ): readonly NotesOut[] {
   state.waits.delete(id);
-  return confirm(state, id, wait).outputs;
+  return sendConfirm(state, id, wait).outputs;
 }
--- a/src/notes/whole-table.ts
+++ b/src/notes/whole-table.ts
@@ -40,7 +40,7 @@
   /** Builds a table from a snapshot whose digest and references have been checked. */
   static open(snapshot: WholeSnapshot): WholeTable {
     const table = new WholeTable();
-    for (const resource of snapshot.resources) table.#put(formKey(resource), resource);
+    for (const resource of snapshot.resources) table.#add(formKey(resource), resource);
     table.#version = snapshot.version;
     return table;
   }
@@ -78,7 +78,7 @@
       this.#remove(key);
     }
     for (const change of changes) {
-      if (change.op === 'put') this.#put(formKey(change.resource), change.resource);
+      if (change.op === 'put') this.#add(formKey(change.resource), change.resource);
     }
     this.#version = (this.#version + 1) as Version;
   }
@@ -92,7 +92,7 @@
 
   // Internals.
 
-  #put(key: ResourceKey, resource: Resource): void {
+  #add(key: ResourceKey, resource: Resource): void {
     this.#resources.set(key, resource);
     this.#sum = addToSum(this.#sum, resource);
     for (const provided of listProvided(resource)) addCount(this.#provided, provided, 1);
--- a/src/program/command-line.ts
+++ b/src/program/command-line.ts
@@ -17,8 +17,8 @@
   }
   const command = findCommand(args);
   if (command !== undefined) return runCommand(command, args, terminal);
-  if (first !== undefined) terminal.complain(`"${args.slice(0, 2).join(' ')}" is no command`);
-  terminal.complain(formatOverview());
+  if (first !== undefined) terminal.printError(`"${args.slice(0, 2).join(' ')}" is no command`);
+  terminal.printError(formatOverview());
   return ExitCode.usage;
 }
 
@@ -28,7 +28,7 @@
   print: (line) => {
     process.stdout.write(`${line}\n`);
   },
-  complain: (line) => {
+  printError: (line) => {
     process.stderr.write(`${line}\n`);
   },
 };
@@ -49,8 +49,8 @@
     return ExitCode.done;
   } catch (error) {
     if (!(error instanceof UsageError)) throw error;
-    terminal.complain(`${command.name}: ${error.message}`);
-    terminal.complain(`"bilberryswitch ${command.name} --help" tells more`);
+    terminal.printError(`${command.name}: ${error.message}`);
+    terminal.printError(`"bilberryswitch ${command.name} --help" tells more`);
     return ExitCode.usage;
   }
 }
--- a/src/program/commands/command.ts
+++ b/src/program/commands/command.ts
@@ -7,7 +7,7 @@
   /** Writes one line of output. */
   readonly print: (line: string) => void;
   /** Writes one line about what went wrong. */
-  readonly complain: (line: string) => void;
+  readonly printError: (line: string) => void;
 }
 
 /** One option of a command, as it is described by `--help`. */
--- a/src/program/commands/format-status.ts
+++ b/src/program/commands/format-status.ts
@@ -8,14 +8,15 @@
 // Internals.
 
 function listLines(value: unknown, depth: number): string[] {
-  if (typeof value !== 'object' || value === null) return [`${indent(depth)}${formatLeaf(value)}`];
-  if (Array.isArray(value)) return value.map((one) => `${indent(depth)}${formatItem(one)}`);
+  if (typeof value !== 'object' || value === null)
+    return [`${formIndent(depth)}${formatLeaf(value)}`];
+  if (Array.isArray(value)) return value.map((one) => `${formIndent(depth)}${formatItem(one)}`);
   return Object.entries(value).flatMap(([name, one]) => {
     const label = name.replaceAll(/([A-Z])/g, ' $1').toLowerCase();
     if (typeof one !== 'object' || one === null) {
-      return [`${indent(depth)}${label}: ${formatLeaf(one)}`];
+      return [`${formIndent(depth)}${label}: ${formatLeaf(one)}`];
     }
-    return [`${indent(depth)}${label}:`, ...listLines(one, depth + 1)];
+    return [`${formIndent(depth)}${label}:`, ...listLines(one, depth + 1)];
   });
 }
 
@@ -33,6 +34,6 @@
   return typeof value === 'string' ? value : JSON.stringify(value);
 }
 
-function indent(depth: number): string {
+function formIndent(depth: number): string {
   return '  '.repeat(depth);
 }
--- a/src/program/commands/local-commands.ts
+++ b/src/program/commands/local-commands.ts
@@ -34,9 +34,9 @@
       });
       const text = await answer.body.text();
       if (answer.statusCode < HTTP_ERRORS) return JSON.parse(text);
-      terminal.complain(`${address} answered ${answer.statusCode}: ${text}`);
+      terminal.printError(`${address} answered ${answer.statusCode}: ${text}`);
     } catch (error) {
-      terminal.complain(`no answer from ${address}: ${(error as Error).message}`);
+      terminal.printError(`no answer from ${address}: ${(error as Error).message}`);
     }
     return undefined;
   }
--- a/src/program/commands/note-commands.ts
+++ b/src/program/commands/note-commands.ts
@@ -34,11 +34,11 @@
     const { status, body } = reply;
     if (input.isSet('json')) terminal.print(JSON.stringify(body));
     if (status !== OK) {
-      terminal.complain(formatProblem(body));
+      terminal.printError(formatProblem(body));
       return ExitCode.refused;
     }
     if (!input.isSet('json')) terminal.print(this.formatAnswer(body));
-    return this.judge(body, terminal);
+    return this.decideExit(body, terminal);
   }
 
   /** Forms the request out of the arguments. */
@@ -48,7 +48,7 @@
   protected abstract formatAnswer(body: unknown): string;
 
   /** Decides on the exit code of an answer of status 200. */
-  protected judge(_body: unknown, _terminal: Terminal): ExitCode {
+  protected decideExit(_body: unknown, _terminal: Terminal): ExitCode {
     return ExitCode.done;
   }
 }
@@ -166,11 +166,11 @@
     return formatStatus(body as NoteStatus);
   }
 
-  protected override judge(body: unknown, terminal: Terminal): ExitCode {
+  protected override decideExit(body: unknown, terminal: Terminal): ExitCode {
     const { inForce, coverage } = body as NoteStatus;
     if (inForce) return ExitCode.done;
     const missing = coverage.known - coverage.holding;
-    terminal.complain(
+    terminal.printError(
       coverage.known === 0
         ? 'not in force: the source knows of no proxy yet'
         : `not in force: ${missing} of ${coverage.known} proxies do not hold it yet`,
@@ -188,8 +188,8 @@
   { mayRun, reasons }: Extract<SourceReply, { kind: 'unanswered' }>,
   terminal: Terminal,
 ): ExitCode {
-  for (const reason of reasons) terminal.complain(reason);
-  terminal.complain(
+  for (const reason of reasons) terminal.printError(reason);
+  terminal.printError(
     mayRun
       ? 'outcome unknown: no quorum of the source has answered; send the same again, it takes effect once at most'
       : 'nothing was done: no leader of the source could be reached; check the addresses and try again',
--- a/src/program/commands/settings-commands.ts
+++ b/src/program/commands/settings-commands.ts
@@ -19,10 +19,10 @@
     input.checkNoArgument();
     const path = input.read('settings');
     try {
-      return await this.use(loadSettings(path), input, terminal);
+      return await this.runWith(loadSettings(path), input, terminal);
     } catch (error) {
       if (!(error instanceof SettingsError)) throw error;
-      terminal.complain(error.message);
+      terminal.printError(error.message);
       if (input.isSet('json')) {
         terminal.print(JSON.stringify({ file: error.file, faults: error.faults }));
       }
@@ -31,7 +31,7 @@
   }
 
   /** Goes on with settings that have no fault. */
-  protected abstract use(
+  protected abstract runWith(
     settings: Settings,
     input: CommandInput,
     terminal: Terminal,
@@ -44,7 +44,7 @@
   override readonly summary =
     'Runs a process with the roles of its settings until SIGTERM or SIGINT.';
 
-  protected override async use(settings: Settings): Promise<Code> {
+  protected override async runWith(settings: Settings): Promise<Code> {
     const code = await runProcess(settings);
     return code as Code;
   }
@@ -56,7 +56,7 @@
   override readonly summary = 'Checks a settings file; starts nothing and writes nothing.';
   override readonly options = { settings: SETTINGS_OPTION, json: JSON_OPTION };
 
-  protected override use(
+  protected override runWith(
     settings: Settings,
     input: CommandInput,
     terminal: Terminal,
--- a/test/examples.test.ts
+++ b/test/examples.test.ts
@@ -25,7 +25,7 @@
   test(`settings of ${user}`, async (t) => {
     const files = listFiles(user);
     const lines: string[] = [];
-    const terminal = { print: (line: string) => lines.push(line), complain: t.fail };
+    const terminal = { print: (line: string) => lines.push(line), printError: t.fail };
     for (const file of files)
       t.is(await runCommandLine(['check', '--settings', file], terminal), 0);
     const all = files.map((file) => loadSettings(file));
--- a/test/operator.test.ts
+++ b/test/operator.test.ts
@@ -83,7 +83,7 @@
   const rest = ['--token-file', tokenFile];
   const code = await runCommandLine(operators.length === 0 ? args : [...args, ...access, ...rest], {
     print: (line) => out.push(line),
-    complain: (line) => err.push(line),
+    printError: (line) => err.push(line),
   });
   return { code, out: out.join('\n'), err: err.join('\n') };
 }
