--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -310,6 +310,8 @@
   });
   t.teardown(() => mesh.stop());
   const answer = await request(`http://${mesh.at(0).calls}/shop/drawing`);
+  answer.body.on('error', () => undefined);
+  t.teardown(() => answer.body.destroy());
   let seen = -1;
   await waitFor('the server to pause', async () => {
     const before = seen;
