--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -87,11 +87,12 @@
    * Starts a stand-in backend server beside the proxy that listens at `announce`. It records its runs
    * in {@link Mesh.runsFile}.
    */
-  startServer(service: string, port: number, announce: string): MeshProcess {
+  startServer(service: string, port: number, announce: string, calls = ''): MeshProcess {
     const options = {
       service,
       port: `${port}`,
       announce,
+      calls,
       runs: this.runsFile,
     };
     const args = Object.entries(options).flatMap(([name, value]) => [`--${name}`, value]);
@@ -140,6 +141,14 @@
   clearTimeout(timer);
 }
 
+/** Sends SIGKILL and waits. */
+export async function killProcess({ child }: MeshProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  const ended = new Promise((resolve) => child.once('exit', resolve));
+  child.kill('SIGKILL');
+  await ended;
+}
+
 // Internals.
 
 const FIRST_PORT = 12_000;
--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -241,14 +241,12 @@
     if (open === undefined) return [];
     const { call } = open;
     removeAttempt(state, attempt, open);
+    const maySend = maySendAgain(call, failure);
     const observed = noteFailure(state, open, failure, now);
     if (call.relayed === attempt) return [...observed, ...this.#refuse(state, call, failure)];
     if (failure.outcome === 'unknown') call.certain = false;
-    const isSafe =
-      failure.reason !== 'quarantined' &&
-      (failure.outcome === 'not-run' || call.routed.requestKind.idempotent);
     const cost = FREE_REASONS.has(failure.reason) ? 'free' : 'budgeted';
-    const retry = isSafe && call.relayed === undefined ? this.#retry(state, call, now, cost) : [];
+    const retry = maySend && call.relayed === undefined ? this.#retry(state, call, now, cost) : [];
     if (retry.length > 0) return [...observed, ...retry];
     if (call.running.size > 0) return observed;
     return [...observed, ...this.#refuse(state, call, failure)];
@@ -300,8 +298,11 @@
 /** The guard gives up a little earlier, so that its answer "not run" still reaches the caller. */
 const ANSWER_MARGIN_MS = 3;
 const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
-/** Refusals that tell of a stop or a restart: bounded by the attempts of the call alone. */
-const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'not-trusted']);
+const AVOID_MS = 1_000;
+const HEDGE_DEVIATIONS = 4;
+const MIN_HEDGE_DELAY_MS = 2;
+/** Refusals by which nothing can run there for now: bounded by the attempts of the call alone. */
+const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'no-server', 'not-trusted']);
 
 function formTarget(record: ServerRecord, service: ServiceName): CallTarget {
   const { member, announcement } = record;
@@ -314,13 +315,24 @@
   };
 }
 
+/**
+ * A call may be sent again where it certainly did not run or where a second run changes nothing. One
+ * that has already been lost twice is not: it may be what kills the servers.
+ */
+function maySendAgain(call: OpenCall, { outcome, reason }: AttemptFailure): boolean {
+  if (reason === 'quarantined') return false;
+  if (outcome === 'not-run') return true;
+  const isLostAgain = call.suspect && reason === 'upstream-failed';
+  return call.routed.requestKind.idempotent && !isLostAgain;
+}
+
 function noteFailure(
   state: AttemptState,
   { call, record }: OpenAttempt,
   failure: AttemptFailure,
   now: Instant,
 ): AttemptOut[] {
-  if (FREE_REASONS.has(failure.reason)) record.refusing = true;
+  if (FREE_REASONS.has(failure.reason)) record.avoidedUntil = addMs(now, AVOID_MS);
   if (failure.reason !== 'upstream-failed') return [];
   if (failure.outcome === 'unknown') call.suspect = true;
   const { service } = call.routed;
@@ -336,8 +348,8 @@
 function findHedgeTime(state: AttemptState, call: RoutedCall, now: Instant): Instant | undefined {
   const { requestKind, head, service } = call;
   if (!requestKind.hedge || !requestKind.idempotent || !head.repeatable) return undefined;
-  const delay = findLatency(state, service).findUpper();
-  return delay === undefined ? undefined : addMs(now, delay);
+  const delay = findLatency(state, service).findQuantile(HEDGE_DEVIATIONS);
+  return delay === undefined ? undefined : addMs(now, Math.max(MIN_HEDGE_DELAY_MS, delay));
 }
 
 function formWake({ timers }: AttemptState): AttemptOut[] {
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -16,7 +16,7 @@
 import type { HopTracer } from '../traces/index.js';
 import { NoTracer } from '../traces/index.js';
 import { CallAttempt } from './call-attempt.js';
-import { readBody } from './call-body.js';
+import { hasBody, readBody } from './call-body.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
 import {
   ATTEMPT_HEADER,
@@ -30,6 +30,7 @@
   parseForwardedHead,
   TIMEOUT_HEADER,
 } from './call-headers.js';
+import { CallerConnections } from './caller-connections.js';
 import { CallPools } from './call-pools.js';
 import { probeServer } from './call-probe.js';
 import type { Refusal } from './call-refusal.js';
@@ -65,6 +66,7 @@
   readonly #pools = new CallPools();
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #attempts = new Map<AttemptId, CallAttempt>();
+  readonly #connections: CallerConnections;
   readonly #timer: WakeTimer;
   #notifyIdle: (() => void) | undefined;
   #isDraining = false;
@@ -74,6 +76,7 @@
     this.#options = options;
     this.#tracer = options.tracer ?? new NoTracer();
     this.#observer = options.observer ?? new NoObserver();
+    this.#connections = new CallerConnections(options.clock);
     this.#timer = new WakeTimer(options.clock, () => {
       this.post({ kind: 'tick' });
     });
@@ -92,13 +95,14 @@
   protected override prepareServer(server: Server): void {
     server.maxHeadersCount = 0;
     server.maxConnections = MAX_CONNECTIONS;
+    this.#connections.watch(server);
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       refuseSocket(socket, error.code);
     });
   }
 
   protected override closeConnections(server: Server): void {
-    server.closeIdleConnections();
+    this.#connections.close(server);
   }
 
   protected override async close(): Promise<void> {
@@ -149,7 +153,7 @@
       call.refuse(formHeadRefusal(head.error));
       return;
     }
-    if (this.#isDraining) {
+    if (this.#isDraining || !hasBody(call.request)) {
       this.post({
         kind: 'arrived',
         head: { ...head.value, bodyDigest: undefined, repeatable: true },
--- a/src/members/update-queue.ts
+++ b/src/members/update-queue.ts
@@ -15,10 +15,10 @@
     return this.#urgent.size + this.#usual.size;
   }
 
-  /** Adds an update, or replaces the one with the same key. */
-  add(key: string, update: MemberUpdate): void {
+  /** Adds an update, or replaces the one with the same key. `isRefutation` makes it urgent. */
+  add(key: string, update: MemberUpdate, isRefutation = false): void {
     this.remove(key);
-    const lane = isUrgent(update) ? this.#urgent : this.#usual;
+    const lane = isRefutation || isUrgent(update) ? this.#urgent : this.#usual;
     lane.add(key, update);
   }
 
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -1,5 +1,6 @@
 /** Wires the proxy role: distribution, membership, announcements and calls. */
 import { join } from 'node:path';
+import type { CallObserver } from '../calls/index.js';
 import type { Clock } from '../clock.js';
 import type { CallNotice, FloorOptions } from '../edge/index.js';
 import { AnnounceTask, CallTask, FloorTask, readSpreadMessage } from '../edge/index.js';
@@ -17,6 +18,8 @@
 } from '../spread/index.js';
 import { makePolicy, ProxySpreadFilter } from '../spread/index.js';
 import type { Random } from '../random.js';
+import { createLedgerClient, readLedgerReply } from './ledger-client.js';
+import type { HopTracer } from '../traces/index.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
@@ -35,6 +38,8 @@
   /** The random text by which other proxies are known to forward calls; see {@link Member.pass}. */
   readonly pass: string;
   readonly report: ReportStatus;
+  readonly tracer: HopTracer;
+  readonly observer: CallObserver;
 }
 
 /** Starts the tasks of the proxy role. */
@@ -47,6 +52,8 @@
     pass: options.pass,
     clock,
     random,
+    tracer: options.tracer,
+    observer: options.observer,
     reportFailure,
     send: routeCalls,
   });
@@ -74,6 +81,15 @@
       spread.post({ kind: 'floor-saved', version });
     },
   });
+  const ledger = createLedgerClient({
+    ledgers: proxy.ledgers,
+    clock,
+    reportFailure,
+    postLink,
+    answer: (answer) => {
+      calls.post({ kind: 'ledger-answer', answer });
+    },
+  });
   const announce = new AnnounceTask({
     address: proxy.announce,
     clock,
@@ -122,23 +138,18 @@
     }
   }
 
-  /** Until the ledger is wired, every claim is answered as if it were out. */
   function routeCalls(notice: CallNotice): void {
-    if (notice.kind !== 'ledger') {
-      postMembers(notice);
-      return;
-    }
-    calls.post({
-      kind: 'ledger-answer',
-      answer: { kind: 'unavailable', id: notice.request.id },
-    });
+    if (notice.kind === 'ledger') ledger.post({ kind: 'request', request: notice.request });
+    else postMembers(notice);
   }
 
-  const tasks = [calls, spread, announce, ...(floor === undefined ? [] : [floor])];
+  const tasks = [ledger, calls, spread, announce, ...(floor === undefined ? [] : [floor])];
   for (const task of tasks) await task.start();
   if (floor === undefined) spread.post({ kind: 'start', floor: undefined });
   return {
     handleLink: (event) => {
+      const reply = readLedgerReply(event);
+      if (reply !== undefined) ledger.post(reply);
       const message = readLinkEvent(event);
       if (message !== undefined) spread.post(message);
     },
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -103,6 +103,16 @@
   t.deepEqual(driver.listKinds(second), ['overloaded unknown']);
 });
 
+test('lost twice: no third server', (t) => {
+  const driver = new Driver(3);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) });
+  const lost = (count: number) =>
+    ({ kind: 'attempt-failed', attempt: attemptOf('c', count), failure: FAILED }) as const;
+  const [retry] = driver.post(lost(0));
+  t.true(retry?.kind === 'dispatch' && retry.head.suspect);
+  t.deepEqual(driver.listKinds(lost(1)), ['upstream-failed unknown']);
+});
+
 test('retry budget', (t) => {
   const driver = new Driver(3);
   let dispatched = 0;
@@ -160,6 +170,24 @@
   t.is(used.size, 2);
 });
 
+test('dead server draws no calls', (t) => {
+  const driver = new Driver(2);
+  const dead = '10.0.0.0:1';
+  let sent = 0;
+  for (let index = 0; index < 100; index += 1) {
+    const [first] = driver.post({
+      kind: 'claimed',
+      call: makeCall(`c${index}`, { timeoutMs: 1e6 }),
+    });
+    if (first?.kind !== 'dispatch' || first.target.server !== dead) continue;
+    sent += 1;
+    const failure = { outcome: 'not-run', reason: 'no-server' } as const;
+    const failed = { kind: 'attempt-failed', attempt: first.head.attempt, failure } as const;
+    t.deepEqual(driver.listKinds(failed), ['dispatch']);
+  }
+  t.is(sent, 1);
+});
+
 test('near servers first', (t) => {
   const table = new ServerTable(PLACE);
   const far = { dataCentre: 'b' as DataCentreId };
