Let the guard tell its membership what forwarded attempts saw

Cause: a proxy publishes its backend server as failing only after failures that its own callers met, while most attempts come from other proxies, each of which had to find out for itself. Red first: test/calls-observed.test.ts. The version that a proxy holds now reaches its membership record too.

--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -108,6 +108,8 @@
   attempt: AttemptState;
   guard: GuardState;
   readonly guarded: Map<AttemptId, GuardedCall>;
+  /** Servers beside this proxy at which a forwarded attempt failed and none was answered since. */
+  readonly failing: Set<Address>;
   isDraining: boolean;
 }
 
@@ -133,6 +135,7 @@
       attempt: this.#attempt.createState(),
       guard: this.#guard.createState(),
       guarded: new Map(),
+      failing: new Set(),
       isDraining: false,
     };
   }
@@ -240,8 +243,23 @@
   }
 
   #endGuarded(turn: Turn, attempt: AttemptId, ending: RunEnding): void {
-    if (!turn.state.guarded.delete(attempt)) return;
+    const { state } = turn;
+    const server = state.guard.places.get(attempt)?.address;
+    const isForwarded = state.guarded.get(attempt)?.isForwarded === true;
+    if (!state.guarded.delete(attempt)) return;
     this.#passToGuard(turn, { kind: 'run-ended', attempt, ending });
+    if (isForwarded && server !== undefined) this.#observe(turn, server, ending);
+  }
+
+  /** Tells what a forwarded attempt saw; the entry proxy tells only its own membership. */
+  #observe(turn: Turn, server: Address, ending: RunEnding): void {
+    const { failing } = turn.state;
+    if (ending === 'cancelled') return;
+    const hasFailed = ending !== 'answered';
+    if (hasFailed) failing.add(server);
+    else if (!failing.delete(server)) return;
+    const outcome = hasFailed ? 'failed' : 'answered';
+    turn.outputs.push({ kind: 'observed', host: this.#host, server, outcome });
   }
 
   /** A claimed call runs on without its caller, so that a resend finds its answer. */
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -119,6 +119,7 @@
         return;
       case 'held':
         log('version-held', { version: output.mark.version });
+        postMembers({ kind: 'held', version: output.mark.version });
         distribution.held = output.mark.version;
         report('distribution', distribution);
         return;
--- /dev/null
+++ b/test/calls-observed.test.ts
@@ -0,0 +1,76 @@
+/** What a guard tells the membership of forwarded attempts at its backend server. */
+import test from 'ava';
+import { addMs } from '../src/clock.js';
+import {
+  CallPipe,
+  formForwardedAttempt,
+  TwoChoicesPicker,
+  SharedSlots,
+} from '../src/calls/index.js';
+import type { CallIn, CallOut, RunEnding } from '../src/calls/index.js';
+import type {
+  Address,
+  CallId,
+  DataCentreId,
+  HostId,
+  Instant,
+  RegionId,
+  RequestKindName,
+} from '../src/ids.js';
+import { SeededRandom } from '../src/random.js';
+import { makeMember, makeServer } from './call-resources.js';
+
+const NOW = 1_000_000 as Instant;
+const HOST = 'guard' as HostId;
+const SERVER = '127.0.0.1:9000' as Address;
+
+/** Runs forwarded attempts that end as told, and lists what is observed. */
+function observe(endings: readonly RunEnding[]): string[] {
+  const pipe = new CallPipe({
+    place: { host: HOST, dataCentre: 'a' as DataCentreId, region: 'r' as RegionId },
+    picker: new TwoChoicesPicker(new SeededRandom(1)),
+    createPolicy: () => new SharedSlots(),
+  });
+  let state = pipe.createState();
+  const outputs: CallOut[] = [];
+  const post = (message: CallIn): void => {
+    const step = pipe.decide(state, message, NOW);
+    state = step.state;
+    outputs.push(...step.outputs);
+  };
+  post({ kind: 'member-up', member: makeMember(HOST, [makeServer(SERVER)]) });
+  endings.forEach((ending, index) => {
+    const id = `call-${index}` as CallId;
+    const attempt = formForwardedAttempt(id);
+    const head = {
+      attempt,
+      server: SERVER,
+      requestKind: 'read' as RequestKindName,
+      worth: 1,
+      deadline: addMs(NOW, 60_000),
+      subject: id,
+      suspect: false,
+    };
+    post({ kind: 'forwarded', id, head, count: 1 });
+    if (ending === 'answered') post({ kind: 'answer-complete', attempt, answer: undefined });
+    else {
+      const failure = { reason: 'upstream-failed', outcome: 'unknown', message: ending } as const;
+      post({ kind: 'attempt-failed', attempt, failure, ending });
+    }
+  });
+  return outputs.flatMap((output) =>
+    output.kind === 'observed' ? [`${output.host} ${output.outcome}`] : [],
+  );
+}
+
+test('failures are told', (t) => {
+  t.deepEqual(observe(['not-sent', 'not-sent']), ['guard failed', 'guard failed']);
+});
+
+test('answer clears', (t) => {
+  t.deepEqual(observe(['not-sent', 'answered', 'answered']), ['guard failed', 'guard answered']);
+});
+
+test('cancelled is no failure', (t) => {
+  t.deepEqual(observe(['cancelled', 'answered']), []);
+});
