--- /dev/null
+++ b/src/calls/call-pipe-messages.ts
@@ -0,0 +1,83 @@
+/** The messages of the call pipe towards the task that runs it. */
+import type { Address, AttemptId, CallId } from '../ids.js';
+import type {
+  AttemptFailure,
+  AttemptHead,
+  Broadcast,
+  CallHead,
+  GuardLoad,
+  LedgerAnswer,
+  LedgerRequest,
+  MemberEvent,
+  StoredAnswer,
+} from '../messages/index.js';
+import type { Whole } from '../notes/index.js';
+import type { AttemptOut } from './attempt-filter.js';
+import type { GuardOut, RunEnding } from './guard-filter.js';
+
+/** What the call pipe is told. */
+export type CallIn =
+  | { readonly kind: 'whole'; readonly whole: Whole }
+  | MemberEvent
+  | { readonly kind: 'broadcast'; readonly item: Broadcast }
+  /** A caller's call. */
+  | { readonly kind: 'arrived'; readonly head: CallHead }
+  /** An attempt that another proxy sends to a backend server beside this one. */
+  | {
+      readonly kind: 'forwarded';
+      readonly id: CallId;
+      readonly head: AttemptHead;
+      readonly count: number;
+    }
+  | {
+      readonly kind: 'answer-started';
+      readonly attempt: AttemptId;
+      readonly status: number;
+      readonly load: GuardLoad | undefined;
+    }
+  | {
+      readonly kind: 'answer-complete';
+      readonly attempt: AttemptId;
+      /** Kept only for calls that were claimed. */
+      readonly answer: StoredAnswer | undefined;
+    }
+  | {
+      readonly kind: 'attempt-failed';
+      readonly attempt: AttemptId;
+      readonly failure: AttemptFailure;
+      /** How the run ended, where the backend server is beside this proxy. */
+      readonly ending: RunEnding;
+    }
+  /** The caller has gone, or has its whole answer. */
+  | { readonly kind: 'gone'; readonly id: CallId }
+  | { readonly kind: 'ledger-answer'; readonly answer: LedgerAnswer }
+  | { readonly kind: 'probed'; readonly server: Address; readonly accepts: boolean }
+  | { readonly kind: 'drain' }
+  | { readonly kind: 'tick' };
+
+/** What the call pipe sends on. */
+export type CallOut =
+  /** Sends an attempt to the proxy beside its backend server. */
+  | Extract<AttemptOut, { kind: 'dispatch' }>
+  /** Runs an attempt at a backend server beside this proxy. */
+  | {
+      readonly kind: 'run';
+      readonly id: CallId;
+      readonly head: AttemptHead;
+      readonly count: number;
+      readonly keepsAnswer: boolean;
+      /** How many connections to the backend server may be open. */
+      readonly connections: number;
+    }
+  /** The answer of this attempt is the one for the caller. */
+  | {
+      readonly kind: 'relay';
+      readonly id: CallId;
+      readonly attempt: AttemptId;
+      /** The load of the guarded server; told to the proxy that forwarded the call. */
+      readonly load: GuardLoad | undefined;
+    }
+  | Exclude<AttemptOut, { kind: 'dispatch' | 'relay' }>
+  | Extract<GuardOut, { kind: 'stop-run' | 'probe' | 'broadcast' }>
+  | { readonly kind: 'replay'; readonly id: CallId; readonly answer: StoredAnswer }
+  | { readonly kind: 'ledger'; readonly request: LedgerRequest };
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -1,17 +1,6 @@
 /** The call pipe: classify → claim → attempt → guard, as one filter that a task can run. */
 import type { Address, AttemptId, CallId, HostId, Instant } from '../ids.js';
-import type {
-  AttemptFailure,
-  AttemptHead,
-  Broadcast,
-  CallHead,
-  GuardLoad,
-  LedgerAnswer,
-  LedgerRequest,
-  MemberEvent,
-  StoredAnswer,
-} from '../messages/index.js';
-import type { Whole } from '../notes/index.js';
+import type { AttemptFailure, CallHead, MemberEvent } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import type { AttemptIn, AttemptOut } from './attempt-filter.js';
@@ -23,77 +12,11 @@
 import { ClassifyFilter } from './classify-filter.js';
 import type { GuardIn, GuardOut, GuardState, RunEnding } from './guard-filter.js';
 import { GuardFilter } from './guard-filter.js';
+import type { CallIn, CallOut } from './call-pipe-messages.js';
 import type { Picker } from './picker.js';
 import type { Place } from './server-table.js';
 import type { SlotPolicy } from './slot-policy.js';
 
-/** What the call pipe is told. */
-export type CallIn =
-  | { readonly kind: 'whole'; readonly whole: Whole }
-  | MemberEvent
-  | { readonly kind: 'broadcast'; readonly item: Broadcast }
-  /** A caller's call. */
-  | { readonly kind: 'arrived'; readonly head: CallHead }
-  /** An attempt that another proxy sends to a backend server beside this one. */
-  | {
-      readonly kind: 'forwarded';
-      readonly id: CallId;
-      readonly head: AttemptHead;
-      readonly count: number;
-    }
-  | {
-      readonly kind: 'answer-started';
-      readonly attempt: AttemptId;
-      readonly status: number;
-      readonly load: GuardLoad | undefined;
-    }
-  | {
-      readonly kind: 'answer-complete';
-      readonly attempt: AttemptId;
-      /** Kept only for calls that were claimed. */
-      readonly answer: StoredAnswer | undefined;
-    }
-  | {
-      readonly kind: 'attempt-failed';
-      readonly attempt: AttemptId;
-      readonly failure: AttemptFailure;
-      /** How the run ended, where the backend server is beside this proxy. */
-      readonly ending: RunEnding;
-    }
-  /** The caller has gone, or has its whole answer. */
-  | { readonly kind: 'gone'; readonly id: CallId }
-  | { readonly kind: 'ledger-answer'; readonly answer: LedgerAnswer }
-  | { readonly kind: 'probed'; readonly server: Address; readonly accepts: boolean }
-  | { readonly kind: 'drain' }
-  | { readonly kind: 'tick' };
-
-/** What the call pipe sends on. */
-export type CallOut =
-  /** Sends an attempt to the proxy beside its backend server. */
-  | Extract<AttemptOut, { kind: 'dispatch' }>
-  /** Runs an attempt at a backend server beside this proxy. */
-  | {
-      readonly kind: 'run';
-      readonly id: CallId;
-      readonly head: AttemptHead;
-      readonly count: number;
-      readonly keepsAnswer: boolean;
-      /** How many connections to the backend server may be open. */
-      readonly connections: number;
-    }
-  /** The answer of this attempt is the one for the caller. */
-  | {
-      readonly kind: 'relay';
-      readonly id: CallId;
-      readonly attempt: AttemptId;
-      /** The load of the guarded server; told to the proxy that forwarded the call. */
-      readonly load: GuardLoad | undefined;
-    }
-  | Exclude<AttemptOut, { kind: 'dispatch' | 'relay' }>
-  | Extract<GuardOut, { kind: 'stop-run' | 'probe' | 'broadcast' }>
-  | { readonly kind: 'replay'; readonly id: CallId; readonly answer: StoredAnswer }
-  | { readonly kind: 'ledger'; readonly request: LedgerRequest };
-
 /** What the call pipe needs. */
 export interface CallPipeOptions {
   readonly place: Place;
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -4,6 +4,7 @@
 export { FloorTask } from './floor-task.js';
 export type { FloorOptions } from './floor-task.js';
 export type { CallNotice, CallTaskOptions } from './call-task.js';
+export { formIdSchema } from './id-schema.js';
 export { LinkTask } from './link-task.js';
 export { LogFile } from './log-file.js';
 export { LogTask } from './log-task.js';
--- a/src/edge/note-toml.ts
+++ b/src/edge/note-toml.ts
@@ -11,6 +11,7 @@
   parseServiceName,
 } from '../ids.js';
 import type { NoteDraft, NoteFault, Resource } from '../messages/index.js';
+import { formIdSchema } from './id-schema.js';
 
 /** How a note is written down. Both forms have the same keys. */
 export type NoteFormat = 'toml' | 'json';
@@ -51,28 +52,17 @@
   }
 }
 
-function brandWith<T>(parseId: (text: string) => T) {
-  return z.string().transform((text, context): T => {
-    try {
-      return parseId(text);
-    } catch (error) {
-      context.addIssue({ code: 'custom', message: (error as Error).message });
-      return z.NEVER;
-    }
-  });
-}
-
-const nameSchema = brandWith<string>(parseServiceName);
+const nameSchema = formIdSchema<string>(parseServiceName);
 const serviceSchema = z.strictObject({
   kind: z.literal('service'),
-  name: brandWith(parseServiceName),
+  name: formIdSchema(parseServiceName),
 });
 
 const routeSchema = z
   .strictObject({
     kind: z.literal('route'),
     name: nameSchema,
-    generation: brandWith(parseGeneration).optional(),
+    generation: formIdSchema(parseGeneration).optional(),
     path_prefix: z
       .string()
       .regex(
@@ -80,8 +70,8 @@
         'expected an absolute path such as "/orders", without a slash at its end',
       ),
     method: z.string().regex(/^(\*|[A-Z]+)$/, 'expected a method in capitals, or "*"'),
-    service: brandWith(parseServiceName),
-    request_kind: brandWith(parseRequestKindName),
+    service: formIdSchema(parseServiceName),
+    request_kind: formIdSchema(parseRequestKindName),
   })
   .transform(({ path_prefix, request_kind, ...rest }) => ({
     ...rest,
@@ -92,7 +82,7 @@
 const requestKindSchema = z
   .strictObject({
     kind: z.literal('request-kind'),
-    name: brandWith(parseRequestKindName),
+    name: formIdSchema(parseRequestKindName),
     idempotent: z.boolean(),
     worth: z.number().min(0),
     timeout_ms: z.int().min(1).max(MAX_TIMEOUT_MS),
@@ -111,7 +101,7 @@
   shares: z
     .array(
       z.strictObject({
-        generation: brandWith(parseGeneration),
+        generation: formIdSchema(parseGeneration),
         share: z.int().min(0).max(WHOLE_SHARE),
       }),
     )
@@ -142,7 +132,7 @@
   .strictObject({
     number: numberSchema,
     title: z.string().min(1),
-    generation: brandWith(parseGeneration).optional(),
+    generation: formIdSchema(parseGeneration).optional(),
     supersedes: z.array(numberSchema).default([]),
     add: z.array(resourceSchema).default([]),
     change: z.array(resourceSchema).default([]),
--- a/src/program/settings/schema-parts.ts
+++ b/src/program/settings/schema-parts.ts
@@ -1,20 +1,9 @@
 /** Parts that the schemas of all settings sections share. */
 import { isIP } from 'node:net';
 import { z } from 'zod';
+import { formIdSchema } from '../../edge/index.js';
 import { parseAddress, splitAddress } from '../../ids.js';
 
-/** Forms a schema of a text that `parseId` turns into a branded id. */
-export function formIdSchema<T>(parseId: (text: string) => T) {
-  return z.string().transform((text, context): T => {
-    try {
-      return parseId(text);
-    } catch (error) {
-      context.addIssue({ code: 'custom', message: (error as Error).message });
-      return z.NEVER;
-    }
-  });
-}
-
 /** An IP number with a port, at which a process listens or reaches another one. */
 export const addressSchema = formIdSchema(parseAddress).refine((address) => {
   const { host, port } = splitAddress(address);
--- a/src/program/settings/source-settings.ts
+++ b/src/program/settings/source-settings.ts
@@ -1,10 +1,10 @@
 /** The section `[source]`. */
 import { z } from 'zod';
+import { formIdSchema } from '../../edge/index.js';
 import type { Address, HostId } from '../../ids.js';
 import { parseHostId } from '../../ids.js';
 import {
   addressSchema,
-  formIdSchema,
   formMillisecondsSchema,
   pathSchema,
   replicasSchema,
