--- /dev/null
+++ b/bench/accept-bench.ts
@@ -0,0 +1,70 @@
+/**
+ * Measures the acceptance of notes over the operators' interface: `npm run bench -- accept [NOTES]`.
+ *
+ * Source hosts are processes on loopback with one disk. "One at a time" is one sync per note.
+ */
+import { statSync } from 'node:fs';
+import { join } from 'node:path';
+import { build } from 'hdr-histogram-js';
+import { formExtraRouteNote, formKindsNote, NAPERNYO_KINDS } from './mesh-notes.js';
+import { NAPERNYO, RunningMesh } from './mesh-plan.js';
+
+const MICROS_PER_MILLI = 1_000;
+const MS_PER_SECOND = 1_000;
+const PARALLEL = 64;
+
+const [notes = 400] = process.argv.slice(2).map(Number);
+for (const sources of [1, 3]) await measureSources(sources);
+
+async function measureSources(sources: number): Promise<void> {
+  const running = await RunningMesh.start({ ...NAPERNYO, sources, services: {} });
+  try {
+    await submit(running, formKindsNote(1, 'old', NAPERNYO_KINDS));
+    const before = measureLog(running);
+    await report(running, sources, 1, 2);
+    await report(running, sources, PARALLEL, notes + 2);
+    const bytes = (measureLog(running) - before) / (2 * notes);
+    console.log(`${sources} hosts: ${bytes.toFixed(0)} bytes on disk per note of one route`);
+  } finally {
+    await running.stop();
+  }
+}
+
+async function report(
+  running: RunningMesh,
+  sources: number,
+  parallel: number,
+  first: number,
+): Promise<void> {
+  const times = build({ bitBucketSize: 32, autoResize: true, numberOfSignificantValueDigits: 2 });
+  let next = first;
+  const startedAt = performance.now();
+  const runOperator = async (): Promise<void> => {
+    while (next < first + notes) {
+      const number = next;
+      next += 1;
+      const sentAt = performance.now();
+      await submit(running, formExtraRouteNote(number));
+      times.recordValue((performance.now() - sentAt) * MICROS_PER_MILLI);
+    }
+  };
+  await Promise.all(Array.from({ length: parallel }, runOperator));
+  const rate = (notes * MS_PER_SECOND) / (performance.now() - startedAt);
+  const [p50, p99] = [50, 99].map((share) =>
+    (times.getValueAtPercentile(share) / MICROS_PER_MILLI).toFixed(1),
+  );
+  console.log(
+    `${sources} hosts, ${parallel} at once: ${rate.toFixed(0)} notes/s, p50 ${p50}, p99 ${p99} ms`,
+  );
+}
+
+async function submit(running: RunningMesh, body: string): Promise<void> {
+  const reply = await running.createClient().send({ method: 'POST', path: '/notes', body });
+  if (reply.kind === 'answered' && reply.status === 200) return;
+  throw new Error(`a note was not accepted: ${JSON.stringify(reply)}`);
+}
+
+function measureLog(running: RunningMesh): number {
+  const folder = running.sources[0]?.folder ?? '';
+  return statSync(join(folder, 'notes.log')).size;
+}
