--- a/bench/call-fleet.ts
+++ b/bench/call-fleet.ts
@@ -93,6 +93,7 @@
     control: address,
     calls: address,
     pass: `pass of ${host}`,
+    isSource: false,
     incarnation: 1 as Incarnation,
     liveness: 'alive',
     version: NO_VERSION,
--- a/bench/member-fleet.ts
+++ b/bench/member-fleet.ts
@@ -146,6 +146,7 @@
       calls: control.replace('7000', '7001') as Address,
       incarnation: 0 as Incarnation,
       pass: '',
+      isSource: false,
       liveness: 'alive',
       version: NO_VERSION,
       servers: [],
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,9 +1,9 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['node_modules', 'build', 'dist'] },
+  { ignores: ['node_modules', 'build', 'dist', 'target'] },
   {
-    files: ['src/**/*.ts', 'test/**/*.ts', 'bench/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'test/**/*.ts', 'bench/**/*.ts'],
     extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
--- a/scripts/build-binary.mjs
+++ b/scripts/build-binary.mjs
@@ -2,7 +2,7 @@
 import { chmodSync, copyFileSync, mkdirSync, writeFileSync, rmSync } from 'node:fs';
 import { execFileSync } from 'node:child_process';
 import { join } from 'node:path';
-import { build } from 'esbuild';
+import { bundleProgram } from './bundle.mjs';
 
 const root = join(import.meta.dirname, '..');
 const dist = join(root, 'dist');
@@ -12,32 +12,8 @@
 const binary = join(dist, 'bilberryswitch');
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
-// Optional native parts of ws and msgpackr: both fall back to JavaScript when they are absent.
-const OPTIONAL_NATIVE = /^(msgpackr-extract|bufferutil|utf-8-validate)$/;
-const leaveOutNative = {
-  name: 'leave-out-native',
-  setup(bundler) {
-    bundler.onResolve({ filter: OPTIONAL_NATIVE }, ({ path }) => ({ path, namespace: 'absent' }));
-    bundler.onLoad({ filter: /.*/, namespace: 'absent' }, ({ path }) => ({
-      contents: `throw new Error('${path} is left out of the binary');`,
-    }));
-  },
-};
-
 mkdirSync(dist, { recursive: true });
-await build({
-  entryPoints: [join(root, 'src/program/main.ts')],
-  outfile: bundle,
-  bundle: true,
-  minify: true,
-  keepNames: true,
-  platform: 'node',
-  format: 'cjs',
-  target: 'node20',
-  legalComments: 'none',
-  plugins: [leaveOutNative],
-  logLevel: 'warning',
-});
+await bundleProgram(join(root, 'src/program/main.ts'), bundle);
 writeFileSync(
   seaConfig,
   JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true }),
--- a/scripts/compile.mjs
+++ b/scripts/compile.mjs
@@ -14,7 +14,7 @@
 export async function compileSources() {
   rmSync(join(root, 'build'), { recursive: true, force: true });
   await build({
-    entryPoints: ['src', 'test', 'bench'].flatMap(listSources),
+    entryPoints: ['src', 'platform', 'test', 'bench'].flatMap(listSources),
     outdir: join(root, 'build'),
     outbase: root,
     platform: 'node',
--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -27,6 +27,8 @@
 import { DeadlineHeap } from './deadline-heap.js';
 import { applyFailure, applySuccess } from './outlier.js';
 import type { Picker } from './picker.js';
+import type { RetryAllowance } from './retry-budget.js';
+import { DEFAULT_RETRIES } from './retry-budget.js';
 import type { Place, ServerRecord } from './server-table.js';
 import { ServerTable } from './server-table.js';
 
@@ -80,6 +82,8 @@
 export interface AttemptOptions {
   readonly place: Place;
   readonly picker: Picker;
+  /** How many extra attempts each service may get. */
+  readonly retries?: RetryAllowance | undefined;
 }
 
 /**
@@ -90,10 +94,12 @@
  */
 export class AttemptFilter extends Filter<AttemptState, AttemptIn, AttemptOut> {
   readonly #options: AttemptOptions;
+  readonly #retries: RetryAllowance;
 
   constructor(options: AttemptOptions) {
     super();
     this.#options = options;
+    this.#retries = options.retries ?? DEFAULT_RETRIES;
   }
 
   override createState(): AttemptState {
@@ -145,12 +151,13 @@
       tried: new Set(),
       running: new Set(),
       started: 0,
+      reached: 0,
       relayed: undefined,
       suspect: false,
       certain: true,
     };
     state.calls.set(id, call);
-    findBudget(state, routed.service).addCall();
+    findBudget(state, routed.service, this.#retries).addCall(state.servers.proxies);
     state.timers.add(routed.deadline, { kind: 'deadline', id });
     const outputs = this.#startAttempt(state, call, now);
     if (outputs.length === 0) return this.#refuse(state, call, NO_SERVER);
@@ -241,6 +248,7 @@
     if (open === undefined) return [];
     const { call } = open;
     removeAttempt(state, attempt, open);
+    if (mayHaveReached(failure)) call.reached += 1;
     const maySend = maySendAgain(call, failure);
     const observed = noteFailure(state, open, failure, now);
     if (call.relayed === attempt) return [...observed, ...this.#refuse(state, call, failure)];
@@ -259,10 +267,13 @@
     now: Instant,
     cost: 'free' | 'budgeted',
   ): AttemptOut[] {
-    const { head, deadline, service } = call.routed;
+    const { head, deadline, service, requestKind } = call.routed;
     if (head.attempt > 1 || !head.repeatable) return [];
     if (call.started >= MAX_ATTEMPTS || deadline <= now) return [];
-    if (cost === 'budgeted' && !findBudget(state, service).spend()) return [];
+    const most = requestKind.maxAttempts ?? MAX_ATTEMPTS;
+    if (call.reached + call.running.size >= most) return [];
+    const budget = findBudget(state, service, this.#retries);
+    if (cost === 'budgeted' && !budget.spend()) return [];
     return this.#startAttempt(state, call, now);
   }
 
@@ -326,6 +337,11 @@
   return call.routed.requestKind.idempotent && !isLostAgain;
 }
 
+/** Of the refusals "not run", only the backend server's own shows that the attempt came there. */
+function mayHaveReached({ outcome, reason }: AttemptFailure): boolean {
+  return outcome === 'unknown' || reason === 'shed';
+}
+
 function noteFailure(
   state: AttemptState,
   { call, record }: OpenAttempt,
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -3,6 +3,7 @@
 import type { RoutedCall } from './classify-filter.js';
 import type { DeadlineHeap } from './deadline-heap.js';
 import { LatencyEstimate } from './latency-estimate.js';
+import type { RetryAllowance } from './retry-budget.js';
 import { RetryBudget } from './retry-budget.js';
 import type { ServerRecord, ServerTable } from './server-table.js';
 
@@ -22,6 +23,8 @@
   readonly tried: Set<Address>;
   readonly running: Set<AttemptId>;
   started: number;
+  /** Attempts that have ended and may have come to a backend server. */
+  reached: number;
   /** The attempt whose answer goes to the caller. */
   relayed: AttemptId | undefined;
   /** Whether an attempt was lost after it may have begun to run. */
@@ -72,10 +75,14 @@
 }
 
 /** Finds the budget of a service for retries and hedges. */
-export function findBudget(state: AttemptState, service: ServiceName): RetryBudget {
+export function findBudget(
+  state: AttemptState,
+  service: ServiceName,
+  allowance: RetryAllowance,
+): RetryBudget {
   const known = state.budgets.get(service);
   if (known !== undefined) return known;
-  const fresh = new RetryBudget();
+  const fresh = new RetryBudget(allowance, state.servers.proxies);
   state.budgets.set(service, fresh);
   return fresh;
 }
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -1,5 +1,5 @@
 /** The messages of the call pipe towards the task that runs it. */
-import type { Address, AttemptId, CallId } from '../ids.js';
+import type { Address, AttemptId, CallId, InstanceId } from '../ids.js';
 import type {
   AttemptFailure,
   AttemptHead,
@@ -8,6 +8,7 @@
   GuardLoad,
   LedgerAnswer,
   LedgerRequest,
+  LimitsResource,
   MemberEvent,
   StoredAnswer,
 } from '../messages/index.js';
@@ -68,6 +69,8 @@
       readonly keepsAnswer: boolean;
       /** How many connections to the backend server may be open. */
       readonly connections: number;
+      /** The life of the backend server that the attempt is meant for, where it has told one. */
+      readonly instance: InstanceId | undefined;
     }
   /** The answer of this attempt is the one for the caller. */
   | {
@@ -80,4 +83,6 @@
   | Exclude<AttemptOut, { kind: 'dispatch' | 'relay' }>
   | Extract<GuardOut, { kind: 'stop-run' | 'probe' | 'broadcast' }>
   | { readonly kind: 'replay'; readonly id: CallId; readonly answer: StoredAnswer }
-  | { readonly kind: 'ledger'; readonly request: LedgerRequest };
+  | { readonly kind: 'ledger'; readonly request: LedgerRequest }
+  /** What callers may send from now on. */
+  | { readonly kind: 'limits'; readonly limits: LimitsResource };
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -14,6 +14,7 @@
 import { GuardFilter } from './guard-filter.js';
 import type { CallIn, CallOut } from './call-pipe-messages.js';
 import type { Picker } from './picker.js';
+import type { RetryAllowance } from './retry-budget.js';
 import type { Place } from './server-table.js';
 import type { SlotPolicy } from './slot-policy.js';
 
@@ -22,6 +23,7 @@
   readonly place: Place;
   readonly picker: Picker;
   readonly createPolicy: () => SlotPolicy;
+  readonly retries?: RetryAllowance | undefined;
 }
 
 /** The states of the filters, and which call each guarded attempt belongs to. */
@@ -39,15 +41,16 @@
 /** Hands each message to the filter that it is for, and the outputs of each filter to the next. */
 export class CallPipe extends Filter<CallPipeState, CallIn, CallOut> {
   readonly #host: HostId;
-  readonly #classify = new ClassifyFilter();
+  readonly #classify: ClassifyFilter;
   readonly #claim = new ClaimFilter();
   readonly #attempt: AttemptFilter;
   readonly #guard: GuardFilter;
 
-  constructor({ place, picker, createPolicy }: CallPipeOptions) {
+  constructor({ place, picker, createPolicy, retries }: CallPipeOptions) {
     super();
     this.#host = place.host;
-    this.#attempt = new AttemptFilter({ place, picker });
+    this.#classify = new ClassifyFilter(place.host);
+    this.#attempt = new AttemptFilter({ place, picker, retries });
     this.#guard = new GuardFilter(createPolicy);
   }
 
@@ -212,6 +215,7 @@
 
   #routeClassified(turn: Turn, output: ClassifyOut): void {
     if (output.kind === 'routed') this.#passToClaim(turn, output);
+    else if (output.kind === 'limits') turn.outputs.push(output);
     else turn.outputs.push({ ...output, kind: 'refuse', outcome: 'not-run' });
   }
 
--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -1,13 +1,19 @@
 /** The first filter of a call: finds its route, its request kind and its deadline. */
 import { addMs } from '../clock.js';
 import type { CallId, Instant, RequestKindName, ServiceName } from '../ids.js';
-import type { CallHead, RefusalReason, RequestKindResource } from '../messages/index.js';
+import type {
+  CallHead,
+  LimitsResource,
+  RefusalReason,
+  RequestKindResource,
+} from '../messages/index.js';
 import type { Whole } from '../notes/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import type { RoutedKind } from './route-index.js';
 import { RouteIndex } from './route-index.js';
 import { pickGeneration } from './split.js';
+import { WeightedTurns } from './weighted-turns.js';
 
 /** A call whose route is known. It keeps what one whole said of it until it ends. */
 export interface RoutedCall {
@@ -32,17 +38,31 @@
   | { readonly kind: 'arrived'; readonly head: CallHead };
 
 /** What the classify filter sends on. */
-export type ClassifyOut = { readonly kind: 'routed'; readonly call: RoutedCall } | RefusedCall;
+export type ClassifyOut =
+  | { readonly kind: 'routed'; readonly call: RoutedCall }
+  | RefusedCall
+  /** What callers may send from now on. */
+  | { readonly kind: 'limits'; readonly limits: LimitsResource };
 
 /** The index of the whole that is in force here. */
 export interface ClassifyState {
   readonly routes: RouteIndex | undefined;
+  /** The turns of routes with several targets; updated in place. */
+  readonly turns: WeightedTurns;
 }
 
 /** Routes each call by the whole that is in force when it arrives. */
 export class ClassifyFilter extends Filter<ClassifyState, ClassifyIn, ClassifyOut> {
+  readonly #host: string;
+
+  /** `host` is that of this proxy. */
+  constructor(host: string) {
+    super();
+    this.#host = host;
+  }
+
   override createState(): ClassifyState {
-    return { routes: undefined };
+    return { routes: undefined, turns: new WeightedTurns(this.#host) };
   }
 
   override decide(
@@ -51,20 +71,28 @@
     now: Instant,
   ): Step<ClassifyState, ClassifyOut> {
     if (message.kind === 'whole') {
-      return { state: { routes: new RouteIndex(message.whole) }, outputs: [] };
+      if (message.whole.resources.size === 0) return { state, outputs: [] };
+      const routes = new RouteIndex(message.whole);
+      state.turns.forget((name) => routes.hasRoute(name));
+      const { limits } = routes;
+      const outputs: ClassifyOut[] = limits === undefined ? [] : [{ kind: 'limits', limits }];
+      return { state: { ...state, routes }, outputs };
     }
-    return { state, outputs: [classifyCall(state.routes, message.head, now)] };
+    return { state, outputs: [classifyCall(state, message.head, now)] };
   }
 }
 
 /** The parts of a call by which a repetition is known. */
-export type SubjectParts = Pick<CallHead, 'method' | 'url' | 'caller' | 'key' | 'bodyDigest'>;
+export type SubjectParts = Pick<
+  CallHead,
+  'method' | 'host' | 'url' | 'caller' | 'key' | 'bodyDigest'
+>;
 
 /** Forms a text that is equal for calls that ask for the same. */
 export function formSubject(requestKind: RequestKindName, parts: SubjectParts): string {
-  const { method, url, caller, key, bodyDigest } = parts;
+  const { method, host, url, caller, key, bodyDigest } = parts;
   if (key !== undefined) return `${requestKind} ${caller ?? ''} ${key}`;
-  return `${requestKind} ${method} ${url} ${bodyDigest ?? ''}`;
+  return `${requestKind} ${method} ${host ?? ''}${url} ${caller ?? ''} ${bodyDigest ?? ''}`;
 }
 
 /** Tells whether a call must be claimed in the ledger before it runs. */
@@ -74,8 +102,9 @@
 
 // Internals.
 
-function classifyCall(routes: RouteIndex | undefined, head: CallHead, now: Instant): ClassifyOut {
+function classifyCall(state: ClassifyState, head: CallHead, now: Instant): ClassifyOut {
   const { id } = head;
+  const { routes, turns } = state;
   if (routes === undefined) return { kind: 'refused', id, reason: 'no-configuration' };
   const found = findRoute(routes, head);
   if (found === undefined) return { kind: 'refused', id, reason: 'no-route' };
@@ -86,12 +115,16 @@
   if (needsClaim(requestKind, head) && !head.repeatable) {
     return { kind: 'refused', id, reason: 'too-large' };
   }
+  const service = turns.pickService(route);
+  if (service === undefined) return { kind: 'refused', id, reason: 'no-server' };
   const subject = formSubject(requestKind.name, head);
-  return { kind: 'routed', call: { head, service: route.service, requestKind, deadline, subject } };
+  return { kind: 'routed', call: { head, service, requestKind, deadline, subject } };
 }
 
 /** Without a split there is only one side: the generations are tried in the order of their names. */
 function findRoute(routes: RouteIndex, head: CallHead): RoutedKind | undefined {
+  const own = head.host === undefined ? undefined : routes.findHost(head.host);
+  if (own !== undefined) return own.find(head.method, head.path);
   const generation = pickGeneration(routes.shares, head.caller ?? head.peer);
   const sides = generation === undefined ? routes.listGenerations() : [generation];
   for (const side of sides) {
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -1,6 +1,6 @@
 /** The slots of one backend server, as the proxy beside it grants them. */
 import { addMs } from '../clock.js';
-import type { Address, AttemptId, Instant } from '../ids.js';
+import type { Address, AttemptId, InstanceId, Instant } from '../ids.js';
 import type {
   Announcement,
   AttemptHead,
@@ -14,7 +14,13 @@
 
 /** What follows for an attempt: it runs now, waits, or certainly does not run. */
 export type Admission =
-  | { readonly kind: 'run'; readonly head: AttemptHead; readonly connections: number }
+  | {
+      readonly kind: 'run';
+      readonly head: AttemptHead;
+      readonly connections: number;
+      /** The life of the backend server that the attempt is meant for, where it has told one. */
+      readonly instance: InstanceId | undefined;
+    }
   | { readonly kind: 'reject'; readonly attempt: AttemptId; readonly reason: RefusalReason };
 
 /**
@@ -148,7 +154,7 @@
   findNextTurn(now: Instant): Instant | undefined {
     const settled = this.#settling[0] ?? this.#probeAt;
     if (settled !== undefined) return settled;
-    const isWarming = measureWarmth(this.#readySince, now) < 1;
+    const isWarming = this.#measureWarmth(now) < 1;
     return isWarming && this.#policy.count() > 0 ? addMs(now, WARM_UP_STEP_MS) : undefined;
   }
 
@@ -189,7 +195,8 @@
     if (this.#isLate(head, now)) return formReject(head.attempt, 'deadline');
     this.#running.set(head.attempt, { head, startedAt: now });
     this.#policy.addRun(head.requestKind);
-    return { kind: 'run', head, connections: this.#countConnections() };
+    const { instance } = this.#announcement;
+    return { kind: 'run', head, connections: this.#countConnections(), instance };
   }
 
   #evictLeast(): Admission[] {
@@ -203,10 +210,17 @@
   }
 
   #countSlots(now: Instant): number {
-    const warm = Math.floor(this.#announcement.slots * measureWarmth(this.#readySince, now));
+    const warm = Math.floor(this.#announcement.slots * this.#measureWarmth(now));
     return Math.max(1, Math.min(warm, this.#countConnections()));
   }
 
+  /** A server that tells when it will be warm is believed. */
+  #measureWarmth(now: Instant): number {
+    const { warmAt } = this.#announcement;
+    if (warmAt !== undefined) return warmAt <= now ? 1 : WARMTH_WHILE_COLD;
+    return measureWarmth(this.#readySince, now);
+  }
+
   /** One connection is left for asking whether the server is alive. */
   #countConnections(): number {
     return Math.max(1, this.#announcement.connections - 1);
@@ -224,6 +238,8 @@
 const CANCEL_SETTLE_MS = 20;
 const PROBE_INTERVAL_MS = 500;
 const WARM_UP_STEP_MS = 100;
+/** A cold server takes about twice as long, so it gets about half of its slots. */
+const WARMTH_WHILE_COLD = 0.5;
 /** The part of its remaining time that a call may spend waiting for a slot. */
 const MAX_WAIT_SHARE = 0.8;
 
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -9,6 +9,7 @@
 export { Picker, TwoChoicesPicker } from './picker.js';
 export type { PickContext } from './picker.js';
 export type { Place, ServerRecord, Tiers } from './server-table.js';
+export type { RetryAllowance } from './retry-budget.js';
 export { SharedSlots } from './shared-slots.js';
 export { SlotPolicy } from './slot-policy.js';
 export type { Waiting } from './slot-policy.js';
--- a/src/calls/route-index.ts
+++ b/src/calls/route-index.ts
@@ -1,12 +1,14 @@
 /** Finds the route of a call by generation, path prefix and method. */
 import type { Generation, RequestKindName } from '../ids.js';
 import type {
+  LimitsResource,
   RequestKindResource,
   RouteResource,
   SplitResource,
   SplitShare,
 } from '../messages/index.js';
 import type { Whole } from '../notes/index.js';
+import { ANY_METHOD, HostRoutes } from './host-routes.js';
 
 /** A route together with the request kind that it names. */
 export interface RoutedKind {
@@ -25,6 +27,10 @@
  */
 export class RouteIndex {
   readonly #roots = new Map<Generation, PathNode>();
+  readonly #hosts = new Map<string, HostRoutes>();
+  readonly #names = new Set<string>();
+  /** What callers may send, where the whole limits it. */
+  readonly limits: LimitsResource | undefined;
   /** The shares of the split in the order of their generations, or none without a split. */
   readonly shares: readonly SplitShare[];
 
@@ -32,11 +38,14 @@
     const kinds = new Map<RequestKindName, RequestKindResource>();
     const splits: SplitResource[] = [];
     const routes: RouteResource[] = [];
+    let limits: LimitsResource | undefined;
     for (const resource of whole.resources.values()) {
       if (resource.kind === 'request-kind') kinds.set(resource.name, resource);
       if (resource.kind === 'split') splits.push(resource);
       if (resource.kind === 'route') routes.push(resource);
+      if (resource.kind === 'limits') limits = resource;
     }
+    this.limits = limits;
     this.shares = listShares(splits);
     routes.sort((left, right) => compareText(left.name, right.name));
     for (const route of routes) this.#add(route, kinds.get(route.requestKind));
@@ -62,10 +71,27 @@
     return best;
   }
 
+  /** Finds the routes of a virtual host; none when no route names it. */
+  findHost(host: string): HostRoutes | undefined {
+    return this.#hosts.get(host);
+  }
+
+  /** Tells whether a route of this name is there. */
+  hasRoute(name: string): boolean {
+    return this.#names.has(name);
+  }
+
   // Internals.
 
   #add(route: RouteResource, requestKind: RequestKindResource | undefined): void {
     if (requestKind === undefined) return;
+    this.#names.add(route.name);
+    if (route.host !== undefined) {
+      const routes = this.#hosts.get(route.host) ?? new HostRoutes();
+      this.#hosts.set(route.host, routes);
+      routes.add({ route, requestKind });
+      return;
+    }
     let node = this.#roots.get(route.generation) ?? makeNode();
     this.#roots.set(route.generation, node);
     for (const segment of splitPath(route.pathPrefix)) {
@@ -84,8 +110,6 @@
   readonly methods: Map<string, RoutedKind>;
 }
 
-const ANY_METHOD = '*';
-
 function makeNode(): PathNode {
   return { children: new Map(), methods: new Map() };
 }
--- a/src/calls/server-table.ts
+++ b/src/calls/server-table.ts
@@ -48,13 +48,21 @@
   readonly #place: Place;
   readonly #members = new Map<HostId, Member>();
   readonly #services = new Map<ServiceName, ServiceEntry>();
+  readonly #proxies = new Set<HostId>();
 
   constructor(place: Place) {
     this.#place = place;
   }
 
+  /** How many proxies there are, this one included. */
+  get proxies(): number {
+    return Math.max(1, this.#proxies.size);
+  }
+
   /** Takes in one change of the membership. */
   apply(event: MemberEvent, now: Instant): void {
+    if (event.kind === 'member-gone') this.#proxies.delete(event.host);
+    else if (event.member.calls !== event.member.control) this.#proxies.add(event.member.host);
     if (event.kind === 'member-gone') this.#removeMember(event.host);
     else this.#updateMember(event.member, now);
   }
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -1,9 +1,10 @@
 /** One attempt on its connection: sends the request and reads the answer. */
-import type { ServerResponse } from 'node:http';
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
 import type { CallIn, RunEnding } from '../calls/index.js';
 import type { AttemptId } from '../ids.js';
 import type { AttemptFailure, RefusalOutcome, StoredAnswer } from '../messages/index.js';
+import type { AnswerVerdict } from './call-front.js';
 import {
   listAnswerHeaders,
   LOAD_HEADER,
@@ -22,6 +23,8 @@
   /** Whether a copy of the answer is kept for resends. */
   readonly keepsAnswer: boolean;
   readonly method: string;
+  /** Judges the head of a backend server's answer. */
+  readonly judge: (status: number, headers: IncomingHttpHeaders) => AnswerVerdict;
   readonly post: (message: CallIn) => void;
   /** Called once, with the HTTP status when an answer began. */
   readonly onEnd: (status: number | undefined) => void;
@@ -100,6 +103,7 @@
       };
       return;
     }
+    if (!isGuard && !this.#isAnswer(controller, status, headers)) return;
     const load = isGuard ? parseLoad(readHeader(headers, LOAD_HEADER)) : undefined;
     post({ kind: 'answer-started', attempt, status, load });
     const isDecided = this.#response !== undefined || this.#isDiscarded;
@@ -151,6 +155,14 @@
 
   // Internals.
 
+  /** Tells whether the head is that of the attempt's own answer, and acts where it is not. */
+  #isAnswer(controller: Controller, status: number, headers: IncomingHttpHeaders): boolean {
+    const verdict = this.#options.judge(status, headers);
+    if (verdict === 'not-run') this.#refusal = { outcome: 'not-run', reason: 'shed' };
+    if (verdict === 'foreign') controller.abort(new Error('the answer is to another request'));
+    return verdict === 'answer';
+  }
+
   #finish(): boolean {
     if (this.#isDone) return false;
     this.#isDone = true;
--- /dev/null
+++ b/src/edge/call-front.ts
@@ -0,0 +1,61 @@
+/** How calls are written towards callers and backend servers, apart from the decisions about them. */
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import type { Result } from '../errors.js';
+import type { CallerId, CallId, InstanceId, Instant } from '../ids.js';
+import type { HeadFault, UnreadHead } from './call-headers.js';
+import type { Refusal } from './call-refusal.js';
+
+/** What a backend server may be told of an attempt. */
+export interface ServerAttempt {
+  readonly caller: CallerId | undefined;
+  /** The life of the backend server that the attempt is meant for, where it has told one. */
+  readonly instance: InstanceId | undefined;
+  /** Milliseconds that are left until the deadline. */
+  readonly leftMs: number;
+  /** Counts the attempts that the call has been through. */
+  readonly count: number;
+}
+
+/**
+ * What an answer proves: the backend server ran the attempt and this is its answer, it certainly did not
+ * run it, or the answer belongs to something else.
+ */
+export type AnswerVerdict = 'answer' | 'not-run' | 'foreign';
+
+/** An answer of this proxy's own. */
+export interface RefusalAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+/**
+ * Reads calls of callers, and writes to backend servers and callers in their terms.
+ *
+ * Extend this class to serve callers and backend servers that speak otherwise. Between proxies the
+ * product's own headers stay in use, whatever the front.
+ */
+export abstract class CallFront {
+  /** Headers of callers, in lower case, that backend servers get from this proxy or not at all. */
+  abstract readonly ownedHeaders: ReadonlySet<string>;
+
+  /** Reads the head of a caller's call. */
+  abstract parseHead(
+    request: IncomingMessage,
+    id: CallId,
+    now: Instant,
+  ): Result<UnreadHead, HeadFault>;
+
+  /** Lists the headers that tell a backend server of an attempt, names and values in turn. */
+  abstract listServerHeaders(attempt: ServerAttempt): string[];
+
+  /** Judges the head of an answer to `request`. */
+  abstract judgeAnswer(
+    request: IncomingMessage,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): AnswerVerdict;
+
+  /** Forms the answer to a call that is refused. */
+  abstract formRefusal(request: IncomingMessage, refusal: Refusal): RefusalAnswer;
+}
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -5,7 +5,7 @@
 import { addMs } from '../clock.js';
 import type { Result } from '../errors.js';
 import { makeError, makeOk } from '../errors.js';
-import type { CallId, Digest, Instant } from '../ids.js';
+import type { CallerId, CallId, Digest, Instant } from '../ids.js';
 import {
   IdError,
   parseAddress,
@@ -43,6 +43,7 @@
 export interface ForwardedHead {
   readonly head: AttemptHead;
   readonly count: number;
+  readonly caller: CallerId | undefined;
 }
 
 /** Tells whether a request claims to come from another proxy. */
@@ -63,6 +64,7 @@
   }
   try {
     const path = parsePath(url);
+    const host = parseHostName(headers.host);
     const caller = readHeader(headers, CALLER_HEADER);
     const key = readHeader(headers, 'idempotency-key');
     return makeOk({
@@ -70,6 +72,7 @@
       method,
       path,
       url,
+      ...(host === undefined ? {} : { host }),
       caller: caller === undefined ? undefined : parseCallerId(caller),
       peer: request.socket.remoteAddress ?? '',
       key: key === undefined ? undefined : parseIdempotencyKey(key),
@@ -97,12 +100,15 @@
   }
   try {
     const requestKind = parseRequestKindName(kind);
-    const caller = readHeader(headers, CALLER_HEADER);
+    const named = readHeader(headers, CALLER_HEADER);
+    const caller = named === undefined ? undefined : parseCallerId(named);
+    const host = parseHostName(headers.host);
     const key = readHeader(headers, 'idempotency-key');
     const subject = formSubject(requestKind, {
       method,
+      ...(host === undefined ? {} : { host }),
       url,
-      caller: caller === undefined ? undefined : parseCallerId(caller),
+      caller,
       key: key === undefined ? undefined : parseIdempotencyKey(key),
       bodyDigest: digest === '' ? undefined : (digest as Digest),
     });
@@ -115,7 +121,7 @@
       subject,
       suspect: suspect === SUSPECT,
     };
-    return makeOk({ head, count: parseAttempt(headers) });
+    return makeOk({ head, count: parseAttempt(headers), caller });
   } catch (error) {
     if (error instanceof IdError) return formFault(error.message);
     throw error;
@@ -142,8 +148,17 @@
 }
 
 /** Lists the headers of a request for the next hop, names and values in turn. */
-export function listRequestHeaders(raw: readonly string[], added: readonly string[]): string[] {
-  return listHeaders(raw, REPLACED_REQUEST_HEADERS, added);
+export function listRequestHeaders(
+  raw: readonly string[],
+  added: readonly string[],
+  owned: ReadonlySet<string> = NO_HEADERS,
+): string[] {
+  return listHeaders(raw, REPLACED_REQUEST_HEADERS, added, owned);
+}
+
+/** Reads the name of a virtual host, without its port. */
+export function parseHostName(text: string | undefined): string | undefined {
+  return text?.replace(/:\d*$/, '').toLowerCase();
 }
 
 /** Lists the headers of an answer for the caller, names and values in turn. */
@@ -159,6 +174,7 @@
 
 // Internals.
 
+const NO_HEADERS: ReadonlySet<string> = new Set();
 const MAX_HEADERS = 128;
 const MAX_ATTEMPT = 1_000;
 const SUSPECT = 'suspect';
@@ -176,7 +192,6 @@
 const REPLACED_REQUEST_HEADERS: ReadonlySet<string> = new Set([
   ...HOP_BY_HOP_HEADERS,
   'expect',
-  'host',
   'traceparent',
 ]);
 
@@ -184,6 +199,7 @@
   raw: readonly string[],
   dropped: ReadonlySet<string>,
   added: readonly string[],
+  owned: ReadonlySet<string> = NO_HEADERS,
 ): string[] {
   const kept: string[] = [];
   const named = listConnectionHeaders(raw);
@@ -191,7 +207,7 @@
     const name = raw[index] ?? '';
     const lower = name.toLowerCase();
     if (dropped.has(lower) || named?.has(lower) === true) continue;
-    if (lower.startsWith(OWN_PREFIX) && lower !== CALLER_HEADER) continue;
+    if (lower.startsWith(OWN_PREFIX) || owned.has(lower)) continue;
     kept.push(name, raw[index + 1] ?? '');
   }
   for (const text of added) kept.push(text);
--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -1,7 +1,8 @@
 /** Answers calls that are refused. */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { RefusalOutcome, RefusalReason } from '../messages/index.js';
+import type { RefusalAnswer } from './call-front.js';
 import { OUTCOME_HEADER, REASON_HEADER } from './call-headers.js';
 
 /** What a refused caller is told. */
@@ -15,22 +16,37 @@
  * Refuses a call. An answer that has already begun can't become a refusal: its connection is closed
  * abnormally instead, so that nobody takes it for whole.
  */
-export function refuseCall(response: ServerResponse, refusal: Refusal): void {
+export function refuseCall(
+  response: ServerResponse,
+  refusal: Refusal,
+  formRefusal: (request: IncomingMessage, refusal: Refusal) => RefusalAnswer,
+): void {
   if (response.headersSent) {
     response.destroy();
     return;
   }
-  const { reason, outcome, message = MESSAGES[reason] } = refusal;
-  const text = JSON.stringify({ kind: reason, outcome, message });
+  const { status, headers, body } = formRefusal(response.req, refusal);
   const hasUnreadBody = !response.req.complete;
-  response.writeHead(STATUSES[reason], {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-    [OUTCOME_HEADER]: outcome,
-    [REASON_HEADER]: reason,
+  response.writeHead(status, {
+    'content-length': Buffer.byteLength(body),
+    ...headers,
     ...(hasUnreadBody ? { connection: 'close' } : {}),
   });
-  response.end(text);
+  response.end(body);
+}
+
+/** Forms the product's own refusal, which another proxy understands as well. */
+export function formOwnRefusal(refusal: Refusal): RefusalAnswer {
+  const { reason, outcome, message = MESSAGES[reason] } = refusal;
+  return {
+    status: STATUSES[reason],
+    headers: {
+      'content-type': 'application/json',
+      [OUTCOME_HEADER]: outcome,
+      [REASON_HEADER]: reason,
+    },
+    body: JSON.stringify({ kind: reason, outcome, message }),
+  };
 }
 
 /** Refuses a request that was no HTTP request at all, or one that took too long to arrive. */
@@ -71,6 +87,7 @@
   'key-reused': 422,
   'ledger-unavailable': 503,
   'upstream-failed': 502,
+  shed: 503,
 };
 
 const MESSAGES: Readonly<Record<RefusalReason, string>> = {
@@ -89,6 +106,7 @@
   'key-reused': 'this key belongs to another request; use a fresh key',
   'ledger-unavailable': 'the ledger did not answer; send the call again later',
   'upstream-failed': 'the backend server gave no whole answer',
+  shed: 'the backend server did not run the call; send it again later',
 };
 
 const SOCKET_STATUSES: Readonly<Record<string, string>> = {
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -4,29 +4,38 @@
 import type { Socket } from 'node:net';
 import type { Stream } from 'most';
 import type { Dispatcher } from 'undici';
-import type { CallIn, CallObserver, CallOut, Picker, Place, SlotPolicy } from '../calls/index.js';
+import type {
+  CallIn,
+  CallObserver,
+  CallOut,
+  Picker,
+  Place,
+  RetryAllowance,
+  SlotPolicy,
+} from '../calls/index.js';
 import { CallPipe, NoObserver, SharedSlots, TwoChoicesPicker } from '../calls/index.js';
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs } from '../clock.js';
-import type { Address, AttemptId, CallId } from '../ids.js';
-import type { AttemptHead, StoredAnswer } from '../messages/index.js';
+import type { Address, AttemptId, CallerId, CallId } from '../ids.js';
+import type { AttemptHead, LimitsResource, StoredAnswer } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { applyFilter, WakeTimer } from '../pipe/index.js';
 import type { Random } from '../random.js';
 import type { HopTracer } from '../traces/index.js';
 import { NoTracer } from '../traces/index.js';
 import { CallAttempt } from './call-attempt.js';
+import type { CallFront } from './call-front.js';
 import { hasBody, readBody } from './call-body.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
 import {
   ATTEMPT_HEADER,
+  CALLER_HEADER,
   FORWARD_HEADER,
   formatForward,
   formatLoad,
   isForwarded,
   listRequestHeaders,
   LOAD_HEADER,
-  parseCallHead,
   parseForwardedHead,
   TIMEOUT_HEADER,
 } from './call-headers.js';
@@ -37,6 +46,7 @@
 import { refuseSocket } from './call-refusal.js';
 import { HttpTask } from './http-task.js';
 import { OpenCall } from './open-call.js';
+import { OwnCallFront } from './own-call-front.js';
 
 /** What the call task hands on to other tasks. */
 export type CallNotice = Extract<CallOut, { kind: 'ledger' | 'observed' | 'broadcast' }>;
@@ -45,6 +55,12 @@
 export interface CallTaskOptions {
   /** Where callers and other proxies send calls. */
   readonly address: Address;
+  /** Where other proxies send calls as well. */
+  readonly secondAddress?: Address | undefined;
+  readonly front?: CallFront;
+  /** Who makes all calls that enter here, where that is known beforehand. */
+  readonly caller?: CallerId | undefined;
+  readonly retries?: RetryAllowance;
   readonly place: Place;
   /** What other proxies must show with the calls that they forward; see `Member.pass`. */
   readonly pass: string;
@@ -61,6 +77,7 @@
 /** Owns the callers' socket, the connections to backend servers and proxies, and the calls in flight. */
 export class CallTask extends HttpTask<CallIn> {
   readonly #options: CallTaskOptions;
+  readonly #front: CallFront;
   readonly #tracer: HopTracer;
   readonly #observer: CallObserver;
   readonly #pools = new CallPools();
@@ -74,9 +91,13 @@
   constructor(options: CallTaskOptions) {
     super({ name: 'calls', ...options, server: SERVER_OPTIONS });
     this.#options = options;
+    this.#front = options.front ?? new OwnCallFront();
     this.#tracer = options.tracer ?? new NoTracer();
     this.#observer = options.observer ?? new NoObserver();
-    this.#connections = new CallerConnections(options.clock);
+    this.#connections = new CallerConnections(options.clock, (id) => {
+      const call = this.#calls.get(id);
+      if (call !== undefined) this.#forget(call);
+    });
     this.#timer = new WakeTimer(options.clock, () => {
       this.post({ kind: 'tick' });
     });
@@ -113,11 +134,12 @@
   }
 
   protected override createPipe(messages: Stream<CallIn>): Stream<unknown> {
-    const { place, clock, random, picker, createPolicy } = this.#options;
+    const { place, clock, random, picker, createPolicy, retries } = this.#options;
     const pipe = new CallPipe({
       place,
       picker: picker ?? new TwoChoicesPicker(random),
       createPolicy: createPolicy ?? (() => new SharedSlots()),
+      retries,
     });
     return applyFilter(pipe, clock, messages).tap((output) => {
       this.#pass(output);
@@ -133,10 +155,12 @@
       response,
       isForwarded: isFromProxy,
       now: this.#options.clock.read(),
+      front: this.#front,
       tracer: this.#tracer,
       observer: this.#observer,
     });
     this.#calls.set(id, call);
+    this.#connections.addCall(request.socket, id);
     response.on('close', () => {
       this.#forget(call);
     });
@@ -148,19 +172,21 @@
   // Internals.
 
   #acceptCall(call: OpenCall): void {
-    const head = parseCallHead(call.request, call.id, this.#options.clock.read());
+    const head = this.#front.parseHead(call.request, call.id, this.#options.clock.read());
     if (!head.ok) {
       call.refuse(formHeadRefusal(head.error));
       return;
     }
+    const caller = this.#options.caller ?? head.value.caller;
+    call.caller = caller;
     if (this.#isDraining || !hasBody(call.request)) {
       this.post({
         kind: 'arrived',
-        head: { ...head.value, bodyDigest: undefined, repeatable: true },
+        head: { ...head.value, caller, bodyDigest: undefined, repeatable: true },
       });
       return;
     }
-    this.#readBody(call, head.value).catch(() => {
+    this.#readBody(call, { ...head.value, caller }).catch(() => {
       call.refuse({ reason: 'bad-request', outcome: 'not-run', message: 'the body broke off' });
     });
   }
@@ -197,13 +223,16 @@
       call.refuse(formHeadRefusal(parsed.error));
       return;
     }
+    const { head, count, caller } = parsed.value;
+    call.caller = caller;
     call.streamBody();
-    this.post({ kind: 'forwarded', id: call.id, ...parsed.value });
+    this.post({ kind: 'forwarded', id: call.id, head, count });
   }
 
   /** The caller has gone, or has its whole answer. */
   #forget(call: OpenCall): void {
-    this.#calls.delete(call.id);
+    if (!this.#calls.delete(call.id)) return;
+    this.#connections.forgetCall(call.request.socket, call.id);
     call.end(this.#options.clock.read());
     this.post({ kind: 'gone', id: call.id });
     this.#checkIdle();
@@ -235,6 +264,9 @@
       case 'probe':
         this.#probe(output.server);
         return;
+      case 'limits':
+        this.#applyLimits(output.limits);
+        return;
       case 'wake':
         this.#timer.wakeAt(output.at);
         return;
@@ -256,26 +288,33 @@
     }
     const { body } = call;
     const digest = body.kind === 'held' ? body.digest : undefined;
+    const named = call.caller === undefined ? [] : [CALLER_HEADER, call.caller];
     const added = [
       ...this.#listCallHeaders(head, count),
+      ...named,
       FORWARD_HEADER,
       formatForward(target.pass, head, digest),
     ];
     const pool = this.#pools.findPool(target.guard, MAX_CONNECTIONS_PER_GUARD);
-    this.#start(pool, call, head, added, { keepsAnswer, isGuard: true });
+    const headers = listRequestHeaders(call.request.rawHeaders, added);
+    this.#start(pool, call, head, headers, { keepsAnswer, isGuard: true });
   }
 
   /** Runs an attempt at a backend server beside this proxy. */
   #run(output: Extract<CallOut, { kind: 'run' }>): void {
     const call = this.#calls.get(output.id);
-    const { head, count, keepsAnswer, connections } = output;
+    const { head, count, keepsAnswer, connections, instance } = output;
     if (call === undefined) {
       this.#reportGone(head.attempt);
       return;
     }
     const pool = this.#pools.findPool(head.server, connections);
-    const added = this.#listCallHeaders(head, count);
-    this.#start(pool, call, head, added, { keepsAnswer, isGuard: false });
+    const { caller } = call;
+    const leftMs = this.#measureLeft(head);
+    const added = this.#front.listServerHeaders({ caller, instance, leftMs, count });
+    const { rawHeaders } = call.request;
+    const headers = listRequestHeaders(rawHeaders, added, this.#front.ownedHeaders);
+    this.#start(pool, call, head, headers, { keepsAnswer, isGuard: false });
   }
 
   /** The caller went while its attempt was granted a slot. */
@@ -284,19 +323,30 @@
     this.post({ kind: 'attempt-failed', attempt, failure, ending: 'not-sent' });
   }
 
-  #listCallHeaders({ deadline }: AttemptHead, count: number): string[] {
-    const left = Math.max(0, deadline - this.#options.clock.read());
-    return [TIMEOUT_HEADER, left.toFixed(1), ATTEMPT_HEADER, `${count}`];
+  #listCallHeaders(head: AttemptHead, count: number): string[] {
+    return [TIMEOUT_HEADER, this.#measureLeft(head).toFixed(1), ATTEMPT_HEADER, `${count}`];
+  }
+
+  /** Milliseconds that are left until the deadline of an attempt. */
+  #measureLeft({ deadline }: AttemptHead): number {
+    return Math.max(0, deadline - this.#options.clock.read());
+  }
+
+  #applyLimits({ headerTimeoutMs, idleTimeoutMs }: LimitsResource): void {
+    for (const server of this.servers) {
+      server.headersTimeout = headerTimeoutMs;
+      server.keepAliveTimeout = idleTimeoutMs;
+    }
   }
 
   #start(
     pool: Dispatcher,
     call: OpenCall,
     { attempt, server }: AttemptHead,
-    added: readonly string[],
+    headers: string[],
     { keepsAnswer, isGuard }: { keepsAnswer: boolean; isGuard: boolean },
   ): void {
-    const { method = 'GET', url = '/', rawHeaders } = call.request;
+    const { method = 'GET', url = '/' } = call.request;
     const startedAt = this.#options.clock.read();
     const hop = this.#tracer.startHop('client', 'attempt', call.traceParent, { server });
     const trace = hop.traceParent === undefined ? [] : ['traceparent', hop.traceParent];
@@ -305,6 +355,7 @@
       isGuard,
       keepsAnswer,
       method,
+      judge: (status, answered) => this.#front.judgeAnswer(call.request, status, answered),
       post: (message) => {
         this.post(message);
       },
@@ -318,7 +369,7 @@
       },
     });
     this.#attempts.set(attempt, running);
-    const headers = listRequestHeaders(rawHeaders, [...added, ...trace]);
+    headers.push(...trace);
     pool.dispatch({ path: url, method, headers, body: call.readBody() }, running);
   }
 
--- a/src/edge/caller-connections.ts
+++ b/src/edge/caller-connections.ts
@@ -2,6 +2,7 @@
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '../clock.js';
+import type { CallId } from '../ids.js';
 
 /**
  * Closes connections as they fall idle. One that never sent a request counts as busy for Node.js; it is
@@ -9,22 +10,38 @@
  */
 export class CallerConnections {
   readonly #clock: Clock;
-  readonly #sockets = new Set<Socket>();
+  readonly #notifyGone: (call: CallId) => void;
+  /** The open connections, each with its calls that have not ended. */
+  readonly #sockets = new Map<Socket, Set<CallId>>();
 
-  constructor(clock: Clock) {
+  /** `notifyGone` hears of each call whose connection closes before the call has ended. */
+  constructor(clock: Clock, notifyGone: (call: CallId) => void) {
     this.#clock = clock;
+    this.#notifyGone = notifyGone;
   }
 
   /** Keeps track of the connections of a fresh server. */
   watch(server: Server): void {
     server.on('connection', (socket) => {
-      this.#sockets.add(socket);
+      this.#sockets.set(socket, new Set());
       socket.on('close', () => {
+        const open = this.#sockets.get(socket) ?? [];
         this.#sockets.delete(socket);
+        for (const call of open) this.#notifyGone(call);
       });
     });
   }
 
+  /** Notes a call; of calls that wait behind another one, Node.js itself reports no end. */
+  addCall(socket: Socket, call: CallId): void {
+    this.#sockets.get(socket)?.add(call);
+  }
+
+  /** Forgets a call that has ended. */
+  forgetCall(socket: Socket, call: CallId): void {
+    this.#sockets.get(socket)?.delete(call);
+  }
+
   /** Closes the connections of a server that accepts no more, until none is left. */
   close(server: Server): void {
     const startedAt = this.#clock.read();
@@ -42,7 +59,7 @@
   // Internals.
 
   #closeUnused(): void {
-    for (const socket of this.#sockets) if (socket.bytesRead === 0) socket.destroy();
+    for (const socket of this.#sockets.keys()) if (socket.bytesRead === 0) socket.destroy();
   }
 }
 
--- a/src/edge/http-body.ts
+++ b/src/edge/http-body.ts
@@ -18,12 +18,18 @@
   return Buffer.concat(chunks).toString('utf8');
 }
 
-/** Answers with a JSON body. */
-export function sendJson(response: ServerResponse, status: number, body: unknown): void {
-  const text = JSON.stringify(body);
+/** Answers with a JSON body; bytes are sent as they are. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  const bytes = body instanceof Uint8Array ? body : Buffer.from(JSON.stringify(body));
   response.writeHead(status, {
     'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
+    'content-length': bytes.length,
+    ...headers,
   });
-  response.end(text);
+  response.end(bytes);
 }
--- a/src/edge/http-task.ts
+++ b/src/edge/http-task.ts
@@ -11,6 +11,8 @@
   readonly name: string;
   /** Where the server listens. */
   readonly address: Address;
+  /** Where the same requests are taken as well. */
+  readonly secondAddress?: Address | undefined;
   readonly reportFailure: ReportFailure;
   /** Limits of the server, as `http.createServer` takes them. */
   readonly server?: ServerOptions;
@@ -24,7 +26,7 @@
  */
 export abstract class HttpTask<In> extends Task<In> {
   readonly #options: HttpTaskOptions;
-  #server: Server | undefined;
+  readonly #servers: Server[] = [];
 
   constructor(options: HttpTaskOptions) {
     super(options.name, options.reportFailure);
@@ -44,22 +46,37 @@
     server.closeAllConnections();
   }
 
+  /** The servers that are open. */
+  protected get servers(): readonly Server[] {
+    return this.#servers;
+  }
+
   protected override async open(): Promise<void> {
+    const { address, secondAddress } = this.#options;
+    await this.#listen(address);
+    if (secondAddress !== undefined) await this.#listen(secondAddress);
+  }
+
+  protected override async close(): Promise<void> {
+    await Promise.all(this.#servers.map((server) => this.#closeServer(server)));
+  }
+
+  // Internals.
+
+  async #listen(address: Address): Promise<void> {
     const server = createServer(this.#options.server ?? {}, (request, response) => {
       this.handle(request, response);
     });
-    this.#server = server;
+    this.#servers.push(server);
     this.prepareServer(server);
-    const { host, port } = splitAddress(this.#options.address);
+    const { host, port } = splitAddress(address);
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen(port, host, resolve);
     });
   }
 
-  protected override async close(): Promise<void> {
-    const server = this.#server;
-    if (server === undefined) return;
+  async #closeServer(server: Server): Promise<void> {
     await new Promise<void>((resolve) => {
       server.close(() => {
         resolve();
--- a/src/edge/member-codec.ts
+++ b/src/edge/member-codec.ts
@@ -85,7 +85,7 @@
 const LIVENESS = [undefined, 'suspect', 'dead', 'left'] as const;
 const CRASH_SEEN = 4;
 const STATES: readonly ServerState[] = ['starting', 'ready', 'draining', 'leaving', 'failing'];
-const RECORD_FIELDS = 9;
+const RECORD_FIELDS = 10;
 const SERVER_FIELDS = 5;
 const MAX_REMAINING_MS = 86_400_000;
 const MAX_FINGERPRINT_LENGTH = 128;
@@ -106,6 +106,7 @@
     encodeNear(member.calls, control),
     member.version,
     member.pass,
+    member.isSource ? 1 : 0,
     ...servers,
   ];
 }
@@ -143,6 +144,7 @@
     calls: decodeNear(fields[6], control),
     version: readCount(fields[7]) as Version,
     pass: readPass(fields[8]),
+    isSource: readCount(fields[9]) === 1,
     liveness: 'alive',
     servers,
   };
--- a/src/edge/note-toml.ts
+++ b/src/edge/note-toml.ts
@@ -53,9 +53,23 @@
 }
 
 const nameSchema = formIdSchema<string>(parseServiceName);
-const serviceSchema = z.strictObject({
-  kind: z.literal('service'),
-  name: formIdSchema(parseServiceName),
+const serviceSchema = z
+  .strictObject({
+    kind: z.literal('service'),
+    name: formIdSchema(parseServiceName),
+    health_path: z.string().startsWith('/').optional(),
+    connections: z.int().min(1).optional(),
+  })
+  .transform(({ kind, name, health_path, connections }) => ({
+    kind,
+    name,
+    ...(health_path === undefined ? {} : { healthPath: health_path }),
+    ...(connections === undefined ? {} : { connections }),
+  }));
+
+const targetSchema = z.strictObject({
+  service: formIdSchema(parseServiceName),
+  weight: z.number().min(0),
 });
 
 const routeSchema = z
@@ -63,18 +77,25 @@
     kind: z.literal('route'),
     name: nameSchema,
     generation: formIdSchema(parseGeneration).optional(),
-    path_prefix: z
-      .string()
-      .regex(
-        PATH_PATTERN,
-        'expected an absolute path such as "/orders", without a slash at its end',
-      ),
+    host: z.string().min(1).toLowerCase().optional(),
+    path_prefix: z.string().startsWith('/', 'expected an absolute path such as "/orders"'),
     method: z.string().regex(/^(\*|[A-Z]+)$/, 'expected a method in capitals, or "*"'),
     service: formIdSchema(parseServiceName),
+    targets: z.array(targetSchema).min(1).optional(),
     request_kind: formIdSchema(parseRequestKindName),
   })
-  .transform(({ path_prefix, request_kind, ...rest }) => ({
+  .refine(({ host, path_prefix }) => host !== undefined || PATH_PATTERN.test(path_prefix), {
+    path: ['path_prefix'],
+    error: 'expected an absolute path such as "/orders", without a slash at its end',
+  })
+  .refine(({ service, targets }) => targets === undefined || targets[0]?.service === service, {
+    path: ['targets'],
+    error: 'the first target must be the service of the route',
+  })
+  .transform(({ host, targets, path_prefix, request_kind, ...rest }) => ({
     ...rest,
+    ...(host === undefined ? {} : { host }),
+    ...(targets === undefined ? {} : { targets }),
     pathPrefix: path_prefix,
     requestKind: request_kind,
   }));
@@ -88,12 +109,37 @@
     timeout_ms: z.int().min(1).max(MAX_TIMEOUT_MS),
     claim: z.boolean().default(false),
     hedge: z.boolean().default(false),
+    target_latency_ms: z.int().min(1).max(MAX_TIMEOUT_MS).optional(),
+    max_attempts: z.int().min(1).optional(),
   })
   .refine(({ idempotent, hedge }) => idempotent || !hedge, {
     path: ['hedge'],
     error: 'only an idempotent kind may be hedged',
   })
-  .transform(({ timeout_ms, ...rest }) => ({ ...rest, timeoutMs: timeout_ms }));
+  .transform(({ timeout_ms, target_latency_ms, max_attempts, ...rest }) => ({
+    ...rest,
+    timeoutMs: timeout_ms,
+    ...(target_latency_ms === undefined ? {} : { targetLatencyMs: target_latency_ms }),
+    ...(max_attempts === undefined ? {} : { maxAttempts: max_attempts }),
+  }));
+
+const limitsSchema = z
+  .strictObject({
+    kind: z.literal('limits'),
+    name: nameSchema,
+    max_header_bytes: z.int().min(1),
+    max_body_bytes: z.int().min(0),
+    header_timeout_ms: z.int().min(1).max(MAX_TIMEOUT_MS),
+    idle_timeout_ms: z.int().min(1).max(MAX_TIMEOUT_MS),
+  })
+  .transform(({ kind, name, ...rest }) => ({
+    kind,
+    name,
+    maxHeaderBytes: rest.max_header_bytes,
+    maxBodyBytes: rest.max_body_bytes,
+    headerTimeoutMs: rest.header_timeout_ms,
+    idleTimeoutMs: rest.idle_timeout_ms,
+  }));
 
 const splitSchema = z.strictObject({
   kind: z.literal('split'),
@@ -120,10 +166,14 @@
   routeSchema,
   requestKindSchema,
   splitSchema,
+  limitsSchema,
 ]);
 
 const keySchema = z
-  .strictObject({ kind: z.enum(['service', 'route', 'request-kind', 'split']), name: nameSchema })
+  .strictObject({
+    kind: z.enum(['service', 'route', 'request-kind', 'split', 'limits']),
+    name: nameSchema,
+  })
   .transform(({ kind, name }) => `${kind}/${name}` as ResourceKey);
 
 const numberSchema = z.int().min(1).transform(parseNoteNumber);
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -2,13 +2,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { CallObserver } from '../calls/index.js';
-import type { CallId, Instant } from '../ids.js';
+import type { CallerId, CallId, Instant } from '../ids.js';
 import type { Hop, HopTracer } from '../traces/index.js';
 import type { CallBody } from './call-body.js';
 import { hasBody } from './call-body.js';
 import { readHeader } from './call-headers.js';
+import type { CallFront } from './call-front.js';
 import type { Refusal } from './call-refusal.js';
-import { refuseCall } from './call-refusal.js';
+import { formOwnRefusal, refuseCall } from './call-refusal.js';
 
 /** What an open call needs. */
 export interface OpenCallOptions {
@@ -18,6 +19,7 @@
   /** Whether the call came from another proxy. */
   readonly isForwarded: boolean;
   readonly now: Instant;
+  readonly front: CallFront;
   readonly tracer: HopTracer;
   readonly observer: CallObserver;
 }
@@ -30,12 +32,17 @@
   readonly isForwarded: boolean;
   /** The body, once it has been read as far as it is held. */
   body: CallBody = { kind: 'none' };
+  /** Who made the call, once its head has been read. */
+  caller: CallerId | undefined;
+  readonly #front: CallFront;
   readonly #observer: CallObserver;
   readonly #hop: Hop;
   readonly #startedAt: Instant;
   #refusal: Refusal | undefined;
 
-  constructor({ id, request, response, isForwarded, now, tracer, observer }: OpenCallOptions) {
+  constructor(options: OpenCallOptions) {
+    const { id, request, response, isForwarded, now, front, tracer, observer } = options;
+    this.#front = front;
     this.id = id;
     this.request = request;
     this.response = response;
@@ -67,7 +74,9 @@
   refuse(refusal: Refusal): void {
     if (this.response.writableEnded || this.response.destroyed) return;
     this.#refusal = refusal;
-    refuseCall(this.response, refusal);
+    refuseCall(this.response, refusal, (request, cause) => {
+      return this.isForwarded ? formOwnRefusal(cause) : this.#front.formRefusal(request, cause);
+    });
   }
 
   /** Reports the end of the call. */
--- a/src/edge/operator-answer.ts
+++ b/src/edge/operator-answer.ts
@@ -6,7 +6,9 @@
 /** An answer as it goes over HTTP. */
 export interface OperatorAnswer {
   readonly status: number;
+  /** Sent as JSON, except for bytes, which are JSON already. */
   readonly body: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** Finds the address at which operators reach another source host, where it is known. */
@@ -65,6 +67,7 @@
   refused: 422,
   'number-taken': 409,
   'stale-revision': 409,
+  'stale-base': 412,
   'would-undo': 409,
   'rested-on': 409,
   'unknown-note': 404,
--- a/src/edge/operator-request.ts
+++ b/src/edge/operator-request.ts
@@ -3,7 +3,7 @@
 import { makeError, makeOk } from '../errors.js';
 import type { NoteNumber, Revision, Version } from '../ids.js';
 import { IdError, NO_VERSION, parseNoteNumber } from '../ids.js';
-import type { NoteCommand, NoteFault } from '../messages/index.js';
+import type { NoteCommand, NoteFault, Replacement } from '../messages/index.js';
 import type { NoteFormat } from './note-toml.js';
 import { readNote } from './note-toml.js';
 
@@ -19,6 +19,8 @@
 /** What an operator asks for. */
 export type OperatorRequest =
   | { readonly kind: 'command'; readonly command: NoteCommand }
+  | { readonly kind: 'replace'; readonly replacement: Replacement }
+  | { readonly kind: 'replacement' }
   | { readonly kind: 'show'; readonly number: NoteNumber }
   | { readonly kind: 'list'; readonly after: Version; readonly limit: number }
   /** Waits at most `timeoutMs`; the operator's own limit when it gives one. */
--- a/src/edge/operator-task.ts
+++ b/src/edge/operator-task.ts
@@ -1,30 +1,22 @@
-/** The operators' HTTP interface of the source: JSON answers, notes in TOML or JSON, a bearer token. */
-import { createHash, randomUUID, timingSafeEqual } from 'node:crypto';
+/** The operators' HTTP interface of the source. Its encoding is that of an {@link OperatorFront}. */
+import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Stream } from 'most';
 import type { Clock } from '../clock.js';
 import { addMs, NEVER } from '../clock.js';
 import type { Address, Instant, RequestId } from '../ids.js';
-import type { NotesIn, NotesOut } from '../notes/index.js';
+import type { NotesIn } from '../notes/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { WakeTimer } from '../pipe/index.js';
-import { BodyTooLargeError, readText, sendJson } from './http-body.js';
+import { readText, sendJson } from './http-body.js';
 import { HttpTask } from './http-task.js';
 import type { FindOperator, OperatorAnswer } from './operator-answer.js';
-import {
-  BUSY,
-  formCommandAnswer,
-  formFaultAnswer,
-  formRefusalAnswer,
-  OUTCOME_UNKNOWN,
-  UNAUTHORIZED,
-} from './operator-answer.js';
+import type { OperatorFront, OperatorReply } from './operator-front.js';
 import type { OperatorRequest } from './operator-request.js';
-import { readOperatorRequest } from './operator-request.js';
 
 /** What the operator interface is told: the answers of the notes pipe. */
 export type OperatorIn =
-  | Extract<NotesOut, { kind: 'answer' | 'status' | 'page' | 'refusal' }>
+  | OperatorReply
   /** Ends the requests whose answer is overdue. */
   | { readonly kind: 'tick' };
 
@@ -32,8 +24,7 @@
 export interface OperatorOptions {
   readonly address: Address;
   readonly clock: Clock;
-  /** The secret that each request must bring. */
-  readonly token: string;
+  readonly front: OperatorFront;
   /** The longest time that a request to wait is held open, in milliseconds. */
   readonly waitLimitMs: number;
   readonly findOperator: FindOperator;
@@ -45,14 +36,12 @@
 /** Owns the operators' socket and the requests that wait for an answer. */
 export class OperatorTask extends HttpTask<OperatorIn> {
   readonly #options: OperatorOptions;
-  readonly #secret: Buffer;
   readonly #open = new Map<RequestId, OpenRequest>();
   readonly #timer: WakeTimer;
 
   constructor(options: OperatorOptions) {
     super({ name: 'operator', server: SERVER_LIMITS, ...options });
     this.#options = options;
-    this.#secret = digestSecret(`Bearer ${options.token}`);
     this.#timer = new WakeTimer(options.clock, () => {
       this.post({ kind: 'tick' });
     });
@@ -66,9 +55,7 @@
 
   protected override handle(request: IncomingMessage, response: ServerResponse): void {
     this.#handleRequest(request, response).catch((error: unknown) => {
-      const status = error instanceof BodyTooLargeError ? PAYLOAD_TOO_LARGE : BAD_REQUEST;
-      const body = { kind: 'bad-request', message: (error as Error).message };
-      sendAnswer(response, { status, body });
+      sendAnswer(response, this.#options.front.formUnread(error));
     });
   }
 
@@ -80,37 +67,40 @@
   // Internals.
 
   async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (!timingSafeEqual(digestSecret(request.headers.authorization ?? ''), this.#secret)) {
-      sendAnswer(response, UNAUTHORIZED);
+    const { front } = this.#options;
+    const refusal = front.checkAccess(request);
+    if (refusal !== undefined) {
+      sendAnswer(response, refusal);
       return;
     }
     const body = await readText(request, MAX_NOTE_BYTES);
     const format = isJson(request) ? 'json' : 'toml';
     const { method = '', url = '/' } = request;
-    const read = readOperatorRequest({ method, url, format, body });
-    if (!read.ok) sendAnswer(response, formFaultAnswer(read.error));
-    else if (this.#open.size >= MAX_OPEN_REQUESTS) sendAnswer(response, BUSY);
-    else this.#pass(read.value, response);
+    const read = front.readRequest({ method, url, format, body });
+    if (!read.ok) sendAnswer(response, read.error);
+    else if (this.#open.size >= MAX_OPEN_REQUESTS) sendAnswer(response, front.formBusy());
+    else this.#pass(read.value, response, url);
   }
 
-  #pass(request: OperatorRequest, response: ServerResponse): void {
+  #pass(request: OperatorRequest, response: ServerResponse, url: string): void {
     const now = this.#options.clock.read();
     if (request.kind === 'wait') {
       const limit = this.#options.waitLimitMs;
       const deadline = addMs(now, Math.min(request.timeoutMs ?? limit, limit));
-      const id = this.#addOpen(response, addMs(deadline, ANSWER_TIMEOUT_MS));
+      const id = this.#addOpen(response, addMs(deadline, ANSWER_TIMEOUT_MS), url);
       const { kind, number } = request;
       this.#options.request({ kind: 'question', id, question: { kind, number, deadline } });
       return;
     }
-    const id = this.#addOpen(response, addMs(now, ANSWER_TIMEOUT_MS));
-    if (request.kind === 'command') this.#options.request({ ...request, id });
-    else this.#options.request({ kind: 'question', id, question: request });
+    const id = this.#addOpen(response, addMs(now, ANSWER_TIMEOUT_MS), url);
+    if (request.kind === 'command' || request.kind === 'replace') {
+      this.#options.request({ ...request, id });
+    } else this.#options.request({ kind: 'question', id, question: request });
   }
 
-  #addOpen(response: ServerResponse, deadline: Instant): RequestId {
+  #addOpen(response: ServerResponse, deadline: Instant, url: string): RequestId {
     const id = randomUUID() as string as RequestId;
-    this.#open.set(id, { response, deadline });
+    this.#open.set(id, { response, deadline, url });
     this.#timer.wakeAt(deadline);
     response.on('close', () => {
       if (this.#open.delete(id)) this.#options.request({ kind: 'cancel', id });
@@ -119,23 +109,14 @@
   }
 
   #handleMessage(message: OperatorIn): void {
-    switch (message.kind) {
-      case 'answer':
-        this.#answer(message.id, formCommandAnswer(message.answer));
-        return;
-      case 'refusal':
-        this.#answer(message.id, formRefusalAnswer(message.refusal, this.#options.findOperator));
-        return;
-      case 'status':
-        this.#answer(message.id, { status: OK, body: message.status });
-        return;
-      case 'page':
-        this.#answer(message.id, { status: OK, body: message.page });
-        return;
-      case 'tick':
-        this.#stopOverdue();
-        return;
+    if (message.kind === 'tick') {
+      this.#stopOverdue();
+      return;
     }
+    const url = this.#open.get(message.id)?.url;
+    if (url === undefined) return;
+    const { front, findOperator } = this.#options;
+    this.#answer(message.id, front.formAnswer(message, { url, findOperator }));
   }
 
   #answer(id: RequestId, answer: OperatorAnswer): void {
@@ -153,7 +134,7 @@
         next = Math.min(next, deadline) as Instant;
         continue;
       }
-      this.#answer(id, OUTCOME_UNKNOWN);
+      this.#answer(id, this.#options.front.formUnknown());
       this.#options.request({ kind: 'cancel', id });
     }
     this.#timer.wakeAt(next);
@@ -167,11 +148,10 @@
   readonly response: ServerResponse;
   /** After this instant the operator is told that the outcome is unknown. */
   readonly deadline: Instant;
+  /** The path of the request, with its query. */
+  readonly url: string;
 }
 
-const OK = 200;
-const BAD_REQUEST = 400;
-const PAYLOAD_TOO_LARGE = 413;
 const MAX_NOTE_BYTES = 4 * 1024 * 1024;
 const MAX_OPEN_REQUESTS = 1024;
 const ANSWER_TIMEOUT_MS = 10_000;
@@ -188,11 +168,6 @@
   return request.headers['content-type']?.startsWith('application/json') ?? false;
 }
 
-function sendAnswer(response: ServerResponse, { status, body }: OperatorAnswer): void {
-  sendJson(response, status, body);
-}
-
-/** Hashing gives both sides the same length, which the constant-time comparison needs. */
-function digestSecret(secret: string): Buffer {
-  return createHash('sha256').update(secret).digest();
+function sendAnswer(response: ServerResponse, { status, body, headers }: OperatorAnswer): void {
+  sendJson(response, status, body, headers);
 }
--- /dev/null
+++ b/src/edge/own-announce-front.ts
@@ -0,0 +1,65 @@
+/** The product's own interface for backend servers: `POST /announce` and `POST /drain`. */
+import { z } from 'zod';
+import { addMs } from '../clock.js';
+import type { Result } from '../errors.js';
+import { makeError, makeOk } from '../errors.js';
+import type { Instant } from '../ids.js';
+import { parseAddress, parseServiceName } from '../ids.js';
+import type { Announcement } from '../messages/index.js';
+import type { AnnounceAnswer, AnnounceHttpRequest, AnnounceRequest } from './announce-front.js';
+import { AnnounceFront } from './announce-front.js';
+
+/** Reads announcements as docs/OPERATORS.md describes them. */
+export class OwnAnnounceFront extends AnnounceFront {
+  override readRequest(
+    { method, url, body }: AnnounceHttpRequest,
+    now: Instant,
+  ): Result<AnnounceRequest, AnnounceAnswer> {
+    if (method === 'POST' && url === '/drain') return makeOk({ kind: 'drain' });
+    if (method !== 'POST' || url !== '/announce') {
+      const message = 'use POST /announce or POST /drain';
+      return makeError({ status: NOT_FOUND, body: { kind: 'unknown-path', message } });
+    }
+    try {
+      return makeOk({ kind: 'announce', announcement: readAnnouncement(body, now) });
+    } catch (error) {
+      const { message } = error as Error;
+      return makeError({ status: BAD_REQUEST, body: { kind: 'bad-request', message } });
+    }
+  }
+
+  override formAnswer(request: AnnounceRequest): AnnounceAnswer {
+    if (request.kind !== 'announce') return { status: ACCEPTED, body: { kind: 'draining' } };
+    const { heartbeatDeadline } = request.announcement;
+    return { status: OK, body: { heartbeat_deadline: heartbeatDeadline } };
+  }
+}
+
+// Internals.
+
+const OK = 200;
+const ACCEPTED = 202;
+const BAD_REQUEST = 400;
+const NOT_FOUND = 404;
+const MAX_HEARTBEAT_MS = 60_000;
+
+const announcementSchema = z.strictObject({
+  service: z.string(),
+  address: z.string(),
+  slots: z.int().min(1),
+  connections: z.int().min(1),
+  state: z.enum(['starting', 'ready', 'draining', 'leaving']),
+  heartbeat_ms: z.int().min(1).max(MAX_HEARTBEAT_MS),
+});
+
+function readAnnouncement(text: string, now: Instant): Announcement {
+  const body = announcementSchema.parse(JSON.parse(text));
+  return {
+    service: parseServiceName(body.service),
+    address: parseAddress(body.address),
+    slots: body.slots,
+    connections: body.connections,
+    state: body.state,
+    heartbeatDeadline: addMs(now, body.heartbeat_ms),
+  };
+}
--- /dev/null
+++ b/src/edge/own-call-front.ts
@@ -0,0 +1,36 @@
+/** The product's own headers towards callers and backend servers. */
+import type { IncomingMessage } from 'node:http';
+import type { Result } from '../errors.js';
+import type { CallId, Instant } from '../ids.js';
+import type { AnswerVerdict, RefusalAnswer, ServerAttempt } from './call-front.js';
+import { CallFront } from './call-front.js';
+import type { HeadFault, UnreadHead } from './call-headers.js';
+import { ATTEMPT_HEADER, CALLER_HEADER, parseCallHead, TIMEOUT_HEADER } from './call-headers.js';
+import type { Refusal } from './call-refusal.js';
+import { formOwnRefusal } from './call-refusal.js';
+
+/** Speaks the headers of docs/OPERATORS.md. */
+export class OwnCallFront extends CallFront {
+  override readonly ownedHeaders: ReadonlySet<string> = new Set();
+
+  override parseHead(
+    request: IncomingMessage,
+    id: CallId,
+    now: Instant,
+  ): Result<UnreadHead, HeadFault> {
+    return parseCallHead(request, id, now);
+  }
+
+  override listServerHeaders({ caller, leftMs, count }: ServerAttempt): string[] {
+    const named = caller === undefined ? [] : [CALLER_HEADER, caller];
+    return [TIMEOUT_HEADER, leftMs.toFixed(1), ATTEMPT_HEADER, `${count}`, ...named];
+  }
+
+  override judgeAnswer(): AnswerVerdict {
+    return 'answer';
+  }
+
+  override formRefusal(_request: IncomingMessage, refusal: Refusal): RefusalAnswer {
+    return formOwnRefusal(refusal);
+  }
+}
--- a/src/edge/spread-codec.ts
+++ b/src/edge/spread-codec.ts
@@ -28,15 +28,24 @@
 
 const share = z.object({ generation: name, share: z.number() });
 
+const target = z.object({ service: name, weight: z.number() });
+
 const resource = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('service'), name }),
+  z.object({
+    kind: z.literal('service'),
+    name,
+    healthPath: name.optional(),
+    connections: count.optional(),
+  }),
   z.object({
     kind: z.literal('route'),
     name,
     generation: name,
+    host: name.optional(),
     pathPrefix: name,
     method: name,
     service: name,
+    targets: z.array(target).optional(),
     requestKind: name,
   }),
   z.object({
@@ -47,6 +56,16 @@
     timeoutMs: z.number(),
     claim: z.boolean(),
     hedge: z.boolean(),
+    targetLatencyMs: z.number().optional(),
+    maxAttempts: count.optional(),
+  }),
+  z.object({
+    kind: z.literal('limits'),
+    name,
+    maxHeaderBytes: count,
+    maxBodyBytes: count,
+    headerTimeoutMs: z.number(),
+    idleTimeoutMs: z.number(),
   }),
   z.object({ kind: z.literal('split'), name, shares: z.array(share) }),
 ]);
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -50,6 +50,8 @@
 export type IdempotencyKey = Branded<string, 'IdempotencyKey'>;
 /** Identifies a caller (a member or a fitter) for the split between generations. */
 export type CallerId = Branded<string, 'CallerId'>;
+/** Identifies one life of a backend server, as it calls itself. */
+export type InstanceId = Branded<string, 'InstanceId'>;
 /** Counts the lives of a member, so that it can refute a false suspicion. */
 export type Incarnation = Branded<number, 'Incarnation'>;
 /** A point in time: milliseconds since the Unix epoch. Deadlines are stored in this unit. */
@@ -100,6 +102,11 @@
   return checkPrintable(text, 'Idempotency-Key') as IdempotencyKey;
 }
 
+/** Checks an instance id: 1 to 256 printable ASCII characters. */
+export function parseInstanceId(text: string): InstanceId {
+  return checkPrintable(text, 'instance id') as InstanceId;
+}
+
 /** Checks an `ip:port` address; IPv6 addresses stand in brackets. */
 export function parseAddress(text: string): Address {
   const match = ADDRESS_PATTERN.exec(text);
--- a/src/log/candidate-role.ts
+++ b/src/log/candidate-role.ts
@@ -100,8 +100,7 @@
 
   /** A candidate that cannot win may have been left out of the membership without knowing it. */
   #askToJoin(): void {
-    const { replicas, self } = this.replica.options;
-    for (const address of replicas.filter((one) => one !== self)) {
+    for (const address of this.replica.others) {
       this.replica.sendDurable({ address, replica: undefined }, { kind: 'join', fresh: false });
     }
   }
--- a/src/log/follower-role.ts
+++ b/src/log/follower-role.ts
@@ -53,7 +53,7 @@
     if (now < this.#joinAt) return undefined;
     this.#joinAt = addMs(now, this.replica.options.timing.joinMs);
     if (this.#isFresh && this.#canFound(now)) return this.#found(now);
-    for (const address of this.#others) {
+    for (const address of this.replica.others) {
       this.replica.sendDurable(
         { address, replica: undefined },
         { kind: 'join', fresh: this.#isFresh },
@@ -86,20 +86,22 @@
     return this.replica.isVoter && this.replica.entries.membership?.voters.length === 1;
   }
 
-  get #others(): readonly Address[] {
-    return this.replica.options.replicas.filter((address) => address !== this.replica.options.self);
-  }
-
   #canFound(now: Instant): boolean {
-    const { replicas, self } = this.replica.options;
-    if ([...replicas].sort()[0] !== self) return false;
-    return this.#others.every((address) => now < (this.#freshPeers.get(address)?.trustUntil ?? 0));
+    const { replicas, self, growth } = this.replica.options;
+    if (growth?.founds === false || [...replicas].sort()[0] !== self) return false;
+    return replicas.every((address) => {
+      return address === self || now < (this.#freshPeers.get(address)?.trustUntil ?? 0);
+    });
   }
 
   #found(now: Instant): RoleKind | undefined {
     const { replica } = this;
     const voters: Voter[] = [{ address: replica.options.self, replica: replica.id }];
-    for (const [address, peer] of this.#freshPeers) voters.push({ address, replica: peer.replica });
+    for (const [address, peer] of this.#freshPeers) {
+      if (replica.options.replicas.includes(address)) {
+        voters.push({ address, replica: peer.replica });
+      }
+    }
     const membership = { voters };
     replica.entries.reset(START, membership);
     replica.append([{ kind: 'base', base: START, membership }]);
--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -34,7 +34,9 @@
   }
 
   override handleRequest(request: LogRequest<Command>, now: Instant): undefined {
-    if (request.kind === 'propose') {
+    if (request.kind === 'propose' && !this.#hasEnoughVoters) {
+      this.replica.refuse(request.id, { kind: 'not-leader', leader: undefined });
+    } else if (request.kind === 'propose') {
       const index = this.#append({ kind: 'command', command: request.command });
       this.replica.addProposal(index, request.id);
       this.#replicator.replicate(now);
@@ -59,6 +61,7 @@
 
   override handleTick(now: Instant): RoleKind | undefined {
     if (!this.#hearsQuorum(now)) return 'follower';
+    this.#replaceSilent(now);
     this.#replicator.resendLate(now);
     if (now >= this.#heartbeatAt) this.#speak(now);
     return undefined;
@@ -84,6 +87,10 @@
     return this.replica.entries.membership ?? NOBODY;
   }
 
+  get #hasEnoughVoters(): boolean {
+    return this.#membership.voters.length >= (this.replica.options.growth?.minVoters ?? 0);
+  }
+
   #addProgress(peer: Voter, now: Instant): void {
     if (peer.replica === this.replica.id) return;
     const sent = this.replica.entries.last.index;
@@ -150,7 +157,8 @@
 
   /** Takes in a replica that has lost its disk, or that is new. */
   #admit(peer: Voter, now: Instant): void {
-    if (!this.replica.options.replicas.includes(peer.address)) return;
+    const { replicas, growth } = this.replica.options;
+    if (growth === undefined && !replicas.includes(peer.address)) return;
     if (findVoter(this.#membership, peer.address)?.replica === peer.replica) return;
     if (this.#learners.get(peer.address)?.replica === peer.replica) return;
     this.#learners.set(peer.address, peer);
@@ -166,7 +174,7 @@
     const { entries, committed } = this.replica;
     if (!this.#announced || entries.membershipIndex > committed) return;
     for (const learner of this.#learners.values()) {
-      const next = this.#findChange(learner);
+      const next = this.#findChange(learner, now);
       if (next === undefined) continue;
       this.#append({ kind: 'membership', membership: next });
       this.#replicator.replicate(now);
@@ -174,17 +182,56 @@
     }
   }
 
-  #findChange(learner: Voter): Membership | undefined {
+  #findChange(learner: Voter, now: Instant): Membership | undefined {
     const membership = this.#membership;
     const former = findVoter(membership, learner.address);
     if (former !== undefined) return removeVoter(membership, learner.address);
-    const matched = this.#replicator.find(learner)?.matched ?? 0;
-    if (matched < this.replica.committed) return undefined;
+    if (!this.#hasCaughtUp(learner) || this.#isSilent(learner, now, LEARNER_SILENCE_MS)) {
+      return undefined;
+    }
+    const { maxVoters = NO_LIMIT } = this.replica.options.growth ?? {};
+    if (membership.voters.length >= maxVoters) return undefined;
     this.#learners.delete(learner.address);
     return addVoter(membership, learner);
   }
+
+  #hasCaughtUp(learner: Voter): boolean {
+    const matched = this.#replicator.find(learner)?.matched ?? 0;
+    return matched >= this.replica.committed;
+  }
+
+  /**
+   * Takes the vote of a replica that has been silent for long, where a replica at another address has
+   * caught up and can stand in for it, or where more vote than need to.
+   */
+  #replaceSilent(now: Instant): void {
+    const { entries, committed, options } = this.replica;
+    const { growth } = options;
+    if (growth === undefined || !this.#announced || entries.membershipIndex > committed) return;
+    const { voters } = this.#membership;
+    const hasStandIn = [...this.#learners.values()].some((learner) => {
+      const isNew = findVoter(this.#membership, learner.address) === undefined;
+      const isHeard = !this.#isSilent(learner, now, LEARNER_SILENCE_MS);
+      return isNew && isHeard && this.#hasCaughtUp(learner);
+    });
+    if (voters.length <= growth.minVoters && !hasStandIn) return;
+    const silent = voters.find((voter) => this.#isSilent(voter, now, growth.replaceAfterMs));
+    if (silent === undefined) return;
+    const membership = removeVoter(this.#membership, silent.address);
+    this.#append({ kind: 'membership', membership });
+    this.#replicator.replicate(now);
+  }
+
+  #isSilent(voter: Voter, now: Instant, afterMs: number): boolean {
+    if (voter.replica === this.replica.id) return false;
+    const heardAt = this.#replicator.find(voter)?.heardAt;
+    return heardAt !== undefined && now >= addMs(heardAt, afterMs);
+  }
 }
 
 // Internals.
 
 const NOBODY: Membership = { voters: [] };
+/** A learner that has been silent for longer may have gone since it caught up. */
+const LEARNER_SILENCE_MS = 1_000;
+const NO_LIMIT = Number.POSITIVE_INFINITY;
--- a/src/log/log-filter.ts
+++ b/src/log/log-filter.ts
@@ -78,6 +78,9 @@
       return role.start(now);
     case 'request':
       return role.handleRequest(message.request, now);
+    case 'peers':
+      replica.updatePeers(message.addresses);
+      return undefined;
     case 'received':
       return receiveMessage(loaded, message, now);
     case 'synced':
--- a/src/log/log-messages.ts
+++ b/src/log/log-messages.ts
@@ -22,6 +22,8 @@
       readonly address: Address;
       readonly message: LogMessage<Command>;
     }
+  /** Where replicas may be found besides those that the options name; replaces the former list. */
+  | { readonly kind: 'peers'; readonly addresses: readonly Address[] }
   /** Every write up to `ticket` is on disk. */
   | { readonly kind: 'synced'; readonly ticket: Ticket }
   /** The user's encoded state after the entry `through`. */
--- a/src/log/log-options.ts
+++ b/src/log/log-options.ts
@@ -25,14 +25,31 @@
   readonly chunkBytes: number;
 }
 
+/** How a log takes in replicas that its founders do not know. */
+export interface LogGrowth {
+  /** Whether this replica may found the log. Only true at the very first start of all of them. */
+  readonly founds: boolean;
+  /** Commands are refused until so many replicas count in quorums. */
+  readonly minVoters: number;
+  /** No more replicas than this count in quorums; further ones follow without a vote. */
+  readonly maxVoters: number;
+  /** A voter that has been silent for so long makes room for a replica that has caught up. */
+  readonly replaceAfterMs: number;
+}
+
 /** What a log needs. */
 export interface LogOptions {
   /** The host of this replica, as the others name it. */
   readonly host: HostId;
   /** Where this replica is reached. */
   readonly self: Address;
-  /** Where all replicas are reached, this one among them. */
+  /**
+   * Where all replicas are reached, this one among them; with {@link LogOptions.growth}, where those are
+   * reached that found the log.
+   */
   readonly replicas: readonly Address[];
+  /** Absent: the log never has other replicas than those that are named. */
+  readonly growth?: LogGrowth | undefined;
   readonly random: Random;
   readonly timing: LogTiming;
   /** Absent: the user takes no snapshots, and the log grows without bound. */
--- a/src/log/replica.ts
+++ b/src/log/replica.ts
@@ -47,6 +47,7 @@
   #outputs: LogOut<Command>[] = [];
   readonly #disk: DiskQueue<LogOut<Command>>;
   readonly #proposals = new Map<LogIndex, RequestId>();
+  #peers: readonly Address[] = [];
 
   constructor(options: LogOptions, stored: StoredLog<Command>, freshReplica: ReplicaId) {
     this.options = options;
@@ -92,6 +93,19 @@
     return hasVoter(this.entries.membership, this.options.self, this.id);
   }
 
+  /** Where the other replicas may be found. */
+  get others(): readonly Address[] {
+    const known = this.entries.membership?.voters.map(({ address }) => address) ?? [];
+    const all = new Set([...this.options.replicas, ...this.#peers, ...known]);
+    all.delete(this.options.self);
+    return [...all];
+  }
+
+  /** Notes where replicas may be found besides those that the options name. */
+  updatePeers(addresses: readonly Address[]): void {
+    this.#peers = addresses;
+  }
+
   /** The last entry that is synced here. */
   get durableIndex(): LogIndex {
     return this.#disk.durableIndex;
--- a/src/members/joining.ts
+++ b/src/members/joining.ts
@@ -14,7 +14,7 @@
 /** Contacts every seed while there are no peers, and one now and then afterwards. */
 export function runJoin(state: MembersState, turn: Turn): void {
   if (turn.now < state.seedAt) return;
-  const seeds = state.options.seeds.filter((seed) => seed !== state.self.control);
+  const seeds = state.seeds.filter((seed) => seed !== state.self.control);
   if (seeds.length === 0) {
     state.seedAt = addMs(turn.now, SEED_INTERVAL_MS);
     return;
--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -77,6 +77,15 @@
       else if (message.outcome === 'failed') state.urgent.add(message.host);
       updateOwnServers(state, turn);
       return;
+    case 'server-left':
+      state.servers.removeInstance(message.instance, message.life);
+      updateOwnServers(state, turn);
+      return;
+    case 'seeds':
+      state.seeds = message.seeds;
+      state.seedAt = turn.now;
+      runJoin(state, turn);
+      return;
     case 'broadcast':
       applyBroadcast(state, message.item, turn.now);
       return;
--- a/src/members/members-state.ts
+++ b/src/members/members-state.ts
@@ -1,6 +1,6 @@
 /** The state of the membership pipe and the messages that go in and out. */
 import { addMs } from '../clock.js';
-import type { Address, HostId, Incarnation, Instant, Version } from '../ids.js';
+import type { Address, HostId, Incarnation, InstanceId, Instant, Version } from '../ids.js';
 import type {
   Announcement,
   Broadcast,
@@ -37,6 +37,10 @@
   | Observation
   /** Asks to let every member know of an item. */
   | { readonly kind: 'broadcast'; readonly item: Broadcast }
+  /** Marks the life of a backend server that goes by this id as leaving. */
+  | { readonly kind: 'server-left'; readonly instance: InstanceId; readonly life?: number }
+  /** Where members can be found from now on. */
+  | { readonly kind: 'seeds'; readonly seeds: readonly Address[] }
   /** Tells which configuration version this process holds; passed on with the next record only. */
   | { readonly kind: 'held'; readonly version: Version }
   /** Publishes every own backend server as draining, for good. */
@@ -99,6 +103,8 @@
   readonly options: MembersOptions;
   readonly random: Random;
   self: Member;
+  /** Control addresses at which members can be found. */
+  seeds: readonly Address[];
   isStarted: boolean;
   hasLeft: boolean;
   readonly table: MemberTable;
@@ -143,6 +149,7 @@
     options,
     random,
     self: { ...options.self, incarnation: Math.floor(startedAt) as Incarnation, servers: [] },
+    seeds: options.seeds,
     isStarted: false,
     hasLeft: false,
     table: new MemberTable(options.self.host),
--- a/src/members/own-record.ts
+++ b/src/members/own-record.ts
@@ -57,6 +57,7 @@
   return (
     left.service === right?.service &&
     left.address === right.address &&
+    left.instance === right.instance &&
     left.slots === right.slots &&
     left.connections === right.connections &&
     left.state === right.state
--- a/src/members/own-servers.ts
+++ b/src/members/own-servers.ts
@@ -1,6 +1,6 @@
 /** The backend servers beside this proxy, from their announcements and from what calls saw. */
 import { addMs, NEVER } from '../clock.js';
-import type { Address, Instant } from '../ids.js';
+import type { Address, InstanceId, Instant } from '../ids.js';
 import type { Announcement, Observation, ServerState } from '../messages/index.js';
 import { MAX_OWN_SERVERS } from './timing.js';
 
@@ -35,7 +35,10 @@
       this.#servers.set(announcement.address, makeServer(announcement));
       return true;
     }
-    const isNewLife = announcement.state === 'starting' && known.announcement.state !== 'starting';
+    if (isOutdated(announcement, known.announcement)) return false;
+    const isNewLife =
+      isLaterLife(announcement, known.announcement) ||
+      (announcement.state === 'starting' && known.announcement.state !== 'starting');
     if (known.announcement.state === 'leaving' && announcement.state !== 'leaving' && !isNewLife) {
       return false;
     }
@@ -44,6 +47,15 @@
     return true;
   }
 
+  /** Marks the server of this id as leaving, unless the notice is about an earlier life. */
+  removeInstance(instance: InstanceId, life: number | undefined): void {
+    for (const server of this.#servers.values()) {
+      const { announcement } = server;
+      if (announcement.instance !== instance || isEarlier(life, announcement.life)) continue;
+      server.announcement = { ...announcement, state: 'leaving' };
+    }
+  }
+
   /** Takes what a call saw at one of the servers. */
   observe({ server, outcome }: Observation, now: Instant): void {
     const known = this.#servers.get(server);
@@ -109,6 +121,21 @@
 const FAILING_MS = 5_000;
 const MAX_DOUBLINGS = 4;
 
+/** Announcements may arrive late, after those of a later life or after later ones of the same life. */
+function isOutdated(next: Announcement, known: Announcement): boolean {
+  if (isEarlier(next.life, known.life)) return true;
+  if (next.life !== known.life || next.instance !== known.instance) return false;
+  return isEarlier(next.sequence, known.sequence);
+}
+
+function isLaterLife(next: Announcement, known: Announcement): boolean {
+  return isEarlier(known.life, next.life) || next.instance !== known.instance;
+}
+
+function isEarlier(left: number | undefined, right: number | undefined): boolean {
+  return left !== undefined && right !== undefined && left < right;
+}
+
 function makeServer(announcement: Announcement): OwnServer {
   return { announcement, failures: 0, strikes: 0, failingUntil: 0 as Instant };
 }
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -16,6 +16,8 @@
 export interface CallHead {
   readonly id: CallId;
   readonly method: string;
+  /** The virtual host that the call names, in lower case and without a port. */
+  readonly host?: string;
   /** The path without its query. */
   readonly path: string;
   /** The path with its query. */
@@ -88,7 +90,9 @@
   | 'may-have-run'
   | 'key-reused'
   | 'ledger-unavailable'
-  | 'upstream-failed';
+  | 'upstream-failed'
+  /** The backend server itself has said that it did not run the attempt. */
+  | 'shed';
 
 /** What the proxies know for certain of an attempt that gave no answer. */
 export interface AttemptFailure {
--- a/src/messages/member.ts
+++ b/src/messages/member.ts
@@ -5,6 +5,7 @@
   Digest,
   HostId,
   Incarnation,
+  InstanceId,
   Instant,
   RegionId,
   ServiceName,
@@ -21,6 +22,14 @@
 export interface Announcement {
   readonly service: ServiceName;
   readonly address: Address;
+  /** Names this life of the backend server towards itself, where the front asks for that. */
+  readonly instance?: InstanceId;
+  /** Orders the lives of backend servers at one address; announcements of an earlier one are ignored. */
+  readonly life?: number;
+  /** Orders the announcements of one life. */
+  readonly sequence?: number;
+  /** When the backend server expects to be warm; without it, some time after it has become ready. */
+  readonly warmAt?: Instant;
   /** Calls that the backend server runs at once. */
   readonly slots: number;
   /** Connections that the backend server accepts at once. */
@@ -57,6 +66,8 @@
    * that a guard can tell them from a caller who forges internal headers.
    */
   readonly pass: string;
+  /** Whether the process has the source role. */
+  readonly isSource: boolean;
   readonly incarnation: Incarnation;
   readonly liveness: Liveness;
   /** The configuration version that the proxy last told of; a hint only. */
--- a/src/messages/note.ts
+++ b/src/messages/note.ts
@@ -1,7 +1,7 @@
 /** Release notes: what operators ask for, and what they are answered. */
 import type { Digest, Generation, NoteNumber, ResourceKey, Revision, Version } from '../ids.js';
 import type { Straggler } from './coverage.js';
-import type { Resource } from './resource.js';
+import type { Change, Resource } from './resource.js';
 
 /** A release note that has been read, but not yet been accepted. */
 export interface NoteDraft {
@@ -16,12 +16,47 @@
   readonly supersedes: readonly NoteNumber[];
 }
 
-/** What an operator asks of the source. */
-export type NoteCommand =
+/** What an operator asks of the source about one note. */
+export type NoteEdit =
   | { readonly kind: 'submit'; readonly draft: NoteDraft }
   | { readonly kind: 'amend'; readonly draft: NoteDraft; readonly readAt: Revision }
   | { readonly kind: 'withdraw'; readonly number: NoteNumber; readonly readAt: Revision };
 
+/** What an operator asks of the source. */
+export type NoteCommand = NoteEdit | ReplaceCommand;
+
+/** A whole configuration that shall take the place of the present one. */
+export interface Replacement {
+  readonly number: NoteNumber;
+  /** The replacement that this one was made from; none for the first one. */
+  readonly base: NoteNumber | undefined;
+  readonly resources: readonly Resource[];
+  /** The configuration as it was submitted, for reading it back; its encoding is the front's. */
+  readonly document: Uint8Array;
+  /** Digest of the document; a resend has the same one. */
+  readonly digest: Digest;
+}
+
+/**
+ * A {@link Replacement} as it stands in the log. It carries only what differs from the configuration
+ * `against`, so it takes effect only while that version is still the newest.
+ */
+export interface ReplaceCommand {
+  readonly kind: 'replace';
+  readonly number: NoteNumber;
+  readonly base: NoteNumber | undefined;
+  readonly against: Version;
+  readonly changes: readonly Change[];
+  readonly document: Uint8Array;
+  readonly digest: Digest;
+}
+
+/** The newest accepted replacement, as it was submitted. */
+export interface ReplacementDocument {
+  readonly number: NoteNumber;
+  readonly document: Uint8Array;
+}
+
 /** One fault of a note, with its place in the file, for example `add[2].service`. */
 export interface NoteFault {
   readonly place: string;
@@ -44,6 +79,8 @@
   | { readonly kind: 'number-taken'; readonly winner: NoteReceipt }
   /** The note has been amended since the revision that the operator read. */
   | { readonly kind: 'stale-revision'; readonly current: Revision }
+  /** The configuration has changed since the replacement's base. */
+  | { readonly kind: 'stale-base'; readonly current: NoteNumber | undefined }
   /** The note would undo these earlier notes without naming them. */
   | { readonly kind: 'would-undo'; readonly notes: readonly NoteNumber[] }
   /** Later notes rest on what this withdrawal would take out. */
--- a/src/messages/resource.ts
+++ b/src/messages/resource.ts
@@ -5,6 +5,17 @@
 export interface ServiceResource {
   readonly kind: 'service';
   readonly name: ServiceName;
+  /** The path at which a backend server tells whether it is healthy. */
+  readonly healthPath?: string;
+  /** Connections that a backend server accepts from all callers together. */
+  readonly connections?: number;
+}
+
+/** One of the services that a route divides its calls between. */
+export interface RouteTarget {
+  readonly service: ServiceName;
+  /** The share of the calls against the weights of the other targets; at least 0. */
+  readonly weight: number;
 }
 
 /** Sends calls of one generation, method and path prefix to a service. */
@@ -12,11 +23,19 @@
   readonly kind: 'route';
   readonly name: string;
   readonly generation: Generation;
+  /**
+   * The virtual host that the route belongs to, in lower case. Where a call names a virtual host that has
+   * routes, only these are looked at, and their prefixes match as texts.
+   */
+  readonly host?: string;
   /** An absolute path; it matches itself and every path below it. */
   readonly pathPrefix: string;
   /** An HTTP method in capitals, or `*` for every method. */
   readonly method: string;
+  /** The service of the calls; with `targets`, the first of these. */
   readonly service: ServiceName;
+  /** Divides the calls between several services by weight. */
+  readonly targets?: readonly RouteTarget[];
   readonly requestKind: RequestKindName;
 }
 
@@ -34,6 +53,22 @@
   readonly claim: boolean;
   /** Whether a second attempt may start while the first one is still running. */
   readonly hedge: boolean;
+  /** Milliseconds within which an answer has its full worth. */
+  readonly targetLatencyMs?: number;
+  /** The most backend servers that one call may be sent to. */
+  readonly maxAttempts?: number;
+}
+
+/** What callers may send, and how long they may take. */
+export interface LimitsResource {
+  readonly kind: 'limits';
+  readonly name: string;
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  /** How long the head of a call may take to arrive. */
+  readonly headerTimeoutMs: number;
+  /** How long a caller's connection may be idle. */
+  readonly idleTimeoutMs: number;
 }
 
 /** The share of callers that one generation serves. */
@@ -51,7 +86,8 @@
 }
 
 /** Any resource. */
-export type Resource = ServiceResource | RouteResource | RequestKindResource | SplitResource;
+export type Resource =
+  ServiceResource | RouteResource | RequestKindResource | SplitResource | LimitsResource;
 
 /** What a version does to one resource. */
 export type Change =
--- a/src/notes/decide-command.ts
+++ b/src/notes/decide-command.ts
@@ -6,9 +6,11 @@
   NoteDraft,
   NoteFault,
   NoteReceipt,
+  ReplaceCommand,
 } from '../messages/index.js';
 import type { Edit, EditDecision, NoteTables } from './decide-edit.js';
 import { decideEdit } from './decide-edit.js';
+import { findReplaceRefusal, formReplaceDraft } from './decide-replace.js';
 import { digestValue } from './digest.js';
 import type { AcceptedStep, NoteEntry } from './note-entry.js';
 import { isWithdrawn, readPosition, readReceipt } from './note-entry.js';
@@ -33,6 +35,8 @@
       return decideAmend(tables, command.draft, command.readAt);
     case 'withdraw':
       return decideWithdraw(tables, command.number, command.readAt);
+    case 'replace':
+      return decideReplace(tables, command);
   }
 }
 
@@ -85,6 +89,23 @@
   });
 }
 
+/** A resend is known by its digest, whatever has been accepted since. */
+function decideReplace(tables: NoteTables, command: ReplaceCommand): NoteVerdict {
+  const { number, digest } = command;
+  const first = tables.entries.get(number)?.steps[0].receipt;
+  if (first?.digest === digest) return answerUnchanged({ kind: 'accepted', receipt: first });
+  const refusal = findReplaceRefusal(tables, tables.newestReplacement, command);
+  if (refusal !== undefined) return answerUnchanged(refusal);
+  if (first !== undefined) return answerUnchanged({ kind: 'number-taken', winner: first });
+  const draft = formReplaceDraft(tables, command);
+  const position = (tables.whole.version + 1) as Version;
+  const edit: Edit = { number, position, former: undefined, next: draft };
+  return formVerdict(tables, edit, draft, {
+    kind: 'replace',
+    receipt: formReceipt(tables, number, FIRST_REVISION, digest),
+  });
+}
+
 const FIRST_REVISION = 1 as Revision;
 
 /** Finds the step that followed the revision that an operator had read. */
--- a/src/notes/decide-edit.ts
+++ b/src/notes/decide-edit.ts
@@ -13,6 +13,8 @@
   readonly entries: ReadonlyMap<NoteNumber, NoteEntry>;
   readonly layers: LayerTable;
   readonly whole: WholeTable;
+  /** The number of the newest replacement. */
+  readonly newestReplacement: NoteNumber | undefined;
 }
 
 /** Puts a note's effects at a place in the order of acceptance, instead of those that stand there. */
--- a/src/notes/note-book.ts
+++ b/src/notes/note-book.ts
@@ -4,12 +4,16 @@
   NoteAnswer,
   NoteCommand,
   NoteReceipt,
+  ReplaceCommand,
+  Replacement,
+  ReplacementDocument,
   VersionDelta,
   WholeSnapshot,
 } from '../messages/index.js';
 import type { NoteVerdict } from './decide-command.js';
 import { decideCommand } from './decide-command.js';
 import type { NoteTables } from './decide-edit.js';
+import { formReplaceCommand } from './decide-replace.js';
 import { LayerTable } from './layer-table.js';
 import type { NoteEntry } from './note-entry.js';
 import { isWithdrawn, listActions, readPosition } from './note-entry.js';
@@ -28,6 +32,8 @@
   readonly digest: Digest;
   /** The accepted notes, in the order of their first acceptance. */
   readonly entries: readonly NoteEntry[];
+  /** The newest replacement, where there has been one. */
+  readonly replacement?: ReplacementDocument | undefined;
 }
 
 /**
@@ -47,6 +53,7 @@
   readonly #order: NoteNumber[] = [];
   readonly #layers: LayerTable;
   readonly #whole: WholeTable;
+  #replacement: ReplacementDocument | undefined;
 
   /** Creates a book without notes; other tables than empty ones come from {@link NoteBook.open}. */
   constructor(layers = new LayerTable(), whole = new WholeTable()) {
@@ -62,6 +69,7 @@
     const whole = WholeTable.open({ version, digest, resources: layers.listResources() });
     const book = new NoteBook(layers, whole);
     for (const entry of snapshot.entries) book.#setEntry(entry);
+    book.#replacement = snapshot.replacement;
     if (book.digest === digest) return book;
     throw new Error(
       `the snapshot of the notes at version ${version} is damaged: its notes add up to ${book.digest}, not to ${digest}; empty the data folder, so that this replica is rebuilt from the others`,
@@ -94,6 +102,16 @@
     return this.#order.slice(start, start + limit).flatMap((one) => this.#entries.get(one) ?? []);
   }
 
+  /** The newest replacement as it was submitted; none before the first one. */
+  get replacement(): ReplacementDocument | undefined {
+    return this.#replacement;
+  }
+
+  /** Forms the command by which a replacement takes effect on the present configuration. */
+  formReplaceCommand(replacement: Replacement): ReplaceCommand {
+    return formReplaceCommand(this.#formTables(), replacement);
+  }
+
   /** Decides on a command without changing anything, so that it can be refused early. */
   decide(command: NoteCommand): NoteVerdict {
     return decideCommand(this.#formTables(), command);
@@ -103,6 +121,9 @@
   apply(command: NoteCommand): NoteOutcome {
     const verdict = this.decide(command);
     if (verdict.kind === 'unchanged') return { answer: verdict.answer, delta: undefined };
+    if (command.kind === 'replace') {
+      this.#replacement = { number: command.number, document: command.document };
+    }
     return this.#applyStep(verdict);
   }
 
@@ -113,13 +134,20 @@
 
   /** Packs the book as plain data. */
   formSnapshot(): BookSnapshot {
-    return { version: this.version, digest: this.digest, entries: [...this.#entries.values()] };
+    const entries = [...this.#entries.values()];
+    const { version, digest, replacement } = this;
+    return { version, digest, entries, replacement };
   }
 
   // Internals.
 
   #formTables(): NoteTables {
-    return { entries: this.#entries, layers: this.#layers, whole: this.#whole };
+    return {
+      entries: this.#entries,
+      layers: this.#layers,
+      whole: this.#whole,
+      newestReplacement: this.#replacement?.number,
+    };
   }
 
   #applyStep({
--- a/src/notes/note-entry.ts
+++ b/src/notes/note-entry.ts
@@ -6,7 +6,7 @@
 
 /** One accepted command about a note. */
 export interface AcceptedStep {
-  readonly kind: 'submit' | 'amend' | 'withdraw';
+  readonly kind: 'submit' | 'amend' | 'withdraw' | 'replace';
   readonly receipt: NoteReceipt;
 }
 
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -11,6 +11,8 @@
   NoteCommand,
   NotePage,
   NoteStatus,
+  Replacement,
+  ReplacementDocument,
   VersionDelta,
   WholeSnapshot,
 } from '../messages/index.js';
@@ -27,7 +29,9 @@
   /** At most `limit` notes that were accepted after a version. */
   | { readonly kind: 'list'; readonly after: Version; readonly limit: number }
   /** Like `show`, but answered when the note is in force, at the deadline at the latest. */
-  | { readonly kind: 'wait'; readonly number: NoteNumber; readonly deadline: Instant };
+  | { readonly kind: 'wait'; readonly number: NoteNumber; readonly deadline: Instant }
+  /** The newest replacement of the whole configuration. */
+  | { readonly kind: 'replacement' };
 
 /** What the log tells the notes pipe. */
 export type NotesNotice = LogNotice<NoteCommand> | LogSnapshotNotice<BookSnapshot>;
@@ -35,6 +39,8 @@
 /** What the notes pipe is told. */
 export type NotesIn =
   | { readonly kind: 'command'; readonly id: RequestId; readonly command: NoteCommand }
+  /** Replaces the whole configuration. */
+  | { readonly kind: 'replace'; readonly id: RequestId; readonly replacement: Replacement }
   | { readonly kind: 'question'; readonly id: RequestId; readonly question: NoteQuestion }
   /** The operator has gone; the answer is not wanted any more. */
   | { readonly kind: 'cancel'; readonly id: RequestId }
@@ -48,6 +54,11 @@
   | { readonly kind: 'answer'; readonly id: RequestId; readonly answer: NoteAnswer }
   | { readonly kind: 'status'; readonly id: RequestId; readonly status: NoteStatus }
   | { readonly kind: 'page'; readonly id: RequestId; readonly page: NotePage }
+  | {
+      readonly kind: 'document';
+      readonly id: RequestId;
+      readonly replacement: ReplacementDocument | undefined;
+    }
   | { readonly kind: 'refusal'; readonly id: RequestId; readonly refusal: LogRefusal }
   | { readonly kind: 'version'; readonly delta: VersionDelta }
   /** The book was replaced by a snapshot; `whole` is the configuration that it adds up to. */
@@ -59,7 +70,10 @@
   | Wake;
 
 /** What is done once the log has confirmed that this replica leads. */
-type Pending = NoteQuestion | { readonly kind: 'command'; readonly command: NoteCommand };
+type Pending =
+  | NoteQuestion
+  | { readonly kind: 'command'; readonly command: NoteCommand }
+  | { readonly kind: 'replace'; readonly replacement: Replacement };
 
 /** The state of the notes pipe. The book and the tables are updated in place. */
 export interface NotesState {
@@ -95,6 +109,8 @@
     switch (message.kind) {
       case 'command':
         return this.#handleCommand(state, message.id, message.command);
+      case 'replace':
+        return this.#handleReplace(state, message.id, message.replacement);
       case 'question':
         return sendConfirm(state, message.id, message.question);
       case 'cancel':
@@ -117,6 +133,13 @@
     return sendConfirm(state, id, { kind: 'command', command });
   }
 
+  /** What a replacement changes is worked out here; whether it still holds is decided at the commit. */
+  #handleReplace(state: NotesState, id: RequestId, replacement: Replacement): NotesStep {
+    const command = state.book.formReplaceCommand(replacement);
+    if (state.book.decide(command).kind === 'step') return sendProposal(state, id, command);
+    return sendConfirm(state, id, { kind: 'replace', replacement });
+  }
+
   #handleNotice(state: NotesState, notice: NotesNotice, now: Instant): NotesStep {
     switch (notice.kind) {
       case 'committed':
@@ -160,6 +183,14 @@
         return { state, outputs: [] };
       case 'command':
         return this.#answerCommand(state, id, pending.command);
+      case 'replace': {
+        const command = state.book.formReplaceCommand(pending.replacement);
+        return this.#answerCommand(state, id, command);
+      }
+      case 'replacement': {
+        const { replacement } = state.book;
+        return { state, outputs: [{ kind: 'document', id, replacement }] };
+      }
       case 'list': {
         const page = formPage(state.book, state.coverage, pending.after, pending.limit);
         return { state, outputs: [{ kind: 'page', id, page }] };
--- a/src/notes/references.ts
+++ b/src/notes/references.ts
@@ -21,6 +21,10 @@
     case 'route':
       return [
         { to: formKey({ kind: 'service', name: resource.service }), field: 'service' },
+        ...(resource.targets ?? []).map(({ service }, index) => ({
+          to: formKey({ kind: 'service', name: service }),
+          field: `targets[${index}].service`,
+        })),
         {
           to: formKey({ kind: 'request-kind', name: resource.requestKind }),
           field: 'request_kind',
@@ -33,6 +37,7 @@
       }));
     case 'service':
     case 'request-kind':
+    case 'limits':
       return [];
   }
 }
@@ -47,7 +52,8 @@
  * Forms the calls that a route matches, as one text. Two routes with the same text would leave open
  * which of them serves a call.
  */
-export function formPattern({ generation, method, pathPrefix }: RouteResource): string {
+export function formPattern({ host, generation, method, pathPrefix }: RouteResource): string {
+  if (host !== undefined) return `//${host} ${method} ${pathPrefix}`;
   const path = pathPrefix.replace(/\/+$/, '');
   return `${generation} ${method} ${path}/`;
 }
--- a/src/notes/whole-table.ts
+++ b/src/notes/whole-table.ts
@@ -60,6 +60,11 @@
     return this.#resources.get(key);
   }
 
+  /** The keys of all resources. */
+  listKeys(): Iterable<ResourceKey> {
+    return this.#resources.keys();
+  }
+
   /** Lists why the changes cannot be applied, in the order of the keys; empty when they can be. */
   findBreaks(changes: readonly Change[]): Break[] {
     const next = this.#formOverlay(changes);
--- a/src/program/command-line.ts
+++ b/src/program/command-line.ts
@@ -1,24 +1,28 @@
 /** The command line: finds the command, reads its options and shows its help. */
 import { parseArgs } from 'node:util';
 import type { Command, Terminal } from './commands/index.js';
-import { CommandInput, COMMANDS, UsageError } from './commands/index.js';
+import { CommandInput, createCommands, UsageError } from './commands/index.js';
 import type { ExitCode as Code } from './exit-code.js';
 import { ExitCode } from './exit-code.js';
+import type { Fronts } from './fronts.js';
+import { OwnFronts } from './fronts.js';
 
 /** Runs one command and resolves with its exit code. */
 export async function runCommandLine(
   args: readonly string[],
   terminal: Terminal = STANDARD_TERMINAL,
+  fronts: Fronts = new OwnFronts(),
 ): Promise<Code> {
+  const commands = createCommands(fronts);
   const [first] = args;
   if (first === 'help' || first === '--help' || first === '-h') {
-    terminal.print(formatOverview());
+    terminal.print(formatOverview(commands));
     return ExitCode.done;
   }
-  const command = findCommand(args);
+  const command = findCommand(commands, args);
   if (command !== undefined) return runCommand(command, args, terminal);
   if (first !== undefined) terminal.printError(`"${args.slice(0, 2).join(' ')}" is no command`);
-  terminal.printError(formatOverview());
+  terminal.printError(formatOverview(commands));
   return ExitCode.usage;
 }
 
@@ -33,8 +37,8 @@
   },
 };
 
-function findCommand(args: readonly string[]): Command | undefined {
-  return COMMANDS.find(({ name }) => name.split(' ').every((word, index) => word === args[index]));
+function findCommand(commands: readonly Command[], args: readonly string[]): Command | undefined {
+  return commands.find(({ name }) => name.split(' ').every((word, index) => word === args[index]));
 }
 
 async function runCommand(
@@ -69,8 +73,8 @@
   }
 }
 
-function formatOverview(): string {
-  const lines = COMMANDS.map(({ name, argument, summary }) => {
+function formatOverview(commands: readonly Command[]): string {
+  const lines = commands.map(({ name, argument, summary }) => {
     return `  ${`${name} ${argument}`.padEnd(NAME_WIDTH)}${summary}`;
   });
   return `usage: bilberryswitch COMMAND [options]\n\n${lines.join('\n')}\n\n"bilberryswitch COMMAND --help" shows the options of a command`;
--- a/src/program/commands/format-note.ts
+++ b/src/program/commands/format-note.ts
@@ -23,6 +23,8 @@
       const { number, digest, version } = answer.winner;
       return `number taken: note ${number} is another note, accepted as version ${version} with digest ${digest}; choose another number`;
     }
+    case 'stale-base':
+      return `the configuration has changed since its base; the newest is ${answer.current ?? 'none'}`;
     case 'stale-revision':
       return `stale revision: the note is at revision ${answer.current}; read it again and decide anew`;
     case 'would-undo':
--- a/src/program/commands/index.ts
+++ b/src/program/commands/index.ts
@@ -1,4 +1,5 @@
 /** The commands of the program. */
+import type { Fronts } from '../fronts.js';
 import type { Command } from './command.js';
 import { DrainCommand, StatusCommand } from './local-commands.js';
 import {
@@ -15,17 +16,19 @@
 export { Command, CommandInput, UsageError } from './command.js';
 export type { Terminal } from './command.js';
 
-/** Every command, in the order of the help. */
-export const COMMANDS: readonly Command[] = [
-  new RunCommand(),
-  new CheckCommand(),
-  new NoteSubmitCommand(),
-  new NoteAmendCommand(),
-  new NoteWithdrawCommand(),
-  new NoteShowCommand(),
-  new NoteListCommand(),
-  new NoteWaitCommand(),
-  new StatusCommand(),
-  new DrainCommand(),
-  new VersionCommand(),
-];
+/** Creates every command, in the order of the help. */
+export function createCommands(fronts: Fronts): readonly Command[] {
+  return [
+    new RunCommand(fronts),
+    new CheckCommand(),
+    new NoteSubmitCommand(),
+    new NoteAmendCommand(),
+    new NoteWithdrawCommand(),
+    new NoteShowCommand(),
+    new NoteListCommand(),
+    new NoteWaitCommand(),
+    new StatusCommand(),
+    new DrainCommand(),
+    new VersionCommand(),
+  ];
+}
--- a/src/program/commands/settings-commands.ts
+++ b/src/program/commands/settings-commands.ts
@@ -1,6 +1,7 @@
 /** The commands that read a settings file: `run` and `check`. */
 import type { ExitCode as Code } from '../exit-code.js';
 import { ExitCode } from '../exit-code.js';
+import type { Fronts } from '../fronts.js';
 import { runProcess } from '../run-command.js';
 import type { Settings } from '../settings.js';
 import { loadSettings, SettingsError } from '../settings.js';
@@ -44,8 +45,15 @@
   override readonly summary =
     'Runs a process with the roles of its settings until SIGTERM or SIGINT.';
 
-  protected override async runWith(settings: Settings): Promise<Code> {
-    const code = await runProcess(settings);
+  readonly #fronts: Fronts;
+
+  constructor(fronts: Fronts) {
+    super();
+    this.#fronts = fronts;
+  }
+
+  protected override async runWith(settings: Settings, input: CommandInput): Promise<Code> {
+    const code = await runProcess(settings, this.#fronts, input.read('settings'));
     return code as Code;
   }
 }
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -8,6 +8,7 @@
 import { SeededRandom } from '../random.js';
 import { CallMetrics } from './call-metrics.js';
 import { createTracer } from './create-tracer.js';
+import type { Fronts } from './fronts.js';
 import { createLogger } from './logger.js';
 import type { Log } from './logger.js';
 import { runLedger } from './run-ledger.js';
@@ -17,11 +18,16 @@
 import { runProxy } from './run-proxy.js';
 import { runSource } from './run-source.js';
 import type { Settings } from './settings.js';
+import { SettingsWatch } from './settings-watch.js';
 import type { ReportStatus } from './status.js';
 import { createStatusTask } from './status.js';
 
 /** Runs until SIGTERM or SIGINT, then stops gracefully. Resolves with the exit code. */
-export async function runProcess(settings: Settings): Promise<number> {
+export async function runProcess(
+  settings: Settings,
+  fronts: Fronts,
+  settingsFile: string,
+): Promise<number> {
   const logger = createLogger(settings.host, settings.logLevel);
   const log: Log = (event, fields) => {
     logger.info({ event, ...fields });
@@ -79,7 +85,8 @@
   const { source, ledger, proxy, dataFolder } = settings;
   if (settings.roles.includes('source') && source && dataFolder !== undefined) {
     const { host, control, spread } = settings;
-    const shared = { host, settings: source, dataFolder, control, spread: spread.policy };
+    const front = fronts.createOperatorFront(source);
+    const shared = { host, settings: source, dataFolder, control, spread: spread.policy, front };
     const tools = { clock, random, log, reportFailure, postLink, report };
     roles.push(await runSource({ ...shared, ...tools }));
   }
@@ -89,12 +96,23 @@
     roles.push(await runLedger({ ...shared, clock, random, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    const shared = { settings, proxy, pass, clock, random, log, reportFailure };
+    const shared = { settings, proxy, pass, clock, random, log, reportFailure, fronts };
     roles.push(await runProxy({ ...shared, postLink, postMembers, report, tracer, observer }));
   }
   await members.start();
   log('started', { roles: settings.roles, control: settings.control });
+  const watch = new SettingsWatch({
+    path: settingsFile,
+    clock,
+    apply: (changed) => {
+      members.handleSettings(changed);
+      for (const role of roles) role.handleSettings?.(changed);
+    },
+    log,
+  });
+  watch.start();
   await waitForSignal();
+  watch.stop();
   log('stopping');
   members.post({ kind: 'drain' });
   for (const role of roles.toReversed()) await role.stop();
--- a/src/program/run-members.ts
+++ b/src/program/run-members.ts
@@ -33,6 +33,7 @@
 export interface RunningMembers {
   readonly post: (message: MembersIn) => void;
   readonly handleLink: (event: LinkEvent) => void;
+  readonly handleSettings: (settings: Settings) => void;
   readonly start: () => Promise<void>;
   /** Tells the others that this process ends, then closes the socket. */
   readonly stop: () => Promise<void>;
@@ -85,6 +86,9 @@
       const message = readLinkEvent(event);
       if (message !== undefined) members.post(message);
     },
+    handleSettings: (changed) => {
+      members.post({ kind: 'seeds', seeds: listSeeds(changed) });
+    },
     start: async () => {
       await probes.start();
       await members.start();
@@ -125,6 +129,7 @@
     control: settings.control,
     calls: settings.proxy?.calls ?? settings.control,
     pass,
+    isSource: settings.roles.includes('source'),
     incarnation: 0 as Incarnation,
     liveness: 'alive',
     version: NO_VERSION,
@@ -134,7 +139,7 @@
 
 /** Sources count as seeds beside the named ones, so that no island forms without them. */
 function listSeeds({ proxy, source, ledger }: Settings): Address[] {
-  const named = [proxy?.seeds, proxy?.sources, source?.replicas, ledger?.replicas];
+  const named = [proxy?.seeds, proxy?.sources, source?.replicas, source?.seeds, ledger?.replicas];
   return [...new Set(named.flatMap((addresses) => addresses ?? []))];
 }
 
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -2,11 +2,12 @@
 import { join } from 'node:path';
 import type { CallObserver } from '../calls/index.js';
 import type { Clock } from '../clock.js';
-import type { CallNotice, FloorOptions } from '../edge/index.js';
-import { AnnounceTask, CallTask, FloorTask, readSpreadMessage } from '../edge/index.js';
+import { addMs } from '../clock.js';
+import type { AnnounceRequest, CallNotice, FloorOptions } from '../edge/index.js';
+import { AnnounceTask, CallTask, FloorTask, readSpreadMessage, ReadyTask } from '../edge/index.js';
 import type { MembersIn } from '../members/index.js';
-import type { Version } from '../ids.js';
-import { NO_VERSION } from '../ids.js';
+import type { Instant, Version } from '../ids.js';
+import { NO_VERSION, parseCallerId } from '../ids.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
@@ -20,6 +21,7 @@
 import type { Random } from '../random.js';
 import { createLedgerClient, readLedgerReply } from './ledger-client.js';
 import type { HopTracer } from '../traces/index.js';
+import type { Fronts } from './fronts.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
@@ -40,6 +42,7 @@
   readonly report: ReportStatus;
   readonly tracer: HopTracer;
   readonly observer: CallObserver;
+  readonly fronts: Fronts;
 }
 
 /** Starts the tasks of the proxy role. */
@@ -48,6 +51,10 @@
   const { postLink, postMembers, report } = options;
   const calls = new CallTask({
     address: proxy.calls,
+    secondAddress: proxy.forwards,
+    front: options.fronts.createCallFront(),
+    caller: proxy.service === undefined ? undefined : parseCallerId(proxy.service),
+    retries: proxy.retries,
     place: settings,
     pass: options.pass,
     clock,
@@ -94,17 +101,28 @@
     address: proxy.announce,
     clock,
     reportFailure,
-    announce: (announcement) => {
-      postMembers({ kind: 'announce', announcement });
-    },
-    drain: () => {
-      log('draining');
-      postMembers({ kind: 'drain' });
-    },
+    front: options.fronts.createAnnounceFront(),
+    pass: passAnnounced,
   });
+  const ready =
+    proxy.ready === undefined
+      ? undefined
+      : new ReadyTask({ name: 'ready', address: proxy.ready, reportFailure });
 
   const distribution: DistributionStatus = { held: NO_VERSION, rejected: {} };
 
+  function passAnnounced(request: AnnounceRequest): void {
+    if (request.kind === 'drain') log('draining');
+    if (request.kind !== 'announce') {
+      postMembers(request);
+      return;
+    }
+    const { announcement } = request;
+    const isOwn = proxy.service === undefined || announcement.service === proxy.service;
+    if (isOwn) postMembers(request);
+    else log('announcement-ignored', { service: announcement.service });
+  }
+
   function routeSpread(output: ProxySpreadOut): void {
     switch (output.kind) {
       case 'send':
@@ -130,6 +148,7 @@
         log('version-applied', { version: output.whole.version });
         report('proxy', { version: output.whole.version, resources: output.whole.resources.size });
         calls.post(output);
+        if (output.whole.resources.size > 0) ready?.post({ kind: 'ready', isReady: true });
         return;
       case 'rejected':
         log('version-rejected', { address: output.address, fault: output.fault });
@@ -145,6 +164,7 @@
   }
 
   const tasks = [ledger, calls, spread, announce, ...(floor === undefined ? [] : [floor])];
+  if (ready !== undefined) await ready.start();
   for (const task of tasks) await task.start();
   if (floor === undefined) spread.post({ kind: 'start', floor: undefined });
   return {
@@ -158,14 +178,27 @@
       calls.post(event);
       if (event.kind !== 'broadcast') spread.post(event);
     },
+    handleSettings: ({ proxy: changed }) => {
+      const sources = changed?.sources ?? [];
+      spread.post({ kind: 'sources', sources });
+    },
     stop: async () => {
+      ready?.post({ kind: 'ready', isReady: false });
+      await waitUntil(clock, addMs(clock.read(), proxy.lingerMs));
       for (const task of tasks.toReversed()) await task.stop();
+      await ready?.stop();
     },
   };
 }
 
 // Internals.
 
+function waitUntil(clock: Clock, deadline: Instant): Promise<void> {
+  return new Promise((resolve) => {
+    clock.callAt(deadline, resolve);
+  });
+}
+
 /** What the status tells of distribution: the version held, and what peers sent that was left out. */
 interface DistributionStatus {
   held: Version;
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -1,11 +1,12 @@
 /** Wires the source role: log, notes, operators' interface and distribution. */
-import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import type { Clock } from '../clock.js';
+import type { OperatorFront } from '../edge/index.js';
 import { LogTask, OperatorTask, readSourceSpreadMessage } from '../edge/index.js';
 import type { Address, HostId } from '../ids.js';
+import { parseAddress, splitAddress } from '../ids.js';
 import { DEFAULT_SNAPSHOTS, DEFAULT_TIMING } from '../log/index.js';
-import type { LinkCommand, LinkEvent, NoteCommand } from '../messages/index.js';
+import type { LinkCommand, LinkEvent, MemberEvent, NoteCommand } from '../messages/index.js';
 import type { BookSnapshot, NotesIn, NotesNotice, NotesOut, NotesState } from '../notes/index.js';
 import { NotesFilter } from '../notes/index.js';
 import type { ReportFailure, Wake } from '../pipe/index.js';
@@ -33,6 +34,7 @@
   readonly control: Address;
   readonly spread: SpreadPolicyName;
   readonly log: Log;
+  readonly front: OperatorFront;
   readonly clock: Clock;
   readonly random: Random;
   readonly reportFailure: ReportFailure;
@@ -43,6 +45,7 @@
 /** Starts the tasks of the source role. */
 export async function runSource(options: SourceOptions): Promise<RunningRole> {
   const { settings, clock, reportFailure, postLink, report } = options;
+  const peers = new SourcePeers(settings.operator);
   const notes = new FilterTask<NotesState, NotesIn, NotesOut>({
     name: 'notes',
     filter: new NotesFilter(),
@@ -56,7 +59,8 @@
     group: LOG_GROUP,
     host: options.host,
     self: options.control,
-    replicas: listReplicas(settings.replicas, options.control),
+    replicas: listReplicas([...settings.replicas, ...settings.seeds], options.control),
+    growth: settings.growth,
     random: options.random,
     timing: DEFAULT_TIMING,
     snapshots: DEFAULT_SNAPSHOTS,
@@ -83,8 +87,8 @@
     address: settings.operator,
     clock,
     waitLimitMs: settings.waitLimitMs,
-    findOperator: (host) => settings.operators.get(host),
-    token: readFileSync(settings.tokenFile, 'utf8').trim(),
+    findOperator: (host) => settings.operators.get(host) ?? peers.findOperator(host),
+    front: options.front,
     reportFailure,
     request: (message) => {
       notes.post(message);
@@ -147,7 +151,13 @@
       if (message !== undefined) spread.post(message);
     },
     handleMembership: (event) => {
-      if (event.kind !== 'broadcast') spread.post(event);
+      if (event.kind === 'broadcast') return;
+      spread.post(event);
+      if (peers.apply(event)) log.post({ kind: 'peers', addresses: peers.listControls() });
+    },
+    handleSettings: ({ source }) => {
+      peers.updateSeeds(source?.seeds ?? []);
+      log.post({ kind: 'peers', addresses: peers.listControls() });
     },
     stop: async () => {
       for (const task of tasks.toReversed()) await task.stop();
@@ -159,6 +169,42 @@
 
 const LOG_GROUP = 'notes';
 
+/** The other source hosts, as the members tell of them. */
+class SourcePeers {
+  readonly #operatorPort: number;
+  readonly #controls = new Map<HostId, Address>();
+  #seeds: readonly Address[] = [];
+
+  constructor(operator: Address) {
+    this.#operatorPort = splitAddress(operator).port;
+  }
+
+  /** Takes in a change of the membership; tells whether the source hosts have changed. */
+  apply(event: MemberEvent): boolean {
+    if (event.kind === 'member-gone') return this.#controls.delete(event.host);
+    const { host, control, isSource } = event.member;
+    if (!isSource || this.#controls.get(host) === control) return false;
+    this.#controls.set(host, control);
+    return true;
+  }
+
+  updateSeeds(seeds: readonly Address[]): void {
+    this.#seeds = seeds;
+  }
+
+  listControls(): Address[] {
+    return [...new Set([...this.#controls.values(), ...this.#seeds])];
+  }
+
+  /** Where the settings name no address, operators reach every source host at the same port. */
+  findOperator(host: HostId): Address | undefined {
+    const control = this.#controls.get(host);
+    if (control === undefined) return undefined;
+    const ip = control.slice(0, control.lastIndexOf(':'));
+    return parseAddress(`${ip}:${this.#operatorPort}`);
+  }
+}
+
 function readLinkEvent(event: LinkEvent): SourceSpreadIn | undefined {
   const { address } = event;
   if (event.kind === 'link-down') return { kind: 'link-down', address };
--- a/src/program/running-role.ts
+++ b/src/program/running-role.ts
@@ -1,5 +1,6 @@
 /** One role of a process, as the program sees it. */
 import type { LinkEvent, MembershipEvent } from '../messages/index.js';
+import type { Settings } from './settings.js';
 
 /** A role whose tasks are running. */
 export interface RunningRole {
@@ -7,6 +8,8 @@
   readonly handleLink: (event: LinkEvent) => void;
   /** Hands an event of the membership to the tasks that it is for. */
   readonly handleMembership: (event: MembershipEvent) => void;
+  /** Takes over settings that may change while the process runs. */
+  readonly handleSettings?: (settings: Settings) => void;
   /** Stops the tasks of the role, in the order that cuts nothing off. */
   readonly stop: () => Promise<void>;
 }
--- a/src/program/settings.ts
+++ b/src/program/settings.ts
@@ -8,7 +8,13 @@
 import { parse, TomlError } from 'smol-toml';
 import { z } from 'zod';
 import type { Address, DataCentreId, HostId, RegionId } from '../ids.js';
-import { parseDataCentreId, parseHostId, parseRegionId } from '../ids.js';
+import {
+  parseAddress,
+  parseDataCentreId,
+  parseHostId,
+  parseRegionId,
+  splitAddress,
+} from '../ids.js';
 import { formIdSchema } from '../edge/index.js';
 import { checkSettings } from './settings/check-settings.js';
 import type { LedgerSettings } from './settings/ledger-settings.js';
@@ -77,6 +83,8 @@
 
 // Internals.
 
+const MAX_PORT = 65_535;
+
 const settingsSchema = z.strictObject({
   host: formIdSchema(parseHostId),
   region: formIdSchema(parseRegionId),
@@ -84,6 +92,7 @@
   roles: z.array(z.enum(['proxy', 'source', 'ledger'])).min(1, 'expected at least one role'),
   control: addressSchema,
   bind: addressSchema.optional(),
+  seed_port: z.int().min(1).max(MAX_PORT).optional(),
   status: addressSchema.optional(),
   log_level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   data_folder: pathSchema.optional(),
@@ -108,16 +117,28 @@
 }
 
 function resolvePaths(table: z.output<typeof settingsSchema>, folder: string): Settings {
-  const { data_centre, log_level, data_folder, source, ...rest } = table;
+  const { data_centre, log_level, data_folder, seed_port, source, proxy, ...rest } = table;
+  const findSeeds = (seeds: readonly Address[]) => seeds.map((seed) => movePort(seed, seed_port));
   return {
     ...rest,
     status: table.status,
     bind: table.bind ?? table.control,
-    proxy: table.proxy,
+    proxy: proxy && { ...proxy, seeds: findSeeds(proxy.seeds) },
     ledger: table.ledger,
     dataCentre: data_centre,
     logLevel: log_level,
     dataFolder: data_folder === undefined ? undefined : resolve(folder, data_folder),
-    source: source && { ...source, tokenFile: resolve(folder, source.tokenFile) },
+    source: source && {
+      ...source,
+      seeds: findSeeds(source.seeds),
+      tokenFile: source.tokenFile === undefined ? undefined : resolve(folder, source.tokenFile),
+    },
   };
 }
+
+/** Seeds may be named by another address of theirs; all control addresses then have the same port. */
+function movePort(address: Address, port: number | undefined): Address {
+  if (port === undefined) return address;
+  const { host } = splitAddress(address);
+  return parseAddress(host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`);
+}
--- a/src/program/settings/check-settings.ts
+++ b/src/program/settings/check-settings.ts
@@ -79,6 +79,8 @@
   const listeners: { key: string; address: Address | undefined }[] = [
     { key: 'control', address: control },
     { key: 'proxy.calls', address: proxy?.calls },
+    { key: 'proxy.forwards', address: proxy?.forwards },
+    { key: 'proxy.ready', address: proxy?.ready },
     { key: 'proxy.announce', address: proxy?.announce },
     { key: 'source.operator', address: source?.operator },
     { key: 'status', address: status },
@@ -111,7 +113,7 @@
 }
 
 function checkToken({ source }: Settings): SettingsFault[] {
-  if (source === undefined) return [];
+  if (source?.tokenFile === undefined) return [];
   const key = 'source.token_file';
   try {
     if (readFileSync(source.tokenFile, 'utf8').trim() !== '') return [];
--- a/src/program/settings/proxy-settings.ts
+++ b/src/program/settings/proxy-settings.ts
@@ -1,27 +1,69 @@
 /** The section `[proxy]`. */
 import { z } from 'zod';
-import type { Address } from '../../ids.js';
-import { addressSchema } from './schema-parts.js';
+import type { RetryAllowance } from '../../calls/index.js';
+import { formIdSchema } from '../../edge/index.js';
+import type { Address, ServiceName } from '../../ids.js';
+import { parseServiceName } from '../../ids.js';
+import { addressSchema, formMillisecondsSchema } from './schema-parts.js';
 
 /** Settings of the proxy role. */
 export interface ProxySettings {
-  /** Where callers send calls. */
+  /** Where callers send calls, and other proxies too unless `forwards` is given. */
   readonly calls: Address;
+  /** Where other proxies send calls. */
+  readonly forwards: Address | undefined;
+  /** Where a load balancer asks whether this proxy takes new calls. */
+  readonly ready: Address | undefined;
   /** Where the backend server beside this proxy announces itself. */
   readonly announce: Address;
-  /** The control addresses of the source hosts. */
+  /**
+   * The service of the backend server beside this proxy, where there is only one. Announcements for other
+   * services are ignored, and all calls that enter here count as made by it.
+   */
+  readonly service: ServiceName | undefined;
+  /** Control addresses of source hosts; others are found among the members. */
   readonly sources: readonly Address[];
-  /** Control addresses of a few other proxies, through which this one finds all of them. */
+  /** Control addresses of a few other processes, through which this one finds all of them. */
   readonly seeds: readonly Address[];
   /** The control addresses of the ledger hosts; none where no request kind needs a claim. */
   readonly ledgers: readonly Address[];
+  /** How long new calls are still taken at a planned stop, in milliseconds, until clients notice it. */
+  readonly lingerMs: number;
+  readonly retries: RetryAllowance;
 }
 
+const MAX_LINGER_MS = 60_000;
+const DEFAULT_PER_CALL = 0.1;
+const DEFAULT_BURST = 20;
+
+const retriesSchema = z
+  .strictObject({
+    per_call: z.number().min(0).max(1).default(DEFAULT_PER_CALL),
+    burst: z.number().min(0).default(DEFAULT_BURST),
+    shared: z.boolean().default(false),
+  })
+  .transform(({ per_call, burst, shared }): RetryAllowance => {
+    return { perCall: per_call, burst, isShared: shared };
+  });
+
 /** Checks the section `[proxy]`. */
-export const proxySchema = z.strictObject({
-  calls: addressSchema,
-  announce: addressSchema,
-  sources: z.array(addressSchema).min(1, 'expected the control address of a source host'),
-  seeds: z.array(addressSchema).default([]),
-  ledgers: z.array(addressSchema).default([]),
-});
+export const proxySchema = z
+  .strictObject({
+    calls: addressSchema,
+    forwards: addressSchema.optional(),
+    ready: addressSchema.optional(),
+    announce: addressSchema,
+    service: formIdSchema(parseServiceName).optional(),
+    sources: z.array(addressSchema).default([]),
+    seeds: z.array(addressSchema).default([]),
+    ledgers: z.array(addressSchema).default([]),
+    linger_ms: formMillisecondsSchema(0, MAX_LINGER_MS).default(0),
+    retries: retriesSchema.prefault({}),
+  })
+  .refine(({ sources, seeds }) => sources.length + seeds.length > 0, {
+    path: ['sources'],
+    error: 'expected the control address of a source host, here or among the seeds',
+  })
+  .transform(({ linger_ms, service, forwards, ready, ...rest }): ProxySettings => {
+    return { ...rest, service, forwards, ready, lingerMs: linger_ms };
+  });
--- a/src/program/settings/source-settings.ts
+++ b/src/program/settings/source-settings.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import { formIdSchema } from '../../edge/index.js';
 import type { Address, HostId } from '../../ids.js';
+import type { LogGrowth } from '../../log/index.js';
 import { parseHostId } from '../../ids.js';
 import {
   addressSchema,
@@ -18,29 +19,60 @@
 export interface SourceSettings {
   /** Where operators reach this source. */
   readonly operator: Address;
-  /** The file with the secret that operators must bring. */
-  readonly tokenFile: string;
+  /** The file with the secret that operators must bring; the front may do without. */
+  readonly tokenFile: string | undefined;
   /** The control addresses of all replicas of the source; empty means this process alone. */
   readonly replicas: readonly Address[];
+  /** Control addresses of a few source hosts, where the log takes in others as they come. */
+  readonly seeds: readonly Address[];
+  /** How the log takes in others; absent with fixed replicas. */
+  readonly growth: LogGrowth | undefined;
   /** Where operators reach each source host, so that a replica can name the leader's address. */
   readonly operators: ReadonlyMap<HostId, Address>;
   /** The longest time that a request to wait for a note is held open, in milliseconds. */
   readonly waitLimitMs: number;
 }
 
+const DEFAULT_MAX_VOTERS = 7;
+const DEFAULT_REPLACE_AFTER_MS = 10_000;
+
+const growthSchema = z
+  .strictObject({
+    seeds: z.array(addressSchema).min(1, 'expected the control address of a source host'),
+    founds: z.boolean().default(false),
+    tolerated_losses: z.int().min(0),
+    max_voters: z.int().min(1).default(DEFAULT_MAX_VOTERS),
+    replace_after_ms: formMillisecondsSchema(MIN_WAIT_MS, MAX_WAIT_MS).default(
+      DEFAULT_REPLACE_AFTER_MS,
+    ),
+  })
+  .transform(({ seeds, founds, tolerated_losses, max_voters, replace_after_ms }) => {
+    // A quorum must be left when as many replicas are lost as are tolerated.
+    const minVoters = 2 * tolerated_losses + 1;
+    const maxVoters = Math.max(minVoters, max_voters);
+    return { seeds, growth: { founds, minVoters, maxVoters, replaceAfterMs: replace_after_ms } };
+  });
+
 /** Checks the section `[source]`. */
 export const sourceSchema = z
   .strictObject({
     operator: addressSchema,
-    token_file: pathSchema,
+    token_file: pathSchema.optional(),
     replicas: replicasSchema.optional(),
+    growth: growthSchema.optional(),
     operators: z.record(formIdSchema(parseHostId), addressSchema).default({}),
     wait_limit_ms: formMillisecondsSchema(MIN_WAIT_MS, MAX_WAIT_MS).default(DEFAULT_WAIT_MS),
   })
-  .transform(({ operator, token_file, replicas, operators, wait_limit_ms }): SourceSettings => ({
-    operator,
-    tokenFile: token_file,
-    replicas: replicas ?? [],
-    operators: new Map(Object.entries(operators) as [HostId, Address][]),
-    waitLimitMs: wait_limit_ms,
+  .refine(({ replicas, growth }) => replicas === undefined || growth === undefined, {
+    path: ['growth'],
+    error: 'expected either fixed replicas or growth, not both',
+  })
+  .transform((table): SourceSettings => ({
+    operator: table.operator,
+    tokenFile: table.token_file,
+    replicas: table.replicas ?? [],
+    seeds: table.growth?.seeds ?? [],
+    growth: table.growth?.growth,
+    operators: new Map(Object.entries(table.operators) as [HostId, Address][]),
+    waitLimitMs: table.wait_limit_ms,
   }));
--- a/src/spread/proxy-neighbours.ts
+++ b/src/spread/proxy-neighbours.ts
@@ -27,5 +27,5 @@
     .listAllFirst()
     .filter((member) => member.dataCentre !== options.dataCentre)
     .map((member) => member.control);
-  return [...options.sources, ...peers, ...roots];
+  return [...state.sources, ...peers, ...roots];
 }
--- a/src/spread/proxy-puller.ts
+++ b/src/spread/proxy-puller.ts
@@ -42,7 +42,7 @@
   /** Peers go before the source, unless they have failed or this is a root that has started up. */
   #listFallback(state: ProxySpreadState): Address[] {
     const { isFirst, parent, offTree } = findNeighbours(state, this.#options);
-    const { sources } = this.#options;
+    const { sources } = state;
     const peers = [...(parent === undefined ? [] : [parent]), ...offTree].map((one) => one.control);
     const attempts = isFirst ? ROOT_PEER_ATTEMPTS : PEER_ATTEMPTS;
     const isStarting = state.store.mark.version === NO_VERSION;
@@ -67,21 +67,17 @@
     const address = compared[state.comparisons % Math.max(1, compared.length)];
     state.comparisons += 1;
     if (address === undefined) return [];
-    if (!this.#isSource(address)) return [formAdvertisement(state, address)];
+    if (!state.sources.has(address)) return [formAdvertisement(state, address)];
     state.catchUp.requestAttempt(now);
     return [];
   }
 
   #formPull(state: ProxySpreadState, to: Address): ProxySpreadOut {
     const held = state.store.mark;
-    if (!this.#isSource(to)) return { kind: 'send', to, body: { kind: 'pull', held } };
+    if (!state.sources.has(to)) return { kind: 'send', to, body: { kind: 'pull', held } };
     const { dataCentre } = this.#options;
     return { kind: 'send-source', to, body: { kind: 'pull', held, dataCentre } };
   }
-
-  #isSource(address: Address): boolean {
-    return this.#options.sources.includes(address);
-  }
 }
 
 // Internals.
--- a/src/spread/proxy-reporter.ts
+++ b/src/spread/proxy-reporter.ts
@@ -93,7 +93,7 @@
 
   #formAcks(state: ProxySpreadState, report: HeldReport): ProxySpreadOut[] {
     const { isFirst, parent } = findNeighbours(state, this.#options);
-    if (isFirst) return this.#options.sources.map((to) => formSourceAck(to, report));
+    if (isFirst) return [...state.sources].map((to) => formSourceAck(to, report));
     if (parent === undefined) return [];
     return [{ kind: 'send', to: parent.control, body: { kind: 'ack', report } }];
   }
--- a/src/spread/proxy-spread-filter.ts
+++ b/src/spread/proxy-spread-filter.ts
@@ -73,6 +73,9 @@
         return this.#reject(state, message.address, { kind: 'malformed' }, now);
       case 'floor-saved':
         return [...state.served.handleSaved(message.version)];
+      case 'sources':
+        state.namedSources = message.sources;
+        return this.#updateSources(state);
       case 'member-up':
         return this.#handleMember(state, message.member, now);
       case 'member-gone':
@@ -135,13 +138,18 @@
     state.linked.add(address);
     if (!this.#isUpward(state, address)) return [];
     this.#reporter.handleReminder(state, now);
-    if (this.#isSource(address)) state.catchUp.requestAttempt(now);
+    if (state.sources.has(address)) state.catchUp.requestAttempt(now);
     return [];
   }
 
   #handleMember(state: ProxySpreadState, member: Member, now: Instant): ProxySpreadOut[] {
-    if (!isRelay(member)) return this.#forgetMember(state, member.host, now);
-    return this.#updateMember(state, member, now);
+    const isAlive = member.isSource && member.liveness !== 'dead';
+    if (isAlive) state.sourceHosts.set(member.host, member.control);
+    else state.sourceHosts.delete(member.host);
+    const updated = isRelay(member)
+      ? this.#updateMember(state, member, now)
+      : this.#forgetRelay(state, member.host, now);
+    return [...updated, ...this.#updateSources(state)];
   }
 
   #updateMember(state: ProxySpreadState, member: OverlayMember, now: Instant): ProxySpreadOut[] {
@@ -151,6 +159,11 @@
   }
 
   #forgetMember(state: ProxySpreadState, host: HostId, now: Instant): ProxySpreadOut[] {
+    state.sourceHosts.delete(host);
+    return [...this.#forgetRelay(state, host, now), ...this.#updateSources(state)];
+  }
+
+  #forgetRelay(state: ProxySpreadState, host: HostId, now: Instant): ProxySpreadOut[] {
     if (host === this.#options.host || !state.overlay.forgetMember(host)) return [];
     this.#reporter.handleNeighbours(state, now);
     return this.#updateSources(state);
@@ -158,10 +171,13 @@
 
   /** Keeps links to the sources exactly while this proxy is a root. */
   #updateSources(state: ProxySpreadState): ProxySpreadOut[] {
+    state.sources.clear();
+    for (const address of state.namedSources) state.sources.add(address);
+    for (const address of state.sourceHosts.values()) state.sources.add(address);
+    if (!state.isSettled) return [];
     const { isFirst } = findNeighbours(state, this.#options);
-    if (!state.isSettled || isFirst === state.keepsSources) return [];
-    state.keepsSources = isFirst;
-    return this.#options.sources.map((to) => ({ kind: isFirst ? 'keep' : 'drop', to }));
+    const wanted = isFirst ? state.sources : NO_SOURCES;
+    return [...keepMissing(state.keptSources, wanted), ...dropOthers(state.keptSources, wanted)];
   }
 
   #takePush(
@@ -231,7 +247,7 @@
     now: Instant,
   ): ProxySpreadOut[] {
     if (held.version < state.store.mark.version && !state.store.hasConflict(held)) {
-      return this.#isSource(address) ? [] : [formAdvertisement(state, address)];
+      return state.sources.has(address) ? [] : [formAdvertisement(state, address)];
     }
     const isUpward = this.#isUpward(state, address);
     if (held.version === state.store.mark.version && isUpward) {
@@ -335,19 +351,28 @@
   /** Tells whether reports go to this address. */
   #isUpward(state: ProxySpreadState, address: Address): boolean {
     const { isFirst, parent } = findNeighbours(state, this.#options);
-    return isFirst ? this.#isSource(address) : parent?.control === address;
-  }
-
-  #isSource(address: Address): boolean {
-    return this.#options.sources.includes(address);
+    return isFirst ? state.sources.has(address) : parent?.control === address;
   }
 }
 
 // Internals.
 
+const NO_SOURCES: ReadonlySet<Address> = new Set();
 const SETTLE_MS = 300;
 const START_SPREAD_MS = 100;
 
+function keepMissing(kept: Set<Address>, wanted: ReadonlySet<Address>): ProxySpreadOut[] {
+  const missing = [...wanted].filter((address) => !kept.has(address));
+  for (const address of missing) kept.add(address);
+  return missing.map((to) => ({ kind: 'keep', to }));
+}
+
+function dropOthers(kept: Set<Address>, wanted: ReadonlySet<Address>): ProxySpreadOut[] {
+  const others = [...kept].filter((address) => !wanted.has(address));
+  for (const address of others) kept.delete(address);
+  return others.map((to) => ({ kind: 'drop', to }));
+}
+
 /** Asks to be woken when the earliest deadline has moved forward. */
 function updateWake({ deadlines, catchUp, vouches, poll }: ProxySpreadState): ProxySpreadOut[] {
   const { settle, advertise, compare, report, refresh, remind } = deadlines;
--- a/src/spread/proxy-spread-state.ts
+++ b/src/spread/proxy-spread-state.ts
@@ -28,7 +28,7 @@
   readonly host: HostId;
   readonly dataCentre: DataCentreId;
   readonly control: Address;
-  /** The control addresses of the source hosts. */
+  /** Control addresses of source hosts; others are found among the members. */
   readonly sources: readonly Address[];
   /** Whether this host has a disk for the version floor. */
   readonly keepsFloor: boolean;
@@ -51,6 +51,8 @@
   /** A message that is not of this channel's form. */
   | { readonly kind: 'malformed'; readonly address: Address }
   | { readonly kind: 'floor-saved'; readonly version: Version }
+  /** Where source hosts are named from now on. */
+  | { readonly kind: 'sources'; readonly sources: readonly Address[] }
   | MemberEvent
   | Tick;
 
@@ -105,14 +107,20 @@
   readonly vouches: VouchRelay;
   readonly poll: ServedPoll;
   readonly linked: Set<Address>;
+  /** The control addresses of the source hosts: those of the settings and of the members. */
+  readonly sources: Set<Address>;
+  /** The source hosts that the settings name. */
+  namedSources: readonly Address[];
+  /** The source hosts among the members. */
+  readonly sourceHosts: Map<HostId, Address>;
+  /** The sources to which links are kept. */
+  readonly keptSources: Set<Address>;
   readonly deadlines: SpreadDeadlines;
   appliedAt: Instant;
   /** The neighbours in the present forest; undefined after the membership has changed. */
   neighbours: Neighbours | undefined;
   /** Whether the time to learn the membership is over. */
   isSettled: boolean;
-  /** Whether the links to the sources are kept. */
-  keepsSources: boolean;
   /** Counts the reminders since the last version was applied. */
   reminders: number;
   /** Counts comparisons, so that each goes to another peer. */
@@ -137,11 +145,14 @@
     vouches: new VouchRelay(random),
     poll: new ServedPoll(),
     linked: new Set(),
+    sources: new Set(options.sources),
+    namedSources: options.sources,
+    sourceHosts: new Map(),
+    keptSources: new Set(),
     deadlines: { ...NO_DEADLINES },
     appliedAt: 0 as Instant,
     neighbours: undefined,
     isSettled: false,
-    keepsSources: false,
     reminders: 0,
     comparisons: 0,
     rejections: new Map(),
--- a/src/spread/proxy-voucher.ts
+++ b/src/spread/proxy-voucher.ts
@@ -55,9 +55,11 @@
 
   #formAsks(state: ProxySpreadState, { id, hops }: VouchRequest): ProxySpreadOut[] {
     const { isFirst, parent, offTree } = findNeighbours(state, this.#options);
-    const { sources, random } = this.#options;
+    const { random } = this.#options;
     if (isFirst) {
-      return sources.map((to) => ({ kind: 'send-source', to, body: { kind: 'ask-vouch', id } }));
+      return [...state.sources].map((to) => {
+        return { kind: 'send-source', to, body: { kind: 'ask-vouch', id } };
+      });
     }
     const hasFailed = state.vouches.failures > 0 && offTree.length > 0;
     const asked = hasFailed ? random.pick(offTree) : parent;
--- a/test/call-resources.ts
+++ b/test/call-resources.ts
@@ -101,6 +101,7 @@
     control: '127.0.0.1:1' as Address,
     calls: '127.0.0.1:2' as Address,
     pass: `pass of ${host}`,
+    isSource: false,
     incarnation: 1 as Incarnation,
     liveness: 'alive',
     version: NO_VERSION,
--- a/test/calls-route.test.ts
+++ b/test/calls-route.test.ts
@@ -65,7 +65,7 @@
 });
 
 test('caller stays on one side', (t) => {
-  const filter = new ClassifyFilter();
+  const filter = new ClassifyFilter('proxy');
   const whole = makeWhole(
     makeKind('k'),
     makeSplit(5_000),
@@ -82,13 +82,14 @@
 });
 
 test('deadline: the earlier one', (t) => {
-  const filter = new ClassifyFilter();
+  const filter = new ClassifyFilter('proxy');
   const whole = makeWhole(makeKind('k', { timeoutMs: 100 }), makeRoute('/shop', 'k'));
   const state = filter.decide(filter.createState(), { kind: 'whole', whole }, START).state;
   const decide = (milliseconds: number) => {
     const head = makeHead('c', { deadline: addMs(START, milliseconds) });
     const [output] = filter.decide(state, { kind: 'arrived', head }, START).outputs;
-    return output?.kind === 'routed' ? output.call.deadline : output?.reason;
+    if (output?.kind === 'routed') return output.call.deadline;
+    return output?.kind === 'refused' ? output.reason : undefined;
   };
   t.is(decide(40), addMs(START, 40));
   t.is(decide(400), addMs(START, 100));
--- a/test/members-codec.test.ts
+++ b/test/members-codec.test.ts
@@ -48,6 +48,7 @@
     calls: address,
     incarnation,
     pass: fc.stringMatching(/^[A-Za-z0-9_-]{0,64}$/),
+    isSource: fc.boolean(),
     liveness: fc.constant('alive' as const),
     version: fc.nat() as fc.Arbitrary<Version>,
     servers: fc.array(server, { maxLength: MAX_OWN_SERVERS }),
--- a/test/naive-book.ts
+++ b/test/naive-book.ts
@@ -1,6 +1,6 @@
 /** A naive note book: a plain list of notes, folded anew for every command. */
 import type { NoteNumber, ResourceKey, Revision, Version } from '../src/ids.js';
-import type { NoteAnswer, NoteCommand, NoteDraft, NoteReceipt } from '../src/messages/index.js';
+import type { NoteAnswer, NoteEdit, NoteDraft, NoteReceipt } from '../src/messages/index.js';
 import type { Resource } from '../src/messages/index.js';
 import { formKey } from '../src/messages/index.js';
 import { digestValue, formatCanonical } from '../src/notes/index.js';
@@ -39,7 +39,7 @@
   notes: readonly NaiveNote[] = [];
   version = 0;
 
-  apply(command: NoteCommand): NoteAnswer {
+  apply(command: NoteEdit): NoteAnswer {
     const number = command.kind === 'withdraw' ? command.number : command.draft.number;
     const note = this.notes.find((one) => one.number === number);
     if (command.kind === 'submit') return this.#submit(command.draft, note);
@@ -85,7 +85,7 @@
   }
 
   #accept(
-    kind: NoteCommand['kind'],
+    kind: NoteEdit['kind'],
     number: NoteNumber,
     former: NaiveNote | undefined,
     draft: NoteDraft,
@@ -111,7 +111,7 @@
   #judge(
     notes: readonly NaiveNote[],
     note: NaiveNote,
-    kind: NoteCommand['kind'],
+    kind: NoteEdit['kind'],
   ): NoteAnswer | undefined {
     const before = foldNotes(this.notes);
     const after = foldNotes(notes);
--- a/test/notes-diff.test.ts
+++ b/test/notes-diff.test.ts
@@ -2,13 +2,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type { Generation, NoteNumber, RequestKindName, Revision, ServiceName } from '../src/ids.js';
-import type {
-  Change,
-  NoteAnswer,
-  NoteCommand,
-  NoteDraft,
-  Resource,
-} from '../src/messages/index.js';
+import type { Change, NoteAnswer, NoteEdit, NoteDraft, Resource } from '../src/messages/index.js';
 import { formKey } from '../src/messages/index.js';
 import {
   applyDelta,
@@ -55,7 +49,7 @@
     withdraw: [],
     supersedes: [],
   },
-} satisfies NoteCommand;
+} satisfies NoteEdit;
 
 /** One of each kind of resource, with both generations and all that they refer to. */
 const MANY = [
@@ -121,7 +115,7 @@
 
 /** Applies commands to both books and compares answers, versions and wholes after each. */
 function runBoth(raws: readonly RawCommand[], notice: (answer: NoteAnswer) => void) {
-  const [book, naive, commands] = [new NoteBook(), new NaiveBook(), [] as NoteCommand[]];
+  const [book, naive, commands] = [new NoteBook(), new NaiveBook(), [] as NoteEdit[]];
   let proxy = EMPTY_WHOLE;
   for (const raw of [undefined, ...raws]) {
     const command = raw === undefined ? FIRST_COMMAND : formCommand(raw, naive, commands);
@@ -145,7 +139,7 @@
   return resources.map((resource) => ({ op: 'put', resource }));
 }
 
-function expectEqual(found: unknown, expected: unknown, command: NoteCommand): void {
+function expectEqual(found: unknown, expected: unknown, command: NoteEdit): void {
   const [left, right] = [found, expected].map((one) =>
     formatCanonical(one instanceof Map ? [...one] : one),
   );
@@ -157,11 +151,7 @@
   return { kind: answer.kind, places: answer.faults.map(({ place }) => place).sort() };
 }
 
-function formCommand(
-  raw: RawCommand,
-  naive: NaiveBook,
-  history: readonly NoteCommand[],
-): NoteCommand {
+function formCommand(raw: RawCommand, naive: NaiveBook, history: readonly NoteEdit[]): NoteEdit {
   const resent = history[history.length - raw.number];
   if (raw.kind === 'resend' && resent !== undefined) return resent;
   const known = naive.notes[raw.number % naive.notes.length]?.number;
--- a/test/operator.test.ts
+++ b/test/operator.test.ts
@@ -6,7 +6,7 @@
 import test from 'ava';
 import { request } from 'undici';
 import { findFreeAddress } from '../bench/mesh.js';
-import { OperatorTask } from '../src/edge/index.js';
+import { NoteFront, OperatorTask } from '../src/edge/index.js';
 import type { Address, HostId, NoteNumber, RequestId, Revision, Version } from '../src/ids.js';
 import type { LogRefusal, NoteReceipt } from '../src/messages/index.js';
 import type { NotesIn } from '../src/notes/index.js';
@@ -47,7 +47,7 @@
   const operator: OperatorTask = new OperatorTask({
     address,
     clock,
-    token: 'secret',
+    front: new NoteFront('secret'),
     waitLimitMs: 1_000,
     findOperator: () => leaderAt,
     reportFailure: (_task, error) => {
