Hold calls until the sockets were polled once more, so that those of callers who left are dropped

Ruled out: undici sending attempts that were cancelled before their connection opened; an aborted request writes nothing.

--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -164,9 +164,15 @@
     response.on('close', () => {
       this.#forget(call);
     });
-    if (this.#calls.size > MAX_OPEN_CALLS) call.refuse(OVERLOADED);
-    else if (isFromProxy) this.#acceptForwarded(call);
-    else this.#acceptCall(call);
+    if (this.#calls.size > MAX_OPEN_CALLS) {
+      call.refuse(OVERLOADED);
+      return;
+    }
+    afterNextPoll(() => {
+      if (!this.#calls.has(id)) return;
+      if (isFromProxy) this.#acceptForwarded(call);
+      else this.#acceptCall(call);
+    });
   }
 
   // Internals.
@@ -420,6 +426,14 @@
   noDelay: true,
 };
 
+/**
+ * Runs an action after the sockets have been polled once more. A process that was paused reads requests
+ * whose callers have long gone; the end of such a connection is read only by the poll after that.
+ */
+function afterNextPoll(action: () => void): void {
+  setImmediate(() => setImmediate(action));
+}
+
 const OVERLOADED: Refusal = { reason: 'overloaded', outcome: 'not-run' };
 
 function formHeadRefusal({ reason, message }: HeadFault): Refusal {
--- a/test/call-mesh.ts
+++ b/test/call-mesh.ts
@@ -2,9 +2,16 @@
 import { findFreeAddress } from '../bench/mesh.js';
 import type { CallObserver } from '../src/calls/index.js';
 import { SystemClock } from '../src/clock.js';
-import type { CallNotice } from '../src/edge/index.js';
+import type { CallFront, CallNotice } from '../src/edge/index.js';
 import { CallTask } from '../src/edge/index.js';
-import type { Address, DataCentreId, HostId, IdempotencyKey, RegionId } from '../src/ids.js';
+import type {
+  Address,
+  CallerId,
+  DataCentreId,
+  HostId,
+  IdempotencyKey,
+  RegionId,
+} from '../src/ids.js';
 import type {
   Announcement,
   LedgerAnswer,
@@ -55,6 +62,8 @@
   readonly answers: readonly (Answer | undefined)[];
   readonly server?: Partial<Announcement>;
   readonly observer?: CallObserver;
+  readonly front?: CallFront;
+  readonly caller?: CallerId;
 }
 
 /** Owns the proxies and stand-ins of one test. */
@@ -125,6 +134,8 @@
         this.#route(task, notice);
       },
       ...(options.observer && { observer: options.observer }),
+      ...(options.front && { front: options.front }),
+      caller: options.caller,
     });
     await task.start();
     task.post({ kind: 'whole', whole: options.whole });
--- /dev/null
+++ b/test/log-growth.test.ts
@@ -0,0 +1,102 @@
+/** A log that takes in replicas which its founders do not know. */
+import test from 'ava';
+import type { Address } from '../src/ids.js';
+import type { LogGrowth } from '../src/log/index.js';
+import { DEFAULT_TIMING, LogFilter } from '../src/log/index.js';
+import { SeededRandom } from '../src/random.js';
+import type { ClusterNode, ClusterOptions } from './log-cluster.js';
+import { LogCluster } from './log-cluster.js';
+
+const GROWTH: LogGrowth = { founds: true, minVoters: 5, maxVoters: 5, replaceAfterMs: 2_000 };
+const FOUNDERS = 3;
+
+/** Every replica knows the founders only; `founds` tells which of them may found the log. */
+function startCluster(replicas: number, founds = (_index: number) => true): LogCluster {
+  const makeFilter = ({ seed }: ClusterOptions, index: number, addresses: readonly Address[]) => {
+    return new LogFilter<string>({
+      host: `h${index}` as never,
+      self: addresses[index] as Address,
+      replicas: addresses.slice(0, FOUNDERS),
+      growth: { ...GROWTH, founds: founds(index) },
+      random: new SeededRandom(seed + index),
+      timing: DEFAULT_TIMING,
+      snapshots: undefined,
+    });
+  };
+  return new LogCluster({ seed: 7, replicas, makeFilter });
+}
+
+function countVoters(cluster: LogCluster): number {
+  return readVoters(cluster).length;
+}
+
+function readVoters(cluster: LogCluster): readonly Address[] {
+  const membership = cluster.leader?.state?.replica.entries.membership;
+  return membership?.voters.map(({ address }) => address) ?? [];
+}
+
+function pickFollower(cluster: LogCluster): ClusterNode {
+  const node = cluster.nodes.find((one) => one.running && one !== cluster.leader);
+  if (node === undefined) throw new Error('every node leads');
+  return node;
+}
+
+test('growth: unknown replicas become voters', (t) => {
+  const cluster = startCluster(5);
+  cluster.settle(() => countVoters(cluster) === 5);
+  t.is(countVoters(cluster), 5);
+});
+
+test('growth: no command before enough vote', (t) => {
+  const cluster = startCluster(5);
+  const [, , , fourth, fifth] = cluster.nodes as ClusterNode[];
+  for (const node of [fourth, fifth]) if (node !== undefined) cluster.kill(node);
+  cluster.settle(() => countVoters(cluster) === 3);
+  const { leader } = cluster;
+  if (leader !== undefined) cluster.propose(leader, 'early');
+  cluster.settle(() => cluster.notices.some((notice) => notice.kind === 'refused'));
+  t.deepEqual(leader?.shown, []);
+});
+
+test('growth: only the first start founds', (t) => {
+  const cluster = startCluster(3, () => false);
+  t.throws(() => {
+    cluster.settle(() => cluster.leader !== undefined, 5_000);
+  });
+});
+
+test('growth: a stand-in replaces a silent voter', (t) => {
+  const cluster = startCluster(6);
+  cluster.settle(() => countVoters(cluster) === 5);
+  const voters = readVoters(cluster);
+  const lost = cluster.nodes.find((node) => {
+    return voters.includes(node.address) && node !== cluster.leader;
+  });
+  if (lost === undefined) throw new Error('no follower votes');
+  cluster.loseDisk(lost);
+  cluster.settle(() => countVoters(cluster) === 5 && !readVoters(cluster).includes(lost.address));
+  t.is(countVoters(cluster), 5);
+});
+
+test('growth: a silent voter stays without a stand-in', (t) => {
+  const cluster = startCluster(5);
+  cluster.settle(() => countVoters(cluster) === 5);
+  cluster.kill(pickFollower(cluster));
+  const until = cluster.now + 10_000;
+  cluster.settle(() => cluster.now > until, 20_000);
+  t.is(countVoters(cluster), 5);
+});
+
+test('growth: wiped disks come back as new voters', (t) => {
+  const cluster = startCluster(5);
+  cluster.settle(() => countVoters(cluster) === 5);
+  const { leader } = cluster;
+  if (leader === undefined) throw new Error('no leader');
+  cluster.propose(leader, 'kept');
+  cluster.settle(() => leader.shown.includes('kept'));
+  const wiped = cluster.nodes.filter((node) => node !== leader).slice(0, 2);
+  for (const node of wiped) cluster.loseDisk(node);
+  cluster.heal();
+  cluster.settle(() => cluster.nodes.every((node) => node.state?.replica.isVoter === true));
+  t.true(wiped.every((node) => node.shown.includes('kept')));
+});
--- /dev/null
+++ b/test/platform-calls.test.ts
@@ -0,0 +1,190 @@
+/** Calls in the platform's terms, over real sockets, with a stand-in beside each proxy. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { connect } from 'node:net';
+import type { ExecutionContext } from 'ava';
+import test from 'ava';
+import { request } from 'undici';
+import { waitFor } from '../bench/mesh.js';
+import { PlatformCallFront } from '../platform/platform-call-front.js';
+import type { CallerId, InstanceId } from '../src/ids.js';
+import { splitAddress } from '../src/ids.js';
+import { CallMesh } from './call-mesh.js';
+import { makeKind, makeRoute, makeWhole } from './call-resources.js';
+import type { Answer } from './stand-in.js';
+
+const HOST = 'shop.example';
+const WHOLE = makeWhole(
+  makeKind('safe', { timeoutMs: 2_000, maxAttempts: 2 }),
+  makeKind('unsafe', { idempotent: false, timeoutMs: 2_000, maxAttempts: 2 }),
+  makeKind('short', { timeoutMs: 150 }),
+  makeRoute('/read/', 'safe', { host: HOST }),
+  makeRoute('/book/', 'unsafe', { host: HOST }),
+  makeRoute('/short/', 'short', { host: HOST }),
+);
+
+/** Answers as a sound backend server does. */
+function answer(request: IncomingMessage, response: ServerResponse, text = 'done'): void {
+  request.resume();
+  response.writeHead(200, {
+    'X-Attempt-Id': request.headers['x-attempt-id'] ?? '',
+    'X-Server-Seal': 'signed',
+    'Content-Length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+async function start(t: ExecutionContext, answers: readonly (Answer | undefined)[]) {
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers,
+    server: { instance: 'i-1' as InstanceId, warmAt: 0 as never },
+    front: new PlatformCallFront(),
+    caller: 'catalogue' as CallerId,
+  });
+  t.teardown(() => mesh.stop());
+  return mesh;
+}
+
+let attempts = 0;
+
+async function call(mesh: CallMesh, path: string, headers: Record<string, string> = {}) {
+  attempts += 1;
+  const id = `a-${attempts}`;
+  const url = `http://${mesh.at(0).calls}${path}`;
+  const method = path.startsWith('/book') ? 'POST' : 'GET';
+  const sent = { host: HOST, 'x-attempt-id': id, 'x-deadline-ms': '1500', ...headers };
+  const { statusCode, headers: answered, body } = await request(url, { method, headers: sent });
+  return { id, status: statusCode, headers: answered, text: await body.text() };
+}
+
+test('headers at the backend server', async (t) => {
+  const seen: IncomingMessage[] = [];
+  const mesh = await start(t, [
+    undefined,
+    (request, response) => {
+      seen.push(request);
+      answer(request, response);
+    },
+  ]);
+  const path = '/read/%zz//x?y=1';
+  const answered = await call(mesh, path, { 'x-caller-service': 'forged', 'x-further': 'kept' });
+  t.is(answered.status, 200);
+  t.is(answered.headers['x-server-seal'], 'signed');
+  const { url, headers = {} } = seen[0] ?? {};
+  t.is(url, path);
+  t.like(headers, { host: HOST, 'x-caller-service': 'catalogue', 'x-expect-instance': 'i-1' });
+  t.is(headers['x-further'], 'kept');
+  t.is(headers['x-attempt-id'], answered.id);
+  t.true(Number(headers['x-deadline-ms']) <= 1_500 && Number(headers['x-deadline-ms']) > 1_000);
+  t.deepEqual(
+    Object.keys(headers).filter((name) => name.startsWith('bilberryswitch')),
+    [],
+  );
+});
+
+test('shed is tried elsewhere', async (t) => {
+  const shed: Answer = (request, response) => {
+    request.resume();
+    const id = request.headers['x-attempt-id'] ?? '';
+    response.writeHead(503, { 'X-Not-Executed': '1', 'X-Attempt-Id': id }).end();
+  };
+  const mesh = await start(t, [undefined, shed, answer]);
+  for (let count = 0; count < 6; count += 1) t.is((await call(mesh, '/book/x')).status, 200);
+});
+
+test('shed everywhere: not run', async (t) => {
+  const shed: Answer = (request, response) => {
+    request.resume();
+    response.writeHead(421, { 'X-Instance-Id': 'i-2' }).end();
+  };
+  const mesh = await start(t, [undefined, shed]);
+  const refused = await call(mesh, '/book/x');
+  t.is(refused.status, 503);
+  t.truthy(refused.headers['retry-after']);
+  t.is(refused.headers['x-attempt-id'], refused.id);
+});
+
+test('foreign answer is not passed on', async (t) => {
+  const foreign: Answer = (request, response) => {
+    request.resume();
+    response.writeHead(200, { 'X-Attempt-Id': 'other', 'X-Server-Seal': 'signed' }).end('other');
+  };
+  const unsigned: Answer = (request, response) => {
+    request.resume();
+    response.writeHead(200, { 'X-Attempt-Id': request.headers['x-attempt-id'] ?? '' }).end('x');
+  };
+  for (const wrong of [foreign, unsigned]) {
+    const mesh = await start(t, [undefined, wrong]);
+    t.is((await call(mesh, '/book/x')).status, 502);
+  }
+});
+
+test('own failures of a server pass unchanged', async (t) => {
+  const mesh = await start(t, [
+    undefined,
+    (request, response) => {
+      request.resume();
+      const id = request.headers['x-attempt-id'] ?? '';
+      response.writeHead(500, { 'X-Attempt-Id': id, 'X-Server-Seal': 's' }).end('broken');
+    },
+  ]);
+  const failed = await call(mesh, '/book/x');
+  t.is(failed.status, 500);
+  t.is(failed.headers['x-server-seal'], 's');
+  t.is(failed.text, 'broken');
+});
+
+test('time limit of the route', async (t) => {
+  const mesh = await start(t, [undefined, (request) => request.resume()]);
+  const startedAt = Date.now();
+  t.is((await call(mesh, '/short/x')).status, 504);
+  t.true(Date.now() - startedAt < 600);
+});
+
+test('no route and no server', async (t) => {
+  const mesh = await start(t, [undefined]);
+  t.is((await call(mesh, '/nowhere/x')).status, 404);
+  const refused = await call(mesh, '/read/x');
+  t.is(refused.status, 503);
+  t.truthy(refused.headers['retry-after']);
+});
+
+test('pipelined calls: in order, and gone with their connection', async (t) => {
+  let held = 0;
+  const mesh = await start(t, [
+    undefined,
+    (request, response) => {
+      const { url = '' } = request;
+      if (url === '/read/held') held += 1;
+      else setTimeout(() => answer(request, response, `${url} `), 40 - 10 * Number(url.at(-1)));
+    },
+  ]);
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const form = (path: string) => `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: p\r\n\r\n`;
+  const socket = connect(port, host);
+  let text = '';
+  socket.on('data', (chunk) => (text += chunk.toString()));
+  socket.write(form('/read/1') + form('/read/2') + form('/read/3'));
+  await waitFor('three answers', () => text.includes('/read/3 ') || undefined);
+  t.deepEqual(text.match(/\/read\/\d /g), ['/read/1 ', '/read/2 ', '/read/3 ']);
+  socket.write(form('/read/held') + form('/read/held'));
+  await waitFor('both to run', () => held === 2 || undefined);
+  socket.destroy();
+  await waitFor('both to be cancelled', () => mesh.serverAt(1).cancelled === 2 || undefined);
+  t.is(mesh.serverAt(1).running, 0);
+});
+
+test('caller gone before its call was read', async (t) => {
+  const mesh = await start(t, [undefined, answer]);
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const left = Array.from({ length: 20 }, () => {
+    const socket = connect(port, host, () => {
+      socket.write(`GET /read/x HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: left\r\n\r\n`);
+      socket.destroy();
+    });
+    return new Promise((resolve) => socket.once('close', resolve));
+  });
+  await Promise.all(left);
+  t.is((await call(mesh, '/read/x')).status, 200);
+  t.is(mesh.serverAt(1).countRuns(), 1);
+});
