--- a/scripts/build-target.mjs
+++ b/scripts/build-target.mjs
@@ -1,7 +1,8 @@
 // Builds the program for the users' machines: the bundle, its code cache, and the file that starts it.
 import { execFileSync } from 'node:child_process';
-import { copyFileSync, mkdirSync } from 'node:fs';
+import { copyFileSync, mkdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { parse } from 'smol-toml';
 import { bundleProgram } from './bundle.mjs';
 
 const root = join(import.meta.dirname, '..');
@@ -11,8 +12,14 @@
 mkdirSync(target, { recursive: true });
 await bundleProgram(join(root, 'platform', 'main.ts'), join(target, 'bilberryswitch.cjs'));
 copyFileSync(join(root, 'scripts', 'start.cjs'), start);
-// The cache holds only for the flags under which it was made; they are those of deploy/system.toml.
-execFileSync(process.execPath, ['--max-semi-space-size=1', start, 'version'], {
+// The cache holds only for the flags under which it was made, so all roles are run with the same ones.
+const { roles } = parse(readFileSync(join(root, 'deploy', 'system.toml'), 'utf8'));
+const [flags] = Object.values(roles).map(({ run }) => run.split(' ').filter(isFlag));
+execFileSync(process.execPath, [...flags, start, 'version'], {
   stdio: 'inherit',
   env: { ...process.env, BILBERRYSWITCH_WRITE_CODE_CACHE: '1' },
 });
+
+function isFlag(word, index, words) {
+  return index > 0 && index < words.indexOf('target/start.cjs');
+}
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -48,6 +48,8 @@
   #kept: Buffer[] | undefined;
   #keptBytes = 0;
   #isWhole = true;
+  /** Whether the connection may be left unread while the caller is slow. */
+  #mayPause = false;
   #cancelReason: CancelReason | undefined;
   #isDone = false;
   #isDiscarded = false;
@@ -95,6 +97,7 @@
     this.#statusText = statusText ?? '';
     this.#headers = decodeHeaders(controller.rawHeaders);
     this.#isWhole = hasLength(this.#options.method, status, headers);
+    this.#mayPause = this.#isWhole && !isLastAnswer(headers);
     const outcome = isGuard ? readHeader(headers, OUTCOME_HEADER) : undefined;
     if (outcome !== undefined) {
       this.#refusal = {
@@ -107,7 +110,7 @@
     const load = isGuard ? parseLoad(readHeader(headers, LOAD_HEADER)) : undefined;
     post({ kind: 'answer-started', attempt, status, load });
     const isDecided = this.#response !== undefined || this.#isDiscarded;
-    if (!isDecided && this.#cancelReason === undefined) controller.pause();
+    if (!isDecided && this.#cancelReason === undefined) this.#pause(controller);
   }
 
   onResponseData(controller: Controller, chunk: Buffer): void {
@@ -115,7 +118,10 @@
     this.#keep(chunk);
     const response = this.#response;
     if (response === undefined || response.destroyed || response.write(chunk)) return;
-    controller.pause();
+    if (!this.#pause(controller)) {
+      if (response.writableLength > MAX_UNSENT_BYTES) controller.abort(new Error(TOO_SLOW));
+      return;
+    }
     const resume = (): void => {
       response.off('drain', resume);
       response.off('close', resume);
@@ -163,6 +169,15 @@
     return verdict === 'answer';
   }
 
+  /**
+   * Stops reading from the connection; returns false where it must be read on. undici fails an assertion
+   * when a connection ends that it reads to the end and that is paused.
+   */
+  #pause(controller: Controller): boolean {
+    if (this.#mayPause) controller.pause();
+    return this.#mayPause;
+  }
+
   #finish(): boolean {
     if (this.#isDone) return false;
     this.#isDone = true;
@@ -202,6 +217,9 @@
 const FIRST_FINAL_STATUS = 200;
 const STATUS_BAD_GATEWAY = 502;
 const MAX_KEPT_BYTES = 64 * 1024;
+/** What is held for a slow caller where the backend server's connection cannot wait. */
+const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
+const TOO_SLOW = 'the caller reads too slowly for an answer that ends with its connection';
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
 function decodeHeaders(raw: Controller['rawHeaders']): string[] {
@@ -219,6 +237,11 @@
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
 
+/** Tells whether the connection ends after this answer. */
+function isLastAnswer(headers: Record<string, string | string[] | undefined>): boolean {
+  return /\bclose\b/i.test(String(headers.connection ?? ''));
+}
+
 function parseOutcome(text: string): RefusalOutcome {
   return text === 'not-run' ? 'not-run' : 'unknown';
 }
--- a/src/spread/proxy-voucher.ts
+++ b/src/spread/proxy-voucher.ts
@@ -96,7 +96,8 @@
 
 // Internals.
 
-const FAILURES_BEFORE_POLL = 3;
+/** About three seconds: an election of the source must not be taken for its outage. */
+const FAILURES_BEFORE_POLL = 8;
 const POLLED_PEERS = 7;
 const MAX_NONCE = 2 ** 32;
 
--- a/src/spread/vouch-relay.ts
+++ b/src/spread/vouch-relay.ts
@@ -111,8 +111,8 @@
 
 const GATHER_MS = 20;
 const SPACING_MS = 100;
-const REQUEST_TIMEOUT_MS = 1_000;
-const MAX_RETRY_DELAY_MS = 500;
+const REQUEST_TIMEOUT_MS = 300;
+const MAX_RETRY_DELAY_MS = 200;
 const MAX_HOPS = 16;
 const MAX_WAITING = 64;
 const MAX_NONCE = 2 ** 32;
--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -285,6 +285,34 @@
   t.true(Date.now() - startedAt < 2_000);
 });
 
+test('connection ends with the last piece', async (t) => {
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      undefined,
+      (message, response) => {
+        const length = Number(message.url?.split('/').at(-1));
+        const head = `HTTP/1.1 200 OK\r\ncontent-length: ${length}\r\nconnection: close\r\n\r\n`;
+        response.socket?.end(Buffer.concat([Buffer.from(head), Buffer.alloc(length)]));
+      },
+    ],
+  });
+  t.teardown(() => mesh.stop());
+  const { host, port } = splitAddress(mesh.at(1).calls);
+  const sizes = Array.from({ length: 60 }, (_, index) => 20_000 + 5_000 * index);
+  const read = sizes.map(async (size) => {
+    const socket = connect(port, host);
+    socket.write(`GET /notes/${size} HTTP/1.1\r\nhost: a\r\n\r\n`);
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    let length = 0;
+    socket.on('data', (chunk) => (length += chunk.length));
+    await waitFor('the whole answer', () => length >= size || undefined);
+    socket.destroy();
+  });
+  await Promise.all(read);
+  t.pass();
+});
+
 test('large answers stream', async (t) => {
   const total = 64 * 1024 * 1024;
   let written = 0;
--- a/test/host-routes.test.ts
+++ b/test/host-routes.test.ts
@@ -50,14 +50,18 @@
     .array(segment, { maxLength: 3 })
     .map((parts) => `/${parts.map((part) => `${part}/`).join('')}`);
   const path = fc.array(segment, { maxLength: 4 }).map((parts) => `/${parts.join('/')}`);
-  const property = fc.property(fc.uniqueArray(prefix, { minLength: 1 }), path, (prefixes, asked) => {
-    const routes = prefixes.map((one, index) => makeNamed(`r${index}`, one, `s${index}`));
-    const longest = prefixes
-      .filter((one) => asked.startsWith(one))
-      .sort((left, right) => right.length - left.length)[0];
-    const expected = longest === undefined ? 'no-route' : `s${prefixes.indexOf(longest)}`;
-    return decide(routes, 'shop.example', asked) === expected;
-  });
+  const property = fc.property(
+    fc.uniqueArray(prefix, { minLength: 1 }),
+    path,
+    (prefixes, asked) => {
+      const routes = prefixes.map((one, index) => makeNamed(`r${index}`, one, `s${index}`));
+      const longest = prefixes
+        .filter((one) => asked.startsWith(one))
+        .sort((left, right) => right.length - left.length)[0];
+      const expected = longest === undefined ? 'no-route' : `s${prefixes.indexOf(longest)}`;
+      return decide(routes, 'shop.example', asked) === expected;
+    },
+  );
   fc.assert(property, { seed: 20261204, numRuns: 300 });
   t.pass();
 });
--- a/test/log-growth.test.ts
+++ b/test/log-growth.test.ts
@@ -15,7 +15,7 @@
   const makeFilter = ({ seed }: ClusterOptions, index: number, addresses: readonly Address[]) => {
     return new LogFilter<string>({
       host: `h${index}` as never,
-      self: addresses[index] as Address,
+      self: addresses[index]!,
       replicas: addresses.slice(0, FOUNDERS),
       growth: { ...GROWTH, founds: founds(index) },
       random: new SeededRandom(seed + index),
@@ -49,7 +49,7 @@
 
 test('growth: no command before enough vote', (t) => {
   const cluster = startCluster(5);
-  const [, , , fourth, fifth] = cluster.nodes as ClusterNode[];
+  const [, , , fourth, fifth] = cluster.nodes;
   for (const node of [fourth, fifth]) if (node !== undefined) cluster.kill(node);
   cluster.settle(() => countVoters(cluster) === 3);
   const { leader } = cluster;
--- a/test/notes-replace.test.ts
+++ b/test/notes-replace.test.ts
@@ -1,9 +1,23 @@
 /** Replacements of the whole configuration: decided at the commit, resent, raced, read back. */
 import test from 'ava';
-import type { Digest, Instant, LogIndex, NoteNumber, RequestId, ServiceName, Term } from '../src/ids.js';
+import type {
+  Digest,
+  Instant,
+  LogIndex,
+  NoteNumber,
+  RequestId,
+  ServiceName,
+  Term,
+} from '../src/ids.js';
 import type { NoteAnswer, NoteCommand, Replacement, Resource } from '../src/messages/index.js';
 import type { NotesIn, NotesOut, NotesState } from '../src/notes/index.js';
-import { applyDelta, EMPTY_WHOLE, isApplyFault, NoteBook, NotesFilter } from '../src/notes/index.js';
+import {
+  applyDelta,
+  EMPTY_WHOLE,
+  isApplyFault,
+  NoteBook,
+  NotesFilter,
+} from '../src/notes/index.js';
 import { formService, submit } from './note-drafts.js';
 import { makeRoute } from './call-resources.js';
 
--- a/test/platform-codecs.test.ts
+++ b/test/platform-codecs.test.ts
@@ -103,7 +103,12 @@
 
 test('configuration: read back as sent', (t) => {
   const front = new PlatformOperatorFront();
-  const text = JSON.stringify({ version: 'r7', baseVersion: 0, resources: [SERVICE], further: 'ä' });
+  const text = JSON.stringify({
+    version: 'r7',
+    baseVersion: 0,
+    resources: [SERVICE],
+    further: 'ä',
+  });
   const read = putText(text);
   if (!read.ok || read.value.kind !== 'replace') throw new Error('not read');
   const { number, document } = read.value.replacement;
