--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -210,15 +210,20 @@
       record.loadAt = now;
     }
     const hasShed = message.status === STATUS_SHED;
-    if (hasShed && call.routed.requestKind.idempotent && call.relayed === undefined) {
+    const hasFailed = message.status >= FIRST_FAILURE_STATUS;
+    if (hasFailed && !hasShed) {
+      applyFailure(record, state.servers.listTiers(call.routed.service), now);
+    }
+    if (hasFailed && call.routed.requestKind.idempotent && call.relayed === undefined) {
       const retry = this.#retry(state, call, now, 'budgeted');
       if (retry.length > 0) {
         removeAttempt(state, message.attempt, open);
+        call.reached += 1;
         return [{ kind: 'cancel', attempt: message.attempt }, ...retry];
       }
     }
-    const hasRecovered = !hasShed && record.failures + record.ejections > 0;
-    if (!hasShed) applySuccess(record);
+    const hasRecovered = !hasFailed && record.failures + record.ejections > 0;
+    if (!hasFailed) applySuccess(record);
     findLatency(state, call.routed.service).add(now - open.startedAt);
     call.relayed = message.attempt;
     const losers = [...call.running].filter((attempt) => attempt !== message.attempt);
@@ -306,6 +311,7 @@
 
 const MAX_ATTEMPTS = 3;
 const STATUS_SHED = 503;
+const FIRST_FAILURE_STATUS = 500;
 /** The guard gives up a little earlier, so that its answer "not run" still reaches the caller. */
 const ANSWER_MARGIN_MS = 3;
 const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -6,6 +6,10 @@
 export interface AttemptEnd {
   readonly service: ServiceName | undefined;
   readonly server: Address;
+  /** The id of the request, as its caller named it. */
+  readonly request: string | undefined;
+  /** What broke the connection or ended the attempt early, if anything did. */
+  readonly cause: string | undefined;
   /** Whether the backend server is beside this proxy. */
   readonly isLocal: boolean;
   /** The HTTP status, or `undefined` when no answer began. */
@@ -17,6 +21,9 @@
 export interface CallEnd {
   /** Whether the call came from another proxy. */
   readonly isForwarded: boolean;
+  /** The id of the request, as its caller named it. */
+  readonly request: string | undefined;
+  readonly path: string;
   /** The HTTP status, or `undefined` when the caller went without an answer. */
   readonly status: number | undefined;
   readonly reason: RefusalReason | undefined;
--- a/src/calls/outlier.ts
+++ b/src/calls/outlier.ts
@@ -6,6 +6,7 @@
 /** Counts a failed attempt and ejects the server when failures repeat and enough others remain. */
 export function applyFailure(record: ServerRecord, tiers: Tiers, now: Instant): boolean {
   record.failures += 1;
+  record.failureShare += FAILURE_GAIN * (1 - record.failureShare);
   if (record.failures < FAILURES_TO_EJECT || record.ejectedUntil > now) return false;
   if (!hasRoomToEject(tiers, now)) return false;
   const factor = 2 ** Math.min(record.ejections, MAX_DOUBLINGS);
@@ -19,10 +20,13 @@
 export function applySuccess(record: ServerRecord): void {
   record.failures = 0;
   record.ejections = 0;
+  record.failureShare -= FAILURE_GAIN * record.failureShare;
 }
 
 // Internals.
 
+/** About the last ten attempts count. */
+const FAILURE_GAIN = 0.1;
 const FAILURES_TO_EJECT = 5;
 const EJECTION_MS = 3_000;
 const MAX_DOUBLINGS = 4;
--- a/src/calls/picker.ts
+++ b/src/calls/picker.ts
@@ -58,13 +58,16 @@
   }
 }
 
-/** The share of a server's slots in use, as far as this proxy knows; 1 means that all are taken. */
+/**
+ * The share of a server's slots in use, as far as this proxy knows; 1 means that all are taken. A server
+ * that fails part of its attempts counts as busier, because each of them has to be repeated.
+ */
 export function measureLoad(record: ServerRecord, now: Instant): number {
   const { load, loadAt, outstanding, announcement } = record;
   const isFresh = load !== undefined && now - loadAt <= MAX_LOAD_AGE_MS;
   const told = isFresh ? load.running + load.waiting : 0;
   const slots = announcement.slots * measureWarmth(record.readySince, now);
-  return Math.max(told, outstanding) / slots;
+  return Math.max(told, outstanding) / slots + FAILURE_LOAD * record.failureShare;
 }
 
 /** The part of its slots that a server may use: it grows to 1 while the server warms up. */
@@ -80,6 +83,8 @@
 /** Above this load a call leaves the server beside its entry proxy for another one. */
 const MAX_LOAD_BESIDE = 0.5;
 const MAX_LOAD_AGE_MS = 1_000;
+/** A server at which every attempt fails counts like one that is full and half full again. */
+const FAILURE_LOAD = 1.5;
 const WARM_UP_MS = 5_000;
 const MIN_WARMTH = 0.25;
 
--- a/src/calls/server-table.ts
+++ b/src/calls/server-table.ts
@@ -27,6 +27,8 @@
   /** What its guard last told, and when. */
   load: GuardLoad | undefined;
   loadAt: Instant;
+  /** The share of its late attempts that failed, from 0 to 1; later ones count more. */
+  failureShare: number;
   /** Failures without a success between them. */
   failures: number;
   ejections: number;
@@ -168,6 +170,7 @@
     outstanding: 0,
     load: undefined,
     loadAt: now,
+    failureShare: 0,
     failures: 0,
     ejections: 0,
     ejectedUntil: now,
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -27,7 +27,7 @@
   readonly judge: (status: number, headers: IncomingHttpHeaders) => AnswerVerdict;
   readonly post: (message: CallIn) => void;
   /** Called once, with the HTTP status when an answer began. */
-  readonly onEnd: (status: number | undefined) => void;
+  readonly onEnd: (status: number | undefined, cause: string | undefined) => void;
 }
 
 type Controller = Dispatcher.DispatchController;
@@ -145,9 +145,9 @@
     }
   }
 
-  onResponseError(): void {
+  onResponseError(_controller: Controller | undefined, error: Error): void {
     const { attempt, post } = this.#options;
-    if (!this.#finish()) return;
+    if (!this.#finish(this.#cancelReason ?? error.message)) return;
     const isSent = this.#controller !== undefined;
     const outcome = isSent ? 'unknown' : 'not-run';
     const reason = this.#cancelReason === 'deadline' ? 'deadline' : 'upstream-failed';
@@ -178,10 +178,10 @@
     return this.#mayPause;
   }
 
-  #finish(): boolean {
+  #finish(cause?: string): boolean {
     if (this.#isDone) return false;
     this.#isDone = true;
-    this.#options.onEnd(this.#status);
+    this.#options.onEnd(this.#status, cause);
     return true;
   }
 
--- a/src/edge/call-front.ts
+++ b/src/edge/call-front.ts
@@ -39,6 +39,9 @@
   /** Headers of callers, in lower case, that backend servers get from this proxy or not at all. */
   abstract readonly ownedHeaders: ReadonlySet<string>;
 
+  /** Finds the id by which the caller and the logs name a request. */
+  abstract findRequestId(request: IncomingMessage): string | undefined;
+
   /** Reads the head of a caller's call. */
   abstract parseHead(
     request: IncomingMessage,
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -365,13 +365,15 @@
       post: (message) => {
         this.post(message);
       },
-      onEnd: (status) => {
+      onEnd: (status, cause) => {
         this.#attempts.delete(attempt);
         this.#checkIdle();
         hop.end(status === undefined ? {} : { 'http.response.status_code': status });
         const milliseconds = this.#options.clock.read() - startedAt;
         const service = undefined;
-        this.#observer.endAttempt({ service, server, isLocal: !isGuard, status, milliseconds });
+        const request = call.requestId;
+        const end = { service, server, request, cause, isLocal: !isGuard, status, milliseconds };
+        this.#observer.endAttempt(end);
       },
     });
     this.#attempts.set(attempt, running);
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -54,6 +54,11 @@
     observer.startCall(isForwarded);
   }
 
+  /** The id of the request, as its caller named it. */
+  get requestId(): string | undefined {
+    return this.#front.findRequestId(this.request);
+  }
+
   /** The `traceparent` header for the attempts of this call. */
   get traceParent(): string | undefined {
     return this.#hop.traceParent;
@@ -87,6 +92,8 @@
     const milliseconds = now - this.#startedAt;
     this.#observer.endCall({
       isForwarded: this.isForwarded,
+      request: this.requestId,
+      path: this.request.url ?? '',
       status,
       reason,
       outcome,
--- a/src/edge/own-call-front.ts
+++ b/src/edge/own-call-front.ts
@@ -5,7 +5,13 @@
 import type { AnswerVerdict, RefusalAnswer, ServerAttempt } from './call-front.js';
 import { CallFront } from './call-front.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
-import { ATTEMPT_HEADER, CALLER_HEADER, parseCallHead, TIMEOUT_HEADER } from './call-headers.js';
+import {
+  ATTEMPT_HEADER,
+  CALLER_HEADER,
+  parseCallHead,
+  readHeader,
+  TIMEOUT_HEADER,
+} from './call-headers.js';
 import type { Refusal } from './call-refusal.js';
 import { formOwnRefusal } from './call-refusal.js';
 
@@ -13,6 +19,10 @@
 export class OwnCallFront extends CallFront {
   override readonly ownedHeaders: ReadonlySet<string> = new Set();
 
+  override findRequestId({ headers }: IncomingMessage): string | undefined {
+    return readHeader(headers, 'idempotency-key') ?? readHeader(headers, 'traceparent');
+  }
+
   override parseHead(
     request: IncomingMessage,
     id: CallId,
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -6,6 +6,7 @@
 import { MetricsRegistry } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { SeededRandom } from '../random.js';
+import { CallLog } from './call-log.js';
 import { CallMetrics } from './call-metrics.js';
 import { createTracer } from './create-tracer.js';
 import type { Fronts } from './fronts.js';
@@ -78,7 +79,7 @@
 
   addProcessMetrics(registry, links);
   const tracer = await createTracer(settings.host, settings.traces);
-  const observer = new CallMetrics(registry);
+  const observer = new CallLog({ log, clock, next: new CallMetrics(registry) });
 
   await status.start();
   await links.start();
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -291,3 +291,55 @@
     t.is(outputs.length, outcome === 'not-run' ? 1 : 0);
   }
 });
+
+test('failure of the server: tried elsewhere', (t) => {
+  const driver = new Driver(3);
+  const failed = (count: number) =>
+    ({
+      kind: 'answer-started',
+      attempt: attemptOf('c', count),
+      status: 500,
+      load: undefined,
+    }) as const;
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6, maxAttempts: 2 }) });
+  t.deepEqual(driver.listKinds(failed(0)), ['cancel', 'dispatch']);
+  t.deepEqual(driver.listKinds(failed(1)), ['relay']);
+});
+
+test('failure of the server: not idempotent', (t) => {
+  const driver = new Driver(3);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6, idempotent: false }) });
+  const failed = { kind: 'answer-started', status: 500, load: undefined } as const;
+  t.deepEqual(driver.listKinds({ ...failed, attempt: attemptOf('c') }), ['relay']);
+});
+
+test('most attempts of a request kind', (t) => {
+  const shed = { outcome: 'not-run', reason: 'shed' } as const;
+  const fail = (count: number) =>
+    ({ kind: 'attempt-failed', attempt: attemptOf('c', count), failure: shed }) as const;
+  const driver = new Driver(4);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6, maxAttempts: 2 }) });
+  t.deepEqual(driver.listKinds(fail(0)), ['dispatch']);
+  t.deepEqual(driver.listKinds(fail(1)), ['shed not-run']);
+  const once = new Driver(4);
+  once.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6, maxAttempts: 1 }) });
+  t.deepEqual(once.listKinds(fail(0)), ['shed not-run']);
+});
+
+test('failing server gets less', (t) => {
+  const driver = new Driver(2);
+  const counts = new Map<string, number>();
+  for (let index = 0; index < 400; index += 1) {
+    const id = `c${index}`;
+    const call = makeCall(id, { timeoutMs: 1e6, idempotent: false });
+    const [output] = driver.post({ kind: 'claimed', call });
+    const server = output?.kind === 'dispatch' ? output.target.server : '';
+    counts.set(server, (counts.get(server) ?? 0) + 1);
+    const isBad = server === '10.0.0.0:1' && index % 2 === 0;
+    const attempt = attemptOf(id);
+    driver.post({ kind: 'answer-started', attempt, status: isBad ? 500 : 200, load: undefined });
+    driver.post({ kind: 'answer-complete', attempt });
+  }
+  const [bad = 0, good = 0] = [counts.get('10.0.0.0:1'), counts.get('10.0.0.1:1')];
+  t.true(bad < good / 2, `${bad} and ${good} calls`);
+});
--- a/test/log-growth.test.ts
+++ b/test/log-growth.test.ts
@@ -15,7 +15,7 @@
   const makeFilter = ({ seed }: ClusterOptions, index: number, addresses: readonly Address[]) => {
     return new LogFilter<string>({
       host: `h${index}` as never,
-      self: addresses[index]!,
+      self: addresses[index] ?? ('' as Address),
       replicas: addresses.slice(0, FOUNDERS),
       growth: { ...GROWTH, founds: founds(index) },
       random: new SeededRandom(seed + index),
--- a/test/platform-calls.test.ts
+++ b/test/platform-calls.test.ts
@@ -156,7 +156,13 @@
     (request, response) => {
       const { url = '' } = request;
       if (url === '/read/held') held += 1;
-      else setTimeout(() => { answer(request, response, `${url} `); }, 40 - 10 * Number(url.at(-1)));
+      else
+        setTimeout(
+          () => {
+            answer(request, response, `${url} `);
+          },
+          40 - 10 * Number(url.at(-1)),
+        );
     },
   ]);
   const { host, port } = splitAddress(mesh.at(0).calls);
