--- a/src/members/own-servers.ts
+++ b/src/members/own-servers.ts
@@ -24,11 +24,14 @@
  */
 export class OwnServers {
   readonly #servers = new Map<Address, OwnServer>();
+  /** Lives that have left or were leaving when their announcements lapsed, oldest first. */
+  readonly #left = new Map<InstanceId, number>();
   #draining = false;
 
   /** Takes an announcement. Returns false when it is ignored. */
   apply(announcement: Announcement, now: Instant): boolean {
     this.removeLapsed(now);
+    if (this.#hasLeft(announcement)) return false;
     const known = this.#servers.get(announcement.address);
     if (known === undefined) {
       if (this.#servers.size >= MAX_OWN_SERVERS) return false;
@@ -49,6 +52,9 @@
 
   /** Marks the server of this id as leaving, unless the notice is about an earlier life. */
   removeInstance(instance: InstanceId, life: number | undefined): void {
+    const known = [...this.#servers.values()].find((one) => one.announcement.instance === instance);
+    if (isEarlier(life, known?.announcement.life)) return;
+    this.#addLeft(instance, life ?? known?.announcement.life);
     for (const server of this.#servers.values()) {
       const { announcement } = server;
       if (announcement.instance !== instance || isEarlier(life, announcement.life)) continue;
@@ -82,7 +88,10 @@
   /** Forgets the servers whose heartbeats have lapsed. */
   removeLapsed(now: Instant): void {
     for (const [address, { announcement }] of this.#servers) {
-      if (announcement.heartbeatDeadline <= now) this.#servers.delete(address);
+      if (announcement.heartbeatDeadline > now) continue;
+      this.#servers.delete(address);
+      const { instance, life, state } = announcement;
+      if (instance !== undefined && state === 'draining') this.#addLeft(instance, life);
     }
   }
 
@@ -107,6 +116,22 @@
 
   // Internals.
 
+  /** An announcement may arrive long after its sender has left. */
+  #hasLeft({ instance, life, state }: Announcement): boolean {
+    if (instance === undefined || life === undefined || state === 'leaving') return false;
+    return life <= (this.#left.get(instance) ?? Number.NEGATIVE_INFINITY);
+  }
+
+  #addLeft(instance: InstanceId, life: number | undefined): void {
+    if (life === undefined) return;
+    this.#left.delete(instance);
+    this.#left.set(instance, life);
+    for (const oldest of this.#left.keys()) {
+      if (this.#left.size <= MAX_LEFT) return;
+      this.#left.delete(oldest);
+    }
+  }
+
   #formState({ announcement, failingUntil }: OwnServer, now: Instant): ServerState {
     if (announcement.state === 'leaving') return 'leaving';
     if (this.#draining) return 'draining';
@@ -120,12 +145,15 @@
 const FAILURES_TO_FAIL = 3;
 const FAILING_MS = 5_000;
 const MAX_DOUBLINGS = 4;
+/** Lives of backend servers that are remembered after they have left. */
+const MAX_LEFT = 64;
 
 /** Announcements may arrive late, after those of a later life or after later ones of the same life. */
 function isOutdated(next: Announcement, known: Announcement): boolean {
   if (isEarlier(next.life, known.life)) return true;
   if (next.life !== known.life || next.instance !== known.instance) return false;
-  return isEarlier(next.sequence, known.sequence);
+  const isRevived = next.life !== undefined && known.state === 'draining' && next.state === 'ready';
+  return isRevived || isEarlier(next.sequence, known.sequence);
 }
 
 function isLaterLife(next: Announcement, known: Announcement): boolean {
--- a/test/announce-order.test.ts
+++ b/test/announce-order.test.ts
@@ -54,3 +54,34 @@
   servers.removeInstance(instance, 5);
   t.is(servers.form(NOW)[0]?.state, 'ready');
 });
+
+test('late announcement of a life that left', (t) => {
+  const servers = new OwnServers();
+  servers.apply(announce(5, 3), NOW);
+  servers.removeInstance('i-5' as InstanceId, undefined);
+  const lapsed = 20_000 as Instant;
+  t.false(servers.apply(announce(5, 4, { heartbeatDeadline: 30_000 as Instant }), lapsed));
+  t.deepEqual(servers.form(lapsed), []);
+  t.true(servers.apply(announce(6, 1, { heartbeatDeadline: 30_000 as Instant }), lapsed));
+});
+
+test('late announcement after a drain lapsed', (t) => {
+  const servers = new OwnServers();
+  servers.apply(announce(5, 3, { state: 'draining' }), NOW);
+  const lapsed = 20_000 as Instant;
+  t.false(servers.apply(announce(5, 4, { heartbeatDeadline: 30_000 as Instant }), lapsed));
+});
+
+test('left before it was ever heard of', (t) => {
+  const servers = new OwnServers();
+  servers.removeInstance('i-5' as InstanceId, 5);
+  t.false(servers.apply(announce(5, 9), NOW));
+  t.true(servers.apply(announce(6, 1), NOW));
+});
+
+test('draining is final for a life', (t) => {
+  const servers = new OwnServers();
+  servers.apply(announce(5, 3, { state: 'draining' }), NOW);
+  t.false(servers.apply(announce(5, 4), NOW));
+  t.is(servers.form(NOW)[0]?.state, 'draining');
+});
