--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -168,7 +168,7 @@
 
   /** Returns no output when there is no server left to try. */
   #startAttempt(state: AttemptState, call: OpenCall, now: Instant): AttemptOut[] {
-    const { service, head, requestKind, deadline, subject } = call.routed;
+    const { service, head, requestKind, deadline, aim, subject } = call.routed;
     const tiers = state.servers.listTiers(service);
     const record = this.#options.picker.pick(tiers, { now, tried: call.tried });
     if (record === undefined) return [];
@@ -192,6 +192,7 @@
           requestKind: name,
           worth,
           deadline: addMs(deadline, -ANSWER_MARGIN_MS),
+          ...(aim === undefined ? {} : { aim }),
           subject,
           suspect,
         },
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -180,7 +180,7 @@
   /** Tells what a forwarded attempt saw; the entry proxy tells only its own membership. */
   #observe(turn: Turn, server: Address, ending: RunEnding): void {
     const { failing } = turn.state;
-    if (ending === 'cancelled') return;
+    if (ending === 'cancelled' || ending === 'shed') return;
     const hasFailed = ending !== 'answered';
     if (hasFailed) failing.add(server);
     else if (!failing.delete(server)) return;
--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -21,6 +21,8 @@
   readonly service: ServiceName;
   readonly requestKind: RequestKindResource;
   readonly deadline: Instant;
+  /** Until then an answer has its full worth. */
+  readonly aim?: Instant;
   /** Equal for calls that ask for the same. */
   readonly subject: string;
 }
@@ -118,7 +120,9 @@
   const service = turns.pickService(route);
   if (service === undefined) return { kind: 'refused', id, reason: 'no-server' };
   const subject = formSubject(requestKind.name, head);
-  return { kind: 'routed', call: { head, service, requestKind, deadline, subject } };
+  const { targetLatencyMs } = requestKind;
+  const aim = targetLatencyMs === undefined ? {} : { aim: addMs(now, targetLatencyMs) };
+  return { kind: 'routed', call: { head, service, requestKind, deadline, ...aim, subject } };
 }
 
 /** Without a split there is only one side: the generations are tried in the order of their names. */
--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -14,6 +14,8 @@
 /** How a run at a backend server ended. */
 export type RunEnding =
   | 'answered'
+  /** The backend server itself said that it did not run the attempt. */
+  | 'shed'
   /** The connection broke after the request was sent. */
   | 'lost'
   /** The connection was closed by this proxy. */
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -1,5 +1,5 @@
 /** The slots of one backend server, as the proxy beside it grants them. */
-import { addMs } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
 import type { Address, AttemptId, InstanceId, Instant } from '../ids.js';
 import type {
   Announcement,
@@ -88,7 +88,8 @@
     const refusal = this.#findRefusal(head, now);
     if (refusal !== undefined) return [formReject(head.attempt, refusal)];
     this.#policy.addArrival(head.requestKind, now);
-    this.#policy.add({ head, arrivedAt: now, priority: this.#findPriority(head) });
+    const priority = this.#findPriority(head);
+    this.#policy.add({ head, arrivedAt: now, priority, latestStart: this.#findAimedStart(head) });
     const started = this.startWaiting(now);
     if (this.#policy.count() <= this.#announcement.slots * MAX_WAITING_PER_SLOT) return started;
     return [...started, ...this.#evictLeast()];
@@ -98,7 +99,7 @@
   startWaiting(now: Instant): Admission[] {
     const outcomes: Admission[] = [];
     while (this.#countFree(now) > 0) {
-      const next = this.#policy.takeNext(this.#countSlots(now));
+      const next = this.#policy.takeNext(this.#countSlots(now), now);
       if (next === undefined) break;
       outcomes.push(this.#start(next, now));
     }
@@ -131,13 +132,18 @@
    * Gives back the slot of an attempt that has ended. After a cancellation the slot stays taken until
    * the server has had the time to notice it.
    */
-  endRun(attempt: AttemptId, ending: 'answered' | 'failed' | 'cancelled', now: Instant): void {
+  endRun(
+    attempt: AttemptId,
+    ending: 'answered' | 'failed' | 'cancelled' | 'shed',
+    now: Instant,
+  ): void {
     const run = this.#running.get(attempt);
     if (run === undefined) return;
     this.#running.delete(attempt);
     this.#policy.removeRun(run.head.requestKind);
     if (ending === 'answered') this.#estimate.add(run.head.requestKind, now - run.startedAt, now);
-    if (ending === 'cancelled') this.#settling.push(addMs(now, CANCEL_SETTLE_MS));
+    if (ending === 'cancelled') this.#hold(addMs(now, CANCEL_SETTLE_MS));
+    if (ending === 'shed') this.#hold(addMs(now, SHED_SETTLE_MS));
   }
 
   /** Lists the attempts that run. */
@@ -160,6 +166,12 @@
 
   // Internals.
 
+  /** Holds one slot back until an instant. */
+  #hold(until: Instant): void {
+    this.#settling.push(until);
+    this.#settling.sort((left, right) => left - right);
+  }
+
   #findRefusal(head: AttemptHead, now: Instant): RefusalReason | undefined {
     if (this.#probeAt !== undefined) return 'no-server';
     const { state } = this.#announcement;
@@ -175,6 +187,10 @@
     return worth / Math.max(1, this.#estimate.findMean(requestKind));
   }
 
+  #findAimedStart({ requestKind, aim }: AttemptHead): Instant {
+    return aim === undefined ? NEVER : addMs(aim, -this.#estimate.findMean(requestKind));
+  }
+
   /** When a slot is expected for an attempt that arrives now. */
   #findStart(head: AttemptHead, now: Instant): Instant {
     const free = this.#countFree(now);
@@ -236,6 +252,8 @@
 
 const MAX_WAITING_PER_SLOT = 50;
 const CANCEL_SETTLE_MS = 20;
+/** A server that sheds below its slots still works on something; about one run time is left to it. */
+const SHED_SETTLE_MS = 100;
 const PROBE_INTERVAL_MS = 500;
 const WARM_UP_STEP_MS = 100;
 /** A cold server takes about twice as long, so it gets about half of its slots. */
--- a/src/calls/shared-slots.ts
+++ b/src/calls/shared-slots.ts
@@ -1,11 +1,13 @@
 /** One set of slots for all request kinds, given out by worth. */
-import type { AttemptId } from '../ids.js';
+import type { AttemptId, Instant } from '../ids.js';
+import { NEVER } from '../clock.js';
 import type { Waiting } from './slot-policy.js';
 import { SlotPolicy } from './slot-policy.js';
 
 /**
  * Gives each free slot to the request kind that is worth most per millisecond of run time; within a
- * kind, to the earliest attempt.
+ * kind, to the earliest attempt that can still meet its aim. Those that cannot any more come after the
+ * others, because an answer that is late anyway must not make further ones late.
  */
 export class SharedSlots extends SlotPolicy {
   /** The attempts of one kind and worth, in the order of arrival. Empty queues are removed. */
@@ -25,12 +27,8 @@
   }
 
   override add(waiting: Waiting): void {
-    const { attempt, requestKind, worth } = waiting.head;
-    const name = `${requestKind} ${worth}`;
-    const queue = this.#queues.get(name) ?? new Map<AttemptId, Waiting>();
-    this.#queues.set(name, queue);
-    this.#places.set(attempt, name);
-    queue.set(attempt, waiting);
+    const { requestKind, worth } = waiting.head;
+    this.#enqueue(`${requestKind} ${worth}`, waiting);
   }
 
   override remove(attempt: AttemptId): boolean {
@@ -43,7 +41,8 @@
     return true;
   }
 
-  override takeNext(): Waiting | undefined {
+  override takeNext(_slots: number, now: Instant): Waiting | undefined {
+    this.#demoteLate(now);
     let best: Waiting | undefined;
     for (const queue of this.#queues.values()) {
       const first = findFirst(queue);
@@ -81,10 +80,36 @@
   override count(): number {
     return this.#places.size;
   }
+
+  // Internals.
+
+  #enqueue(name: string, waiting: Waiting): void {
+    const { attempt } = waiting.head;
+    const queue = this.#queues.get(name) ?? new Map<AttemptId, Waiting>();
+    this.#queues.set(name, queue);
+    this.#places.set(attempt, name);
+    queue.set(attempt, waiting);
+  }
+
+  /** The earliest attempts of a kind are the first that can no longer meet their aims. */
+  #demoteLate(now: Instant): void {
+    for (const [name, queue] of [...this.#queues]) {
+      for (const waiting of queue.values()) {
+        if (waiting.latestStart >= now) break;
+        this.remove(waiting.head.attempt);
+        const priority = waiting.priority * LATE_WORTH;
+        this.#enqueue(`${name}${LATE_SUFFIX}`, { ...waiting, priority, latestStart: NEVER });
+      }
+    }
+  }
 }
 
 // Internals.
 
+const LATE_SUFFIX = ' late';
+/** The users' late answers are worth 0.3 to 0.5 of those in time. */
+const LATE_WORTH = 0.4;
+
 function findFirst(queue: ReadonlyMap<AttemptId, Waiting>): Waiting | undefined {
   return queue.values().next().value;
 }
--- a/src/calls/slot-policy.ts
+++ b/src/calls/slot-policy.ts
@@ -8,6 +8,8 @@
   readonly arrivedAt: Instant;
   /** What the call is worth per expected millisecond of its run. */
   readonly priority: number;
+  /** A run that starts later is expected to miss the aim of its call. */
+  readonly latestStart: Instant;
 }
 
 /**
@@ -36,7 +38,7 @@
    * Takes the attempt that runs next out of those that wait, or none when the free slots are kept for
    * others. `slots` counts all slots of the server, free or not.
    */
-  abstract takeNext(slots: number): Waiting | undefined;
+  abstract takeNext(slots: number, now: Instant): Waiting | undefined;
 
   /** Takes out the attempt that is worth least. */
   abstract takeLeast(): Waiting | undefined;
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -135,7 +135,8 @@
     const { attempt, post } = this.#options;
     if (!this.#finish()) return;
     if (this.#refusal !== undefined) {
-      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending: 'answered' });
+      const ending = this.#options.isGuard ? 'answered' : 'shed';
+      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending });
     } else if (this.#isWhole) {
       post({ kind: 'answer-complete', attempt, answer: this.#formStoredAnswer() });
       this.#response?.end();
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -94,7 +94,8 @@
 ): Result<ForwardedHead, HeadFault> {
   const { headers, url = '', method = '' } = request;
   const fields = (readHeader(headers, FORWARD_HEADER) ?? '').split(';');
-  const [shown = '', server = '', kind = '', worth = '', suspect = '', digest = ''] = fields;
+  const [shown = '', server = '', kind = '', worth = '', suspect = ''] = fields;
+  const [digest = '', aimLeft = ''] = fields.slice(5);
   if (!isSameText(shown, pass)) {
     return makeError({ reason: 'not-trusted', message: `${FORWARD_HEADER} is for proxies only` });
   }
@@ -118,6 +119,7 @@
       requestKind,
       worth: Number(worth),
       deadline: parseDeadline(headers, now) ?? now,
+      ...(aimLeft === '' ? {} : { aim: addMs(now, Number(aimLeft)) }),
       subject,
       suspect: suspect === SUSPECT,
     };
@@ -129,10 +131,16 @@
 }
 
 /** Formats the header by which a guard knows another proxy. */
-export function formatForward(pass: string, head: AttemptHead, bodyDigest?: Digest): string {
-  const { server, requestKind, worth, suspect } = head;
-  const fields = [pass, server, requestKind, worth, suspect ? SUSPECT : '', bodyDigest ?? ''];
-  return fields.join(';');
+export function formatForward(
+  pass: string,
+  head: AttemptHead,
+  now: Instant,
+  bodyDigest?: Digest,
+): string {
+  const { server, requestKind, worth, suspect, aim } = head;
+  const aimLeft = aim === undefined ? '' : (aim - now).toFixed(1);
+  const mark = suspect ? SUSPECT : '';
+  return [pass, server, requestKind, worth, mark, bodyDigest ?? '', aimLeft].join(';');
 }
 
 /** Formats the load that a guard tells an entry proxy. */
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -299,7 +299,7 @@
       ...this.#listCallHeaders(head, count),
       ...named,
       FORWARD_HEADER,
-      formatForward(target.pass, head, digest),
+      formatForward(target.pass, head, this.#options.clock.read(), digest),
     ];
     const pool = this.#pools.findPool(target.guard, MAX_CONNECTIONS_PER_GUARD);
     const headers = listRequestHeaders(call.request.rawHeaders, added);
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -44,6 +44,8 @@
   readonly requestKind: RequestKindName;
   readonly worth: number;
   readonly deadline: Instant;
+  /** Until then an answer has its full worth; later ones have a part of it. */
+  readonly aim?: Instant;
   /** Equal for calls that ask for the same; the fingerprint of a crashing request is formed of it. */
   readonly subject: string;
   /** Whether an earlier attempt of this call was in flight at a server that died. */
--- a/test/calls-guard.test.ts
+++ b/test/calls-guard.test.ts
@@ -235,3 +235,47 @@
   t.deepEqual(driver.list({ kind: 'probed', server: SERVER, accepts: true }), []);
   t.deepEqual(driver.admit('b'), ['run b']);
 });
+
+test('late attempts wait for those in time', (t) => {
+  const driver = new Driver({ slots: 1 });
+  t.deepEqual(driver.admit('running'), ['run running']);
+  t.deepEqual(driver.admit('old', { aim: addMs(WARM, 50) }), []);
+  t.deepEqual(driver.admit('young', { aim: addMs(WARM, 300) }), []);
+  const ended = { kind: 'run-ended', attempt: 'running' as AttemptId, ending: 'answered' } as const;
+  t.deepEqual(driver.list(ended, addMs(WARM, 100)), ['run young']);
+  const next = { kind: 'run-ended', attempt: 'young' as AttemptId, ending: 'answered' } as const;
+  t.deepEqual(driver.list(next, addMs(WARM, 200)), ['run old']);
+});
+
+test('in time: in the order of arrival', (t) => {
+  const driver = new Driver({ slots: 1 });
+  driver.admit('running');
+  driver.admit('first', { aim: addMs(WARM, 400) });
+  driver.admit('second', { aim: addMs(WARM, 300) });
+  const ended = { kind: 'run-ended', attempt: 'running' as AttemptId, ending: 'answered' } as const;
+  t.deepEqual(driver.list(ended, addMs(WARM, 100)), ['run first']);
+});
+
+test('shed: the slot is held for a while', (t) => {
+  const driver = new Driver({ slots: 1 });
+  driver.admit('shed');
+  driver.admit('waits');
+  const shed = { kind: 'run-ended', attempt: 'shed' as AttemptId, ending: 'shed' } as const;
+  t.deepEqual(driver.list(shed, addMs(WARM, 1)), []);
+  t.deepEqual(driver.list({ kind: 'tick' }, addMs(WARM, 99)), []);
+  t.deepEqual(driver.list({ kind: 'tick' }, addMs(WARM, 102)), ['run waits']);
+});
+
+test('shed teaches nothing of run times', (t) => {
+  const driver = new Driver({ slots: 1 });
+  for (let index = 0; index < 20; index += 1) {
+    const attempt = `a${index}`;
+    const at = addMs(WARM, index * 400);
+    driver.admit(attempt, { deadline: addMs(at, 1_000) }, at);
+    const ending = index % 2 === 0 ? 'answered' : 'shed';
+    const endsAt = addMs(at, ending === 'shed' ? 1 : 200);
+    driver.post({ kind: 'run-ended', attempt: attempt as AttemptId, ending }, endsAt);
+  }
+  const now = addMs(WARM, 8_000);
+  t.deepEqual(driver.admit('short', { deadline: addMs(now, 150) }, now), ['deadline short']);
+});
