Count the time that a busy process left messages unread against their deadlines

Ruled out: the end of the connection being unread, which the second poll covers; here the entry proxy itself had not yet read it. Test: platform-calls, 'caller past its deadline when its call was read', red before.

--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -103,7 +103,7 @@
       if (next === undefined) break;
       outcomes.push(this.#start(next, now));
     }
-    return outcomes;
+    return [...outcomes, ...this.#rejectHopeless(now)];
   }
 
   /** Rejects the waiting attempts that can no longer finish before their deadlines. */
@@ -215,6 +215,12 @@
     return { kind: 'run', head, connections: this.#countConnections(), instance };
   }
 
+  /** As many late attempts wait as may run soon; the others had better hear of it. */
+  #rejectHopeless(now: Instant): Admission[] {
+    const late = this.#policy.takeLate(this.#countSlots(now));
+    return late.map(({ head }) => formReject(head.attempt, 'overloaded'));
+  }
+
   #evictLeast(): Admission[] {
     const least = this.#policy.takeLeast();
     return least === undefined ? [] : [formReject(least.head.attempt, 'overloaded')];
--- a/src/calls/shared-slots.ts
+++ b/src/calls/shared-slots.ts
@@ -69,6 +69,15 @@
     return taken;
   }
 
+  override takeLate(most: number): Waiting[] {
+    const late = [...this.#queues].filter(([name]) => name.endsWith(LATE_SUFFIX));
+    const waiting = late.flatMap(([, queue]) => [...queue.values()]);
+    waiting.sort((left, right) => left.priority - right.priority);
+    const taken = waiting.slice(0, Math.max(0, waiting.length - most));
+    for (const { head } of taken) this.remove(head.attempt);
+    return taken;
+  }
+
   override countAhead(priority: number): number {
     let ahead = 0;
     for (const queue of this.#queues.values()) {
--- a/src/calls/slot-policy.ts
+++ b/src/calls/slot-policy.ts
@@ -46,6 +46,14 @@
   /** Takes out every attempt for which `matches` holds. */
   abstract takeMatching(matches: (waiting: Waiting) => boolean): Waiting[];
 
+  /**
+   * Takes out attempts that can no longer meet their aims, so that at most `most` of them are left. Override
+   * it where such attempts wait apart.
+   */
+  takeLate(_most: number): Waiting[] {
+    return [];
+  }
+
   /** Counts the attempts that would run before a fresh one of this priority. */
   abstract countAhead(priority: number): number;
 
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -16,7 +16,7 @@
 import { CallPipe, NoObserver, SharedSlots, TwoChoicesPicker } from '../calls/index.js';
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs } from '../clock.js';
-import type { Address, AttemptId, CallerId, CallId } from '../ids.js';
+import type { Address, AttemptId, CallerId, CallId, Instant } from '../ids.js';
 import type { AttemptHead, LimitsResource, StoredAnswer } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { applyFilter, WakeTimer } from '../pipe/index.js';
@@ -45,6 +45,7 @@
 import type { Refusal } from './call-refusal.js';
 import { refuseSocket } from './call-refusal.js';
 import { HttpTask } from './http-task.js';
+import { LoopLag } from './loop-lag.js';
 import { OpenCall } from './open-call.js';
 import { OwnCallFront } from './own-call-front.js';
 
@@ -84,6 +85,7 @@
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #attempts = new Map<AttemptId, CallAttempt>();
   readonly #connections: CallerConnections;
+  readonly #lag = new LoopLag();
   readonly #timer: WakeTimer;
   #notifyIdle: (() => void) | undefined;
   #isDraining = false;
@@ -168,17 +170,18 @@
       call.refuse(OVERLOADED);
       return;
     }
+    const arrivedAt = addMs(this.#options.clock.read(), -this.#lag.measure());
     afterNextPoll(() => {
       if (!this.#calls.has(id)) return;
-      if (isFromProxy) this.#acceptForwarded(call);
-      else this.#acceptCall(call);
+      if (isFromProxy) this.#acceptForwarded(call, arrivedAt);
+      else this.#acceptCall(call, arrivedAt);
     });
   }
 
   // Internals.
 
-  #acceptCall(call: OpenCall): void {
-    const head = this.#front.parseHead(call.request, call.id, this.#options.clock.read());
+  #acceptCall(call: OpenCall, arrivedAt: Instant): void {
+    const head = this.#front.parseHead(call.request, call.id, arrivedAt);
     if (!head.ok) {
       call.refuse(formHeadRefusal(head.error));
       return;
@@ -222,9 +225,8 @@
     });
   }
 
-  #acceptForwarded(call: OpenCall): void {
-    const { clock, pass } = this.#options;
-    const parsed = parseForwardedHead(call.request, call.id, pass, clock.read());
+  #acceptForwarded(call: OpenCall, arrivedAt: Instant): void {
+    const parsed = parseForwardedHead(call.request, call.id, this.#options.pass, arrivedAt);
     if (!parsed.ok) {
       call.refuse(formHeadRefusal(parsed.error));
       return;
--- a/test/calls-guard.test.ts
+++ b/test/calls-guard.test.ts
@@ -279,3 +279,14 @@
   const now = addMs(WARM, 8_000);
   t.deepEqual(driver.admit('short', { deadline: addMs(now, 150) }, now), ['deadline short']);
 });
+
+test('late attempts beyond the slots are refused', (t) => {
+  const driver = new Driver({ slots: 2 });
+  for (const attempt of ['r0', 'r1']) driver.admit(attempt);
+  for (let index = 0; index < 5; index += 1) {
+    driver.admit(`w${index}`, { aim: addMs(WARM, 50) });
+  }
+  const ended = { kind: 'run-ended', attempt: 'r0' as AttemptId, ending: 'answered' } as const;
+  const outputs = driver.list(ended, addMs(WARM, 100));
+  t.deepEqual(outputs, ['run w0', 'overloaded w1', 'overloaded w2']);
+});
--- a/test/platform-calls.test.ts
+++ b/test/platform-calls.test.ts
@@ -1,5 +1,6 @@
 /** Calls in the platform's terms, over real sockets, with a stand-in beside each proxy. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { once } from 'node:events';
 import { connect } from 'node:net';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
@@ -194,3 +195,19 @@
   t.is((await call(mesh, '/read/x')).status, 200);
   t.is(mesh.serverAt(1).countRuns(), 1);
 });
+
+test.serial('caller past its deadline when its call was read', async (t) => {
+  const mesh = await start(t, [undefined, answer]);
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const socket = connect(port, host);
+  await new Promise((resolve) => socket.once('connect', resolve));
+  t.is((await call(mesh, '/read/x')).status, 200);
+  const head = `GET /read/x HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: late\r\n`;
+  socket.write(`${head}X-Deadline-Ms: 200\r\n\r\n`);
+  const until = Date.now() + 400;
+  while (Date.now() < until);
+  const [text] = (await once(socket, 'data')) as [Buffer];
+  socket.destroy();
+  t.regex(text.toString(), /^HTTP\/1.1 503 /);
+  t.is(mesh.serverAt(1).countRuns(), 1);
+});
