--- a/src/program/logger.ts
+++ b/src/program/logger.ts
@@ -6,7 +6,11 @@
 /** Writes log lines; `event` names the kind of event and never changes. */
 export type Log = (event: string, fields?: Readonly<Record<string, unknown>>) => void;
 
-/** Creates the logger of a process. */
+/** Creates the logger of a process. It writes in the background, so that a full pipe stops nothing. */
 export function createLogger(host: HostId, level: LevelWithSilent): Logger {
-  return pino({ level, base: { host } });
+  return pino({ level, base: { host } }, pino.destination({ dest: STDOUT, sync: false }));
 }
+
+// Internals.
+
+const STDOUT = 1;
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -15,6 +15,7 @@
 import { runLedger } from './run-ledger.js';
 import { addProcessMetrics } from './process-metrics.js';
 import type { RunningRole } from './running-role.js';
+import { MembershipLog } from './membership-log.js';
 import { runMembers } from './run-members.js';
 import { runProxy } from './run-proxy.js';
 import { runSource } from './run-source.js';
@@ -42,6 +43,7 @@
   const roles: RunningRole[] = [];
   const pass = randomBytes(PASS_BYTES).toString('base64url');
   const registry = new MetricsRegistry();
+  const membershipLog = new MembershipLog(settings.host, log, clock);
   const status = createStatusTask({ settings, clock, registry, reportFailure });
   const links = new LinkTask({
     host: settings.host,
@@ -68,6 +70,7 @@
     reportFailure,
     postLink,
     notify: (event) => {
+      membershipLog.handle(event);
       if (event.kind !== 'broadcast') status.post(event);
       for (const role of roles) role.handleMembership(event);
     },
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -111,6 +111,7 @@
         report('source', output.report);
         return;
       default:
+        if (output.kind === 'answer') options.log('command-decided', { answer: output.answer });
         operator.post(output);
     }
   }
