--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -3,7 +3,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Stream } from 'most';
-import type { Dispatcher } from 'undici';
 import type {
   CallIn,
   CallObserver,
@@ -16,31 +15,19 @@
 import { CallPipe, NoObserver, SharedSlots, TwoChoicesPicker } from '../calls/index.js';
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs } from '../clock.js';
-import type { Address, AttemptId, CallerId, CallId, Instant } from '../ids.js';
-import type { AttemptHead, LimitsResource, StoredAnswer } from '../messages/index.js';
+import type { Address, CallerId, CallId, Instant } from '../ids.js';
+import type { LimitsResource, StoredAnswer } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { applyFilter, WakeTimer } from '../pipe/index.js';
 import type { Random } from '../random.js';
 import type { HopTracer } from '../traces/index.js';
 import { NoTracer } from '../traces/index.js';
-import { CallAttempt } from './call-attempt.js';
+import { AttemptSender } from './attempt-sender.js';
 import type { CallFront } from './call-front.js';
 import { hasBody, readBody } from './call-body.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
-import {
-  ATTEMPT_HEADER,
-  CALLER_HEADER,
-  FORWARD_HEADER,
-  formatForward,
-  formatLoad,
-  isForwarded,
-  listRequestHeaders,
-  LOAD_HEADER,
-  parseForwardedHead,
-  TIMEOUT_HEADER,
-} from './call-headers.js';
+import { isForwarded, parseForwardedHead } from './call-headers.js';
 import { CallerConnections } from './caller-connections.js';
-import { CallPools } from './call-pools.js';
 import { probeServer } from './call-probe.js';
 import type { Refusal } from './call-refusal.js';
 import { refuseSocket } from './call-refusal.js';
@@ -81,9 +68,8 @@
   readonly #front: CallFront;
   readonly #tracer: HopTracer;
   readonly #observer: CallObserver;
-  readonly #pools = new CallPools();
+  readonly #sender: AttemptSender;
   readonly #calls = new Map<CallId, OpenCall>();
-  readonly #attempts = new Map<AttemptId, CallAttempt>();
   readonly #connections: CallerConnections;
   readonly #lag = new LoopLag();
   readonly #timer: WakeTimer;
@@ -96,6 +82,18 @@
     this.#front = options.front ?? new OwnCallFront();
     this.#tracer = options.tracer ?? new NoTracer();
     this.#observer = options.observer ?? new NoObserver();
+    this.#sender = new AttemptSender({
+      clock: options.clock,
+      front: this.#front,
+      tracer: this.#tracer,
+      observer: this.#observer,
+      post: (message) => {
+        this.post(message);
+      },
+      notifyEnded: () => {
+        this.#checkIdle();
+      },
+    });
     this.#connections = new CallerConnections(options.clock, (id) => {
       const call = this.#calls.get(id);
       if (call !== undefined) this.#forget(call);
@@ -132,7 +130,7 @@
     await this.drain();
     await super.close();
     this.#timer.stop();
-    await this.#pools.close();
+    await this.#sender.close();
   }
 
   protected override createPipe(messages: Stream<CallIn>): Stream<unknown> {
@@ -249,19 +247,19 @@
   #pass(output: CallOut): void {
     switch (output.kind) {
       case 'dispatch':
-        this.#dispatch(output);
+        this.#sender.dispatch(this.#calls.get(output.id), output);
         return;
       case 'run':
-        this.#run(output);
+        this.#sender.run(this.#calls.get(output.id), output);
         return;
       case 'relay':
-        this.#relay(output);
+        this.#sender.relay(this.#calls.get(output.id), output);
         return;
       case 'cancel':
-        this.#attempts.get(output.attempt)?.cancel('withdrawn');
+        this.#sender.cancel(output.attempt, 'withdrawn');
         return;
       case 'stop-run':
-        this.#attempts.get(output.attempt)?.cancel(output.reason);
+        this.#sender.cancel(output.attempt, output.reason);
         return;
       case 'refuse':
         this.#calls.get(output.id)?.refuse(output);
@@ -286,60 +284,6 @@
     }
   }
 
-  /** Sends an attempt to the proxy beside its backend server. */
-  #dispatch(output: Extract<CallOut, { kind: 'dispatch' }>): void {
-    const call = this.#calls.get(output.id);
-    const { target, head, count, keepsAnswer } = output;
-    if (call === undefined) {
-      this.#reportGone(head.attempt);
-      return;
-    }
-    const { body } = call;
-    const digest = body.kind === 'held' ? body.digest : undefined;
-    const named = call.caller === undefined ? [] : [CALLER_HEADER, call.caller];
-    const added = [
-      ...this.#listCallHeaders(head, count),
-      ...named,
-      FORWARD_HEADER,
-      formatForward(target.pass, head, this.#options.clock.read(), digest),
-    ];
-    const pool = this.#pools.findPool(target.guard, MAX_CONNECTIONS_PER_GUARD);
-    const headers = listRequestHeaders(call.request.rawHeaders, added);
-    this.#start(pool, call, head, headers, { keepsAnswer, isGuard: true });
-  }
-
-  /** Runs an attempt at a backend server beside this proxy. */
-  #run(output: Extract<CallOut, { kind: 'run' }>): void {
-    const call = this.#calls.get(output.id);
-    const { head, count, keepsAnswer, connections, instance } = output;
-    if (call === undefined) {
-      this.#reportGone(head.attempt);
-      return;
-    }
-    const pool = this.#pools.findPool(head.server, connections);
-    const { caller } = call;
-    const leftMs = this.#measureLeft(head);
-    const added = this.#front.listServerHeaders({ caller, instance, leftMs, count });
-    const { rawHeaders } = call.request;
-    const headers = listRequestHeaders(rawHeaders, added, this.#front.ownedHeaders);
-    this.#start(pool, call, head, headers, { keepsAnswer, isGuard: false });
-  }
-
-  /** The caller went while its attempt was granted a slot. */
-  #reportGone(attempt: AttemptId): void {
-    const failure = { outcome: 'not-run', reason: 'upstream-failed' } as const;
-    this.post({ kind: 'attempt-failed', attempt, failure, ending: 'not-sent' });
-  }
-
-  #listCallHeaders(head: AttemptHead, count: number): string[] {
-    return [TIMEOUT_HEADER, this.#measureLeft(head).toFixed(1), ATTEMPT_HEADER, `${count}`];
-  }
-
-  /** Milliseconds that are left until the deadline of an attempt. */
-  #measureLeft({ deadline }: AttemptHead): number {
-    return Math.max(0, deadline - this.#options.clock.read());
-  }
-
   #applyLimits({ headerTimeoutMs, idleTimeoutMs }: LimitsResource): void {
     for (const server of this.servers) {
       server.headersTimeout = headerTimeoutMs;
@@ -347,50 +291,6 @@
     }
   }
 
-  #start(
-    pool: Dispatcher,
-    call: OpenCall,
-    { attempt, server }: AttemptHead,
-    headers: string[],
-    { keepsAnswer, isGuard }: { keepsAnswer: boolean; isGuard: boolean },
-  ): void {
-    const { method = 'GET', url = '/' } = call.request;
-    const startedAt = this.#options.clock.read();
-    const hop = this.#tracer.startHop('client', 'attempt', call.traceParent, { server });
-    const trace = hop.traceParent === undefined ? [] : ['traceparent', hop.traceParent];
-    const running = new CallAttempt({
-      attempt,
-      isGuard,
-      keepsAnswer,
-      method,
-      judge: (status, answered) => this.#front.judgeAnswer(call.request, status, answered),
-      post: (message) => {
-        this.post(message);
-      },
-      onEnd: (status, cause) => {
-        this.#attempts.delete(attempt);
-        this.#checkIdle();
-        hop.end(status === undefined ? {} : { 'http.response.status_code': status });
-        const milliseconds = this.#options.clock.read() - startedAt;
-        const service = undefined;
-        const request = call.requestId;
-        const end = { service, server, request, cause, isLocal: !isGuard, status, milliseconds };
-        this.#observer.endAttempt(end);
-      },
-    });
-    this.#attempts.set(attempt, running);
-    headers.push(...trace);
-    pool.dispatch({ path: url, method, headers, body: call.readBody() }, running);
-  }
-
-  #relay({ id, attempt, load }: Extract<CallOut, { kind: 'relay' }>): void {
-    const running = this.#attempts.get(attempt);
-    const call = this.#calls.get(id);
-    const added = load === undefined ? [] : [LOAD_HEADER, formatLoad(load)];
-    if (call === undefined) running?.discard();
-    else running?.relay(call.response, added);
-  }
-
   #replay(id: CallId, { status, headers, body }: StoredAnswer): void {
     const response = this.#calls.get(id)?.response;
     response?.writeHead(status, [...headers]);
@@ -409,7 +309,7 @@
   }
 
   #checkIdle(): void {
-    if (this.#calls.size > 0 || this.#attempts.size > 0) return;
+    if (this.#calls.size > 0 || this.#sender.size > 0) return;
     this.#notifyIdle?.();
   }
 }
@@ -418,7 +318,6 @@
 
 const MAX_CONNECTIONS = 8_192;
 const MAX_OPEN_CALLS = 8_192;
-const MAX_CONNECTIONS_PER_GUARD = 256;
 const BODY_TIMEOUT_MS = 10_000;
 
 const SERVER_OPTIONS = {
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -4,9 +4,8 @@
 import type { OperatorFront } from '../edge/index.js';
 import { LogTask, OperatorTask, readSourceSpreadMessage } from '../edge/index.js';
 import type { Address, HostId } from '../ids.js';
-import { parseAddress, splitAddress } from '../ids.js';
 import { DEFAULT_SNAPSHOTS, DEFAULT_TIMING } from '../log/index.js';
-import type { LinkCommand, LinkEvent, MemberEvent, NoteCommand } from '../messages/index.js';
+import type { LinkCommand, LinkEvent, NoteCommand } from '../messages/index.js';
 import type { BookSnapshot, NotesIn, NotesNotice, NotesOut, NotesState } from '../notes/index.js';
 import { NotesFilter } from '../notes/index.js';
 import type { ReportFailure, Wake } from '../pipe/index.js';
@@ -23,6 +22,7 @@
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
 import type { SourceSettings } from './settings.js';
+import { SourcePeers } from './source-peers.js';
 import type { ReportStatus } from './status.js';
 
 /** What the source role needs. */
@@ -170,42 +170,6 @@
 
 const LOG_GROUP = 'notes';
 
-/** The other source hosts, as the members tell of them. */
-class SourcePeers {
-  readonly #operatorPort: number;
-  readonly #controls = new Map<HostId, Address>();
-  #seeds: readonly Address[] = [];
-
-  constructor(operator: Address) {
-    this.#operatorPort = splitAddress(operator).port;
-  }
-
-  /** Takes in a change of the membership; tells whether the source hosts have changed. */
-  apply(event: MemberEvent): boolean {
-    if (event.kind === 'member-gone') return this.#controls.delete(event.host);
-    const { host, control, isSource } = event.member;
-    if (!isSource || this.#controls.get(host) === control) return false;
-    this.#controls.set(host, control);
-    return true;
-  }
-
-  updateSeeds(seeds: readonly Address[]): void {
-    this.#seeds = seeds;
-  }
-
-  listControls(): Address[] {
-    return [...new Set([...this.#controls.values(), ...this.#seeds])];
-  }
-
-  /** Where the settings name no address, operators reach every source host at the same port. */
-  findOperator(host: HostId): Address | undefined {
-    const control = this.#controls.get(host);
-    if (control === undefined) return undefined;
-    const ip = control.slice(0, control.lastIndexOf(':'));
-    return parseAddress(`${ip}:${this.#operatorPort}`);
-  }
-}
-
 function readLinkEvent(event: LinkEvent): SourceSpreadIn | undefined {
   const { address } = event;
   if (event.kind === 'link-down') return { kind: 'link-down', address };
