--- a/src/calls/shared-slots.ts
+++ b/src/calls/shared-slots.ts
@@ -42,7 +42,7 @@
   }
 
   override takeNext(_slots: number, now: Instant): Waiting | undefined {
-    this.#demoteLate(now);
+    this.#updateLate(now);
     let best: Waiting | undefined;
     for (const queue of this.#queues.values()) {
       const first = findFirst(queue);
@@ -101,7 +101,7 @@
   }
 
   /** The earliest attempts of a kind are the first that can no longer meet their aims. */
-  #demoteLate(now: Instant): void {
+  #updateLate(now: Instant): void {
     for (const [name, queue] of [...this.#queues]) {
       for (const waiting of queue.values()) {
         if (waiting.latestStart >= now) break;
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -169,7 +169,7 @@
       return;
     }
     const arrivedAt = addMs(this.#options.clock.read(), -this.#lag.measure());
-    afterNextPoll(() => {
+    runAfterPoll(() => {
       if (!this.#calls.has(id)) return;
       if (isFromProxy) this.#acceptForwarded(call, arrivedAt);
       else this.#acceptCall(call, arrivedAt);
@@ -333,7 +333,7 @@
  * Runs an action after the sockets have been polled once more. A process that was paused reads requests
  * whose callers have long gone; the end of such a connection is read only by the poll after that.
  */
-function afterNextPoll(action: () => void): void {
+function runAfterPoll(action: () => void): void {
   setImmediate(() => setImmediate(action));
 }
 
--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -61,7 +61,7 @@
 
   override handleTick(now: Instant): RoleKind | undefined {
     if (!this.#hearsQuorum(now)) return 'follower';
-    this.#replaceSilent(now);
+    this.#removeSilent(now);
     this.#replicator.resendLate(now);
     if (now >= this.#heartbeatAt) this.#speak(now);
     return undefined;
@@ -204,7 +204,7 @@
    * Takes the vote of a replica that has been silent for long, where a replica at another address has
    * caught up and can stand in for it, or where more vote than need to.
    */
-  #replaceSilent(now: Instant): void {
+  #removeSilent(now: Instant): void {
     const { entries, committed, options } = this.replica;
     const { growth } = options;
     if (growth === undefined || !this.#announced || entries.membershipIndex > committed) return;
--- a/src/program/settings.ts
+++ b/src/program/settings.ts
@@ -118,7 +118,7 @@
 
 function resolvePaths(table: z.output<typeof settingsSchema>, folder: string): Settings {
   const { data_centre, log_level, data_folder, seed_port, source, proxy, ...rest } = table;
-  const findSeeds = (seeds: readonly Address[]) => seeds.map((seed) => movePort(seed, seed_port));
+  const findSeeds = (seeds: readonly Address[]) => seeds.map((seed) => formSeed(seed, seed_port));
   return {
     ...rest,
     status: table.status,
@@ -137,7 +137,7 @@
 }
 
 /** Seeds may be named by another address of theirs; all control addresses then have the same port. */
-function movePort(address: Address, port: number | undefined): Address {
+function formSeed(address: Address, port: number | undefined): Address {
   if (port === undefined) return address;
   const { host } = splitAddress(address);
   return parseAddress(host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`);
--- a/src/spread/proxy-spread-filter.ts
+++ b/src/spread/proxy-spread-filter.ts
@@ -177,7 +177,7 @@
     if (!state.isSettled) return [];
     const { isFirst } = findNeighbours(state, this.#options);
     const wanted = isFirst ? state.sources : NO_SOURCES;
-    return [...keepMissing(state.keptSources, wanted), ...dropOthers(state.keptSources, wanted)];
+    return [...addMissing(state.keptSources, wanted), ...removeOthers(state.keptSources, wanted)];
   }
 
   #takePush(
@@ -361,13 +361,13 @@
 const SETTLE_MS = 300;
 const START_SPREAD_MS = 100;
 
-function keepMissing(kept: Set<Address>, wanted: ReadonlySet<Address>): ProxySpreadOut[] {
+function addMissing(kept: Set<Address>, wanted: ReadonlySet<Address>): ProxySpreadOut[] {
   const missing = [...wanted].filter((address) => !kept.has(address));
   for (const address of missing) kept.add(address);
   return missing.map((to) => ({ kind: 'keep', to }));
 }
 
-function dropOthers(kept: Set<Address>, wanted: ReadonlySet<Address>): ProxySpreadOut[] {
+function removeOthers(kept: Set<Address>, wanted: ReadonlySet<Address>): ProxySpreadOut[] {
   const others = [...kept].filter((address) => !wanted.has(address));
   for (const address of others) kept.delete(address);
   return others.map((to) => ({ kind: 'drop', to }));
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,8 +1,9 @@
 /** Settings: each fault has a message with file, key and what is expected. */
-import { mkdirSync, mkdtempSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
+import type { Address } from '../src/ids.js';
 import { loadSettings, SettingsError } from '../src/program/settings.js';
 
 const folder = mkdtempSync(join(tmpdir(), 'bilberryswitch-settings-'));
@@ -71,6 +72,21 @@
     'replicas = ["10.0.0.2:7000"]\ntoken_file',
     /source\.replicas: this process too/,
   ],
+  [
+    'replicas and growth',
+    'token_file',
+    'replicas = ["10.0.0.1:7000"]\ngrowth = { seeds = ["10.0.0.1:7000"], tolerated_losses = 0 }\ntoken_file',
+    /source\.growth: expected either fixed replicas or growth/,
+  ],
+  [
+    'growth without losses',
+    'token_file',
+    'growth = { seeds = ["10.0.0.1:7000"] }\ntoken_file',
+    /source\.growth\.tolerated_losses: /,
+  ],
+  ['no source', 'sources = ["10.0.0.1:7000"]', '', /proxy\.sources: expected the control address/],
+  ['bad seed port', 'roles =', 'seed_port = 70000\nroles =', /seed_port: /],
+  ['shared clash', 'announce =', 'ready = "10.0.0.1:7001"\nannounce =', /proxy\.ready: .*taken by/],
   ['unknown policy', '[source]', '[spread]\npolicy = "fast"\n[source]', /spread\.policy: /],
   [
     'bad trace URL',
@@ -88,6 +104,48 @@
   t.is(settings.spread.policy, 'convergence-time');
 });
 
+test('settings: seeds by another port', (t) => {
+  const seeds = 'seeds = ["10.0.0.5:9999"]';
+  const growth = `growth = { ${seeds}, tolerated_losses = 2 }`;
+  const text = GOOD.replace('roles =', 'seed_port = 7000\nroles =')
+    .replace('sources = ["10.0.0.1:7000"]', seeds)
+    .replace('token_file = "token"', growth);
+  const { proxy, source } = load(text);
+  t.deepEqual(proxy?.seeds, ['10.0.0.5:7000' as Address]);
+  t.deepEqual(source?.seeds, ['10.0.0.5:7000' as Address]);
+  t.like(source?.growth, { founds: false, minVoters: 5, maxVoters: 7 });
+  t.is(source?.tokenFile, undefined);
+});
+
+test('settings: templates of the users\u2019 machines', (t) => {
+  const fields: Readonly<Record<string, string>> = {
+    'node|json': '"sidecar-a-1"',
+    'region|json': '"r"',
+    'zone|json': '"a"',
+    'service|json': '"shop"',
+    'dataDir|json': JSON.stringify(join(folder, 'data')),
+    ip: '10.0.0.1',
+    'internalPortRange.0': '7620',
+    'internalPortRange.1': '7621',
+    'listen.outbound|json': '"10.0.0.1:8304"',
+    'listen.inbound|json': '"10.0.0.1:8300"',
+    'listen.ready|json': '"10.0.0.1:8302"',
+    'listen.control|json': '"10.0.0.1:8306"',
+    bootstrap: 'true',
+    'faultTolerance.machines': '2',
+  };
+  for (const name of ['proxy', 'source']) {
+    const template = readFileSync(join('deploy', `${name}.toml`), 'utf8');
+    const text = template
+      .replace(/\{\{#seeds\}\}.*\{\{\/seeds\}\}/, '"10.0.0.2:8306"')
+      .replace(/\{\{#bounds\.(\w+)\}\}(.*)\{\{\.\}\}\{\{\/bounds\.\w+\}\}/g, '$20.5')
+      .replace(/\{\{([^#/}]+)\}\}/g, (_, key: string) => fields[key] ?? `no ${key}`);
+    const settings = load(text);
+    t.is(settings.control, '10.0.0.1:7620' as Address);
+    t.deepEqual(settings[name as 'proxy' | 'source']?.seeds, ['10.0.0.2:7620' as Address]);
+  }
+});
+
 for (const [name, from, to, message] of FAULTS) {
   test(`settings: ${name}`, (t) => {
     t.true(GOOD.includes(from));
