--- a/src/edge/caller-connections.ts
+++ b/src/edge/caller-connections.ts
@@ -24,10 +24,13 @@
   watch(server: Server): void {
     server.on('connection', (socket) => {
       this.#sockets.set(socket, new Set());
+      // The end of what a caller sends comes some turns before the close of its connection.
+      socket.on('end', () => {
+        this.#notifyAll(socket);
+      });
       socket.on('close', () => {
-        const open = this.#sockets.get(socket) ?? [];
+        this.#notifyAll(socket);
         this.#sockets.delete(socket);
-        for (const call of open) this.#notifyGone(call);
       });
     });
   }
@@ -58,6 +61,10 @@
 
   // Internals.
 
+  #notifyAll(socket: Socket): void {
+    for (const call of [...(this.#sockets.get(socket) ?? [])]) this.#notifyGone(call);
+  }
+
   #closeUnused(): void {
     for (const socket of this.#sockets.keys()) if (socket.bytesRead === 0) socket.destroy();
   }
--- a/test/platform-calls.test.ts
+++ b/test/platform-calls.test.ts
@@ -184,11 +184,13 @@
 test('caller gone before its call was read', async (t) => {
   const mesh = await start(t, [undefined, answer]);
   const { host, port } = splitAddress(mesh.at(0).calls);
-  const left = Array.from({ length: 20 }, () => {
+  const left = Array.from({ length: 20 }, (_, index) => {
     const socket = connect(port, host, () => {
       socket.write(`GET /read/x HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: left\r\n\r\n`);
-      socket.destroy();
+      if (index % 2 === 0) socket.destroy();
+      else socket.end();
     });
+    socket.resume();
     return new Promise((resolve) => socket.once('close', resolve));
   });
   await Promise.all(left);
