Say "not run" only while no attempt has failed at a server; send nothing past its deadline

Cause: an idempotent call that one server had answered with 500 was told as not run when the next one refused it. Test: calls-attempt, 'failure of the server, then refused', red before.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -220,6 +220,7 @@
       if (retry.length > 0) {
         removeAttempt(state, message.attempt, open);
         call.reached += 1;
+        call.certain = false;
         return [{ kind: 'cancel', attempt: message.attempt }, ...retry];
       }
     }
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -51,8 +51,8 @@
   /** Sends an attempt to the proxy beside its backend server. */
   dispatch(call: OpenCall | undefined, output: Extract<CallOut, { kind: 'dispatch' }>): void {
     const { target, head, count, keepsAnswer } = output;
-    if (call === undefined) {
-      this.#reportGone(head.attempt);
+    if (call === undefined || this.#measureLeft(head) === 0) {
+      this.#reportUnsent(head.attempt, call);
       return;
     }
     const { body } = call;
@@ -72,8 +72,8 @@
   /** Runs an attempt at a backend server beside this proxy. */
   run(call: OpenCall | undefined, output: Extract<CallOut, { kind: 'run' }>): void {
     const { head, count, keepsAnswer, connections, instance } = output;
-    if (call === undefined) {
-      this.#reportGone(head.attempt);
+    if (call === undefined || this.#measureLeft(head) === 0) {
+      this.#reportUnsent(head.attempt, call);
       return;
     }
     const pool = this.#pools.findPool(head.server, connections);
@@ -105,10 +105,11 @@
 
   // Internals.
 
-  /** The caller went while its attempt was granted a slot. */
-  #reportGone(attempt: AttemptId): void {
-    const failure = { outcome: 'not-run', reason: 'upstream-failed' } as const;
-    this.#options.post({ kind: 'attempt-failed', attempt, failure, ending: 'not-sent' });
+  /** The caller went, or its deadline passed, while the attempt was granted a slot. */
+  #reportUnsent(attempt: AttemptId, call: OpenCall | undefined): void {
+    const reason = call === undefined ? 'upstream-failed' : 'deadline';
+    const failure = { outcome: 'not-run', reason } as const;
+    this.#options.post({ kind: 'attempt-failed', attempt, failure, ending: 'cancelled' });
   }
 
   #listCallHeaders(head: AttemptHead, count: number): string[] {
--- a/test/caller-connections.test.ts
+++ b/test/caller-connections.test.ts
@@ -1,7 +1,6 @@
 /** The connections of callers, and the calls that end with them. */
-import { EventEmitter } from 'node:events';
-import type { Server } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server } from 'node:http';
+import { Socket } from 'node:net';
 import test from 'ava';
 import { CallerConnections } from '../src/edge/caller-connections.js';
 import type { CallId } from '../src/ids.js';
@@ -12,9 +11,9 @@
   const connections = new CallerConnections(new ManualClock(), (call) => {
     gone.push(call);
   });
-  const server = new EventEmitter();
-  const socket = new EventEmitter() as Socket;
-  connections.watch(server as Server);
+  const server = new Server();
+  const socket = new Socket();
+  connections.watch(server);
   server.emit('connection', socket);
   return { connections, socket, gone };
 }
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -343,3 +343,13 @@
   const [bad = 0, good = 0] = [counts.get('10.0.0.0:1'), counts.get('10.0.0.1:1')];
   t.true(bad < good / 2, `${bad} and ${good} calls`);
 });
+
+test('failure of the server, then refused: not "not run"', (t) => {
+  const driver = new Driver(3);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6, maxAttempts: 2 }) });
+  const failed = { kind: 'answer-started', status: 500, load: undefined } as const;
+  t.deepEqual(driver.listKinds({ ...failed, attempt: attemptOf('c') }), ['cancel', 'dispatch']);
+  const shed = { outcome: 'not-run', reason: 'shed' } as const;
+  const second = { kind: 'attempt-failed', attempt: attemptOf('c', 1), failure: shed } as const;
+  t.deepEqual(driver.listKinds(second), ['shed unknown']);
+});
