--- a/src/edge/note-front.ts
+++ b/src/edge/note-front.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Result } from '../errors.js';
 import { makeError } from '../errors.js';
+import type { ReplacementDocument } from '../messages/index.js';
 import { BodyTooLargeError } from './http-body.js';
 import type { OperatorAnswer } from './operator-answer.js';
 import {
@@ -48,7 +49,7 @@
       case 'page':
         return { status: OK, body: reply.page };
       case 'document':
-        return { status: OK, body: { number: reply.replacement?.number } };
+        return formDocument(reply.replacement);
     }
   }
 
@@ -68,7 +69,17 @@
 
 // Internals.
 
+function formDocument(replacement: ReplacementDocument | undefined): OperatorAnswer {
+  if (replacement === undefined) {
+    const message = 'the configuration has never been replaced as a whole';
+    return { status: NOT_FOUND, body: { kind: 'no-replacement', message } };
+  }
+  const document = Buffer.from(replacement.document).toString();
+  return { status: OK, body: { number: replacement.number, document } };
+}
+
 const OK = 200;
+const NOT_FOUND = 404;
 const BAD_REQUEST = 400;
 const PAYLOAD_TOO_LARGE = 413;
 
--- a/src/edge/note-toml.ts
+++ b/src/edge/note-toml.ts
@@ -1,16 +1,17 @@
 /** Reads release notes from TOML or JSON and checks them against a schema. */
+import { createHash } from 'node:crypto';
 import { parse, TomlError } from 'smol-toml';
 import { z } from 'zod';
 import type { Result } from '../errors.js';
 import { makeError, makeOk } from '../errors.js';
-import type { ResourceKey } from '../ids.js';
+import type { Digest, Generation, ResourceKey } from '../ids.js';
 import {
   parseGeneration,
   parseNoteNumber,
   parseRequestKindName,
   parseServiceName,
 } from '../ids.js';
-import type { NoteDraft, NoteFault, Resource } from '../messages/index.js';
+import type { NoteDraft, NoteFault, Replacement, Resource } from '../messages/index.js';
 import { formIdSchema } from './id-schema.js';
 
 /** How a note is written down. Both forms have the same keys. */
@@ -28,6 +29,24 @@
   return makeError(checked.error.issues.flatMap((issue) => formFaults(issue)));
 }
 
+/**
+ * Reads a whole configuration that shall replace the present one: its number, the number that it was
+ * made from, and every resource.
+ */
+export function readReplacement(
+  text: string,
+  format: NoteFormat = 'toml',
+): Result<Replacement, readonly NoteFault[]> {
+  const table = format === 'toml' ? parseToml(text) : parseJson(text);
+  if (!table.ok) return table;
+  const checked = replacementSchema.safeParse(table.value);
+  if (!checked.success)
+    return makeError(checked.error.issues.flatMap((issue) => formFaults(issue)));
+  const { number, base, resources } = checked.data;
+  const digest = createHash('sha256').update(text).digest('hex') as Digest;
+  return makeOk({ number, base, resources, document: Buffer.from(text), digest });
+}
+
 // Internals.
 
 const MAX_TIMEOUT_MS = 86_400_000;
@@ -189,23 +208,42 @@
     withdraw: z.array(keySchema).default([]),
   })
   .transform(({ generation, add, change, ...rest }, context): NoteDraft => {
-    const complete = (list: 'add' | 'change', resources: readonly ReadResource[]): Resource[] =>
-      resources.flatMap((resource, index) => {
-        if (resource.kind !== 'route') return resource;
-        const own = resource.generation ?? generation;
-        if (own !== undefined) return { ...resource, generation: own };
-        const message = 'missing; name a generation here or at the top of the note';
-        context.addIssue({ code: 'custom', path: [list, index, 'generation'], message });
-        return [];
-      });
     return {
       ...rest,
       ...(generation === undefined ? {} : { generation }),
-      add: complete('add', add),
-      change: complete('change', change),
+      add: addGenerations('add', add, generation, context),
+      change: addGenerations('change', change, generation, context),
     };
   });
 
+const replacementSchema = z
+  .strictObject({
+    number: numberSchema,
+    base: numberSchema.optional(),
+    generation: formIdSchema(parseGeneration).optional(),
+    resources: z.array(resourceSchema).default([]),
+  })
+  .transform(({ number, base, generation, resources }, context) => {
+    return { number, base, resources: addGenerations('resources', resources, generation, context) };
+  });
+
+/** Routes without a generation of their own take over that of their file. */
+function addGenerations(
+  list: 'add' | 'change' | 'resources',
+  resources: readonly ReadResource[],
+  generation: Generation | undefined,
+  context: z.core.$RefinementCtx,
+): Resource[] {
+  return resources.flatMap((resource, index) => {
+    if (resource.kind !== 'route') return resource;
+    const own = resource.generation ?? generation;
+    if (own !== undefined) return { ...resource, generation: own };
+    const message = 'missing; name a generation here or at the top of the note';
+    context.addIssue({ code: 'custom', path: [list, index, 'generation'], message });
+    return [];
+  });
+}
+
 /** A resource before a route takes over the generation of its note. */
 type ReadResource = z.output<typeof resourceSchema>;
 
--- a/src/edge/operator-request.ts
+++ b/src/edge/operator-request.ts
@@ -5,7 +5,7 @@
 import { IdError, NO_VERSION, parseNoteNumber } from '../ids.js';
 import type { NoteCommand, NoteFault, Replacement } from '../messages/index.js';
 import type { NoteFormat } from './note-toml.js';
-import { readNote } from './note-toml.js';
+import { readNote, readReplacement } from './note-toml.js';
 
 /** The parts of an HTTP request that matter here. */
 export interface OperatorHttpRequest {
@@ -38,9 +38,10 @@
   request: OperatorHttpRequest,
 ): Result<OperatorRequest, OperatorRequestFault> {
   const url = new URL(request.url, 'http://operator');
+  if (url.pathname === '/configuration') return readConfigurationRequest(request);
   const match = PATH_PATTERN.exec(url.pathname);
   if (match === null) {
-    const message = 'use /notes, /notes/NUMBER or /notes/NUMBER/wait';
+    const message = 'use /notes, /notes/NUMBER, /notes/NUMBER/wait or /configuration';
     return makeError({ kind: 'unknown-path', message });
   }
   try {
@@ -62,6 +63,14 @@
 const DEFAULT_PAGE = 100;
 const MAX_PAGE = 1000;
 
+function readConfigurationRequest({ method, body, format }: OperatorHttpRequest): ReadResult {
+  if (method === 'GET') return makeOk({ kind: 'replacement' });
+  if (method !== 'PUT') return refuseMethod('GET or PUT');
+  const replacement = readReplacement(body, format);
+  if (!replacement.ok) return makeError({ kind: 'refused', faults: replacement.error });
+  return makeOk({ kind: 'replace', replacement: replacement.value });
+}
+
 function readListRequest(request: OperatorHttpRequest, query: URLSearchParams): ReadResult {
   if (request.method === 'GET') {
     const after = readNumber(query, 'after') ?? NO_VERSION;
--- a/src/program/commands/index.ts
+++ b/src/program/commands/index.ts
@@ -3,6 +3,8 @@
 import type { Command } from './command.js';
 import { DrainCommand, StatusCommand } from './local-commands.js';
 import {
+  ConfigurationReplaceCommand,
+  ConfigurationShowCommand,
   NoteAmendCommand,
   NoteListCommand,
   NoteShowCommand,
@@ -27,6 +29,8 @@
     new NoteShowCommand(),
     new NoteListCommand(),
     new NoteWaitCommand(),
+    new ConfigurationReplaceCommand(),
+    new ConfigurationShowCommand(),
     new StatusCommand(),
     new DrainCommand(),
     new VersionCommand(),
--- a/src/program/commands/note-commands.ts
+++ b/src/program/commands/note-commands.ts
@@ -105,6 +105,34 @@
   }
 }
 
+/** Replaces the whole configuration. */
+export class ConfigurationReplaceCommand extends ChangeCommand {
+  override readonly name = 'configuration replace';
+  override readonly summary =
+    'Replaces the whole configuration, unless it has changed since the base that the file names.';
+  override readonly argument = 'FILE';
+
+  protected override formRequest(input: CommandInput): SourceRequest {
+    const body = readFile(input.readArgument('the file of the configuration'));
+    return { method: 'PUT', path: '/configuration', body };
+  }
+}
+
+/** Shows the newest replacement. */
+export class ConfigurationShowCommand extends NoteCommandBase {
+  override readonly name = 'configuration show';
+  override readonly summary = 'Shows the configuration that was last replaced as a whole.';
+
+  protected override formRequest(input: CommandInput): SourceRequest {
+    input.checkNoArgument();
+    return { method: 'GET', path: '/configuration' };
+  }
+
+  protected override formatAnswer(body: unknown): string {
+    return (body as { readonly document: string }).document;
+  }
+}
+
 /** Shows one note. */
 export class NoteShowCommand extends NoteCommandBase {
   override readonly name = 'note show';
--- a/test/operator.test.ts
+++ b/test/operator.test.ts
@@ -217,3 +217,46 @@
     t.regex(help.out, new RegExp(`^usage: bilberryswitch ${name}`));
   }
 });
+
+const configurationFile = join(folder, 'configuration.toml');
+const CONFIGURATION = 'number = 9\nbase = 7\n[[resources]]\nkind = "service"\nname = "shop"\n';
+writeFileSync(configurationFile, CONFIGURATION);
+
+test('replace: the whole configuration', async (t) => {
+  const { address, seen } = await start(t, accept);
+  const { code, out } = await run(['configuration', 'replace', configurationFile], address);
+  t.is(code, 0, out);
+  const [message] = seen;
+  t.is(message?.kind, 'replace');
+  t.like(message?.kind === 'replace' && message.replacement, {
+    number: 9 as NoteNumber,
+    base: 7 as NoteNumber,
+    resources: [{ kind: 'service', name: 'shop' }],
+  });
+});
+
+test('replace: stale base', async (t) => {
+  const { address } = await start(t, (_message, id, operator) => {
+    const answer = { kind: 'stale-base', current: 8 as NoteNumber } as const;
+    operator.post({ kind: 'answer', id, answer });
+  });
+  const { code, err } = await run(['configuration', 'replace', configurationFile], address);
+  t.not(code, 0);
+  t.regex(err, /the newest is 8/);
+});
+
+test('replacement: read back unchanged', async (t) => {
+  const { address } = await start(t, (_message, id, operator) => {
+    const replacement = { number: 9 as NoteNumber, document: Buffer.from(CONFIGURATION) };
+    operator.post({ kind: 'document', id, replacement });
+  });
+  const { code, out } = await run(['configuration', 'show'], address);
+  t.is(code, 0);
+  t.is(out, CONFIGURATION);
+  const none = await start(t, (_message, id, operator) => {
+    operator.post({ kind: 'document', id, replacement: undefined });
+  });
+  t.is((await send(none.address, 'GET', '/configuration')).status, 404);
+  t.is((await send(none.address, 'PUT', '/configuration')).status, 422);
+  t.is((await send(none.address, 'DELETE', '/configuration')).status, 405);
+});
