Let no SIGHUP end a process while it starts or stops

Cause: the watch took its handler away at the stop, and set it only after the start; the default action of the signal ends the process. Test: settings-watch, 'signal after the stop: ignored'; the old code would have ended the test's own process, so it was not run red.

--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -80,6 +80,16 @@
     status.post({ kind: 'report', section, value });
   };
 
+  const watch = new SettingsWatch({
+    path: settingsFile,
+    clock,
+    apply: (changed) => {
+      members.handleSettings(changed);
+      for (const role of roles) role.handleSettings?.(changed);
+    },
+    log,
+  });
+
   addProcessMetrics(registry, links);
   const tracer = await createTracer(settings.host, settings.traces);
   const observer = new CallLog({ log, clock, next: new CallMetrics(registry) });
@@ -105,15 +115,6 @@
   }
   await members.start();
   log('started', { roles: settings.roles, control: settings.control });
-  const watch = new SettingsWatch({
-    path: settingsFile,
-    clock,
-    apply: (changed) => {
-      members.handleSettings(changed);
-      for (const role of roles) role.handleSettings?.(changed);
-    },
-    log,
-  });
   watch.start();
   await waitForSignal();
   watch.stop();
--- a/src/program/settings-watch.ts
+++ b/src/program/settings-watch.ts
@@ -21,29 +21,34 @@
  */
 export class SettingsWatch {
   readonly #options: SettingsWatchOptions;
-  readonly #handleSignal = (): void => {
-    this.#reload('signal');
-  };
   #seen: string | undefined;
   #cancel: CancelTimer | undefined;
+  #isRunning = false;
 
+  /** From now on the signal does not end the process, also before the start and after the stop. */
   constructor(options: SettingsWatchOptions) {
     this.#options = options;
+    process.on('SIGHUP', () => {
+      if (this.#isRunning) this.#reload('signal');
+    });
   }
 
+  /** Begins to look at the file and to take the signal for a change of it. */
   start(): void {
-    process.on('SIGHUP', this.#handleSignal);
+    this.#isRunning = true;
     this.#lookLater();
   }
 
+  /** Ignores the signal and the file from now on. */
   stop(): void {
-    process.off('SIGHUP', this.#handleSignal);
+    this.#isRunning = false;
     this.#cancel?.();
   }
 
   // Internals.
 
   #lookLater(): void {
+    if (!this.#isRunning) return;
     const { clock } = this.#options;
     this.#cancel = clock.callAt(addMs(clock.read(), LOOK_INTERVAL_MS), () => {
       this.#look().then(
