--- a/src/edge/call-front.ts
+++ b/src/edge/call-front.ts
@@ -3,7 +3,7 @@
 import type { Result } from '../errors.js';
 import type { CallerId, CallId, InstanceId, Instant } from '../ids.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
-import type { Refusal } from './call-refusal.js';
+import type { Refusal, RefusalAnswer } from './call-refusal.js';
 
 /** What a backend server may be told of an attempt. */
 export interface ServerAttempt {
@@ -22,13 +22,6 @@
  */
 export type AnswerVerdict = 'answer' | 'not-run' | 'foreign';
 
-/** An answer of this proxy's own. */
-export interface RefusalAnswer {
-  readonly status: number;
-  readonly headers: Readonly<Record<string, string>>;
-  readonly body: string;
-}
-
 /**
  * Reads calls of callers, and writes to backend servers and callers in their terms.
  *
--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -2,7 +2,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { RefusalOutcome, RefusalReason } from '../messages/index.js';
-import type { RefusalAnswer } from './call-front.js';
 import { OUTCOME_HEADER, REASON_HEADER } from './call-headers.js';
 
 /** What a refused caller is told. */
@@ -12,6 +11,13 @@
   readonly message?: string;
 }
 
+/** How a refusal goes over HTTP. */
+export interface RefusalAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
 /**
  * Refuses a call. An answer that has already begun can't become a refusal: its connection is closed
  * abnormally instead, so that nobody takes it for whole.
--- a/src/edge/own-call-front.ts
+++ b/src/edge/own-call-front.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Result } from '../errors.js';
 import type { CallId, Instant } from '../ids.js';
-import type { AnswerVerdict, RefusalAnswer, ServerAttempt } from './call-front.js';
+import type { AnswerVerdict, ServerAttempt } from './call-front.js';
 import { CallFront } from './call-front.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
 import {
@@ -12,7 +12,7 @@
   readHeader,
   TIMEOUT_HEADER,
 } from './call-headers.js';
-import type { Refusal } from './call-refusal.js';
+import type { Refusal, RefusalAnswer } from './call-refusal.js';
 import { formOwnRefusal } from './call-refusal.js';
 
 /** Speaks the headers of docs/OPERATORS.md. */
