--- a/src/calls/weighted-turns.ts
+++ b/src/calls/weighted-turns.ts
@@ -24,9 +24,7 @@
   pickService({ name, service, targets }: RouteResource): ServiceName | undefined {
     if (targets === undefined) return service;
     const known = this.#routes.get(name);
-    if (known?.targets === targets || (known !== undefined && isSame(known.targets, targets))) {
-      return known.take();
-    }
+    if (known !== undefined && isSame(known.targets, targets)) return known.take();
     const turns = new TargetTurns(targets, hashText(`${this.#seed} ${name}`) / MAX_HASH);
     this.#routes.set(name, turns);
     return turns.take();
@@ -72,6 +70,7 @@
 const SKIPPED_TURNS = 8;
 
 function isSame(left: readonly RouteTarget[], right: readonly RouteTarget[]): boolean {
+  if (left === right) return true;
   if (left.length !== right.length) return false;
   return left.every(({ service, weight }, index) => {
     return service === right[index]?.service && weight === right[index].weight;
--- a/src/edge/note-front.ts
+++ b/src/edge/note-front.ts
@@ -69,6 +69,11 @@
 
 // Internals.
 
+const OK = 200;
+const NOT_FOUND = 404;
+const BAD_REQUEST = 400;
+const PAYLOAD_TOO_LARGE = 413;
+
 function formDocument(replacement: ReplacementDocument | undefined): OperatorAnswer {
   if (replacement === undefined) {
     const message = 'the configuration has never been replaced as a whole';
@@ -78,11 +83,6 @@
   return { status: OK, body: { number: replacement.number, document } };
 }
 
-const OK = 200;
-const NOT_FOUND = 404;
-const BAD_REQUEST = 400;
-const PAYLOAD_TOO_LARGE = 413;
-
 /** Hashing gives both sides the same length, which the constant-time comparison needs. */
 function digestSecret(secret: string): Buffer {
   return createHash('sha256').update(secret).digest();
