--- a/src/edge/announce-task.ts
+++ b/src/edge/announce-task.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../clock.js';
 import type { Address } from '../ids.js';
 import type { ReportFailure } from '../pipe/index.js';
-import type { AnnounceFront, AnnounceRequest } from './announce-front.js';
+import type { AnnounceAnswer, AnnounceFront, AnnounceRequest } from './announce-front.js';
 import { readText, sendJson } from './http-body.js';
 import { HttpTask } from './http-task.js';
 
@@ -16,6 +16,8 @@
   readonly reportFailure: ReportFailure;
   /** Takes each request; it must have taken effect when this returns. */
   readonly pass: (request: AnnounceRequest) => void;
+  /** Hears of each request that was not understood, and of its answer. */
+  readonly notifyRejected: (url: string, answer: AnnounceAnswer) => void;
 }
 
 /** Owns the local socket. It accepts no messages; announcements only go out. */
@@ -33,7 +35,8 @@
 
   protected override handle(request: IncomingMessage, response: ServerResponse): void {
     this.#handle(request, response).catch((error: unknown) => {
-      sendJson(response, BAD_REQUEST, { kind: 'bad-request', message: (error as Error).message });
+      const body = { kind: 'bad-request', message: (error as Error).message };
+      this.#reject(request.url ?? '', { status: BAD_REQUEST, body }, response);
     });
   }
 
@@ -44,8 +47,17 @@
     const body = await readText(request, MAX_BODY_BYTES);
     const { method = '', url = '/' } = request;
     const read = front.readRequest({ method, url, body }, clock.read());
-    if (read.ok) pass(read.value);
-    const answer = read.ok ? front.formAnswer(read.value) : read.error;
+    if (!read.ok) {
+      this.#reject(url, read.error, response);
+      return;
+    }
+    pass(read.value);
+    const { status, body: answer } = front.formAnswer(read.value);
+    sendJson(response, status, answer);
+  }
+
+  #reject(url: string, answer: AnnounceAnswer, response: ServerResponse): void {
+    this.#options.notifyRejected(url, answer);
     sendJson(response, answer.status, answer.body);
   }
 }
--- a/src/edge/operator-task.ts
+++ b/src/edge/operator-task.ts
@@ -29,6 +29,8 @@
   readonly waitLimitMs: number;
   readonly findOperator: FindOperator;
   readonly reportFailure: ReportFailure;
+  /** Hears of each request that was not understood or not allowed, and of its answer. */
+  readonly notifyRejected: (url: string, answer: OperatorAnswer) => void;
   /** Hands a request on to the notes pipe. */
   readonly request: (message: NotesIn) => void;
 }
@@ -55,7 +57,7 @@
 
   protected override handle(request: IncomingMessage, response: ServerResponse): void {
     this.#handleRequest(request, response).catch((error: unknown) => {
-      sendAnswer(response, this.#options.front.formUnread(error));
+      this.#reject(request, response, this.#options.front.formUnread(error));
     });
   }
 
@@ -70,16 +72,22 @@
     const { front } = this.#options;
     const refusal = front.checkAccess(request);
     if (refusal !== undefined) {
-      sendAnswer(response, refusal);
+      this.#reject(request, response, refusal);
       return;
     }
     const body = await readText(request, MAX_NOTE_BYTES);
     const format = isJson(request) ? 'json' : 'toml';
     const { method = '', url = '/' } = request;
     const read = front.readRequest({ method, url, format, body });
-    if (!read.ok) sendAnswer(response, read.error);
-    else if (this.#open.size >= MAX_OPEN_REQUESTS) sendAnswer(response, front.formBusy());
-    else this.#pass(read.value, response, url);
+    if (!read.ok) this.#reject(request, response, read.error);
+    else if (this.#open.size >= MAX_OPEN_REQUESTS) {
+      this.#reject(request, response, front.formBusy());
+    } else this.#pass(read.value, response, url);
+  }
+
+  #reject(request: IncomingMessage, response: ServerResponse, answer: OperatorAnswer): void {
+    this.#options.notifyRejected(request.url ?? '', answer);
+    sendAnswer(response, answer);
   }
 
   #pass(request: OperatorRequest, response: ServerResponse, url: string): void {
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -20,6 +20,7 @@
 import { makePolicy, ProxySpreadFilter } from '../spread/index.js';
 import type { Random } from '../random.js';
 import { createLedgerClient, readLedgerReply } from './ledger-client.js';
+import { LineBudget } from './line-budget.js';
 import type { HopTracer } from '../traces/index.js';
 import type { Fronts } from './fronts.js';
 import type { Log } from './logger.js';
@@ -103,7 +104,11 @@
     reportFailure,
     front: options.fronts.createAnnounceFront(),
     pass: passAnnounced,
+    notifyRejected: (url, { status, body }) => {
+      logAnnouncement('announcement-rejected', { url, status, body });
+    },
   });
+  const announcementLines = new LineBudget(clock);
   const ready =
     proxy.ready === undefined
       ? undefined
@@ -111,6 +116,11 @@
 
   const distribution: DistributionStatus = { held: NO_VERSION, rejected: {} };
 
+  function logAnnouncement(event: string, fields: Readonly<Record<string, unknown>>): void {
+    const dropped = announcementLines.admit();
+    if (dropped !== undefined) log(event, dropped === 0 ? fields : { ...fields, dropped });
+  }
+
   function passAnnounced(request: AnnounceRequest): void {
     if (request.kind === 'drain') log('draining');
     if (request.kind !== 'announce') {
@@ -120,7 +130,7 @@
     const { announcement } = request;
     const isOwn = proxy.service === undefined || announcement.service === proxy.service;
     if (isOwn) postMembers(request);
-    else log('announcement-ignored', { service: announcement.service });
+    else logAnnouncement('announcement-ignored', { service: announcement.service });
   }
 
   function routeSpread(output: ProxySpreadOut): void {
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -89,6 +89,9 @@
     waitLimitMs: settings.waitLimitMs,
     findOperator: (host) => settings.operators.get(host) ?? peers.findOperator(host),
     front: options.front,
+    notifyRejected: (url, { status, body }) => {
+      options.log('command-rejected', { url, status, body });
+    },
     reportFailure,
     request: (message) => {
       notes.post(message);
--- a/test/operator.test.ts
+++ b/test/operator.test.ts
@@ -44,10 +44,12 @@
   const address = (await findFreeAddress()) as Address;
   const clock = new ManualClock();
   const seen: NotesIn[] = [];
+  const rejected: string[] = [];
   const operator: OperatorTask = new OperatorTask({
     address,
     clock,
     front: new NoteFront('secret'),
+    notifyRejected: (url, { status }) => rejected.push(`${status} ${url}`),
     waitLimitMs: 1_000,
     findOperator: () => leaderAt,
     reportFailure: (_task, error) => {
@@ -60,7 +62,7 @@
   });
   await operator.start();
   t.teardown(() => operator.stop());
-  return { address, clock, seen };
+  return { address, clock, seen, rejected };
 }
 
 async function send(
@@ -89,11 +91,12 @@
 }
 
 test('wrong token', async (t) => {
-  const { address, seen } = await start(t, accept);
+  const { address, seen, rejected } = await start(t, accept);
   for (const authorization of ['Bearer secreT', 'secret', '']) {
     t.is((await send(address, 'GET', '/notes', { authorization })).status, 401);
   }
   t.deepEqual(seen, []);
+  t.deepEqual(rejected, ['401 /notes', '401 /notes', '401 /notes']);
 });
 
 test('requests not understood', async (t) => {
