Serve the backend server beside a proxy until the end of its linger time

Cause: a planned stop published the servers beside the proxy as draining at SIGTERM, although the proxy takes calls for the whole linger time. Now the servers drain only in the last 500 ms, in which the news goes round. Before: the new test saw 503 during the linger time. After: 200 until the drain.

--- a/bench/small-mesh.ts
+++ b/bench/small-mesh.ts
@@ -39,8 +39,15 @@
 request_kind = "browse"
 `;
 
-/** Starts the mesh and waits until every process runs; the first proxies have servers beside them. */
-export async function startSmallMesh(proxyCount = 2, serverCount = proxyCount): Promise<SmallMesh> {
+/**
+ * Starts the mesh and waits until every process runs; the first proxies have servers beside them.
+ * `proxyLines` are further settings of the section `[proxy]`.
+ */
+export async function startSmallMesh(
+  proxyCount = 2,
+  serverCount = proxyCount,
+  proxyLines = '',
+): Promise<SmallMesh> {
   const mesh = new Mesh();
   const sourceControl = await findFreeAddress();
   const operator = await findFreeAddress();
@@ -58,7 +65,8 @@
     calls.push(call);
     announces.push(announce);
     const settings = formProxy(`proxy-${index}`, control, call, announce, sourceControl);
-    nodes.push(mesh.startNode(`proxy-${index}`, settings));
+    const withLines = `${settings}${proxyLines}\n`;
+    nodes.push(mesh.startNode(`proxy-${index}`, withLines));
     if (index < serverCount) mesh.startServer('catalogue', await findFreePort(), announce);
   }
   for (const node of nodes) {
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -119,6 +119,7 @@
   await waitForSignal();
   watch.stop();
   log('stopping');
+  await Promise.all(roles.map((role) => role.linger?.()));
   members.post({ kind: 'drain' });
   for (const role of roles.toReversed()) await role.stop();
   await members.stop();
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -192,9 +192,12 @@
       const sources = changed?.sources ?? [];
       spread.post({ kind: 'sources', sources });
     },
-    stop: async () => {
+    linger: async () => {
       ready?.post({ kind: 'ready', isReady: false });
-      await waitUntil(clock, addMs(clock.read(), proxy.lingerMs));
+      await waitUntil(clock, addMs(clock.read(), proxy.lingerMs - measureDrainLead(proxy)));
+    },
+    stop: async () => {
+      await waitUntil(clock, addMs(clock.read(), measureDrainLead(proxy)));
       for (const task of tasks.toReversed()) await task.stop();
       await ready?.stop();
     },
@@ -203,6 +206,13 @@
 
 // Internals.
 
+/** The last part of the linger time, in which other proxies learn that the servers here drain. */
+const DRAIN_LEAD_MS = 500;
+
+function measureDrainLead({ lingerMs }: ProxySettings): number {
+  return Math.min(DRAIN_LEAD_MS, lingerMs);
+}
+
 function waitUntil(clock: Clock, deadline: Instant): Promise<void> {
   return new Promise((resolve) => {
     clock.callAt(deadline, resolve);
--- a/src/program/running-role.ts
+++ b/src/program/running-role.ts
@@ -10,6 +10,8 @@
   readonly handleMembership: (event: MembershipEvent) => void;
   /** Takes over settings that may change while the process runs. */
   readonly handleSettings?: (settings: Settings) => void;
+  /** Waits until clients have noticed a planned stop; backend servers beside this process still serve. */
+  readonly linger?: () => Promise<void>;
   /** Stops the tasks of the role, in the order that cuts nothing off. */
   readonly stop: () => Promise<void>;
 }
--- /dev/null
+++ b/test/planned-stop.test.ts
@@ -0,0 +1,37 @@
+/** A planned stop of a proxy beside a backend server that keeps running. */
+import test from 'ava';
+import { request } from 'undici';
+import { stopProcess, waitFor } from '../bench/mesh.js';
+import { FIRST_NOTE, startSmallMesh } from '../bench/small-mesh.js';
+
+const LINGER_MS = 1_500;
+/** Less than the linger time by the part in which other proxies learn of the drain. */
+const SERVED_MS = 900;
+
+test('server serves while its proxy lingers', async (t) => {
+  const lines = `linger_ms = ${LINGER_MS}`;
+  const { mesh, operator, tokenFile, calls, nodes } = await startSmallMesh(2, 1, lines);
+  t.teardown(() => mesh.stop());
+  const note = mesh.writeFile('note.toml', FIRST_NOTE);
+  const access = ['--operator', operator, '--token-file', tokenFile];
+  await mesh.runCommand(['note', 'submit', note, ...access]);
+  const [, other = ''] = calls;
+  const readStatus = async (): Promise<number> => {
+    const answer = await request(`http://${other}/catalogue/canopies`);
+    await answer.body.dump();
+    return answer.statusCode;
+  };
+  await waitFor('an answer', async () => (await readStatus()) === 200 || undefined);
+
+  const [, beside] = nodes;
+  if (beside === undefined) throw new Error('the mesh has no proxy');
+  const stopped = stopProcess(beside);
+  const statuses = new Set<number>();
+  for (const endAt = Date.now() + SERVED_MS; Date.now() < endAt; ) {
+    statuses.add(await readStatus());
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  t.deepEqual([...statuses], [200]);
+  await stopped;
+  t.is(await readStatus(), 503);
+});
