Let a guard without a free slot send an attempt on instead of keeping it in its queue

Ruled out: a lack of slots in the whole service; in the same seconds three quarters of the calls were answered in time. An attempt now says whether it may wait. The guard refuses at once with its load, nothing has run, and the entry proxy asks up to two others before it waits at the least loaded one. No retry is spent, because no backend server is reached. Red first: the new tests of calls-attempt, calls-guard and calls-path.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -1,6 +1,6 @@
 /** The third filter of a call: picks backend servers for its attempts, retries, hedges and gives up. */
 import { addMs } from '../clock.js';
-import type { AttemptId, CallId, Instant, ServiceName } from '../ids.js';
+import type { Address, AttemptId, CallId, Instant, ServiceName } from '../ids.js';
 import type {
   AttemptFailure,
   AttemptHead,
@@ -27,9 +27,10 @@
 import { DeadlineHeap } from './deadline-heap.js';
 import { applyFailure, applySuccess } from './outlier.js';
 import type { Picker } from './picker.js';
+import { measureLoad } from './picker.js';
 import type { RetryAllowance } from './retry-budget.js';
 import { DEFAULT_RETRIES } from './retry-budget.js';
-import type { Place, ServerRecord } from './server-table.js';
+import type { Place, ServerRecord, Tiers } from './server-table.js';
 import { ServerTable } from './server-table.js';
 
 /** What the attempt filter is told. */
@@ -74,6 +75,8 @@
       readonly id: CallId;
       readonly reason: RefusalReason;
       readonly outcome: RefusalOutcome;
+      /** How busy the backend server is; only for an attempt that another proxy has sent. */
+      readonly load?: GuardLoad;
     }
   | Observation
   | Wake;
@@ -149,6 +152,7 @@
     const call: OpenCall = {
       routed,
       tried: new Set(),
+      declinedBy: [],
       running: new Set(),
       started: 0,
       reached: 0,
@@ -195,6 +199,7 @@
           ...(aim === undefined ? {} : { aim }),
           subject,
           suspect,
+          onlyIfFree: this.#mayBeDeclined(state, call, now),
         },
         count: head.attempt + call.started - 1,
         keepsAnswer: needsClaim(requestKind, head),
@@ -202,6 +207,28 @@
     ];
   }
 
+  /** An attempt that finds no free slot is better sent elsewhere than left to wait. */
+  #mayBeDeclined(state: AttemptState, call: OpenCall, now: Instant): boolean {
+    if (!call.routed.head.repeatable || call.declinedBy.length >= MAX_DECLINES) return false;
+    return this.#hasAlternative(state, call, now);
+  }
+
+  /** Tells whether a server that was not tried yet is believed to have a free slot. */
+  #hasAlternative(state: AttemptState, { routed, tried }: OpenCall, now: Instant): boolean {
+    const tiers = state.servers.listTiers(routed.service);
+    const other = this.#options.picker.pick(tiers, { now, tried });
+    return other !== undefined && measureLoad(other, now) < 1;
+  }
+
+  /** Tries another server after one without a free slot, or waits at one of those that were asked. */
+  #redirect(state: AttemptState, call: OpenCall, server: Address, now: Instant): AttemptOut[] {
+    call.declinedBy.push(server);
+    if (!this.#hasAlternative(state, call, now)) {
+      for (const one of call.declinedBy) call.tried.delete(one);
+    }
+    return this.#startAttempt(state, call, now);
+  }
+
   #handleAnswer(state: AttemptState, message: AnswerStarted, now: Instant): AttemptOut[] {
     const open = state.attempts.get(message.attempt);
     if (open === undefined) return [{ kind: 'cancel', attempt: message.attempt }];
@@ -253,8 +280,16 @@
   ): AttemptOut[] {
     const open = state.attempts.get(attempt);
     if (open === undefined) return [];
-    const { call } = open;
+    const { call, record } = open;
     removeAttempt(state, attempt, open);
+    if (failure.load !== undefined) {
+      record.load = failure.load;
+      record.loadAt = now;
+    }
+    if (failure.reason === 'busy' && call.routed.deadline > now) {
+      const redirected = this.#redirect(state, call, record.announcement.address, now);
+      if (redirected.length > 0) return redirected;
+    }
     if (mayHaveReached(failure)) call.reached += 1;
     const maySend = maySendAgain(call, failure);
     const observed = noteFailure(state, open, failure, now);
@@ -276,7 +311,7 @@
   ): AttemptOut[] {
     const { head, deadline, service, requestKind } = call.routed;
     if (head.attempt > 1 || !head.repeatable) return [];
-    if (call.started >= MAX_ATTEMPTS || deadline <= now) return [];
+    if (call.started - call.declinedBy.length >= MAX_ATTEMPTS || deadline <= now) return [];
     const most = requestKind.maxAttempts ?? MAX_ATTEMPTS;
     if (call.reached + call.running.size >= most) return [];
     const budget = findBudget(state, service, this.#retries);
@@ -312,6 +347,8 @@
 type AnswerStarted = Extract<AttemptIn, { kind: 'answer-started' }>;
 
 const MAX_ATTEMPTS = 3;
+/** Servers without a free slot that a call asks before it waits at one. */
+const MAX_DECLINES = 2;
 const STATUS_SHED = 503;
 const FIRST_FAILURE_STATUS = 500;
 /** The guard gives up a little earlier, so that its answer "not run" still reaches the caller. */
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -22,6 +22,8 @@
   readonly routed: RoutedCall;
   readonly tried: Set<Address>;
   readonly running: Set<AttemptId>;
+  /** Servers that had no free slot for the call, in the order in which they were asked. */
+  readonly declinedBy: Address[];
   started: number;
   /** Attempts that have ended and may have come to a backend server. */
   reached: number;
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -143,7 +143,7 @@
   #handleAnswer(turn: Turn, message: Extract<CallIn, { kind: 'answer-started' }>): void {
     const { attempt } = message;
     const guarded = turn.state.guarded.get(attempt);
-    const load = turn.state.guard.places.get(attempt)?.measureLoad();
+    const load = turn.state.guard.places.get(attempt)?.measureLoadAfter(attempt);
     if (guarded?.isForwarded !== true)
       this.#passToAttempt(turn, { ...message, load: load ?? message.load });
     else turn.outputs.push({ kind: 'relay', id: guarded.id, attempt, load });
@@ -274,7 +274,9 @@
       const { id, count, keepsAnswer } = call;
       turn.outputs.push({ ...output, id, count, keepsAnswer });
     } else if (output.kind === 'reject') {
-      this.#rejectGuarded(turn, output.attempt, { outcome: 'not-run', reason: output.reason });
+      const { attempt, reason, load } = output;
+      const told = load === undefined ? {} : { load };
+      this.#rejectGuarded(turn, attempt, { outcome: 'not-run', reason, ...told });
     } else {
       turn.outputs.push(output);
     }
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -21,7 +21,12 @@
       /** The life of the backend server that the attempt is meant for, where it has told one. */
       readonly instance: InstanceId | undefined;
     }
-  | { readonly kind: 'reject'; readonly attempt: AttemptId; readonly reason: RefusalReason };
+  | {
+      readonly kind: 'reject';
+      readonly attempt: AttemptId;
+      readonly reason: RefusalReason;
+      readonly load?: GuardLoad;
+    };
 
 /**
  * Grants the slots of one backend server. Every call that reaches the server passes here, so the
@@ -87,6 +92,9 @@
   admit(head: AttemptHead, now: Instant): Admission[] {
     const refusal = this.#findRefusal(head, now);
     if (refusal !== undefined) return [formReject(head.attempt, refusal)];
+    if (head.onlyIfFree === true && this.#countFree(now) <= this.#policy.count()) {
+      return [formReject(head.attempt, 'busy', this.measureLoad())];
+    }
     this.#policy.addArrival(head.requestKind, now);
     const priority = this.#findPriority(head);
     this.#policy.add({ head, arrivedAt: now, priority, latestStart: this.#findAimedStart(head) });
@@ -156,6 +164,12 @@
     return { running: this.#running.size, waiting: this.#policy.count() };
   }
 
+  /** The load once a run has ended whose answer is on its way. */
+  measureLoadAfter(attempt: AttemptId): GuardLoad {
+    const ending = this.#running.has(attempt) ? 1 : 0;
+    return { running: this.#running.size - ending, waiting: this.#policy.count() };
+  }
+
   /** When a slot may become free without a message: a cancellation settles, or the server warms up. */
   findNextTurn(now: Instant): Instant | undefined {
     const settled = this.#settling[0] ?? this.#probeAt;
@@ -272,6 +286,6 @@
   return state === 'ready' || state === 'failing';
 }
 
-function formReject(attempt: AttemptId, reason: RefusalReason): Admission {
-  return { kind: 'reject', attempt, reason };
+function formReject(attempt: AttemptId, reason: RefusalReason, load?: GuardLoad): Admission {
+  return { kind: 'reject', attempt, reason, ...(load === undefined ? {} : { load }) };
 }
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -100,10 +100,7 @@
     this.#mayPause = this.#isWhole && !isLastAnswer(headers);
     const outcome = isGuard ? readHeader(headers, OUTCOME_HEADER) : undefined;
     if (outcome !== undefined) {
-      this.#refusal = {
-        outcome: parseOutcome(outcome),
-        reason: parseReason(readHeader(headers, REASON_HEADER)),
-      };
+      this.#refusal = readRefusal(outcome, headers);
       return;
     }
     if (!isGuard && !this.#isAnswer(controller, status, headers)) return;
@@ -243,6 +240,15 @@
   return /\bclose\b/i.test(String(headers.connection ?? ''));
 }
 
+function readRefusal(outcome: string, headers: IncomingHttpHeaders): AttemptFailure {
+  const load = parseLoad(readHeader(headers, LOAD_HEADER));
+  return {
+    outcome: parseOutcome(outcome),
+    reason: parseReason(readHeader(headers, REASON_HEADER)),
+    ...(load === undefined ? {} : { load }),
+  };
+}
+
 function parseOutcome(text: string): RefusalOutcome {
   return text === 'not-run' ? 'not-run' : 'unknown';
 }
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -95,7 +95,7 @@
   const { headers, url = '', method = '' } = request;
   const fields = (readHeader(headers, FORWARD_HEADER) ?? '').split(';');
   const [shown = '', server = '', kind = '', worth = '', suspect = ''] = fields;
-  const [digest = '', aimLeft = ''] = fields.slice(5);
+  const [digest = '', aimLeft = '', onlyIfFree = ''] = fields.slice(5);
   if (!isSameText(shown, pass)) {
     return makeError({ reason: 'not-trusted', message: `${FORWARD_HEADER} is for proxies only` });
   }
@@ -122,6 +122,7 @@
       ...(aimLeft === '' ? {} : { aim: addMs(now, Number(aimLeft)) }),
       subject,
       suspect: suspect === SUSPECT,
+      onlyIfFree: onlyIfFree === ONLY_IF_FREE,
     };
     return makeOk({ head, count: parseAttempt(headers), caller });
   } catch (error) {
@@ -137,10 +138,12 @@
   now: Instant,
   bodyDigest?: Digest,
 ): string {
-  const { server, requestKind, worth, suspect, aim } = head;
+  const { server, requestKind, worth, suspect, aim, onlyIfFree } = head;
   const aimLeft = aim === undefined ? '' : (aim - now).toFixed(1);
   const mark = suspect ? SUSPECT : '';
-  return [pass, server, requestKind, worth, mark, bodyDigest ?? '', aimLeft].join(';');
+  const condition = onlyIfFree === true ? ONLY_IF_FREE : '';
+  const fields = [pass, server, requestKind, worth, mark, bodyDigest ?? '', aimLeft, condition];
+  return fields.join(';');
 }
 
 /** Formats the load that a guard tells an entry proxy. */
@@ -186,6 +189,7 @@
 const MAX_HEADERS = 128;
 const MAX_ATTEMPT = 1_000;
 const SUSPECT = 'suspect';
+const ONLY_IF_FREE = 'free';
 const OWN_PREFIX = 'bilberryswitch-';
 
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -1,14 +1,16 @@
 /** Answers calls that are refused. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { RefusalOutcome, RefusalReason } from '../messages/index.js';
-import { OUTCOME_HEADER, REASON_HEADER } from './call-headers.js';
+import type { GuardLoad, RefusalOutcome, RefusalReason } from '../messages/index.js';
+import { formatLoad, LOAD_HEADER, OUTCOME_HEADER, REASON_HEADER } from './call-headers.js';
 
 /** What a refused caller is told. */
 export interface Refusal {
   readonly reason: RefusalReason;
   readonly outcome: RefusalOutcome;
   readonly message?: string;
+  /** How busy the backend server is; told to other proxies only. */
+  readonly load?: GuardLoad;
 }
 
 /** How a refusal goes over HTTP. */
@@ -43,13 +45,14 @@
 
 /** Forms the product's own refusal, which another proxy understands as well. */
 export function formOwnRefusal(refusal: Refusal): RefusalAnswer {
-  const { reason, outcome, message = MESSAGES[reason] } = refusal;
+  const { reason, outcome, message = MESSAGES[reason], load } = refusal;
   return {
     status: STATUSES[reason],
     headers: {
       'content-type': 'application/json',
       [OUTCOME_HEADER]: outcome,
       [REASON_HEADER]: reason,
+      ...(load === undefined ? {} : { [LOAD_HEADER]: formatLoad(load) }),
     },
     body: JSON.stringify({ kind: reason, outcome, message }),
   };
@@ -82,6 +85,7 @@
   'no-route': 404,
   'no-server': 503,
   overloaded: 503,
+  busy: 503,
   deadline: 504,
   draining: 503,
   'bad-request': 400,
@@ -101,6 +105,7 @@
   'no-route': 'no route matches; check the path, the method and the generation',
   'no-server': 'no backend server of the service is ready; send the call again later',
   overloaded: 'no slot would be free in time; send the call again later',
+  busy: 'no slot is free now; ask another server, or allow the attempt to wait',
   deadline: 'the deadline has passed or is too near; allow more time',
   draining: 'this proxy is stopping; call another one',
   'bad-request': 'the request is not valid',
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -50,6 +50,8 @@
   readonly subject: string;
   /** Whether an earlier attempt of this call was in flight at a server that died. */
   readonly suspect: boolean;
+  /** Whether the guard refuses at once where no slot is free, because another server may have one. */
+  readonly onlyIfFree?: boolean;
 }
 
 /** Where an attempt goes. */
@@ -82,6 +84,8 @@
   | 'no-route'
   | 'no-server'
   | 'overloaded'
+  /** No slot is free, and the attempt was not to wait for one. */
+  | 'busy'
   | 'deadline'
   | 'draining'
   | 'bad-request'
@@ -100,4 +104,6 @@
 export interface AttemptFailure {
   readonly outcome: RefusalOutcome;
   readonly reason: RefusalReason;
+  /** How busy the backend server is, where its guard has told. */
+  readonly load?: GuardLoad;
 }
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -353,3 +353,76 @@
   const second = { kind: 'attempt-failed', attempt: attemptOf('c', 1), failure: shed } as const;
   t.deepEqual(driver.listKinds(second), ['shed unknown']);
 });
+
+test('busy: another server, then the least loaded waits', (t) => {
+  const driver = new Driver(3);
+  const [first] = driver.post({
+    kind: 'claimed',
+    call: makeCall('c', { timeoutMs: 1e6, idempotent: false }),
+  });
+  const asked: string[] = [];
+  const conditions: (boolean | undefined)[] = [];
+  let output = first;
+  for (const running of [25, 21]) {
+    if (output?.kind !== 'dispatch') break;
+    asked.push(output.target.server);
+    conditions.push(output.head.onlyIfFree);
+    const load = { running, waiting: 0 };
+    const failure = { outcome: 'not-run', reason: 'busy', load } as const;
+    const { attempt } = output.head;
+    [output] = driver.post({ kind: 'attempt-failed', attempt, failure });
+  }
+  t.is(output?.kind, 'dispatch');
+  if (output?.kind !== 'dispatch') return;
+  t.is(new Set(asked).size, 2);
+  t.deepEqual(conditions, [true, true]);
+  t.false(output.head.onlyIfFree);
+  t.false(asked.includes(output.target.server), 'the third server is not known to be busy');
+});
+
+test('busy everywhere: waits at the least loaded', (t) => {
+  const driver = new Driver(2);
+  const busy = (count: number, running: number) =>
+    ({
+      kind: 'attempt-failed',
+      attempt: attemptOf('c', count),
+      failure: { outcome: 'not-run', reason: 'busy', load: { running, waiting: 0 } },
+    }) as const;
+  const [first] = driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) });
+  const [second] = driver.post(busy(0, 25));
+  const [last] = driver.post(busy(1, 21));
+  if (first?.kind !== 'dispatch' || second?.kind !== 'dispatch' || last?.kind !== 'dispatch') {
+    t.fail('each decline leads to another attempt');
+    return;
+  }
+  t.not(first.target.server, second.target.server);
+  t.is(last.target.server, second.target.server);
+  t.false(last.head.onlyIfFree);
+});
+
+test('busy: no retry is spent, and further failures still count', (t) => {
+  const driver = new Driver(4);
+  const fail = (count: number, reason: 'busy' | 'shed') =>
+    ({
+      kind: 'attempt-failed',
+      attempt: attemptOf('c', count),
+      failure: { outcome: 'not-run', reason },
+    }) as const;
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6, maxAttempts: 2 }) });
+  t.deepEqual(driver.listKinds(fail(0, 'busy')), ['dispatch']);
+  t.deepEqual(driver.listKinds(fail(1, 'busy')), ['dispatch']);
+  t.deepEqual(driver.listKinds(fail(2, 'shed')), ['dispatch']);
+  t.deepEqual(driver.listKinds(fail(3, 'shed')), ['shed not-run']);
+});
+
+test('no condition without another server, or with a body that is sent once', (t) => {
+  const alone = new Driver(1);
+  const [only] = alone.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) });
+  t.false(only?.kind === 'dispatch' && only.head.onlyIfFree);
+  const driver = new Driver(3);
+  const [once] = driver.post({
+    kind: 'claimed',
+    call: makeCall('c', { timeoutMs: 1e6 }, { repeatable: false }),
+  });
+  t.false(once?.kind === 'dispatch' && once.head.onlyIfFree);
+});
--- a/test/calls-guard.test.ts
+++ b/test/calls-guard.test.ts
@@ -290,3 +290,13 @@
   const outputs = driver.list(ended, addMs(WARM, 100));
   t.deepEqual(outputs, ['run w0', 'overloaded w1', 'overloaded w2']);
 });
+
+test('only if free: refused at once with the load', (t) => {
+  const driver = new Driver({ slots: 1 });
+  t.deepEqual(driver.admit('a', { onlyIfFree: true }), ['run a']);
+  const head = makeAttempt('b', { onlyIfFree: true });
+  const [refused] = driver.post({ kind: 'admit', head });
+  t.like(refused, { kind: 'reject', reason: 'busy', load: { running: 1, waiting: 0 } });
+  t.deepEqual(driver.admit('c'), [], 'others wait');
+  t.deepEqual(driver.end('a', 'answered'), ['run c']);
+});
--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -423,3 +423,16 @@
   }
   t.is(mesh.serverAt(0).countRuns(), 0);
 });
+
+test('busy guard: the call runs at another server at once', async (t) => {
+  const server = { slots: 1 };
+  const answers = [undefined, answerAfter(100), answerAfter(100)];
+  const mesh = await CallMesh.start({ whole: WHOLE, answers, server });
+  t.teardown(() => mesh.stop());
+  const { calls } = mesh.at(0);
+  for (let round = 1; round <= 8; round += 1) {
+    const both = await Promise.all([call(calls, '/notes'), call(calls, '/notes')]);
+    t.true(both.every(({ status }) => status === 200));
+    t.deepEqual([mesh.serverAt(1).countRuns(), mesh.serverAt(2).countRuns()], [round, round]);
+  }
+});
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -27,7 +27,7 @@
   if (beside === undefined) throw new Error('the mesh has no proxy');
   const stopped = stopProcess(beside);
   const statuses = new Set<number>();
-  for (const endAt = Date.now() + SERVED_MS; Date.now() < endAt; ) {
+  for (const endAt = Date.now() + SERVED_MS; Date.now() < endAt;) {
     statuses.add(await readStatus());
     await new Promise((resolve) => setTimeout(resolve, 20));
   }
