Use all slots of a cold backend server that tells when it will be warm

All backend servers had just started and were given half of their slots, although a cold run only takes longer; with both together a quarter of the capacity was left. Red first: calls-guard.

--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -250,10 +250,9 @@
     return Math.max(1, Math.min(warm, this.#countConnections()));
   }
 
-  /** A server that tells when it will be warm is believed. */
+  /** A server that tells when it will be warm takes longer until then, but with all of its slots. */
   #measureWarmth(now: Instant): number {
-    const { warmAt } = this.#announcement;
-    if (warmAt !== undefined) return warmAt <= now ? 1 : WARMTH_WHILE_COLD;
+    if (this.#announcement.warmAt !== undefined) return 1;
     return measureWarmth(this.#readySince, now);
   }
 
@@ -276,8 +275,6 @@
 const SHED_SETTLE_MS = 100;
 const PROBE_INTERVAL_MS = 500;
 const WARM_UP_STEP_MS = 100;
-/** A cold server takes about twice as long, so it gets about half of its slots. */
-const WARMTH_WHILE_COLD = 0.5;
 /** The part of its remaining time that a call may spend waiting for a slot. */
 const MAX_WAIT_SHARE = 0.8;
 
--- a/test/calls-guard.test.ts
+++ b/test/calls-guard.test.ts
@@ -300,3 +300,11 @@
   t.deepEqual(driver.admit('c'), [], 'others wait');
   t.deepEqual(driver.end('a', 'answered'), ['run c']);
 });
+
+test('cold server that tells when it will be warm: all slots', (t) => {
+  const driver = new Driver({ slots: 2, warmAt: addMs(WARM, 3_000) });
+  driver.announce({ warmAt: addMs(WARM, 3_000) });
+  t.deepEqual(driver.admit('a'), ['run a']);
+  t.deepEqual(driver.admit('b'), ['run b']);
+  t.deepEqual(driver.admit('c'), []);
+});
