Hold the first election of a restarted replica sooner

Ruled out: reading the disk (log-status of all replicas within 20 ms of their start). A replica that has heard no leader in this life waits 200 to 500 ms instead of 500 to 1000. While a leader speaks, the others refuse its pre-vote, so one that was restarted alone disturbs nobody.

--- a/src/log/follower-role.ts
+++ b/src/log/follower-role.ts
@@ -68,8 +68,10 @@
 
   override delayElection(now: Instant): void {
     const { timing, random } = this.replica.options;
-    const spread = timing.maxElectionMs - timing.minElectionMs;
-    this.#electionAt = addMs(now, timing.minElectionMs + random.next() * spread);
+    const [min, max] = this.replica.hasHeardLeader
+      ? [timing.minElectionMs, timing.maxElectionMs]
+      : [timing.minFirstElectionMs, timing.maxFirstElectionMs];
+    this.#electionAt = addMs(now, min + random.next() * (max - min));
   }
 
   override stop(): void {
--- a/src/log/log-options.ts
+++ b/src/log/log-options.ts
@@ -9,6 +9,12 @@
   /** A replica that heard no leader for between these two times starts an election. */
   readonly minElectionMs: number;
   readonly maxElectionMs: number;
+  /**
+   * The same for a replica that has heard no leader since it was started. It may be shorter: while a leader
+   * speaks, the others refuse the pre-vote.
+   */
+  readonly minFirstElectionMs: number;
+  readonly maxFirstElectionMs: number;
   /** What has not been answered for so long is sent again. */
   readonly resendMs: number;
   /** A replica outside the membership asks to join this often. */
@@ -61,6 +67,8 @@
   heartbeatMs: 100,
   minElectionMs: 500,
   maxElectionMs: 1_000,
+  minFirstElectionMs: 200,
+  maxFirstElectionMs: 500,
   resendMs: 400,
   joinMs: 200,
 };
--- a/src/log/replica.ts
+++ b/src/log/replica.ts
@@ -126,6 +126,11 @@
     return now < addMs(this.#leaderHeardAt, this.options.timing.minElectionMs);
   }
 
+  /** Whether a leader has spoken since this replica was started. */
+  get hasHeardLeader(): boolean {
+    return this.#leaderHeardAt > 0;
+  }
+
   /** Notes that the leader of the present term has spoken, or that none is known. */
   updateLeader(leader: HostId | undefined, now: Instant): void {
     this.#leader = leader;
