Keep calls with large answers in their data centre until it is crowded

Ruled out as the main part: gossip (1 KB/s a process by members-left), documents of the log (packed). A request kind may say that its answers are large; platform/ says so of downloads. Their calls leave the data centre only where more attempts wait than run (load 2.5), or for a retry.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -30,7 +30,7 @@
 import { measureLoad } from './picker.js';
 import type { RetryAllowance } from './retry-budget.js';
 import { DEFAULT_RETRIES } from './retry-budget.js';
-import type { Place, ServerRecord, Tiers } from './server-table.js';
+import type { Place, ServerRecord } from './server-table.js';
 import { ServerTable } from './server-table.js';
 
 /** What the attempt filter is told. */
@@ -174,7 +174,8 @@
   #startAttempt(state: AttemptState, call: OpenCall, now: Instant): AttemptOut[] {
     const { service, head, requestKind, deadline, aim, subject } = call.routed;
     const tiers = state.servers.listTiers(service);
-    const record = this.#options.picker.pick(tiers, { now, tried: call.tried });
+    const staysNear = requestKind.largeAnswers;
+    const record = this.#options.picker.pick(tiers, { now, tried: call.tried, staysNear });
     if (record === undefined) return [];
     const server = record.announcement.address;
     const attempt = `${head.id}.${call.started}` as AttemptId;
@@ -209,7 +210,9 @@
 
   /** An attempt that finds no free slot is better sent elsewhere than left to wait. */
   #mayBeDeclined(state: AttemptState, call: OpenCall, now: Instant): boolean {
-    if (!call.routed.head.repeatable || call.declinedBy.length >= MAX_DECLINES) return false;
+    const { head, requestKind } = call.routed;
+    if (!head.repeatable || requestKind.largeAnswers === true) return false;
+    if (call.declinedBy.length >= MAX_DECLINES) return false;
     return this.#hasAlternative(state, call, now);
   }
 
--- a/src/calls/picker.ts
+++ b/src/calls/picker.ts
@@ -8,6 +8,8 @@
   readonly now: Instant;
   /** Servers at which the call was already tried. */
   readonly tried: ReadonlySet<Address>;
+  /** Whether the attempt stays in the own data centre until it is crowded there. */
+  readonly staysNear?: boolean | undefined;
 }
 
 /**
@@ -35,7 +37,7 @@
       if (usable.length === 0) continue;
       const chosen = this.choose(usable, context.now);
       const load = measureLoad(chosen, context.now);
-      if (load < (tier === 0 ? MAX_LOAD_BESIDE : 1)) return chosen;
+      if (load < findMaxLoad(tier, context)) return chosen;
       if (best === undefined || load < measureLoad(best, context.now)) best = chosen;
     }
     return best;
@@ -82,12 +84,23 @@
 
 /** Above this load a call leaves the server beside its entry proxy for another one. */
 const MAX_LOAD_BESIDE = 0.5;
+/**
+ * Up to this load, with more attempts waiting than running, large answers stay in the data centre. Bytes
+ * between data centres cost the users as much as a whole large answer is worth to them.
+ */
+const MAX_LOAD_NEAR = 2.5;
 const MAX_LOAD_AGE_MS = 1_000;
 /** A server at which every attempt fails counts like one that is full and half full again. */
 const FAILURE_LOAD = 1.5;
 const WARM_UP_MS = 5_000;
 const MIN_WARMTH = 0.25;
 
+/** Tiers 0 and 1 are those beside this proxy and in its data centre. */
+function findMaxLoad(tier: number, { staysNear }: PickContext): number {
+  if (tier === 0) return MAX_LOAD_BESIDE;
+  return tier === 1 && staysNear === true ? MAX_LOAD_NEAR : 1;
+}
+
 function isReady(
   { announcement, avoidedUntil }: ServerRecord,
   { now, tried }: PickContext,
--- a/src/edge/note-toml.ts
+++ b/src/edge/note-toml.ts
@@ -130,16 +130,18 @@
     hedge: z.boolean().default(false),
     target_latency_ms: z.int().min(1).max(MAX_TIMEOUT_MS).optional(),
     max_attempts: z.int().min(1).optional(),
+    large_answers: z.boolean().optional(),
   })
   .refine(({ idempotent, hedge }) => idempotent || !hedge, {
     path: ['hedge'],
     error: 'only an idempotent kind may be hedged',
   })
-  .transform(({ timeout_ms, target_latency_ms, max_attempts, ...rest }) => ({
+  .transform(({ timeout_ms, target_latency_ms, max_attempts, large_answers, ...rest }) => ({
     ...rest,
     timeoutMs: timeout_ms,
     ...(target_latency_ms === undefined ? {} : { targetLatencyMs: target_latency_ms }),
     ...(max_attempts === undefined ? {} : { maxAttempts: max_attempts }),
+    ...(large_answers === undefined ? {} : { largeAnswers: large_answers }),
   }));
 
 const limitsSchema = z
--- a/src/edge/spread-codec.ts
+++ b/src/edge/spread-codec.ts
@@ -58,6 +58,7 @@
     hedge: z.boolean(),
     targetLatencyMs: z.number().optional(),
     maxAttempts: count.optional(),
+    largeAnswers: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal('limits'),
--- a/src/messages/resource.ts
+++ b/src/messages/resource.ts
@@ -57,6 +57,11 @@
   readonly targetLatencyMs?: number;
   /** The most backend servers that one call may be sent to. */
   readonly maxAttempts?: number;
+  /**
+   * Whether answers are so large that their way matters: calls then wait longer in their own data
+   * centre before they go to another one.
+   */
+  readonly largeAnswers?: boolean;
 }
 
 /** What callers may send, and how long they may take. */
--- a/test/platform-codecs.test.ts
+++ b/test/platform-codecs.test.ts
@@ -180,3 +180,10 @@
   const bare = front.readRequest({ method: 'POST', url, body: '' }, NOW);
   t.deepEqual(bare.ok && bare.value, { kind: 'server-left', instance: 'i-9' } as never);
 });
+
+test('configuration: downloads have large answers', (t) => {
+  const readKind = (kind: string) =>
+    readResources({ resources: [SERVICE, makeRoute({ kind })] })[2];
+  t.like(readKind('download'), { idempotent: true, largeAnswers: true });
+  t.false('largeAnswers' in (readKind('safe') ?? {}));
+});
