Send attempts where they run quickest, by what guards tell of their run times

Backend servers of one service differ in speed (0.7 to 1.6), and the pick looked only at slots in use and at the data centre. Guards tell the mean run time of the answered kind with their load; the cost of a server is that time against the quickest candidate's, raised when its slots are nearly all taken and by its distance.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -1,6 +1,6 @@
 /** The third filter of a call: picks backend servers for its attempts, retries, hedges and gives up. */
 import { addMs } from '../clock.js';
-import type { Address, AttemptId, CallId, Instant, ServiceName } from '../ids.js';
+import type { Address, AttemptId, CallId, Instant, RequestKindName, ServiceName } from '../ids.js';
 import type {
   AttemptFailure,
   AttemptHead,
@@ -26,8 +26,8 @@
 import { needsClaim } from './classify-filter.js';
 import { DeadlineHeap } from './deadline-heap.js';
 import { applyFailure, applySuccess } from './outlier.js';
-import type { Picker } from './picker.js';
-import { measureLoad } from './picker.js';
+import type { PickContext, Picker } from './picker.js';
+import { measureLoad } from './server-load.js';
 import type { RetryAllowance } from './retry-budget.js';
 import { DEFAULT_RETRIES } from './retry-budget.js';
 import type { Place, ServerRecord } from './server-table.js';
@@ -174,8 +174,7 @@
   #startAttempt(state: AttemptState, call: OpenCall, now: Instant): AttemptOut[] {
     const { service, head, requestKind, deadline, aim, subject } = call.routed;
     const tiers = state.servers.listTiers(service);
-    const staysNear = requestKind.largeAnswers;
-    const record = this.#options.picker.pick(tiers, { now, tried: call.tried, staysNear });
+    const record = this.#options.picker.pick(tiers, formPickContext(call, now));
     if (record === undefined) return [];
     const server = record.announcement.address;
     const attempt = `${head.id}.${call.started}` as AttemptId;
@@ -217,9 +216,9 @@
   }
 
   /** Tells whether a server that was not tried yet is believed to have a free slot. */
-  #hasAlternative(state: AttemptState, { routed, tried }: OpenCall, now: Instant): boolean {
-    const tiers = state.servers.listTiers(routed.service);
-    const other = this.#options.picker.pick(tiers, { now, tried });
+  #hasAlternative(state: AttemptState, call: OpenCall, now: Instant): boolean {
+    const tiers = state.servers.listTiers(call.routed.service);
+    const other = this.#options.picker.pick(tiers, formPickContext(call, now));
     return other !== undefined && measureLoad(other, now) < 1;
   }
 
@@ -237,8 +236,7 @@
     if (open === undefined) return [{ kind: 'cancel', attempt: message.attempt }];
     const { call, record } = open;
     if (message.load !== undefined) {
-      record.load = message.load;
-      record.loadAt = now;
+      noteLoad(record, call.routed.requestKind.name, message.load, now);
     }
     const hasShed = message.status === STATUS_SHED;
     const hasFailed = message.status >= FIRST_FAILURE_STATUS;
@@ -286,8 +284,7 @@
     const { call, record } = open;
     removeAttempt(state, attempt, open);
     if (failure.load !== undefined) {
-      record.load = failure.load;
-      record.loadAt = now;
+      noteLoad(record, call.routed.requestKind.name, failure.load, now);
     }
     if (failure.reason === 'busy' && call.routed.deadline > now) {
       const redirected = this.#redirect(state, call, record.announcement.address, now);
@@ -363,6 +360,22 @@
 /** Refusals by which nothing can run there for now: bounded by the attempts of the call alone. */
 const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'no-server', 'not-trusted']);
 
+function formPickContext({ routed, tried }: OpenCall, now: Instant): PickContext {
+  const { name, largeAnswers } = routed.requestKind;
+  return { now, tried, requestKind: name, staysNear: largeAnswers };
+}
+
+function noteLoad(
+  record: ServerRecord,
+  requestKind: RequestKindName,
+  load: GuardLoad,
+  now: Instant,
+): void {
+  record.load = load;
+  record.loadAt = now;
+  if (load.runMs !== undefined) record.runTimes.add(requestKind, load.runMs, now);
+}
+
 function formTarget(record: ServerRecord, service: ServiceName): CallTarget {
   const { member, announcement } = record;
   return {
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -8,7 +8,7 @@
   RefusalReason,
   ServerState,
 } from '../messages/index.js';
-import { measureWarmth } from './picker.js';
+import { measureWarmth } from './server-load.js';
 import { RunEstimate } from './run-estimate.js';
 import type { SlotPolicy, Waiting } from './slot-policy.js';
 
@@ -166,8 +166,10 @@
 
   /** The load once a run has ended whose answer is on its way. */
   measureLoadAfter(attempt: AttemptId): GuardLoad {
-    const ending = this.#running.has(attempt) ? 1 : 0;
-    return { running: this.#running.size - ending, waiting: this.#policy.count() };
+    const run = this.#running.get(attempt);
+    const running = this.#running.size - (run === undefined ? 0 : 1);
+    const runMs = run === undefined ? 0 : this.#estimate.findMean(run.head.requestKind);
+    return { running, waiting: this.#policy.count(), ...(runMs > 0 ? { runMs } : {}) };
   }
 
   /** When a slot may become free without a message: a cancellation settles, or the server warms up. */
--- a/src/calls/picker.ts
+++ b/src/calls/picker.ts
@@ -1,6 +1,7 @@
 /** Picks the backend server of an attempt. */
-import type { Address, Instant } from '../ids.js';
+import type { Address, Instant, RequestKindName } from '../ids.js';
 import type { Random } from '../random.js';
+import { PickCosts } from './pick-costs.js';
 import type { ServerRecord, Tiers } from './server-table.js';
 
 /** What a picker may know of the attempt. */
@@ -8,6 +9,8 @@
   readonly now: Instant;
   /** Servers at which the call was already tried. */
   readonly tried: ReadonlySet<Address>;
+  /** The kind whose run times are compared; without it all servers count as equally quick. */
+  readonly requestKind?: RequestKindName;
   /** Whether the attempt stays in the own data centre until it is crowded there. */
   readonly staysNear?: boolean | undefined;
 }
@@ -15,8 +18,8 @@
 /**
  * Chooses one backend server among the candidates of a service.
  *
- * Override {@link Picker.choose} to vary how one is chosen within a tier; which tiers are looked at,
- * and which servers may be used at all, is the same for every picker.
+ * Override {@link Picker.choose} to vary how one is chosen within a tier; what a server costs, and which
+ * servers may be used at all, is the same for every picker.
  */
 export abstract class Picker {
   /** Picks a server, or none when no candidate may be used. */
@@ -25,26 +28,29 @@
   }
 
   /** Chooses one of at least one usable candidates of one tier. */
-  protected abstract choose(candidates: readonly ServerRecord[], now: Instant): ServerRecord;
+  protected abstract choose(candidates: readonly ServerRecord[], costs: PickCosts): ServerRecord;
 
   // Internals.
 
-  /** Takes the nearest tier with room; without any room, the least loaded choice of all tiers. */
+  /** Takes the choice of the tier where it costs least, its distance included. */
   #pickAmong(tiers: Tiers, context: PickContext, isUsable: IsUsable): ServerRecord | undefined {
+    const usable = tiers.map((records) => records.filter((one) => isUsable(one, context)));
+    const costs = new PickCosts(usable.flat(), context);
     let best: ServerRecord | undefined;
-    for (const [tier, records] of tiers.entries()) {
-      const usable = records.filter((record) => isUsable(record, context));
-      if (usable.length === 0) continue;
-      const chosen = this.choose(usable, context.now);
-      const load = measureLoad(chosen, context.now);
-      if (load < findMaxLoad(tier, context)) return chosen;
-      if (best === undefined || load < measureLoad(best, context.now)) best = chosen;
+    let bestCost = Infinity;
+    for (const [tier, records] of usable.entries()) {
+      if (records.length === 0) continue;
+      const chosen = this.choose(records, costs);
+      const cost = costs.measureFrom(tier, chosen);
+      if (cost >= bestCost) continue;
+      best = chosen;
+      bestCost = cost;
     }
     return best;
   }
 }
 
-/** Looks at two random candidates and takes the less loaded one ("power of two choices"). */
+/** Looks at two random candidates and takes the one that costs less ("power of two choices"). */
 export class TwoChoicesPicker extends Picker {
   readonly #random: Random;
 
@@ -53,54 +59,17 @@
     this.#random = random;
   }
 
-  protected override choose(candidates: readonly ServerRecord[], now: Instant): ServerRecord {
+  protected override choose(candidates: readonly ServerRecord[], costs: PickCosts): ServerRecord {
     const first = this.#random.pick(candidates);
     const second = this.#random.pick(candidates);
-    return measureLoad(second, now) < measureLoad(first, now) ? second : first;
+    return costs.measure(second) < costs.measure(first) ? second : first;
   }
 }
 
-/**
- * The share of a server's slots in use, as far as this proxy knows; 1 means that all are taken. A server
- * that fails part of its attempts counts as busier, because each of them has to be repeated.
- */
-export function measureLoad(record: ServerRecord, now: Instant): number {
-  const { load, loadAt, outstanding, announcement } = record;
-  const isFresh = load !== undefined && now - loadAt <= MAX_LOAD_AGE_MS;
-  const told = isFresh ? load.running + load.waiting : 0;
-  const slots = announcement.slots * measureWarmth(record.readySince, now);
-  return Math.max(told, outstanding) / slots + FAILURE_LOAD * record.failureShare;
-}
-
-/** The part of its slots that a server may use: it grows to 1 while the server warms up. */
-export function measureWarmth(readySince: Instant, now: Instant): number {
-  const share = (now - readySince) / WARM_UP_MS;
-  return Math.min(1, Math.max(MIN_WARMTH, share));
-}
-
 // Internals.
 
 type IsUsable = (record: ServerRecord, context: PickContext) => boolean;
 
-/** Above this load a call leaves the server beside its entry proxy for another one. */
-const MAX_LOAD_BESIDE = 0.5;
-/**
- * Up to this load, with more attempts waiting than running, large answers stay in the data centre. Bytes
- * between data centres cost the users as much as a whole large answer is worth to them.
- */
-const MAX_LOAD_NEAR = 2.5;
-const MAX_LOAD_AGE_MS = 1_000;
-/** A server at which every attempt fails counts like one that is full and half full again. */
-const FAILURE_LOAD = 1.5;
-const WARM_UP_MS = 5_000;
-const MIN_WARMTH = 0.25;
-
-/** Tiers 0 and 1 are those beside this proxy and in its data centre. */
-function findMaxLoad(tier: number, { staysNear }: PickContext): number {
-  if (tier === 0) return MAX_LOAD_BESIDE;
-  return tier === 1 && staysNear === true ? MAX_LOAD_NEAR : 1;
-}
-
 function isReady(
   { announcement, avoidedUntil }: ServerRecord,
   { now, tried }: PickContext,
--- a/src/calls/server-table.ts
+++ b/src/calls/server-table.ts
@@ -7,6 +7,7 @@
   MemberEvent,
   ServerState,
 } from '../messages/index.js';
+import { RunTimes } from './run-times.js';
 import { hashText } from './split.js';
 
 /** Where a proxy stands; decides which backend servers are near. */
@@ -27,6 +28,8 @@
   /** What its guard last told, and when. */
   load: GuardLoad | undefined;
   loadAt: Instant;
+  /** How long runs of each kind take there, as its guard last told. */
+  readonly runTimes: RunTimes;
   /** The share of its late attempts that failed, from 0 to 1; later ones count more. */
   failureShare: number;
   /** Failures without a success between them. */
@@ -120,6 +123,7 @@
     record.announcement = announcement;
     record.readySince = readySince;
     if (restarted || !isWarm) record.avoidedUntil = now;
+    if (!isWarm) record.runTimes.clear();
     entry.servers.set(address, record);
     if (former === undefined) entry.tiers = undefined;
   }
@@ -170,6 +174,7 @@
     outstanding: 0,
     load: undefined,
     loadAt: now,
+    runTimes: new RunTimes(),
     failureShare: 0,
     failures: 0,
     ejections: 0,
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -147,15 +147,17 @@
 }
 
 /** Formats the load that a guard tells an entry proxy. */
-export function formatLoad({ running, waiting }: GuardLoad): string {
-  return `${running};${waiting}`;
+export function formatLoad({ running, waiting, runMs }: GuardLoad): string {
+  const load = `${running};${waiting}`;
+  return runMs === undefined ? load : `${load};${runMs.toFixed(1)}`;
 }
 
 /** Reads the load that a guard has told. */
 export function parseLoad(text: string | undefined): GuardLoad | undefined {
-  const [running, waiting] = (text ?? '').split(';').map(Number);
+  const [running, waiting, runMs] = (text ?? '').split(';').map(Number);
   if (running === undefined || waiting === undefined) return undefined;
-  return Number.isFinite(running + waiting) ? { running, waiting } : undefined;
+  if (!Number.isFinite(running + waiting + (runMs ?? 0))) return undefined;
+  return { running, waiting, ...(runMs === undefined ? {} : { runMs }) };
 }
 
 /** Lists the headers of a request for the next hop, names and values in turn. */
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -73,6 +73,8 @@
   readonly running: number;
   /** Attempts that wait for a slot. */
   readonly waiting: number;
+  /** The mean time in milliseconds of runs of the answered kind, where it is known. */
+  readonly runMs?: number;
 }
 
 /** What a refused call is told: whether it certainly did not run. */
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -6,7 +6,7 @@
 import { ClaimFilter } from '../src/calls/claim-filter.js';
 import type { RoutedCall } from '../src/calls/classify-filter.js';
 import { TwoChoicesPicker } from '../src/calls/index.js';
-import { measureLoad } from '../src/calls/picker.js';
+import { measureLoad } from '../src/calls/server-load.js';
 import type { Place, ServerRecord } from '../src/calls/server-table.js';
 import { ServerTable } from '../src/calls/server-table.js';
 import { addMs } from '../src/clock.js';
