Avoid servers that answer nothing for several run times

The cost of a server now grows with the time for which attempts have been under way there without any answer, beyond three run times. Test: pick-costs, red before.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -182,6 +182,7 @@
     call.tried.add(server);
     call.running.add(attempt);
     record.outstanding += 1;
+    record.startedAts.set(attempt, now);
     state.attempts.set(attempt, { call, record, startedAt: now });
     const { name, worth } = requestKind;
     const { suspect } = call;
@@ -235,6 +236,7 @@
     const open = state.attempts.get(message.attempt);
     if (open === undefined) return [{ kind: 'cancel', attempt: message.attempt }];
     const { call, record } = open;
+    record.heardAt = now;
     if (message.load !== undefined) {
       noteLoad(record, call.routed.requestKind.name, message.load, now);
     }
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -59,6 +59,7 @@
   state.attempts.delete(attempt);
   open.call.running.delete(attempt);
   open.record.outstanding -= 1;
+  open.record.startedAts.delete(attempt);
 }
 
 /** Forgets an attempt that still runs and forms its cancellation. */
--- a/src/calls/pick-costs.ts
+++ b/src/calls/pick-costs.ts
@@ -1,6 +1,6 @@
 /** Compares what an attempt costs at the candidates of a service. */
 import type { Instant, RequestKindName } from '../ids.js';
-import { measureLoad } from './server-load.js';
+import { measureLoad, measureSilence } from './server-load.js';
 import type { ServerRecord } from './server-table.js';
 
 /** What the costs depend on besides the servers. */
@@ -29,7 +29,8 @@
   measure(record: ServerRecord): number {
     const load = measureLoad(record, this.#context.now);
     const crowding = Math.max(0, load - CROWDED_LOAD);
-    return this.#measureSlowness(record) * (1 + IDLE_SLOPE * load + CROWDED_SLOPE * crowding);
+    const occupancy = 1 + IDLE_SLOPE * load + CROWDED_SLOPE * crowding;
+    return this.#measureSlowness(record) * this.#measureDoubt(record) * occupancy;
   }
 
   /** The cost of a server of a tier: beside this proxy, in its data centre, its region, elsewhere. */
@@ -47,6 +48,12 @@
     return runMs === undefined ? 1 : Math.max(1, runMs) / Math.max(1, this.#quickestMs);
   }
 
+  /** A server that answers nothing for several run times may be stuck or out of reach. */
+  #measureDoubt(record: ServerRecord): number {
+    const silence = measureSilence(record, this.#context.now);
+    return Math.max(1, silence / (SILENT_RUN_TIMES * Math.max(MIN_RUN_MS, this.#quickestMs)));
+  }
+
   #findRunTime({ runTimes }: ServerRecord): number | undefined {
     const { requestKind, now } = this.#context;
     return requestKind === undefined ? undefined : runTimes.find(requestKind, now);
@@ -58,6 +65,10 @@
 const IDLE_SLOPE = 0.3;
 const CROWDED_LOAD = 0.6;
 const CROWDED_SLOPE = 2.5;
+/** Few runs take longer than so many mean run times, and hardly ever all of those under way. */
+const SILENT_RUN_TIMES = 3;
+/** Shorter silences may be those of the network. */
+const MIN_RUN_MS = 20;
 const FIRST_FAR_TIER = 2;
 /** The way to another data centre costs the users bytes, and to another region time as well. */
 const DISTANCES = [1, 1, 1.25, 2];
--- a/src/calls/server-load.ts
+++ b/src/calls/server-load.ts
@@ -20,6 +20,12 @@
   return Math.min(1, Math.max(MIN_WARMTH, share));
 }
 
+/** Milliseconds for which attempts have been under way without any answer from the server. */
+export function measureSilence({ startedAts, heardAt }: ServerRecord, now: Instant): number {
+  for (const oldest of startedAts.values()) return now - Math.max(oldest, heardAt);
+  return 0;
+}
+
 // Internals.
 
 const MAX_LOAD_AGE_MS = 1_000;
--- a/src/calls/server-table.ts
+++ b/src/calls/server-table.ts
@@ -1,5 +1,13 @@
 /** The backend servers as an entry proxy knows them: one list per service, nearest first. */
-import type { Address, DataCentreId, HostId, Instant, RegionId, ServiceName } from '../ids.js';
+import type {
+  Address,
+  AttemptId,
+  DataCentreId,
+  HostId,
+  Instant,
+  RegionId,
+  ServiceName,
+} from '../ids.js';
 import type {
   Announcement,
   GuardLoad,
@@ -25,6 +33,10 @@
   readySince: Instant;
   /** Attempts of this proxy that have not ended. */
   outstanding: number;
+  /** When each of them was started, the oldest first. */
+  readonly startedAts: Map<AttemptId, Instant>;
+  /** When an attempt was last answered there. */
+  heardAt: Instant;
   /** What its guard last told, and when. */
   load: GuardLoad | undefined;
   loadAt: Instant;
@@ -172,6 +184,8 @@
     announcement,
     readySince: now,
     outstanding: 0,
+    startedAts: new Map(),
+    heardAt: now,
     load: undefined,
     loadAt: now,
     runTimes: new RunTimes(),
--- a/test/pick-costs.test.ts
+++ b/test/pick-costs.test.ts
@@ -5,6 +5,7 @@
 import { ServerTable } from '../src/calls/server-table.js';
 import { addMs } from '../src/clock.js';
 import type {
+  AttemptId,
   DataCentreId,
   HostId,
   Instant,
@@ -77,3 +78,14 @@
   near?.runTimes.add(KIND, 250, WARM);
   t.is(measureShare(tiers, far, WARM), 1);
 });
+
+test('silent server: others first, until it answers', (t) => {
+  const { tiers, records } = makeTiers(['a', 'a']);
+  const [silent, other] = records;
+  for (const record of records) record.runTimes.add(KIND, 100, WARM);
+  silent?.startedAts.set('x.0' as AttemptId, WARM);
+  const later = addMs(WARM, 900);
+  t.true(measureShare(tiers, other, later) >= 0.7);
+  if (silent !== undefined) silent.heardAt = later;
+  t.true(measureShare(tiers, silent, later) >= 0.4);
+});
