--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -22,7 +22,12 @@
   | MemberEvent
   | { readonly kind: 'broadcast'; readonly item: Broadcast }
   /** A caller's call. */
-  | { readonly kind: 'arrived'; readonly head: CallHead }
+  | {
+      readonly kind: 'arrived';
+      readonly head: CallHead;
+      /** How long this process has left messages unread, in milliseconds; absent for not at all. */
+      readonly lagMs?: number;
+    }
   /** An attempt that another proxy sends to a backend server beside this one. */
   | {
       readonly kind: 'forwarded';
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -168,17 +168,18 @@
       call.refuse(OVERLOADED);
       return;
     }
-    const arrivedAt = addMs(this.#options.clock.read(), -this.#lag.measure());
+    const lagMs = this.#lag.measure();
+    const arrivedAt = addMs(this.#options.clock.read(), -lagMs);
     runAfterPoll(() => {
       if (!this.#calls.has(id)) return;
       if (isFromProxy) this.#acceptForwarded(call, arrivedAt);
-      else this.#acceptCall(call, arrivedAt);
+      else this.#acceptCall(call, arrivedAt, lagMs);
     });
   }
 
   // Internals.
 
-  #acceptCall(call: OpenCall, arrivedAt: Instant): void {
+  #acceptCall(call: OpenCall, arrivedAt: Instant, lagMs: number): void {
     const head = this.#front.parseHead(call.request, call.id, arrivedAt);
     if (!head.ok) {
       call.refuse(formHeadRefusal(head.error));
@@ -190,15 +191,16 @@
       this.post({
         kind: 'arrived',
         head: { ...head.value, caller, bodyDigest: undefined, repeatable: true },
+        lagMs,
       });
       return;
     }
-    this.#readBody(call, { ...head.value, caller }).catch(() => {
+    this.#readBody(call, { ...head.value, caller }, lagMs).catch(() => {
       call.refuse({ reason: 'bad-request', outcome: 'not-run', message: 'the body broke off' });
     });
   }
 
-  async #readBody(call: OpenCall, head: UnreadHead): Promise<void> {
+  async #readBody(call: OpenCall, head: UnreadHead, lagMs: number): Promise<void> {
     const cancelTimer = this.#limitBodyTime(call);
     try {
       call.body = await readBody(call.request);
@@ -209,7 +211,7 @@
     const { body } = call;
     const bodyDigest = body.kind === 'held' ? body.digest : undefined;
     const repeatable = body.kind !== 'stream';
-    this.post({ kind: 'arrived', head: { ...head, bodyDigest, repeatable } });
+    this.post({ kind: 'arrived', head: { ...head, bodyDigest, repeatable }, lagMs });
   }
 
   #limitBodyTime(call: OpenCall): CancelTimer {
