Let writes of the log wait while a disk is full

Cause: a write that found no room failed the log's task, and the source's process ended; on a full disk it ended again and again. What was written in part is cut off before the next try, so that nothing is torn or written twice; a failed sync other than for room still ends the process.

--- a/bench/log-bench.ts
+++ b/bench/log-bench.ts
@@ -132,6 +132,7 @@
       throw error;
     },
     reportStatus: () => undefined,
+    reportDiskFull: () => undefined,
     send: () => undefined,
     notify: (notice) => {
       if (notice.kind === 'leading') ledAt = performance.now();
--- a/src/edge/log-file.ts
+++ b/src/edge/log-file.ts
@@ -17,6 +17,8 @@
   readonly #packr = createPackr();
   #handle: FileHandle;
   #end: number;
+  /** Whether an append has failed that may have written a part of its frame. */
+  #isTorn = false;
 
   private constructor(path: string, handle: FileHandle, end: number) {
     this.#path = path;
@@ -33,9 +35,11 @@
     const handle = await open(path, 'a+');
     try {
       const packr = createPackr();
-      const { bodies, end } = readFrames(await handle.readFile(), path);
+      const stored = await handle.readFile();
+      const { bodies, end } = readFrames(stored, path);
       const records = bodies.flatMap((body) => packr.unpack(body) as Item[]);
-      await handle.truncate(end);
+      // A full disk may refuse to cut a file, so a whole one is left alone.
+      if (end < stored.length) await handle.truncate(end);
       await handle.datasync();
       await syncFolder(path);
       return { file: new LogFile<Item>(path, handle, end), records };
@@ -50,11 +54,17 @@
     return this.#end;
   }
 
-  /** Appends records and returns once they are synced. */
+  /**
+   * Appends records and returns once they are synced. Where the disk has no room, what was written in part
+   * is cut off before the next append.
+   */
   async append(records: readonly Item[]): Promise<void> {
     const bytes = encodeFrame(this.#packr.pack(records));
+    if (this.#isTorn) await this.#handle.truncate(this.#end);
+    this.#isTorn = true;
     await this.#handle.appendFile(bytes);
     await this.#handle.datasync();
+    this.#isTorn = false;
     this.#end += bytes.length;
   }
 
@@ -67,14 +77,18 @@
     const whole = encodeFrame(this.#packr.pack(records));
     const bytes = Buffer.concat([whole, encodeFrame(this.#packr.pack([]))]);
     const handle = await open(temporary, 'w');
-    await handle.writeFile(bytes);
-    await handle.datasync();
-    await handle.close();
+    try {
+      await handle.writeFile(bytes);
+      await handle.datasync();
+    } finally {
+      await handle.close();
+    }
     await rename(temporary, this.#path);
     await syncFolder(this.#path);
     const former = this.#handle;
     this.#handle = await open(this.#path, 'a+');
     this.#end = bytes.length;
+    this.#isTorn = false;
     await former.close();
   }
 
--- a/src/edge/log-task.ts
+++ b/src/edge/log-task.ts
@@ -9,6 +9,7 @@
 import type { CaptureAnswer, LogNotice, LogPacket, LogSnapshotNotice } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { applyFilter, Task, WakeTimer } from '../pipe/index.js';
+import { writeWithRoom } from './disk-room.js';
 import { LogFile } from './log-file.js';
 
 /** What a log task is told: the filter's messages, with snapshots not yet encoded. */
@@ -26,6 +27,8 @@
   readonly notify: (notice: LogNotice<Command> | LogSnapshotNotice<Snapshot>) => void;
   /** Takes each change of role, term, leader or membership. */
   readonly reportStatus: (status: LogStatus) => void;
+  /** Called when the disk has no room for a write, and when it has room again. */
+  readonly reportDiskFull: (isFull: boolean) => void;
   /** Sends a packet over the channel of the log. */
   readonly send: (to: Address, packet: LogPacket<Command>) => void;
 }
@@ -38,6 +41,7 @@
   #file: LogFile<LogRecord<Command>> | undefined;
   #waiting: LogWrite<Command>[] = [];
   #syncing: Promise<void> | undefined;
+  #isStopping = false;
 
   constructor(options: LogTaskOptions<Command, Snapshot>) {
     super(`log-${options.group}`, options.reportFailure);
@@ -48,14 +52,17 @@
   }
 
   protected override async open(): Promise<void> {
-    const { file, records } = await LogFile.open<LogRecord<Command>>(this.#options.path);
-    this.#file = file;
     const freshReplica = randomUUID() as string as ReplicaId;
-    this.post({ kind: 'loaded', stored: buildStoredLog(records), freshReplica });
+    await this.#writeWithRoom(async () => {
+      const { file, records } = await LogFile.open<LogRecord<Command>>(this.#options.path);
+      this.#file = file;
+      this.post({ kind: 'loaded', stored: buildStoredLog(records), freshReplica });
+    });
   }
 
   protected override async close(): Promise<void> {
     this.#timer.stop();
+    this.#isStopping = true;
     await this.#syncing;
     await this.#file?.close();
   }
@@ -110,7 +117,7 @@
     try {
       while (this.#waiting.length > 0) {
         const batch = this.#takeBatch();
-        await this.#write(batch);
+        if (!(await this.#writeWithRoom(() => this.#write(batch)))) return;
         this.post({ kind: 'synced', ticket: batch.at(-1)?.ticket ?? 0 });
       }
     } catch (error) {
@@ -120,6 +127,14 @@
     }
   }
 
+  #writeWithRoom(write: () => Promise<void>): Promise<boolean> {
+    return writeWithRoom(write, {
+      clock: this.#options.clock,
+      isStopping: () => this.#isStopping,
+      notifyFull: this.#options.reportDiskFull,
+    });
+  }
+
   /** A rewrite holds everything before it, so the writes before the last one are left out. */
   #takeBatch(): LogWrite<Command>[] {
     const batch = this.#waiting;
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -119,7 +119,7 @@
   await waitForSignal();
   watch.stop();
   log('stopping');
-  await Promise.all(roles.map((role) => role.linger?.()));
+  await Promise.all(roles.flatMap((role) => role.linger?.() ?? []));
   members.post({ kind: 'drain' });
   for (const role of roles.toReversed()) await role.stop();
   await members.stop();
--- a/src/program/run-ledger.ts
+++ b/src/program/run-ledger.ts
@@ -117,6 +117,9 @@
     reportStatus: (status) => {
       options.log('log-status', { group: name, ...status });
     },
+    reportDiskFull: (isFull) => {
+      options.log(isFull ? 'disk-full' : 'disk-has-room', { group: name });
+    },
     send: (to, packet) => {
       postLink(formLogSend('ledger-log', to, packet));
     },
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -71,6 +71,9 @@
       options.log('log-status', { group: LOG_GROUP, ...status });
       report('log', status);
     },
+    reportDiskFull: (isFull) => {
+      options.log(isFull ? 'disk-full' : 'disk-has-room', { group: LOG_GROUP });
+    },
     send: (to, packet) => {
       postLink(formLogSend('log', to, packet));
     },
