--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -1,20 +1,20 @@
 /** The third filter of a call: picks backend servers for its attempts, retries, hedges and gives up. */
 import { addMs } from '../clock.js';
-import type { Address, AttemptId, CallId, Instant, RequestKindName, ServiceName } from '../ids.js';
-import type {
-  AttemptFailure,
-  AttemptHead,
-  CallTarget,
-  GuardLoad,
-  MemberEvent,
-  Observation,
-  RefusalOutcome,
-  RefusalReason,
-} from '../messages/index.js';
-import type { Wake } from '../pipe/index.js';
+import type { AttemptId, Instant } from '../ids.js';
+import type { AttemptFailure } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
-import type { AttemptState, Cancel, OpenAttempt, OpenCall } from './attempt-state.js';
+import type { AttemptIn, AttemptOut } from './attempt-messages.js';
+import {
+  formObservation,
+  isFree,
+  mayHaveReached,
+  maySendAgain,
+  noteFailure,
+  noteLoad,
+} from './attempt-outcome.js';
+import { AttemptPlacement } from './attempt-placement.js';
+import type { AttemptState, OpenCall } from './attempt-state.js';
 import {
   cancelAttempt,
   closeCall,
@@ -23,64 +23,14 @@
   removeAttempt,
 } from './attempt-state.js';
 import type { RoutedCall } from './classify-filter.js';
-import { needsClaim } from './classify-filter.js';
 import { DeadlineHeap } from './deadline-heap.js';
 import { applyFailure, applySuccess } from './outlier.js';
-import type { PickContext, Picker } from './picker.js';
-import { measureLoad } from './server-load.js';
+import type { Picker } from './picker.js';
 import type { RetryAllowance } from './retry-budget.js';
 import { DEFAULT_RETRIES } from './retry-budget.js';
-import type { Place, ServerRecord } from './server-table.js';
+import type { Place } from './server-table.js';
 import { ServerTable } from './server-table.js';
 
-/** What the attempt filter is told. */
-export type AttemptIn =
-  | MemberEvent
-  | { readonly kind: 'claimed'; readonly call: RoutedCall }
-  /** The head of an answer has arrived; nothing of it has been passed on yet. */
-  | {
-      readonly kind: 'answer-started';
-      readonly attempt: AttemptId;
-      readonly status: number;
-      readonly load: GuardLoad | undefined;
-    }
-  /** The whole answer has arrived. */
-  | { readonly kind: 'answer-complete'; readonly attempt: AttemptId }
-  | {
-      readonly kind: 'attempt-failed';
-      readonly attempt: AttemptId;
-      readonly failure: AttemptFailure;
-    }
-  /** The caller has gone, or has its whole answer. */
-  | { readonly kind: 'gone'; readonly id: CallId }
-  | { readonly kind: 'tick' };
-
-/** What the attempt filter sends on. */
-export type AttemptOut =
-  | {
-      readonly kind: 'dispatch';
-      readonly id: CallId;
-      readonly target: CallTarget;
-      readonly head: AttemptHead;
-      /** The attempt count that travels with the call. */
-      readonly count: number;
-      /** Whether a copy of the answer is kept for resends. */
-      readonly keepsAnswer: boolean;
-    }
-  /** The answer of this attempt is the one for the caller. */
-  | { readonly kind: 'relay'; readonly id: CallId; readonly attempt: AttemptId }
-  | Cancel
-  | {
-      readonly kind: 'refuse';
-      readonly id: CallId;
-      readonly reason: RefusalReason;
-      readonly outcome: RefusalOutcome;
-      /** How busy the backend server is; only for an attempt that another proxy has sent. */
-      readonly load?: GuardLoad;
-    }
-  | Observation
-  | Wake;
-
 /** What the attempt filter needs. */
 export interface AttemptOptions {
   readonly place: Place;
@@ -97,11 +47,13 @@
  */
 export class AttemptFilter extends Filter<AttemptState, AttemptIn, AttemptOut> {
   readonly #options: AttemptOptions;
+  readonly #placement: AttemptPlacement;
   readonly #retries: RetryAllowance;
 
   constructor(options: AttemptOptions) {
     super();
     this.#options = options;
+    this.#placement = new AttemptPlacement(options.picker);
     this.#retries = options.retries ?? DEFAULT_RETRIES;
   }
 
@@ -163,75 +115,13 @@
     state.calls.set(id, call);
     findBudget(state, routed.service, this.#retries).addCall(state.servers.proxies);
     state.timers.add(routed.deadline, { kind: 'deadline', id });
-    const outputs = this.#startAttempt(state, call, now);
+    const outputs = this.#placement.start(state, call, now);
     if (outputs.length === 0) return this.#refuse(state, call, NO_SERVER);
     const hedgeAt = findHedgeTime(state, routed, now);
     if (hedgeAt !== undefined) state.timers.add(hedgeAt, { kind: 'hedge', id });
     return [...outputs, ...formWake(state)];
   }
 
-  /** Returns no output when there is no server left to try. */
-  #startAttempt(state: AttemptState, call: OpenCall, now: Instant): AttemptOut[] {
-    const { service, head, requestKind, deadline, aim, subject } = call.routed;
-    const tiers = state.servers.listTiers(service);
-    const record = this.#options.picker.pick(tiers, formPickContext(call, now));
-    if (record === undefined) return [];
-    const server = record.announcement.address;
-    const attempt = `${head.id}.${call.started}` as AttemptId;
-    call.started += 1;
-    call.tried.add(server);
-    call.running.add(attempt);
-    record.outstanding += 1;
-    record.startedAts.set(attempt, now);
-    state.attempts.set(attempt, { call, record, startedAt: now });
-    const { name, worth } = requestKind;
-    const { suspect } = call;
-    return [
-      {
-        kind: 'dispatch',
-        id: head.id,
-        target: formTarget(record, service),
-        head: {
-          attempt,
-          server,
-          requestKind: name,
-          worth,
-          deadline: addMs(deadline, -ANSWER_MARGIN_MS),
-          ...(aim === undefined ? {} : { aim }),
-          subject,
-          suspect,
-          onlyIfFree: this.#mayBeDeclined(state, call, now),
-        },
-        count: head.attempt + call.started - 1,
-        keepsAnswer: needsClaim(requestKind, head),
-      },
-    ];
-  }
-
-  /** An attempt that finds no free slot is better sent elsewhere than left to wait. */
-  #mayBeDeclined(state: AttemptState, call: OpenCall, now: Instant): boolean {
-    const { head, requestKind } = call.routed;
-    if (!head.repeatable || requestKind.largeAnswers === true) return false;
-    if (call.declinedBy.length >= MAX_DECLINES) return false;
-    return this.#hasAlternative(state, call, now);
-  }
-
-  /** Tells whether a server that was not tried yet is believed to have a free slot. */
-  #hasAlternative(state: AttemptState, call: OpenCall, now: Instant): boolean {
-    const tiers = state.servers.listTiers(call.routed.service);
-    const other = this.#options.picker.pick(tiers, formPickContext(call, now));
-    return other !== undefined && measureLoad(other, now) < 1;
-  }
-
-  /** Tries another server after one without a free slot, or waits at one of those that were asked. */
-  #redirect(state: AttemptState, call: OpenCall, server: Address, now: Instant): AttemptOut[] {
-    call.declinedBy.push(server);
-    if (!this.#hasAlternative(state, call, now)) {
-      for (const one of call.declinedBy) call.tried.delete(one);
-    }
-    return this.#startAttempt(state, call, now);
-  }
-
   #handleAnswer(state: AttemptState, message: AnswerStarted, now: Instant): AttemptOut[] {
     const open = state.attempts.get(message.attempt);
     if (open === undefined) return [{ kind: 'cancel', attempt: message.attempt }];
@@ -289,7 +179,7 @@
       noteLoad(record, call.routed.requestKind.name, failure.load, now);
     }
     if (failure.reason === 'busy' && call.routed.deadline > now) {
-      const redirected = this.#redirect(state, call, record.announcement.address, now);
+      const redirected = this.#placement.redirect(state, call, record.announcement.address, now);
       if (redirected.length > 0) return redirected;
     }
     if (mayHaveReached(failure)) call.reached += 1;
@@ -297,7 +187,7 @@
     const observed = noteFailure(state, open, failure, now);
     if (call.relayed === attempt) return [...observed, ...this.#refuse(state, call, failure)];
     if (failure.outcome === 'unknown') call.certain = false;
-    const cost = FREE_REASONS.has(failure.reason) ? 'free' : 'budgeted';
+    const cost = isFree(failure) ? 'free' : 'budgeted';
     const retry = maySend && call.relayed === undefined ? this.#retry(state, call, now, cost) : [];
     if (retry.length > 0) return [...observed, ...retry];
     if (call.running.size > 0) return observed;
@@ -318,7 +208,7 @@
     if (call.reached + call.running.size >= most) return [];
     const budget = findBudget(state, service, this.#retries);
     if (cost === 'budgeted' && !budget.spend()) return [];
-    return this.#startAttempt(state, call, now);
+    return this.#placement.start(state, call, now);
   }
 
   #handleTimers(state: AttemptState, now: Instant): AttemptOut[] {
@@ -349,80 +239,11 @@
 type AnswerStarted = Extract<AttemptIn, { kind: 'answer-started' }>;
 
 const MAX_ATTEMPTS = 3;
-/** Servers without a free slot that a call asks before it waits at one. */
-const MAX_DECLINES = 2;
 const STATUS_SHED = 503;
 const FIRST_FAILURE_STATUS = 500;
-/** The guard gives up a little earlier, so that its answer "not run" still reaches the caller. */
-const ANSWER_MARGIN_MS = 3;
 const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
-const AVOID_MS = 1_000;
 const HEDGE_DEVIATIONS = 4;
 const MIN_HEDGE_DELAY_MS = 2;
-/** Refusals by which nothing can run there for now: bounded by the attempts of the call alone. */
-const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'no-server', 'not-trusted']);
-
-function formPickContext({ routed, tried }: OpenCall, now: Instant): PickContext {
-  const { name, largeAnswers } = routed.requestKind;
-  return { now, tried, requestKind: name, staysNear: largeAnswers };
-}
-
-function noteLoad(
-  record: ServerRecord,
-  requestKind: RequestKindName,
-  load: GuardLoad,
-  now: Instant,
-): void {
-  record.load = load;
-  record.loadAt = now;
-  if (load.runMs !== undefined) record.runTimes.add(requestKind, load.runMs, now);
-}
-
-function formTarget(record: ServerRecord, service: ServiceName): CallTarget {
-  const { member, announcement } = record;
-  return {
-    service,
-    host: member.host,
-    guard: member.calls,
-    pass: member.pass,
-    server: announcement.address,
-  };
-}
-
-/**
- * A call may be sent again where it certainly did not run or where a second run changes nothing. One
- * that has already been lost twice is not: it may be what kills the servers.
- */
-function maySendAgain(call: OpenCall, { outcome, reason }: AttemptFailure): boolean {
-  if (reason === 'quarantined') return false;
-  if (outcome === 'not-run') return true;
-  const isLostAgain = call.suspect && reason === 'upstream-failed';
-  return call.routed.requestKind.idempotent && !isLostAgain;
-}
-
-/** Of the refusals "not run", only the backend server's own shows that the attempt came there. */
-function mayHaveReached({ outcome, reason }: AttemptFailure): boolean {
-  return outcome === 'unknown' || reason === 'shed';
-}
-
-function noteFailure(
-  state: AttemptState,
-  { call, record }: OpenAttempt,
-  failure: AttemptFailure,
-  now: Instant,
-): AttemptOut[] {
-  if (FREE_REASONS.has(failure.reason)) record.avoidedUntil = addMs(now, AVOID_MS);
-  if (failure.reason !== 'upstream-failed') return [];
-  if (failure.outcome === 'unknown') call.suspect = true;
-  const { service } = call.routed;
-  applyFailure(record, state.servers.listTiers(service), now);
-  return [formObservation(record, 'failed')];
-}
-
-function formObservation(record: ServerRecord, outcome: Observation['outcome']): Observation {
-  const { member, announcement } = record;
-  return { kind: 'observed', host: member.host, server: announcement.address, outcome };
-}
 
 function findHedgeTime(state: AttemptState, call: RoutedCall, now: Instant): Instant | undefined {
   const { requestKind, head, service } = call;
--- /dev/null
+++ b/src/calls/attempt-placement.ts
@@ -0,0 +1,109 @@
+/** Where the attempts of a call go, and whether they may wait there. */
+import { addMs } from '../clock.js';
+import type { Address, AttemptId, Instant, ServiceName } from '../ids.js';
+import type { CallTarget } from '../messages/index.js';
+import type { AttemptOut } from './attempt-messages.js';
+import type { AttemptState, OpenCall } from './attempt-state.js';
+import { needsClaim } from './classify-filter.js';
+import type { PickContext, Picker } from './picker.js';
+import { measureLoad } from './server-load.js';
+import type { ServerRecord } from './server-table.js';
+
+/**
+ * Places attempts at backend servers. What an entry proxy knows of their load is as old as their last answers,
+ * so an attempt waits at a guard only where no other server is believed to have a free slot.
+ */
+export class AttemptPlacement {
+  readonly #picker: Picker;
+
+  constructor(picker: Picker) {
+    this.#picker = picker;
+  }
+
+  /** Starts an attempt at the server that costs least; no output where none is left to try. */
+  start(state: AttemptState, call: OpenCall, now: Instant): AttemptOut[] {
+    const { service, head, requestKind, deadline, aim, subject } = call.routed;
+    const tiers = state.servers.listTiers(service);
+    const record = this.#picker.pick(tiers, formPickContext(call, now));
+    if (record === undefined) return [];
+    const server = record.announcement.address;
+    const attempt = `${head.id}.${call.started}` as AttemptId;
+    call.started += 1;
+    call.tried.add(server);
+    call.running.add(attempt);
+    record.outstanding += 1;
+    record.startedAts.set(attempt, now);
+    state.attempts.set(attempt, { call, record, startedAt: now });
+    const { name, worth } = requestKind;
+    const { suspect } = call;
+    return [
+      {
+        kind: 'dispatch',
+        id: head.id,
+        target: formTarget(record, service),
+        head: {
+          attempt,
+          server,
+          requestKind: name,
+          worth,
+          deadline: addMs(deadline, -ANSWER_MARGIN_MS),
+          ...(aim === undefined ? {} : { aim }),
+          subject,
+          suspect,
+          onlyIfFree: this.#mayBeDeclined(state, call, now),
+        },
+        count: head.attempt + call.started - 1,
+        keepsAnswer: needsClaim(requestKind, head),
+      },
+    ];
+  }
+
+  /** Tries another server after one without a free slot, or waits at one of those that were asked. */
+  redirect(state: AttemptState, call: OpenCall, server: Address, now: Instant): AttemptOut[] {
+    call.declinedBy.push(server);
+    if (!this.#hasAlternative(state, call, now)) {
+      for (const one of call.declinedBy) call.tried.delete(one);
+    }
+    return this.start(state, call, now);
+  }
+
+  // Internals.
+
+  /** An attempt that finds no free slot is better sent elsewhere than left to wait. */
+  #mayBeDeclined(state: AttemptState, call: OpenCall, now: Instant): boolean {
+    const { head, requestKind } = call.routed;
+    if (!head.repeatable || requestKind.largeAnswers === true) return false;
+    if (call.declinedBy.length >= MAX_DECLINES) return false;
+    return this.#hasAlternative(state, call, now);
+  }
+
+  /** Tells whether a server that was not tried yet is believed to have a free slot. */
+  #hasAlternative(state: AttemptState, call: OpenCall, now: Instant): boolean {
+    const tiers = state.servers.listTiers(call.routed.service);
+    const other = this.#picker.pick(tiers, formPickContext(call, now));
+    return other !== undefined && measureLoad(other, now) < 1;
+  }
+}
+
+// Internals.
+
+/** Servers without a free slot that a call asks before it waits at one. */
+const MAX_DECLINES = 2;
+/** The guard gives up a little earlier, so that its answer "not run" still reaches the caller. */
+const ANSWER_MARGIN_MS = 3;
+
+function formPickContext({ routed, tried }: OpenCall, now: Instant): PickContext {
+  const { name, largeAnswers } = routed.requestKind;
+  return { now, tried, requestKind: name, staysNear: largeAnswers };
+}
+
+function formTarget(record: ServerRecord, service: ServiceName): CallTarget {
+  const { member, announcement } = record;
+  return {
+    service,
+    host: member.host,
+    guard: member.calls,
+    pass: member.pass,
+    server: announcement.address,
+  };
+}
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -13,7 +13,7 @@
   StoredAnswer,
 } from '../messages/index.js';
 import type { Whole } from '../notes/index.js';
-import type { AttemptOut } from './attempt-filter.js';
+import type { AttemptOut } from './attempt-messages.js';
 import type { GuardOut, RunEnding } from './guard-filter.js';
 
 /** What the call pipe is told. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -3,7 +3,7 @@
 import type { AttemptFailure, CallHead, MemberEvent } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
-import type { AttemptIn, AttemptOut } from './attempt-filter.js';
+import type { AttemptIn, AttemptOut } from './attempt-messages.js';
 import type { AttemptState } from './attempt-state.js';
 import { AttemptFilter } from './attempt-filter.js';
 import type { ClaimIn, ClaimOut, ClaimState } from './claim-filter.js';
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -1,7 +1,7 @@
 /** Claims, picks, retries and hedges, without sockets. */
 import test from 'ava';
 import fc from 'fast-check';
-import type { AttemptIn, AttemptOut } from '../src/calls/attempt-filter.js';
+import type { AttemptIn, AttemptOut } from '../src/calls/attempt-messages.js';
 import { AttemptFilter } from '../src/calls/attempt-filter.js';
 import { ClaimFilter } from '../src/calls/claim-filter.js';
 import type { RoutedCall } from '../src/calls/classify-filter.js';
