--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -6,7 +6,6 @@
 import type { AttemptState, OpenCall } from './attempt-state.js';
 import { needsClaim } from './classify-filter.js';
 import type { PickContext, Picker } from './picker.js';
-import { measureLoad } from './server-load.js';
 import type { ServerRecord } from './server-table.js';
 
 /**
@@ -80,8 +79,7 @@
   /** Tells whether a server that was not tried yet is believed to have a free slot. */
   #hasAlternative(state: AttemptState, call: OpenCall, now: Instant): boolean {
     const tiers = state.servers.listTiers(call.routed.service);
-    const other = this.#picker.pick(tiers, formPickContext(call, now));
-    return other !== undefined && measureLoad(other, now) < 1;
+    return this.#picker.hasRoom(tiers, formPickContext(call, now));
   }
 }
 
--- a/src/calls/picker.ts
+++ b/src/calls/picker.ts
@@ -2,6 +2,7 @@
 import type { Address, Instant, RequestKindName } from '../ids.js';
 import type { Random } from '../random.js';
 import { PickCosts } from './pick-costs.js';
+import { measureLoad } from './server-load.js';
 import type { ServerRecord, Tiers } from './server-table.js';
 
 /** What a picker may know of the attempt. */
@@ -27,6 +28,13 @@
     return this.#pickAmong(tiers, context, isInService) ?? this.#pickAmong(tiers, context, isReady);
   }
 
+  /** Tells whether a server that may be used is believed to have a free slot. */
+  hasRoom(tiers: Tiers, context: PickContext): boolean {
+    return tiers.some((records) =>
+      records.some((one) => isInService(one, context) && measureLoad(one, context.now) < 1),
+    );
+  }
+
   /** Chooses one of at least one usable candidates of one tier. */
   protected abstract choose(candidates: readonly ServerRecord[], costs: PickCosts): ServerRecord;
 
