Confirm for proxies that were refused as soon as a replica leads

Cause: after all processes were killed a proxy's first request for a confirmation comes before a source leads; it was refused without a word and repeated after 300 to 500 ms, by which every call was refused longer. A replica keeps refused requests for as long as proxies wait for them, and confirms when it begins to lead. Red first: vouch.

--- a/src/spread/source-spread-filter.ts
+++ b/src/spread/source-spread-filter.ts
@@ -259,7 +259,7 @@
     switch (notice.kind) {
       case 'leading':
         state.isFollower = !notice.leading;
-        return [];
+        return notice.leading ? state.vouches.handleLeading(now) : [];
       case 'confirmed':
         return state.vouches.handleConfirmed(notice.id, state.store.mark, now);
       case 'refused':
--- a/src/spread/vouch-desk.ts
+++ b/src/spread/vouch-desk.ts
@@ -9,6 +9,12 @@
   readonly id: RequestId;
 }
 
+/** A proxy that was refused, and until when it still waits for an answer. */
+interface RefusedClient {
+  readonly client: VouchClient;
+  readonly until: Instant;
+}
+
 /** What a vouch desk sends on. */
 export type VouchStep =
   | { readonly kind: 'confirm'; readonly id: RequestId }
@@ -26,6 +32,7 @@
 export class VouchDesk {
   #waiting: VouchClient[] = [];
   #confirming: VouchClient[] = [];
+  #refused: RefusedClient[] = [];
   #confirmation: RequestId | undefined;
   #deadline: Instant = NEVER;
   #count = 0;
@@ -48,15 +55,35 @@
     return [...answers, ...this.#startNext()];
   }
 
-  /** The log could not confirm: nobody is answered, and the proxies ask again. */
+  /**
+   * The log could not confirm: nobody is answered, and the proxies ask again. Until then their requests are
+   * kept for the case that this replica begins to lead.
+   */
   handleRefused(id: RequestId, now: Instant): VouchStep[] {
     if (id !== this.#confirmation) return [];
     this.#deadline = addMs(now, CONFIRM_TIMEOUT_MS);
+    const until = addMs(now, REFUSED_KEPT_MS);
+    const refused = this.#confirming.map((client) => ({ client, until }));
+    this.#refused = [...this.#listRefused(now), ...refused].slice(-MAX_WAITING);
+    return this.#startNext();
+  }
+
+  /** This replica leads now: those who were refused of late are asked for again. */
+  handleLeading(now: Instant): VouchStep[] {
+    const kept = this.#listRefused(now).map(({ client }) => client);
+    this.#refused = [];
+    this.#waiting.push(...kept);
+    if (kept.length === 0 || this.#confirmation !== undefined) return [];
+    this.#deadline = addMs(now, CONFIRM_TIMEOUT_MS);
     return this.#startNext();
   }
 
   // Internals.
 
+  #listRefused(now: Instant): RefusedClient[] {
+    return this.#refused.filter(({ until }) => until > now);
+  }
+
   #startNext(): VouchStep[] {
     this.#confirming = this.#waiting;
     this.#waiting = [];
@@ -73,3 +100,5 @@
 const CONFIRM_PREFIX = 'spread-vouch-';
 const MAX_WAITING = 256;
 const CONFIRM_TIMEOUT_MS = 2_000;
+/** Proxies wait so long for an answer before they ask again; see {@link VouchRelay}. */
+const REFUSED_KEPT_MS = 300;
--- a/test/vouch.test.ts
+++ b/test/vouch.test.ts
@@ -45,6 +45,26 @@
   t.is(desk.addAsk({ address: TWO, id: POLL }, addMs(NOW, 2_000))[0]?.kind, 'confirm');
 });
 
+test('refused asks are taken up by a replica that begins to lead', (t) => {
+  const desk = new VouchDesk();
+  const [confirm] = desk.addAsk({ address: ONE, id: POLL }, NOW);
+  const id = confirm?.kind === 'confirm' ? confirm.id : POLL;
+  t.deepEqual(desk.handleRefused(id, NOW), []);
+  const [again] = desk.handleLeading(addMs(NOW, 200));
+  t.is(again?.kind, 'confirm');
+  const next = again?.kind === 'confirm' ? again.id : POLL;
+  const [answer] = desk.handleConfirmed(next, MARK, addMs(NOW, 210));
+  t.like(answer, { kind: 'send', to: ONE });
+  t.deepEqual(desk.handleLeading(addMs(NOW, 220)), [], 'nobody waits any more');
+});
+
+test('refused asks lapse', (t) => {
+  const desk = new VouchDesk();
+  const [confirm] = desk.addAsk({ address: ONE, id: POLL }, NOW);
+  desk.handleRefused(confirm?.kind === 'confirm' ? confirm.id : POLL, NOW);
+  t.deepEqual(desk.handleLeading(addMs(NOW, 400)), []);
+});
+
 test('poll of peers', (t) => {
   const other = { version: 6 as Version, digest: 'd'.repeat(32) as Digest };
   const cases = [
