--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -10,8 +10,8 @@
   isFree,
   mayHaveReached,
   maySendAgain,
-  noteFailure,
-  noteLoad,
+  applyAttemptFailure,
+  updateLoad,
 } from './attempt-outcome.js';
 import { AttemptPlacement } from './attempt-placement.js';
 import type { AttemptState, OpenCall } from './attempt-state.js';
@@ -128,7 +128,7 @@
     const { call, record } = open;
     record.heardAt = now;
     if (message.load !== undefined) {
-      noteLoad(record, call.routed.requestKind.name, message.load, now);
+      updateLoad(record, call.routed.requestKind.name, message.load, now);
     }
     const hasShed = message.status === STATUS_SHED;
     const hasFailed = message.status >= FIRST_FAILURE_STATUS;
@@ -176,15 +176,15 @@
     const { call, record } = open;
     removeAttempt(state, attempt, open);
     if (failure.load !== undefined) {
-      noteLoad(record, call.routed.requestKind.name, failure.load, now);
+      updateLoad(record, call.routed.requestKind.name, failure.load, now);
     }
     if (failure.reason === 'busy' && call.routed.deadline > now) {
-      const redirected = this.#placement.redirect(state, call, record.announcement.address, now);
-      if (redirected.length > 0) return redirected;
+      const passedOn = this.#placement.passOn(state, call, record.announcement.address, now);
+      if (passedOn.length > 0) return passedOn;
     }
     if (mayHaveReached(failure)) call.reached += 1;
     const maySend = maySendAgain(call, failure);
-    const observed = noteFailure(state, open, failure, now);
+    const observed = applyAttemptFailure(state, open, failure, now);
     if (call.relayed === attempt) return [...observed, ...this.#refuse(state, call, failure)];
     if (failure.outcome === 'unknown') call.certain = false;
     const cost = isFree(failure) ? 'free' : 'budgeted';
--- a/src/calls/attempt-outcome.ts
+++ b/src/calls/attempt-outcome.ts
@@ -23,7 +23,7 @@
 }
 
 /** Notes what a failure says of the server and of the call; tells the membership of it. */
-export function noteFailure(
+export function applyAttemptFailure(
   state: AttemptState,
   { call, record }: OpenAttempt,
   failure: AttemptFailure,
@@ -52,7 +52,7 @@
 }
 
 /** Notes how busy a guard says that the server beside it is. */
-export function noteLoad(
+export function updateLoad(
   record: ServerRecord,
   requestKind: RequestKindName,
   load: GuardLoad,
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -58,7 +58,7 @@
   }
 
   /** Tries another server after one without a free slot, or waits at one of those that were asked. */
-  redirect(state: AttemptState, call: OpenCall, server: Address, now: Instant): AttemptOut[] {
+  passOn(state: AttemptState, call: OpenCall, server: Address, now: Instant): AttemptOut[] {
     call.declinedBy.push(server);
     if (!this.#hasAlternative(state, call, now)) {
       for (const one of call.declinedBy) call.tried.delete(one);
--- a/src/calls/shed-filter.ts
+++ b/src/calls/shed-filter.ts
@@ -59,7 +59,7 @@
     const { worth } = call.requestKind;
     state.worstLagMs = Math.max(state.worstLagMs, lagMs);
     state.arrivals.set(worth, (state.arrivals.get(worth) ?? 0) + 1);
-    if (!takesTurn(state, worth)) return { state, outputs: [{ kind: 'routed', call }] };
+    if (!isRefused(state, worth)) return { state, outputs: [{ kind: 'routed', call }] };
     return { state, outputs: [{ kind: 'refused', id: call.head.id, reason: 'process-busy' }] };
   }
 }
@@ -117,7 +117,7 @@
   return shares;
 }
 
-function takesTurn({ shares, credits }: ShedState, worth: number): boolean {
+function isRefused({ shares, credits }: ShedState, worth: number): boolean {
   const credit = (credits.get(worth) ?? 0) + (shares.get(worth) ?? 0);
   credits.set(worth, credit >= 1 ? credit - 1 : credit);
   return credit >= 1;
--- a/src/edge/disk-room.ts
+++ b/src/edge/disk-room.ts
@@ -17,7 +17,7 @@
  *
  * @returns false when the task was stopped before there was room.
  */
-export async function writeWithRoom(
+export async function runWithRoom(
   write: () => Promise<void>,
   { clock, isStopping, notifyFull }: DiskRoomOptions,
 ): Promise<boolean> {
--- a/src/edge/log-task.ts
+++ b/src/edge/log-task.ts
@@ -9,7 +9,7 @@
 import type { CaptureAnswer, LogNotice, LogPacket, LogSnapshotNotice } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { applyFilter, Task, WakeTimer } from '../pipe/index.js';
-import { writeWithRoom } from './disk-room.js';
+import { runWithRoom } from './disk-room.js';
 import { LogFile } from './log-file.js';
 
 /** What a log task is told: the filter's messages, with snapshots not yet encoded. */
@@ -53,7 +53,7 @@
 
   protected override async open(): Promise<void> {
     const freshReplica = randomUUID() as string as ReplicaId;
-    await this.#writeWithRoom(async () => {
+    await this.#runWithRoom(async () => {
       const { file, records } = await LogFile.open<LogRecord<Command>>(this.#options.path);
       this.#file = file;
       this.post({ kind: 'loaded', stored: buildStoredLog(records), freshReplica });
@@ -117,7 +117,7 @@
     try {
       while (this.#waiting.length > 0) {
         const batch = this.#takeBatch();
-        if (!(await this.#writeWithRoom(() => this.#write(batch)))) return;
+        if (!(await this.#runWithRoom(() => this.#write(batch)))) return;
         this.post({ kind: 'synced', ticket: batch.at(-1)?.ticket ?? 0 });
       }
     } catch (error) {
@@ -127,8 +127,8 @@
     }
   }
 
-  #writeWithRoom(write: () => Promise<void>): Promise<boolean> {
-    return writeWithRoom(write, {
+  #runWithRoom(write: () => Promise<void>): Promise<boolean> {
+    return runWithRoom(write, {
       clock: this.#options.clock,
       isStopping: () => this.#isStopping,
       notifyFull: this.#options.reportDiskFull,
