Count the aim of a repeated call from its first sending

Refused callers come again, and their calls counted as fresh, so that they took slots from calls that could still be answered in time, which were then refused and came again. The time that callers of a kind set most often is that of fresh calls; what a call sets less is its age.

--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -13,6 +13,7 @@
 import type { RoutedKind } from './route-index.js';
 import { RouteIndex } from './route-index.js';
 import { pickGeneration } from './split.js';
+import { UsualPatience } from './usual-patience.js';
 import { WeightedTurns } from './weighted-turns.js';
 
 /** A call whose route is known. It keeps what one whole said of it until it ends. */
@@ -51,6 +52,8 @@
   readonly routes: RouteIndex | undefined;
   /** The turns of routes with several targets; updated in place. */
   readonly turns: WeightedTurns;
+  /** What tells repeated calls from fresh ones; updated in place. */
+  readonly patience: UsualPatience;
 }
 
 /** Routes each call by the whole that is in force when it arrives. */
@@ -64,7 +67,11 @@
   }
 
   override createState(): ClassifyState {
-    return { routes: undefined, turns: new WeightedTurns(this.#host) };
+    return {
+      routes: undefined,
+      turns: new WeightedTurns(this.#host),
+      patience: new UsualPatience(),
+    };
   }
 
   override decide(
@@ -120,11 +127,22 @@
   const service = turns.pickService(route);
   if (service === undefined) return { kind: 'refused', id, reason: 'no-server' };
   const subject = formSubject(requestKind.name, head);
-  const { targetLatencyMs } = requestKind;
-  const aim = targetLatencyMs === undefined ? {} : { aim: addMs(now, targetLatencyMs) };
+  const aim = formAim(state, requestKind, head, now);
   return { kind: 'routed', call: { head, service, requestKind, deadline, ...aim, subject } };
 }
 
+/** The target latency counts from when the caller sent the call for the first time. */
+function formAim(
+  { patience }: ClassifyState,
+  { name, targetLatencyMs }: RequestKindResource,
+  { patienceMs }: CallHead,
+  now: Instant,
+): Pick<RoutedCall, 'aim'> {
+  if (targetLatencyMs === undefined) return {};
+  const ageMs = patienceMs === undefined ? 0 : patience.measureAge(name, patienceMs);
+  return { aim: addMs(now, targetLatencyMs - ageMs) };
+}
+
 /** Without a split there is only one side: the generations are tried in the order of their names. */
 function findRoute(routes: RouteIndex, head: CallHead): RoutedKind | undefined {
   const own = head.host === undefined ? undefined : routes.findHost(head.host);
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -28,6 +28,8 @@
   readonly key: IdempotencyKey | undefined;
   /** The deadline that the caller set, if any. */
   readonly deadline: Instant | undefined;
+  /** The milliseconds that the caller allowed when it sent the call, if it set any. */
+  readonly patienceMs?: number;
   /** Counts the attempts of the proxies that the call has passed; a caller's own call is 1. */
   readonly attempt: number;
   /** Digest of the body. `undefined` when there is none, or when it is too long to be held. */
