--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -22,12 +22,7 @@
   | MemberEvent
   | { readonly kind: 'broadcast'; readonly item: Broadcast }
   /** A caller's call. */
-  | {
-      readonly kind: 'arrived';
-      readonly head: CallHead;
-      /** How long this process has left messages unread, in milliseconds; absent for not at all. */
-      readonly lagMs?: number;
-    }
+  | { readonly kind: 'arrived'; readonly head: CallHead }
   /** An attempt that another proxy sends to a backend server beside this one. */
   | {
       readonly kind: 'forwarded';
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -1,4 +1,4 @@
-/** The call pipe: classify → shed → claim → attempt → guard, as one filter that a task can run. */
+/** The call pipe: classify → claim → attempt → guard, as one filter that a task can run. */
 import type { Address, AttemptId, CallId, HostId, Instant } from '../ids.js';
 import type { AttemptFailure, CallHead, MemberEvent } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
@@ -16,8 +16,6 @@
 import type { Picker } from './picker.js';
 import type { RetryAllowance } from './retry-budget.js';
 import type { Place } from './server-table.js';
-import type { ShedIn, ShedState } from './shed-filter.js';
-import { ShedFilter } from './shed-filter.js';
 import type { SlotPolicy } from './slot-policy.js';
 
 /** What the call pipe needs. */
@@ -31,7 +29,6 @@
 /** The states of the filters, and which call each guarded attempt belongs to. */
 export interface CallPipeState {
   classify: ClassifyState;
-  shed: ShedState;
   claim: ClaimState;
   attempt: AttemptState;
   guard: GuardState;
@@ -45,7 +42,6 @@
 export class CallPipe extends Filter<CallPipeState, CallIn, CallOut> {
   readonly #host: HostId;
   readonly #classify: ClassifyFilter;
-  readonly #shed = new ShedFilter();
   readonly #claim = new ClaimFilter();
   readonly #attempt: AttemptFilter;
   readonly #guard: GuardFilter;
@@ -61,7 +57,6 @@
   override createState(): CallPipeState {
     return {
       classify: this.#classify.createState(),
-      shed: this.#shed.createState(),
       claim: this.#claim.createState(),
       attempt: this.#attempt.createState(),
       guard: this.#guard.createState(),
@@ -90,7 +85,7 @@
         this.#passToClassify(turn, message);
         return;
       case 'arrived':
-        this.#accept(turn, message.head, message.lagMs ?? 0);
+        this.#accept(turn, message.head);
         return;
       case 'forwarded':
         state.guarded.set(message.head.attempt, formForwardedCall(message));
@@ -131,12 +126,12 @@
     }
   }
 
-  #accept(turn: Turn, head: CallHead, lagMs: number): void {
+  #accept(turn: Turn, head: CallHead): void {
     if (turn.state.isDraining) {
       turn.outputs.push({ kind: 'refuse', id: head.id, reason: 'draining', outcome: 'not-run' });
       return;
     }
-    this.#passToClassify(turn, { kind: 'arrived', head }, lagMs);
+    this.#passToClassify(turn, { kind: 'arrived', head });
   }
 
   #updateMembers(turn: Turn, event: MemberEvent): void {
@@ -212,27 +207,18 @@
     if (!turn.state.guard.places.has(attempt)) turn.state.guarded.delete(attempt);
   }
 
-  #passToClassify(turn: Turn, message: ClassifyIn, lagMs = 0): void {
+  #passToClassify(turn: Turn, message: ClassifyIn): void {
     const step = this.#classify.decide(turn.state.classify, message, turn.now);
     turn.state.classify = step.state;
-    for (const output of step.outputs) this.#routeClassified(turn, output, lagMs);
+    for (const output of step.outputs) this.#routeClassified(turn, output);
   }
 
-  #routeClassified(turn: Turn, output: ClassifyOut, lagMs: number): void {
-    if (output.kind === 'routed') this.#passToShed(turn, { call: output.call, lagMs });
+  #routeClassified(turn: Turn, output: ClassifyOut): void {
+    if (output.kind === 'routed') this.#passToClaim(turn, output);
     else if (output.kind === 'limits') turn.outputs.push(output);
     else turn.outputs.push({ ...output, kind: 'refuse', outcome: 'not-run' });
   }
 
-  #passToShed(turn: Turn, message: ShedIn): void {
-    const step = this.#shed.decide(turn.state.shed, message, turn.now);
-    turn.state.shed = step.state;
-    for (const output of step.outputs) {
-      if (output.kind === 'routed') this.#passToClaim(turn, output);
-      else turn.outputs.push({ ...output, kind: 'refuse', outcome: 'not-run' });
-    }
-  }
-
   #passToClaim(turn: Turn, message: ClaimIn): void {
     const step = this.#claim.decide(turn.state.claim, message, turn.now);
     turn.state.claim = step.state;
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -174,7 +174,7 @@
     const accept = (): void => {
       if (!this.#calls.has(id)) return;
       if (isFromProxy) this.#acceptForwarded(call, arrivedAt);
-      else this.#acceptCall(call, arrivedAt, lagMs);
+      else this.#acceptCall(call, arrivedAt);
     };
     // A fresh connection may have waited to be accepted, which the lag does not show.
     if (lagMs > 0 || isFirst) runAfterPoll(accept);
@@ -183,7 +183,7 @@
 
   // Internals.
 
-  #acceptCall(call: OpenCall, arrivedAt: Instant, lagMs: number): void {
+  #acceptCall(call: OpenCall, arrivedAt: Instant): void {
     const head = this.#front.parseHead(call.request, call.id, arrivedAt);
     if (!head.ok) {
       call.refuse(formHeadRefusal(head.error));
@@ -195,16 +195,15 @@
       this.post({
         kind: 'arrived',
         head: { ...head.value, caller, bodyDigest: undefined, repeatable: true },
-        lagMs,
       });
       return;
     }
-    this.#readBody(call, { ...head.value, caller }, lagMs).catch(() => {
+    this.#readBody(call, { ...head.value, caller }).catch(() => {
       call.refuse({ reason: 'bad-request', outcome: 'not-run', message: 'the body broke off' });
     });
   }
 
-  async #readBody(call: OpenCall, head: UnreadHead, lagMs: number): Promise<void> {
+  async #readBody(call: OpenCall, head: UnreadHead): Promise<void> {
     const cancelTimer = this.#limitBodyTime(call);
     try {
       call.body = await readBody(call.request);
@@ -215,7 +214,7 @@
     const { body } = call;
     const bodyDigest = body.kind === 'held' ? body.digest : undefined;
     const repeatable = body.kind !== 'stream';
-    this.post({ kind: 'arrived', head: { ...head, bodyDigest, repeatable }, lagMs });
+    this.post({ kind: 'arrived', head: { ...head, bodyDigest, repeatable } });
   }
 
   #limitBodyTime(call: OpenCall): CancelTimer {
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -91,8 +91,6 @@
   /** No slot is free, and the attempt was not to wait for one. */
   | 'busy'
   | 'deadline'
-  /** This proxy itself has more to do than it can read in time. */
-  | 'process-busy'
   | 'draining'
   | 'bad-request'
   | 'too-large'
