--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -127,6 +127,7 @@
     if (open === undefined) return [{ kind: 'cancel', attempt: message.attempt }];
     const { call, record } = open;
     record.heardAt = now;
+    record.startedAts.delete(message.attempt);
     if (message.load !== undefined) {
       updateLoad(record, call.routed.requestKind.name, message.load, now);
     }
--- a/src/calls/server-table.ts
+++ b/src/calls/server-table.ts
@@ -33,7 +33,7 @@
   readySince: Instant;
   /** Attempts of this proxy that have not ended. */
   outstanding: number;
-  /** When each of them was started, the oldest first. */
+  /** When those of them were started that have no answer yet, the oldest first. */
   readonly startedAts: Map<AttemptId, Instant>;
   /** When an attempt was last answered there. */
   heardAt: Instant;
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -6,7 +6,7 @@
 import { ClaimFilter } from '../src/calls/claim-filter.js';
 import type { RoutedCall } from '../src/calls/classify-filter.js';
 import { TwoChoicesPicker } from '../src/calls/index.js';
-import { measureLoad } from '../src/calls/server-load.js';
+import { measureLoad, measureSilence } from '../src/calls/server-load.js';
 import type { Place, ServerRecord } from '../src/calls/server-table.js';
 import { ServerTable } from '../src/calls/server-table.js';
 import { addMs } from '../src/clock.js';
@@ -447,3 +447,20 @@
   }
   t.true(wakes.every((left) => left === 50));
 });
+
+test('a long answer is no silence', (t) => {
+  const filter = new AttemptFilter({
+    place: PLACE,
+    picker: new TwoChoicesPicker(new SeededRandom(1)),
+  });
+  const state = filter.createState();
+  const member = makeMember('host-0', [makeServer('10.0.0.0:1')]);
+  filter.decide(state, { kind: 'member-up', member }, START);
+  filter.decide(state, { kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) }, START);
+  const [record] = state.servers.listTiers(SHOP).flat();
+  if (record === undefined) throw new Error('the table has no server');
+  t.is(measureSilence(record, addMs(START, 900)), 900);
+  const answered = { kind: 'answer-started', attempt: attemptOf('c'), status: 200 } as const;
+  filter.decide(state, { ...answered, load: undefined }, addMs(START, 100));
+  t.is(measureSilence(record, addMs(START, 900)), 0);
+});
