--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -427,14 +427,18 @@
   t.false(once?.kind === 'dispatch' && once.head.onlyIfFree);
 });
 
-test('ended calls wake nobody', (t) => {
-  const filter = new AttemptFilter({
-    place: PLACE,
-    picker: new TwoChoicesPicker(new SeededRandom(1)),
-  });
+/** A filter that knows one server. */
+function startFilter() {
+  const picker = new TwoChoicesPicker(new SeededRandom(1));
+  const filter = new AttemptFilter({ place: PLACE, picker });
   const state = filter.createState();
   const member = makeMember('host-0', [makeServer('10.0.0.0:1')]);
   filter.decide(state, { kind: 'member-up', member }, START);
+  return { filter, state };
+}
+
+test('ended calls wake nobody', (t) => {
+  const { filter, state } = startFilter();
   const wakes: number[] = [];
   for (let index = 0; index < 100; index += 1) {
     const now = addMs(START, index);
@@ -449,13 +453,7 @@
 });
 
 test('a long answer is no silence', (t) => {
-  const filter = new AttemptFilter({
-    place: PLACE,
-    picker: new TwoChoicesPicker(new SeededRandom(1)),
-  });
-  const state = filter.createState();
-  const member = makeMember('host-0', [makeServer('10.0.0.0:1')]);
-  filter.decide(state, { kind: 'member-up', member }, START);
+  const { filter, state } = startFilter();
   filter.decide(state, { kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) }, START);
   const [record] = state.servers.listTiers(SHOP).flat();
   if (record === undefined) throw new Error('the table has no server');
