Take the head of a refusal for its proof, and bound its body

Callers whose attempt was refused by a backend server with a body that never ends waited until their deadline and got 504 with an unknown outcome: a refusal was passed on only after its whole body. The head is what proves that the attempt did not run. A body over 16 KiB now ends the connection, and whatever ends it after such a head leaves the refusal as it was.

Test: endless-answers (seven ways to send bytes without end); 'endless body of a refusal: not run, at once' gave 504 before. The other six passed on the code as it was.

--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -43,6 +43,7 @@
   #statusText = '';
   #headers: readonly string[] = [];
   #refusal: AttemptFailure | undefined;
+  #refusalBytes = 0;
   #response: ServerResponse | undefined;
   #added: readonly string[] = [];
   #kept: Buffer[] | undefined;
@@ -111,7 +112,11 @@
   }
 
   onResponseData(controller: Controller, chunk: Buffer): void {
-    if (this.#refusal !== undefined) return;
+    if (this.#refusal !== undefined) {
+      this.#refusalBytes += chunk.length;
+      if (this.#refusalBytes > MAX_REFUSAL_BYTES) controller.abort(new Error(ENDLESS_REFUSAL));
+      return;
+    }
     this.#keep(chunk);
     const response = this.#response;
     if (response === undefined || response.destroyed || response.write(chunk)) return;
@@ -132,8 +137,7 @@
     const { attempt, post } = this.#options;
     if (!this.#finish()) return;
     if (this.#refusal !== undefined) {
-      const ending = this.#options.isGuard ? 'answered' : 'shed';
-      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending });
+      this.#reportRefusal(this.#refusal);
     } else if (this.#isWhole) {
       post({ kind: 'answer-complete', attempt, answer: this.#formStoredAnswer() });
       this.#response?.end();
@@ -146,6 +150,10 @@
   onResponseError(_controller: Controller | undefined, error: Error): void {
     const { attempt, post } = this.#options;
     if (!this.#finish(this.#cancelReason ?? error.message)) return;
+    if (this.#refusal !== undefined) {
+      this.#reportRefusal(this.#refusal);
+      return;
+    }
     const isSent = this.#controller !== undefined;
     const outcome = isSent ? 'unknown' : 'not-run';
     const reason = this.#cancelReason === 'deadline' ? 'deadline' : 'upstream-failed';
@@ -159,6 +167,13 @@
 
   // Internals.
 
+  /** The head of a refusal is its proof, whatever becomes of the body. */
+  #reportRefusal(failure: AttemptFailure): void {
+    const { attempt, isGuard, post } = this.#options;
+    const ending = isGuard ? 'answered' : 'shed';
+    post({ kind: 'attempt-failed', attempt, failure, ending });
+  }
+
   /** Tells whether the head is that of the attempt's own answer, and acts where it is not. */
   #isAnswer(controller: Controller, status: number, headers: IncomingHttpHeaders): boolean {
     const verdict = this.#options.judge(status, headers);
@@ -217,6 +232,9 @@
 const MAX_KEPT_BYTES = 64 * 1024;
 /** What is held for a slow caller where the backend server's connection cannot wait. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
+/** Refusals bear a line of text at most; a longer body is not worth its connection. */
+const MAX_REFUSAL_BYTES = 16 * 1024;
+const ENDLESS_REFUSAL = 'the body of the refusal does not end';
 const TOO_SLOW = 'the caller reads too slowly for an answer that ends with its connection';
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
