Deflate large messages between processes, and encode them once for all peers

Cause: the first version holds 1,600 routes. Each proxy sent it in full to up to eight children (265 KB for as many synthetic routes, which is 0.8 s of such a link, eight times over), and encoded it anew for each. Pulls time out after 1 s, so proxies asked other peers for what was still on its way to them, and the repeated answers filled the links further.

A frame of 16 KB and more is now deflated (33 KB for the same routes), with the inflated size bounded, and one encoding serves all peers.

The frame is a new form: processes of the former version cut the link when they receive one.

--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -12,7 +12,7 @@
 import { Task } from '../pipe/index.js';
 import type { Random } from '../random.js';
 import type { Frame, Hello } from './link-codec.js';
-import { decodeFrame, encodeHello, encodeMessage } from './link-codec.js';
+import { decodeFrame, encodeHello, MAX_FRAME_BYTES, MessageEncoder } from './link-codec.js';
 
 /** Bytes that went over links on one channel. */
 export interface ChannelBytes {
@@ -70,6 +70,7 @@
   readonly #routes = new Map<Address, Route>();
   readonly #links = new Map<WebSocket, LinkDeadlines>();
   readonly #bytes = new Map<Channel, ChannelBytes>();
+  readonly #encoder = new MessageEncoder();
   #server: Server | undefined;
   #closed = false;
   #cancelSweep: CancelTimer | undefined;
@@ -97,7 +98,7 @@
     const links = new WebSocketServer({
       server,
       perMessageDeflate: false,
-      maxPayload: MAX_MESSAGE_BYTES,
+      maxPayload: MAX_FRAME_BYTES,
     });
     links.on('connection', (socket) => {
       this.#accept(socket);
@@ -146,7 +147,7 @@
   }
 
   #send(to: Address, channel: Channel, body: unknown): void {
-    const bytes = encodeMessage(channel, body);
+    const bytes = this.#encoder.encode(channel, body);
     const route = this.#findRoute(to);
     route.usedAt = this.#options.clock.read();
     if (route.socket !== undefined) {
@@ -186,7 +187,7 @@
       localAddress: splitAddress(this.#options.bind).host,
       perMessageDeflate: false,
       handshakeTimeout: DIAL_TIMEOUT_MS,
-      maxPayload: MAX_MESSAGE_BYTES,
+      maxPayload: MAX_FRAME_BYTES,
     });
     route.dialling = socket;
     socket.on('open', () => {
@@ -337,7 +338,6 @@
 const MIN_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 5_000;
 const MAX_WAITING_MESSAGES = 1_000;
-const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 const MAX_IDLE_MS = 60_000;
 const UPGRADE_REQUIRED = 426;
