Tell what was concluded from each failed attempt, and each call sent again

The line of a failed attempt named neither the attempt's number, nor whether the proxy took it as not run, nor what that rested on, and no line told that a call had been handed on again. Two runs of a once-only request could not be traced from its id.

`attempt-failed` now has the number, outcome, reason and proof: an answer of the backend server that names the request or one that does not, the guard's answer, nothing sent, or none. `call-sent-again` names both servers and the end of the attempt before; calls that may run once have a budget of lines of their own, and lost attempts one apart from refused ones. The attempt filter emits `sent-again` as an output and the program writes it.

An attempt refused with 421, or one whose answer of 200 broke off, had no line at all, because only statuses from 500 counted as failures. With that condition put back, the test of statuses below 500 fails.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -13,6 +13,7 @@
   applyAttemptFailure,
   updateLoad,
 } from './attempt-outcome.js';
+import type { LastAttempt } from './attempt-placement.js';
 import { AttemptPlacement } from './attempt-placement.js';
 import type { AttemptState, OpenCall } from './attempt-state.js';
 import {
@@ -137,7 +138,9 @@
       applyFailure(record, state.servers.listTiers(call.routed.service), now);
     }
     if (hasFailed && call.routed.requestKind.idempotent && call.relayed === undefined) {
-      const retry = this.#retry(state, call, now, 'budgeted');
+      const { address: server } = record.announcement;
+      const last: LastAttempt = { server, reason: 'server-error', outcome: 'unknown' };
+      const retry = this.#retry(state, call, now, last);
       if (retry.length > 0) {
         removeAttempt(state, message.attempt, open);
         call.reached += 1;
@@ -188,28 +191,23 @@
     const observed = applyAttemptFailure(state, open, failure, now);
     if (call.relayed === attempt) return [...observed, ...this.#refuse(state, call, failure)];
     if (failure.outcome === 'unknown') call.certain = false;
-    const cost = isFree(failure) ? 'free' : 'budgeted';
-    const retry = maySend && call.relayed === undefined ? this.#retry(state, call, now, cost) : [];
+    const last: LastAttempt = { server: record.announcement.address, ...failure };
+    const retry = maySend && call.relayed === undefined ? this.#retry(state, call, now, last) : [];
     if (retry.length > 0) return [...observed, ...retry];
     if (call.running.size > 0) return observed;
     return [...observed, ...this.#refuse(state, call, failure)];
   }
 
   /** Starts another attempt if the call, its deadline and the budget allow it. */
-  #retry(
-    state: AttemptState,
-    call: OpenCall,
-    now: Instant,
-    cost: 'free' | 'budgeted',
-  ): AttemptOut[] {
+  #retry(state: AttemptState, call: OpenCall, now: Instant, last: LastAttempt): AttemptOut[] {
     const { head, deadline, service, requestKind } = call.routed;
     if (head.attempt > 1 || !head.repeatable) return [];
     if (call.started - call.declinedBy.length >= MAX_ATTEMPTS || deadline <= now) return [];
     const most = requestKind.maxAttempts ?? MAX_ATTEMPTS;
     if (call.reached + call.running.size >= most) return [];
     const budget = findBudget(state, service, this.#retries);
-    if (cost === 'budgeted' && !budget.spend()) return [];
-    return this.#placement.start(state, call, now);
+    if (!isFree(last) && !budget.spend()) return [];
+    return this.#placement.start(state, call, now, last);
   }
 
   #handleTimers(state: AttemptState, now: Instant): AttemptOut[] {
@@ -221,7 +219,9 @@
         const outcome = call.certain && call.running.size === 0 ? 'not-run' : 'unknown';
         outputs.push(...this.#refuse(state, call, { reason: 'deadline', outcome }));
       } else if (call.relayed === undefined) {
-        outputs.push(...this.#retry(state, call, now, 'budgeted'));
+        const server = [...call.tried].at(-1);
+        const last: LastAttempt = { server, reason: 'hedge', outcome: 'unknown' };
+        outputs.push(...this.#retry(state, call, now, last));
       }
     }
     return [...outputs, ...formWake(state)];
--- a/src/calls/attempt-messages.ts
+++ b/src/calls/attempt-messages.ts
@@ -1,5 +1,5 @@
 /** The messages of the attempt filter. */
-import type { AttemptId, CallId } from '../ids.js';
+import type { Address, AttemptId, CallId } from '../ids.js';
 import type {
   AttemptFailure,
   AttemptHead,
@@ -36,6 +36,24 @@
   | { readonly kind: 'gone'; readonly id: CallId }
   | { readonly kind: 'tick' };
 
+/** Why a call is sent again: the end of its last attempt, an answer of 500 or above, or no answer yet. */
+export type SendAgainReason = RefusalReason | 'server-error' | 'hedge';
+
+/** A further attempt of a call begins; decides nothing, for logs and metrics only. */
+export interface SentAgain {
+  readonly kind: 'sent-again';
+  readonly id: CallId;
+  /** The number of the further attempt within its call. */
+  readonly attempt: number;
+  /** The backend server of the attempt before. */
+  readonly from: Address | undefined;
+  readonly to: Address;
+  readonly reason: SendAgainReason;
+  /** What is known of the attempt before. */
+  readonly outcome: RefusalOutcome;
+  readonly isIdempotent: boolean;
+}
+
 /** What the attempt filter sends on. */
 export type AttemptOut =
   | {
@@ -59,5 +77,6 @@
       /** How busy the backend server is; only for an attempt that another proxy has sent. */
       readonly load?: GuardLoad;
     }
+  | SentAgain
   | Observation
   | Wake;
--- a/src/calls/attempt-outcome.ts
+++ b/src/calls/attempt-outcome.ts
@@ -1,7 +1,8 @@
 /** What the end of an attempt says of its call and of its server. */
 import { addMs } from '../clock.js';
 import type { Instant, RequestKindName } from '../ids.js';
-import type { AttemptFailure, GuardLoad, Observation, RefusalReason } from '../messages/index.js';
+import type { AttemptFailure, GuardLoad, Observation } from '../messages/index.js';
+import type { SendAgainReason } from './attempt-messages.js';
 import type { AttemptState, OpenAttempt, OpenCall } from './attempt-state.js';
 import { applyFailure } from './outlier.js';
 import type { ServerRecord } from './server-table.js';
@@ -47,7 +48,7 @@
 }
 
 /** Tells whether nothing can run there for now, so that another attempt costs no retry. */
-export function isFree({ reason }: AttemptFailure): boolean {
+export function isFree({ reason }: { readonly reason: SendAgainReason }): boolean {
   return FREE_REASONS.has(reason);
 }
 
@@ -67,4 +68,8 @@
 
 const AVOID_MS = 1_000;
 /** Refusals that are bounded by the attempts of the call alone. */
-const FREE_REASONS: ReadonlySet<RefusalReason> = new Set(['draining', 'no-server', 'not-trusted']);
+const FREE_REASONS: ReadonlySet<SendAgainReason> = new Set([
+  'draining',
+  'no-server',
+  'not-trusted',
+]);
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -1,13 +1,20 @@
 /** Where the attempts of a call go, and whether they may wait there. */
 import { addMs } from '../clock.js';
 import type { Address, AttemptId, Instant, ServiceName } from '../ids.js';
-import type { CallTarget } from '../messages/index.js';
-import type { AttemptOut } from './attempt-messages.js';
+import type { CallTarget, RefusalOutcome } from '../messages/index.js';
+import type { AttemptOut, SendAgainReason, SentAgain } from './attempt-messages.js';
 import type { AttemptState, OpenCall } from './attempt-state.js';
 import { needsClaim } from './classify-filter.js';
 import type { PickContext, Picker } from './picker.js';
 import type { ServerRecord } from './server-table.js';
 
+/** The attempt after which a call is sent again. */
+export interface LastAttempt {
+  readonly server: Address | undefined;
+  readonly reason: SendAgainReason;
+  readonly outcome: RefusalOutcome;
+}
+
 /**
  * Places attempts at backend servers. What an entry proxy knows of their load is as old as their last answers,
  * so an attempt waits at a guard only where no other server is believed to have a free slot.
@@ -20,7 +27,7 @@
   }
 
   /** Starts an attempt at the server that costs least; no output where none is left to try. */
-  start(state: AttemptState, call: OpenCall, now: Instant): AttemptOut[] {
+  start(state: AttemptState, call: OpenCall, now: Instant, last?: LastAttempt): AttemptOut[] {
     const { service, head, requestKind, deadline, aim, subject } = call.routed;
     const tiers = state.servers.listTiers(service);
     const record = this.#picker.pick(tiers, formPickContext(call, now));
@@ -35,7 +42,9 @@
     state.attempts.set(attempt, { call, record, startedAt: now });
     const { name, worth } = requestKind;
     const { suspect } = call;
+    const count = head.attempt + call.started - 1;
     return [
+      ...(last === undefined ? [] : [formSentAgain(call, last, server, count)]),
       {
         kind: 'dispatch',
         id: head.id,
@@ -51,7 +60,7 @@
           suspect,
           onlyIfFree: this.#mayBeDeclined(state, call, now),
         },
-        count: head.attempt + call.started - 1,
+        count,
         keepsAnswer: needsClaim(requestKind, head),
       },
     ];
@@ -63,7 +72,7 @@
     if (!this.#hasAlternative(state, call, now)) {
       for (const one of call.declinedBy) call.tried.delete(one);
     }
-    return this.start(state, call, now);
+    return this.start(state, call, now, { server, reason: 'busy', outcome: 'not-run' });
   }
 
   // Internals.
@@ -95,6 +104,17 @@
   return { now, tried, requestKind: name, staysNear: largeAnswers };
 }
 
+function formSentAgain(
+  { routed }: OpenCall,
+  { server: from, reason, outcome }: LastAttempt,
+  to: Address,
+  attempt: number,
+): SentAgain {
+  const { id } = routed.head;
+  const { idempotent: isIdempotent } = routed.requestKind;
+  return { kind: 'sent-again', id, attempt, from, to, reason, outcome, isIdempotent };
+}
+
 function formTarget(record: ServerRecord, service: ServiceName): CallTarget {
   const { member, announcement } = record;
   return {
--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -1,19 +1,32 @@
 /** What metrics may learn of calls, apart from the decisions themselves. */
-import type { Address, ServiceName } from '../ids.js';
+import type { Address } from '../ids.js';
 import type { RefusalOutcome, RefusalReason } from '../messages/index.js';
+import type { SentAgain } from './attempt-messages.js';
+
+/**
+ * What the outcome of an attempt rests on: an answer of the backend server that names the request, one
+ * that does not, an answer of the proxy beside it, that nothing was sent, or nothing at all.
+ */
+export type AttemptProof =
+  'marked-answer' | 'unmarked-answer' | 'guard-answer' | 'nothing-sent' | 'none';
 
 /** How one attempt at a backend server ended. */
 export interface AttemptEnd {
-  readonly service: ServiceName | undefined;
   readonly server: Address;
   /** The id of the request, as its caller named it. */
   readonly request: string | undefined;
+  /** The number of the attempt within its call, from 1; equal at the entry proxy and at the guard. */
+  readonly attempt: number;
   /** What broke the connection or ended the attempt early, if anything did. */
   readonly cause: string | undefined;
   /** Whether the backend server is beside this proxy. */
   readonly isLocal: boolean;
   /** The HTTP status, or `undefined` when no answer began. */
   readonly status: number | undefined;
+  /** What this proxy concluded from the end. */
+  readonly outcome: 'answered' | RefusalOutcome;
+  readonly reason: RefusalReason | undefined;
+  readonly proof: AttemptProof;
   readonly milliseconds: number;
 }
 
@@ -24,6 +37,8 @@
   /** The id of the request, as its caller named it. */
   readonly request: string | undefined;
   readonly path: string;
+  /** The number of its last attempt; 0 when none was made. */
+  readonly attempt: number;
   /** The HTTP status, or `undefined` when the caller went without an answer. */
   readonly status: number | undefined;
   readonly reason: RefusalReason | undefined;
@@ -50,10 +65,15 @@
     // Nothing to count by default.
   }
 
-  /** Called once for each attempt that was sent. */
+  /** Called once for each attempt that was sent, or was to be sent when its time had run out. */
   endAttempt(_end: AttemptEnd): void {
     // Nothing to count by default.
   }
+
+  /** Called for each further attempt of a call, with the id of the request as its caller named it. */
+  sendAgain(_request: string | undefined, _again: SentAgain): void {
+    // Nothing to count by default.
+  }
 }
 
 /** Observes nothing. */
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -1,6 +1,7 @@
 /** The call path: routing, claiming, picking, guarding and retrying. */
 export { CallObserver, NoObserver } from './call-observer.js';
-export type { AttemptEnd, CallEnd } from './call-observer.js';
+export type { AttemptEnd, AttemptProof, CallEnd } from './call-observer.js';
+export type { SendAgainReason, SentAgain } from './attempt-messages.js';
 export { formSubject } from './classify-filter.js';
 export { CallPipe, formForwardedAttempt } from './call-pipe.js';
 export type { CallIn, CallOut } from './call-pipe-messages.js';
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -3,8 +3,9 @@
 import type { CallIn, CallObserver, CallOut } from '../calls/index.js';
 import type { Clock } from '../clock.js';
 import type { AttemptId } from '../ids.js';
-import type { AttemptHead } from '../messages/index.js';
+import type { AttemptFailure, AttemptHead } from '../messages/index.js';
 import type { HopTracer } from '../traces/index.js';
+import { AttemptReport } from './attempt-report.js';
 import type { CancelReason } from './call-attempt.js';
 import { CallAttempt } from './call-attempt.js';
 import type { CallFront } from './call-front.js';
@@ -52,9 +53,10 @@
   dispatch(call: OpenCall | undefined, output: Extract<CallOut, { kind: 'dispatch' }>): void {
     const { target, head, count, keepsAnswer } = output;
     if (call === undefined || this.#measureLeft(head) === 0) {
-      this.#reportUnsent(head.attempt, call);
+      this.#reportUnsent(call, head, count, false);
       return;
     }
+    call.attempt = count;
     const { body } = call;
     const digest = body.kind === 'held' ? body.digest : undefined;
     const named = call.caller === undefined ? [] : [CALLER_HEADER, call.caller];
@@ -66,23 +68,24 @@
     ];
     const pool = this.#pools.findPool(target.guard, MAX_CONNECTIONS_PER_GUARD);
     const headers = listRequestHeaders(call.request.rawHeaders, added);
-    this.#start(pool, call, head, headers, { keepsAnswer, isGuard: true });
+    this.#start(pool, call, head, headers, { count, keepsAnswer, isGuard: true });
   }
 
   /** Runs an attempt at a backend server beside this proxy. */
   run(call: OpenCall | undefined, output: Extract<CallOut, { kind: 'run' }>): void {
     const { head, count, keepsAnswer, connections, instance } = output;
     if (call === undefined || this.#measureLeft(head) === 0) {
-      this.#reportUnsent(head.attempt, call);
+      this.#reportUnsent(call, head, count, true);
       return;
     }
+    call.attempt = count;
     const pool = this.#pools.findPool(head.server, connections);
     const { caller } = call;
     const leftMs = this.#measureLeft(head);
     const added = this.#options.front.listServerHeaders({ caller, instance, leftMs, count });
     const { rawHeaders } = call.request;
     const headers = listRequestHeaders(rawHeaders, added, this.#options.front.ownedHeaders);
-    this.#start(pool, call, head, headers, { keepsAnswer, isGuard: false });
+    this.#start(pool, call, head, headers, { count, keepsAnswer, isGuard: false });
   }
 
   /** Passes the answer of an attempt on to its caller; without one it is read to its end. */
@@ -106,10 +109,40 @@
   // Internals.
 
   /** The caller went, or its deadline passed, while the attempt was granted a slot. */
-  #reportUnsent(attempt: AttemptId, call: OpenCall | undefined): void {
+  #reportUnsent(
+    call: OpenCall | undefined,
+    head: AttemptHead,
+    count: number,
+    isLocal: boolean,
+  ): void {
+    const { attempt } = head;
     const reason = call === undefined ? 'upstream-failed' : 'deadline';
-    const failure = { outcome: 'not-run', reason } as const;
-    this.#options.post({ kind: 'attempt-failed', attempt, failure, ending: 'cancelled' });
+    const failure: AttemptFailure = { outcome: 'not-run', reason };
+    const message = { kind: 'attempt-failed', attempt, failure, ending: 'cancelled' } as const;
+    if (call === undefined) {
+      this.#options.post(message);
+      return;
+    }
+    const report = this.#createReport(call, head, count, isLocal);
+    report.handleUnsent();
+    this.#post(message, report);
+  }
+
+  #createReport(
+    call: OpenCall,
+    { server }: AttemptHead,
+    attempt: number,
+    isLocal: boolean,
+  ): AttemptReport {
+    const startedAt = this.#options.clock.read();
+    return new AttemptReport({ server, request: call.requestId, attempt, isLocal, startedAt });
+  }
+
+  /** Hands a message of an attempt on; its last one is reported to the observer before. */
+  #post(message: CallIn, report: AttemptReport): void {
+    const end = report.handle(message, this.#options.clock.read());
+    if (end !== undefined) this.#options.observer.endAttempt(end);
+    this.#options.post(message);
   }
 
   #listCallHeaders(head: AttemptHead, count: number): string[] {
@@ -124,12 +157,13 @@
   #start(
     pool: Dispatcher,
     call: OpenCall,
-    { attempt, server }: AttemptHead,
+    head: AttemptHead,
     headers: string[],
-    { keepsAnswer, isGuard }: { keepsAnswer: boolean; isGuard: boolean },
+    { count, keepsAnswer, isGuard }: { count: number; keepsAnswer: boolean; isGuard: boolean },
   ): void {
+    const { attempt, server } = head;
     const { method = 'GET', url = '/' } = call.request;
-    const startedAt = this.#options.clock.read();
+    const report = this.#createReport(call, head, count, !isGuard);
     const hop = this.#options.tracer.startHop('client', 'attempt', call.traceParent, { server });
     const trace = hop.traceParent === undefined ? [] : ['traceparent', hop.traceParent];
     const running = new CallAttempt({
@@ -137,17 +171,19 @@
       isGuard,
       keepsAnswer,
       method,
-      judge: (status, answered) => this.#options.front.judgeAnswer(call.request, status, answered),
-      post: this.#options.post,
+      judge: (status, answered) => {
+        const { front } = this.#options;
+        report.handleHead(front.isMarked(call.request, answered));
+        return front.judgeAnswer(call.request, status, answered);
+      },
+      post: (message) => {
+        this.#post(message, report);
+      },
       onEnd: (status, cause) => {
         this.#attempts.delete(attempt);
+        report.handleEnd(status, cause);
         this.#options.notifyEnded();
         hop.end(status === undefined ? {} : { 'http.response.status_code': status });
-        const milliseconds = this.#options.clock.read() - startedAt;
-        const service = undefined;
-        const request = call.requestId;
-        const end = { service, server, request, cause, isLocal: !isGuard, status, milliseconds };
-        this.#options.observer.endAttempt(end);
       },
     });
     this.#attempts.set(attempt, running);
--- a/src/edge/call-front.ts
+++ b/src/edge/call-front.ts
@@ -52,6 +52,11 @@
     headers: IncomingHttpHeaders,
   ): AnswerVerdict;
 
+  /** Tells whether an answer names `request`; none does unless a front knows how. */
+  isMarked(_request: IncomingMessage, _headers: IncomingHttpHeaders): boolean {
+    return false;
+  }
+
   /** Forms the answer to a call that is refused. */
   abstract formRefusal(request: IncomingMessage, refusal: Refusal): RefusalAnswer;
 }
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -236,6 +236,7 @@
     }
     const { head, count, caller } = parsed.value;
     call.caller = caller;
+    call.attempt = count;
     call.streamBody();
     this.post({ kind: 'forwarded', id: call.id, head, count });
   }
@@ -266,6 +267,9 @@
       case 'stop-run':
         this.#sender.cancel(output.attempt, output.reason);
         return;
+      case 'sent-again':
+        this.#observer.sendAgain(this.#calls.get(output.id)?.requestId, output);
+        return;
       case 'refuse':
         this.#calls.get(output.id)?.refuse(output);
         return;
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -34,6 +34,8 @@
   body: CallBody = { kind: 'none' };
   /** Who made the call, once its head has been read. */
   caller: CallerId | undefined;
+  /** The number of its last attempt; 0 before the first. */
+  attempt = 0;
   readonly #front: CallFront;
   readonly #observer: CallObserver;
   readonly #hop: Hop;
@@ -94,6 +96,7 @@
       isForwarded: this.isForwarded,
       request: this.requestId,
       path: this.request.url ?? '',
+      attempt: this.attempt,
       status,
       reason,
       outcome,
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -1,8 +1,8 @@
 /** Logs of failed calls: their ids, and their bounds. */
 import test from 'ava';
-import type { CallEnd } from '../src/calls/index.js';
+import type { AttemptEnd, CallEnd, SentAgain } from '../src/calls/index.js';
 import { NoObserver } from '../src/calls/index.js';
-import type { Address, HostId } from '../src/ids.js';
+import type { Address, CallId, HostId } from '../src/ids.js';
 import { CallLog } from '../src/program/call-log.js';
 import { MembershipLog } from '../src/program/membership-log.js';
 import { makeMember, makeServer } from './call-resources.js';
@@ -12,12 +12,36 @@
   isForwarded: false,
   request: 'a-1',
   path: '/read/x',
+  attempt: 0,
   status: 503,
   reason: 'no-server',
   outcome: 'not-run',
   milliseconds: 3.4,
 };
 
+const LOST: AttemptEnd = {
+  server: '10.0.0.1:80' as Address,
+  request: 'a-1',
+  attempt: 2,
+  isLocal: true,
+  status: undefined,
+  cause: 'other side closed',
+  outcome: 'unknown',
+  reason: 'upstream-failed',
+  proof: 'none',
+  milliseconds: 5,
+};
+const AGAIN: SentAgain = {
+  kind: 'sent-again',
+  id: 'c' as CallId,
+  attempt: 2,
+  from: '10.0.0.1:80' as Address,
+  to: '10.0.0.2:80' as Address,
+  reason: 'shed',
+  outcome: 'not-run',
+  isIdempotent: false,
+};
+
 function startLog() {
   const lines: Record<string, unknown>[] = [];
   const clock = new ManualClock();
@@ -37,12 +61,49 @@
 test('failed attempt: cause', (t) => {
   const { lines, clock, log } = startLog();
   const calls = new CallLog({ log, clock, next: new NoObserver() });
-  const server = '10.0.0.1:80' as Address;
-  const end = { service: undefined, server, request: 'a-1', isLocal: true, milliseconds: 5 };
-  calls.endAttempt({ ...end, status: 404, cause: undefined });
-  calls.endAttempt({ ...end, status: undefined, cause: 'other side closed' });
+  const answered = { outcome: 'answered', reason: undefined, proof: 'marked-answer' } as const;
+  calls.endAttempt({ ...LOST, ...answered, status: 404, cause: undefined });
+  calls.endAttempt(LOST);
   t.is(lines.length, 1);
   t.like(lines[0], { event: 'attempt-failed', cause: 'other side closed', request: 'a-1' });
+  t.like(lines[0], { attempt: 2, outcome: 'unknown', reason: 'upstream-failed', proof: 'none' });
+});
+
+test('failed attempt: a status below 500', (t) => {
+  const { lines, clock, log } = startLog();
+  const calls = new CallLog({ log, clock, next: new NoObserver() });
+  const shed = { outcome: 'not-run', reason: 'shed', proof: 'marked-answer' } as const;
+  calls.endAttempt({ ...LOST, ...shed, status: 421, cause: undefined });
+  calls.endAttempt({ ...LOST, status: 200 });
+  t.deepEqual(
+    lines.map(({ status, outcome }) => [status, outcome]),
+    [
+      [421, 'not-run'],
+      [200, 'unknown'],
+    ],
+  );
+});
+
+test('lost attempts beside many refused ones', (t) => {
+  const { lines, clock, log } = startLog();
+  const calls = new CallLog({ log, clock, next: new NoObserver() });
+  const refused = { ...LOST, outcome: 'not-run', reason: 'busy', proof: 'guard-answer' } as const;
+  for (let count = 0; count < 1_000; count += 1) calls.endAttempt(refused);
+  calls.endAttempt(LOST);
+  t.like(lines.at(-1), { outcome: 'unknown' });
+});
+
+test('sent again: once-only calls beside many others', (t) => {
+  const { lines, clock, log } = startLog();
+  const calls = new CallLog({ log, clock, next: new NoObserver() });
+  for (let count = 0; count < 1_000; count += 1) {
+    calls.sendAgain('a-0', { ...AGAIN, isIdempotent: true });
+  }
+  calls.sendAgain('a-1', AGAIN);
+  t.is(lines.length, 51);
+  const { attempt, from, to, reason, outcome } = AGAIN;
+  const fields = { request: 'a-1', attempt, from, to, reason, outcome, isIdempotent: false };
+  t.deepEqual(lines.at(-1), { event: 'call-sent-again', ...fields });
 });
 
 test('lines are bounded', (t) => {
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -60,7 +60,7 @@
 
   post(message: AttemptIn, now: Instant = WARM): AttemptOut[] {
     const { outputs } = this.#filter.decide(this.#state, message, now);
-    return outputs.filter(({ kind }) => kind !== 'wake' && kind !== 'observed');
+    return outputs.filter(({ kind }) => !REPORTS.has(kind));
   }
 
   listKinds(message: AttemptIn, now?: Instant): string[] {
@@ -70,6 +70,8 @@
   }
 }
 
+/** Outputs that carry no decision about a call. */
+const REPORTS: ReadonlySet<AttemptOut['kind']> = new Set(['wake', 'observed', 'sent-again']);
 const WARM = addMs(START, 60_000);
 const attemptOf = (id: string, count = 0): AttemptId => `${id}.${count}` as AttemptId;
 
