Leave half of the slots of a backend server to runs with small answers

They go to six backend servers that also hand out large answers, over links of 2 Mbit/s. A large answer holds its slot while it passes the link, so four downloads took all slots of a server, 575 attempts came to the service in 12 s, and a median download took 3 s.

The entry proxy now tells the guard that an answer will be large; such runs hold at most half of the slots, wait for these apart from the others, and are refused at once where the runs ahead of them leave no time. Short runs pass them.

Tests: 'large answers leave slots to short runs' and 'large answers that cannot begin in time are refused at once' (calls-guard), both red before.

--- a/src/calls/slot-policy.ts
+++ b/src/calls/slot-policy.ts
@@ -12,6 +12,9 @@
   readonly latestStart: Instant;
 }
 
+/** Tells whether something holds of an attempt that waits. */
+export type MatchWaiting = (waiting: Waiting) => boolean;
+
 /**
  * Orders the attempts that wait for a slot of one backend server.
  *
@@ -35,16 +38,17 @@
   abstract remove(attempt: AttemptId): boolean;
 
   /**
-   * Takes the attempt that runs next out of those that wait, or none when the free slots are kept for
-   * others. `slots` counts all slots of the server, free or not.
+   * Takes the attempt that runs next out of those that wait and may run, or none when the free slots are
+   * kept for others. `slots` counts all slots of the server, free or not. `mayRun` tells the same of all
+   * attempts of a request kind.
    */
-  abstract takeNext(slots: number, now: Instant): Waiting | undefined;
+  abstract takeNext(slots: number, now: Instant, mayRun: MatchWaiting): Waiting | undefined;
 
   /** Takes out the attempt that is worth least. */
   abstract takeLeast(): Waiting | undefined;
 
   /** Takes out every attempt for which `matches` holds. */
-  abstract takeMatching(matches: (waiting: Waiting) => boolean): Waiting[];
+  abstract takeMatching(matches: MatchWaiting): Waiting[];
 
   /**
    * Takes out attempts that can no longer meet their aims, so that at most `most` of them are left. Override
@@ -54,8 +58,11 @@
     return [];
   }
 
-  /** Counts the attempts that would run before a fresh one of this priority. */
-  abstract countAhead(priority: number): number;
+  /**
+   * Counts the attempts that would run before a fresh one of this priority, out of those for which `matches`
+   * holds. It tells the same of all attempts of a request kind.
+   */
+  abstract countAhead(priority: number, matches: MatchWaiting): number;
 
   /** Counts the attempts that wait. */
   abstract count(): number;
