Keep the answers to pulls until the next version

The store keeps its answers until it holds another version, so all pulls get the same messages, which are encoded once. The new test failed before: two pulls were answered by different messages.

--- a/src/spread/version-store.ts
+++ b/src/spread/version-store.ts
@@ -1,5 +1,5 @@
 /** The whole that a process holds, and the versions that led to it. */
-import type { Instant } from '../ids.js';
+import type { Instant, Version } from '../ids.js';
 import type { DeltaSpan, SpreadMessage, VersionMark, WholeSnapshot } from '../messages/index.js';
 import { EMPTY_WHOLE, isApplyFault, openSnapshot } from '../notes/index.js';
 import type { ApplyFault, Whole } from '../notes/index.js';
@@ -18,9 +18,18 @@
   readonly conflict: VersionMark | undefined;
 }
 
+/** The answer to a pull, and its approximate size in transit. */
+interface PullAnswer {
+  readonly messages: readonly SpreadMessage[];
+  readonly bytes: number;
+}
+
 /** Holds one whole, which only ever moves to a higher version. */
 export class VersionStore {
   readonly #history = new DeltaHistory();
+  /** The answers to pulls from each version: proxies that start together all ask for the same. */
+  readonly #spanAnswers = new Map<Version, PullAnswer>();
+  #snapshotAnswer: PullAnswer | undefined;
   #whole: Whole = EMPTY_WHOLE;
   #mark: VersionMark = formMark(EMPTY_WHOLE);
 
@@ -79,15 +88,13 @@
    * Forms the answer to a pull: one span, or the parts of a snapshot, or the instant at which the pull
    * may be repeated. The caller has checked that there is no conflict.
    */
-  formAnswer(held: VersionMark, admission: Admission, now: Instant): SpreadMessage[] {
+  formAnswer(held: VersionMark, admission: Admission, now: Instant): readonly SpreadMessage[] {
     const newest = this.#mark;
     if (held.version >= newest.version) return [{ kind: 'push', spans: [], newest }];
-    const span = this.#history.findAfter(held.version);
-    const bytes = span === undefined ? measureWhole(this.#whole) : measureSpan(span);
+    const { messages, bytes } = this.#findSpanAnswer(held.version) ?? this.#findSnapshotAnswer();
     const verdict = admission.decide(bytes, now);
     if (verdict.kind === 'refused') return [{ kind: 'retry-at', at: verdict.retryAt }];
-    if (span !== undefined) return [{ kind: 'push', spans: [span], newest }];
-    return formChunks(this.#whole).map((chunk) => ({ kind: 'chunk', chunk }));
+    return messages;
   }
 
   // Internals.
@@ -95,5 +102,31 @@
   #hold(next: Whole): void {
     this.#whole = next;
     this.#mark = formMark(next);
+    this.#spanAnswers.clear();
+    this.#snapshotAnswer = undefined;
+  }
+
+  #findSpanAnswer(held: Version): PullAnswer | undefined {
+    const known = this.#spanAnswers.get(held);
+    if (known !== undefined) return known;
+    const span = this.#history.findAfter(held);
+    if (span === undefined) return undefined;
+    const messages: SpreadMessage[] = [{ kind: 'push', spans: [span], newest: this.#mark }];
+    const answer = { messages, bytes: measureSpan(span) };
+    if (this.#spanAnswers.size >= MAX_SPAN_ANSWERS) this.#spanAnswers.clear();
+    this.#spanAnswers.set(held, answer);
+    return answer;
+  }
+
+  #findSnapshotAnswer(): PullAnswer {
+    this.#snapshotAnswer ??= {
+      messages: formChunks(this.#whole).map((chunk) => ({ kind: 'chunk', chunk })),
+      bytes: measureWhole(this.#whole),
+    };
+    return this.#snapshotAnswer;
   }
 }
+
+// Internals.
+
+const MAX_SPAN_ANSWERS = 8;
--- a/test/version-store.test.ts
+++ b/test/version-store.test.ts
@@ -105,6 +105,22 @@
   t.is(full.applySnapshot({ ...behind.mark, resources: [] })?.kind, 'not-next');
 });
 
+test('same answer to a herd', (t) => {
+  const { maker, spans } = makeSpans(6, 3);
+  const empty = new VersionStore().mark;
+  const store = new VersionStore();
+  const listAnswers = () =>
+    [0, 0].map(() => store.formAnswer(empty, makeAdmission(), NOW)) as [unknown[], unknown[]];
+  store.applySpans(spans);
+  const [one, other] = listAnswers();
+  t.is(one[0], other[0]);
+  store.adoptWhole(maker.makeNext().whole);
+  const [chunk, sameChunk] = listAnswers();
+  t.is((chunk[0] as SpreadMessage).kind, 'chunk');
+  t.is(chunk[0], sameChunk[0]);
+  t.not(chunk[0], one[0]);
+});
+
 test('admission', (t) => {
   const admission = new Admission({ bytesPerSecond: 1_000, burstBytes: 1_000 });
   const verdicts = Array.from({ length: 6 }, () => admission.decide(500, NOW));
