Take answers about the served version that come after the next request

Cause: a proxy asks for a vouch again after 0.3 s, and dropped the answer to the former request. Each hop gathers for 20 ms and spaces requests by 100 ms, and the answers share a link with whole configurations, so where the round trip takes more than 0.3 s no answer ever counted, however many came. It is a time limit shorter than the round trip under load, with the late answer thrown away.

A late answer proves as much as an early one: it rests on a confirmation that began after the request. Requests now stay open for 10 s, another one is still sent after 0.3 s, and the first answer ends the repetition.

The new test delays answers by 0.4 s; before, the proxies were not served within 2.5 s.

--- a/src/spread/vouch-relay.ts
+++ b/src/spread/vouch-relay.ts
@@ -20,6 +20,9 @@
 /** A request that is under way, and those who wait for its answer. */
 interface OpenRequest {
   readonly asks: readonly VouchAsk[];
+  /** When another request is sent on behalf of this proxy itself. */
+  readonly retryAt: Instant;
+  /** Until then an answer counts. */
   readonly deadline: Instant;
 }
 
@@ -27,12 +30,15 @@
  * Gathers those who ask at about the same time into one request upward.
  *
  * An answer serves only those who asked before the request was sent, because a vouch proves something
- * only about versions from before its confirmation.
+ * only about versions from before its confirmation. A late answer proves no less, so requests stay open
+ * after others were sent: over a crowded link every answer may take longer than the time between two requests.
  */
 export class VouchRelay {
   readonly #random: Random;
   readonly #waiting = new Map<Address | 'self', VouchAsk>();
   readonly #open = new Map<RequestId, OpenRequest>();
+  /** The last request on behalf of this proxy itself, while it is neither answered nor repeated. */
+  #own: RequestId | undefined;
   #dueAt: Instant = NEVER;
   /** Requests are spaced, so that the source hears a bounded number however many ask. */
   #notBefore = 0 as Instant;
@@ -45,7 +51,8 @@
   /** The next instant at which {@link VouchRelay.pickRequest} has something to decide. */
   get deadline(): Instant {
     const [oldest] = this.#open.values();
-    return earliestOf(this.#dueAt, oldest?.deadline ?? NEVER);
+    const retryAt = this.#findOwn()?.retryAt ?? NEVER;
+    return earliestOf(earliestOf(this.#dueAt, retryAt), oldest?.deadline ?? NEVER);
   }
 
   /** How many of this proxy's own requests have failed in a row. */
@@ -69,14 +76,17 @@
 
   /** Picks the request to send upward now, if any. */
   pickRequest(now: Instant): VouchRequest | undefined {
-    this.#failOverdue(now);
+    this.#repeatOwn(now);
+    this.#forgetOverdue(now);
     if (this.#dueAt > now) return undefined;
     this.#dueAt = NEVER;
     if (this.#waiting.size === 0) return undefined;
     const asks = [...this.#waiting.values()];
     this.#waiting.clear();
     const id = this.#makeId();
-    this.#open.set(id, { asks, deadline: addMs(now, REQUEST_TIMEOUT_MS) });
+    if (asks.some((ask) => ask.from === 'self')) this.#own = id;
+    const retryAt = addMs(now, RETRY_AFTER_MS);
+    this.#open.set(id, { asks, retryAt, deadline: addMs(now, ANSWER_LIMIT_MS) });
     this.#notBefore = addMs(now, SPACING_MS);
     return { id, hops: 1 + Math.max(...asks.map((ask) => ask.hops)) };
   }
@@ -85,6 +95,10 @@
   closeAnswered(id: RequestId): readonly VouchAsk[] {
     const asks = this.#open.get(id)?.asks ?? [];
     this.#open.delete(id);
+    if (asks.some((ask) => ask.from === 'self')) {
+      this.#own = undefined;
+      this.#waiting.delete('self');
+    }
     return asks;
   }
 
@@ -95,14 +109,23 @@
     return parts.map((part) => part.toString(NONCE_RADIX)).join('-') as RequestId;
   }
 
-  /** Peers whose request has failed ask again themselves; this proxy's own request is renewed. */
-  #failOverdue(now: Instant): void {
-    for (const [id, { asks, deadline }] of this.#open) {
+  #findOwn(): OpenRequest | undefined {
+    return this.#own === undefined ? undefined : this.#open.get(this.#own);
+  }
+
+  /** Peers whose request was not answered ask again themselves; this proxy's own request is repeated. */
+  #repeatOwn(now: Instant): void {
+    const own = this.#findOwn();
+    if (own === undefined || own.retryAt > now) return;
+    this.#own = undefined;
+    this.#failures += 1;
+    this.addOwnAsk(addMs(now, this.#random.next() * MAX_RETRY_DELAY_MS));
+  }
+
+  #forgetOverdue(now: Instant): void {
+    for (const [id, { deadline }] of this.#open) {
       if (deadline > now) return;
       this.#open.delete(id);
-      if (!asks.some((ask) => ask.from === 'self')) continue;
-      this.#failures += 1;
-      this.addOwnAsk(addMs(now, this.#random.next() * MAX_RETRY_DELAY_MS));
     }
   }
 }
@@ -111,7 +134,8 @@
 
 const GATHER_MS = 20;
 const SPACING_MS = 100;
-const REQUEST_TIMEOUT_MS = 300;
+const RETRY_AFTER_MS = 300;
+const ANSWER_LIMIT_MS = 10_000;
 const MAX_RETRY_DELAY_MS = 200;
 const MAX_HOPS = 16;
 const MAX_WAITING = 64;
--- a/test/spread-start.test.ts
+++ b/test/spread-start.test.ts
@@ -65,6 +65,33 @@
   t.deepEqual(history.faults, []);
 });
 
+test('cold: slow answers', (t) => {
+  const { fleet, maker, commitNext } = startFleet();
+  commitNext(4);
+  fleet.run(500);
+  const nodes = [findProxy(fleet, isRoot), findProxy(fleet, (one) => !isRoot(one))];
+  let asks = 0;
+  fleet.linkFault = (from, to, body) => {
+    const { kind } = body as { kind: string };
+    if (kind === 'ask-vouch') asks += 1;
+    const extraMs = kind === 'vouch' ? 400 : 0;
+    return [{ delayMs: fleet.findDelay(from, to) + extraMs, body }];
+  };
+  for (const node of nodes) {
+    fleet.kill(node, 1_000);
+    fleet.startProxy(node);
+  }
+  t.not(
+    fleet.runUntil(() => nodes.every((one) => one.served?.version === maker.newest), 2_500),
+    undefined,
+  );
+  t.true(nodes.every((node) => node.proxy?.served.vouchedBy === 'source'));
+  fleet.run(1_000);
+  const asked = asks;
+  fleet.run(5_000);
+  t.is(asks, asked, 'nobody asks any more');
+});
+
 test('cold: old confirmation', (t) => {
   const { fleet, maker, history, commitNext } = startFleet();
   const [source] = fleet.sources;
