Log each step from the start of a process to a proxy that serves

After a power loss the logs told when a proxy started and when it applied a version, but not whether it had found a source, had a link to it, had asked for the version to serve, or whether the source could confirm that it leads.

A recovery log shared by the roles writes these steps with the time since the start: proxy ready or not, sources found and lost, links to them up and down, requests for a vouch while none has come, the version vouched for and by whom, a source that leads, that a quorum confirms or does not, and the versions that it holds. The filter of the proxy's spread pipe tells the vouch as an output.

--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -1,5 +1,6 @@
 /** The `run` command: starts the roles of a process and stops them on a signal. */
 import { randomBytes, randomInt } from 'node:crypto';
+import type { Clock } from '../clock.js';
 import { SystemClock } from '../clock.js';
 import { LinkTask } from '../edge/index.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
@@ -16,6 +17,7 @@
 import { addProcessMetrics } from './process-metrics.js';
 import type { RunningRole } from './running-role.js';
 import { MembershipLog } from './membership-log.js';
+import { RecoveryLog } from './recovery-log.js';
 import { runMembers } from './run-members.js';
 import { runProxy } from './run-proxy.js';
 import { runSource } from './run-source.js';
@@ -44,6 +46,7 @@
   const pass = randomBytes(PASS_BYTES).toString('base64url');
   const registry = new MetricsRegistry();
   const membershipLog = new MembershipLog(settings.host, log, clock);
+  const recovery = createRecoveryLog(settings, log, clock);
   const status = createStatusTask({ settings, clock, registry, reportFailure });
   const links = new LinkTask({
     host: settings.host,
@@ -53,6 +56,7 @@
     random,
     reportFailure,
     notify: (event: LinkEvent) => {
+      recovery.handleLink(event);
       members.handleLink(event);
       for (const role of roles) role.handleLink(event);
     },
@@ -71,6 +75,7 @@
     postLink,
     notify: (event) => {
       membershipLog.handle(event);
+      recovery.handleMembership(event);
       if (event.kind !== 'broadcast') status.post(event);
       for (const role of roles) role.handleMembership(event);
     },
@@ -101,7 +106,7 @@
     const { host, control, spread } = settings;
     const front = fronts.createOperatorFront(source);
     const shared = { host, settings: source, dataFolder, control, spread: spread.policy, front };
-    const tools = { clock, random, log, reportFailure, postLink, report };
+    const tools = { clock, random, log, recovery, reportFailure, postLink, report };
     roles.push(await runSource({ ...shared, ...tools }));
   }
   if (settings.roles.includes('ledger') && ledger && dataFolder !== undefined) {
@@ -110,7 +115,7 @@
     roles.push(await runLedger({ ...shared, clock, random, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    const shared = { settings, proxy, pass, clock, random, log, reportFailure, fronts };
+    const shared = { settings, proxy, pass, clock, random, log, recovery, reportFailure, fronts };
     roles.push(await runProxy({ ...shared, postLink, postMembers, report, tracer, observer }));
   }
   await members.start();
@@ -136,6 +141,12 @@
 const MAX_SEED = 2 ** 31;
 const PASS_BYTES = 9;
 
+function createRecoveryLog(settings: Settings, log: Log, clock: Clock): RecoveryLog {
+  const { host, proxy, source } = settings;
+  const sources = [...(proxy?.sources ?? []), ...(source?.replicas ?? [])];
+  return new RecoveryLog({ host, log, clock, sources });
+}
+
 function waitForSignal(): Promise<void> {
   return new Promise((resolve) => {
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -24,6 +24,7 @@
 import type { HopTracer } from '../traces/index.js';
 import type { Fronts } from './fronts.js';
 import type { Log } from './logger.js';
+import type { RecoveryLog } from './recovery-log.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
 import type { ReportStatus } from './status.js';
@@ -35,6 +36,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
+  readonly recovery: RecoveryLog;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
   readonly postMembers: (message: MembersIn) => void;
@@ -49,7 +51,7 @@
 /** Starts the tasks of the proxy role. */
 export async function runProxy(options: ProxyOptions): Promise<RunningRole> {
   const { settings, proxy, clock, random, log, reportFailure } = options;
-  const { postLink, postMembers, report } = options;
+  const { postLink, postMembers, recovery, report } = options;
   const calls = new CallTask({
     address: proxy.calls,
     secondAddress: proxy.forwards,
@@ -115,6 +117,7 @@
       : new ReadyTask({ name: 'ready', address: proxy.ready, reportFailure });
 
   const distribution: DistributionStatus = { held: NO_VERSION, rejected: {} };
+  let isVouched = false;
 
   function logAnnouncement(event: string, fields: Readonly<Record<string, unknown>>): void {
     const dropped = announcementLines.admit();
@@ -133,12 +136,20 @@
     else logAnnouncement('announcement-ignored', { service: announcement.service });
   }
 
+  /** Once a version is vouched for, this proxy asks on behalf of others only. */
+  function logVouchAsk({ to, kind, body }: SpreadSend): void {
+    if (isVouched || body.kind !== 'ask-vouch') return;
+    recovery.report('vouch-asked', { to, isSource: kind === 'send-source' });
+  }
+
   function routeSpread(output: ProxySpreadOut): void {
     switch (output.kind) {
       case 'send':
+        logVouchAsk(output);
         postLink({ kind: 'send', to: output.to, channel: 'spread', body: output.body });
         return;
       case 'send-source':
+        logVouchAsk(output);
         postLink({ kind: 'send', to: output.to, channel: 'source-spread', body: output.body });
         return;
       case 'keep':
@@ -151,6 +162,10 @@
         distribution.held = output.mark.version;
         report('distribution', distribution);
         return;
+      case 'vouched':
+        isVouched = true;
+        recovery.report('version-vouched', { version: output.mark.version, by: output.by });
+        return;
       case 'save-floor':
         floor?.post(output.mark);
         return;
@@ -158,7 +173,9 @@
         log('version-applied', { version: output.whole.version });
         report('proxy', { version: output.whole.version, resources: output.whole.resources.size });
         calls.post(output);
-        if (output.whole.resources.size > 0) ready?.post({ kind: 'ready', isReady: true });
+        if (output.whole.resources.size === 0) return;
+        recovery.reportState('proxy', 'proxy-ready', { version: output.whole.version });
+        ready?.post({ kind: 'ready', isReady: true });
         return;
       case 'rejected':
         log('version-rejected', { address: output.address, fault: output.fault });
@@ -174,6 +191,7 @@
   }
 
   const tasks = [ledger, calls, spread, announce, ...(floor === undefined ? [] : [floor])];
+  recovery.reportState('proxy', 'proxy-not-ready', { reason: 'no-version' });
   if (ready !== undefined) await ready.start();
   for (const task of tasks) await task.start();
   if (floor === undefined) spread.post({ kind: 'start', floor: undefined });
@@ -193,6 +211,7 @@
       spread.post({ kind: 'sources', sources });
     },
     linger: async () => {
+      recovery.reportState('proxy', 'proxy-not-ready', { reason: 'stopping' });
       ready?.post({ kind: 'ready', isReady: false });
       await waitUntil(clock, addMs(clock.read(), proxy.lingerMs - measureDrainLead(proxy)));
     },
@@ -206,6 +225,8 @@
 
 // Internals.
 
+type SpreadSend = Extract<ProxySpreadOut, { kind: 'send' | 'send-source' }>;
+
 /** The last part of the linger time, in which other proxies learn that the servers here drain. */
 const DRAIN_LEAD_MS = 500;
 
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -20,6 +20,7 @@
 import { isVouchConfirm, makePolicy, SourceSpreadFilter } from '../spread/index.js';
 import { formLogSend, listReplicas, readLogPacket } from './log-wiring.js';
 import type { Log } from './logger.js';
+import type { RecoveryLog } from './recovery-log.js';
 import type { RunningRole } from './running-role.js';
 import type { SourceSettings } from './settings.js';
 import { SourcePeers } from './source-peers.js';
@@ -34,6 +35,7 @@
   readonly control: Address;
   readonly spread: SpreadPolicyName;
   readonly log: Log;
+  readonly recovery: RecoveryLog;
   readonly front: OperatorFront;
   readonly clock: Clock;
   readonly random: Random;
@@ -44,7 +46,7 @@
 
 /** Starts the tasks of the source role. */
 export async function runSource(options: SourceOptions): Promise<RunningRole> {
-  const { settings, clock, reportFailure, postLink, report } = options;
+  const { settings, clock, recovery, reportFailure, postLink, report } = options;
   const peers = new SourcePeers(settings.operator);
   const notes = new FilterTask<NotesState, NotesIn, NotesOut>({
     name: 'notes',
@@ -68,7 +70,7 @@
     reportFailure,
     notify: routeNotice,
     reportStatus: (status) => {
-      options.log('log-status', { group: LOG_GROUP, ...status });
+      recovery.report('log-status', { group: LOG_GROUP, ...status });
       report('log', status);
     },
     reportDiskFull: (isFull) => {
@@ -110,7 +112,11 @@
         log.post(output);
         return;
       case 'version':
+        recovery.report('version-committed', { version: output.delta.version });
+        spread.post(output);
+        return;
       case 'restored':
+        recovery.report('version-restored', { version: output.whole.version });
         spread.post(output);
         return;
       case 'report':
@@ -122,8 +128,21 @@
     }
   }
 
+  /** Tells when this replica begins or ceases to lead, and when a quorum confirms that it does. */
+  function reportLeadership(notice: NotesNotice): void {
+    if (notice.kind === 'leading') {
+      const { leading, leader } = notice;
+      recovery.reportState('leading', leading ? 'source-leads' : 'source-follows', { leader });
+    } else if (notice.kind === 'confirmed') {
+      recovery.reportState('confirm', 'source-confirms');
+    } else if (notice.kind === 'refused') {
+      recovery.reportState('confirm', 'source-cannot-confirm', { refusal: notice.refusal });
+    }
+  }
+
   /** Confirmations go to whoever asked for them; everything else concerns the notes. */
   function routeNotice(notice: NotesNotice): void {
+    reportLeadership(notice);
     if (notice.kind === 'leading') spread.post({ kind: 'log', notice });
     const isForSpread =
       (notice.kind === 'confirmed' || notice.kind === 'refused') && isVouchConfirm(notice.id);
--- a/src/spread/proxy-spread-filter.ts
+++ b/src/spread/proxy-spread-filter.ts
@@ -50,8 +50,10 @@
     message: ProxySpreadIn,
     now: Instant,
   ): Step<ProxySpreadState, ProxySpreadOut> {
+    const { needsVouch } = state.served;
     const outputs = this.#handle(state, message, now);
-    return { state, outputs: [...outputs, ...updateWake(state)] };
+    const vouched = needsVouch ? formVouched(state) : [];
+    return { state, outputs: [...vouched, ...outputs, ...updateWake(state)] };
   }
 
   // Internals.
@@ -361,6 +363,11 @@
 const SETTLE_MS = 300;
 const START_SPREAD_MS = 100;
 
+function formVouched({ served: { vouched, vouchedBy } }: ProxySpreadState): ProxySpreadOut[] {
+  if (vouched === undefined || vouchedBy === undefined) return [];
+  return [{ kind: 'vouched', mark: vouched, by: vouchedBy }];
+}
+
 function addMissing(kept: Set<Address>, wanted: ReadonlySet<Address>): ProxySpreadOut[] {
   const missing = [...wanted].filter((address) => !kept.has(address));
   for (const address of missing) kept.add(address);
--- a/src/spread/proxy-spread-state.ts
+++ b/src/spread/proxy-spread-state.ts
@@ -16,7 +16,7 @@
 import { Overlay } from './overlay.js';
 import type { Neighbours } from './overlay.js';
 import { ServedPoll } from './served-poll.js';
-import type { ServeStep } from './served-version.js';
+import type { ServeStep, VouchedBy } from './served-version.js';
 import { ServedVersion } from './served-version.js';
 import { SnapshotAssembly } from './snapshot-assembly.js';
 import type { SpreadPolicy } from './spread-policy.js';
@@ -78,6 +78,8 @@
       readonly fault: SpreadFault;
       readonly count: number;
     }
+  /** Somebody has named the version from which this proxy may serve; told once. */
+  | { readonly kind: 'vouched'; readonly mark: VersionMark; readonly by: VouchedBy }
   | ServeStep
   | Wake;
 
--- a/src/spread/served-version.ts
+++ b/src/spread/served-version.ts
@@ -40,6 +40,11 @@
     return this.#served;
   }
 
+  /** The version from which this proxy may serve, once somebody has named it. */
+  get vouched(): VersionMark | undefined {
+    return this.#vouched;
+  }
+
   /** What allowed this proxy to serve, or will once it holds the version. */
   get vouchedBy(): VouchedBy | undefined {
     return this.#vouchedBy;
--- /dev/null
+++ b/test/recovery-log.test.ts
@@ -0,0 +1,109 @@
+/** Logs of lost and regained sources, and of the steps to a proxy that serves. */
+import test from 'ava';
+import type { MeshProcess } from '../bench/mesh.js';
+import { stopProcess, waitFor } from '../bench/mesh.js';
+import { FIRST_NOTE, startSmallMesh } from '../bench/small-mesh.js';
+import type { Address, HostId } from '../src/ids.js';
+import { RecoveryLog } from '../src/program/recovery-log.js';
+import { makeMember } from './call-resources.js';
+import { ManualClock } from './manual-clock.js';
+
+const SOURCE = { ...makeMember('source-1', []), isSource: true };
+const { host, control: address } = SOURCE;
+const NAMED = '10.0.0.9:7580' as Address;
+
+function startLog() {
+  const lines: Record<string, unknown>[] = [];
+  const clock = new ManualClock();
+  const log = (event: string, fields = {}) => lines.push({ event, ...fields });
+  const self = 'host-0' as HostId;
+  const recovery = new RecoveryLog({ host: self, log, clock, sources: [NAMED] });
+  return { lines, clock, recovery };
+}
+
+test('source found and lost: once each', (t) => {
+  const { lines, clock, recovery } = startLog();
+  clock.advance(1_200);
+  recovery.handleLink({ kind: 'link-up', host, address });
+  recovery.handleMembership({ kind: 'member-up', member: makeMember('host-2', []) });
+  for (const liveness of ['alive', 'suspect', 'alive'] as const) {
+    recovery.handleMembership({ kind: 'member-up', member: { ...SOURCE, liveness } });
+  }
+  recovery.handleMembership({ kind: 'member-up', member: { ...SOURCE, liveness: 'dead' } });
+  recovery.handleMembership({ kind: 'member-gone', host });
+  t.deepEqual(lines, [
+    {
+      event: 'source-found',
+      source: host,
+      control: address,
+      isLinked: true,
+      sinceStartMs: 1_200,
+    },
+    { event: 'source-lost', source: host, control: address, sinceStartMs: 1_200 },
+  ]);
+});
+
+test('links: those to sources only', (t) => {
+  const { lines, recovery } = startLog();
+  const other = '10.0.0.7:7580' as Address;
+  recovery.handleMembership({ kind: 'member-up', member: SOURCE });
+  for (const to of [other, address, NAMED]) {
+    recovery.handleLink({ kind: 'link-up', host, address: to });
+    recovery.handleLink({ kind: 'link-down', host: undefined, address: to });
+  }
+  t.deepEqual(
+    lines.slice(1).map(({ event, control }) => [event, control]),
+    [
+      ['source-link-up', address],
+      ['source-link-down', address],
+      ['source-link-up', NAMED],
+      ['source-link-down', NAMED],
+    ],
+  );
+});
+
+test('states: changes only', (t) => {
+  const { lines, recovery } = startLog();
+  for (const event of ['proxy-not-ready', 'proxy-not-ready', 'proxy-ready', 'proxy-ready']) {
+    recovery.reportState('proxy', event);
+  }
+  recovery.reportState('confirm', 'source-confirms');
+  t.deepEqual(
+    lines.map(({ event }) => event),
+    ['proxy-not-ready', 'proxy-ready', 'source-confirms'],
+  );
+});
+
+test('start of a mesh, step by step', async (t) => {
+  const { mesh, operator, tokenFile, nodes } = await startSmallMesh(1, 1);
+  t.teardown(() => mesh.stop());
+  const note = mesh.writeFile('note.toml', FIRST_NOTE);
+  await mesh.runCommand([
+    'note',
+    'submit',
+    note,
+    '--operator',
+    operator,
+    '--token-file',
+    tokenFile,
+  ]);
+  const [source, proxy] = nodes as [MeshProcess, MeshProcess];
+  const isReady = () => listEvents(proxy).includes('proxy-ready') || undefined;
+  await waitFor('a ready proxy', isReady);
+  await stopProcess(proxy);
+  const leading = ['source-leads', 'source-confirms', 'version-committed'];
+  t.deepEqual(listEvents(source, leading), leading);
+  const serving = ['proxy-not-ready', 'vouch-asked', 'version-vouched', 'proxy-ready'];
+  t.deepEqual(listEvents(proxy, serving), [...serving, 'proxy-not-ready']);
+  const seen = listEvents(proxy);
+  t.true(seen.includes('source-found') && seen.includes('source-link-up'));
+});
+
+/** Lists the events that a process has logged with the time since its start, each once in a row. */
+function listEvents({ output }: MeshProcess, wanted?: readonly string[]): string[] {
+  const events = output()
+    .split('\n')
+    .flatMap((line) => /"event":"([a-z-]+)".*"sinceStartMs":\d+/.exec(line)?.[1] ?? []);
+  const listed = events.filter((event) => wanted?.includes(event) ?? true);
+  return listed.filter((event, index) => event !== listed[index - 1]);
+}
