Tell "not run" at the deadline where no attempt was sent

Callers got 504 ("may have run") for calls of which nothing had left the entry proxy, so calls that must run once could not be repeated.

Cause: at the deadline the attempt filter refused the call at once and counted every attempt under way as begun. It dropped three proofs: an attempt without a connection was never sent, one that waits at the guard of this process never ran, and a refusal "not run" whose body breaks off is still a refusal.

Now the filter cancels the attempts at the deadline and refuses the call when the last of them has ended. Each end brings its own proof: an attempt without a connection ends at once as not run and is not sent when the connection opens; one that was sent is unknown as before.

"deadline cancels" expected the refusal together with the cancellation; it now expects the same outcome after the end of the attempt.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -1,7 +1,7 @@
 /** The third filter of a call: picks backend servers for its attempts, retries, hedges and gives up. */
 import { addMs } from '../clock.js';
 import type { AttemptId, Instant } from '../ids.js';
-import type { AttemptFailure } from '../messages/index.js';
+import type { AttemptFailure, RefusalOutcome } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import type { AttemptIn, AttemptOut } from './attempt-messages.js';
@@ -111,6 +111,7 @@
       relayed: undefined,
       suspect: false,
       certain: true,
+      isExpired: false,
     };
     state.calls.set(id, call);
     findBudget(state, routed.service, this.#retries).addCall(state.servers.proxies);
@@ -126,6 +127,7 @@
     const open = state.attempts.get(message.attempt);
     if (open === undefined) return [{ kind: 'cancel', attempt: message.attempt }];
     const { call, record } = open;
+    if (call.isExpired) return [];
     record.heardAt = now;
     record.startedAts.delete(message.attempt);
     if (message.load !== undefined) {
@@ -162,6 +164,7 @@
     const open = state.attempts.get(attempt);
     if (open === undefined) return [];
     removeAttempt(state, attempt, open);
+    if (open.call.isExpired) return this.#endExpired(state, open.call, 'unknown');
     state.calls.delete(open.call.routed.head.id);
     return [];
   }
@@ -179,6 +182,7 @@
     if (failure.load !== undefined) {
       updateLoad(record, call.routed.requestKind.name, failure.load, now);
     }
+    if (call.isExpired) return this.#endExpired(state, call, failure.outcome);
     if (failure.reason === 'busy' && call.routed.deadline > now) {
       const passedOn = this.#placement.passOn(state, call, record.announcement.address, now);
       if (passedOn.length > 0) return passedOn;
@@ -218,8 +222,7 @@
       const call = state.calls.get(timer.id);
       if (call === undefined) continue;
       if (timer.kind === 'deadline') {
-        const outcome = call.certain && call.running.size === 0 ? 'not-run' : 'unknown';
-        outputs.push(...this.#refuse(state, call, { reason: 'deadline', outcome }));
+        outputs.push(...this.#expire(state, call));
       } else if (call.relayed === undefined) {
         outputs.push(...this.#retry(state, call, now, 'budgeted'));
       }
@@ -227,6 +230,20 @@
     return [...outputs, ...formWake(state)];
   }
 
+  /** Ends the attempts of a call; only their ends show whether one of them may have run. */
+  #expire(state: AttemptState, call: OpenCall): AttemptOut[] {
+    if (call.relayed !== undefined || call.running.size === 0) {
+      return this.#refuse(state, call, EXPIRED);
+    }
+    call.isExpired = true;
+    return [...call.running].map((attempt) => ({ kind: 'cancel', attempt }));
+  }
+
+  #endExpired(state: AttemptState, call: OpenCall, outcome: RefusalOutcome): AttemptOut[] {
+    if (outcome === 'unknown') call.certain = false;
+    return call.running.size > 0 ? [] : this.#refuse(state, call, EXPIRED);
+  }
+
   #refuse(state: AttemptState, call: OpenCall, failure: AttemptFailure): AttemptOut[] {
     const cancels = closeCall(state, call);
     const outcome = call.certain ? failure.outcome : 'unknown';
@@ -243,6 +260,7 @@
 const STATUS_SHED = 503;
 const FIRST_FAILURE_STATUS = 500;
 const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
+const EXPIRED: AttemptFailure = { outcome: 'not-run', reason: 'deadline' };
 const HEDGE_DEVIATIONS = 4;
 const MIN_HEDGE_DELAY_MS = 2;
 
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -33,6 +33,8 @@
   suspect: boolean;
   /** Whether every attempt that has ended certainly did not run. */
   certain: boolean;
+  /** Whether the deadline has passed; the call is refused once its attempts have ended. */
+  isExpired: boolean;
 }
 
 /** An attempt that has not ended. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -207,6 +207,14 @@
     if (!turn.state.guard.places.has(attempt)) turn.state.guarded.delete(attempt);
   }
 
+  /** An attempt that only waited has ended, and certainly did not run. */
+  #withdrawLocal(turn: Turn, attempt: AttemptId): void {
+    this.#withdraw(turn, attempt);
+    if (turn.state.guarded.has(attempt)) return;
+    const failure = { outcome: 'not-run', reason: 'deadline' } as const;
+    this.#passToAttempt(turn, { kind: 'attempt-failed', attempt, failure });
+  }
+
   #passToClassify(turn: Turn, message: ClassifyIn): void {
     const step = this.#classify.decide(turn.state.classify, message, turn.now);
     turn.state.classify = step.state;
@@ -246,7 +254,7 @@
         return;
       case 'cancel':
         if (!guarded.has(output.attempt)) break;
-        this.#withdraw(turn, output.attempt);
+        this.#withdrawLocal(turn, output.attempt);
         return;
       case 'refuse':
         this.#passToClaim(turn, { kind: 'failed', id: output.id, outcome: output.outcome });
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -73,16 +73,17 @@
     this.#controller?.resume();
   }
 
-  /** Closes the connection; nobody waits for the answer. */
+  /** Closes the connection; an attempt that has none yet ends at once and is never sent. */
   cancel(reason: CancelReason): void {
     if (this.#isDone) return;
     this.#cancelReason ??= reason;
-    this.#controller?.abort(new Error('the attempt was cancelled'));
+    if (this.#controller === undefined) this.#fail(reason);
+    else this.#controller.abort(new Error(CANCELLED));
   }
 
   onRequestStart(controller: Controller): void {
-    this.#controller = controller;
-    if (this.#cancelReason !== undefined) controller.abort(new Error('the attempt was cancelled'));
+    if (this.#isDone) controller.abort(new Error(CANCELLED));
+    else this.#controller = controller;
   }
 
   onResponseStart(
@@ -132,8 +133,7 @@
     const { attempt, post } = this.#options;
     if (!this.#finish()) return;
     if (this.#refusal !== undefined) {
-      const ending = this.#options.isGuard ? 'answered' : 'shed';
-      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending });
+      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending: this.#findEnding() });
     } else if (this.#isWhole) {
       post({ kind: 'answer-complete', attempt, answer: this.#formStoredAnswer() });
       this.#response?.end();
@@ -144,21 +144,25 @@
   }
 
   onResponseError(_controller: Controller | undefined, error: Error): void {
+    this.#fail(this.#cancelReason ?? error.message);
+  }
+
+  // Internals.
+
+  #fail(cause: string): void {
     const { attempt, post } = this.#options;
-    if (!this.#finish(this.#cancelReason ?? error.message)) return;
+    if (!this.#finish(cause)) return;
+    const failure = this.#refusal ?? this.#formFailure();
+    post({ kind: 'attempt-failed', attempt, failure, ending: this.#findEnding() });
+  }
+
+  #formFailure(): AttemptFailure {
     const isSent = this.#controller !== undefined;
     const outcome = isSent ? 'unknown' : 'not-run';
     const reason = this.#cancelReason === 'deadline' ? 'deadline' : 'upstream-failed';
-    post({
-      kind: 'attempt-failed',
-      attempt,
-      failure: { outcome, reason },
-      ending: this.#findEnding(),
-    });
+    return { outcome, reason };
   }
 
-  // Internals.
-
   /** Tells whether the head is that of the attempt's own answer, and acts where it is not. */
   #isAnswer(controller: Controller, status: number, headers: IncomingHttpHeaders): boolean {
     const verdict = this.#options.judge(status, headers);
@@ -184,6 +188,8 @@
   }
 
   #findEnding(): RunEnding {
+    if (this.#refusal !== undefined) return this.#options.isGuard ? 'answered' : 'shed';
+    if (this.#cancelReason === 'withdrawn') return 'cancelled';
     if (this.#controller === undefined) return 'not-sent';
     return this.#cancelReason === undefined ? 'lost' : 'cancelled';
   }
@@ -217,6 +223,7 @@
 const MAX_KEPT_BYTES = 64 * 1024;
 /** What is held for a slow caller where the backend server's connection cannot wait. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
+const CANCELLED = 'the attempt was cancelled';
 const TOO_SLOW = 'the caller reads too slowly for an answer that ends with its connection';
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
--- a/test/call-attempt.test.ts
+++ b/test/call-attempt.test.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
 import type { Dispatcher } from 'undici';
+import type { CallIn } from '../src/calls/index.js';
 import { CallAttempt } from '../src/edge/call-attempt.js';
 import type { AttemptId } from '../src/ids.js';
 
@@ -34,6 +35,29 @@
   return pauses;
 }
 
+/** An attempt at a guard, with what it posts and how often its connection was broken off. */
+function startAttempt() {
+  const posted: CallIn[] = [];
+  let aborts = 0;
+  const attempt = new CallAttempt({
+    attempt: 'a' as AttemptId,
+    isGuard: true,
+    keepsAnswer: false,
+    method: 'POST',
+    judge: () => 'answer',
+    post: (message) => posted.push(message),
+    onEnd: () => undefined,
+  });
+  const controller = {
+    rawHeaders: [],
+    abort: (error: Error) => {
+      aborts += 1;
+      attempt.onResponseError(undefined, error);
+    },
+  } as unknown as Dispatcher.DispatchController;
+  return { attempt, controller, posted, countAborts: () => aborts };
+}
+
 test('slow caller: a kept connection waits', (t) => {
   t.is(countPauses({ 'content-length': '8' }), 1);
 });
@@ -43,3 +67,32 @@
   t.is(countPauses({ 'content-length': '8', connection: 'keep-alive, Close' }), 0);
   t.is(countPauses({}), 0);
 });
+
+test('cancelled before it was sent: not run, and never sent', (t) => {
+  const { attempt, controller, posted, countAborts } = startAttempt();
+  attempt.cancel('withdrawn');
+  t.like(posted, [
+    { kind: 'attempt-failed', failure: { outcome: 'not-run' }, ending: 'cancelled' },
+  ]);
+  attempt.onRequestStart(controller);
+  t.is(countAborts(), 1);
+  t.is(posted.length, 1);
+});
+
+test('cancelled after it was sent: may have run', (t) => {
+  const { attempt, controller, posted } = startAttempt();
+  attempt.onRequestStart(controller);
+  attempt.cancel('withdrawn');
+  t.like(posted, [
+    { kind: 'attempt-failed', failure: { outcome: 'unknown' }, ending: 'cancelled' },
+  ]);
+});
+
+test('refusal that breaks off: still not run', (t) => {
+  const { attempt, controller, posted } = startAttempt();
+  attempt.onRequestStart(controller);
+  const headers = { 'bilberryswitch-outcome': 'not-run', 'bilberryswitch-reason': 'overloaded' };
+  attempt.onResponseStart(controller, 503, headers);
+  attempt.onResponseError(undefined, new Error('reset'));
+  t.like(posted, [{ failure: { outcome: 'not-run', reason: 'overloaded' } }]);
+});
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -149,11 +149,32 @@
   t.deepEqual(driver.listKinds({ ...shed, attempt: attemptOf('c', 1) }), ['relay']);
 });
 
-test('deadline cancels', (t) => {
+/** Lists what the messages of an attempt lead to that still ran at the deadline of its call. */
+function listAfterDeadline(messages: readonly AttemptIn[]): string[][] {
   const driver = new Driver(1);
-  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 100_000 }) });
-  const kinds = driver.listKinds({ kind: 'tick' }, addMs(START, 100_000));
-  t.deepEqual(kinds, ['cancel', 'deadline unknown']);
+  const idempotent = false;
+  driver.post({ kind: 'claimed', call: makeCall('c', { idempotent, timeoutMs: 100_000 }) });
+  const end = addMs(START, 100_000);
+  return [{ kind: 'tick' } as const, ...messages].map((one) => driver.listKinds(one, end));
+}
+
+test('deadline cancels', (t) => {
+  const attempt = attemptOf('c');
+  const cancelled = { kind: 'attempt-failed', attempt, failure: FAILED } as const;
+  t.deepEqual(listAfterDeadline([cancelled]), [['cancel'], ['deadline unknown']]);
+});
+
+test('deadline: attempt that was not sent', (t) => {
+  const attempt = attemptOf('c');
+  const unsent = { kind: 'attempt-failed', attempt, failure: NOT_RUN } as const;
+  t.deepEqual(listAfterDeadline([unsent]), [['cancel'], ['deadline not-run']]);
+});
+
+test('deadline: answer that crosses it', (t) => {
+  const attempt = attemptOf('c');
+  const started = { kind: 'answer-started', attempt, status: 200, load: undefined } as const;
+  const complete = { kind: 'answer-complete', attempt } as const;
+  t.deepEqual(listAfterDeadline([started, complete]), [['cancel'], [], ['deadline unknown']]);
 });
 
 test('ejection leaves half', (t) => {
