Believe only answers that name the attempt

Bytes that belong to no request decided about a call that must run once: an answer 421 or with the header of a shed, but without the id of the attempt, counted as "not run", and the call was sent to a second backend server. A 503, 429, 408 or 421 that the backend server had not declared as not run was passed on to the caller, who takes it for that promise.

Cause: the front judged, and took a missing id for a matching one.

Now a front only reads what the head of an answer shows (names the attempt, signed, states "not run", status is a promise), and judgeAnswer in src/calls decides for every front: without the attempt's own id nothing is proved, "not run" needs the statement as well, an answer needs the signature, and no promise is passed on as an answer. Whatever proves nothing closes its connection and leaves the outcome unknown.

"not run without proof: not sent again" and "promise of a server that ran the call: not passed on" failed before. "shed everywhere: not run" used a 421 without an id, which the platform's servers do not send: they repeat the id in every answer. It now takes 421, 503 and 429 with the id, and the 421 without one must not count as "not run".

--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -1,4 +1,6 @@
 /** The call path: routing, claiming, picking, guarding and retrying. */
+export { judgeAnswer } from './answer-verdict.js';
+export type { AnswerProof, AnswerVerdict } from './answer-verdict.js';
 export { CallObserver, NoObserver } from './call-observer.js';
 export type { AttemptEnd, CallEnd } from './call-observer.js';
 export { formSubject } from './classify-filter.js';
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -137,7 +137,8 @@
       isGuard,
       keepsAnswer,
       method,
-      judge: (status, answered) => this.#options.front.judgeAnswer(call.request, status, answered),
+      readProof: (status, answered) =>
+        this.#options.front.readProof(call.request, status, answered),
       post: this.#options.post,
       onEnd: (status, cause) => {
         this.#attempts.delete(attempt);
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -1,10 +1,10 @@
 /** One attempt on its connection: sends the request and reads the answer. */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
-import type { CallIn, RunEnding } from '../calls/index.js';
+import type { AnswerProof, CallIn, RunEnding } from '../calls/index.js';
+import { judgeAnswer } from '../calls/index.js';
 import type { AttemptId } from '../ids.js';
 import type { AttemptFailure, RefusalOutcome, StoredAnswer } from '../messages/index.js';
-import type { AnswerVerdict } from './call-front.js';
 import {
   listAnswerHeaders,
   LOAD_HEADER,
@@ -23,8 +23,8 @@
   /** Whether a copy of the answer is kept for resends. */
   readonly keepsAnswer: boolean;
   readonly method: string;
-  /** Judges the head of a backend server's answer. */
-  readonly judge: (status: number, headers: IncomingHttpHeaders) => AnswerVerdict;
+  /** Reads what the head of a backend server's answer proves. */
+  readonly readProof: (status: number, headers: IncomingHttpHeaders) => AnswerProof;
   readonly post: (message: CallIn) => void;
   /** Called once, with the HTTP status when an answer began. */
   readonly onEnd: (status: number | undefined, cause: string | undefined) => void;
@@ -165,9 +165,9 @@
 
   /** Tells whether the head is that of the attempt's own answer, and acts where it is not. */
   #isAnswer(controller: Controller, status: number, headers: IncomingHttpHeaders): boolean {
-    const verdict = this.#options.judge(status, headers);
+    const verdict = judgeAnswer(this.#options.readProof(status, headers));
     if (verdict === 'not-run') this.#refusal = { outcome: 'not-run', reason: 'shed' };
-    if (verdict === 'foreign') controller.abort(new Error('the answer is to another request'));
+    if (verdict === 'unproven') controller.abort(new Error(UNPROVEN));
     return verdict === 'answer';
   }
 
@@ -224,6 +224,7 @@
 /** What is held for a slow caller where the backend server's connection cannot wait. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 const CANCELLED = 'the attempt was cancelled';
+const UNPROVEN = 'nothing proves that the answer belongs to the attempt';
 const TOO_SLOW = 'the caller reads too slowly for an answer that ends with its connection';
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
--- a/src/edge/call-front.ts
+++ b/src/edge/call-front.ts
@@ -1,5 +1,6 @@
 /** How calls are written towards callers and backend servers, apart from the decisions about them. */
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import type { AnswerProof } from '../calls/index.js';
 import type { Result } from '../errors.js';
 import type { CallerId, CallId, InstanceId, Instant } from '../ids.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
@@ -16,12 +17,6 @@
   readonly count: number;
 }
 
-/**
- * What an answer proves: the backend server ran the attempt and this is its answer, it certainly did not
- * run it, or the answer belongs to something else.
- */
-export type AnswerVerdict = 'answer' | 'not-run' | 'foreign';
-
 /**
  * Reads calls of callers, and writes to backend servers and callers in their terms.
  *
@@ -45,12 +40,12 @@
   /** Lists the headers that tell a backend server of an attempt, names and values in turn. */
   abstract listServerHeaders(attempt: ServerAttempt): string[];
 
-  /** Judges the head of an answer to `request`. */
-  abstract judgeAnswer(
+  /** Reads what the head of an answer that came for `request` proves. */
+  abstract readProof(
     request: IncomingMessage,
     status: number,
     headers: IncomingHttpHeaders,
-  ): AnswerVerdict;
+  ): AnswerProof;
 
   /** Forms the answer to a call that is refused. */
   abstract formRefusal(request: IncomingMessage, refusal: Refusal): RefusalAnswer;
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -3,7 +3,7 @@
 export type { AnnounceAnswer, AnnounceHttpRequest, AnnounceRequest } from './announce-front.js';
 export { AnnounceTask } from './announce-task.js';
 export { CallFront } from './call-front.js';
-export type { AnswerVerdict, ServerAttempt } from './call-front.js';
+export type { ServerAttempt } from './call-front.js';
 export { parseHostName, readHeader } from './call-headers.js';
 export type { HeadFault, UnreadHead } from './call-headers.js';
 export type { Refusal, RefusalAnswer } from './call-refusal.js';
--- a/src/edge/own-call-front.ts
+++ b/src/edge/own-call-front.ts
@@ -1,8 +1,9 @@
 /** The product's own headers towards callers and backend servers. */
 import type { IncomingMessage } from 'node:http';
+import type { AnswerProof } from '../calls/index.js';
 import type { Result } from '../errors.js';
 import type { CallId, Instant } from '../ids.js';
-import type { AnswerVerdict, ServerAttempt } from './call-front.js';
+import type { ServerAttempt } from './call-front.js';
 import { CallFront } from './call-front.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
 import {
@@ -36,8 +37,9 @@
     return [TIMEOUT_HEADER, leftMs.toFixed(1), ATTEMPT_HEADER, `${count}`, ...named];
   }
 
-  override judgeAnswer(): AnswerVerdict {
-    return 'answer';
+  /** Answers name no attempt. Callers believe a promise only in a header that backend servers cannot set. */
+  override readProof(): AnswerProof {
+    return { isOwn: true, isSigned: true, statesNotRun: false, isPromise: false };
   }
 
   override formRefusal(_request: IncomingMessage, refusal: Refusal): RefusalAnswer {
--- a/test/call-attempt.test.ts
+++ b/test/call-attempt.test.ts
@@ -2,10 +2,12 @@
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
 import type { Dispatcher } from 'undici';
-import type { CallIn } from '../src/calls/index.js';
+import type { AnswerProof, CallIn } from '../src/calls/index.js';
 import { CallAttempt } from '../src/edge/call-attempt.js';
 import type { AttemptId } from '../src/ids.js';
 
+const SIGNED: AnswerProof = { isOwn: true, isSigned: true, statesNotRun: false, isPromise: false };
+
 /** Counts how often the connection was told to wait, with a caller that never keeps up. */
 function countPauses(headers: Record<string, string>): number {
   let pauses = 0;
@@ -21,7 +23,7 @@
     isGuard: false,
     keepsAnswer: false,
     method: 'GET',
-    judge: () => 'answer',
+    readProof: () => SIGNED,
     post: (message) => {
       if (message.kind === 'answer-started') {
         attempt.relay(response as unknown as ServerResponse, []);
@@ -44,7 +46,7 @@
     isGuard: true,
     keepsAnswer: false,
     method: 'POST',
-    judge: () => 'answer',
+    readProof: () => SIGNED,
     post: (message) => posted.push(message),
     onEnd: () => undefined,
   });
--- a/test/platform-calls.test.ts
+++ b/test/platform-calls.test.ts
@@ -34,6 +34,15 @@
   response.end(text);
 }
 
+/** Fails as the answer to the request that was sent. */
+function failWith(status: number, headers: Record<string, string>): Answer {
+  return (request, response) => {
+    request.resume();
+    const id = request.headers['x-attempt-id'] ?? '';
+    response.writeHead(status, { ...headers, 'X-Attempt-Id': id }).end();
+  };
+}
+
 async function start(t: ExecutionContext, answers: readonly (Answer | undefined)[]) {
   const mesh = await CallMesh.start({
     whole: WHOLE,
@@ -84,25 +93,52 @@
 });
 
 test('shed is tried elsewhere', async (t) => {
-  const shed: Answer = (request, response) => {
-    request.resume();
-    const id = request.headers['x-attempt-id'] ?? '';
-    response.writeHead(503, { 'X-Not-Executed': '1', 'X-Attempt-Id': id }).end();
-  };
+  const shed = failWith(503, { 'X-Not-Executed': '1' });
   const mesh = await start(t, [undefined, shed, answer]);
   for (let count = 0; count < 6; count += 1) t.is((await call(mesh, '/book/x')).status, 200);
 });
 
 test('shed everywhere: not run', async (t) => {
-  const shed: Answer = (request, response) => {
-    request.resume();
-    response.writeHead(421, { 'X-Instance-Id': 'i-2' }).end();
-  };
-  const mesh = await start(t, [undefined, shed]);
-  const refused = await call(mesh, '/book/x');
-  t.is(refused.status, 503);
-  t.truthy(refused.headers['retry-after']);
-  t.is(refused.headers['x-attempt-id'], refused.id);
+  const heads: [number, Record<string, string>][] = [
+    [421, { 'X-Instance-Id': 'i-2' }],
+    [503, { 'X-Not-Executed': '1' }],
+    [429, { 'X-Not-Executed': '1' }],
+  ];
+  for (const [status, headers] of heads) {
+    const mesh = await start(t, [undefined, failWith(status, headers)]);
+    const refused = await call(mesh, '/book/x');
+    t.is(refused.status, 503);
+    t.truthy(refused.headers['retry-after']);
+    t.is(refused.headers['x-attempt-id'], refused.id);
+  }
+});
+
+test('not run without proof: not sent again', async (t) => {
+  const heads: [number, Record<string, string>][] = [
+    [421, {}],
+    [503, { 'X-Not-Executed': '1' }],
+    [429, { 'X-Not-Executed': '1' }],
+    [421, { 'X-Attempt-Id': 'other' }],
+    [503, { 'X-Not-Executed': '1', 'X-Attempt-Id': 'other' }],
+  ];
+  for (const [status, headers] of heads) {
+    const unproven: Answer = (request, response) => {
+      request.resume();
+      response.writeHead(status, headers).end();
+    };
+    const mesh = await start(t, [undefined, unproven, unproven]);
+    t.is((await call(mesh, '/book/x')).status, 502, `${status}`);
+    t.is(mesh.serverAt(1).countRuns() + mesh.serverAt(2).countRuns(), 1, `${status}`);
+  }
+});
+
+test('promise of a server that ran the call: not passed on', async (t) => {
+  for (const status of [408, 429, 503]) {
+    for (const headers of [{}, { 'X-Server-Seal': 'signed' }]) {
+      const mesh = await start(t, [undefined, failWith(status, headers)]);
+      t.is((await call(mesh, '/book/x')).status, 502, `${status}`);
+    }
+  }
 });
 
 test('foreign answer is not passed on', async (t) => {
