Keep the fresh connection of an attempt that was cancelled before it was sent

An attempt that was cancelled while it waited for a connection closed that connection as soon as it opened, and the next call had to open another one. When connections take long, every caller that gave up made the next one wait again.

Such an attempt now throws in onRequestStart: undici then drops the request and leaves the connection open. Its next request uses it.

"cancelled before it was sent: its connection serves the next one" saw two connections in place of one before. The unit test of the same case expected the connection to be broken off; it now expects that it is not.

--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -81,9 +81,10 @@
     else this.#controller.abort(new Error(CANCELLED));
   }
 
+  /** @throws when the attempt has ended; undici then keeps the connection for the next one. */
   onRequestStart(controller: Controller): void {
-    if (this.#isDone) controller.abort(new Error(CANCELLED));
-    else this.#controller = controller;
+    if (this.#isDone) throw new Error(CANCELLED);
+    this.#controller = controller;
   }
 
   onResponseStart(
