Merge the proofs of answers and the reports of attempts

What an answer proves is read once, by readProof; the reports take from it whether the answer names the request. The head of a refusal stays its proof, and its body is bounded.

--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -171,10 +171,10 @@
       isGuard,
       keepsAnswer,
       method,
-      judge: (status, answered) => {
-        const { front } = this.#options;
-        report.handleHead(front.isMarked(call.request, answered));
-        return front.judgeAnswer(call.request, status, answered);
+      readProof: (status, answered) => {
+        const proof = this.#options.front.readProof(call.request, status, answered);
+        report.handleHead(proof.isOwn);
+        return proof;
       },
       post: (message) => {
         this.#post(message, report);
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -1,10 +1,10 @@
 /** One attempt on its connection: sends the request and reads the answer. */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
-import type { CallIn, RunEnding } from '../calls/index.js';
+import type { AnswerProof, CallIn, RunEnding } from '../calls/index.js';
+import { judgeAnswer } from '../calls/index.js';
 import type { AttemptId } from '../ids.js';
 import type { AttemptFailure, RefusalOutcome, StoredAnswer } from '../messages/index.js';
-import type { AnswerVerdict } from './call-front.js';
 import {
   listAnswerHeaders,
   LOAD_HEADER,
@@ -23,8 +23,8 @@
   /** Whether a copy of the answer is kept for resends. */
   readonly keepsAnswer: boolean;
   readonly method: string;
-  /** Judges the head of a backend server's answer. */
-  readonly judge: (status: number, headers: IncomingHttpHeaders) => AnswerVerdict;
+  /** Reads what the head of a backend server's answer proves. */
+  readonly readProof: (status: number, headers: IncomingHttpHeaders) => AnswerProof;
   readonly post: (message: CallIn) => void;
   /** Called once, with the HTTP status when an answer began. */
   readonly onEnd: (status: number | undefined, cause: string | undefined) => void;
@@ -74,16 +74,18 @@
     this.#controller?.resume();
   }
 
-  /** Closes the connection; nobody waits for the answer. */
+  /** Closes the connection; an attempt that has none yet ends at once and is never sent. */
   cancel(reason: CancelReason): void {
     if (this.#isDone) return;
     this.#cancelReason ??= reason;
-    this.#controller?.abort(new Error('the attempt was cancelled'));
+    if (this.#controller === undefined) this.#fail(reason);
+    else this.#controller.abort(new Error(CANCELLED));
   }
 
+  /** @throws when the attempt has ended; undici then keeps the connection for the next one. */
   onRequestStart(controller: Controller): void {
+    if (this.#isDone) throw new Error(CANCELLED);
     this.#controller = controller;
-    if (this.#cancelReason !== undefined) controller.abort(new Error('the attempt was cancelled'));
   }
 
   onResponseStart(
@@ -137,7 +139,7 @@
     const { attempt, post } = this.#options;
     if (!this.#finish()) return;
     if (this.#refusal !== undefined) {
-      this.#reportRefusal(this.#refusal);
+      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending: this.#findEnding() });
     } else if (this.#isWhole) {
       post({ kind: 'answer-complete', attempt, answer: this.#formStoredAnswer() });
       this.#response?.end();
@@ -148,37 +150,30 @@
   }
 
   onResponseError(_controller: Controller | undefined, error: Error): void {
-    const { attempt, post } = this.#options;
-    if (!this.#finish(this.#cancelReason ?? error.message)) return;
-    if (this.#refusal !== undefined) {
-      this.#reportRefusal(this.#refusal);
-      return;
-    }
-    const isSent = this.#controller !== undefined;
-    const outcome = isSent ? 'unknown' : 'not-run';
-    const reason = this.#cancelReason === 'deadline' ? 'deadline' : 'upstream-failed';
-    post({
-      kind: 'attempt-failed',
-      attempt,
-      failure: { outcome, reason },
-      ending: this.#findEnding(),
-    });
+    this.#fail(this.#cancelReason ?? error.message);
   }
 
   // Internals.
 
-  /** The head of a refusal is its proof, whatever becomes of the body. */
-  #reportRefusal(failure: AttemptFailure): void {
-    const { attempt, isGuard, post } = this.#options;
-    const ending = isGuard ? 'answered' : 'shed';
-    post({ kind: 'attempt-failed', attempt, failure, ending });
+  #fail(cause: string): void {
+    const { attempt, post } = this.#options;
+    if (!this.#finish(cause)) return;
+    const failure = this.#refusal ?? this.#formFailure();
+    post({ kind: 'attempt-failed', attempt, failure, ending: this.#findEnding() });
+  }
+
+  #formFailure(): AttemptFailure {
+    const isSent = this.#controller !== undefined;
+    const outcome = isSent ? 'unknown' : 'not-run';
+    const reason = this.#cancelReason === 'deadline' ? 'deadline' : 'upstream-failed';
+    return { outcome, reason };
   }
 
   /** Tells whether the head is that of the attempt's own answer, and acts where it is not. */
   #isAnswer(controller: Controller, status: number, headers: IncomingHttpHeaders): boolean {
-    const verdict = this.#options.judge(status, headers);
+    const verdict = judgeAnswer(this.#options.readProof(status, headers));
     if (verdict === 'not-run') this.#refusal = { outcome: 'not-run', reason: 'shed' };
-    if (verdict === 'foreign') controller.abort(new Error('the answer is to another request'));
+    if (verdict === 'unproven') controller.abort(new Error(UNPROVEN));
     return verdict === 'answer';
   }
 
@@ -199,6 +194,8 @@
   }
 
   #findEnding(): RunEnding {
+    if (this.#refusal !== undefined) return this.#options.isGuard ? 'answered' : 'shed';
+    if (this.#cancelReason === 'withdrawn') return 'cancelled';
     if (this.#controller === undefined) return 'not-sent';
     return this.#cancelReason === undefined ? 'lost' : 'cancelled';
   }
@@ -235,6 +232,8 @@
 /** Refusals bear a line of text at most; a longer body is not worth its connection. */
 const MAX_REFUSAL_BYTES = 16 * 1024;
 const ENDLESS_REFUSAL = 'the body of the refusal does not end';
+const CANCELLED = 'the attempt was cancelled';
+const UNPROVEN = 'nothing proves that the answer belongs to the attempt';
 const TOO_SLOW = 'the caller reads too slowly for an answer that ends with its connection';
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
