Measure the processor time of a call over two proxies in one process

npm run bench -- hop [ROUNDS] runs both proxies, a bare server and a bare caller in one process, so the lowest round is hardly touched by other load. Touches bench/ only.

--- a/bench/call-fleet.ts
+++ b/bench/call-fleet.ts
@@ -84,7 +84,8 @@
 
 const FAR_FUTURE = 1e15 as Instant;
 
-async function makeMember(host: string, servers: Announcement[]): Promise<Member> {
+/** Makes the record of a proxy on a free address. */
+export async function makeMember(host: string, servers: Announcement[]): Promise<Member> {
   const address = (await findFreeAddress()) as Address;
   return {
     host: host as HostId,
--- /dev/null
+++ b/bench/hop-bench.ts
@@ -0,0 +1,147 @@
+/**
+ * Measures the processor time of calls that pass two proxies: `npm run bench -- hop [ROUNDS]`.
+ *
+ * Both proxies, a bare backend server and a bare caller share one process, so that rounds under load elsewhere can
+ * be told from quiet ones: the lowest round says most.
+ */
+import type { Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
+import { PlatformCallFront } from '../platform/platform-call-front.js';
+import { SystemClock } from '../src/clock.js';
+import { CallTask } from '../src/edge/index.js';
+import type { Address, CallerId, Instant, RequestKindName, ServiceName } from '../src/ids.js';
+import { splitAddress } from '../src/ids.js';
+import type { Announcement, Member, Resource } from '../src/messages/index.js';
+import { formKey } from '../src/messages/index.js';
+import { EMPTY_WHOLE } from '../src/notes/index.js';
+import { SeededRandom } from '../src/random.js';
+import { makeMember } from './call-fleet.js';
+import { findFreeAddress } from './mesh.js';
+
+const CALLS_PER_ROUND = 1_000;
+const CONNECTIONS = 4;
+const HOST = 'shop.example';
+const SERVICE = 'shop' as ServiceName;
+const KIND = 'reads' as RequestKindName;
+const FAR_FUTURE = 1e15 as Instant;
+
+const rounds = Number(process.argv[2] ?? 20);
+const server = await startServer();
+const entry = await makeMember('entry', []);
+const guard = await makeMember('guard', [formServer(server)]);
+const tasks = await Promise.all([entry, guard].map((self) => startProxy(self, [entry, guard])));
+const sockets = await Promise.all(Array.from({ length: CONNECTIONS }, () => openSocket(entry)));
+const costs: number[] = [];
+for (let round = 0; round < rounds; round += 1) {
+  const before = process.cpuUsage();
+  const each = CALLS_PER_ROUND / CONNECTIONS;
+  await Promise.all(sockets.map((socket, index) => runCalls(socket, `${round}-${index}`, each)));
+  const { user, system } = process.cpuUsage(before);
+  costs.push((user + system) / CALLS_PER_ROUND);
+}
+console.log(`first round: ${costs[0]?.toFixed(0)} us of CPU per call`);
+costs.sort((left, right) => left - right);
+console.log(`lowest round: ${costs[0]?.toFixed(0)} us of CPU per call`);
+console.log(`median round: ${costs[Math.floor(rounds / 2)]?.toFixed(0)} us of CPU per call`);
+console.log(`resident MB: ${Math.round(process.memoryUsage.rss() / 1e6)}`);
+for (const socket of sockets) socket.destroy();
+await Promise.all(tasks.map((task) => task.stop()));
+process.exit(0);
+
+async function startProxy(self: Member, members: readonly Member[]): Promise<CallTask> {
+  const task = new CallTask({
+    address: self.calls,
+    front: new PlatformCallFront(),
+    caller: 'shop' as CallerId,
+    place: self,
+    pass: self.pass,
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    reportFailure: (name, error) => {
+      throw new Error(`${name} failed`, { cause: error });
+    },
+    send: () => {
+      // Nobody listens in a benchmark.
+    },
+  });
+  await task.start();
+  const resources = new Map(formResources().map((one) => [formKey(one), one]));
+  task.post({ kind: 'whole', whole: { ...EMPTY_WHOLE, resources } });
+  for (const member of members) task.post({ kind: 'member-up', member });
+  return task;
+}
+
+function formResources(): Resource[] {
+  const flags = { idempotent: true, claim: false, hedge: false, worth: 1, timeoutMs: 5_000 };
+  const route = { pathPrefix: '/', method: '*', host: HOST, service: SERVICE, requestKind: KIND };
+  return [
+    { kind: 'service', name: SERVICE },
+    { kind: 'request-kind', name: KIND, targetLatencyMs: 1_000, maxAttempts: 2, ...flags },
+    { kind: 'route', name: 'all', generation: 'a' as never, ...route },
+  ];
+}
+
+function formServer(address: Address): Announcement {
+  const limits = { slots: 64, connections: 100, warmAt: 0 as Instant };
+  const life = { state: 'ready', heartbeatDeadline: FAR_FUTURE } as const;
+  return { service: SERVICE, address, instance: 'i-1' as never, ...limits, ...life };
+}
+
+/** Answers every request with 600 bytes; each one is expected in one read. */
+async function startServer(): Promise<Address> {
+  const address = (await findFreeAddress()) as Address;
+  const body = 'x'.repeat(600);
+  const listening = createServer({ noDelay: true }, (socket) => {
+    socket.setEncoding('latin1');
+    socket.on('data', (text) => {
+      const id = /x-attempt-id: (\S+)/i.exec(String(text))?.[1] ?? '';
+      const head = `X-Attempt-Id: ${id}\r\nX-Server-Seal: 3e1b.07.5a2\r\nKeep-Alive: timeout=60`;
+      const type = 'Content-Type: application/octet-stream\r\nContent-Length: 600';
+      socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${type}\r\n\r\n${body}`);
+    });
+    socket.on('error', () => {
+      // The benchmark has ended.
+    });
+  });
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve) => listening.listen(port, host, resolve));
+  return address;
+}
+
+function openSocket({ calls }: Member): Promise<Socket> {
+  const { host, port } = splitAddress(calls);
+  return new Promise((resolve, reject) => {
+    const socket = connect({ host, port, noDelay: true }, () => {
+      resolve(socket);
+    });
+    socket.once('error', reject);
+  });
+}
+
+/** Sends calls one after the other. */
+function runCalls(socket: Socket, name: string, count: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    let sent = 0;
+    let received = '';
+    const send = (): void => {
+      sent += 1;
+      const id = `X-Attempt-Id: ${name}-${sent}\r\nX-Deadline-Ms: 2500`;
+      socket.write(`GET /leny950/2f HTTP/1.1\r\nHost: ${HOST}\r\n${id}\r\n\r\n`);
+    };
+    const receive = (chunk: Buffer): void => {
+      received += chunk.toString('latin1');
+      const end = received.indexOf('\r\n\r\n');
+      if (end < 0 || received.length < end + 604) return;
+      if (!received.startsWith('HTTP/1.1 200')) reject(new Error(received));
+      received = '';
+      if (sent < count) {
+        send();
+        return;
+      }
+      socket.off('data', receive);
+      resolve();
+    };
+    socket.on('data', receive);
+    send();
+  });
+}
