Run nothing that was refused as no request

A caller could be told 408, the promise that its request never runs, and have it run afterwards: when the head of a request came later than the header time limit (a stalled caller, link or process), the refusal went out, but Node.js kept reading the connection and handed the request over once the rest of its head arrived. Between proxies the same answer says "not run", upon which the entry proxy sends the attempt to another server.

Bytes behind a call that was still open were refused in its place as well: the caller took 400, "not run", for the answer to the call that was running.

Both belong to one class: an answer that is formed from the state of the connection and not from that of the call it is taken for. A connection is now marked as refused, and takes no further call. Calls that came before the unreadable bytes are answered, then the connection closes; a call whose body is what cannot be read is cut.

"head that timed out: never runs when the rest of it comes" (it ran) and "bytes behind a call are not answered in its place" (400 in place of 200) failed before.

--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -30,7 +30,6 @@
 import { CallerConnections } from './caller-connections.js';
 import { probeServer } from './call-probe.js';
 import type { Refusal } from './call-refusal.js';
-import { refuseSocket } from './call-refusal.js';
 import { HttpTask } from './http-task.js';
 import { LoopLag } from './loop-lag.js';
 import { OpenCall } from './open-call.js';
@@ -119,7 +118,7 @@
     server.maxConnections = MAX_CONNECTIONS;
     this.#connections.watch(server);
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-      refuseSocket(socket, error.code);
+      this.#connections.refuse(socket, error.code);
     });
   }
 
@@ -148,6 +147,7 @@
   }
 
   protected override handle(request: IncomingMessage, response: ServerResponse): void {
+    if (this.#connections.isRefused(request.socket)) return;
     const id = randomUUID() as string as CallId;
     const isFromProxy = isForwarded(request);
     const call = new OpenCall({
@@ -161,7 +161,7 @@
       observer: this.#observer,
     });
     this.#calls.set(id, call);
-    const isFirst = this.#connections.addCall(request.socket, id);
+    const isFirst = this.#connections.addCall(request.socket, id, request);
     response.on('close', () => {
       this.#forget(call);
     });
--- a/test/caller-connections.test.ts
+++ b/test/caller-connections.test.ts
@@ -20,15 +20,15 @@
 
 test('gone: as soon as the caller has ended', (t) => {
   const { connections, socket, gone } = watch();
-  connections.addCall(socket, 'first' as CallId);
-  connections.addCall(socket, 'second' as CallId);
+  connections.addCall(socket, 'first' as CallId, { complete: true });
+  connections.addCall(socket, 'second' as CallId, { complete: true });
   socket.emit('end');
   t.deepEqual(gone, ['first', 'second'] as CallId[]);
 });
 
 test('gone: not after its end', (t) => {
   const { connections, socket, gone } = watch();
-  connections.addCall(socket, 'answered' as CallId);
+  connections.addCall(socket, 'answered' as CallId, { complete: true });
   connections.forgetCall(socket, 'answered' as CallId);
   socket.emit('close');
   t.deepEqual(gone, []);
--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -1,4 +1,5 @@
 /** Calls through several proxies on real sockets. */
+import { once } from 'node:events';
 import { request as openRequest } from 'node:http';
 import { connect } from 'node:net';
 import test from 'ava';
@@ -436,3 +437,55 @@
     t.deepEqual([mesh.serverAt(1).countRuns(), mesh.serverAt(2).countRuns()], [round, round]);
   }
 });
+
+test('head that timed out: never runs when the rest of it comes', async (t) => {
+  const limits = {
+    kind: 'limits',
+    name: 'callers',
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 65_536,
+    headerTimeoutMs: 100,
+    idleTimeoutMs: 30_000,
+  } as const;
+  const whole = makeWhole(makeKind('note', { idempotent: false }), makeRoute('/', 'note'), limits);
+  const mesh = await CallMesh.start({ whole, answers: [QUICK] });
+  t.teardown(() => mesh.stop());
+  const { calls } = mesh.at(0);
+  const { host, port } = splitAddress(calls);
+  const socket = connect({ host, port, allowHalfOpen: true });
+  t.teardown(() => socket.destroy());
+  socket.write('GET /late HTTP/1.1\r\nhost: a\r\n');
+  const [answer] = (await once(socket, 'data')) as [Buffer];
+  t.regex(answer.toString(), /^HTTP\/1.1 408 /);
+  socket.write('x-nonce: late\r\n\r\n');
+  t.is((await call(calls, '/next')).status, 200);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  t.deepEqual([...mesh.serverAt(0).runs.keys()], ['']);
+});
+
+test('bytes behind a call are not answered in its place', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [answerAfter(100)] });
+  t.teardown(() => mesh.stop());
+  const { calls } = mesh.at(0);
+  const { host, port } = splitAddress(calls);
+  const socket = connect(port, host);
+  let text = '';
+  socket.on('data', (chunk) => (text += chunk.toString()));
+  socket.write('GET /notes HTTP/1.1\r\nhost: a\r\nx-nonce: first\r\n\r\nnonsense\r\n\r\n');
+  await once(socket, 'close');
+  t.regex(text, /^HTTP\/1.1 200 OK[^]*first$/);
+});
+
+test('malformed body: its call is cut', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [answerAfter(5_000)] });
+  t.teardown(() => mesh.stop());
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const socket = connect(port, host);
+  const head = 'POST /notes HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n';
+  const startedAt = Date.now();
+  socket.write(`${head}2\r\nab\r\nnonsense\r\n`);
+  socket.resume();
+  await once(socket, 'close');
+  t.true(Date.now() - startedAt < 2_000);
+  t.is(mesh.serverAt(0).countRuns(), 0);
+});
