Keep the connections on which calls are refused

Every refusal that was decided while Node.js handed the request over closed its connection: a guard without a free slot, which refuses at once, cost the entry proxy a new connection for the next attempt. Whatever else a caller had sent on that connection was cut with it.

Cause: `complete` is set only after the request event, also where no body follows, so each refusal within that event counted the body as unread.

A connection is now closed only where a body of more than 64 KB may be left unread, or one of unknown length; shorter ones are read to their end by Node.js.

--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { GuardLoad, RefusalOutcome, RefusalReason } from '../messages/index.js';
+import { hasBody } from './call-body.js';
 import { formatLoad, LOAD_HEADER, OUTCOME_HEADER, REASON_HEADER } from './call-headers.js';
 
 /** What a refused caller is told. */
@@ -34,11 +35,10 @@
     return;
   }
   const { status, headers, body } = formRefusal(response.req, refusal);
-  const hasUnreadBody = !response.req.complete;
   response.writeHead(status, {
     'content-length': Buffer.byteLength(body),
     ...headers,
-    ...(hasUnreadBody ? { connection: 'close' } : {}),
+    ...(mayLeaveUnread(response.req) ? { connection: 'close' } : {}),
   });
   response.end(body);
 }
@@ -80,6 +80,16 @@
 
 // Internals.
 
+/** A refused body of up to this length is read to its end, so that the connection can be kept. */
+const MAX_DRAINED_BYTES = 64 * 1024;
+
+/** When Node.js hands over a request, `complete` is not yet set, even where no body follows. */
+function mayLeaveUnread(request: IncomingMessage): boolean {
+  if (request.complete || !hasBody(request)) return false;
+  const length = Number(request.headers['content-length'] ?? Number.POSITIVE_INFINITY);
+  return length > MAX_DRAINED_BYTES;
+}
+
 const STATUSES: Readonly<Record<RefusalReason, number>> = {
   'no-configuration': 503,
   'no-route': 404,
--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -1,4 +1,5 @@
 /** Calls through several proxies on real sockets. */
+import { subscribe, unsubscribe } from 'node:diagnostics_channel';
 import { once } from 'node:events';
 import { request as openRequest } from 'node:http';
 import { connect } from 'node:net';
@@ -489,3 +490,31 @@
   t.true(Date.now() - startedAt < 2_000);
   t.is(mesh.serverAt(0).countRuns(), 0);
 });
+
+test('busy guard: its connections are kept', async (t) => {
+  const server = { slots: 1 };
+  const answers = [undefined, answerAfter(20), answerAfter(20)];
+  const mesh = await CallMesh.start({ whole: WHOLE, answers, server });
+  t.teardown(() => mesh.stop());
+  const { calls } = mesh.at(0);
+  const guards = new Set([mesh.at(1).calls, mesh.at(2).calls]);
+  let opened = 0;
+  const count = (message: unknown): void => {
+    const { host, port } = (message as { connectParams: { host: string; port: string } })
+      .connectParams;
+    if (guards.has(`${host.split(':')[0] ?? ''}:${port}` as CallNode['calls'])) opened += 1;
+  };
+  subscribe('undici:client:connected', count);
+  t.teardown(() => unsubscribe('undici:client:connected', count));
+  const get = () => request(`http://${calls}/notes`);
+  const post = () => request(`http://${calls}/notes`, { method: 'POST', body: 'x'.repeat(500) });
+  for (const send of [get, post]) {
+    for (let round = 0; round < 10; round += 1) {
+      for (const { statusCode, body } of await Promise.all([send(), send(), send()])) {
+        t.is(statusCode, 200);
+        await body.dump();
+      }
+    }
+    t.true(opened <= 6, `${opened} connections were opened`);
+  }
+});
