Refuse late attempts at once that will get no slot

In an overload that lasts, callers waited 500 to 600 ms to hear that no slot was free.

Cause: attempts that can no longer meet their aims wait behind all that can, as many of them as there are slots. While those in time take every free slot, the late ones wait until no run would end in time, and are refused then. How many get a slot was never looked at.

SharedSlots now averages the share of the free slots that late attempts got while some waited, and keeps as many of them as that gives within two run times, one at least and all slots at most. The others are refused at once, so that their callers can come back.

--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -240,7 +240,7 @@
     return { kind: 'run', head, connections: this.#countConnections(), instance };
   }
 
-  /** As many late attempts wait as may run soon; the others had better hear of it. */
+  /** As many late attempts wait as may run soon; the others hear of it at once. */
   #rejectHopeless(now: Instant): Admission[] {
     const late = this.#policy.takeLate(this.#countSlots(now));
     return late.map(({ head }) => formReject(head.attempt, 'overloaded'));
--- a/src/calls/shared-slots.ts
+++ b/src/calls/shared-slots.ts
@@ -15,6 +15,8 @@
   /** The attempts of one kind and worth, in the order of arrival. Empty queues are removed. */
   readonly #queues = new Map<string, Map<AttemptId, Waiting>>();
   readonly #places = new Map<AttemptId, string>();
+  /** The share of free slots that went to late attempts lately, of those given out while such attempts waited. */
+  #lateShare = 1;
 
   override addArrival(): void {
     // Arrivals of one kind give it no right over the others.
@@ -43,13 +45,17 @@
     return true;
   }
 
-  override takeNext(_slots: number, now: Instant): Waiting | undefined {
+  override takeNext(slots: number, now: Instant): Waiting | undefined {
     this.#updateLate(now);
+    const hasLate = this.#hasLate();
     let best: Waiting | undefined;
     for (const queue of this.#queues.values()) {
       if (best === undefined || readPriority(queue) > best.priority) best = findNext(queue, now);
     }
-    if (best !== undefined) this.remove(best.head.attempt);
+    if (best !== undefined) {
+      if (hasLate) this.#noteGrant(this.#isLate(best), slots);
+      this.remove(best.head.attempt);
+    }
     return best;
   }
 
@@ -70,10 +76,12 @@
     return taken;
   }
 
-  override takeLate(most: number): Waiting[] {
+  override takeLate(slots: number): Waiting[] {
     const late = [...this.#queues].filter(([name]) => name.endsWith(LATE_SUFFIX));
     const waiting = late.flatMap(([, queue]) => [...queue.values()]);
     waiting.sort((left, right) => left.priority - right.priority);
+    const soon = Math.round(slots * this.#lateShare * LATE_RUN_TIMES);
+    const most = Math.max(1, Math.min(slots, soon));
     const taken = waiting.slice(0, Math.max(0, waiting.length - most));
     for (const { head } of taken) this.remove(head.attempt);
     return taken;
@@ -93,6 +101,20 @@
 
   // Internals.
 
+  #hasLate(): boolean {
+    for (const name of this.#queues.keys()) if (name.endsWith(LATE_SUFFIX)) return true;
+    return false;
+  }
+
+  #isLate({ head }: Waiting): boolean {
+    return this.#places.get(head.attempt)?.endsWith(LATE_SUFFIX) === true;
+  }
+
+  /** Averages over about as many grants as there are slots, which take one run time. */
+  #noteGrant(isLate: boolean, slots: number): void {
+    this.#lateShare += ((isLate ? 1 : 0) - this.#lateShare) / Math.max(1, slots);
+  }
+
   #enqueue(name: string, waiting: Waiting): void {
     const { attempt } = waiting.head;
     const queue = this.#queues.get(name) ?? new Map<AttemptId, Waiting>();
@@ -119,6 +141,8 @@
 const LATE_SUFFIX = ' late';
 /** The users' late answers are worth 0.3 to 0.5 of those in time. */
 const LATE_WORTH = 0.4;
+/** Late attempts wait where they may expect a slot within so many mean run times. */
+const LATE_RUN_TIMES = 2;
 
 function findFirst(queue: ReadonlyMap<AttemptId, Waiting>): Waiting | undefined {
   return queue.values().next().value;
--- a/src/calls/slot-policy.ts
+++ b/src/calls/slot-policy.ts
@@ -47,10 +47,10 @@
   abstract takeMatching(matches: (waiting: Waiting) => boolean): Waiting[];
 
   /**
-   * Takes out attempts that can no longer meet their aims, so that at most `most` of them are left. Override
-   * it where such attempts wait apart.
+   * Takes out attempts that can no longer meet their aims and will hardly get one of the `slots` in time either.
+   * Override it where such attempts wait apart.
    */
-  takeLate(_most: number): Waiting[] {
+  takeLate(_slots: number): Waiting[] {
     return [];
   }
 
