Count attempts by proof and calls sent again, and tell the age of a version

Metrics counted refusals by reason and outcome, but neither what attempts were concluded to be and why, nor how often calls were sent again for which reason. How old the served version is, how long a turn of the event loop takes and how many log lines were left out could not be read at all.

--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -15,6 +15,7 @@
 export { LinkTask } from './link-task.js';
 export { LogFile } from './log-file.js';
 export { LogTask } from './log-task.js';
+export { LoopLag } from './loop-lag.js';
 export { NoteFront } from './note-front.js';
 export { readNote } from './note-toml.js';
 export type { OperatorAnswer } from './operator-answer.js';
--- a/src/program/call-metrics.ts
+++ b/src/program/call-metrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of the calls of a proxy. */
-import type { AttemptEnd, CallEnd } from '../calls/index.js';
+import type { AttemptEnd, CallEnd, SentAgain } from '../calls/index.js';
 import { CallObserver } from '../calls/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
 import { Counter, DurationSummary, Gauge } from '../metrics/index.js';
@@ -10,6 +10,8 @@
   readonly #durations: DurationSummary;
   readonly #attempts: DurationSummary;
   readonly #refusals: Counter;
+  readonly #attemptEnds: Counter;
+  readonly #sentAgain: Counter;
 
   constructor(registry: MetricsRegistry) {
     super();
@@ -24,6 +26,12 @@
     this.#refusals = registry.add(
       new Counter('refused_calls_total', 'Calls refused, by reason and outcome.'),
     );
+    this.#attemptEnds = registry.add(
+      new Counter('attempts_total', 'Attempts that ended, by outcome, reason and proof.'),
+    );
+    this.#sentAgain = registry.add(
+      new Counter('calls_sent_again_total', 'Further attempts of calls, by reason.'),
+    );
   }
 
   override startCall(): void {
@@ -37,9 +45,18 @@
     if (reason !== undefined) this.#refusals.add({ side, reason, outcome: outcome ?? 'unknown' });
   }
 
-  override endAttempt({ isLocal, status, milliseconds }: AttemptEnd): void {
+  override endAttempt(end: AttemptEnd): void {
+    const { isLocal, status, outcome, reason = 'none', proof, milliseconds } = end;
     const target = isLocal ? 'backend-server' : 'proxy';
     this.#attempts.record({ target, status: formatStatus(status) }, milliseconds);
+    this.#attemptEnds.add({ target, outcome, reason, proof });
+  }
+
+  override sendAgain(
+    _request: string | undefined,
+    { reason, outcome, isIdempotent }: SentAgain,
+  ): void {
+    this.#sentAgain.add({ reason, outcome, idempotent: String(isIdempotent) });
   }
 }
 
--- a/src/program/process-metrics.ts
+++ b/src/program/process-metrics.ts
@@ -1,7 +1,9 @@
 /** Metrics of the process itself and of its control traffic. */
 import type { LinkTask } from '../edge/index.js';
+import { LoopLag } from '../edge/index.js';
 import type { MetricsRegistry, Reading } from '../metrics/index.js';
 import { Gauge } from '../metrics/index.js';
+import type { BoundedLog } from './logger.js';
 
 /** Adds the metrics that every process has, whatever its roles. */
 export function addProcessMetrics(registry: MetricsRegistry, links: LinkTask): void {
@@ -18,11 +20,28 @@
   registry.add(
     new Gauge('processor_seconds', 'Processor time since the start, by mode.', readProcessorTime),
   );
+  const lag = new LoopLag();
+  const help = 'Mean time for which a turn of the event loop was busy since the last reading.';
+  registry.add(
+    new Gauge('loop_lag_seconds', help, () => [{ value: lag.measure() / MILLIS_PER_SECOND }]),
+  );
+}
+
+/** Adds the metrics of the log lines that were not written. */
+export function addLogMetrics(registry: MetricsRegistry, log: BoundedLog): void {
+  const help = 'Log lines left out since the start: by the rate of their event, or unread.';
+  registry.add(
+    new Gauge('log_lines_dropped', help, () => [
+      ...[...log.dropped].map(([event, value]) => ({ labels: { cause: 'rate', event }, value })),
+      { labels: { cause: 'unread', event: 'any' }, value: log.lost },
+    ]),
+  );
 }
 
 // Internals.
 
 const MICROS_PER_SECOND = 1_000_000;
+const MILLIS_PER_SECOND = 1_000;
 
 function readLinkBytes(links: LinkTask): Reading[] {
   return [...links.bytes].flatMap(([channel, { sent, received }]) => [
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -15,7 +15,7 @@
 import { BoundedLog } from './logger.js';
 import type { Log } from './logger.js';
 import { runLedger } from './run-ledger.js';
-import { addProcessMetrics } from './process-metrics.js';
+import { addLogMetrics, addProcessMetrics } from './process-metrics.js';
 import type { RunningRole } from './running-role.js';
 import { MembershipLog } from './membership-log.js';
 import { RecoveryLog } from './recovery-log.js';
@@ -96,6 +96,7 @@
   });
 
   addProcessMetrics(registry, links);
+  addLogMetrics(registry, logs);
   const tracer = await createTracer(settings.host, settings.traces);
   const observer = new CallLog({ log, next: new CallMetrics(registry) });
 
@@ -115,8 +116,10 @@
     roles.push(await runLedger({ ...shared, clock, random, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    const shared = { settings, proxy, pass, clock, random, log, recovery, reportFailure, fronts };
-    roles.push(await runProxy({ ...shared, postLink, postMembers, report, tracer, observer }));
+    const shared = { settings, proxy, pass, clock, random, log, recovery, registry, reportFailure };
+    roles.push(
+      await runProxy({ ...shared, fronts, postLink, postMembers, report, tracer, observer }),
+    );
   }
   await members.start();
   log('started', { roles: settings.roles, control: settings.control });
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -9,6 +9,7 @@
 import type { Instant, Version } from '../ids.js';
 import { NO_VERSION, parseCallerId } from '../ids.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
+import type { MetricsRegistry } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type {
@@ -27,6 +28,7 @@
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
 import type { ReportStatus } from './status.js';
+import { VersionMetrics } from './version-metrics.js';
 
 /** What the proxy role needs. */
 export interface ProxyOptions {
@@ -36,6 +38,7 @@
   readonly random: Random;
   readonly log: Log;
   readonly recovery: RecoveryLog;
+  readonly registry: MetricsRegistry;
   readonly reportFailure: ReportFailure;
   readonly postLink: (command: LinkCommand) => void;
   readonly postMembers: (message: MembersIn) => void;
@@ -115,6 +118,7 @@
       : new ReadyTask({ name: 'ready', address: proxy.ready, reportFailure });
 
   const distribution: DistributionStatus = { held: NO_VERSION, rejected: {} };
+  const versions = new VersionMetrics(options.registry, clock);
   let isVouched = false;
 
   function passAnnounced(request: AnnounceRequest): void {
@@ -151,6 +155,7 @@
         return;
       case 'held':
         log('version-held', { version: output.mark.version });
+        versions.handleHeld(output.mark.version);
         postMembers({ kind: 'held', version: output.mark.version });
         distribution.held = output.mark.version;
         report('distribution', distribution);
@@ -164,6 +169,7 @@
         return;
       case 'whole':
         log('version-applied', { version: output.whole.version });
+        versions.handleServed(output.whole.version);
         report('proxy', { version: output.whole.version, resources: output.whole.resources.size });
         calls.post(output);
         if (output.whole.resources.size === 0) return;
--- /dev/null
+++ b/src/program/version-metrics.ts
@@ -0,0 +1,52 @@
+/** Metrics of the versions that a proxy holds and serves. */
+import type { Clock } from '../clock.js';
+import type { Instant, Version } from '../ids.js';
+import { NO_VERSION } from '../ids.js';
+import type { MetricsRegistry, Reading } from '../metrics/index.js';
+import { Gauge } from '../metrics/index.js';
+
+/** Tells which versions a proxy holds and serves, and for how long it has served the present one. */
+export class VersionMetrics {
+  readonly #clock: Clock;
+  #held = NO_VERSION;
+  #served = NO_VERSION;
+  #servedAt: Instant | undefined;
+
+  constructor(registry: MetricsRegistry, clock: Clock) {
+    this.#clock = clock;
+    registry.add(
+      new Gauge(
+        'proxy_version',
+        'Version that the proxy holds, and the one that it serves.',
+        () => [
+          { labels: { use: 'held' }, value: this.#held },
+          { labels: { use: 'served' }, value: this.#served },
+        ],
+      ),
+    );
+    const help = 'Time since the proxy began to serve its version; absent while it serves none.';
+    registry.add(new Gauge('proxy_version_age_seconds', help, () => this.#readAge()));
+  }
+
+  /** Takes in the version that the proxy holds. */
+  handleHeld(version: Version): void {
+    this.#held = version;
+  }
+
+  /** Takes in the version that calls take from now on. */
+  handleServed(version: Version): void {
+    this.#served = version;
+    this.#servedAt = this.#clock.read();
+  }
+
+  // Internals.
+
+  #readAge(): Reading[] {
+    if (this.#servedAt === undefined) return [];
+    return [{ value: (this.#clock.read() - this.#servedAt) / MILLIS_PER_SECOND }];
+  }
+}
+
+// Internals.
+
+const MILLIS_PER_SECOND = 1_000;
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -1,6 +1,13 @@
 /** Metrics and their text format. */
 import test from 'ava';
+import type { Address, HostId, Version } from '../src/ids.js';
 import { Counter, DurationSummary, Gauge, MetricsRegistry } from '../src/metrics/index.js';
+import { CallMetrics } from '../src/program/call-metrics.js';
+import { BoundedLog } from '../src/program/logger.js';
+import { addLogMetrics } from '../src/program/process-metrics.js';
+import { VersionMetrics } from '../src/program/version-metrics.js';
+import { ListSink } from './list-sink.js';
+import { ManualClock } from './manual-clock.js';
 
 test('counter text', (t) => {
   const registry = new MetricsRegistry();
@@ -40,3 +47,68 @@
   registry.add(new Counter('x_total', 'X.'));
   t.throws(() => registry.add(new Counter('x_total', 'X.')), { message: /exists already/ });
 });
+
+function listLines(registry: MetricsRegistry, name: string): string[] {
+  const lines = registry.formatText().split('\n');
+  return lines.filter((line) => line.startsWith(`bilberryswitch_${name}`));
+}
+
+test('attempts and calls sent again', (t) => {
+  const registry = new MetricsRegistry();
+  const metrics = new CallMetrics(registry);
+  const server = '10.0.0.1:80' as Address;
+  const end = { server, request: 'a-1', attempt: 1, isLocal: true, cause: undefined };
+  const refused = { outcome: 'not-run', reason: 'shed', proof: 'marked-answer' } as const;
+  metrics.endAttempt({ ...end, ...refused, status: 503, milliseconds: 3 });
+  const answered = { outcome: 'answered', reason: undefined, proof: 'marked-answer' } as const;
+  metrics.endAttempt({ ...end, ...answered, status: 200, milliseconds: 3 });
+  metrics.sendAgain('a-1', {
+    kind: 'sent-again',
+    id: 'c' as never,
+    attempt: 2,
+    from: server,
+    to: server,
+    reason: 'shed',
+    outcome: 'not-run',
+    isIdempotent: false,
+  });
+  const ends = 'bilberryswitch_attempts_total';
+  t.deepEqual(listLines(registry, 'attempts_total'), [
+    `${ends}{outcome="not-run",proof="marked-answer",reason="shed",target="backend-server"} 1`,
+    `${ends}{outcome="answered",proof="marked-answer",reason="none",target="backend-server"} 1`,
+  ]);
+  const again = 'bilberryswitch_calls_sent_again_total';
+  t.deepEqual(listLines(registry, 'calls_sent_again_total'), [
+    `${again}{idempotent="false",outcome="not-run",reason="shed"} 1`,
+  ]);
+});
+
+test('age of the served version', (t) => {
+  const registry = new MetricsRegistry();
+  const clock = new ManualClock();
+  const versions = new VersionMetrics(registry, clock);
+  t.deepEqual(listLines(registry, 'proxy_version_age_seconds'), []);
+  versions.handleHeld(8 as Version);
+  versions.handleServed(7 as Version);
+  clock.advance(2_500);
+  t.deepEqual(listLines(registry, 'proxy_version'), [
+    'bilberryswitch_proxy_version{use="held"} 8',
+    'bilberryswitch_proxy_version{use="served"} 7',
+    'bilberryswitch_proxy_version_age_seconds 2.5',
+  ]);
+});
+
+test('log lines left out', (t) => {
+  const registry = new MetricsRegistry();
+  const sink = new ListSink();
+  const clock = new ManualClock();
+  const log = new BoundedLog({ host: 'host-0' as HostId, level: 'info', clock, sink });
+  addLogMetrics(registry, log);
+  for (let count = 0; count < 53; count += 1) log.write('call-failed');
+  sink.isFull = true;
+  log.write('started');
+  t.deepEqual(listLines(registry, 'log_lines_dropped'), [
+    'bilberryswitch_log_lines_dropped{cause="rate",event="call-failed"} 3',
+    'bilberryswitch_log_lines_dropped{cause="unread",event="any"} 1',
+  ]);
+});
