Log calls that were answered late, with the time that the last attempt took

A call answered well, but after the target latency of its kind, left no line at all: a late answer could not be told from its id. `call-late` names the time since arrival, that of the last attempt and by how much it was late, at the entry proxy and at the guard, so that waiting for a slot can be told from a long run. Its rate is that of ordinary lines.

--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -43,6 +43,10 @@
   readonly status: number | undefined;
   readonly reason: RefusalReason | undefined;
   readonly outcome: RefusalOutcome | undefined;
+  /** By how much the end came after the aim of the call; `undefined` without an aim. */
+  readonly lateMs: number | undefined;
+  /** How long its last attempt took, once it has ended. */
+  readonly attemptMs: number | undefined;
   readonly milliseconds: number;
 }
 
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -57,6 +57,7 @@
       return;
     }
     call.attempt = count;
+    call.aim = head.aim;
     const { body } = call;
     const digest = body.kind === 'held' ? body.digest : undefined;
     const named = call.caller === undefined ? [] : [CALLER_HEADER, call.caller];
@@ -79,6 +80,7 @@
       return;
     }
     call.attempt = count;
+    call.aim = head.aim;
     const pool = this.#pools.findPool(head.server, connections);
     const { caller } = call;
     const leftMs = this.#measureLeft(head);
@@ -125,7 +127,7 @@
     }
     const report = this.#createReport(call, head, count, isLocal);
     report.handleUnsent();
-    this.#post(message, report);
+    this.#post(message, call, report);
   }
 
   #createReport(
@@ -139,9 +141,12 @@
   }
 
   /** Hands a message of an attempt on; its last one is reported to the observer before. */
-  #post(message: CallIn, report: AttemptReport): void {
+  #post(message: CallIn, call: OpenCall, report: AttemptReport): void {
     const end = report.handle(message, this.#options.clock.read());
-    if (end !== undefined) this.#options.observer.endAttempt(end);
+    if (end !== undefined) {
+      call.attemptMs = end.milliseconds;
+      this.#options.observer.endAttempt(end);
+    }
     this.#options.post(message);
   }
 
@@ -177,7 +182,7 @@
         return front.judgeAnswer(call.request, status, answered);
       },
       post: (message) => {
-        this.#post(message, report);
+        this.#post(message, call, report);
       },
       onEnd: (status, cause) => {
         this.#attempts.delete(attempt);
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -36,6 +36,10 @@
   caller: CallerId | undefined;
   /** The number of its last attempt; 0 before the first. */
   attempt = 0;
+  /** Until when the answer should come, once an attempt was made. */
+  aim: Instant | undefined;
+  /** How long the last attempt that has ended took. */
+  attemptMs: number | undefined;
   readonly #front: CallFront;
   readonly #observer: CallObserver;
   readonly #hop: Hop;
@@ -100,6 +104,8 @@
       status,
       reason,
       outcome,
+      lateMs: this.aim === undefined ? undefined : now - this.aim,
+      attemptMs: this.attemptMs,
       milliseconds,
     });
     this.#hop.end({
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -11,8 +11,8 @@
 }
 
 /**
- * Writes a line for each call that was refused, failed or lost its caller, for each attempt without a
- * good answer, and for each further attempt of a call. Lines of one request have its id in common, also
+ * Writes a line for each call that was refused, failed, lost its caller or was answered late, for each
+ * attempt without a good answer, and for each further attempt of a call. Lines of one request have its id in common, also
  * at other hosts.
  */
 export class CallLog extends CallObserver {
@@ -29,7 +29,10 @@
 
   override endCall(end: CallEnd): void {
     this.#options.next.endCall(end);
-    if (isGood(end.status) && end.reason === undefined) return;
+    if (isGood(end.status) && end.reason === undefined) {
+      if ((end.lateMs ?? 0) > 0) this.#options.log('call-late', () => formLateFields(end));
+      return;
+    }
     const share = end.outcome === 'not-run' ? 'refused-call' : undefined;
     this.#options.log('call-failed', () => formCallFields(end), share);
   }
@@ -63,6 +66,24 @@
   return { side, request, attempt, path, status, reason, outcome, ms: Math.round(milliseconds) };
 }
 
+function formLateFields({
+  isForwarded,
+  request,
+  attempt,
+  path,
+  status,
+  ...times
+}: CallEnd): LogFields {
+  const side = isForwarded ? 'guard' : 'entry';
+  const [ms, attemptMs, lateMs] = [times.milliseconds, times.attemptMs ?? 0, times.lateMs ?? 0];
+  const rounded = {
+    ms: Math.round(ms),
+    attemptMs: Math.round(attemptMs),
+    lateMs: Math.round(lateMs),
+  };
+  return { side, request, attempt, path, status, ...rounded };
+}
+
 function formAttemptFields(end: AttemptEnd): LogFields {
   const { request, attempt, server, isLocal, status, outcome, reason, proof, cause } = end;
   const ms = Math.round(end.milliseconds);
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -52,6 +52,7 @@
   'announcement-ignored': FULL,
   'announcement-rejected': FULL,
   'call-failed': FULL,
+  'call-late': ORDINARY,
   'attempt-failed': FULL,
   'call-sent-again': FULL,
 } satisfies Record<string, LineRate>;
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -18,6 +18,8 @@
   status: 503,
   reason: 'no-server',
   outcome: 'not-run',
+  lateMs: undefined,
+  attemptMs: undefined,
   milliseconds: 3.4,
 };
 
@@ -60,6 +62,16 @@
   t.like(lines[0], { event: 'call-failed', side: 'entry', request: 'a-1', reason: 'no-server' });
 });
 
+test('late answer: where the time went', (t) => {
+  const { lines, log } = startLog();
+  const calls = new CallLog({ log, next: new NoObserver() });
+  const answered = { ...FAILED, status: 200, reason: undefined, outcome: undefined, attempt: 1 };
+  calls.endCall({ ...answered, lateMs: -20, attemptMs: 3, milliseconds: 80 });
+  calls.endCall({ ...answered, lateMs: 40, attemptMs: 90, milliseconds: 140 });
+  t.is(lines.length, 1);
+  t.like(lines[0], { event: 'call-late', request: 'a-1', ms: 140, attemptMs: 90, lateMs: 40 });
+});
+
 test('failed attempt: cause', (t) => {
   const { lines, log } = startLog();
   const calls = new CallLog({ log, next: new NoObserver() });
