Pace large answers over narrow links, and give their slots back at once

Cause: answers of 90 KB, 52 a second, are asked of six hosts whose links carry 325 KB/s each, 2.4 times as much as fits. They filled the links, and requests, short answers and the membership's datagrams to and from these hosts waited behind them or were lost. A guard also kept the slot of such an answer until the last byte had left the host.

Where the rate of the link is known (proxy.link_mbit_per_second), answers to other proxies now leave a quarter of it free, the answer with the least left goes first, and the guard reads them whole, within bounds, so the slot is free for the next call.

test/link-pacer.test.ts covers the pacer; its first test needs the slot back before the answer is sent, which the attempt did not do: it paused its backend server's connection (the two tests of call-attempt show that it still does without a pacer). The stand-in for the templates in settings.test.ts learns the section limits.

--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -19,6 +19,7 @@
   TIMEOUT_HEADER,
 } from './call-headers.js';
 import { CallPools } from './call-pools.js';
+import type { LinkPacer } from './link-pacer.js';
 import type { OpenCall } from './open-call.js';
 
 /** What an attempt sender needs. */
@@ -27,6 +28,8 @@
   readonly front: CallFront;
   readonly tracer: HopTracer;
   readonly observer: CallObserver;
+  /** Paces the answers to other proxies, where the rate of the link is known. */
+  readonly pacer: LinkPacer | undefined;
   /** Takes what becomes of the attempts. */
   readonly post: (message: CallIn) => void;
   /** Called after each attempt that has ended. */
@@ -90,7 +93,7 @@
     const running = this.#attempts.get(attempt);
     const added = load === undefined ? [] : [LOAD_HEADER, formatLoad(load)];
     if (call === undefined) running?.discard();
-    else running?.relay(call.response, added);
+    else running?.relay(call.response, added, call.isForwarded ? this.#options.pacer : undefined);
   }
 
   /** Closes the connection of an attempt. */
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -4,6 +4,8 @@
 import type { CallIn, RunEnding } from '../calls/index.js';
 import type { AttemptId } from '../ids.js';
 import type { AttemptFailure, RefusalOutcome, StoredAnswer } from '../messages/index.js';
+import type { AnswerSink } from './answer-sink.js';
+import { DirectSink } from './answer-sink.js';
 import type { AnswerVerdict } from './call-front.js';
 import {
   listAnswerHeaders,
@@ -14,6 +16,7 @@
   REASON_HEADER,
 } from './call-headers.js';
 import { parseReason } from './call-refusal.js';
+import type { LinkPacer } from './link-pacer.js';
 
 /** What an attempt needs. */
 export interface CallAttemptOptions {
@@ -34,7 +37,8 @@
 
 /**
  * Reads an answer from its connection and passes it to the caller once {@link CallAttempt.relay} says
- * so. A slow caller slows the connection down; nothing is gathered in memory but what is kept.
+ * so. A slow caller slows the connection down; nothing is gathered in memory but what is kept for a resend
+ * or waits for a paced link.
  */
 export class CallAttempt implements Dispatcher.DispatchHandler {
   readonly #options: CallAttemptOptions;
@@ -43,8 +47,7 @@
   #statusText = '';
   #headers: readonly string[] = [];
   #refusal: AttemptFailure | undefined;
-  #response: ServerResponse | undefined;
-  #added: readonly string[] = [];
+  #sink: AnswerSink | undefined;
   #kept: Buffer[] | undefined;
   #keptBytes = 0;
   #isWhole = true;
@@ -59,11 +62,10 @@
     if (options.keepsAnswer) this.#kept = [];
   }
 
-  /** Passes the answer on to the caller, with further headers. */
-  relay(response: ServerResponse, added: readonly string[]): void {
-    this.#response = response;
-    this.#added = added;
-    if (!response.destroyed) this.#writeHead(response);
+  /** Passes the answer on to the caller, with further headers; `pacer` is that of the link to the caller. */
+  relay(response: ServerResponse, added: readonly string[], pacer?: LinkPacer): void {
+    this.#sink = pacer?.open(response) ?? new DirectSink(response);
+    if (!response.destroyed) this.#writeHead(response, added);
     this.#controller?.resume();
   }
 
@@ -106,26 +108,22 @@
     if (!isGuard && !this.#isAnswer(controller, status, headers)) return;
     const load = isGuard ? parseLoad(readHeader(headers, LOAD_HEADER)) : undefined;
     post({ kind: 'answer-started', attempt, status, load });
-    const isDecided = this.#response !== undefined || this.#isDiscarded;
+    const isDecided = this.#sink !== undefined || this.#isDiscarded;
     if (!isDecided && this.#cancelReason === undefined) this.#pause(controller);
   }
 
   onResponseData(controller: Controller, chunk: Buffer): void {
     if (this.#refusal !== undefined) return;
     this.#keep(chunk);
-    const response = this.#response;
-    if (response === undefined || response.destroyed || response.write(chunk)) return;
+    const sink = this.#sink;
+    if (sink === undefined || sink.isGone || sink.write(chunk)) return;
     if (!this.#pause(controller)) {
-      if (response.writableLength > MAX_UNSENT_BYTES) controller.abort(new Error(TOO_SLOW));
+      if (sink.unsentBytes > MAX_UNSENT_BYTES) controller.abort(new Error(TOO_SLOW));
       return;
     }
-    const resume = (): void => {
-      response.off('drain', resume);
-      response.off('close', resume);
+    sink.notifyDrained(() => {
       controller.resume();
-    };
-    response.on('drain', resume);
-    response.on('close', resume);
+    });
   }
 
   onResponseEnd(): void {
@@ -136,7 +134,7 @@
       post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending });
     } else if (this.#isWhole) {
       post({ kind: 'answer-complete', attempt, answer: this.#formStoredAnswer() });
-      this.#response?.end();
+      this.#sink?.end();
     } else {
       const failure = { outcome: 'unknown', reason: 'upstream-failed' } as const;
       post({ kind: 'attempt-failed', attempt, failure, ending: 'answered' });
@@ -188,8 +186,8 @@
     return this.#cancelReason === undefined ? 'lost' : 'cancelled';
   }
 
-  #writeHead(response: ServerResponse): void {
-    const headers = listAnswerHeaders(this.#headers, this.#added);
+  #writeHead(response: ServerResponse, added: readonly string[]): void {
+    const headers = listAnswerHeaders(this.#headers, added);
     response.writeHead(this.#status ?? STATUS_BAD_GATEWAY, this.#statusText, headers);
   }
 
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -32,6 +32,7 @@
 import type { Refusal } from './call-refusal.js';
 import { refuseSocket } from './call-refusal.js';
 import { HttpTask } from './http-task.js';
+import { LinkPacer } from './link-pacer.js';
 import { LoopLag } from './loop-lag.js';
 import { OpenCall } from './open-call.js';
 import { OwnCallFront } from './own-call-front.js';
@@ -60,6 +61,8 @@
   readonly observer?: CallObserver;
   readonly picker?: Picker;
   readonly createPolicy?: () => SlotPolicy;
+  /** What the link of this host carries, where it is known; large answers leave a part of it free. */
+  readonly linkBytesPerSecond?: number | undefined;
 }
 
 /** Owns the callers' socket, the connections to backend servers and proxies, and the calls in flight. */
@@ -82,8 +85,11 @@
     this.#front = options.front ?? new OwnCallFront();
     this.#tracer = options.tracer ?? new NoTracer();
     this.#observer = options.observer ?? new NoObserver();
+    const { clock, linkBytesPerSecond } = options;
     this.#sender = new AttemptSender({
-      clock: options.clock,
+      clock,
+      pacer:
+        linkBytesPerSecond === undefined ? undefined : new LinkPacer(clock, linkBytesPerSecond),
       front: this.#front,
       tracer: this.#tracer,
       observer: this.#observer,
--- /dev/null
+++ b/src/edge/link-pacer.ts
@@ -0,0 +1,185 @@
+/** Keeps large answers from filling the link of a host, on which everything else would wait behind them. */
+import type { ServerResponse } from 'node:http';
+import type { CancelTimer, Clock } from '../clock.js';
+import { addMs } from '../clock.js';
+import type { Instant } from '../ids.js';
+import { AnswerSink } from './answer-sink.js';
+
+/**
+ * Shares a part of a link out among the answers that go over it.
+ *
+ * The first part of each answer is written at once, so that short answers never wait. The rest goes out in
+ * pieces, always of the answer of which the least is left: sent all at the same time, or in the order in which
+ * they began, all of them would be late while more is asked for than the link carries.
+ */
+export class LinkPacer {
+  readonly #clock: Clock;
+  readonly #bytesPerMs: number;
+  readonly #queue = new Set<PacedSink>();
+  readonly #held: HeldBytes = { total: 0 };
+  #nextAt: Instant;
+  #cancelTimer: CancelTimer | undefined;
+
+  /** `bytesPerSecond` is what the whole link carries. */
+  constructor(clock: Clock, bytesPerSecond: number) {
+    this.#clock = clock;
+    this.#bytesPerMs = (bytesPerSecond * LARGE_SHARE) / MS_PER_SECOND;
+    this.#nextAt = clock.read();
+  }
+
+  /** Opens an answer whose bytes go over the link. */
+  open(response: ServerResponse): AnswerSink {
+    const sink = new PacedSink(response, this.#held, () => {
+      this.#enqueue(sink);
+    });
+    return sink;
+  }
+
+  // Internals.
+
+  #enqueue(sink: PacedSink): void {
+    this.#queue.add(sink);
+    if (this.#cancelTimer === undefined) this.#sendDue();
+  }
+
+  #sendDue(): void {
+    const now = this.#clock.read();
+    const end = addMs(now, AHEAD_MS);
+    const pieceBytes = Math.max(MIN_PIECE_BYTES, this.#bytesPerMs * AHEAD_MS);
+    let sink = this.#findShortest();
+    while (sink !== undefined && this.#nextAt <= end) {
+      const sent = sink.sendPiece(pieceBytes);
+      this.#nextAt = addMs(Math.max(this.#nextAt, now) as Instant, sent / this.#bytesPerMs);
+      sink = this.#findShortest();
+    }
+    if (sink === undefined) return;
+    this.#cancelTimer = this.#clock.callAt(addMs(this.#nextAt, -AHEAD_MS), () => {
+      this.#cancelTimer = undefined;
+      this.#sendDue();
+    });
+  }
+
+  #findShortest(): PacedSink | undefined {
+    let shortest: PacedSink | undefined;
+    for (const sink of this.#queue) {
+      if (sink.isIdle) this.#queue.delete(sink);
+      else if (shortest === undefined || sink.heldBytes < shortest.heldBytes) shortest = sink;
+    }
+    return shortest;
+  }
+}
+
+/** The bytes that all answers of one link hold. */
+interface HeldBytes {
+  total: number;
+}
+
+/** Holds the rest of one answer until the link has room for it. */
+class PacedSink extends AnswerSink {
+  readonly #response: ServerResponse;
+  readonly #all: HeldBytes;
+  readonly #enqueue: () => void;
+  readonly #held: Buffer[] = [];
+  #heldBytes = 0;
+  #freeBytes = FREE_BYTES;
+  #isEnded = false;
+  #isBlocked = false;
+  #notifyDrained: (() => void) | undefined;
+
+  constructor(response: ServerResponse, all: HeldBytes, enqueue: () => void) {
+    super();
+    this.#response = response;
+    this.#all = all;
+    this.#enqueue = enqueue;
+    response.on('drain', () => {
+      this.#isBlocked = false;
+      if (!this.isIdle) this.#enqueue();
+    });
+    response.on('close', () => {
+      this.#held.length = 0;
+      this.#hold(-this.#heldBytes);
+      this.#release();
+    });
+  }
+
+  /** The bytes that wait for the link. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /** Whether there is nothing to send for now. */
+  get isIdle(): boolean {
+    return this.#heldBytes === 0 || this.#isBlocked || this.isGone;
+  }
+
+  override get isGone(): boolean {
+    return this.#response.destroyed;
+  }
+
+  override get unsentBytes(): number {
+    return this.#heldBytes + this.#response.writableLength;
+  }
+
+  override write(chunk: Buffer): boolean {
+    const free = Math.min(chunk.length, this.#heldBytes === 0 ? this.#freeBytes : 0);
+    this.#freeBytes -= free;
+    if (free > 0) this.#isBlocked = !this.#response.write(chunk.subarray(0, free));
+    if (free < chunk.length) {
+      this.#held.push(chunk.subarray(free));
+      this.#hold(chunk.length - free);
+      if (!this.isIdle) this.#enqueue();
+    }
+    if (this.#heldBytes === 0) return true;
+    return this.#heldBytes <= MAX_HELD_BYTES && this.#all.total <= MAX_TOTAL_HELD_BYTES;
+  }
+
+  override end(): void {
+    this.#isEnded = true;
+    if (this.#heldBytes === 0) this.#response.end();
+  }
+
+  override notifyDrained(resume: () => void): void {
+    this.#notifyDrained = resume;
+  }
+
+  /** Writes one piece of what is held; returns its length. */
+  sendPiece(maxBytes: number): number {
+    const [first] = this.#held;
+    if (first === undefined || this.isIdle) return 0;
+    const piece = first.subarray(0, maxBytes);
+    if (piece.length === first.length) this.#held.shift();
+    else this.#held[0] = first.subarray(maxBytes);
+    this.#hold(-piece.length);
+    this.#isBlocked = !this.#response.write(piece);
+    if (this.#heldBytes <= MAX_HELD_BYTES / 2) this.#release();
+    if (this.#isEnded && this.#heldBytes === 0) this.#response.end();
+    return piece.length;
+  }
+
+  // Internals.
+
+  #hold(bytes: number): void {
+    this.#heldBytes += bytes;
+    this.#all.total += bytes;
+  }
+
+  #release(): void {
+    const resume = this.#notifyDrained;
+    this.#notifyDrained = undefined;
+    resume?.();
+  }
+}
+
+// Internals.
+
+const MS_PER_SECOND = 1_000;
+/** The rest of the link is left to requests, short answers and the traffic of the system itself. */
+const LARGE_SHARE = 0.75;
+/** What goes out ahead of the rate with each answer; longer answers are rare where links are narrow. */
+const FREE_BYTES = 8 * 1024;
+const MIN_PIECE_BYTES = 4 * 1024;
+/** Timers fire late, so a little is sent ahead of the rate. */
+const AHEAD_MS = 10;
+/** An answer of which so much is held is no longer read from its backend server. */
+const MAX_HELD_BYTES = 1024 * 1024;
+const MAX_TOTAL_HELD_BYTES = 16 * 1024 * 1024;
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -56,6 +56,7 @@
     front: options.fronts.createCallFront(),
     caller: proxy.service === undefined ? undefined : parseCallerId(proxy.service),
     retries: proxy.retries,
+    linkBytesPerSecond: proxy.linkBytesPerSecond,
     place: settings,
     pass: options.pass,
     clock,
--- a/src/program/settings/proxy-settings.ts
+++ b/src/program/settings/proxy-settings.ts
@@ -30,11 +30,14 @@
   /** How long new calls are still taken at a planned stop, in milliseconds, until clients notice it. */
   readonly lingerMs: number;
   readonly retries: RetryAllowance;
+  /** What the link of this host carries; without it, large answers are not paced. */
+  readonly linkBytesPerSecond: number | undefined;
 }
 
 const MAX_LINGER_MS = 60_000;
 const DEFAULT_PER_CALL = 0.1;
 const DEFAULT_BURST = 20;
+const BYTES_PER_MBIT = 125_000;
 
 const retriesSchema = z
   .strictObject({
@@ -59,11 +62,14 @@
     ledgers: z.array(addressSchema).default([]),
     linger_ms: formMillisecondsSchema(0, MAX_LINGER_MS).default(0),
     retries: retriesSchema.prefault({}),
+    link_mbit_per_second: z.number().positive().optional(),
   })
   .refine(({ sources, seeds }) => sources.length + seeds.length > 0, {
     path: ['sources'],
     error: 'expected the control address of a source host, here or among the seeds',
   })
-  .transform(({ linger_ms, service, forwards, ready, ...rest }): ProxySettings => {
-    return { ...rest, service, forwards, ready, lingerMs: linger_ms };
+  .transform((section): ProxySettings => {
+    const { linger_ms, link_mbit_per_second: rate, service, forwards, ready, ...rest } = section;
+    const linkBytesPerSecond = rate === undefined ? undefined : rate * BYTES_PER_MBIT;
+    return { ...rest, service, forwards, ready, lingerMs: linger_ms, linkBytesPerSecond };
   });
--- /dev/null
+++ b/test/link-pacer.test.ts
@@ -0,0 +1,171 @@
+/** Large answers over a narrow link: they are paced, and hold neither the link nor a slot. */
+import { EventEmitter } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import test from 'ava';
+import type { Dispatcher } from 'undici';
+import { CallAttempt } from '../src/edge/call-attempt.js';
+import { LinkPacer } from '../src/edge/link-pacer.js';
+import type { AttemptId } from '../src/ids.js';
+import { ManualClock } from './manual-clock.js';
+
+const LINK_BYTES_PER_SECOND = 325_000;
+const LARGE_BYTES = 90_000;
+
+/** A response to another proxy that counts what is written to it. */
+class FakeResponse extends EventEmitter {
+  writtenBytes = 0;
+  isEnded = false;
+  destroyed = false;
+  isFull = false;
+  readonly writableLength = 0;
+
+  writeHead(): void {
+    // Heads are not counted.
+  }
+
+  write(chunk: Buffer): boolean {
+    this.writtenBytes += chunk.length;
+    return !this.isFull;
+  }
+
+  end(): void {
+    this.isEnded = true;
+  }
+}
+
+function startPacer(bytesPerSecond = LINK_BYTES_PER_SECOND) {
+  const clock = new ManualClock();
+  const pacer = new LinkPacer(clock, bytesPerSecond);
+  const open = () => {
+    const response = new FakeResponse();
+    return { response, sink: pacer.open(response as unknown as ServerResponse) };
+  };
+  return { clock, pacer, open };
+}
+
+test('slot is given back before a large answer is sent', (t) => {
+  const { clock, pacer } = startPacer();
+  const response = new FakeResponse();
+  const told: string[] = [];
+  const controller = {
+    rawHeaders: [],
+    pause: () => told.push('pause'),
+    resume: () => undefined,
+    abort: () => undefined,
+  } as unknown as Dispatcher.DispatchController;
+  const attempt = new CallAttempt({
+    attempt: 'a' as AttemptId,
+    isGuard: false,
+    keepsAnswer: false,
+    method: 'GET',
+    judge: () => 'answer',
+    post: ({ kind }) => {
+      told.push(kind);
+      if (kind === 'answer-started') {
+        attempt.relay(response as unknown as ServerResponse, [], pacer);
+      }
+    },
+    onEnd: () => undefined,
+  });
+  response.isFull = true;
+  attempt.onRequestStart(controller);
+  attempt.onResponseStart(controller, 200, { 'content-length': `${LARGE_BYTES}` });
+  attempt.onResponseData(controller, Buffer.alloc(LARGE_BYTES));
+  attempt.onResponseEnd();
+  t.deepEqual(told, ['answer-started', 'answer-complete']);
+  t.true(response.writtenBytes < LARGE_BYTES);
+  response.isFull = false;
+  response.emit('drain');
+  clock.advance(1_000);
+  t.is(response.writtenBytes, LARGE_BYTES);
+  t.true(response.isEnded);
+});
+
+test('large answers leave room on the link', (t) => {
+  const { clock, open } = startPacer();
+  const answers = [open(), open(), open()];
+  for (const { sink } of answers) {
+    sink.write(Buffer.alloc(LARGE_BYTES));
+    sink.end();
+  }
+  const countWritten = () =>
+    answers.reduce((bytes, { response }) => bytes + response.writtenBytes, 0);
+  const atOnce = countWritten();
+  t.true(atOnce < LARGE_BYTES / 3);
+  clock.advance(500);
+  t.true(countWritten() - atOnce <= LINK_BYTES_PER_SECOND * 0.4);
+  t.true(answers[0]?.response.isEnded);
+  t.false(answers[2]?.response.isEnded);
+  clock.advance(1_000);
+  t.true(answers.every(({ response }) => response.isEnded));
+});
+
+test('short answer beside large ones', (t) => {
+  const { open } = startPacer();
+  open().sink.write(Buffer.alloc(LARGE_BYTES));
+  const { response, sink } = open();
+  sink.write(Buffer.alloc(2_000));
+  sink.end();
+  t.is(response.writtenBytes, 2_000);
+  t.true(response.isEnded);
+});
+
+test('large answers over a wide link', (t) => {
+  const { clock, open } = startPacer(125_000_000);
+  const answers = Array.from({ length: 100 }, open);
+  for (const { sink } of answers) {
+    sink.write(Buffer.alloc(LARGE_BYTES));
+    sink.end();
+  }
+  clock.advance(100);
+  t.true(answers.every(({ response }) => response.isEnded));
+});
+
+test('shortest rest first', (t) => {
+  const { clock, open } = startPacer();
+  const [long, short] = [open(), open()];
+  long.sink.write(Buffer.alloc(4 * LARGE_BYTES));
+  long.sink.end();
+  clock.advance(100);
+  short.sink.write(Buffer.alloc(LARGE_BYTES));
+  short.sink.end();
+  clock.advance(500);
+  t.true(short.response.isEnded);
+  t.false(long.response.isEnded);
+  clock.advance(2_000);
+  t.true(long.response.isEnded);
+});
+
+test('large answer to a proxy that reads slowly or is gone', (t) => {
+  const { clock, open } = startPacer();
+  const [slow, gone, other] = [open(), open(), open()];
+  slow.response.isFull = true;
+  for (const { sink } of [slow, gone, other]) {
+    sink.write(Buffer.alloc(LARGE_BYTES));
+    sink.end();
+  }
+  gone.response.destroyed = true;
+  gone.response.emit('close');
+  clock.advance(1_000);
+  t.true(slow.response.writtenBytes < LARGE_BYTES);
+  t.true(gone.response.writtenBytes < LARGE_BYTES);
+  t.true(other.response.isEnded);
+  slow.response.isFull = false;
+  slow.response.emit('drain');
+  clock.advance(1_000);
+  t.is(slow.response.writtenBytes, LARGE_BYTES);
+});
+
+test('endless answer is read no further than is held', (t) => {
+  const { clock, open } = startPacer();
+  const { sink } = open();
+  let resumed = 0;
+  let taken = 0;
+  for (let isTaken = true; isTaken; taken += LARGE_BYTES) {
+    isTaken = sink.write(Buffer.alloc(LARGE_BYTES));
+  }
+  t.true(taken < 2 * 1024 * 1024);
+  sink.notifyDrained(() => (resumed += 1));
+  clock.advance(60_000);
+  t.is(resumed, 1);
+});
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -138,7 +138,10 @@
     const template = readFileSync(join('deploy', `${name}.toml`), 'utf8');
     const text = template
       .replace(/\{\{#seeds\}\}.*\{\{\/seeds\}\}/, '"10.0.0.2:8306"')
-      .replace(/\{\{#bounds\.(\w+)\}\}(.*)\{\{\.\}\}\{\{\/bounds\.\w+\}\}/g, '$20.5')
+      .replace(
+        /\{\{#(?:bounds|limits)\.(\w+)\}\}(.*)\{\{\.\}\}\{\{\/(?:bounds|limits)\.\w+\}\}/g,
+        '$20.5',
+      )
       .replace(/\{\{([^#/}]+)\}\}/g, (_, key: string) => fields[key] ?? `no ${key}`);
     const settings = load(text);
     t.is(settings.control, '10.0.0.1:7620' as Address);
