--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -1,7 +1,7 @@
 /** The third filter of a call: picks backend servers for its attempts, retries, hedges and gives up. */
 import { addMs } from '../clock.js';
 import type { AttemptId, Instant } from '../ids.js';
-import type { AttemptFailure } from '../messages/index.js';
+import type { AttemptFailure, RefusalOutcome } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import type { AttemptIn, AttemptOut } from './attempt-messages.js';
@@ -13,6 +13,7 @@
   applyAttemptFailure,
   updateLoad,
 } from './attempt-outcome.js';
+import type { LastAttempt } from './attempt-placement.js';
 import { AttemptPlacement } from './attempt-placement.js';
 import type { AttemptState, OpenCall } from './attempt-state.js';
 import {
@@ -111,6 +112,7 @@
       relayed: undefined,
       suspect: false,
       certain: true,
+      isExpired: false,
     };
     state.calls.set(id, call);
     findBudget(state, routed.service, this.#retries).addCall(state.servers.proxies);
@@ -126,6 +128,7 @@
     const open = state.attempts.get(message.attempt);
     if (open === undefined) return [{ kind: 'cancel', attempt: message.attempt }];
     const { call, record } = open;
+    if (call.isExpired) return [];
     record.heardAt = now;
     record.startedAts.delete(message.attempt);
     if (message.load !== undefined) {
@@ -137,7 +140,9 @@
       applyFailure(record, state.servers.listTiers(call.routed.service), now);
     }
     if (hasFailed && call.routed.requestKind.idempotent && call.relayed === undefined) {
-      const retry = this.#retry(state, call, now, 'budgeted');
+      const { address: server } = record.announcement;
+      const last: LastAttempt = { server, reason: 'server-error', outcome: 'unknown' };
+      const retry = this.#retry(state, call, now, last);
       if (retry.length > 0) {
         removeAttempt(state, message.attempt, open);
         call.reached += 1;
@@ -162,6 +167,7 @@
     const open = state.attempts.get(attempt);
     if (open === undefined) return [];
     removeAttempt(state, attempt, open);
+    if (open.call.isExpired) return this.#endExpired(state, open.call, 'unknown');
     state.calls.delete(open.call.routed.head.id);
     return [];
   }
@@ -179,6 +185,7 @@
     if (failure.load !== undefined) {
       updateLoad(record, call.routed.requestKind.name, failure.load, now);
     }
+    if (call.isExpired) return this.#endExpired(state, call, failure.outcome);
     if (failure.reason === 'busy' && call.routed.deadline > now) {
       const passedOn = this.#placement.passOn(state, call, record.announcement.address, now);
       if (passedOn.length > 0) return passedOn;
@@ -188,28 +195,23 @@
     const observed = applyAttemptFailure(state, open, failure, now);
     if (call.relayed === attempt) return [...observed, ...this.#refuse(state, call, failure)];
     if (failure.outcome === 'unknown') call.certain = false;
-    const cost = isFree(failure) ? 'free' : 'budgeted';
-    const retry = maySend && call.relayed === undefined ? this.#retry(state, call, now, cost) : [];
+    const last: LastAttempt = { server: record.announcement.address, ...failure };
+    const retry = maySend && call.relayed === undefined ? this.#retry(state, call, now, last) : [];
     if (retry.length > 0) return [...observed, ...retry];
     if (call.running.size > 0) return observed;
     return [...observed, ...this.#refuse(state, call, failure)];
   }
 
   /** Starts another attempt if the call, its deadline and the budget allow it. */
-  #retry(
-    state: AttemptState,
-    call: OpenCall,
-    now: Instant,
-    cost: 'free' | 'budgeted',
-  ): AttemptOut[] {
+  #retry(state: AttemptState, call: OpenCall, now: Instant, last: LastAttempt): AttemptOut[] {
     const { head, deadline, service, requestKind } = call.routed;
     if (head.attempt > 1 || !head.repeatable) return [];
     if (call.started - call.declinedBy.length >= MAX_ATTEMPTS || deadline <= now) return [];
     const most = requestKind.maxAttempts ?? MAX_ATTEMPTS;
     if (call.reached + call.running.size >= most) return [];
     const budget = findBudget(state, service, this.#retries);
-    if (cost === 'budgeted' && !budget.spend()) return [];
-    return this.#placement.start(state, call, now);
+    if (!isFree(last) && !budget.spend()) return [];
+    return this.#placement.start(state, call, now, last);
   }
 
   #handleTimers(state: AttemptState, now: Instant): AttemptOut[] {
@@ -218,15 +220,30 @@
       const call = state.calls.get(timer.id);
       if (call === undefined) continue;
       if (timer.kind === 'deadline') {
-        const outcome = call.certain && call.running.size === 0 ? 'not-run' : 'unknown';
-        outputs.push(...this.#refuse(state, call, { reason: 'deadline', outcome }));
+        outputs.push(...this.#expire(state, call));
       } else if (call.relayed === undefined) {
-        outputs.push(...this.#retry(state, call, now, 'budgeted'));
+        const server = [...call.tried].at(-1);
+        const last: LastAttempt = { server, reason: 'hedge', outcome: 'unknown' };
+        outputs.push(...this.#retry(state, call, now, last));
       }
     }
     return [...outputs, ...formWake(state)];
   }
 
+  /** Ends the attempts of a call; only their ends show whether one of them may have run. */
+  #expire(state: AttemptState, call: OpenCall): AttemptOut[] {
+    if (call.relayed !== undefined || call.running.size === 0) {
+      return this.#refuse(state, call, EXPIRED);
+    }
+    call.isExpired = true;
+    return [...call.running].map((attempt) => ({ kind: 'cancel', attempt }));
+  }
+
+  #endExpired(state: AttemptState, call: OpenCall, outcome: RefusalOutcome): AttemptOut[] {
+    if (outcome === 'unknown') call.certain = false;
+    return call.running.size > 0 ? [] : this.#refuse(state, call, EXPIRED);
+  }
+
   #refuse(state: AttemptState, call: OpenCall, failure: AttemptFailure): AttemptOut[] {
     const cancels = closeCall(state, call);
     const outcome = call.certain ? failure.outcome : 'unknown';
@@ -243,6 +260,7 @@
 const STATUS_SHED = 503;
 const FIRST_FAILURE_STATUS = 500;
 const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
+const EXPIRED: AttemptFailure = { outcome: 'not-run', reason: 'deadline' };
 const HEDGE_DEVIATIONS = 4;
 const MIN_HEDGE_DELAY_MS = 2;
 
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -1,6 +1,9 @@
 /** The call path: routing, claiming, picking, guarding and retrying. */
+export { judgeAnswer } from './answer-verdict.js';
+export type { AnswerProof, AnswerVerdict } from './answer-verdict.js';
 export { CallObserver, NoObserver } from './call-observer.js';
-export type { AttemptEnd, CallEnd } from './call-observer.js';
+export type { AttemptEnd, AttemptProof, CallEnd } from './call-observer.js';
+export type { SendAgainReason, SentAgain } from './attempt-messages.js';
 export { formSubject } from './classify-filter.js';
 export { CallPipe, formForwardedAttempt } from './call-pipe.js';
 export type { CallIn, CallOut } from './call-pipe-messages.js';
@@ -12,4 +15,4 @@
 export type { RetryAllowance } from './retry-budget.js';
 export { SharedSlots } from './shared-slots.js';
 export { SlotPolicy } from './slot-policy.js';
-export type { Waiting } from './slot-policy.js';
+export type { MatchWaiting, Waiting } from './slot-policy.js';
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -1,12 +1,12 @@
 /** One attempt on its connection: sends the request and reads the answer. */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
-import type { CallIn, RunEnding } from '../calls/index.js';
+import type { AnswerProof, CallIn, RunEnding } from '../calls/index.js';
+import { judgeAnswer } from '../calls/index.js';
 import type { AttemptId } from '../ids.js';
 import type { AttemptFailure, RefusalOutcome, StoredAnswer } from '../messages/index.js';
 import type { AnswerSink } from './answer-sink.js';
 import { DirectSink } from './answer-sink.js';
-import type { AnswerVerdict } from './call-front.js';
 import {
   listAnswerHeaders,
   LOAD_HEADER,
@@ -26,8 +26,8 @@
   /** Whether a copy of the answer is kept for resends. */
   readonly keepsAnswer: boolean;
   readonly method: string;
-  /** Judges the head of a backend server's answer. */
-  readonly judge: (status: number, headers: IncomingHttpHeaders) => AnswerVerdict;
+  /** Reads what the head of a backend server's answer proves. */
+  readonly readProof: (status: number, headers: IncomingHttpHeaders) => AnswerProof;
   readonly post: (message: CallIn) => void;
   /** Called once, with the HTTP status when an answer began. */
   readonly onEnd: (status: number | undefined, cause: string | undefined) => void;
@@ -47,6 +47,7 @@
   #statusText = '';
   #headers: readonly string[] = [];
   #refusal: AttemptFailure | undefined;
+  #refusalBytes = 0;
   #sink: AnswerSink | undefined;
   #kept: Buffer[] | undefined;
   #keptBytes = 0;
@@ -75,16 +76,18 @@
     this.#controller?.resume();
   }
 
-  /** Closes the connection; nobody waits for the answer. */
+  /** Closes the connection; an attempt that has none yet ends at once and is never sent. */
   cancel(reason: CancelReason): void {
     if (this.#isDone) return;
     this.#cancelReason ??= reason;
-    this.#controller?.abort(new Error('the attempt was cancelled'));
+    if (this.#controller === undefined) this.#fail(reason);
+    else this.#controller.abort(new Error(CANCELLED));
   }
 
+  /** @throws when the attempt has ended; undici then keeps the connection for the next one. */
   onRequestStart(controller: Controller): void {
+    if (this.#isDone) throw new Error(CANCELLED);
     this.#controller = controller;
-    if (this.#cancelReason !== undefined) controller.abort(new Error('the attempt was cancelled'));
   }
 
   onResponseStart(
@@ -113,7 +116,11 @@
   }
 
   onResponseData(controller: Controller, chunk: Buffer): void {
-    if (this.#refusal !== undefined) return;
+    if (this.#refusal !== undefined) {
+      this.#refusalBytes += chunk.length;
+      if (this.#refusalBytes > MAX_REFUSAL_BYTES) controller.abort(new Error(ENDLESS_REFUSAL));
+      return;
+    }
     this.#keep(chunk);
     const sink = this.#sink;
     if (sink === undefined || sink.isGone || sink.write(chunk)) return;
@@ -130,8 +137,7 @@
     const { attempt, post } = this.#options;
     if (!this.#finish()) return;
     if (this.#refusal !== undefined) {
-      const ending = this.#options.isGuard ? 'answered' : 'shed';
-      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending });
+      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending: this.#findEnding() });
     } else if (this.#isWhole) {
       post({ kind: 'answer-complete', attempt, answer: this.#formStoredAnswer() });
       this.#sink?.end();
@@ -142,26 +148,30 @@
   }
 
   onResponseError(_controller: Controller | undefined, error: Error): void {
+    this.#fail(this.#cancelReason ?? error.message);
+  }
+
+  // Internals.
+
+  #fail(cause: string): void {
     const { attempt, post } = this.#options;
-    if (!this.#finish(this.#cancelReason ?? error.message)) return;
+    if (!this.#finish(cause)) return;
+    const failure = this.#refusal ?? this.#formFailure();
+    post({ kind: 'attempt-failed', attempt, failure, ending: this.#findEnding() });
+  }
+
+  #formFailure(): AttemptFailure {
     const isSent = this.#controller !== undefined;
     const outcome = isSent ? 'unknown' : 'not-run';
     const reason = this.#cancelReason === 'deadline' ? 'deadline' : 'upstream-failed';
-    post({
-      kind: 'attempt-failed',
-      attempt,
-      failure: { outcome, reason },
-      ending: this.#findEnding(),
-    });
+    return { outcome, reason };
   }
 
-  // Internals.
-
   /** Tells whether the head is that of the attempt's own answer, and acts where it is not. */
   #isAnswer(controller: Controller, status: number, headers: IncomingHttpHeaders): boolean {
-    const verdict = this.#options.judge(status, headers);
+    const verdict = judgeAnswer(this.#options.readProof(status, headers));
     if (verdict === 'not-run') this.#refusal = { outcome: 'not-run', reason: 'shed' };
-    if (verdict === 'foreign') controller.abort(new Error('the answer is to another request'));
+    if (verdict === 'unproven') controller.abort(new Error(UNPROVEN));
     return verdict === 'answer';
   }
 
@@ -182,6 +192,8 @@
   }
 
   #findEnding(): RunEnding {
+    if (this.#refusal !== undefined) return this.#options.isGuard ? 'answered' : 'shed';
+    if (this.#cancelReason === 'withdrawn') return 'cancelled';
     if (this.#controller === undefined) return 'not-sent';
     return this.#cancelReason === undefined ? 'lost' : 'cancelled';
   }
@@ -215,6 +227,11 @@
 const MAX_KEPT_BYTES = 64 * 1024;
 /** What is held for a slow caller where the backend server's connection cannot wait. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
+/** Refusals bear a line of text at most; a longer body is not worth its connection. */
+const MAX_REFUSAL_BYTES = 16 * 1024;
+const ENDLESS_REFUSAL = 'the body of the refusal does not end';
+const CANCELLED = 'the attempt was cancelled';
+const UNPROVEN = 'nothing proves that the answer belongs to the attempt';
 const TOO_SLOW = 'the caller reads too slowly for an answer that ends with its connection';
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -1,5 +1,6 @@
 /** The `run` command: starts the roles of a process and stops them on a signal. */
 import { randomBytes, randomInt } from 'node:crypto';
+import type { Clock } from '../clock.js';
 import { SystemClock } from '../clock.js';
 import { LinkTask } from '../edge/index.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
@@ -10,12 +11,14 @@
 import { CallMetrics } from './call-metrics.js';
 import { createTracer } from './create-tracer.js';
 import type { Fronts } from './fronts.js';
-import { createLogger } from './logger.js';
+import { createLineSink } from './line-sink.js';
+import { BoundedLog } from './logger.js';
 import type { Log } from './logger.js';
 import { runLedger } from './run-ledger.js';
 import { addProcessMetrics } from './process-metrics.js';
 import type { RunningRole } from './running-role.js';
 import { MembershipLog } from './membership-log.js';
+import { RecoveryLog } from './recovery-log.js';
 import { runMembers } from './run-members.js';
 import { runProxy } from './run-proxy.js';
 import { runSource } from './run-source.js';
@@ -30,20 +33,20 @@
   fronts: Fronts,
   settingsFile: string,
 ): Promise<number> {
-  const logger = createLogger(settings.host, settings.logLevel);
-  const log: Log = (event, fields) => {
-    logger.info({ event, ...fields });
-  };
+  const clock = new SystemClock();
+  const { host, logLevel: level } = settings;
+  const logs = new BoundedLog({ host, level, clock, sink: createLineSink() });
+  const log = logs.write;
   const reportFailure: ReportFailure = (task, error) => {
-    logger.fatal({ event: 'task-failed', task, err: error });
+    logs.writeFailure(task, error);
     process.exit(EXIT_FAILED);
   };
-  const clock = new SystemClock();
   const random = new SeededRandom(randomInt(MAX_SEED));
   const roles: RunningRole[] = [];
   const pass = randomBytes(PASS_BYTES).toString('base64url');
   const registry = new MetricsRegistry();
-  const membershipLog = new MembershipLog(settings.host, log, clock);
+  const membershipLog = new MembershipLog(host, log);
+  const recovery = createRecoveryLog(settings, log, clock);
   const status = createStatusTask({ settings, clock, registry, reportFailure });
   const links = new LinkTask({
     host: settings.host,
@@ -53,6 +56,7 @@
     random,
     reportFailure,
     notify: (event: LinkEvent) => {
+      recovery.handleLink(event);
       members.handleLink(event);
       for (const role of roles) role.handleLink(event);
     },
@@ -71,6 +75,7 @@
     postLink,
     notify: (event) => {
       membershipLog.handle(event);
+      recovery.handleMembership(event);
       if (event.kind !== 'broadcast') status.post(event);
       for (const role of roles) role.handleMembership(event);
     },
@@ -92,7 +97,7 @@
 
   addProcessMetrics(registry, links);
   const tracer = await createTracer(settings.host, settings.traces);
-  const observer = new CallLog({ log, clock, next: new CallMetrics(registry) });
+  const observer = new CallLog({ log, next: new CallMetrics(registry) });
 
   await status.start();
   await links.start();
@@ -101,7 +106,7 @@
     const { host, control, spread } = settings;
     const front = fronts.createOperatorFront(source);
     const shared = { host, settings: source, dataFolder, control, spread: spread.policy, front };
-    const tools = { clock, random, log, reportFailure, postLink, report };
+    const tools = { clock, random, log, recovery, reportFailure, postLink, report };
     roles.push(await runSource({ ...shared, ...tools }));
   }
   if (settings.roles.includes('ledger') && ledger && dataFolder !== undefined) {
@@ -110,7 +115,7 @@
     roles.push(await runLedger({ ...shared, clock, random, log, reportFailure, postLink }));
   }
   if (settings.roles.includes('proxy') && proxy) {
-    const shared = { settings, proxy, pass, clock, random, log, reportFailure, fronts };
+    const shared = { settings, proxy, pass, clock, random, log, recovery, reportFailure, fronts };
     roles.push(await runProxy({ ...shared, postLink, postMembers, report, tracer, observer }));
   }
   await members.start();
@@ -127,6 +132,7 @@
   await tracer.stop();
   await status.stop();
   log('stopped');
+  await logs.close();
   return 0;
 }
 
@@ -136,6 +142,12 @@
 const MAX_SEED = 2 ** 31;
 const PASS_BYTES = 9;
 
+function createRecoveryLog(settings: Settings, log: Log, clock: Clock): RecoveryLog {
+  const { host, proxy, source } = settings;
+  const sources = [...(proxy?.sources ?? []), ...(source?.replicas ?? [])];
+  return new RecoveryLog({ host, log, clock, sources });
+}
+
 function waitForSignal(): Promise<void> {
   return new Promise((resolve) => {
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
 import type { Dispatcher } from 'undici';
+import type { AnswerProof } from '../src/calls/index.js';
 import { CallAttempt } from '../src/edge/call-attempt.js';
 import { LinkPacer } from '../src/edge/link-pacer.js';
 import type { AttemptId } from '../src/ids.js';
@@ -10,6 +11,7 @@
 
 const LINK_BYTES_PER_SECOND = 325_000;
 const LARGE_BYTES = 90_000;
+const SIGNED: AnswerProof = { isOwn: true, isSigned: true, statesNotRun: false, isPromise: false };
 
 /** A response to another proxy that counts what is written to it. */
 class FakeResponse extends EventEmitter {
@@ -58,7 +60,7 @@
     isGuard: false,
     keepsAnswer: false,
     method: 'GET',
-    judge: () => 'answer',
+    readProof: () => SIGNED,
     post: ({ kind }) => {
       told.push(kind);
       if (kind === 'answer-started') {
