--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -50,6 +50,11 @@
     // Nothing to count by default.
   }
 
+  /** Called when something came on a connection that is no request, or that came too late for one. */
+  refuseConnection(_cause: string | undefined): void {
+    // Nothing to count by default.
+  }
+
   /** Called once for each attempt that was sent. */
   endAttempt(_end: AttemptEnd): void {
     // Nothing to count by default.
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -118,6 +118,7 @@
     server.maxConnections = MAX_CONNECTIONS;
     this.#connections.watch(server);
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+      if (socket.writable) this.#observer.refuseConnection(error.code);
       this.#connections.refuse(socket, error.code);
     });
   }
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -44,6 +44,13 @@
     this.#options.log('call-failed', { ...fields, ...formDropped(dropped) });
   }
 
+  override refuseConnection(cause: string | undefined): void {
+    this.#options.next.refuseConnection(cause);
+    const dropped = this.#calls.admit();
+    if (dropped === undefined) return;
+    this.#options.log('connection-refused', { cause, ...formDropped(dropped) });
+  }
+
   override endAttempt(end: AttemptEnd): void {
     this.#options.next.endAttempt(end);
     if (isGood(end.status)) return;
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -45,6 +45,13 @@
   t.like(lines[0], { event: 'attempt-failed', cause: 'other side closed', request: 'a-1' });
 });
 
+test('refused connection: cause', (t) => {
+  const { lines, clock, log } = startLog();
+  const calls = new CallLog({ log, clock, next: new NoObserver() });
+  calls.refuseConnection('ERR_HTTP_REQUEST_TIMEOUT');
+  t.deepEqual(lines, [{ event: 'connection-refused', cause: 'ERR_HTTP_REQUEST_TIMEOUT' }]);
+});
+
 test('lines are bounded', (t) => {
   const { lines, clock, log } = startLog();
   const calls = new CallLog({ log, clock, next: new NoObserver() });
