--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -37,6 +37,11 @@
     this.#options.log('call-failed', () => formCallFields(end), share);
   }
 
+  override refuseConnection(cause: string | undefined): void {
+    this.#options.next.refuseConnection(cause);
+    this.#options.log('connection-refused', { cause });
+  }
+
   override endAttempt(end: AttemptEnd): void {
     this.#options.next.endAttempt(end);
     if (isGood(end.status) && end.outcome === 'answered') return;
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -53,6 +53,7 @@
   'announcement-rejected': FULL,
   'call-failed': FULL,
   'call-late': ORDINARY,
+  'connection-refused': FULL,
   'attempt-failed': FULL,
   'call-sent-again': FULL,
 } satisfies Record<string, LineRate>;
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -120,6 +120,14 @@
   t.like(lines.at(-1), { event: 'call-sent-again', ...fields });
 });
 
+test('refused connection: cause', (t) => {
+  const { lines, log } = startLog();
+  const calls = new CallLog({ log, next: new NoObserver() });
+  calls.refuseConnection('ERR_HTTP_REQUEST_TIMEOUT');
+  t.is(lines.length, 1);
+  t.like(lines[0], { event: 'connection-refused', cause: 'ERR_HTTP_REQUEST_TIMEOUT' });
+});
+
 test('lines are bounded', (t) => {
   const { lines, clock, log } = startLog();
   const calls = new CallLog({ log, next: new NoObserver() });
