Show the way from an id to its cause with lines of a run that can be repeated

The page for operators had steps but no lines, and nothing on late answers, on a call that ran twice or on a fleet that does not come back.

--- /dev/null
+++ b/scripts/run-walks.mjs
@@ -0,0 +1,10 @@
+// Shows, on a small mesh of separate processes, what is logged of requests that fail.
+import { spawnSync } from 'node:child_process';
+import { join } from 'node:path';
+import { compileSources } from './compile.mjs';
+
+const root = join(import.meta.dirname, '..');
+await compileSources();
+const walks = join(root, 'build', 'bench', 'failure-walks.js');
+const run = spawnSync(process.execPath, [walks], { cwd: root, stdio: 'inherit' });
+process.exitCode = run.status ?? 1;
