--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -33,22 +33,24 @@
       if ((end.lateMs ?? 0) > 0) this.#options.log('call-late', () => formLateFields(end));
       return;
     }
-    const share = end.outcome === 'not-run' ? 'refused-call' : undefined;
-    this.#options.log('call-failed', () => formCallFields(end), share);
+    this.#options.log('call-failed', () => formCallFields(end), formShare('call', end));
   }
 
   override endAttempt(end: AttemptEnd): void {
     this.#options.next.endAttempt(end);
     if (isGood(end.status) && end.outcome === 'answered') return;
-    const share = end.outcome === 'not-run' ? 'refused-attempt' : undefined;
-    this.#options.log('attempt-failed', () => formAttemptFields(end), share);
+    this.#options.log('attempt-failed', () => formAttemptFields(end), formShare('attempt', end));
   }
 
   override sendAgain(request: string | undefined, again: SentAgain): void {
     this.#options.next.sendAgain(request, again);
     // Apart from the others, so that these lines are there when a call may have run twice.
-    const share = again.isIdempotent ? undefined : 'once-only-call';
-    this.#options.log('call-sent-again', () => formAgainFields(request, again), share);
+    const kind = again.isIdempotent ? 'again' : 'once-only-again';
+    this.#options.log(
+      'call-sent-again',
+      () => formAgainFields(request, again),
+      formShare(kind, again),
+    );
   }
 }
 
@@ -60,6 +62,18 @@
   return status !== undefined && status < FIRST_BAD_STATUS;
 }
 
+/** What may have run is bounded apart from refusals, and those apart from guards that had no free slot. */
+function formShare(
+  kind: string,
+  {
+    outcome,
+    reason,
+  }: { readonly outcome?: string | undefined; readonly reason?: string | undefined },
+): string {
+  if (reason === 'busy') return `${kind} busy`;
+  return outcome === 'not-run' ? `${kind} refused` : kind;
+}
+
 function formCallFields(end: CallEnd): LogFields {
   const { isForwarded, request, attempt, path, status, reason, outcome, milliseconds } = end;
   const side = isForwarded ? 'guard' : 'entry';
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -120,6 +120,25 @@
   t.like(lines.at(-1), { event: 'call-sent-again', ...fields });
 });
 
+test('shed calls beside many that found no free slot', (t) => {
+  const { lines, log } = startLog();
+  const calls = new CallLog({ log, next: new NoObserver() });
+  const refused = { ...LOST, outcome: 'not-run', proof: 'guard-answer' } as const;
+  for (let count = 0; count < 1_000; count += 1) {
+    calls.sendAgain('a-0', { ...AGAIN, reason: 'busy' });
+    calls.endAttempt({ ...refused, reason: 'busy' });
+  }
+  calls.sendAgain('a-1', AGAIN);
+  calls.endAttempt({ ...refused, reason: 'shed' });
+  t.deepEqual(
+    lines.slice(-2).map(({ event, reason }) => [event, reason]),
+    [
+      ['call-sent-again', 'shed'],
+      ['attempt-failed', 'shed'],
+    ],
+  );
+});
+
 test('lines are bounded', (t) => {
   const { lines, clock, log } = startLog();
   const calls = new CallLog({ log, next: new NoObserver() });
