Look for callers that left before a busy proxy sends anything

Cause: libuv reads the end of a connection one turn after its last bytes. A proxy looked for it only when the last turns took 50 ms or more, so in turns of 4 to 50 ms it sent attempts for callers who had gone.

A turn of 4 ms is now enough to poll the sockets once more before a call is decided on. The lag that is taken off deadlines keeps its bound of 50 ms. Idle processes poll no more than before.

--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -177,7 +177,7 @@
       else this.#acceptCall(call, arrivedAt);
     };
     // A fresh connection may have waited to be accepted, which the lag does not show.
-    if (lagMs > 0 || isFirst) runAfterPoll(accept);
+    if (this.#lag.isBusy || isFirst) runAfterPoll(accept);
     else accept();
   }
 
--- a/src/edge/loop-lag.ts
+++ b/src/edge/loop-lag.ts
@@ -15,21 +15,31 @@
   #measuredAt = performance.now();
   #idleMs = performance.nodeTiming.idleTime;
   #turn = performance.nodeTiming.uvMetricsInfo.loopCount;
-  #lagMs = 0;
+  #meanMs = 0;
+
+  /** Tells whether the ends of connections may not have been read yet, as of the last measurement. */
+  get isBusy(): boolean {
+    return this.#meanMs >= MIN_BUSY_MS;
+  }
 
   /** Returns milliseconds; call it for each message that was read. Short times count as none. */
   measure(): number {
     const { idleTime, uvMetricsInfo } = performance.nodeTiming;
     const turns = uvMetricsInfo.loopCount - this.#turn;
-    if (turns === 0) return this.#lagMs;
+    if (turns === 0) return this.#readLag();
     const now = performance.now();
     const busyMs = now - this.#measuredAt - (idleTime - this.#idleMs);
-    const meanMs = busyMs / turns;
-    this.#lagMs = meanMs < MIN_LAG_MS ? 0 : meanMs;
+    this.#meanMs = busyMs / turns;
     this.#measuredAt = now;
     this.#idleMs = idleTime;
     this.#turn = uvMetricsInfo.loopCount;
-    return this.#lagMs;
+    return this.#readLag();
+  }
+
+  // Internals.
+
+  #readLag(): number {
+    return this.#meanMs < MIN_LAG_MS ? 0 : this.#meanMs;
   }
 }
 
@@ -37,3 +47,5 @@
 
 /** A sound process handles what one poll brings within a few milliseconds. */
 const MIN_LAG_MS = 50;
+/** libuv reads the end of a connection one turn after its last bytes; a caller may leave during a turn this long. */
+const MIN_BUSY_MS = 4;
--- a/test/platform-calls.test.ts
+++ b/test/platform-calls.test.ts
@@ -7,6 +7,8 @@
 import { request } from 'undici';
 import { waitFor } from '../bench/mesh.js';
 import { PlatformCallFront } from '../platform/platform-call-front.js';
+import type { AttemptEnd } from '../src/calls/index.js';
+import { CallObserver, NoObserver } from '../src/calls/index.js';
 import type { CallerId, InstanceId } from '../src/ids.js';
 import { splitAddress } from '../src/ids.js';
 import { CallMesh } from './call-mesh.js';
@@ -34,13 +36,27 @@
   response.end(text);
 }
 
-async function start(t: ExecutionContext, answers: readonly (Answer | undefined)[]) {
+/** Counts the attempts that were sent to other proxies. */
+class ForwardedCount extends CallObserver {
+  forwarded = 0;
+
+  override endAttempt({ isLocal }: AttemptEnd): void {
+    if (!isLocal) this.forwarded += 1;
+  }
+}
+
+async function start(
+  t: ExecutionContext,
+  answers: readonly (Answer | undefined)[],
+  observer: CallObserver = new NoObserver(),
+) {
   const mesh = await CallMesh.start({
     whole: WHOLE,
     answers,
     server: { instance: 'i-1' as InstanceId, warmAt: 0 as never },
     front: new PlatformCallFront(),
     caller: 'catalogue' as CallerId,
+    observer,
   });
   t.teardown(() => mesh.stop());
   return mesh;
@@ -198,6 +214,26 @@
   t.is(mesh.serverAt(1).countRuns(), 1);
 });
 
+test.serial('caller gone during a short turn: nothing is sent', async (t) => {
+  const observer = new ForwardedCount();
+  const mesh = await start(t, [undefined, answer], observer);
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const head = `GET /read/x HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: left\r\n\r\n`;
+  for (let index = 0; index < 10; index += 1) {
+    const socket = connect(port, host);
+    await new Promise((resolve) => socket.once('connect', resolve));
+    socket.write(head);
+    await once(socket, 'data');
+    const sent = observer.forwarded;
+    const until = performance.now() + 40;
+    socket.write(head);
+    socket.destroy();
+    while (performance.now() < until);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    t.is(observer.forwarded, sent, 'the caller had gone before its second call was read');
+  }
+});
+
 test.serial('caller past its deadline when its call was read', async (t) => {
   const mesh = await start(t, [undefined, answer]);
   const { host, port } = splitAddress(mesh.at(0).calls);
