Leave large answers only the room that short ones do not take

The first 8 KB of each answer went out beside the rate of the pacer. Every byte written now counts, up to a second ahead. The new test failed before: more than 0.8 of the link was written in a second.

--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -9,7 +9,7 @@
  * Shares a part of a link out among the answers that go over it.
  *
  * The first part of each answer is written at once, so that short answers never wait. The rest goes out in
- * pieces, always of the answer of which the least is left: sent all at the same time, or in the order in which
+ * pieces, in the room that short answers leave, always of the answer of which the least is left: sent all at the same time, or in the order in which
  * they began, all of them would be late while more is asked for than the link carries.
  */
 export class LinkPacer {
@@ -29,8 +29,13 @@
 
   /** Opens an answer whose bytes go over the link. */
   open(response: ServerResponse): AnswerSink {
-    const sink = new PacedSink(response, this.#held, () => {
-      this.#enqueue(sink);
+    const sink = new PacedSink(response, this.#held, {
+      enqueue: () => {
+        this.#enqueue(sink);
+      },
+      charge: (bytes) => {
+        this.#charge(bytes);
+      },
     });
     return sink;
   }
@@ -48,8 +53,7 @@
     const pieceBytes = Math.max(MIN_PIECE_BYTES, this.#bytesPerMs * AHEAD_MS);
     let sink = this.#findShortest();
     while (sink !== undefined && this.#nextAt <= end) {
-      const sent = sink.sendPiece(pieceBytes);
-      this.#nextAt = addMs(Math.max(this.#nextAt, now) as Instant, sent / this.#bytesPerMs);
+      sink.sendPiece(pieceBytes);
       sink = this.#findShortest();
     }
     if (sink === undefined) return;
@@ -59,6 +63,13 @@
     });
   }
 
+  /** Counts bytes that were written; what short answers take ahead of the rate is bounded. */
+  #charge(bytes: number): void {
+    const now = this.#clock.read();
+    const paidAt = addMs(Math.max(this.#nextAt, now) as Instant, bytes / this.#bytesPerMs);
+    this.#nextAt = Math.min(paidAt, addMs(now, MAX_DEBT_MS)) as Instant;
+  }
+
   #findShortest(): PacedSink | undefined {
     let shortest: PacedSink | undefined;
     for (const sink of this.#queue) {
@@ -74,11 +85,19 @@
   total: number;
 }
 
+/** How an answer uses the link. */
+interface LinkUse {
+  /** The answer waits for its turn. */
+  readonly enqueue: () => void;
+  /** Bytes were written. */
+  readonly charge: (bytes: number) => void;
+}
+
 /** Holds the rest of one answer until the link has room for it. */
 class PacedSink extends AnswerSink {
   readonly #response: ServerResponse;
   readonly #all: HeldBytes;
-  readonly #enqueue: () => void;
+  readonly #link: LinkUse;
   readonly #held: Buffer[] = [];
   #heldBytes = 0;
   #freeBytes = FREE_BYTES;
@@ -86,14 +105,14 @@
   #isBlocked = false;
   #notifyDrained: (() => void) | undefined;
 
-  constructor(response: ServerResponse, all: HeldBytes, enqueue: () => void) {
+  constructor(response: ServerResponse, all: HeldBytes, link: LinkUse) {
     super();
     this.#response = response;
     this.#all = all;
-    this.#enqueue = enqueue;
+    this.#link = link;
     response.on('drain', () => {
       this.#isBlocked = false;
-      if (!this.isIdle) this.#enqueue();
+      if (!this.isIdle) this.#link.enqueue();
     });
     response.on('close', () => {
       this.#held.length = 0;
@@ -123,11 +142,11 @@
   override write(chunk: Buffer): boolean {
     const free = Math.min(chunk.length, this.#heldBytes === 0 ? this.#freeBytes : 0);
     this.#freeBytes -= free;
-    if (free > 0) this.#isBlocked = !this.#response.write(chunk.subarray(0, free));
+    if (free > 0) this.#send(chunk.subarray(0, free));
     if (free < chunk.length) {
       this.#held.push(chunk.subarray(free));
       this.#hold(chunk.length - free);
-      if (!this.isIdle) this.#enqueue();
+      if (!this.isIdle) this.#link.enqueue();
     }
     if (this.#heldBytes === 0) return true;
     return this.#heldBytes <= MAX_HELD_BYTES && this.#all.total <= MAX_TOTAL_HELD_BYTES;
@@ -142,22 +161,26 @@
     this.#notifyDrained = resume;
   }
 
-  /** Writes one piece of what is held; returns its length. */
-  sendPiece(maxBytes: number): number {
+  /** Writes one piece of what is held. */
+  sendPiece(maxBytes: number): void {
     const [first] = this.#held;
-    if (first === undefined || this.isIdle) return 0;
+    if (first === undefined) return;
     const piece = first.subarray(0, maxBytes);
     if (piece.length === first.length) this.#held.shift();
     else this.#held[0] = first.subarray(maxBytes);
     this.#hold(-piece.length);
-    this.#isBlocked = !this.#response.write(piece);
+    this.#send(piece);
     if (this.#heldBytes <= MAX_HELD_BYTES / 2) this.#release();
     if (this.#isEnded && this.#heldBytes === 0) this.#response.end();
-    return piece.length;
   }
 
   // Internals.
 
+  #send(bytes: Buffer): void {
+    this.#link.charge(bytes.length);
+    this.#isBlocked = !this.#response.write(bytes);
+  }
+
   #hold(bytes: number): void {
     this.#heldBytes += bytes;
     this.#all.total += bytes;
@@ -178,6 +201,7 @@
 /** What goes out ahead of the rate with each answer; longer answers are rare where links are narrow. */
 const FREE_BYTES = 8 * 1024;
 const MIN_PIECE_BYTES = 4 * 1024;
+const MAX_DEBT_MS = 1_000;
 /** Timers fire late, so a little is sent ahead of the rate. */
 const AHEAD_MS = 10;
 /** An answer of which so much is held is no longer read from its backend server. */
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -112,6 +112,23 @@
   t.true(response.isEnded);
 });
 
+test('large answers take the room that short ones leave', (t) => {
+  const { clock, open } = startPacer();
+  const large = open();
+  large.sink.write(Buffer.alloc(4 * LARGE_BYTES));
+  let shortBytes = 0;
+  for (let step = 0; step < 100; step += 1) {
+    const { sink } = open();
+    sink.write(Buffer.alloc(1_000));
+    sink.end();
+    shortBytes += 1_000;
+    clock.advance(10);
+  }
+  const written = large.response.writtenBytes + shortBytes;
+  t.true(written <= LINK_BYTES_PER_SECOND * 0.8);
+  t.true(written >= LINK_BYTES_PER_SECOND * 0.7);
+});
+
 test('large answers over a wide link', (t) => {
   const { clock, open } = startPacer(125_000_000);
   const answers = Array.from({ length: 100 }, open);
