--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -9,8 +9,9 @@
  * Shares a part of a link out among the answers that go over it.
  *
  * The first part of each answer is written at once, so that short answers never wait. The rest goes out in
- * pieces, in the room that short answers leave, always of the answer of which the least is left: sent all at the same time, or in the order in which
- * they began, all of them would be late while more is asked for than the link carries.
+ * pieces, in the room that short answers leave, always of the answer of which the least is left: sent all at
+ * the same time, or in the order in which they began, all of them would be late while more is asked for than
+ * the link carries.
  */
 export class LinkPacer {
   readonly #clock: Clock;
@@ -56,7 +57,7 @@
       sink.sendPiece(pieceBytes);
       sink = this.#findShortest();
     }
-    if (sink === undefined) return;
+    if (sink === undefined || this.#cancelTimer !== undefined) return;
     this.#cancelTimer = this.#clock.callAt(addMs(this.#nextAt, -AHEAD_MS), () => {
       this.#cancelTimer = undefined;
       this.#sendDue();
