--- a/bench/reserved-slots.ts
+++ b/bench/reserved-slots.ts
@@ -2,7 +2,7 @@
  * Private and shared slots, after the space partitioning of "DSPE: Profit Maximization in Edge-Cloud
  * Storage System using Dynamic Space Partitioning with Erasure Code" (Roy, Sarkar, Verma, Sahu).
  */
-import type { MatchWaiting, Waiting } from '../src/calls/index.js';
+import type { Waiting } from '../src/calls/index.js';
 import { SlotPolicy } from '../src/calls/index.js';
 import { compareWaiting } from '../src/calls/slot-policy.js';
 import type { AttemptId, Instant, RequestKindName } from '../src/ids.js';
@@ -52,9 +52,9 @@
     return isRemoved;
   }
 
-  override takeNext(slots: number, _now: Instant, mayRun: MatchWaiting): Waiting | undefined {
+  override takeNext(slots: number): Waiting | undefined {
     const hasShared = this.#countSharedUse(slots) < this.#countShared(slots);
-    const next = this.#waiting.filter(mayRun).find(({ head: { requestKind } }) => {
+    const next = this.#waiting.find(({ head: { requestKind } }) => {
       return hasShared || this.#countRunning(requestKind) < this.#countPrivate(requestKind, slots);
     });
     if (next !== undefined) this.remove(next.head.attempt);
@@ -65,14 +65,14 @@
     return this.#waiting.pop();
   }
 
-  override takeMatching(matches: MatchWaiting): Waiting[] {
+  override takeMatching(matches: (waiting: Waiting) => boolean): Waiting[] {
     const taken = this.#waiting.filter(matches);
     this.#waiting = this.#waiting.filter((one) => !taken.includes(one));
     return taken;
   }
 
-  override countAhead(priority: number, matches: MatchWaiting): number {
-    return this.#waiting.filter((one) => one.priority >= priority && matches(one)).length;
+  override countAhead(priority: number): number {
+    return this.#waiting.filter((one) => one.priority >= priority).length;
   }
 
   override count(): number {
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -59,7 +59,6 @@
           subject,
           suspect,
           onlyIfFree: this.#mayBeDeclined(state, call, now),
-          hasLargeAnswer: requestKind.largeAnswers === true,
         },
         count,
         keepsAnswer: needsClaim(requestKind, head),
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -10,7 +10,7 @@
 } from '../messages/index.js';
 import { measureWarmth } from './server-load.js';
 import { RunEstimate } from './run-estimate.js';
-import type { MatchWaiting, SlotPolicy, Waiting } from './slot-policy.js';
+import type { SlotPolicy, Waiting } from './slot-policy.js';
 
 /** What follows for an attempt: it runs now, waits, or certainly does not run. */
 export type Admission =
@@ -38,8 +38,6 @@
   readonly #estimate = new RunEstimate();
   /** Slots that are held back until the server has noticed a cancellation. */
   readonly #settling: Instant[] = [];
-  /** Runs with large answers. */
-  #largeRunning = 0;
   #announcement: Announcement;
   #readySince: Instant;
   /** When a dead server is asked again; `undefined` while the server is alive. */
@@ -94,7 +92,7 @@
   admit(head: AttemptHead, now: Instant): Admission[] {
     const refusal = this.#findRefusal(head, now);
     if (refusal !== undefined) return [formReject(head.attempt, refusal)];
-    if (head.onlyIfFree === true && this.#countFree(now) <= this.#countReady(now)) {
+    if (head.onlyIfFree === true && this.#countFree(now) <= this.#policy.count()) {
       return [formReject(head.attempt, 'busy', this.measureLoad())];
     }
     this.#policy.addArrival(head.requestKind, now);
@@ -114,7 +112,7 @@
   startWaiting(now: Instant): Admission[] {
     const outcomes: Admission[] = [];
     while (this.#countFree(now) > 0) {
-      const next = this.#policy.takeNext(this.#countSlots(now), now, this.#makeGate(now));
+      const next = this.#policy.takeNext(this.#countSlots(now), now);
       if (next === undefined) break;
       outcomes.push(this.#start(next, now));
     }
@@ -155,7 +153,6 @@
     const run = this.#running.get(attempt);
     if (run === undefined) return;
     this.#running.delete(attempt);
-    if (run.head.hasLargeAnswer === true) this.#largeRunning -= 1;
     this.#policy.removeRun(run.head.requestKind);
     if (ending === 'answered') this.#estimate.add(run.head.requestKind, now - run.startedAt, now);
     if (ending === 'cancelled') this.#hold(addMs(now, CANCEL_SETTLE_MS));
@@ -221,41 +218,12 @@
 
   /** When a slot is expected for an attempt that arrives now. */
   #findStart(head: AttemptHead, now: Instant): Instant {
-    const priority = this.#findPriority(head);
     const free = this.#countFree(now);
-    const ahead = this.#policy.countAhead(priority, this.#makeGate(now)) + 1 - free;
+    const ahead = this.#policy.countAhead(this.#findPriority(head)) + 1 - free;
     const turnMs = this.#estimate.findOverall() / this.#countSlots(now);
-    const start = addMs(now, Math.max(0, ahead) * turnMs);
-    if (head.hasLargeAnswer !== true) return start;
-    return Math.max(start, this.#findLargeStart(head, priority, now)) as Instant;
-  }
-
-  /** When one of the slots that large answers may hold is expected to be free. */
-  #findLargeStart({ requestKind }: AttemptHead, priority: number, now: Instant): Instant {
-    const most = this.#countLargeSlots(now);
-    const ahead = this.#policy.countAhead(priority, isLarge) + 1 - (most - this.#largeRunning);
-    const turnMs = this.#estimate.findMean(requestKind) / most;
     return addMs(now, Math.max(0, ahead) * turnMs);
   }
 
-  /**
-   * Lets attempts with large answers take only a part of the slots: they hold them while their answers pass
-   * narrow links, and short runs, on which runs at other servers may wait, must not queue behind them.
-   */
-  #makeGate(now: Instant): MatchWaiting {
-    const hasLargeSlot = this.#largeRunning < this.#countLargeSlots(now);
-    return (waiting) => hasLargeSlot || !isLarge(waiting);
-  }
-
-  /** Counts the attempts that wait and would take the next free slots. */
-  #countReady(now: Instant): number {
-    return this.#policy.countAhead(0, this.#makeGate(now));
-  }
-
-  #countLargeSlots(now: Instant): number {
-    return Math.max(1, Math.floor(this.#countSlots(now) * LARGE_ANSWER_SHARE));
-  }
-
   #findLatestStart(head: AttemptHead, now: Instant): Instant {
     return addMs(now, (head.deadline - now) * MAX_WAIT_SHARE);
   }
@@ -267,7 +235,6 @@
   #start({ head }: Waiting, now: Instant): Admission {
     if (this.#isLate(head, now)) return formReject(head.attempt, 'deadline');
     this.#running.set(head.attempt, { head, startedAt: now });
-    if (head.hasLargeAnswer === true) this.#largeRunning += 1;
     this.#policy.addRun(head.requestKind);
     const { instance } = this.#announcement;
     return { kind: 'run', head, connections: this.#countConnections(), instance };
@@ -323,13 +290,6 @@
 /** The part of its remaining time that a call may spend waiting for a slot. */
 const MAX_WAIT_SHARE = 0.8;
 
-/** The part of its slots that runs with large answers may hold; the others are left to short runs. */
-const LARGE_ANSWER_SHARE = 0.5;
-
-function isLarge({ head }: Waiting): boolean {
-  return head.hasLargeAnswer === true;
-}
-
 /** A server that others find failing still takes the few calls that try it. */
 function isServing(state: ServerState): boolean {
   return state === 'ready' || state === 'failing';
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -15,4 +15,4 @@
 export type { RetryAllowance } from './retry-budget.js';
 export { SharedSlots } from './shared-slots.js';
 export { SlotPolicy } from './slot-policy.js';
-export type { MatchWaiting, Waiting } from './slot-policy.js';
+export type { Waiting } from './slot-policy.js';
--- a/src/calls/shared-slots.ts
+++ b/src/calls/shared-slots.ts
@@ -1,7 +1,7 @@
 /** One set of slots for all request kinds, given out by worth. */
 import type { AttemptId, Instant } from '../ids.js';
 import { NEVER } from '../clock.js';
-import type { MatchWaiting, Waiting } from './slot-policy.js';
+import type { Waiting } from './slot-policy.js';
 import { SlotPolicy } from './slot-policy.js';
 
 /**
@@ -45,12 +45,11 @@
     return true;
   }
 
-  override takeNext(slots: number, now: Instant, mayRun: MatchWaiting): Waiting | undefined {
+  override takeNext(slots: number, now: Instant): Waiting | undefined {
     this.#updateLate(now);
     const hasLate = this.#hasLate();
     let best: Waiting | undefined;
     for (const queue of this.#queues.values()) {
-      if (!matchesFirst(queue, mayRun)) continue;
       if (best === undefined || readPriority(queue) > best.priority) best = findNext(queue, now);
     }
     if (best !== undefined) {
@@ -70,7 +69,7 @@
     return last;
   }
 
-  override takeMatching(matches: MatchWaiting): Waiting[] {
+  override takeMatching(matches: (waiting: Waiting) => boolean): Waiting[] {
     const all = [...this.#queues.values()].flatMap((queue) => [...queue.values()]);
     const taken = all.filter(matches);
     for (const { head } of taken) this.remove(head.attempt);
@@ -88,10 +87,10 @@
     return taken;
   }
 
-  override countAhead(priority: number, matches: MatchWaiting): number {
+  override countAhead(priority: number): number {
     let ahead = 0;
     for (const queue of this.#queues.values()) {
-      if (readPriority(queue) >= priority && matchesFirst(queue, matches)) ahead += queue.size;
+      if (readPriority(queue) >= priority) ahead += queue.size;
     }
     return ahead;
   }
@@ -149,11 +148,6 @@
   return queue.values().next().value;
 }
 
-function matchesFirst(queue: ReadonlyMap<AttemptId, Waiting>, matches: MatchWaiting): boolean {
-  const first = findFirst(queue);
-  return first !== undefined && matches(first);
-}
-
 function findNext(queue: ReadonlyMap<AttemptId, Waiting>, now: Instant): Waiting | undefined {
   const first = findFirst(queue);
   if (first === undefined || first.latestStart === NEVER) return first;
--- a/src/calls/slot-policy.ts
+++ b/src/calls/slot-policy.ts
@@ -12,9 +12,6 @@
   readonly latestStart: Instant;
 }
 
-/** Tells whether something holds of an attempt that waits. */
-export type MatchWaiting = (waiting: Waiting) => boolean;
-
 /**
  * Orders the attempts that wait for a slot of one backend server.
  *
@@ -38,17 +35,16 @@
   abstract remove(attempt: AttemptId): boolean;
 
   /**
-   * Takes the attempt that runs next out of those that wait and may run, or none when the free slots are
-   * kept for others. `slots` counts all slots of the server, free or not. `mayRun` tells the same of all
-   * attempts of a request kind.
+   * Takes the attempt that runs next out of those that wait, or none when the free slots are kept for
+   * others. `slots` counts all slots of the server, free or not.
    */
-  abstract takeNext(slots: number, now: Instant, mayRun: MatchWaiting): Waiting | undefined;
+  abstract takeNext(slots: number, now: Instant): Waiting | undefined;
 
   /** Takes out the attempt that is worth least. */
   abstract takeLeast(): Waiting | undefined;
 
   /** Takes out every attempt for which `matches` holds. */
-  abstract takeMatching(matches: MatchWaiting): Waiting[];
+  abstract takeMatching(matches: (waiting: Waiting) => boolean): Waiting[];
 
   /**
    * Takes out attempts that can no longer meet their aims and will hardly get one of the `slots` in time either.
@@ -58,11 +54,8 @@
     return [];
   }
 
-  /**
-   * Counts the attempts that would run before a fresh one of this priority, out of those for which `matches`
-   * holds. It tells the same of all attempts of a request kind.
-   */
-  abstract countAhead(priority: number, matches: MatchWaiting): number;
+  /** Counts the attempts that would run before a fresh one of this priority. */
+  abstract countAhead(priority: number): number;
 
   /** Counts the attempts that wait. */
   abstract count(): number;
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -95,7 +95,7 @@
   const { headers, url = '', method = '' } = request;
   const fields = (readHeader(headers, FORWARD_HEADER) ?? '').split(';');
   const [shown = '', server = '', kind = '', worth = '', suspect = ''] = fields;
-  const [digest = '', aimLeft = '', onlyIfFree = '', size = ''] = fields.slice(5);
+  const [digest = '', aimLeft = '', onlyIfFree = ''] = fields.slice(5);
   if (!isSameText(shown, pass)) {
     return makeError({ reason: 'not-trusted', message: `${FORWARD_HEADER} is for proxies only` });
   }
@@ -123,7 +123,6 @@
       subject,
       suspect: suspect === SUSPECT,
       onlyIfFree: onlyIfFree === ONLY_IF_FREE,
-      hasLargeAnswer: size === LARGE,
     };
     return makeOk({ head, count: parseAttempt(headers), caller });
   } catch (error) {
@@ -139,13 +138,12 @@
   now: Instant,
   bodyDigest?: Digest,
 ): string {
-  const { server, requestKind, worth, suspect, aim, onlyIfFree, hasLargeAnswer } = head;
+  const { server, requestKind, worth, suspect, aim, onlyIfFree } = head;
   const aimLeft = aim === undefined ? '' : (aim - now).toFixed(1);
   const mark = suspect ? SUSPECT : '';
   const condition = onlyIfFree === true ? ONLY_IF_FREE : '';
-  const size = hasLargeAnswer === true ? LARGE : '';
-  const call = [server, requestKind, worth, mark, bodyDigest ?? ''];
-  return [pass, ...call, aimLeft, condition, size].join(';');
+  const fields = [pass, server, requestKind, worth, mark, bodyDigest ?? '', aimLeft, condition];
+  return fields.join(';');
 }
 
 /** Formats the load that a guard tells an entry proxy. */
@@ -194,7 +192,6 @@
 const MAX_ATTEMPT = 1_000;
 const SUSPECT = 'suspect';
 const ONLY_IF_FREE = 'free';
-const LARGE = 'large';
 const OWN_PREFIX = 'bilberryswitch-';
 
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -54,8 +54,6 @@
   readonly suspect: boolean;
   /** Whether the guard refuses at once where no slot is free, because another server may have one. */
   readonly onlyIfFree?: boolean;
-  /** Whether the answer is large: it holds its slot until it has passed the links of both hosts. */
-  readonly hasLargeAnswer?: boolean;
 }
 
 /** Where an attempt goes. */
