Drop paced answers at the deadline of their attempt

Once a backend server had answered, nothing bounded the time for which the rest of a large answer waited for the link: a review test had one still open 2.5 s after its limit of 500 ms, and a proxy that stops waits for all open calls. An entry proxy that froze would hold its part of the buffers until TCP gives up. The answer now ends abnormally at the attempt's deadline, as one that was still read did before pacing.

Test: link-pacer 'paced answer is dropped at its deadline' (the pacer had no deadline before).

--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -7,6 +7,7 @@
 import type { HopTracer } from '../traces/index.js';
 import { AttemptReport } from './attempt-report.js';
 import type { CancelReason } from './call-attempt.js';
+import type { AnswerSink } from './answer-sink.js';
 import { CallAttempt } from './call-attempt.js';
 import type { CallFront } from './call-front.js';
 import {
@@ -98,7 +99,7 @@
     const running = this.#attempts.get(attempt);
     const added = load === undefined ? [] : [LOAD_HEADER, formatLoad(load)];
     if (call === undefined) running?.discard();
-    else running?.relay(call.response, added, call.isForwarded ? this.#options.pacer : undefined);
+    else running?.relay(call.response, added, this.#openPaced(call));
   }
 
   /** Closes the connection of an attempt. */
@@ -113,6 +114,11 @@
 
   // Internals.
 
+  /** Answers to other proxies are paced where the rate of the link is known. */
+  #openPaced({ isForwarded, response, deadline }: OpenCall): AnswerSink | undefined {
+    return isForwarded ? this.#options.pacer?.open(response, deadline) : undefined;
+  }
+
   /** The caller went, or its deadline passed, while the attempt was granted a slot. */
   #reportUnsent(
     call: OpenCall | undefined,
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -16,7 +16,6 @@
   REASON_HEADER,
 } from './call-headers.js';
 import { parseReason } from './call-refusal.js';
-import type { LinkPacer } from './link-pacer.js';
 
 /** What an attempt needs. */
 export interface CallAttemptOptions {
@@ -63,9 +62,9 @@
     if (options.keepsAnswer) this.#kept = [];
   }
 
-  /** Passes the answer on to the caller, with further headers; `pacer` is that of the link to the caller. */
-  relay(response: ServerResponse, added: readonly string[], pacer?: LinkPacer): void {
-    this.#sink = pacer?.open(response) ?? new DirectSink(response);
+  /** Passes the answer on to the caller, with further headers; `sink` takes its body. */
+  relay(response: ServerResponse, added: readonly string[], sink?: AnswerSink): void {
+    this.#sink = sink ?? new DirectSink(response);
     if (!response.destroyed) this.#writeHead(response, added);
     this.#controller?.resume();
   }
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -244,6 +244,7 @@
     const { head, count, caller } = parsed.value;
     call.caller = caller;
     call.attempt = count;
+    call.deadline = head.deadline;
     call.streamBody();
     this.post({ kind: 'forwarded', id: call.id, head, count });
   }
--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -28,8 +28,8 @@
     this.#nextAt = clock.read();
   }
 
-  /** Opens an answer whose bytes go over the link. */
-  open(response: ServerResponse): AnswerSink {
+  /** Opens an answer whose bytes go over the link; what is left of it at its deadline is dropped. */
+  open(response: ServerResponse, deadline: Instant): AnswerSink {
     const sink = new PacedSink(response, this.#held, {
       enqueue: () => {
         this.#enqueue(sink);
@@ -37,6 +37,7 @@
       charge: (bytes) => {
         this.#charge(bytes);
       },
+      dropLater: (drop) => this.#clock.callAt(deadline, drop),
     });
     return sink;
   }
@@ -92,6 +93,8 @@
   readonly enqueue: () => void;
   /** Bytes were written. */
   readonly charge: (bytes: number) => void;
+  /** Calls back at the deadline of the answer. */
+  readonly dropLater: (drop: () => void) => CancelTimer;
 }
 
 /** Holds the rest of one answer until the link has room for it. */
@@ -105,6 +108,7 @@
   #isEnded = false;
   #isBlocked = false;
   #notifyDrained: (() => void) | undefined;
+  #cancelDrop: CancelTimer | undefined;
 
   constructor(response: ServerResponse, all: HeldBytes, link: LinkUse) {
     super();
@@ -116,6 +120,7 @@
       if (!this.isIdle) this.#link.enqueue();
     });
     response.on('close', () => {
+      this.#cancelDrop?.();
       this.#held.length = 0;
       this.#hold(-this.#heldBytes);
       this.#release();
@@ -155,7 +160,14 @@
 
   override end(): void {
     this.#isEnded = true;
-    if (this.#heldBytes === 0) this.#response.end();
+    if (this.#heldBytes === 0) {
+      this.#response.end();
+      return;
+    }
+    // Until the backend server has answered, its guard watches over the deadline.
+    this.#cancelDrop = this.#link.dropLater(() => {
+      this.#response.destroy();
+    });
   }
 
   override notifyDrained(resume: () => void): void {
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { CallObserver } from '../calls/index.js';
+import { NEVER } from '../clock.js';
 import type { CallerId, CallId, Instant } from '../ids.js';
 import type { Hop, HopTracer } from '../traces/index.js';
 import type { CallBody } from './call-body.js';
@@ -34,6 +35,8 @@
   body: CallBody = { kind: 'none' };
   /** Who made the call, once its head has been read. */
   caller: CallerId | undefined;
+  /** When the proxy that forwarded the call gives up; later bytes serve nobody. */
+  deadline: Instant = NEVER;
   /** The number of its last attempt; 0 before the first. */
   attempt = 0;
   /** Until when the answer should come, once an attempt was made. */
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -4,6 +4,7 @@
 import test from 'ava';
 import type { Dispatcher } from 'undici';
 import type { AnswerProof } from '../src/calls/index.js';
+import { addMs, NEVER } from '../src/clock.js';
 import { CallAttempt } from '../src/edge/call-attempt.js';
 import { LinkPacer } from '../src/edge/link-pacer.js';
 import type { AttemptId } from '../src/ids.js';
@@ -33,14 +34,19 @@
   end(): void {
     this.isEnded = true;
   }
+
+  destroy(): void {
+    this.destroyed = true;
+    this.emit('close');
+  }
 }
 
 function startPacer(bytesPerSecond = LINK_BYTES_PER_SECOND) {
   const clock = new ManualClock();
   const pacer = new LinkPacer(clock, bytesPerSecond);
-  const open = () => {
+  const open = (deadline = NEVER) => {
     const response = new FakeResponse();
-    return { response, sink: pacer.open(response as unknown as ServerResponse) };
+    return { response, sink: pacer.open(response as unknown as ServerResponse, deadline) };
   };
   return { clock, pacer, open };
 }
@@ -64,7 +70,8 @@
     post: ({ kind }) => {
       told.push(kind);
       if (kind === 'answer-started') {
-        attempt.relay(response as unknown as ServerResponse, [], pacer);
+        const caller = response as unknown as ServerResponse;
+        attempt.relay(caller, [], pacer.open(caller, NEVER));
       }
     },
     onEnd: () => undefined,
@@ -188,3 +195,29 @@
   clock.advance(60_000);
   t.is(resumed, 1);
 });
+
+test('paced answer is dropped at its deadline', (t) => {
+  const { clock, open } = startPacer(20_000);
+  const { response, sink } = open(addMs(clock.read(), 500));
+  sink.write(Buffer.alloc(LARGE_BYTES));
+  sink.end();
+  clock.advance(499);
+  t.false(response.destroyed);
+  clock.advance(1);
+  t.true(response.destroyed);
+  const { writtenBytes } = response;
+  clock.advance(1_000);
+  t.is(response.writtenBytes, writtenBytes);
+});
+
+test('paced answer that ends in time is not dropped', (t) => {
+  const { clock, open } = startPacer();
+  const { response, sink } = open(addMs(clock.read(), 500));
+  sink.write(Buffer.alloc(LARGE_BYTES));
+  sink.end();
+  clock.advance(450);
+  t.true(response.isEnded);
+  response.emit('close');
+  clock.advance(100);
+  t.false(response.destroyed);
+});
