--- a/test/platform-calls.test.ts
+++ b/test/platform-calls.test.ts
@@ -148,6 +148,13 @@
   }
 });
 
+test('failure that states not run as well: not sent again', async (t) => {
+  const ran = failWith(500, { 'X-Not-Executed': '1', 'X-Server-Seal': 'signed' });
+  const mesh = await start(t, [undefined, ran, ran]);
+  t.is((await call(mesh, '/book/x')).status, 500);
+  t.is(mesh.serverAt(1).countRuns() + mesh.serverAt(2).countRuns(), 1);
+});
+
 test('promise of a server that ran the call: not passed on', async (t) => {
   for (const status of [408, 429, 503]) {
     for (const headers of [{}, { 'X-Server-Seal': 'signed' }]) {
