--- a/src/edge/attempt-report.ts
+++ b/src/edge/attempt-report.ts
@@ -71,10 +71,12 @@
 
   #findProof({ failure, ending }: Extract<CallIn, { kind: 'attempt-failed' }>): AttemptProof {
     if (ending === 'not-sent' || !this.#isSent) return 'nothing-sent';
+    if (failure.outcome === 'not-run') {
+      return this.#status === undefined ? 'nothing-sent' : this.#findAnswerProof();
+    }
     const isAnswered = this.#status !== undefined && this.#cause === undefined;
-    if (!isAnswered || this.#hasAnswerBegun) return 'none';
-    if (!this.#options.isLocal) return 'guard-answer';
-    return failure.outcome === 'not-run' ? this.#findAnswerProof() : 'none';
+    if (!isAnswered || this.#hasAnswerBegun || this.#options.isLocal) return 'none';
+    return 'guard-answer';
   }
 
   #findAnswerProof(): AttemptProof {
--- a/test/calls-again.test.ts
+++ b/test/calls-again.test.ts
@@ -193,3 +193,15 @@
   report.handleEnd(200, undefined);
   t.is(findProof(report, 'answered', 'unknown'), 'none');
 });
+
+test('proof: cancelled before it was sent', (t) => {
+  const report = new AttemptReport({ ...LOCAL, isLocal: false });
+  report.handleEnd(undefined, 'withdrawn');
+  t.is(findProof(report, 'cancelled', 'not-run'), 'nothing-sent');
+});
+
+test('proof: refusal that breaks off', (t) => {
+  const report = new AttemptReport({ ...LOCAL, isLocal: false });
+  report.handleEnd(503, 'read ECONNRESET');
+  t.is(findProof(report, 'answered', 'not-run'), 'guard-answer');
+});
