Send no attempt that has no time left

An idempotent call that failed within the last 3 ms of its time was sent again with a deadline that had passed, up to three times, and spent the retries of others. Test: 'no retry: no time left' failed before.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -14,7 +14,7 @@
   updateLoad,
 } from './attempt-outcome.js';
 import type { LastAttempt } from './attempt-placement.js';
-import { AttemptPlacement } from './attempt-placement.js';
+import { AttemptPlacement, findAttemptDeadline } from './attempt-placement.js';
 import type { AttemptState, OpenCall } from './attempt-state.js';
 import {
   cancelAttempt,
@@ -206,7 +206,8 @@
   #retry(state: AttemptState, call: OpenCall, now: Instant, last: LastAttempt): AttemptOut[] {
     const { head, deadline, service, requestKind } = call.routed;
     if (head.attempt > 1 || !head.repeatable) return [];
-    if (call.started - call.declinedBy.length >= MAX_ATTEMPTS || deadline <= now) return [];
+    if (call.started - call.declinedBy.length >= MAX_ATTEMPTS) return [];
+    if (findAttemptDeadline(deadline) <= now) return [];
     const most = requestKind.maxAttempts ?? MAX_ATTEMPTS;
     if (call.reached + call.running.size >= most) return [];
     const budget = findBudget(state, service, this.#retries);
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -54,7 +54,7 @@
           server,
           requestKind: name,
           worth,
-          deadline: addMs(deadline, -ANSWER_MARGIN_MS),
+          deadline: findAttemptDeadline(deadline),
           ...(aim === undefined ? {} : { aim }),
           subject,
           suspect,
@@ -92,6 +92,11 @@
   }
 }
 
+/** The deadline of the attempts of a call. */
+export function findAttemptDeadline(deadline: Instant): Instant {
+  return addMs(deadline, -ANSWER_MARGIN_MS);
+}
+
 // Internals.
 
 /** Servers without a free slot that a call asks before it waits at one. */
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -90,6 +90,14 @@
   t.deepEqual(driver.listKinds(failed), ['upstream-failed unknown']);
 });
 
+test('no retry: no time left', (t) => {
+  const driver = new Driver(2);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 100_000 }) });
+  const failed = { kind: 'attempt-failed', attempt: attemptOf('c'), failure: FAILED } as const;
+  const now = addMs(START, 99_998);
+  t.deepEqual(driver.listKinds(failed, now), ['upstream-failed unknown']);
+});
+
 test('no retry: second layer', (t) => {
   const driver = new Driver(2);
   driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }, { attempt: 2 }) });
