Close the connection of a body that stalls

Where the body itself had stalled, nothing ended that connection any more. A call that is refused because its body comes too slowly now closes it.

Test: 'stalled body: refused, and its connection is closed'.

--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -227,6 +227,8 @@
   #limitBodyTime(call: OpenCall): CancelTimer {
     const { clock } = this.#options;
     return clock.callAt(addMs(clock.read(), BODY_TIMEOUT_MS), () => {
+      // The rest of the body may never come.
+      call.response.shouldKeepAlive = false;
       call.refuse({
         reason: 'bad-request',
         outcome: 'not-run',
--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -521,3 +521,20 @@
     t.true(opened <= guards.size * (callsAtOnce + 1), `${opened} connections were opened`);
   }
 });
+
+const BODY_TIME_LIMIT_MS = 10_000;
+
+test('stalled body: refused, and its connection is closed', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK] });
+  t.teardown(() => mesh.stop());
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const socket = connect(port, host);
+  const startedAt = Date.now();
+  let text = '';
+  socket.on('data', (chunk) => (text += chunk.toString()));
+  socket.write('POST /notes HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nab');
+  await once(socket, 'close');
+  t.regex(text, /^HTTP\/1.1 400 /);
+  t.true(Date.now() - startedAt < BODY_TIME_LIMIT_MS + 3_000);
+  t.is(mesh.serverAt(0).countRuns(), 0);
+});
