--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -167,7 +167,7 @@
     const open = state.attempts.get(attempt);
     if (open === undefined) return [];
     removeAttempt(state, attempt, open);
-    if (open.call.isExpired) return this.#endExpired(state, open.call, 'unknown');
+    if (open.call.isExpired) return this.#closeExpired(state, open.call, 'unknown');
     state.calls.delete(open.call.routed.head.id);
     return [];
   }
@@ -185,7 +185,7 @@
     if (failure.load !== undefined) {
       updateLoad(record, call.routed.requestKind.name, failure.load, now);
     }
-    if (call.isExpired) return this.#endExpired(state, call, failure.outcome);
+    if (call.isExpired) return this.#closeExpired(state, call, failure.outcome);
     if (failure.reason === 'busy' && call.routed.deadline > now) {
       const passedOn = this.#placement.passOn(state, call, record.announcement.address, now);
       if (passedOn.length > 0) return passedOn;
@@ -221,7 +221,7 @@
       const call = state.calls.get(timer.id);
       if (call === undefined) continue;
       if (timer.kind === 'deadline') {
-        outputs.push(...this.#expire(state, call));
+        outputs.push(...this.#stopExpired(state, call));
       } else if (call.relayed === undefined) {
         const server = [...call.tried].at(-1);
         const last: LastAttempt = { server, reason: 'hedge', outcome: 'unknown' };
@@ -232,7 +232,7 @@
   }
 
   /** Ends the attempts of a call; only their ends show whether one of them may have run. */
-  #expire(state: AttemptState, call: OpenCall): AttemptOut[] {
+  #stopExpired(state: AttemptState, call: OpenCall): AttemptOut[] {
     if (call.relayed !== undefined || call.running.size === 0) {
       return this.#refuse(state, call, EXPIRED);
     }
@@ -240,7 +240,7 @@
     return [...call.running].map((attempt) => ({ kind: 'cancel', attempt }));
   }
 
-  #endExpired(state: AttemptState, call: OpenCall, outcome: RefusalOutcome): AttemptOut[] {
+  #closeExpired(state: AttemptState, call: OpenCall, outcome: RefusalOutcome): AttemptOut[] {
     if (outcome === 'unknown') call.certain = false;
     return call.running.size > 0 ? [] : this.#refuse(state, call, EXPIRED);
   }
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -208,7 +208,7 @@
   }
 
   /** An attempt that only waited has ended, and certainly did not run. */
-  #withdrawLocal(turn: Turn, attempt: AttemptId): void {
+  #stopLocal(turn: Turn, attempt: AttemptId): void {
     this.#withdraw(turn, attempt);
     if (turn.state.guarded.has(attempt)) return;
     const failure = { outcome: 'not-run', reason: 'deadline' } as const;
@@ -254,7 +254,7 @@
         return;
       case 'cancel':
         if (!guarded.has(output.attempt)) break;
-        this.#withdrawLocal(turn, output.attempt);
+        this.#stopLocal(turn, output.attempt);
         return;
       case 'refuse':
         this.#passToClaim(turn, { kind: 'failed', id: output.id, outcome: output.outcome });
--- a/src/calls/shared-slots.ts
+++ b/src/calls/shared-slots.ts
@@ -53,7 +53,7 @@
       if (best === undefined || readPriority(queue) > best.priority) best = findNext(queue, now);
     }
     if (best !== undefined) {
-      if (hasLate) this.#noteGrant(this.#isLate(best), slots);
+      if (hasLate) this.#updateLateShare(this.#isLate(best), slots);
       this.remove(best.head.attempt);
     }
     return best;
@@ -111,7 +111,7 @@
   }
 
   /** Averages over about as many grants as there are slots, which take one run time. */
-  #noteGrant(isLate: boolean, slots: number): void {
+  #updateLateShare(isLate: boolean, slots: number): void {
     this.#lateShare += ((isLate ? 1 : 0) - this.#lateShare) / Math.max(1, slots);
   }
 
--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -9,7 +9,7 @@
  * Shares a part of a link out among the answers that go over it.
  *
  * The first part of each answer is written at once, so that short answers never wait. The rest goes out in
- * pieces, in the room that short answers leave, always of the answer of which the least is left: sent all at
+ * pieces, in the room that short answers leave, always of the answer of which the least is held: sent all at
  * the same time, or in the order in which they began, all of them would be late while more is asked for than
  * the link carries.
  */
@@ -31,20 +31,20 @@
   /** Opens an answer whose bytes go over the link; what is left of it at its deadline is dropped. */
   open(response: ServerResponse, deadline: Instant): AnswerSink {
     const sink = new PacedSink(response, this.#held, {
-      enqueue: () => {
-        this.#enqueue(sink);
+      addWaiting: () => {
+        this.#addWaiting(sink);
       },
-      charge: (bytes) => {
-        this.#charge(bytes);
+      addBytes: (bytes) => {
+        this.#addBytes(bytes);
       },
-      dropLater: (drop) => this.#clock.callAt(deadline, drop),
+      startDrop: (drop) => this.#clock.callAt(deadline, drop),
     });
     return sink;
   }
 
   // Internals.
 
-  #enqueue(sink: PacedSink): void {
+  #addWaiting(sink: PacedSink): void {
     this.#queue.add(sink);
     if (this.#cancelTimer === undefined) this.#sendDue();
   }
@@ -66,7 +66,7 @@
   }
 
   /** Counts bytes that were written; what short answers take ahead of the rate is bounded. */
-  #charge(bytes: number): void {
+  #addBytes(bytes: number): void {
     const now = this.#clock.read();
     const paidAt = addMs(Math.max(this.#nextAt, now) as Instant, bytes / this.#bytesPerMs);
     this.#nextAt = Math.min(paidAt, addMs(now, MAX_DEBT_MS)) as Instant;
@@ -90,11 +90,11 @@
 /** How an answer uses the link. */
 interface LinkUse {
   /** The answer waits for its turn. */
-  readonly enqueue: () => void;
+  readonly addWaiting: () => void;
   /** Bytes were written. */
-  readonly charge: (bytes: number) => void;
+  readonly addBytes: (bytes: number) => void;
   /** Calls back at the deadline of the answer. */
-  readonly dropLater: (drop: () => void) => CancelTimer;
+  readonly startDrop: (drop: () => void) => CancelTimer;
 }
 
 /** Holds the rest of one answer until the link has room for it. */
@@ -117,13 +117,13 @@
     this.#link = link;
     response.on('drain', () => {
       this.#isBlocked = false;
-      if (!this.isIdle) this.#link.enqueue();
+      if (!this.isIdle) this.#link.addWaiting();
     });
     response.on('close', () => {
       this.#cancelDrop?.();
       this.#held.length = 0;
-      this.#hold(-this.#heldBytes);
-      this.#release();
+      this.#updateHeld(-this.#heldBytes);
+      this.#notifyRoom();
     });
   }
 
@@ -151,8 +151,8 @@
     if (free > 0) this.#send(chunk.subarray(0, free));
     if (free < chunk.length) {
       this.#held.push(chunk.subarray(free));
-      this.#hold(chunk.length - free);
-      if (!this.isIdle) this.#link.enqueue();
+      this.#updateHeld(chunk.length - free);
+      if (!this.isIdle) this.#link.addWaiting();
     }
     if (this.#heldBytes === 0) return true;
     return this.#heldBytes <= MAX_HELD_BYTES && this.#all.total <= MAX_TOTAL_HELD_BYTES;
@@ -165,7 +165,7 @@
       return;
     }
     // Until the backend server has answered, its guard watches over the deadline.
-    this.#cancelDrop = this.#link.dropLater(() => {
+    this.#cancelDrop = this.#link.startDrop(() => {
       this.#response.destroy();
     });
   }
@@ -181,25 +181,25 @@
     const piece = first.subarray(0, maxBytes);
     if (piece.length === first.length) this.#held.shift();
     else this.#held[0] = first.subarray(maxBytes);
-    this.#hold(-piece.length);
+    this.#updateHeld(-piece.length);
     this.#send(piece);
-    if (this.#heldBytes <= MAX_HELD_BYTES / 2) this.#release();
+    if (this.#heldBytes <= MAX_HELD_BYTES / 2) this.#notifyRoom();
     if (this.#isEnded && this.#heldBytes === 0) this.#response.end();
   }
 
   // Internals.
 
   #send(bytes: Buffer): void {
-    this.#link.charge(bytes.length);
+    this.#link.addBytes(bytes.length);
     this.#isBlocked = !this.#response.write(bytes);
   }
 
-  #hold(bytes: number): void {
+  #updateHeld(bytes: number): void {
     this.#heldBytes += bytes;
     this.#all.total += bytes;
   }
 
-  #release(): void {
+  #notifyRoom(): void {
     const resume = this.#notifyDrained;
     this.#notifyDrained = undefined;
     resume?.();
