--- a/bench/mesh-plan.ts
+++ b/bench/mesh-plan.ts
@@ -18,6 +18,8 @@
   readonly otlpUrl?: string;
   /** Whether each process stands behind a relay that can cut it off. */
   readonly relayed?: boolean;
+  /** Further settings of the section `[proxy]`. */
+  readonly proxyLines?: string;
 }
 
 /** Where a process is reached, where it listens, and the relay in between, if any. */
@@ -198,7 +200,7 @@
 sources = ${sources}
 ledgers = ${sources}
 seeds = ${seeds}
-
+${this.plan.proxyLines ?? ''}
 [spread]
 policy = "${this.plan.policy}"
 ${this.plan.otlpUrl === undefined ? '' : `[traces]\notlp_url = "${this.plan.otlpUrl}"\nsample_ratio = 1.0`}
--- /dev/null
+++ b/bench/soak-bench.ts
@@ -0,0 +1,23 @@
+/** Runs soaks one after the other: `npm run bench -- soak [SEEDS] [FIRST] [SERVERS] [ACTIONS]`. */
+import { runSoak } from './soak.js';
+
+const [seeds = 50, first = 1, servers = 3, actions = 20] = process.argv.slice(2).map(Number);
+const broken: string[] = [];
+
+for (let seed = first; seed < first + seeds; seed += 1) {
+  const kind = seed % 2 === 0 ? 'mixed' : 'planned';
+  const done: string[] = [];
+  const say = (line: string): void => {
+    done.push(line);
+  };
+  const result = await runSoak({ seed, kind, actions, serversPerService: servers, say });
+  const answered = result.calls.filter(({ ending }) => ending.kind === 'answered').length;
+  console.log(`seed ${seed}, ${kind}: ${answered} of ${result.calls.length} calls answered`);
+  for (const line of result.broken) console.log(`  broken: ${line}`);
+  if (result.broken.length === 0) continue;
+  for (const line of done) console.log(`  ${line}`);
+  broken.push(`${seed}`);
+}
+
+console.log(`${seeds} seeds, ${broken.length} with a broken promise: ${broken.join(', ')}`);
+process.exitCode = broken.length === 0 ? 0 : 1;
