Tell which large answers wait for the link, and which never get over it

Callers of large answers on narrow links saw them end without a word; the guard that held them dropped them at their deadline and logged nothing, so that a cut at a planned stop, a full link and a slow run looked the same.

link_held_answers and link_held_bytes tell what waits, answer-dropped names the request, the bytes and the time held, and dropped_answers_total counts whether such answers had begun. The registry reads the gauges when it is asked, so that nothing is done for each chunk.

--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -50,6 +50,19 @@
   readonly milliseconds: number;
 }
 
+/** An answer to another proxy of which a part was left when its time was up. */
+export interface AnswerDrop {
+  /** The id of the request, as its caller named it. */
+  readonly request: string | undefined;
+  readonly path: string;
+  /** The bytes that had gone out; 0 where the answer had not begun. */
+  readonly sentBytes: number;
+  /** The bytes that still waited for the link. */
+  readonly leftBytes: number;
+  /** How long the answer was held after it had begun to arrive. */
+  readonly heldMs: number;
+}
+
 /**
  * Hears of the calls of one proxy. Every method does nothing until it is overridden.
  *
@@ -79,6 +92,11 @@
     // Nothing to count by default.
   }
 
+  /** Called for each answer that was given up while it waited for the link. */
+  dropAnswer(_drop: AnswerDrop): void {
+    // Nothing to count by default.
+  }
+
   /** Called for each further attempt of a call, with the id of the request as its caller named it. */
   sendAgain(_request: string | undefined, _again: SentAgain): void {
     // Nothing to count by default.
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -115,8 +115,18 @@
   // Internals.
 
   /** Answers to other proxies are paced where the rate of the link is known. */
-  #openPaced({ isForwarded, response, deadline }: OpenCall): AnswerSink | undefined {
-    return isForwarded ? this.#options.pacer?.open(response, deadline) : undefined;
+  #openPaced({
+    isForwarded,
+    response,
+    deadline,
+    requestId,
+    request,
+  }: OpenCall): AnswerSink | undefined {
+    if (!isForwarded) return undefined;
+    return this.#options.pacer?.open(response, deadline, (part) => {
+      const { url = '' } = request;
+      this.#options.observer.dropAnswer({ request: requestId, path: url, ...part });
+    });
   }
 
   /** The caller went, or its deadline passed, while the attempt was granted a slot. */
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -31,6 +31,7 @@
 import { probeServer } from './call-probe.js';
 import type { Refusal } from './call-refusal.js';
 import { HttpTask } from './http-task.js';
+import type { HeldAnswers } from './link-pacer.js';
 import { LinkPacer } from './link-pacer.js';
 import { LoopLag } from './loop-lag.js';
 import { OpenCall } from './open-call.js';
@@ -71,6 +72,7 @@
   readonly #tracer: HopTracer;
   readonly #observer: CallObserver;
   readonly #sender: AttemptSender;
+  readonly #pacer: LinkPacer | undefined;
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #connections: CallerConnections;
   readonly #lag = new LoopLag();
@@ -85,10 +87,11 @@
     this.#tracer = options.tracer ?? new NoTracer();
     this.#observer = options.observer ?? new NoObserver();
     const { clock, linkBytesPerSecond } = options;
+    this.#pacer =
+      linkBytesPerSecond === undefined ? undefined : new LinkPacer(clock, linkBytesPerSecond);
     this.#sender = new AttemptSender({
       clock,
-      pacer:
-        linkBytesPerSecond === undefined ? undefined : new LinkPacer(clock, linkBytesPerSecond),
+      pacer: this.#pacer,
       front: this.#front,
       tracer: this.#tracer,
       observer: this.#observer,
@@ -109,6 +112,11 @@
     });
   }
 
+  /** The answers to other proxies that wait for the link now. */
+  get heldAnswers(): HeldAnswers {
+    return this.#pacer?.held ?? { answers: 0, bytes: 0 };
+  }
+
   /** Refuses new calls as not run, and resolves when the last one in flight has ended. */
   async drain(): Promise<void> {
     this.#isDraining = true;
--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -17,7 +17,7 @@
   readonly #clock: Clock;
   readonly #bytesPerMs: number;
   readonly #queue = new Set<PacedSink>();
-  readonly #held: HeldBytes = { total: 0 };
+  readonly #held: HeldBytes = { total: 0, answers: 0 };
   #nextAt: Instant;
   #cancelTimer: CancelTimer | undefined;
 
@@ -28,8 +28,21 @@
     this.#nextAt = clock.read();
   }
 
-  /** Opens an answer whose bytes go over the link; what is left of it at its deadline is dropped. */
-  open(response: ServerResponse, deadline: Instant): AnswerSink {
+  /** What waits for the link now. */
+  get held(): HeldAnswers {
+    return { answers: this.#held.answers, bytes: this.#held.total };
+  }
+
+  /**
+   * Opens an answer whose bytes go over the link; what is left of it at its deadline is dropped, and
+   * `notifyDropped` hears of that.
+   */
+  open(
+    response: ServerResponse,
+    deadline: Instant,
+    notifyDropped: (part: DroppedPart) => void = ignoreDrop,
+  ): AnswerSink {
+    const openedAt = this.#clock.read();
     const sink = new PacedSink(response, this.#held, {
       addWaiting: () => {
         this.#addWaiting(sink);
@@ -38,6 +51,9 @@
         this.#addBytes(bytes);
       },
       startDrop: (drop) => this.#clock.callAt(deadline, drop),
+      notifyDropped: (sentBytes, leftBytes) => {
+        notifyDropped({ sentBytes, leftBytes, heldMs: this.#clock.read() - openedAt });
+      },
     });
     return sink;
   }
@@ -82,9 +98,23 @@
   }
 }
 
+/** What waits for a link. */
+export interface HeldAnswers {
+  readonly answers: number;
+  readonly bytes: number;
+}
+
+/** What had become of an answer when it was dropped. */
+export interface DroppedPart {
+  readonly sentBytes: number;
+  readonly leftBytes: number;
+  readonly heldMs: number;
+}
+
 /** The bytes that all answers of one link hold. */
 interface HeldBytes {
   total: number;
+  answers: number;
 }
 
 /** How an answer uses the link. */
@@ -95,6 +125,8 @@
   readonly addBytes: (bytes: number) => void;
   /** Calls back at the deadline of the answer. */
   readonly startDrop: (drop: () => void) => CancelTimer;
+  /** The answer is dropped after so many bytes, with so many left. */
+  readonly notifyDropped: (sentBytes: number, leftBytes: number) => void;
 }
 
 /** Holds the rest of one answer until the link has room for it. */
@@ -104,6 +136,7 @@
   readonly #link: LinkUse;
   readonly #held: Buffer[] = [];
   #heldBytes = 0;
+  #sentBytes = 0;
   #freeBytes = FREE_BYTES;
   #isEnded = false;
   #isBlocked = false;
@@ -166,6 +199,7 @@
     }
     // Until the backend server has answered, its guard watches over the deadline.
     this.#cancelDrop = this.#link.startDrop(() => {
+      this.#link.notifyDropped(this.#sentBytes, this.unsentBytes);
       this.#response.destroy();
     });
   }
@@ -190,12 +224,15 @@
   // Internals.
 
   #send(bytes: Buffer): void {
+    this.#sentBytes += bytes.length;
     this.#link.addBytes(bytes.length);
     this.#isBlocked = !this.#response.write(bytes);
   }
 
   #updateHeld(bytes: number): void {
+    const wasHeld = this.#heldBytes > 0;
     this.#heldBytes += bytes;
+    this.#all.answers += Number(this.#heldBytes > 0) - Number(wasHeld);
     this.#all.total += bytes;
   }
 
@@ -220,3 +257,7 @@
 /** An answer of which so much is held is no longer read from its backend server. */
 const MAX_HELD_BYTES = 1024 * 1024;
 const MAX_TOTAL_HELD_BYTES = 16 * 1024 * 1024;
+
+function ignoreDrop(): void {
+  // An answer of which nobody wants to hear.
+}
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -1,5 +1,5 @@
 /** Logs the calls and attempts that did not end well. */
-import type { AttemptEnd, CallEnd, SentAgain } from '../calls/index.js';
+import type { AnswerDrop, AttemptEnd, CallEnd, SentAgain } from '../calls/index.js';
 import { CallObserver } from '../calls/index.js';
 import type { Log, LogFields } from './logger.js';
 
@@ -12,8 +12,8 @@
 
 /**
  * Writes a line for each call that was refused, failed, lost its caller or was answered late, for each
- * attempt without a good answer, and for each further attempt of a call. Lines of one request have its id in common, also
- * at other hosts.
+ * attempt without a good answer, for each answer that did not get over the link, and for each further attempt of a
+ * call. Lines of one request have its id in common, also at other hosts.
  */
 export class CallLog extends CallObserver {
   readonly #options: CallLogOptions;
@@ -47,6 +47,11 @@
     this.#options.log('attempt-failed', () => formAttemptFields(end), formShare('attempt', end));
   }
 
+  override dropAnswer(drop: AnswerDrop): void {
+    this.#options.next.dropAnswer(drop);
+    this.#options.log('answer-dropped', () => formDropFields(drop));
+  }
+
   override sendAgain(request: string | undefined, again: SentAgain): void {
     this.#options.next.sendAgain(request, again);
     // Apart from the others, so that these lines are there when a call may have run twice.
@@ -109,6 +114,10 @@
   return { request, attempt, server, isLocal, status, outcome, reason, proof, cause, ms };
 }
 
+function formDropFields({ heldMs, ...drop }: AnswerDrop): LogFields {
+  return { ...drop, heldMs: Math.round(heldMs) };
+}
+
 function formAgainFields(request: string | undefined, again: SentAgain): LogFields {
   const { attempt, from, to, reason, outcome, isIdempotent } = again;
   return { request, attempt, from, to, reason, outcome, isIdempotent };
--- a/src/program/call-metrics.ts
+++ b/src/program/call-metrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of the calls of a proxy. */
-import type { AttemptEnd, CallEnd, SentAgain } from '../calls/index.js';
+import type { AnswerDrop, AttemptEnd, CallEnd, SentAgain } from '../calls/index.js';
 import { CallObserver } from '../calls/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
 import { Counter, DurationSummary, Gauge } from '../metrics/index.js';
@@ -12,6 +12,7 @@
   readonly #refusals: Counter;
   readonly #attemptEnds: Counter;
   readonly #sentAgain: Counter;
+  readonly #drops: Counter;
 
   constructor(registry: MetricsRegistry) {
     super();
@@ -32,6 +33,9 @@
     this.#sentAgain = registry.add(
       new Counter('calls_sent_again_total', 'Further attempts of calls, by reason.'),
     );
+    this.#drops = registry.add(
+      new Counter('dropped_answers_total', 'Answers that did not get over the link in time.'),
+    );
   }
 
   override startCall(): void {
@@ -52,6 +56,10 @@
     this.#attemptEnds.add({ target, outcome, reason, proof });
   }
 
+  override dropAnswer({ sentBytes }: AnswerDrop): void {
+    this.#drops.add({ begun: String(sentBytes > 0) });
+  }
+
   override sendAgain(
     _request: string | undefined,
     { reason, outcome, isIdempotent }: SentAgain,
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -56,6 +56,7 @@
   'connection-refused': FULL,
   'attempt-failed': FULL,
   'call-sent-again': FULL,
+  'answer-dropped': FULL,
 } satisfies Record<string, LineRate>;
 
 /** The name of a kind of event; it never changes. */
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -10,6 +10,7 @@
 import { NO_VERSION, parseCallerId } from '../ids.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
+import { Gauge } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type {
@@ -118,6 +119,7 @@
       ? undefined
       : new ReadyTask({ name: 'ready', address: proxy.ready, reportFailure });
 
+  addHeldMetrics(options.registry, calls);
   const distribution: DistributionStatus = { held: NO_VERSION, rejected: {} };
   const versions = new VersionMetrics(options.registry, clock);
   let isVouched = false;
@@ -246,6 +248,17 @@
   readonly rejected: Partial<Record<SpreadFault['kind'], number>>;
 }
 
+function addHeldMetrics(registry: MetricsRegistry, calls: CallTask): void {
+  const answers = new Gauge('link_held_answers', 'Answers that wait for the link.', () => [
+    { value: calls.heldAnswers.answers },
+  ]);
+  const bytes = new Gauge('link_held_bytes', 'Bytes of answers that wait for the link.', () => [
+    { value: calls.heldAnswers.bytes },
+  ]);
+  registry.add(answers);
+  registry.add(bytes);
+}
+
 /** A host without a data folder keeps no floor. */
 function createFloorTask(
   { settings, reportFailure }: ProxyOptions,
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -147,6 +147,14 @@
   );
 });
 
+test('dropped answer: bytes and time', (t) => {
+  const { lines, log } = startLog();
+  const calls = new CallLog({ log, next: new NoObserver() });
+  calls.dropAnswer({ request: 'a-1', path: '/x', sentBytes: 0, leftBytes: 9, heldMs: 6_000.4 });
+  t.like(lines[0], { event: 'answer-dropped', request: 'a-1', sentBytes: 0, leftBytes: 9 });
+  t.is(lines[0]?.heldMs, 6_000);
+});
+
 test('lines are bounded', (t) => {
   const { lines, clock, log } = startLog();
   const calls = new CallLog({ log, next: new NoObserver() });
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -6,6 +6,7 @@
 import type { AnswerProof } from '../src/calls/index.js';
 import { addMs, NEVER } from '../src/clock.js';
 import { CallAttempt } from '../src/edge/call-attempt.js';
+import type { DroppedPart } from '../src/edge/link-pacer.js';
 import { LinkPacer } from '../src/edge/link-pacer.js';
 import type { AttemptId } from '../src/ids.js';
 import { ManualClock } from './manual-clock.js';
@@ -221,3 +222,20 @@
   clock.advance(100);
   t.false(response.destroyed);
 });
+
+test('held answers are counted, and a dropped one is told', (t) => {
+  const { clock, pacer } = startPacer(20_000);
+  const response = new FakeResponse();
+  const told: DroppedPart[] = [];
+  const deadline = addMs(clock.read(), 500);
+  const sink = pacer.open(response as unknown as ServerResponse, deadline, (part) => {
+    told.push(part);
+  });
+  sink.write(Buffer.alloc(LARGE_BYTES));
+  sink.end();
+  t.deepEqual(pacer.held, { answers: 1, bytes: LARGE_BYTES - response.writtenBytes });
+  clock.advance(500);
+  const { writtenBytes: sentBytes } = response;
+  t.deepEqual(told, [{ sentBytes, leftBytes: LARGE_BYTES - sentBytes, heldMs: 500 }]);
+  t.deepEqual(pacer.held, { answers: 0, bytes: 0 });
+});
