Refuse a large answer that the link cannot carry, instead of cutting it

Cause: a guard passed on the head and the first 8 KB of each answer at once and held the rest. More was asked for than the link carries, so a part of the answers never got their turn; having begun, they could only be cut.

A large answer now begins when it is held and its turn has come, is not overtaken after that, and does not begin where its time is too short; so what does not get through ends as a whole refusal with an unknown outcome. The entry proxy neither repeats such a call nor blames the server for it.

The new cases of link-pacer need the head in AnswerSink.

--- a/src/calls/attempt-outcome.ts
+++ b/src/calls/attempt-outcome.ts
@@ -9,13 +9,14 @@
 
 /**
  * A call may be sent again where it certainly did not run or where a second run changes nothing. One
- * that has already been lost twice is not: it may be what kills the servers.
+ * that has already been lost twice is not: it may be what kills the servers. Neither is one that ran and whose
+ * time was over: the answer to another run would come later still.
  */
 export function maySendAgain(call: OpenCall, { outcome, reason }: AttemptFailure): boolean {
   if (reason === 'quarantined') return false;
   if (outcome === 'not-run') return true;
   const isLostAgain = call.suspect && reason === 'upstream-failed';
-  return call.routed.requestKind.idempotent && !isLostAgain;
+  return call.routed.requestKind.idempotent && !isLostAgain && reason !== 'deadline';
 }
 
 /** Of the refusals "not run", only the backend server's own shows that the attempt came there. */
--- a/src/edge/answer-sink.ts
+++ b/src/edge/answer-sink.ts
@@ -1,7 +1,15 @@
-/** Where the body of an answer goes. */
+/** Where an answer goes. */
 import type { ServerResponse } from 'node:http';
 
-/** Takes the body of one answer, in parts; override it to decide when each part is sent. */
+/** What comes before the body of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly statusText: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+}
+
+/** Takes one answer, its body in parts; override it to decide when each part is sent. */
 export abstract class AnswerSink {
   /** Whether nobody takes the answer any longer. */
   abstract get isGone(): boolean;
@@ -9,6 +17,9 @@
   /** The bytes that were taken and not sent yet. */
   abstract get unsentBytes(): number;
 
+  /** Takes the head; it comes first, and once. */
+  abstract begin(head: AnswerHead): void;
+
   /** Takes a part. Returns false when no more should come before {@link AnswerSink.notifyDrained} calls back. */
   abstract write(chunk: Buffer): boolean;
 
@@ -36,6 +47,10 @@
     return this.#response.writableLength;
   }
 
+  override begin(head: AnswerHead): void {
+    writeHead(this.#response, head);
+  }
+
   override write(chunk: Buffer): boolean {
     return this.#response.write(chunk);
   }
@@ -54,3 +69,21 @@
     this.#response.on('close', run);
   }
 }
+
+/** Writes the head of an answer. */
+export function writeHead(
+  response: ServerResponse,
+  { status, statusText, headers }: AnswerHead,
+): void {
+  response.writeHead(status, statusText, [...headers]);
+}
+
+/** Reads the length that the head of an answer tells, if it tells one. */
+export function readLength({ headers }: AnswerHead): number | undefined {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() !== 'content-length') continue;
+    const length = Number(headers[index + 1]);
+    return Number.isSafeInteger(length) ? length : undefined;
+  }
+  return undefined;
+}
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -21,6 +21,7 @@
   TIMEOUT_HEADER,
 } from './call-headers.js';
 import { CallPools } from './call-pools.js';
+import type { Refusal } from './call-refusal.js';
 import type { LinkPacer } from './link-pacer.js';
 import type { OpenCall } from './open-call.js';
 
@@ -115,17 +116,21 @@
   // Internals.
 
   /** Answers to other proxies are paced where the rate of the link is known. */
-  #openPaced({
-    isForwarded,
-    response,
-    deadline,
-    requestId,
-    request,
-  }: OpenCall): AnswerSink | undefined {
-    if (!isForwarded) return undefined;
-    return this.#options.pacer?.open(response, deadline, (part) => {
-      const { url = '' } = request;
-      this.#options.observer.dropAnswer({ request: requestId, path: url, ...part });
+  #openPaced(call: OpenCall): AnswerSink | undefined {
+    if (!call.isForwarded) return undefined;
+    const {
+      response,
+      deadline,
+      requestId: request,
+      request: { url: path = '' },
+    } = call;
+    return this.#options.pacer?.open(response, deadline, {
+      notifyDropped: (part) => {
+        this.#options.observer.dropAnswer({ request, path, ...part });
+      },
+      refuse: () => {
+        call.refuse(LATE);
+      },
     });
   }
 
@@ -219,3 +224,5 @@
 // Internals.
 
 const MAX_CONNECTIONS_PER_GUARD = 256;
+/** The run has ended, and its answer can't reach the caller in time. */
+const LATE: Refusal = { reason: 'deadline', outcome: 'unknown' };
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -5,7 +5,7 @@
 import { judgeAnswer } from '../calls/index.js';
 import type { AttemptId } from '../ids.js';
 import type { AttemptFailure, RefusalOutcome, StoredAnswer } from '../messages/index.js';
-import type { AnswerSink } from './answer-sink.js';
+import type { AnswerHead, AnswerSink } from './answer-sink.js';
 import { DirectSink } from './answer-sink.js';
 import {
   listAnswerHeaders,
@@ -62,10 +62,10 @@
     if (options.keepsAnswer) this.#kept = [];
   }
 
-  /** Passes the answer on to the caller, with further headers; `sink` takes its body. */
+  /** Passes the answer on to the caller, with further headers; `sink` takes it. */
   relay(response: ServerResponse, added: readonly string[], sink?: AnswerSink): void {
     this.#sink = sink ?? new DirectSink(response);
-    if (!response.destroyed) this.#writeHead(response, added);
+    if (!this.#sink.isGone) this.#sink.begin(this.#formHead(added));
     this.#controller?.resume();
   }
 
@@ -197,9 +197,9 @@
     return this.#cancelReason === undefined ? 'lost' : 'cancelled';
   }
 
-  #writeHead(response: ServerResponse, added: readonly string[]): void {
+  #formHead(added: readonly string[]): AnswerHead {
     const headers = listAnswerHeaders(this.#headers, added);
-    response.writeHead(this.#status ?? STATUS_BAD_GATEWAY, this.#statusText, headers);
+    return { status: this.#status ?? STATUS_BAD_GATEWAY, statusText: this.#statusText, headers };
   }
 
   #keep(chunk: Buffer): void {
--- a/test/call-mesh.ts
+++ b/test/call-mesh.ts
@@ -64,6 +64,8 @@
   readonly observer?: CallObserver;
   readonly front?: CallFront;
   readonly caller?: CallerId;
+  /** What the link of each host is said to carry. */
+  readonly linkBytesPerSecond?: number;
 }
 
 /** Owns the proxies and stand-ins of one test. */
@@ -136,6 +138,7 @@
       ...(options.observer && { observer: options.observer }),
       ...(options.front && { front: options.front }),
       caller: options.caller,
+      linkBytesPerSecond: options.linkBytesPerSecond,
     });
     await task.start();
     task.post({ kind: 'whole', whole: options.whole });
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -63,6 +63,11 @@
     return outputs.filter(({ kind }) => !REPORTS.has(kind));
   }
 
+  /** Lists what a message leads to, reports among it. */
+  listAll(message: AttemptIn): string[] {
+    return this.#filter.decide(this.#state, message, WARM).outputs.map(({ kind }) => kind);
+  }
+
   listKinds(message: AttemptIn, now?: Instant): string[] {
     return this.post(message, now).map((output) =>
       output.kind === 'refuse' ? `${output.reason} ${output.outcome}` : output.kind,
@@ -98,6 +103,17 @@
   t.deepEqual(driver.listKinds(failed, now), ['upstream-failed unknown']);
 });
 
+test('no retry, no fault of the server: its answer came too late', (t) => {
+  const driver = new Driver(2);
+  for (let index = 0; index < 20; index += 1) {
+    const id = `c${index}`;
+    driver.post({ kind: 'claimed', call: makeCall(id, { timeoutMs: 1e6 }) });
+    const failure = { outcome: 'unknown', reason: 'deadline' } as const;
+    const failed = { kind: 'attempt-failed', attempt: attemptOf(id), failure } as const;
+    t.deepEqual(driver.listAll(failed), ['refuse']);
+  }
+});
+
 test('no retry: second layer', (t) => {
   const driver = new Driver(2);
   driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }, { attempt: 2 }) });
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -18,13 +18,14 @@
 /** A response to another proxy that counts what is written to it. */
 class FakeResponse extends EventEmitter {
   writtenBytes = 0;
+  isBegun = false;
   isEnded = false;
   destroyed = false;
   isFull = false;
   readonly writableLength = 0;
 
   writeHead(): void {
-    // Heads are not counted.
+    this.isBegun = true;
   }
 
   write(chunk: Buffer): boolean {
@@ -228,8 +229,10 @@
   const response = new FakeResponse();
   const told: DroppedPart[] = [];
   const deadline = addMs(clock.read(), 500);
-  const sink = pacer.open(response as unknown as ServerResponse, deadline, (part) => {
-    told.push(part);
+  const sink = pacer.open(response as unknown as ServerResponse, deadline, {
+    notifyDropped: (part) => {
+      told.push(part);
+    },
   });
   sink.write(Buffer.alloc(LARGE_BYTES));
   sink.end();
@@ -239,3 +242,57 @@
   t.deepEqual(told, [{ sentBytes, leftBytes: LARGE_BYTES - sentBytes, heldMs: 500 }]);
   t.deepEqual(pacer.held, { answers: 0, bytes: 0 });
 });
+
+/** Opens an answer that tells its length, and holds it whole. */
+function holdWhole({ clock, pacer }: ReturnType<typeof startPacer>, bytes: number, ms = 10_000) {
+  const response = new FakeResponse();
+  const told: string[] = [];
+  const sink = pacer.open(response as unknown as ServerResponse, addMs(clock.read(), ms), {
+    refuse: () => told.push(response.isBegun ? 'cut' : 'refused'),
+  });
+  sink.begin({ status: 200, statusText: 'OK', headers: ['Content-Length', `${bytes}`] });
+  sink.write(Buffer.alloc(bytes));
+  sink.end();
+  return { response, told };
+}
+
+test('large answer that never gets its turn is refused whole, not cut', (t) => {
+  const link = startPacer();
+  const answers = Array.from({ length: 20 }, () => holdWhole(link, LARGE_BYTES, 2_000));
+  link.clock.advance(2_000);
+  const whole = answers.filter(({ response }) => response.isEnded);
+  t.true(whole.length >= 4);
+  for (const { response, told } of answers) {
+    t.deepEqual(told, response.isEnded ? [] : ['refused']);
+    t.is(response.writtenBytes, response.isEnded ? LARGE_BYTES : 0);
+  }
+});
+
+test('large answer under way is not overtaken by a shorter one', (t) => {
+  const link = startPacer();
+  const long = holdWhole(link, 2 * LARGE_BYTES, 1_000);
+  link.clock.advance(50);
+  const short = holdWhole(link, LARGE_BYTES);
+  link.clock.advance(750);
+  t.true(long.response.isEnded);
+  t.false(short.response.isEnded);
+  link.clock.advance(500);
+  t.true(short.response.isEnded);
+});
+
+test('large answer that the link cannot carry in time never begins', (t) => {
+  const link = startPacer();
+  const { response, told } = holdWhole(link, 4 * LARGE_BYTES, 1_000);
+  t.deepEqual(told, ['refused']);
+  t.false(response.isBegun);
+});
+
+test('large answer without a body', (t) => {
+  const { clock, pacer } = startPacer();
+  const response = new FakeResponse();
+  const sink = pacer.open(response as unknown as ServerResponse, addMs(clock.read(), 100));
+  sink.begin({ status: 200, statusText: 'OK', headers: ['Content-Length', `${LARGE_BYTES}`] });
+  sink.end();
+  t.true(response.isBegun);
+  t.true(response.isEnded);
+});
