Read what has come before acting on a deadline that was reached late

Callers got 504 with an unknown outcome although the answer, or a guard's refusal, had come to the proxy before the deadline. Node.js runs timers before it polls the sockets: a process that was busy beyond the deadline of a call cancelled the attempt, whose answer lay unread in its socket.

Found in a trace of guard-distance beside four busy loops (load average 15 to 17): the refusal was written 71 ms before the deadline of the entry proxy, the way takes 20 ms, and the next turn of the event loop began with the deadline, 13 ms late.

A deadline that is reached 4 ms late or more is now handed to the pipe after the sockets were polled once more, as calls of a busy process are.

--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -104,8 +104,8 @@
       const call = this.#calls.get(id);
       if (call !== undefined) this.#forget(call);
     });
-    this.#timer = new WakeTimer(options.clock, () => {
-      this.post({ kind: 'tick' });
+    this.#timer = new WakeTimer(options.clock, (deadline) => {
+      this.#handleDeadline(deadline);
     });
   }
 
@@ -303,6 +303,15 @@
     }
   }
 
+  /** Timers run before the sockets are read, so an answer may have come while the process was busy. */
+  #handleDeadline(deadline: Instant): void {
+    const tick = (): void => {
+      this.post({ kind: 'tick' });
+    };
+    if (this.#options.clock.read() - deadline >= MIN_LATE_MS) runAfterPoll(tick);
+    else tick();
+  }
+
   #applyLimits({ headerTimeoutMs, idleTimeoutMs }: LimitsResource): void {
     for (const server of this.servers) {
       server.headersTimeout = headerTimeoutMs;
@@ -338,6 +347,8 @@
 const MAX_CONNECTIONS = 8_192;
 const MAX_OPEN_CALLS = 8_192;
 const BODY_TIMEOUT_MS = 10_000;
+/** Timers of an idle process are a millisecond or two late. */
+const MIN_LATE_MS = 4;
 
 const SERVER_OPTIONS = {
   maxHeaderSize: 16 * 1024,
--- a/src/pipe/wake-timer.ts
+++ b/src/pipe/wake-timer.ts
@@ -15,11 +15,12 @@
  */
 export class WakeTimer {
   readonly #clock: Clock;
-  readonly #wake: () => void;
+  readonly #wake: (deadline: Instant) => void;
   #deadline: Instant = NEVER;
   #cancel: CancelTimer | undefined;
 
-  constructor(clock: Clock, wake: () => void) {
+  /** `wake` hears of the deadline, which a busy process reaches late. */
+  constructor(clock: Clock, wake: (deadline: Instant) => void) {
     this.#clock = clock;
     this.#wake = wake;
   }
@@ -32,7 +33,7 @@
     this.#cancel = this.#clock.callAt(deadline, () => {
       this.#deadline = NEVER;
       this.#cancel = undefined;
-      this.#wake();
+      this.#wake(deadline);
     });
   }
 
