Refuse what waits while the refusal can still come back

Callers got 504 with an unknown outcome for calls that a guard had refused "not run": its deadline lay a fixed 3 ms before that of the entry proxy, less than the way back. The time that is left travels as milliseconds, so that on arrival the guard's deadline even lay later than the entry proxy's.

Each attempt now carries a second instant, replyBy: a guard refuses until then what waits, and starts only runs that are expected to end before it. Runs are not cut there, since an answer that comes is delivered as long as the caller waits. The entry proxy keeps an estimate per host of the way there and back: what an answered attempt took, less the time for which the guard held it (a fourth field of the load header, which former processes ignore). Bounds: 250 ms, and a quarter of the time that is left; 100 ms before any host has answered.

The same cause acted after a late refusal: the call was sent again with no time left, ended at its deadline as one that may have run, and the proof was lost. Such an attempt is not started.

Of the new tests in guard-ways four failed on the old code: the way back was not taken off (3 ms in place of 120), a waiting attempt was refused at its deadline only, a late refusal was followed by an attempt, and the load told no time. The others guard the bounds.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -25,6 +25,7 @@
 } from './attempt-state.js';
 import type { RoutedCall } from './classify-filter.js';
 import { DeadlineHeap } from './deadline-heap.js';
+import { GuardWays } from './guard-ways.js';
 import { applyFailure, applySuccess } from './outlier.js';
 import type { Picker } from './picker.js';
 import type { RetryAllowance } from './retry-budget.js';
@@ -65,6 +66,7 @@
       attempts: new Map(),
       budgets: new Map(),
       latencies: new Map(),
+      ways: new GuardWays(this.#options.place.host),
       timers: new DeadlineHeap(),
     };
   }
@@ -133,6 +135,8 @@
     record.startedAts.delete(message.attempt);
     if (message.load !== undefined) {
       updateLoad(record, call.routed.requestKind.name, message.load, now);
+      const { heldMs } = message.load;
+      if (heldMs !== undefined) state.ways.add(record.member.host, now - open.startedAt - heldMs);
     }
     const hasShed = message.status === STATUS_SHED;
     const hasFailed = message.status >= FIRST_FAILURE_STATUS;
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -26,13 +26,19 @@
     this.#picker = picker;
   }
 
-  /** Starts an attempt at the server that costs least; no output where none is left to try. */
+  /**
+   * Starts an attempt at the server that costs least; no output where none is left to try. A call is not sent
+   * again where no answer can come in time: that would only put in doubt what is known of its former attempts.
+   */
   start(state: AttemptState, call: OpenCall, now: Instant, last?: LastAttempt): AttemptOut[] {
     const { service, head, requestKind, deadline, aim, subject } = call.routed;
     const tiers = state.servers.listTiers(service);
     const record = this.#picker.pick(tiers, formPickContext(call, now));
     if (record === undefined) return [];
     const server = record.announcement.address;
+    const { host } = record.member;
+    const lastStart = addMs(findAttemptDeadline(deadline), -state.ways.findWay(host));
+    if (last !== undefined && lastStart <= now) return [];
     const attempt = `${head.id}.${call.started}` as AttemptId;
     call.started += 1;
     call.tried.add(server);
@@ -55,6 +61,7 @@
           requestKind: name,
           worth,
           deadline: findAttemptDeadline(deadline),
+          replyBy: state.ways.findReplyBy(host, findAttemptDeadline(deadline), now),
           ...(aim === undefined ? {} : { aim }),
           subject,
           suspect,
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -2,6 +2,7 @@
 import type { Address, AttemptId, CallId, Instant, ServiceName } from '../ids.js';
 import type { RoutedCall } from './classify-filter.js';
 import type { DeadlineHeap } from './deadline-heap.js';
+import type { GuardWays } from './guard-ways.js';
 import { LatencyEstimate } from './latency-estimate.js';
 import type { RetryAllowance } from './retry-budget.js';
 import { RetryBudget } from './retry-budget.js';
@@ -14,6 +15,7 @@
   readonly attempts: Map<AttemptId, OpenAttempt>;
   readonly budgets: Map<ServiceName, RetryBudget>;
   readonly latencies: Map<ServiceName, LatencyEstimate>;
+  readonly ways: GuardWays;
   readonly timers: DeadlineHeap<Timer>;
 }
 
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -143,7 +143,7 @@
   #handleAnswer(turn: Turn, message: Extract<CallIn, { kind: 'answer-started' }>): void {
     const { attempt } = message;
     const guarded = turn.state.guarded.get(attempt);
-    const load = turn.state.guard.places.get(attempt)?.measureLoadAfter(attempt);
+    const load = turn.state.guard.places.get(attempt)?.measureLoadAfter(attempt, turn.now);
     if (guarded?.isForwarded !== true)
       this.#passToAttempt(turn, { ...message, load: load ?? message.load });
     else turn.outputs.push({ kind: 'relay', id: guarded.id, attempt, load });
--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -144,8 +144,10 @@
   if (verdict === 'quarantined') return [{ kind: 'reject', attempt, reason: 'quarantined' }];
   const judged = verdict === 'suspect' ? { ...head, suspect: true } : head;
   state.places.set(attempt, server);
-  state.deadlines.add(head.deadline, attempt);
-  return passAdmissions(state, server, server.admit(judged, now), now);
+  const admissions = server.admit(judged, now);
+  const runs = server.findRun(attempt) !== undefined;
+  state.deadlines.add(runs ? head.deadline : (head.replyBy ?? head.deadline), attempt);
+  return passAdmissions(state, server, admissions, now);
 }
 
 function withdrawAttempt(state: GuardState, attempt: AttemptId, now: Instant): GuardOut[] {
@@ -231,8 +233,10 @@
 function handleTick(state: GuardState, now: Instant): GuardOut[] {
   const outputs: GuardOut[] = [];
   for (const attempt of state.deadlines.takeDue(now)) {
-    if (state.places.get(attempt)?.findRun(attempt) === undefined) continue;
-    outputs.push({ kind: 'stop-run', attempt, reason: 'deadline' });
+    const run = state.places.get(attempt)?.findRun(attempt);
+    if (run === undefined) continue;
+    if (run.deadline > now) state.deadlines.add(run.deadline, attempt);
+    else outputs.push({ kind: 'stop-run', attempt, reason: 'deadline' });
   }
   for (const server of state.servers.values()) {
     if (server.needsProbe(now)) outputs.push({ kind: 'probe', server: server.address });
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -170,11 +170,13 @@
   }
 
   /** The load once a run has ended whose answer is on its way. */
-  measureLoadAfter(attempt: AttemptId): GuardLoad {
+  measureLoadAfter(attempt: AttemptId, now: Instant): GuardLoad {
     const run = this.#running.get(attempt);
     const running = this.#running.size - (run === undefined ? 0 : 1);
-    const runMs = run === undefined ? 0 : this.#estimate.findMean(run.head.requestKind);
-    return { running, waiting: this.#policy.count(), ...(runMs > 0 ? { runMs } : {}) };
+    const load = { running, waiting: this.#policy.count() };
+    if (run === undefined) return load;
+    const runMs = this.#estimate.findMean(run.head.requestKind);
+    return runMs > 0 ? { ...load, runMs, heldMs: now - run.arrivedAt } : load;
   }
 
   /**
@@ -228,13 +230,13 @@
     return addMs(now, (head.deadline - now) * MAX_WAIT_SHARE);
   }
 
-  #isLate(head: AttemptHead, now: Instant): boolean {
-    return addMs(now, this.#estimate.findUpper(head.requestKind, now)) >= head.deadline;
+  #isLate({ requestKind, deadline, replyBy }: AttemptHead, now: Instant): boolean {
+    return addMs(now, this.#estimate.findUpper(requestKind, now)) >= (replyBy ?? deadline);
   }
 
-  #start({ head }: Waiting, now: Instant): Admission {
+  #start({ head, arrivedAt }: Waiting, now: Instant): Admission {
     if (this.#isLate(head, now)) return formReject(head.attempt, 'deadline');
-    this.#running.set(head.attempt, { head, startedAt: now });
+    this.#running.set(head.attempt, { head, arrivedAt, startedAt: now });
     this.#policy.addRun(head.requestKind);
     const { instance } = this.#announcement;
     return { kind: 'run', head, connections: this.#countConnections(), instance };
@@ -277,6 +279,7 @@
 
 interface Run {
   readonly head: AttemptHead;
+  readonly arrivedAt: Instant;
   readonly startedAt: Instant;
 }
 
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -95,7 +95,7 @@
   const { headers, url = '', method = '' } = request;
   const fields = (readHeader(headers, FORWARD_HEADER) ?? '').split(';');
   const [shown = '', server = '', kind = '', worth = '', suspect = ''] = fields;
-  const [digest = '', aimLeft = '', onlyIfFree = ''] = fields.slice(5);
+  const [digest = '', aimLeft = '', onlyIfFree = '', replyLeft = ''] = fields.slice(5);
   if (!isSameText(shown, pass)) {
     return makeError({ reason: 'not-trusted', message: `${FORWARD_HEADER} is for proxies only` });
   }
@@ -119,6 +119,7 @@
       requestKind,
       worth: Number(worth),
       deadline: parseDeadline(headers, now) ?? now,
+      ...(replyLeft === '' ? {} : { replyBy: addMs(now, Number(replyLeft)) }),
       ...(aimLeft === '' ? {} : { aim: addMs(now, Number(aimLeft)) }),
       subject,
       suspect: suspect === SUSPECT,
@@ -138,26 +139,33 @@
   now: Instant,
   bodyDigest?: Digest,
 ): string {
-  const { server, requestKind, worth, suspect, aim, onlyIfFree } = head;
-  const aimLeft = aim === undefined ? '' : (aim - now).toFixed(1);
+  const { server, requestKind, worth, suspect, aim, onlyIfFree, replyBy } = head;
+  const aimLeft = formatLeft(aim, now);
   const mark = suspect ? SUSPECT : '';
   const condition = onlyIfFree === true ? ONLY_IF_FREE : '';
   const fields = [pass, server, requestKind, worth, mark, bodyDigest ?? '', aimLeft, condition];
-  return fields.join(';');
+  return [...fields, formatLeft(replyBy, now)].join(';');
 }
 
 /** Formats the load that a guard tells an entry proxy. */
-export function formatLoad({ running, waiting, runMs }: GuardLoad): string {
+export function formatLoad({ running, waiting, runMs, heldMs }: GuardLoad): string {
   const load = `${running};${waiting}`;
-  return runMs === undefined ? load : `${load};${runMs.toFixed(1)}`;
+  if (runMs === undefined) return load;
+  const held = heldMs === undefined ? '' : `;${heldMs.toFixed(1)}`;
+  return `${load};${runMs.toFixed(1)}${held}`;
 }
 
 /** Reads the load that a guard has told. */
 export function parseLoad(text: string | undefined): GuardLoad | undefined {
-  const [running, waiting, runMs] = (text ?? '').split(';').map(Number);
+  const [running, waiting, runMs, heldMs] = (text ?? '').split(';').map(Number);
   if (running === undefined || waiting === undefined) return undefined;
-  if (!Number.isFinite(running + waiting + (runMs ?? 0))) return undefined;
-  return { running, waiting, ...(runMs === undefined ? {} : { runMs }) };
+  if (!Number.isFinite(running + waiting + (runMs ?? 0) + (heldMs ?? 0))) return undefined;
+  return {
+    running,
+    waiting,
+    ...(runMs === undefined ? {} : { runMs }),
+    ...(heldMs === undefined ? {} : { heldMs }),
+  };
 }
 
 /** Lists the headers of a request for the next hop, names and values in turn. */
@@ -282,6 +290,11 @@
   return addMs(now, Number(text));
 }
 
+/** Clocks of different hosts need not agree, so an instant travels as the milliseconds until then. */
+function formatLeft(until: Instant | undefined, now: Instant): string {
+  return until === undefined ? '' : (until - now).toFixed(1);
+}
+
 function parseAttempt(headers: IncomingHttpHeaders): number {
   const text = readHeader(headers, ATTEMPT_HEADER);
   if (text === undefined) return 1;
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -46,6 +46,8 @@
   readonly requestKind: RequestKindName;
   readonly worth: number;
   readonly deadline: Instant;
+  /** What leaves the guard later does not come back in time; the deadline where it is not told. */
+  readonly replyBy?: Instant;
   /** Until then an answer has its full worth; later ones have a part of it. */
   readonly aim?: Instant;
   /** Equal for calls that ask for the same; the fingerprint of a crashing request is formed of it. */
@@ -77,6 +79,8 @@
   readonly waiting: number;
   /** The mean time in milliseconds of runs of the answered kind, where it is known. */
   readonly runMs?: number;
+  /** The milliseconds for which the guard held the answered attempt; told only beside `runMs`. */
+  readonly heldMs?: number;
 }
 
 /** What a refused call is told: whether it certainly did not run. */
