Give a planned stop an end, so that the kill after it cuts no call

Cause: a stop waited for every call to end by itself, whatever the platform allows.

The stop now has an end, stored as an instant when it begins. The filters give no call or attempt a later deadline; an entry proxy that stops passes answers on once they are whole, so that a late one is refused instead of cut; a guard that stops uses its whole link and refuses the rest. What is left after that is cut before the kill, and calls-stopped tells of it.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -95,6 +95,8 @@
         return this.#handleFailure(state, message.attempt, message.failure, now);
       case 'gone':
         return closeCall(state, state.calls.get(message.id));
+      case 'stopping':
+        return limitDeadlines(state, message.answerBy);
       case 'tick':
         return this.#handleTimers(state, now);
     }
@@ -272,6 +274,16 @@
   return delay === undefined ? undefined : addMs(now, Math.max(MIN_HEDGE_DELAY_MS, delay));
 }
 
+/** Gives open calls an earlier deadline; later ones come with it. */
+function limitDeadlines(state: AttemptState, latest: Instant): AttemptOut[] {
+  for (const [id, call] of state.calls) {
+    if (call.routed.deadline <= latest) continue;
+    call.routed = { ...call.routed, deadline: latest };
+    state.timers.add(latest, { kind: 'deadline', id });
+  }
+  return formWake(state);
+}
+
 function formWake({ timers, calls }: AttemptState): AttemptOut[] {
   const at = timers.findNext(({ kind, id }) => {
     const call = calls.get(id);
--- a/src/calls/attempt-messages.ts
+++ b/src/calls/attempt-messages.ts
@@ -1,5 +1,5 @@
 /** The messages of the attempt filter. */
-import type { Address, AttemptId, CallId } from '../ids.js';
+import type { Address, AttemptId, CallId, Instant } from '../ids.js';
 import type {
   AttemptFailure,
   AttemptHead,
@@ -34,6 +34,8 @@
     }
   /** The caller has gone, or has its whole answer. */
   | { readonly kind: 'gone'; readonly id: CallId }
+  /** This process stops; no call has a later deadline. */
+  | { readonly kind: 'stopping'; readonly answerBy: Instant }
   | { readonly kind: 'tick' };
 
 /** Why a call is sent again: the end of its last attempt, an answer of 500 or above, or no answer yet. */
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -19,7 +19,7 @@
 
 /** A call whose answer is not complete. */
 export interface OpenCall {
-  readonly routed: RoutedCall;
+  routed: RoutedCall;
   readonly tried: Set<Address>;
   readonly running: Set<AttemptId>;
   /** Servers that had no free slot for the call, in the order in which they were asked. */
--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -63,6 +63,18 @@
   readonly heldMs: number;
 }
 
+/** What was left at the end of a planned stop; it is cut. */
+export interface StopEnd {
+  /** Calls of callers without an answer, and those whose answer had begun. */
+  readonly unanswered: number;
+  readonly answering: number;
+  /** The same of attempts that other proxies had sent. */
+  readonly guardUnanswered: number;
+  readonly guardAnswering: number;
+  /** Attempts that had not ended. */
+  readonly attempts: number;
+}
+
 /**
  * Hears of the calls of one proxy. Every method does nothing until it is overridden.
  *
@@ -97,6 +109,11 @@
     // Nothing to count by default.
   }
 
+  /** Called once, when a planned stop waits no longer for calls. */
+  endStop(_end: StopEnd): void {
+    // Nothing to count by default.
+  }
+
   /** Called for each further attempt of a call, with the id of the request as its caller named it. */
   sendAgain(_request: string | undefined, _again: SentAgain): void {
     // Nothing to count by default.
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -1,5 +1,5 @@
 /** The messages of the call pipe towards the task that runs it. */
-import type { Address, AttemptId, CallId, InstanceId } from '../ids.js';
+import type { Address, AttemptId, CallId, InstanceId, Instant } from '../ids.js';
 import type {
   AttemptFailure,
   AttemptHead,
@@ -53,6 +53,8 @@
   | { readonly kind: 'gone'; readonly id: CallId }
   | { readonly kind: 'ledger-answer'; readonly answer: LedgerAnswer }
   | { readonly kind: 'probed'; readonly server: Address; readonly accepts: boolean }
+  /** This process stops; until then every call gets its answer, or is refused. */
+  | { readonly kind: 'stopping'; readonly answerBy: Instant }
   | { readonly kind: 'drain' }
   | { readonly kind: 'tick' };
 
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -114,6 +114,11 @@
       case 'probed':
         this.#passToGuard(turn, message);
         return;
+      case 'stopping':
+        this.#passToClassify(turn, message);
+        this.#passToAttempt(turn, message);
+        this.#passToGuard(turn, message);
+        return;
       case 'drain':
         state.isDraining = true;
         this.#passToGuard(turn, message);
--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -1,5 +1,5 @@
 /** The first filter of a call: finds its route, its request kind and its deadline. */
-import { addMs } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
 import type { CallId, Instant, RequestKindName, ServiceName } from '../ids.js';
 import type {
   CallHead,
@@ -38,7 +38,9 @@
 /** What the classify filter is told. */
 export type ClassifyIn =
   | { readonly kind: 'whole'; readonly whole: Whole }
-  | { readonly kind: 'arrived'; readonly head: CallHead };
+  | { readonly kind: 'arrived'; readonly head: CallHead }
+  /** This process stops; no call has a later deadline. */
+  | { readonly kind: 'stopping'; readonly answerBy: Instant };
 
 /** What the classify filter sends on. */
 export type ClassifyOut =
@@ -54,6 +56,8 @@
   readonly turns: WeightedTurns;
   /** What tells repeated calls from fresh ones; updated in place. */
   readonly patience: UsualPatience;
+  /** The latest deadline of a call. */
+  readonly answerBy: Instant;
 }
 
 /** Routes each call by the whole that is in force when it arrives. */
@@ -71,6 +75,7 @@
       routes: undefined,
       turns: new WeightedTurns(this.#host),
       patience: new UsualPatience(),
+      answerBy: NEVER,
     };
   }
 
@@ -79,6 +84,9 @@
     message: ClassifyIn,
     now: Instant,
   ): Step<ClassifyState, ClassifyOut> {
+    if (message.kind === 'stopping') {
+      return { state: { ...state, answerBy: message.answerBy }, outputs: [] };
+    }
     if (message.kind === 'whole') {
       if (message.whole.resources.size === 0) return { state, outputs: [] };
       const routes = new RouteIndex(message.whole);
@@ -118,7 +126,7 @@
   const found = findRoute(routes, head);
   if (found === undefined) return { kind: 'refused', id, reason: 'no-route' };
   const { route, requestKind } = found;
-  const latest = addMs(now, requestKind.timeoutMs);
+  const latest = Math.min(addMs(now, requestKind.timeoutMs), state.answerBy) as Instant;
   const deadline = Math.min(head.deadline ?? latest, latest) as Instant;
   if (deadline <= now) return { kind: 'refused', id, reason: 'deadline' };
   if (needsClaim(requestKind, head) && !head.repeatable) {
--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -1,5 +1,5 @@
 /** The guard: grants the slots of the backend servers beside this proxy. */
-import { addMs } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
 import type { Address, AttemptId, Instant } from '../ids.js';
 import type { Announcement, AttemptHead, Broadcast } from '../messages/index.js';
 import type { Wake } from '../pipe/index.js';
@@ -33,6 +33,8 @@
   | { readonly kind: 'run-ended'; readonly attempt: AttemptId; readonly ending: RunEnding }
   | { readonly kind: 'probed'; readonly server: Address; readonly accepts: boolean }
   | { readonly kind: 'broadcast'; readonly item: Broadcast }
+  /** This process stops; no attempt has a later deadline. */
+  | { readonly kind: 'stopping'; readonly answerBy: Instant }
   /** This process stops: nothing new runs. */
   | { readonly kind: 'drain' }
   | { readonly kind: 'tick' };
@@ -61,6 +63,8 @@
   /** Requests whose connection to a server broke, until it is known whether the server died. */
   readonly lost: Map<Address, string[]>;
   readonly deadlines: DeadlineHeap<AttemptId>;
+  /** The latest deadline of an attempt. */
+  answerBy: Instant;
   isDraining: boolean;
 }
 
@@ -81,6 +85,7 @@
       crashes: new CrashTable(),
       lost: new Map(),
       deadlines: new DeadlineHeap(),
+      answerBy: NEVER,
       isDraining: false,
     };
   }
@@ -106,6 +111,8 @@
       case 'broadcast':
         state.crashes.addCrash(message.item);
         return [];
+      case 'stopping':
+        return limitDeadlines(state, message.answerBy);
       case 'drain':
         return startDrain(state);
       case 'tick':
@@ -142,9 +149,11 @@
   if (server === undefined) return [{ kind: 'reject', attempt, reason: 'draining' }];
   const verdict = state.crashes.findVerdict(head.subject, now);
   if (verdict === 'quarantined') return [{ kind: 'reject', attempt, reason: 'quarantined' }];
-  const judged = verdict === 'suspect' ? { ...head, suspect: true } : head;
+  const deadline = Math.min(head.deadline, state.answerBy) as Instant;
+  const suspect = head.suspect || verdict === 'suspect';
+  const judged = { ...head, deadline, suspect };
   state.places.set(attempt, server);
-  state.deadlines.add(head.deadline, attempt);
+  state.deadlines.add(deadline, attempt);
   return passAdmissions(state, server, server.admit(judged, now), now);
 }
 
@@ -222,6 +231,12 @@
   return [{ kind: 'broadcast', item }];
 }
 
+function limitDeadlines(state: GuardState, latest: Instant): GuardOut[] {
+  state.answerBy = latest;
+  for (const attempt of state.places.keys()) state.deadlines.add(latest, attempt);
+  return state.places.size === 0 ? [] : [{ kind: 'wake', at: latest }];
+}
+
 function startDrain(state: GuardState): GuardOut[] {
   state.isDraining = true;
   const rejected = [...state.servers.values()].flatMap((one) => one.rejectWaiting('draining'));
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -2,7 +2,7 @@
 export { judgeAnswer } from './answer-verdict.js';
 export type { AnswerProof, AnswerVerdict } from './answer-verdict.js';
 export { CallObserver, NoObserver } from './call-observer.js';
-export type { AnswerDrop, AttemptEnd, AttemptProof, CallEnd } from './call-observer.js';
+export type { AnswerDrop, AttemptEnd, AttemptProof, CallEnd, StopEnd } from './call-observer.js';
 export type { SendAgainReason, SentAgain } from './attempt-messages.js';
 export { formSubject } from './classify-filter.js';
 export { CallPipe, formForwardedAttempt } from './call-pipe.js';
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -24,6 +24,8 @@
 import type { Refusal } from './call-refusal.js';
 import type { LinkPacer } from './link-pacer.js';
 import type { OpenCall } from './open-call.js';
+import type { WholeBytes } from './whole-sink.js';
+import { WholeSink } from './whole-sink.js';
 
 /** What an attempt sender needs. */
 export interface AttemptSenderOptions {
@@ -44,6 +46,8 @@
   readonly #options: AttemptSenderOptions;
   readonly #pools = new CallPools();
   readonly #attempts = new Map<AttemptId, CallAttempt>();
+  readonly #whole: WholeBytes = { total: 0 };
+  #isStopping = false;
 
   constructor(options: AttemptSenderOptions) {
     this.#options = options;
@@ -100,7 +104,7 @@
     const running = this.#attempts.get(attempt);
     const added = load === undefined ? [] : [LOAD_HEADER, formatLoad(load)];
     if (call === undefined) running?.discard();
-    else running?.relay(call.response, added, this.#openPaced(call));
+    else running?.relay(call.response, added, this.#openSink(call));
   }
 
   /** Closes the connection of an attempt. */
@@ -108,6 +112,11 @@
     this.#attempts.get(attempt)?.cancel(reason);
   }
 
+  /** Begins a planned stop: all answers to callers begin once they are whole. */
+  startStop(): void {
+    this.#isStopping = true;
+  }
+
   /** Closes every connection; attempts that still run are cut. */
   async close(): Promise<void> {
     await this.#pools.close();
@@ -115,9 +124,14 @@
 
   // Internals.
 
+  #openSink(call: OpenCall): AnswerSink | undefined {
+    if (call.isForwarded) return this.#openPaced(call);
+    if (!this.#isStopping) return undefined;
+    return new WholeSink({ response: call.response, all: this.#whole, holdsUnknown: true });
+  }
+
   /** Answers to other proxies are paced where the rate of the link is known. */
   #openPaced(call: OpenCall): AnswerSink | undefined {
-    if (!call.isForwarded) return undefined;
     const {
       response,
       deadline,
@@ -129,7 +143,7 @@
         this.#options.observer.dropAnswer({ request, path, ...part });
       },
       refuse: () => {
-        call.refuse(LATE);
+        call.refuse(this.#isStopping ? STOPPED : LATE);
       },
     });
   }
@@ -224,5 +238,7 @@
 // Internals.
 
 const MAX_CONNECTIONS_PER_GUARD = 256;
+/** This process ends before the answer has left. */
+const STOPPED: Refusal = { reason: 'draining', outcome: 'unknown' };
 /** The run has ended, and its answer can't reach the caller in time. */
 const LATE: Refusal = { reason: 'deadline', outcome: 'unknown' };
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -11,10 +11,11 @@
   Place,
   RetryAllowance,
   SlotPolicy,
+  StopEnd,
 } from '../calls/index.js';
 import { CallPipe, NoObserver, SharedSlots, TwoChoicesPicker } from '../calls/index.js';
 import type { CancelTimer, Clock } from '../clock.js';
-import { addMs } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
 import type { Address, CallerId, CallId, Instant } from '../ids.js';
 import type { LimitsResource, StoredAnswer } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
@@ -40,6 +41,14 @@
 /** What the call task hands on to other tasks. */
 export type CallNotice = Extract<CallOut, { kind: 'ledger' | 'observed' | 'broadcast' }>;
 
+/** The instants of a planned stop. */
+export interface PlannedStop {
+  /** Until then every call has its answer, or is refused. */
+  readonly answerBy: Instant;
+  /** What is left then is cut. */
+  readonly closeBy: Instant;
+}
+
 /** What a call task needs. */
 export interface CallTaskOptions {
   /** Where callers and other proxies send calls. */
@@ -78,6 +87,7 @@
   readonly #lag = new LoopLag();
   readonly #timer: WakeTimer;
   #notifyIdle: (() => void) | undefined;
+  #closeBy: Instant = NEVER;
   #isDraining = false;
 
   constructor(options: CallTaskOptions) {
@@ -117,14 +127,27 @@
     return this.#pacer?.held ?? { answers: 0, bytes: 0 };
   }
 
-  /** Refuses new calls as not run, and resolves when the last one in flight has ended. */
+  /** Begins a planned stop: calls are still taken, and end in time. */
+  startStop({ answerBy, closeBy }: PlannedStop): void {
+    this.#closeBy = closeBy;
+    this.#sender.startStop();
+    this.#pacer?.startStop(answerBy);
+    this.post({ kind: 'stopping', answerBy });
+  }
+
+  /** Refuses new calls as not run, and resolves when the last one in flight has ended or is to be cut. */
   async drain(): Promise<void> {
     this.#isDraining = true;
     this.post({ kind: 'drain' });
     await new Promise<void>((resolve) => {
-      this.#notifyIdle = resolve;
+      const cancelTimer = this.#options.clock.callAt(this.#closeBy, resolve);
+      this.#notifyIdle = () => {
+        cancelTimer();
+        resolve();
+      };
       this.#checkIdle();
     });
+    this.#observer.endStop(this.#formStopEnd());
   }
 
   protected override prepareServer(server: Server): void {
@@ -138,7 +161,7 @@
   }
 
   protected override closeConnections(server: Server): void {
-    this.#connections.close(server);
+    this.#connections.close(server, this.#closeBy);
   }
 
   protected override async close(): Promise<void> {
@@ -335,6 +358,19 @@
     );
   }
 
+  #formStopEnd(): StopEnd {
+    const calls = [...this.#calls.values()];
+    const count = (isForwarded: boolean, hasBegun: boolean) =>
+      calls.filter((call) => call.isForwarded === isForwarded && call.hasBegun === hasBegun).length;
+    return {
+      unanswered: count(false, false),
+      answering: count(false, true),
+      guardUnanswered: count(true, false),
+      guardAnswering: count(true, true),
+      attempts: this.#sender.size,
+    };
+  }
+
   #checkIdle(): void {
     if (this.#calls.size > 0 || this.#sender.size > 0) return;
     this.#notifyIdle?.();
--- a/src/edge/caller-connections.ts
+++ b/src/edge/caller-connections.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '../clock.js';
-import type { CallId } from '../ids.js';
+import type { CallId, Instant } from '../ids.js';
 import { refuseSocket } from './call-refusal.js';
 
 /**
@@ -74,14 +74,14 @@
     return this.#refused.has(socket);
   }
 
-  /** Closes the connections of a server that accepts no more, until none is left. */
-  close(server: Server): void {
+  /** Closes the connections of a server that accepts no more, until none is left; the last ones at `closeBy`. */
+  close(server: Server, closeBy: Instant): void {
     const startedAt = this.#clock.read();
     const timer = setInterval(() => {
       server.closeIdleConnections();
       const waited = this.#clock.read() - startedAt;
       if (waited >= UNUSED_LINGER_MS) this.#closeUnused();
-      if (waited >= MAX_LINGER_MS) server.closeAllConnections();
+      if (waited >= MAX_LINGER_MS || this.#clock.read() >= closeBy) server.closeAllConnections();
     }, CLOSE_INTERVAL_MS);
     server.once('close', () => {
       clearInterval(timer);
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -10,7 +10,7 @@
 export { CallTask } from './call-task.js';
 export { FloorTask } from './floor-task.js';
 export type { FloorOptions } from './floor-task.js';
-export type { CallNotice, CallTaskOptions } from './call-task.js';
+export type { CallNotice, CallTaskOptions, PlannedStop } from './call-task.js';
 export { formIdSchema } from './id-schema.js';
 export { LinkTask } from './link-task.js';
 export { LogFile } from './log-file.js';
--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -38,9 +38,11 @@
  */
 export class LinkPacer {
   readonly #clock: Clock;
-  readonly #bytesPerMs: number;
+  #bytesPerMs: number;
+  readonly #linkBytesPerMs: number;
+  #latest: Instant = NEVER;
   readonly #queue = new Set<PacedSink>();
-  readonly #deadlines = new WeakMap<PacedSink, Instant>();
+  readonly #open = new Map<PacedSink, Instant>();
   readonly #held: HeldBytes = { total: 0, answers: 0 };
   #nextAt: Instant;
   #cancelTimer: CancelTimer | undefined;
@@ -48,7 +50,8 @@
   /** `bytesPerSecond` is what the whole link carries. */
   constructor(clock: Clock, bytesPerSecond: number) {
     this.#clock = clock;
-    this.#bytesPerMs = (bytesPerSecond * LARGE_SHARE) / MS_PER_SECOND;
+    this.#linkBytesPerMs = bytesPerSecond / MS_PER_SECOND;
+    this.#bytesPerMs = this.#linkBytesPerMs * LARGE_SHARE;
     this.#nextAt = clock.read();
   }
 
@@ -57,6 +60,13 @@
     return { answers: this.#held.answers, bytes: this.#held.total };
   }
 
+  /** Begins a planned stop: what is held takes the whole link, and is given up when it can't be sent by then. */
+  startStop(latest: Instant): void {
+    this.#latest = latest;
+    this.#bytesPerMs = this.#linkBytesPerMs;
+    for (const sink of this.#open.keys()) sink.restartDrop();
+  }
+
   /** Opens an answer whose bytes go over the link; it is given up when it can't be sent before its deadline. */
   open(response: ServerResponse, deadline: Instant, actions: DropActions = {}): AnswerSink {
     const openedAt = this.#clock.read();
@@ -68,7 +78,8 @@
         this.#addBytes(bytes);
       },
       startDrop: (leftBytes, drop) => {
-        return this.#clock.callAt(addMs(deadline, -this.#measureSending(leftBytes)), drop);
+        const by = Math.min(deadline, this.#latest) as Instant;
+        return this.#clock.callAt(addMs(by, -this.#measureSending(leftBytes)), drop);
       },
       notifyDropped: (sentBytes, leftBytes) => {
         const heldMs = this.#clock.read() - openedAt;
@@ -79,7 +90,10 @@
         else actions.refuse();
       },
     });
-    this.#deadlines.set(sink, deadline);
+    this.#open.set(sink, deadline);
+    response.on('close', () => {
+      this.#open.delete(sink);
+    });
     return sink;
   }
 
@@ -122,7 +136,7 @@
   /** Tells whether an answer that has not begun can't be sent in time any longer. */
   #isTooLate(sink: PacedSink): boolean {
     if (!sink.isUnbegun) return false;
-    const deadline = this.#deadlines.get(sink) ?? NEVER;
+    const deadline = Math.min(this.#open.get(sink) ?? NEVER, this.#latest);
     return addMs(this.#clock.read(), this.#measureSending(sink.leftBytes)) > deadline;
   }
 
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -68,6 +68,11 @@
     return this.#front.findRequestId(this.request);
   }
 
+  /** Whether a part of the answer has been passed on. */
+  get hasBegun(): boolean {
+    return this.response.headersSent;
+  }
+
   /** The `traceparent` header for the attempts of this call. */
   get traceParent(): string | undefined {
     return this.#hop.traceParent;
--- a/src/edge/paced-sink.ts
+++ b/src/edge/paced-sink.ts
@@ -162,6 +162,11 @@
     this.#forgetHeld();
   }
 
+  /** Takes in that the time of the answer has changed. */
+  restartDrop(): void {
+    if (this.#isEnded && !this.#isDropped) this.#startDrop();
+  }
+
   // Internals.
 
   /** An answer under way may use its time to the end; another one is given up when it can't be sent in time. */
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -1,5 +1,5 @@
 /** Logs the calls and attempts that did not end well. */
-import type { AnswerDrop, AttemptEnd, CallEnd, SentAgain } from '../calls/index.js';
+import type { AnswerDrop, AttemptEnd, CallEnd, SentAgain, StopEnd } from '../calls/index.js';
 import { CallObserver } from '../calls/index.js';
 import type { Log, LogFields } from './logger.js';
 
@@ -52,6 +52,11 @@
     this.#options.log('answer-dropped', () => formDropFields(drop));
   }
 
+  override endStop(end: StopEnd): void {
+    this.#options.next.endStop(end);
+    this.#options.log('calls-stopped', () => ({ ...end }));
+  }
+
   override sendAgain(request: string | undefined, again: SentAgain): void {
     this.#options.next.sendAgain(request, again);
     // Apart from the others, so that these lines are there when a call may have run twice.
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -57,6 +57,7 @@
   'attempt-failed': FULL,
   'call-sent-again': FULL,
   'answer-dropped': FULL,
+  'calls-stopped': FULL,
 } satisfies Record<string, LineRate>;
 
 /** The name of a kind of event; it never changes. */
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -3,7 +3,7 @@
 import type { CallObserver } from '../calls/index.js';
 import type { Clock } from '../clock.js';
 import { addMs } from '../clock.js';
-import type { AnnounceRequest, CallNotice, FloorOptions } from '../edge/index.js';
+import type { AnnounceRequest, CallNotice, FloorOptions, PlannedStop } from '../edge/index.js';
 import { AnnounceTask, CallTask, FloorTask, readSpreadMessage, ReadyTask } from '../edge/index.js';
 import type { MembersIn } from '../members/index.js';
 import type { Instant, Version } from '../ids.js';
@@ -215,7 +215,9 @@
     linger: async () => {
       recovery.reportState('proxy', 'proxy-not-ready', { reason: 'stopping' });
       ready?.post({ kind: 'ready', isReady: false });
-      await waitUntil(clock, addMs(clock.read(), proxy.lingerMs - measureDrainLead(proxy)));
+      const stop = formStop(proxy, clock.read());
+      if (stop !== undefined) calls.startStop(stop);
+      await waitUntil(clock, addMs(clock.read(), measureLinger(proxy) - measureDrainLead(proxy)));
     },
     stop: async () => {
       await waitUntil(clock, addMs(clock.read(), measureDrainLead(proxy)));
@@ -232,8 +234,28 @@
 /** The last part of the linger time, in which other proxies learn that the servers here drain. */
 const DRAIN_LEAD_MS = 500;
 
-function measureDrainLead({ lingerMs }: ProxySettings): number {
-  return Math.min(DRAIN_LEAD_MS, lingerMs);
+/** The part of the time of a stop that is left to the last answers and to the end of the process. */
+const STOP_MARGIN_SHARE = 1 / 8;
+
+function formStop({ stopWithinMs }: ProxySettings, now: Instant): PlannedStop | undefined {
+  if (stopWithinMs === undefined) return undefined;
+  const killedAt = addMs(now, stopWithinMs);
+  const marginMs = stopWithinMs * STOP_MARGIN_SHARE;
+  return { answerBy: addMs(killedAt, -marginMs), closeBy: addMs(killedAt, -marginMs / 2) };
+}
+
+/** Calls that come last still need time to end. */
+const MAX_LINGER_SHARE = 1 / 2;
+
+function measureLinger({
+  lingerMs,
+  stopWithinMs = Number.POSITIVE_INFINITY,
+}: ProxySettings): number {
+  return Math.min(lingerMs, stopWithinMs * MAX_LINGER_SHARE);
+}
+
+function measureDrainLead(proxy: ProxySettings): number {
+  return Math.min(DRAIN_LEAD_MS, measureLinger(proxy));
 }
 
 function waitUntil(clock: Clock, deadline: Instant): Promise<void> {
--- a/src/program/settings/proxy-settings.ts
+++ b/src/program/settings/proxy-settings.ts
@@ -29,12 +29,16 @@
   readonly ledgers: readonly Address[];
   /** How long new calls are still taken at a planned stop, in milliseconds, until clients notice it. */
   readonly lingerMs: number;
+  /** When the process is killed after the signal to stop; without it, a stop waits for every call. */
+  readonly stopWithinMs: number | undefined;
   readonly retries: RetryAllowance;
   /** What the link of this host carries; without it, large answers are not paced. */
   readonly linkBytesPerSecond: number | undefined;
 }
 
 const MAX_LINGER_MS = 60_000;
+const MAX_STOP_SECONDS = 3_600;
+const MS_PER_SECOND = 1_000;
 const DEFAULT_PER_CALL = 0.1;
 const DEFAULT_BURST = 20;
 const BYTES_PER_MBIT = 125_000;
@@ -61,6 +65,7 @@
     seeds: z.array(addressSchema).default([]),
     ledgers: z.array(addressSchema).default([]),
     linger_ms: formMillisecondsSchema(0, MAX_LINGER_MS).default(0),
+    stop_within_seconds: z.number().positive().max(MAX_STOP_SECONDS).optional(),
     retries: retriesSchema.prefault({}),
     link_mbit_per_second: z.number().positive().optional(),
   })
@@ -69,7 +74,17 @@
     error: 'expected the control address of a source host, here or among the seeds',
   })
   .transform((section): ProxySettings => {
-    const { linger_ms, link_mbit_per_second: rate, service, forwards, ready, ...rest } = section;
+    const { linger_ms, link_mbit_per_second: rate, service, forwards, ready, ...others } = section;
+    const { stop_within_seconds: within, ...rest } = others;
+    const stopWithinMs = within === undefined ? undefined : within * MS_PER_SECOND;
     const linkBytesPerSecond = rate === undefined ? undefined : rate * BYTES_PER_MBIT;
-    return { ...rest, service, forwards, ready, lingerMs: linger_ms, linkBytesPerSecond };
+    return {
+      ...rest,
+      service,
+      forwards,
+      ready,
+      lingerMs: linger_ms,
+      stopWithinMs,
+      linkBytesPerSecond,
+    };
   });
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -155,6 +155,14 @@
   t.is(lines[0]?.heldMs, 6_000);
 });
 
+test('planned stop: what was left', (t) => {
+  const { lines, log } = startLog();
+  const calls = new CallLog({ log, next: new NoObserver() });
+  const end = { unanswered: 0, answering: 1, guardUnanswered: 0, guardAnswering: 2, attempts: 0 };
+  calls.endStop(end);
+  t.like(lines[0], { event: 'calls-stopped', ...end });
+});
+
 test('lines are bounded', (t) => {
   const { lines, clock, log } = startLog();
   const calls = new CallLog({ log, next: new NoObserver() });
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -114,6 +114,17 @@
   }
 });
 
+test('planned stop: open calls get its end as their deadline', (t) => {
+  const driver = new Driver(1);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) });
+  const answerBy = addMs(WARM, 100);
+  t.deepEqual(driver.listKinds({ kind: 'stopping', answerBy }), []);
+  t.deepEqual(driver.listKinds({ kind: 'tick' }, addMs(WARM, 99)), []);
+  t.deepEqual(driver.listKinds({ kind: 'tick' }, answerBy), ['cancel']);
+  const failed = { kind: 'attempt-failed', attempt: attemptOf('c'), failure: FAILED } as const;
+  t.deepEqual(driver.listKinds(failed, answerBy), ['deadline unknown']);
+});
+
 test('no retry: second layer', (t) => {
   const driver = new Driver(2);
   driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }, { attempt: 2 }) });
--- a/test/calls-guard.test.ts
+++ b/test/calls-guard.test.ts
@@ -309,6 +309,16 @@
   t.deepEqual(driver.admit('c'), []);
 });
 
+test('planned stop: runs end at it, later attempts too', (t) => {
+  const driver = new Driver();
+  const answerBy = addMs(WARM, 100);
+  t.deepEqual(driver.admit('a'), ['run a']);
+  t.deepEqual(driver.list({ kind: 'stopping', answerBy }), []);
+  t.deepEqual(driver.admit('b', { deadline: addMs(WARM, 500) }), ['run b']);
+  t.deepEqual(driver.list({ kind: 'tick' }, addMs(WARM, 99)), []);
+  t.deepEqual(driver.list({ kind: 'tick' }, answerBy), ['stop-run', 'stop-run']);
+});
+
 test('in time, long queue: the latest first', (t) => {
   const driver = new Driver({ slots: 1 });
   driver.admit('running');
--- a/test/calls-route.test.ts
+++ b/test/calls-route.test.ts
@@ -95,3 +95,20 @@
   t.is(decide(400), addMs(START, 100));
   t.is(decide(0), 'deadline');
 });
+
+test('planned stop: no later deadline', (t) => {
+  const filter = new ClassifyFilter('host-0');
+  const whole = makeWhole(makeKind('k', { timeoutMs: 1_000 }), makeRoute('/shop', 'k'));
+  const answerBy = addMs(START, 100);
+  let state = filter.createState();
+  state = filter.decide(state, { kind: 'whole', whole }, START).state;
+  state = filter.decide(state, { kind: 'stopping', answerBy }, START).state;
+  const { outputs } = filter.decide(state, { kind: 'arrived', head: makeHead('c') }, START);
+  t.like(outputs[0], { kind: 'routed', call: { deadline: answerBy } });
+  const { outputs: late } = filter.decide(
+    state,
+    { kind: 'arrived', head: makeHead('d') },
+    answerBy,
+  );
+  t.like(late[0], { kind: 'refused', reason: 'deadline' });
+});
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -287,6 +287,16 @@
   t.false(response.isBegun);
 });
 
+test('planned stop: large answers take the whole link until it', (t) => {
+  const link = startPacer();
+  const answers = Array.from({ length: 10 }, () => holdWhole(link, LARGE_BYTES));
+  link.pacer.startStop(addMs(link.clock.read(), 1_500));
+  link.clock.advance(1_500);
+  const whole = answers.filter(({ response }) => response.isEnded);
+  t.true(whole.length >= 5, `${whole.length}`);
+  t.true(answers.every(({ response, told }) => response.isEnded || told[0] === 'refused'));
+});
+
 test('large answer without a body', (t) => {
   const { clock, pacer } = startPacer();
   const response = new FakeResponse();
