Keep the pull that makes progress

Proxies behind crowded links got a long version late: a pull that had not ended after 1 s was repeated elsewhere, so that the same bytes crossed the same links several times, and what the former peer still sent was thrown away. From an empty start the answer was one message of the whole, of which nobody saw a part come.

While parts come nobody else is asked. A pull without a sign for 1 s still moves on, but the next one has 2 s and the others 4 s, and parts of a peer that was given up count: they are kept for each peer, and its pull is taken up again. Parts that nobody asked for are left out as before.

--- a/src/spread/catch-up.ts
+++ b/src/spread/catch-up.ts
@@ -30,9 +30,13 @@
   readonly #bannedUntil = new Map<Address, Instant>();
   /** Peers that did not answer; they are asked again as soon as they are heard of. */
   readonly #silentUntil = new Map<Address, Instant>();
+  /** Peers that were asked and have not answered yet, the last one left out; their answers still count. */
+  readonly #overdue = new Set<Address>();
   #open: OpenPull | undefined;
   #dueAt: Instant = NEVER;
   #failures = 0;
+  /** Pulls without any sign within their time, since the last version that was applied. */
+  #timeouts = 0;
   /** A version that is known to exist, whoever holds it. */
   #wanted: Version = NO_VERSION;
 
@@ -81,7 +85,7 @@
 
   /** Picks the address to pull from now, if any; `fallback` is asked when nobody claims more. */
   pickNext(held: Version, fallback: readonly Address[], now: Instant): Address | undefined {
-    if (this.#open !== undefined && this.#open.deadline <= now) this.#failOpen(now);
+    if (this.#open !== undefined && this.#open.deadline <= now) this.#endOverdue(this.#open, now);
     if (this.#open !== undefined || this.#dueAt > now) return undefined;
     this.#dueAt = NEVER;
     const address = this.#pickAddress(held, fallback, now);
@@ -90,18 +94,26 @@
       if (isNeeded) this.#dueAt = addMs(now, MIN_RETRY_DELAY_MS * (1 + this.#random.next()));
       return undefined;
     }
-    this.#open = { address, deadline: addMs(now, PULL_TIMEOUT_MS) };
+    this.#openPull(address, now);
     return address;
   }
 
-  /** A part of the answer has arrived: the deadline moves. */
-  extendPull(address: Address, now: Instant): void {
-    if (this.isAsking(address)) this.#open = { address, deadline: addMs(now, PULL_TIMEOUT_MS) };
+  /**
+   * A part of an answer has arrived: the deadline moves, and nobody else is asked while parts come. Returns
+   * false where this peer was not asked.
+   */
+  extendPull(address: Address, now: Instant): boolean {
+    if (!this.isAsking(address) && !this.#overdue.has(address)) return false;
+    if (this.#open !== undefined) this.#overdue.add(this.#open.address);
+    this.#openPull(address, now);
+    return true;
   }
 
   /** A higher version has been applied. Pulls on while somebody claims more. */
   closeApplied(address: Address, held: Version, now: Instant): void {
     this.#failures = 0;
+    this.#timeouts = 0;
+    this.#overdue.clear();
     if (this.isAsking(address)) this.#open = undefined;
     for (const [peer, { version }] of this.#candidates) {
       if (version <= held) this.#candidates.delete(peer);
@@ -147,6 +159,7 @@
   closeBroken(address: Address, now: Instant): void {
     this.#candidates.delete(address);
     if (this.isAsking(address)) this.#failOpen(now);
+    this.#overdue.delete(address);
   }
 
   /** Leaves a peer aside for a while, because it gave something wrong. */
@@ -180,6 +193,19 @@
     return banned <= now && silent <= now && notBefore <= now;
   }
 
+  #openPull(address: Address, now: Instant): void {
+    this.#overdue.delete(address);
+    const patience = PULL_TIMEOUT_MS * 2 ** Math.min(this.#timeouts, MAX_DOUBLINGS);
+    this.#open = { address, deadline: addMs(now, patience) };
+  }
+
+  /** A link may only be slow, so each further peer gets more time, and the former one's answer still counts. */
+  #endOverdue({ address }: OpenPull, now: Instant): void {
+    this.#failOpen(now);
+    this.#timeouts += 1;
+    if (this.#overdue.size < MAX_OVERDUE) this.#overdue.add(address);
+  }
+
   #failOpen(now: Instant): void {
     const address = this.#open?.address;
     this.#open = undefined;
@@ -202,6 +228,9 @@
 const MIN_PATIENCE_MS = 50;
 const PATIENCE_SPREAD_MS = 100;
 const PULL_TIMEOUT_MS = 1_000;
+/** A pull has 4 s at most, so a peer that hangs costs less than the 12 s after which its link is closed. */
+const MAX_DOUBLINGS = 2;
+const MAX_OVERDUE = 8;
 const FAULT_BAN_MS = 3_000;
 const SILENCE_BAN_MS = 500;
 const MIN_RETRY_DELAY_MS = 50;
--- a/src/spread/proxy-puller.ts
+++ b/src/spread/proxy-puller.ts
@@ -35,7 +35,6 @@
     const fallback = this.#listFallback(state);
     const address = catchUp.pickNext(store.mark.version, fallback, now);
     if (address === undefined) return [];
-    state.assembly.forgetAll();
     return [this.#formPull(state, address)];
   }
 
--- a/src/spread/proxy-spread-filter.ts
+++ b/src/spread/proxy-spread-filter.ts
@@ -231,9 +231,8 @@
     chunk: SnapshotChunk,
     now: Instant,
   ): ProxySpreadOut[] {
-    if (!state.catchUp.isAsking(address)) return [];
-    state.catchUp.extendPull(address, now);
-    const snapshot = state.assembly.addChunk(chunk);
+    if (!state.catchUp.extendPull(address, now)) return [];
+    const snapshot = state.parts.add(address, chunk);
     if (snapshot === undefined) return [];
     const fault = state.store.applySnapshot(snapshot);
     if (fault === undefined) return this.#handleApplied(state, address, [], 1, now);
@@ -302,6 +301,7 @@
     const { store, overlay, deadlines } = state;
     const { policy } = this.#options;
     state.appliedAt = now;
+    state.parts.forgetAll();
     state.catchUp.closeApplied(sender, store.mark.version, now);
     const { children } = findNeighbours(state, this.#options);
     const body: SpreadMessage =
--- a/src/spread/proxy-spread-state.ts
+++ b/src/spread/proxy-spread-state.ts
@@ -15,10 +15,10 @@
 import { ChildReports } from './child-reports.js';
 import { Overlay } from './overlay.js';
 import type { Neighbours } from './overlay.js';
+import { PullParts } from './pull-parts.js';
 import { ServedPoll } from './served-poll.js';
 import type { ServeStep, VouchedBy } from './served-version.js';
 import { ServedVersion } from './served-version.js';
-import { SnapshotAssembly } from './snapshot-assembly.js';
 import type { SpreadPolicy } from './spread-policy.js';
 import { VersionStore } from './version-store.js';
 import { VouchRelay } from './vouch-relay.js';
@@ -103,7 +103,7 @@
   readonly served: ServedVersion;
   readonly overlay: Overlay;
   readonly catchUp: CatchUp;
-  readonly assembly: SnapshotAssembly;
+  readonly parts: PullParts;
   readonly admission: Admission;
   readonly reports: ChildReports;
   readonly vouches: VouchRelay;
@@ -141,7 +141,7 @@
     served: new ServedVersion(keepsFloor),
     overlay: new Overlay(policy.shape),
     catchUp: new CatchUp(random),
-    assembly: new SnapshotAssembly(),
+    parts: new PullParts(),
     admission: new Admission(PROXY_RATE),
     reports: new ChildReports(),
     vouches: new VouchRelay(random),
--- a/src/spread/version-store.ts
+++ b/src/spread/version-store.ts
@@ -91,7 +91,7 @@
   formAnswer(held: VersionMark, admission: Admission, now: Instant): readonly SpreadMessage[] {
     const newest = this.#mark;
     if (held.version >= newest.version) return [{ kind: 'push', spans: [], newest }];
-    const { messages, bytes } = this.#findSpanAnswer(held.version) ?? this.#findSnapshotAnswer();
+    const { messages, bytes } = this.#findAnswer(held.version);
     const verdict = admission.decide(bytes, now);
     if (verdict.kind === 'refused') return [{ kind: 'retry-at', at: verdict.retryAt }];
     return messages;
@@ -106,6 +106,16 @@
     this.#snapshotAnswer = undefined;
   }
 
+  /** What is as long as the whole goes in parts, so that whoever asked sees it come. */
+  #findAnswer(held: Version): PullAnswer {
+    const span = this.#findSpanAnswer(held);
+    if (span === undefined || span.bytes >= MIN_PARTED_BYTES) {
+      const snapshot = this.#findSnapshotAnswer();
+      if (span === undefined || snapshot.bytes <= span.bytes) return snapshot;
+    }
+    return span;
+  }
+
   #findSpanAnswer(held: Version): PullAnswer | undefined {
     const known = this.#spanAnswers.get(held);
     if (known !== undefined) return known;
@@ -130,3 +140,5 @@
 // Internals.
 
 const MAX_SPAN_ANSWERS = 8;
+/** About the plain bytes of one part of a snapshot. */
+const MIN_PARTED_BYTES = 32 * 1024;
