Cut answers without a length after 16 MB

What callers saw: an answer with neither a length nor chunks, from a backend server that never stops, was passed on until the deadline of the call, at whatever rate the caller took it.

Cause: only what is held for a slow caller was bounded. Such an answer is cut in any case, since it can't be told from a truncated one.

Evidence: 'endless-answers: endless body never looks whole' allows 64 MB.

--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -47,6 +47,8 @@
   #headers: readonly string[] = [];
   #refusal: AttemptFailure | undefined;
   #refusalBytes = 0;
+  /** What has come of an answer that can't be whole. */
+  #brokenBytes = 0;
   #sink: AnswerSink | undefined;
   #kept: Buffer[] | undefined;
   #keptBytes = 0;
@@ -120,6 +122,13 @@
       if (this.#refusalBytes > MAX_REFUSAL_BYTES) controller.abort(new Error(ENDLESS_REFUSAL));
       return;
     }
+    if (!this.#isWhole) {
+      this.#brokenBytes += chunk.length;
+      if (this.#brokenBytes > MAX_BROKEN_BYTES) {
+        controller.abort(new Error(ENDLESS_BODY));
+        return;
+      }
+    }
     this.#keep(chunk);
     const sink = this.#sink;
     if (sink === undefined || sink.isGone || sink.write(chunk)) return;
@@ -228,6 +237,9 @@
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 /** Refusals bear a line of text at most; a longer body is not worth its connection. */
 const MAX_REFUSAL_BYTES = 16 * 1024;
+/** An answer without a length is cut in any case, so more of it serves nobody. */
+const MAX_BROKEN_BYTES = 16 * 1024 * 1024;
+const ENDLESS_BODY = 'the answer has no length and does not end';
 const ENDLESS_REFUSAL = 'the body of the refusal does not end';
 const CANCELLED = 'the attempt was cancelled';
 const UNPROVEN = 'nothing proves that the answer belongs to the attempt';
