Send attempts over a lean HTTP client of our own

AnswerParser, HopConnection and HopPool carry attempts to guards and backend servers now: http-parser-js over node:net. What varies are two abstract classes, AnswerReader (CallAttempt) and AnswerSource (a connection). undici leaves src/; the command line uses node:http.

One thing differs for callers: where an attempt ends before its streamed body does, the rest of the body is read and dropped in place of destroying the caller's connection. And between the head of an answer and its relay the connection is held always, also where it is the last answer of its connection.

The tests that built undici's controllers by hand (call-attempt, link-pacer) drive the new interface with every assertion kept: a start that threw for an attempt that has ended returns false.

--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -1,5 +1,4 @@
 /** Sends attempts to other proxies and to backend servers, and keeps those that have not ended. */
-import type { Dispatcher } from 'undici';
 import type { CallIn, CallObserver, CallOut } from '../calls/index.js';
 import type { Clock } from '../clock.js';
 import type { AttemptId } from '../ids.js';
@@ -21,6 +20,7 @@
   TIMEOUT_HEADER,
 } from './call-headers.js';
 import { CallPools } from './call-pools.js';
+import type { HopPool } from './hop-pool.js';
 import type { LinkPacer } from './link-pacer.js';
 import type { OpenCall } from './open-call.js';
 
@@ -41,11 +41,12 @@
 /** Owns the connections to backend servers and to other proxies. */
 export class AttemptSender {
   readonly #options: AttemptSenderOptions;
-  readonly #pools = new CallPools();
+  readonly #pools: CallPools;
   readonly #attempts = new Map<AttemptId, CallAttempt>();
 
   constructor(options: AttemptSenderOptions) {
     this.#options = options;
+    this.#pools = new CallPools(options.clock);
   }
 
   /** The number of attempts that have not ended. */
@@ -108,8 +109,8 @@
   }
 
   /** Closes every connection; attempts that still run are cut. */
-  async close(): Promise<void> {
-    await this.#pools.close();
+  close(): void {
+    this.#pools.close();
   }
 
   // Internals.
@@ -169,7 +170,7 @@
   }
 
   #start(
-    pool: Dispatcher,
+    pool: HopPool,
     call: OpenCall,
     head: AttemptHead,
     headers: string[],
@@ -202,7 +203,7 @@
     });
     this.#attempts.set(attempt, running);
     headers.push(...trace);
-    pool.dispatch({ path: url, method, headers, body: call.readBody() }, running);
+    pool.send({ method, path: url, headers, body: call.readBody(), reader: running });
   }
 }
 
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -1,10 +1,11 @@
 /** One attempt on its connection: sends the request and reads the answer. */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
-import type { Dispatcher } from 'undici';
 import type { AnswerProof, CallIn, RunEnding } from '../calls/index.js';
 import { judgeAnswer } from '../calls/index.js';
 import type { AttemptId } from '../ids.js';
 import type { AttemptFailure, RefusalOutcome, StoredAnswer } from '../messages/index.js';
+import type { AnswerHead, AnswerSource } from './answer-reader.js';
+import { AnswerReader } from './answer-reader.js';
 import type { AnswerSink } from './answer-sink.js';
 import { DirectSink } from './answer-sink.js';
 import {
@@ -32,16 +33,14 @@
   readonly onEnd: (status: number | undefined, cause: string | undefined) => void;
 }
 
-type Controller = Dispatcher.DispatchController;
-
 /**
  * Reads an answer from its connection and passes it to the caller once {@link CallAttempt.relay} says
  * so. A slow caller slows the connection down; nothing is gathered in memory but what is kept for a resend
  * or waits for a paced link.
  */
-export class CallAttempt implements Dispatcher.DispatchHandler {
+export class CallAttempt extends AnswerReader {
   readonly #options: CallAttemptOptions;
-  #controller: Controller | undefined;
+  #source: AnswerSource | undefined;
   #status: number | undefined;
   #statusText = '';
   #headers: readonly string[] = [];
@@ -53,13 +52,14 @@
   #kept: Buffer[] | undefined;
   #keptBytes = 0;
   #isWhole = true;
-  /** Whether the connection may be left unread while the caller is slow. */
+  /** Whether the connection may be left unread while the caller is slow; a peer that closes it may reset it. */
   #mayPause = false;
   #cancelReason: CancelReason | undefined;
   #isDone = false;
   #isDiscarded = false;
 
   constructor(options: CallAttemptOptions) {
+    super();
     this.#options = options;
     if (options.keepsAnswer) this.#kept = [];
   }
@@ -68,40 +68,34 @@
   relay(response: ServerResponse, added: readonly string[], sink?: AnswerSink): void {
     this.#sink = sink ?? new DirectSink(response);
     if (!response.destroyed) this.#writeHead(response, added);
-    this.#controller?.resume();
+    this.#source?.resume();
   }
 
   /** Reads the answer to its end without a caller, so that it can be kept. */
   discard(): void {
     this.#isDiscarded = true;
-    this.#controller?.resume();
+    this.#source?.resume();
   }
 
   /** Closes the connection; an attempt that has none yet ends at once and is never sent. */
   cancel(reason: CancelReason): void {
     if (this.#isDone) return;
     this.#cancelReason ??= reason;
-    if (this.#controller === undefined) this.#fail(reason);
-    else this.#controller.abort(new Error(CANCELLED));
+    if (this.#source === undefined) this.#fail(reason);
+    else this.#source.abort(CANCELLED);
   }
 
-  /** @throws when the attempt has ended; undici then keeps the connection for the next one. */
-  onRequestStart(controller: Controller): void {
-    if (this.#isDone) throw new Error(CANCELLED);
-    this.#controller = controller;
+  override handleStart(source: AnswerSource): boolean {
+    if (this.#isDone) return false;
+    this.#source = source;
+    return true;
   }
 
-  onResponseStart(
-    controller: Controller,
-    status: number,
-    headers: Record<string, string | string[] | undefined>,
-    statusText?: string,
-  ): void {
-    if (status < FIRST_FINAL_STATUS) return;
+  override handleHead({ status, statusText, rawHeaders, headers }: AnswerHead): void {
     const { attempt, isGuard, post } = this.#options;
     this.#status = status;
-    this.#statusText = statusText ?? '';
-    this.#headers = decodeHeaders(controller.rawHeaders);
+    this.#statusText = statusText;
+    this.#headers = rawHeaders;
     this.#isWhole = hasLength(this.#options.method, status, headers);
     this.#mayPause = this.#isWhole && !isLastAnswer(headers);
     const outcome = isGuard ? readHeader(headers, OUTCOME_HEADER) : undefined;
@@ -109,39 +103,40 @@
       this.#refusal = readRefusal(outcome, headers);
       return;
     }
-    if (!isGuard && !this.#isAnswer(controller, status, headers)) return;
+    if (!isGuard && !this.#isAnswer(status, headers)) return;
     const load = isGuard ? parseLoad(readHeader(headers, LOAD_HEADER)) : undefined;
     post({ kind: 'answer-started', attempt, status, load });
     const isDecided = this.#sink !== undefined || this.#isDiscarded;
-    if (!isDecided && this.#cancelReason === undefined) this.#pause(controller);
+    if (!isDecided && this.#cancelReason === undefined) this.#source?.pause();
   }
 
-  onResponseData(controller: Controller, chunk: Buffer): void {
+  override handleBody(chunk: Buffer): void {
     if (this.#refusal !== undefined) {
       this.#refusalBytes += chunk.length;
-      if (this.#refusalBytes > MAX_REFUSAL_BYTES) controller.abort(new Error(ENDLESS_REFUSAL));
+      if (this.#refusalBytes > MAX_REFUSAL_BYTES) this.#source?.abort(ENDLESS_REFUSAL);
       return;
     }
     if (!this.#isWhole) {
       this.#brokenBytes += chunk.length;
       if (this.#brokenBytes > MAX_BROKEN_BYTES) {
-        controller.abort(new Error(ENDLESS_BODY));
+        this.#source?.abort(ENDLESS_BODY);
         return;
       }
     }
     this.#keep(chunk);
     const sink = this.#sink;
     if (sink === undefined || sink.isGone || sink.write(chunk)) return;
-    if (!this.#pause(controller)) {
-      if (sink.unsentBytes > MAX_UNSENT_BYTES) controller.abort(new Error(TOO_SLOW));
+    if (!this.#mayPause) {
+      if (sink.unsentBytes > MAX_UNSENT_BYTES) this.#source?.abort(TOO_SLOW);
       return;
     }
+    this.#source?.pause();
     sink.notifyDrained(() => {
-      controller.resume();
+      this.#source?.resume();
     });
   }
 
-  onResponseEnd(): void {
+  override handleEnd(): void {
     const { attempt, post } = this.#options;
     if (!this.#finish()) return;
     if (this.#refusal !== undefined) {
@@ -155,8 +150,8 @@
     }
   }
 
-  onResponseError(_controller: Controller | undefined, error: Error): void {
-    this.#fail(this.#cancelReason ?? error.message);
+  override handleFailure(cause: string): void {
+    this.#fail(this.#cancelReason ?? cause);
   }
 
   // Internals.
@@ -169,29 +164,20 @@
   }
 
   #formFailure(): AttemptFailure {
-    const isSent = this.#controller !== undefined;
+    const isSent = this.#source !== undefined;
     const outcome = isSent ? 'unknown' : 'not-run';
     const reason = this.#cancelReason === 'deadline' ? 'deadline' : 'upstream-failed';
     return { outcome, reason };
   }
 
   /** Tells whether the head is that of the attempt's own answer, and acts where it is not. */
-  #isAnswer(controller: Controller, status: number, headers: IncomingHttpHeaders): boolean {
+  #isAnswer(status: number, headers: IncomingHttpHeaders): boolean {
     const verdict = judgeAnswer(this.#options.readProof(status, headers));
     if (verdict === 'not-run') this.#refusal = { outcome: 'not-run', reason: 'shed' };
-    if (verdict === 'unproven') controller.abort(new Error(UNPROVEN));
+    if (verdict === 'unproven') this.#source?.abort(UNPROVEN);
     return verdict === 'answer';
   }
 
-  /**
-   * Stops reading from the connection; returns false where it must be read on. undici fails an assertion
-   * when a connection ends that it reads to the end and that is paused.
-   */
-  #pause(controller: Controller): boolean {
-    if (this.#mayPause) controller.pause();
-    return this.#mayPause;
-  }
-
   #finish(cause?: string): boolean {
     if (this.#isDone) return false;
     this.#isDone = true;
@@ -202,7 +188,7 @@
   #findEnding(): RunEnding {
     if (this.#refusal !== undefined) return this.#options.isGuard ? 'answered' : 'shed';
     if (this.#cancelReason === 'withdrawn') return 'cancelled';
-    if (this.#controller === undefined) return 'not-sent';
+    if (this.#source === undefined) return 'not-sent';
     return this.#cancelReason === undefined ? 'lost' : 'cancelled';
   }
 
@@ -230,7 +216,6 @@
 
 // Internals.
 
-const FIRST_FINAL_STATUS = 200;
 const STATUS_BAD_GATEWAY = 502;
 const MAX_KEPT_BYTES = 64 * 1024;
 /** What is held for a slow caller where the backend server's connection cannot wait. */
@@ -246,24 +231,15 @@
 const TOO_SLOW = 'the caller reads too slowly for an answer that ends with its connection';
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
-function decodeHeaders(raw: Controller['rawHeaders']): string[] {
-  if (!Array.isArray(raw)) return [];
-  return raw.map((text) => (typeof text === 'string' ? text : text.toString('latin1')));
-}
-
 /** An answer that ends with its connection can't be told from a truncated one. */
-function hasLength(
-  method: string,
-  status: number,
-  headers: Record<string, string | string[] | undefined>,
-): boolean {
+function hasLength(method: string, status: number, headers: IncomingHttpHeaders): boolean {
   if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(status)) return true;
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
 
 /** Tells whether the connection ends after this answer. */
-function isLastAnswer(headers: Record<string, string | string[] | undefined>): boolean {
-  return /\bclose\b/i.test(String(headers.connection ?? ''));
+function isLastAnswer(headers: IncomingHttpHeaders): boolean {
+  return /\bclose\b/i.test(headers.connection ?? '');
 }
 
 function readRefusal(outcome: string, headers: IncomingHttpHeaders): AttemptFailure {
--- a/src/edge/call-pools.ts
+++ b/src/edge/call-pools.ts
@@ -1,36 +1,63 @@
 /** The connections of a proxy to backend servers and to other proxies. */
-import { Pool } from 'undici';
+import type { Clock } from '../clock.js';
+import { NEVER } from '../clock.js';
 import type { Address } from '../ids.js';
+import { WakeTimer } from '../pipe/index.js';
+import { HopPool } from './hop-pool.js';
 
-/**
- * Owns one pool of connections per address. Pools that have not been used for long are closed when
- * there are too many.
- */
+/** Owns one pool of connections per address. The oldest pools are given up when there are too many. */
 export class CallPools {
-  readonly #pools = new Map<Address, Pool>();
+  readonly #clock: Clock;
+  readonly #timer: WakeTimer;
+  readonly #pools = new Map<Address, HopPool>();
 
-  /** Returns the pool of an address. `connections` bounds how many are open at once. */
-  findPool(address: Address, connections: number): Pool {
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#timer = new WakeTimer(clock, () => {
+      this.#closeIdle();
+    });
+  }
+
+  /** Returns the pool of an address. `maxConnections` bounds how many are open at once. */
+  findPool(address: Address, maxConnections: number): HopPool {
     const known = this.#pools.get(address);
     if (known !== undefined) return known;
-    const pool = new Pool(`http://${address}`, { ...POOL_OPTIONS, connections });
+    const pool = new HopPool({
+      address,
+      clock: this.#clock,
+      maxConnections,
+      notifyIdle: (until) => {
+        this.#timer.wakeAt(until);
+      },
+    });
     this.#pools.set(address, pool);
-    if (this.#pools.size > MAX_POOLS) this.#closeOldest();
+    if (this.#pools.size > MAX_POOLS) this.#retireOldest();
     return pool;
   }
 
   /** Closes every connection; attempts that still run are cut. */
-  async close(): Promise<void> {
-    await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
+  close(): void {
+    this.#timer.stop();
+    for (const pool of this.#pools.values()) pool.close();
     this.#pools.clear();
   }
 
   // Internals.
 
-  #closeOldest(): void {
+  #closeIdle(): void {
+    const now = this.#clock.read();
+    let next = NEVER;
+    for (const pool of this.#pools.values()) {
+      const until = pool.closeIdle(now);
+      if (until < next) next = until;
+    }
+    if (next !== NEVER) this.#timer.wakeAt(next);
+  }
+
+  #retireOldest(): void {
     for (const [address, pool] of this.#pools) {
       this.#pools.delete(address);
-      pool.close().catch(ignoreError);
+      pool.retire();
       return;
     }
   }
@@ -39,17 +66,3 @@
 // Internals.
 
 const MAX_POOLS = 256;
-const CONNECT_TIMEOUT_MS = 1_000;
-
-/** Attempts end at their deadlines, so undici's own timers stay off. */
-const POOL_OPTIONS: Pool.Options = {
-  pipelining: 1,
-  headersTimeout: 0,
-  bodyTimeout: 0,
-  autoSelectFamily: false,
-  connect: { timeout: CONNECT_TIMEOUT_MS },
-};
-
-function ignoreError(): void {
-  // A pool that cannot be closed has no connection left.
-}
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -137,7 +137,7 @@
     await this.drain();
     await super.close();
     this.#timer.stop();
-    await this.#sender.close();
+    this.#sender.close();
   }
 
   protected override createPipe(messages: Stream<CallIn>): Stream<unknown> {
--- a/src/program/commands/local-commands.ts
+++ b/src/program/commands/local-commands.ts
@@ -1,10 +1,10 @@
 /** The commands towards a process on the same host: `status` and `drain`. */
-import { request } from 'undici';
 import type { Address } from '../../ids.js';
 import { ExitCode } from '../exit-code.js';
 import type { CommandInput, CommandOption, Terminal } from './command.js';
 import { Command, JSON_OPTION } from './command.js';
 import { formatProcessStatus } from './format-status.js';
+import { sendRequest } from './http-request.js';
 import { parseOperator } from './operator-client.js';
 
 /** A command that sends one request to a process and prints the answer. */
@@ -28,13 +28,11 @@
 
   async #send(address: Address, terminal: Terminal): Promise<unknown> {
     try {
-      const answer = await request(`http://${address}${this.path}`, {
-        method: this.method,
-        signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
-      });
-      const text = await answer.body.text();
-      if (answer.statusCode < HTTP_ERRORS) return JSON.parse(text);
-      terminal.printError(`${address} answered ${answer.statusCode}: ${text}`);
+      const { method, path } = this;
+      const sent = { address, method, path, timeoutMs: ANSWER_TIMEOUT_MS };
+      const { status, text } = await sendRequest(sent);
+      if (status < HTTP_ERRORS) return JSON.parse(text);
+      terminal.printError(`${address} answered ${status}: ${text}`);
     } catch (error) {
       terminal.printError(`no answer from ${address}: ${(error as Error).message}`);
     }
--- a/src/program/commands/operator-client.ts
+++ b/src/program/commands/operator-client.ts
@@ -1,7 +1,6 @@
 /** Sends requests to the source: tries its addresses in turn and follows the leader. */
 import { readFileSync } from 'node:fs';
 import { setTimeout as wait } from 'node:timers/promises';
-import { request } from 'undici';
 import { z } from 'zod';
 import type { Clock } from '../../clock.js';
 import { addMs, SystemClock } from '../../clock.js';
@@ -9,6 +8,7 @@
 import { IdError, parseAddress } from '../../ids.js';
 import type { CommandInput, CommandOption } from './command.js';
 import { UsageError } from './command.js';
+import { sendRequest } from './http-request.js';
 
 /** A request to the source. */
 export interface SourceRequest {
@@ -85,19 +85,17 @@
 
   async #attempt(operator: Address, sent: SourceRequest, deadline: Instant): Promise<Attempt> {
     const left = Math.ceil(deadline - this.#clock.read());
-    const remaining = Math.max(left, MIN_ATTEMPT_MS);
     try {
-      const answer = await request(`http://${operator}${sent.path}`, {
+      const { status, text } = await sendRequest({
+        address: operator,
         method: sent.method,
+        path: sent.path,
         headers: { authorization: `Bearer ${this.#token}` },
-        body: sent.body ?? null,
-        signal: AbortSignal.timeout(remaining),
-        headersTimeout: remaining,
+        body: sent.body,
+        timeoutMs: Math.max(left, MIN_ATTEMPT_MS),
       });
-      const body = parseJson(await answer.body.text());
-      if (answer.statusCode !== UNAVAILABLE) {
-        return { kind: 'answered', status: answer.statusCode, body };
-      }
+      const body = parseJson(text);
+      if (status !== UNAVAILABLE) return { kind: 'answered', status, body };
       return readRefusal(body);
     } catch (error) {
       const reason = (error as Error).message || 'no connection';
--- a/test/call-attempt.test.ts
+++ b/test/call-attempt.test.ts
@@ -4,24 +4,39 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import test from 'ava';
-import type { Dispatcher } from 'undici';
-import { Pool } from 'undici';
 import { waitFor } from '../bench/mesh.js';
 import type { AnswerProof, CallIn } from '../src/calls/index.js';
+import { SystemClock } from '../src/clock.js';
+import { AnswerSource } from '../src/edge/answer-reader.js';
 import { CallAttempt } from '../src/edge/call-attempt.js';
-import type { AttemptId } from '../src/ids.js';
+import { HopPool } from '../src/edge/hop-pool.js';
+import type { Address, AttemptId } from '../src/ids.js';
 
 const SIGNED: AnswerProof = { isOwn: true, isSigned: true, statesNotRun: false, isPromise: false };
 
+/** A connection that counts what it is told. */
+class ScriptedSource extends AnswerSource {
+  pauses = 0;
+  aborts = 0;
+  reader: CallAttempt | undefined;
+
+  override pause(): void {
+    this.pauses += 1;
+  }
+
+  override resume(): void {
+    // Nothing was held.
+  }
+
+  override abort(cause: string): void {
+    this.aborts += 1;
+    this.reader?.handleFailure(cause);
+  }
+}
+
 /** Counts how often the connection was told to wait, with a caller that never keeps up. */
 function countPauses(headers: Record<string, string>): number {
-  let pauses = 0;
-  const controller = {
-    rawHeaders: Object.entries(headers).flat(),
-    pause: () => (pauses += 1),
-    resume: () => undefined,
-    abort: () => undefined,
-  } as unknown as Dispatcher.DispatchController;
+  const source = new ScriptedSource();
   const response = { write: () => false, writeHead: () => undefined, on: () => undefined };
   const attempt = new CallAttempt({
     attempt: 'a' as AttemptId,
@@ -36,16 +51,17 @@
     },
     onEnd: () => undefined,
   });
-  attempt.onRequestStart(controller);
-  attempt.onResponseStart(controller, 200, headers);
-  attempt.onResponseData(controller, Buffer.alloc(8));
-  return pauses;
+  attempt.handleStart(source);
+  const rawHeaders = Object.entries(headers).flat();
+  attempt.handleHead({ status: 200, statusText: 'OK', rawHeaders, headers });
+  attempt.handleBody(Buffer.alloc(8));
+  return source.pauses;
 }
 
 /** An attempt at a guard, with what it posts and how often its connection was broken off. */
 function startAttempt() {
   const posted: CallIn[] = [];
-  let aborts = 0;
+  const source = new ScriptedSource();
   const attempt = new CallAttempt({
     attempt: 'a' as AttemptId,
     isGuard: true,
@@ -55,14 +71,8 @@
     post: (message) => posted.push(message),
     onEnd: () => undefined,
   });
-  const controller = {
-    rawHeaders: [],
-    abort: (error: Error) => {
-      aborts += 1;
-      attempt.onResponseError(undefined, error);
-    },
-  } as unknown as Dispatcher.DispatchController;
-  return { attempt, controller, posted, countAborts: () => aborts };
+  source.reader = attempt;
+  return { attempt, source, posted };
 }
 
 test('slow caller: a kept connection waits', (t) => {
@@ -76,15 +86,13 @@
 });
 
 test('cancelled before it was sent: not run, and never sent', (t) => {
-  const { attempt, controller, posted, countAborts } = startAttempt();
+  const { attempt, source, posted } = startAttempt();
   attempt.cancel('withdrawn');
   t.like(posted, [
     { kind: 'attempt-failed', failure: { outcome: 'not-run' }, ending: 'cancelled' },
   ]);
-  t.throws(() => {
-    attempt.onRequestStart(controller);
-  });
-  t.is(countAborts(), 0);
+  t.false(attempt.handleStart(source));
+  t.is(source.aborts, 0);
   t.is(posted.length, 1);
 });
 
@@ -100,11 +108,19 @@
   await once(server, 'listening');
   t.teardown(() => server.close());
   const { port } = server.address() as AddressInfo;
-  const pool = new Pool(`http://127.0.0.1:${port}`, { connections: 1, pipelining: 1 });
-  t.teardown(() => pool.destroy());
+  const pool = new HopPool({
+    address: `127.0.0.1:${port}` as Address,
+    clock: new SystemClock(),
+    maxConnections: 1,
+    notifyIdle: () => undefined,
+  });
+  t.teardown(() => {
+    pool.close();
+  });
   const [left, next] = [startAttempt(), startAttempt()];
-  pool.dispatch({ path: '/left', method: 'POST' }, left.attempt);
-  pool.dispatch({ path: '/next', method: 'POST' }, next.attempt);
+  const request = { method: 'POST', headers: [], body: null };
+  pool.send({ ...request, path: '/left', reader: left.attempt });
+  pool.send({ ...request, path: '/next', reader: next.attempt });
   left.attempt.cancel('withdrawn');
   await waitFor('an answer', () => next.posted.length > 0 || undefined);
   t.like(next.posted, [{ kind: 'answer-started', status: 200 }]);
@@ -113,8 +129,8 @@
 });
 
 test('cancelled after it was sent: may have run', (t) => {
-  const { attempt, controller, posted } = startAttempt();
-  attempt.onRequestStart(controller);
+  const { attempt, source, posted } = startAttempt();
+  attempt.handleStart(source);
   attempt.cancel('withdrawn');
   t.like(posted, [
     { kind: 'attempt-failed', failure: { outcome: 'unknown' }, ending: 'cancelled' },
@@ -122,10 +138,10 @@
 });
 
 test('refusal that breaks off: still not run', (t) => {
-  const { attempt, controller, posted } = startAttempt();
-  attempt.onRequestStart(controller);
+  const { attempt, source, posted } = startAttempt();
+  attempt.handleStart(source);
   const headers = { 'bilberryswitch-outcome': 'not-run', 'bilberryswitch-reason': 'overloaded' };
-  attempt.onResponseStart(controller, 503, headers);
-  attempt.onResponseError(undefined, new Error('reset'));
+  attempt.handleHead({ status: 503, statusText: '', rawHeaders: [], headers });
+  attempt.handleFailure('reset');
   t.like(posted, [{ failure: { outcome: 'not-run', reason: 'overloaded' } }]);
 });
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -2,9 +2,9 @@
 import { EventEmitter } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
-import type { Dispatcher } from 'undici';
 import type { AnswerProof } from '../src/calls/index.js';
 import { addMs, NEVER } from '../src/clock.js';
+import type { AnswerSource } from '../src/edge/answer-reader.js';
 import { CallAttempt } from '../src/edge/call-attempt.js';
 import { LinkPacer } from '../src/edge/link-pacer.js';
 import type { AttemptId } from '../src/ids.js';
@@ -55,12 +55,11 @@
   const { clock, pacer } = startPacer();
   const response = new FakeResponse();
   const told: string[] = [];
-  const controller = {
-    rawHeaders: [],
+  const source = {
     pause: () => told.push('pause'),
     resume: () => undefined,
     abort: () => undefined,
-  } as unknown as Dispatcher.DispatchController;
+  } as unknown as AnswerSource;
   const attempt = new CallAttempt({
     attempt: 'a' as AttemptId,
     isGuard: false,
@@ -77,10 +76,11 @@
     onEnd: () => undefined,
   });
   response.isFull = true;
-  attempt.onRequestStart(controller);
-  attempt.onResponseStart(controller, 200, { 'content-length': `${LARGE_BYTES}` });
-  attempt.onResponseData(controller, Buffer.alloc(LARGE_BYTES));
-  attempt.onResponseEnd();
+  attempt.handleStart(source);
+  const headers = { 'content-length': `${LARGE_BYTES}` };
+  attempt.handleHead({ status: 200, statusText: 'OK', rawHeaders: [], headers });
+  attempt.handleBody(Buffer.alloc(LARGE_BYTES));
+  attempt.handleEnd();
   t.deepEqual(told, ['answer-started', 'answer-complete']);
   t.true(response.writtenBytes < LARGE_BYTES);
   response.isFull = false;
