--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -9,7 +9,7 @@
 import type { MeshPlan } from './mesh-plan.js';
 import { RunningMesh } from './mesh-plan.js';
 import { readVersion } from './gate-workload.js';
-import { MixedActions, PlannedActions } from './soak-actions.js';
+import { MixedActions, PlannedActions, SOAK_GRACE_MS } from './soak-actions.js';
 import type { SoakCall } from './soak-client.js';
 import { SoakClient } from './soak-client.js';
 import type { RunRecord } from './stand-in-server.js';
@@ -54,6 +54,7 @@
 
 /** Narrow links, so that large answers wait for their turn. */
 const PROXY_LINES = `linger_ms = 800
+stop_within_seconds = ${SOAK_GRACE_MS / 1_000}
 link_mbit_per_second = 2
 `;
 
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -1,5 +1,4 @@
 /** Sends attempts to other proxies and to backend servers, and keeps those that have not ended. */
-import type { Dispatcher } from 'undici';
 import type { CallIn, CallObserver, CallOut } from '../calls/index.js';
 import type { Clock } from '../clock.js';
 import type { AttemptId } from '../ids.js';
@@ -22,6 +21,7 @@
 } from './call-headers.js';
 import { CallPools } from './call-pools.js';
 import type { Refusal } from './call-refusal.js';
+import type { HopPool } from './hop-pool.js';
 import type { LinkPacer } from './link-pacer.js';
 import type { OpenCall } from './open-call.js';
 import type { WholeBytes } from './whole-sink.js';
@@ -44,13 +44,14 @@
 /** Owns the connections to backend servers and to other proxies. */
 export class AttemptSender {
   readonly #options: AttemptSenderOptions;
-  readonly #pools = new CallPools();
+  readonly #pools: CallPools;
   readonly #attempts = new Map<AttemptId, CallAttempt>();
   readonly #whole: WholeBytes = { total: 0 };
   #isStopping = false;
 
   constructor(options: AttemptSenderOptions) {
     this.#options = options;
+    this.#pools = new CallPools(options.clock);
   }
 
   /** The number of attempts that have not ended. */
@@ -118,8 +119,8 @@
   }
 
   /** Closes every connection; attempts that still run are cut. */
-  async close(): Promise<void> {
-    await this.#pools.close();
+  close(): void {
+    this.#pools.close();
   }
 
   // Internals.
@@ -198,7 +199,7 @@
   }
 
   #start(
-    pool: Dispatcher,
+    pool: HopPool,
     call: OpenCall,
     head: AttemptHead,
     headers: string[],
@@ -231,7 +232,7 @@
     });
     this.#attempts.set(attempt, running);
     headers.push(...trace);
-    pool.dispatch({ path: url, method, headers, body: call.readBody() }, running);
+    pool.send({ method, path: url, headers, body: call.readBody(), reader: running });
   }
 }
 
