Pass large answers on once they are whole where links are narrow

With load on the machine, callers behind narrow links still saw 1 or 2 of 20 large answers cut in the middle: late timers delayed an answer under way beyond its deadline, by when the entry proxy had passed its head on.

Where the rate of its link is known, an entry proxy now passes an answer that tells its length on once it is whole, within bounds for each and for all, so that whatever goes wrong within it ends as a refusal. The pacer makes up for timers that fired late, and leaves time for the way to the entry proxy.

--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -124,10 +124,13 @@
 
   // Internals.
 
+  /** Over a narrow link the end of an answer may come too late, and at a stop that of any answer. */
   #openSink(call: OpenCall): AnswerSink | undefined {
     if (call.isForwarded) return this.#openPaced(call);
-    if (!this.#isStopping) return undefined;
-    return new WholeSink({ response: call.response, all: this.#whole, holdsUnknown: true });
+    const isNarrow = this.#options.pacer !== undefined;
+    if (!isNarrow && !this.#isStopping) return undefined;
+    const { response } = call;
+    return new WholeSink({ response, all: this.#whole, holdsUnknown: this.#isStopping });
   }
 
   /** Answers to other proxies are paced where the rate of the link is known. */
--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -79,7 +79,10 @@
       },
       startDrop: (leftBytes, drop) => {
         const by = Math.min(deadline, this.#latest) as Instant;
-        return this.#clock.callAt(addMs(by, -this.#measureSending(leftBytes)), drop);
+        return this.#clock.callAt(
+          leftBytes === 0 ? by : addMs(by, -this.#measureSending(leftBytes)),
+          drop,
+        );
       },
       notifyDropped: (sentBytes, leftBytes) => {
         const heldMs = this.#clock.read() - openedAt;
@@ -124,13 +127,14 @@
   /** Counts bytes that were written; what short answers take ahead of the rate is bounded. */
   #addBytes(bytes: number): void {
     const now = this.#clock.read();
-    const paidAt = addMs(Math.max(this.#nextAt, now) as Instant, bytes / this.#bytesPerMs);
+    const from = Math.max(this.#nextAt, this.#queue.size > 0 ? addMs(now, -MAX_CATCH_UP_MS) : now);
+    const paidAt = addMs(from as Instant, bytes / this.#bytesPerMs);
     this.#nextAt = Math.min(paidAt, addMs(now, MAX_DEBT_MS)) as Instant;
   }
 
   /** The time that so many bytes may take once it is their turn. */
   #measureSending(bytes: number): number {
-    return (bytes / this.#bytesPerMs) * SENDING_SLACK;
+    return (bytes / this.#bytesPerMs) * SENDING_SLACK + DELIVERY_MS;
   }
 
   /** Tells whether an answer that has not begun can't be sent in time any longer. */
@@ -159,6 +163,10 @@
 const MAX_DEBT_MS = 1_000;
 /** Short answers and late timers take a part of the time of an answer under way. */
 const SENDING_SLACK = 1.25;
+/** A busy entry proxy reads the end of an answer so much later. */
+const DELIVERY_MS = 50;
+/** What timers that fired late left unsent is made up for, up to so much. */
+const MAX_CATCH_UP_MS = 100;
 /** Timers fire late, so a little is sent ahead of the rate. */
 const AHEAD_MS = 10;
 
