Charge a repeat to the budget where the call ran at a guard that stops

A guard that stops gives up answers that it can't send in time with the reason draining and an unknown outcome. The entry proxy took every 'draining' for a refusal of something that had not run: it repeated the call outside the budget of its service, and avoided the server for 1 s.

--- a/src/calls/attempt-outcome.ts
+++ b/src/calls/attempt-outcome.ts
@@ -1,7 +1,7 @@
 /** What the end of an attempt says of its call and of its server. */
 import { addMs } from '../clock.js';
 import type { Instant, RequestKindName } from '../ids.js';
-import type { AttemptFailure, GuardLoad, Observation } from '../messages/index.js';
+import type { AttemptFailure, GuardLoad, Observation, RefusalOutcome } from '../messages/index.js';
 import type { SendAgainReason } from './attempt-messages.js';
 import type { AttemptState, OpenAttempt, OpenCall } from './attempt-state.js';
 import { applyFailure } from './outlier.js';
@@ -49,8 +49,14 @@
 }
 
 /** Tells whether nothing can run there for now, so that another attempt costs no retry. */
-export function isFree({ reason }: { readonly reason: SendAgainReason }): boolean {
-  return FREE_REASONS.has(reason);
+export function isFree({
+  reason,
+  outcome,
+}: {
+  readonly reason: SendAgainReason;
+  readonly outcome: RefusalOutcome;
+}): boolean {
+  return outcome === 'not-run' && FREE_REASONS.has(reason);
 }
 
 /** Notes how busy a guard says that the server beside it is. */
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -165,6 +165,19 @@
   t.true(dispatched > 1_050 && dispatched <= 1_105, `${dispatched} attempts for 1000 calls`);
 });
 
+test('retry budget: a guard that stops with the answer to a run', (t) => {
+  const driver = new Driver(3);
+  const failure = { outcome: 'unknown', reason: 'draining' } as const;
+  let dispatched = 0;
+  for (let index = 0; index < 1_000; index += 1) {
+    const id = `c${index}`;
+    dispatched += driver.post({ kind: 'claimed', call: makeCall(id, { timeoutMs: 1e6 }) }).length;
+    const outputs = driver.post({ kind: 'attempt-failed', attempt: attemptOf(id), failure });
+    dispatched += outputs.filter(({ kind }) => kind === 'dispatch').length;
+  }
+  t.true(dispatched > 1_050 && dispatched <= 1_125, `${dispatched} attempts for 1000 calls`);
+});
+
 test('hedge: first answer wins', (t) => {
   const driver = new Driver(2);
   const kind = { hedge: true, timeoutMs: 1e6 };
