--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -35,3 +35,34 @@
   await stopped;
   t.is(await readStatus(), 503);
 });
+
+const STOP_SECONDS = 4;
+
+test('call that runs longer than a stop may take: refused before the kill', async (t) => {
+  const lines = `linger_ms = 200\nstop_within_seconds = ${STOP_SECONDS}`;
+  const { mesh, operator, tokenFile, calls, nodes } = await startSmallMesh(2, 1, lines);
+  t.teardown(() => mesh.stop());
+  const text = FIRST_NOTE.replace('timeout_ms = 2000', 'timeout_ms = 60000');
+  const note = mesh.writeFile('note.toml', text);
+  const access = ['--operator', operator, '--token-file', tokenFile];
+  await mesh.runCommand(['note', 'submit', note, ...access]);
+  const [, entry = ''] = calls;
+  const url = `http://${entry}/catalogue/canopies`;
+  await waitFor('an answer', async () => {
+    const { statusCode, body } = await request(url);
+    await body.dump();
+    return statusCode === 200 || undefined;
+  });
+  const long = request(url, { headers: { 'x-work-ms': '30000' } });
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  const [, , process] = nodes;
+  if (process === undefined) throw new Error('the mesh has no second proxy');
+  const stopped = stopProcess(process, STOP_SECONDS * 1_000);
+  const { statusCode, headers, body } = await long;
+  await body.dump();
+  t.is(statusCode, 504);
+  t.is(headers['bilberryswitch-outcome'], 'unknown');
+  await stopped;
+  t.is(process.child.exitCode, 0);
+  t.regex(process.output(), /"calls-stopped","unanswered":0,"answering":0/);
+});
