Read answers into one buffer for all connections

Cause: each read of a socket allocated 64 KB and passed the machinery of a readable stream. What was read is handled before the next read, so one buffer serves all connections; bodies and what is held are copied.

Run: hop-pool, answer-parser, call-attempt, link-pacer, calls-path, platform-calls, planned-stop green.

--- a/src/edge/answer-parser.ts
+++ b/src/edge/answer-parser.ts
@@ -98,13 +98,13 @@
   }
 
   /**
-   * Takes the bytes that came next.
+   * Takes the bytes that came next; what is kept of them is copied.
    *
    * @throws when they are no answer.
    */
   read(chunk: Buffer): void {
     if (this.#isHeld) {
-      this.#rest = this.#rest === undefined ? chunk : Buffer.concat([this.#rest, chunk]);
+      this.#rest = Buffer.concat(this.#rest === undefined ? [chunk] : [this.#rest, chunk]);
       return;
     }
     const result = this.execute(chunk);
@@ -189,7 +189,7 @@
 
   protected [HTTPParser.kOnBody](bytes: Buffer): void {
     this.#lineBytes = 0;
-    this.#reader?.handleBody(bytes);
+    this.#reader?.handleBody(Buffer.from(bytes));
     if (!this.#isHeld) return;
     this.#holdFrom(this.offset + bytes.length);
     // The caller counts these bytes when this returns.
@@ -206,7 +206,7 @@
 
   /** Leaves the bytes from `offset` on unread. */
   #holdFrom(offset: number): void {
-    if (offset < this.end) this.#rest = this.chunk.subarray(offset, this.end);
+    if (offset < this.end) this.#rest = Buffer.from(this.chunk.subarray(offset, this.end));
     this.offset = this.end;
   }
 
--- a/src/edge/hop-connection.ts
+++ b/src/edge/hop-connection.ts
@@ -48,7 +48,20 @@
     const { address, clock } = options;
     this.#parser = new AnswerParser(address);
     const { host, port } = splitAddress(address);
-    this.#socket = connect({ host, port, noDelay: true, keepAlive: true, autoSelectFamily: false });
+    this.#socket = connect({
+      host,
+      port,
+      noDelay: true,
+      keepAlive: true,
+      autoSelectFamily: false,
+      onread: {
+        buffer: READ_BUFFER,
+        callback: (length) => {
+          this.#handleBytes(READ_BUFFER.subarray(0, length));
+          return true;
+        },
+      },
+    });
     this.#cancelTimeout = clock.callAt(addMs(clock.read(), CONNECT_TIMEOUT_MS), () => {
       this.close(`no connection to ${address} within ${CONNECT_TIMEOUT_MS} ms`);
     });
@@ -133,14 +146,6 @@
       this.#first = undefined;
       if (first === undefined || !this.send(first)) this.#becomeIdle(IDLE_MS);
     });
-    socket.on('data', (chunk) => {
-      if (this.#exchange === undefined) this.close('bytes came that belong to no request');
-      else {
-        this.#read(() => {
-          this.#parser.read(chunk);
-        });
-      }
-    });
     socket.on('end', () => {
       this.#hasEnded = true;
       this.#readEnd();
@@ -156,6 +161,16 @@
     });
   }
 
+  #handleBytes(bytes: Buffer): void {
+    if (this.#exchange === undefined) {
+      this.close('bytes came that belong to no request');
+      return;
+    }
+    this.#read(() => {
+      this.#parser.read(bytes);
+    });
+  }
+
   #read(read: () => void): void {
     try {
       read();
@@ -214,6 +229,8 @@
 
 // Internals.
 
+/** What was read is handled before the next read, so one buffer serves all connections. */
+const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
 const CONNECT_TIMEOUT_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 /** For peers that do not tell how long they keep an idle connection; node:http keeps one for 5 s. */
