Add a failing test: a stopping proxy says ready again when a version comes

Callers go on sending to a proxy that is about to end.

Cause: RunningRole.linger of the proxy posts that it is not ready, but routeSpread in src/program/run-proxy.ts posts that it is ready for each version that is applied, also while it lingers.

--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -1,10 +1,19 @@
 /** A planned stop of a proxy beside a backend server that keeps running. */
 import test from 'ava';
 import { request } from 'undici';
-import { stopProcess, waitFor } from '../bench/mesh.js';
+import { findFreeAddress, stopProcess, waitFor } from '../bench/mesh.js';
 import { FIRST_NOTE, startSmallMesh } from '../bench/small-mesh.js';
 
 const LINGER_MS = 1_500;
+/** Long enough for a new version to arrive meanwhile, also on a busy machine. */
+const LONG_LINGER_MS = 60_000;
+const SECOND_NOTE = `number = 2
+title = "Fabrics"
+
+[[add]]
+kind = "service"
+name = "fabrics"
+`;
 /** Less than the linger time by the part in which other proxies learn of the drain. */
 const SERVED_MS = 900;
 
@@ -35,3 +44,31 @@
   await stopped;
   t.is(await readStatus(), 503);
 });
+
+test('stopping proxy stays not ready: a new version comes', async (t) => {
+  const ready = await findFreeAddress();
+  const lines = `linger_ms = ${LONG_LINGER_MS}\nready = "${ready}"`;
+  const { mesh, operator, tokenFile, nodes } = await startSmallMesh(1, 1, lines);
+  t.teardown(() => mesh.stop());
+  const access = ['--operator', operator, '--token-file', tokenFile];
+  const submit = async (text: string): Promise<void> => {
+    await mesh.runCommand(['note', 'submit', mesh.writeFile('note.toml', text), ...access]);
+  };
+  const readStatus = async (): Promise<number> => {
+    const answer = await request(`http://${ready}/`, { reset: true });
+    await answer.body.dump();
+    return answer.statusCode;
+  };
+  await submit(FIRST_NOTE);
+  await waitFor('the proxy to be ready', async () => (await readStatus()) === 200 || undefined);
+
+  const [, proxy] = nodes;
+  if (proxy === undefined) throw new Error('the mesh has no proxy');
+  proxy.child.kill('SIGTERM');
+  await waitFor('the proxy not to be ready', async () => (await readStatus()) === 503 || undefined);
+  await submit(SECOND_NOTE);
+  await waitFor('the second version', () => {
+    return proxy.output().includes('"version-applied","version":2') || undefined;
+  });
+  t.is(await readStatus(), 503);
+});
