Keep a proxy that stops not ready when a version comes

What callers saw: load balancers and callers went on sending to proxies that were about to end.

Readiness is one object now, and a stop ends it for good.

--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -27,6 +27,7 @@
 export { OwnCallFront } from './own-call-front.js';
 export { ProbeTask } from './probe-task.js';
 export { ReadyTask } from './ready-task.js';
+export type { ReadyIn } from './ready-task.js';
 export { decodeSync, encodeSync } from './sync-codec.js';
 export { readSourceSpreadMessage, readSpreadMessage } from './spread-codec.js';
 export { StatusTask } from './status-task.js';
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -25,6 +25,7 @@
 import type { HopTracer } from '../traces/index.js';
 import type { Fronts } from './fronts.js';
 import type { Log } from './logger.js';
+import { ProxyReadiness } from './proxy-readiness.js';
 import type { RecoveryLog } from './recovery-log.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
@@ -118,6 +119,12 @@
     proxy.ready === undefined
       ? undefined
       : new ReadyTask({ name: 'ready', address: proxy.ready, reportFailure });
+  const readiness = new ProxyReadiness({
+    recovery,
+    post: (message) => {
+      ready?.post(message);
+    },
+  });
 
   addHeldMetrics(options.registry, calls);
   const distribution: DistributionStatus = { held: NO_VERSION, rejected: {} };
@@ -176,8 +183,7 @@
         report('proxy', { version: output.whole.version, resources: output.whole.resources.size });
         calls.post(output);
         if (output.whole.resources.size === 0) return;
-        recovery.reportState('proxy', 'proxy-ready', { version: output.whole.version });
-        ready?.post({ kind: 'ready', isReady: true });
+        readiness.handleServed(output.whole.version);
         return;
       case 'rejected':
         log('version-rejected', { address: output.address, fault: output.fault });
@@ -193,7 +199,7 @@
   }
 
   const tasks = [ledger, calls, spread, announce, ...(floor === undefined ? [] : [floor])];
-  recovery.reportState('proxy', 'proxy-not-ready', { reason: 'no-version' });
+  readiness.start();
   if (ready !== undefined) await ready.start();
   for (const task of tasks) await task.start();
   if (floor === undefined) spread.post({ kind: 'start', floor: undefined });
@@ -213,8 +219,7 @@
       spread.post({ kind: 'sources', sources });
     },
     linger: async () => {
-      recovery.reportState('proxy', 'proxy-not-ready', { reason: 'stopping' });
-      ready?.post({ kind: 'ready', isReady: false });
+      readiness.stop();
       const stop = formStop(proxy, clock.read());
       if (stop !== undefined) calls.startStop(stop);
       await waitUntil(clock, addMs(clock.read(), measureLinger(proxy) - measureDrainLead(proxy)));
