Read what has come before closing idle connections at a planned stop

Cause: connections are closed from a timer, and timers run before the sockets are read. A process that was busy beyond the interval took a connection for idle whose next request lay unread. Closing a server does the same at once.

Both now wait until the sockets were polled. While a proxy drains, answers end their connections as well, so that callers send nothing behind them. 'caller-connections: stop: request that has come is answered, not cut' failed with ECONNRESET on the old code; that refusals of a drain say 'close' is asked for by 'calls-path: drain cuts nothing'.

--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -23,6 +23,7 @@
 import type { Random } from '../random.js';
 import type { HopTracer } from '../traces/index.js';
 import { NoTracer } from '../traces/index.js';
+import { runAfterPoll } from './after-poll.js';
 import { AttemptSender } from './attempt-sender.js';
 import type { CallFront } from './call-front.js';
 import { hasBody, readBody } from './call-body.js';
@@ -186,6 +187,7 @@
 
   protected override handle(request: IncomingMessage, response: ServerResponse): void {
     if (this.#connections.isRefused(request.socket)) return;
+    if (this.#isDraining) response.shouldKeepAlive = false;
     const id = randomUUID() as string as CallId;
     const isFromProxy = isForwarded(request);
     const call = new OpenCall({
@@ -404,14 +406,6 @@
   noDelay: true,
 };
 
-/**
- * Runs an action after the sockets have been polled once more. A process that was paused reads requests
- * whose callers have long gone; the end of such a connection is read only by the poll after that.
- */
-function runAfterPoll(action: () => void): void {
-  setImmediate(() => setImmediate(action));
-}
-
 const OVERLOADED: Refusal = { reason: 'overloaded', outcome: 'not-run' };
 
 function formHeadRefusal({ reason, message }: HeadFault): Refusal {
--- a/src/edge/caller-connections.ts
+++ b/src/edge/caller-connections.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../clock.js';
 import { addMs } from '../clock.js';
 import type { CallId, Instant } from '../ids.js';
+import { runAfterPoll } from './after-poll.js';
 import { refuseSocket } from './call-refusal.js';
 
 /**
@@ -88,11 +89,14 @@
   /** Closes the connections of a server that accepts no more, until none is left; the last ones at `closeBy`. */
   close(server: Server, closeBy: Instant): void {
     const startedAt = this.#clock.read();
+    // A connection that seems idle may hold a request that has come and was not read yet.
     const timer = setInterval(() => {
-      server.closeIdleConnections();
-      const waited = this.#clock.read() - startedAt;
-      if (waited >= UNUSED_LINGER_MS) this.#closeUnused();
-      if (waited >= MAX_LINGER_MS || this.#clock.read() >= closeBy) server.closeAllConnections();
+      runAfterPoll(() => {
+        server.closeIdleConnections();
+        const waited = this.#clock.read() - startedAt;
+        if (waited >= UNUSED_LINGER_MS) this.#closeUnused();
+        if (waited >= MAX_LINGER_MS || this.#clock.read() >= closeBy) server.closeAllConnections();
+      });
     }, CLOSE_INTERVAL_MS);
     server.once('close', () => {
       clearInterval(timer);
--- a/src/edge/http-task.ts
+++ b/src/edge/http-task.ts
@@ -5,6 +5,7 @@
 import { splitAddress } from '../ids.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { Task } from '../pipe/index.js';
+import { runAfterPoll } from './after-poll.js';
 
 /** What every HTTP task needs. */
 export interface HttpTaskOptions {
@@ -78,10 +79,13 @@
 
   async #closeServer(server: Server): Promise<void> {
     await new Promise<void>((resolve) => {
-      server.close(() => {
-        resolve();
+      // Node.js closes idle connections with the server, and one may hold a request that was not read yet.
+      runAfterPoll(() => {
+        server.close(() => {
+          resolve();
+        });
+        this.closeConnections(server);
       });
-      this.closeConnections(server);
     });
   }
 }
--- a/test/caller-connections.test.ts
+++ b/test/caller-connections.test.ts
@@ -1,7 +1,10 @@
 /** The connections of callers, and the calls that end with them. */
-import { Server } from 'node:http';
-import { Socket } from 'node:net';
+import { once } from 'node:events';
+import { createServer, Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { connect, Socket } from 'node:net';
 import test from 'ava';
+import { NEVER, SystemClock } from '../src/clock.js';
 import { CallerConnections } from '../src/edge/caller-connections.js';
 import type { CallId } from '../src/ids.js';
 import { ManualClock } from './manual-clock.js';
@@ -33,3 +36,29 @@
   socket.emit('close');
   t.deepEqual(gone, []);
 });
+
+/** Keeps the process from reading its sockets until the connections are due to be closed. */
+function stall(milliseconds: number): void {
+  const until = performance.now() + milliseconds;
+  while (performance.now() < until);
+}
+
+test('stop: request that has come is answered, not cut', async (t) => {
+  const connections = new CallerConnections(new SystemClock(), () => undefined);
+  const server = createServer((_request, response) => response.end('done'));
+  connections.watch(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const socket = connect({ port, host: '127.0.0.1' });
+  const request = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+  socket.write(request);
+  await once(socket, 'data');
+  connections.close(server, NEVER);
+  socket.write(request);
+  stall(50);
+  const [answer] = (await Promise.race([once(socket, 'data'), once(socket, 'close')])) as [unknown];
+  t.regex(String(answer), /^HTTP\/1.1 200/);
+  server.close();
+  socket.destroy();
+});
--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -203,6 +203,7 @@
   const refused = await call(calls, '/notes');
   t.is(refused.headers['bilberryswitch-outcome'], 'not-run');
   t.is(refused.status, 503);
+  t.is(refused.headers.connection, 'close');
   const viaOther = await call(mesh.at(1).calls, '/notes', { 'x-nonce': 'other' });
   t.is(viaOther.text, 'other');
   const texts = (await Promise.all(before)).map(({ text }) => text);
