Hold large answers that tell no length as well, while they come quickly

Cause: such answers come in chunks, so the pacer passed on their first 8 KB at once and could only cut the rest. They ranked by what was held of them and were overtaken by all shorter ones.

The pacer now holds an answer without a length for 100 ms. One that has ended by then is treated, and passed on, as an answer of its length; one that comes more slowly goes out as it comes, as before.

--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -77,6 +77,7 @@
       addBytes: (bytes) => {
         this.#addBytes(bytes);
       },
+      startStream: (begin) => this.#clock.callAt(addMs(openedAt, STREAM_AFTER_MS), begin),
       startDrop: (leftBytes, drop) => {
         const by = Math.min(deadline, this.#latest) as Instant;
         return this.#clock.callAt(
@@ -159,6 +160,8 @@
 const MS_PER_SECOND = 1_000;
 /** The rest of the link is left to requests, short answers and the traffic of the system itself. */
 const LARGE_SHARE = 0.75;
+/** By then an answer that tells no length has ended, or is sent as it comes. */
+const STREAM_AFTER_MS = 100;
 const MIN_PIECE_BYTES = 4 * 1024;
 const MAX_DEBT_MS = 1_000;
 /** Short answers and late timers take a part of the time of an answer under way. */
--- a/src/edge/paced-sink.ts
+++ b/src/edge/paced-sink.ts
@@ -16,6 +16,8 @@
   readonly addWaiting: () => void;
   /** Bytes were written. */
   readonly addBytes: (bytes: number) => void;
+  /** Calls back when an answer that tells no length, and has not ended, is to begin. */
+  readonly startStream: (begin: () => void) => CancelTimer;
   /** Calls back when so many bytes can't be sent before the deadline of the answer any longer. */
   readonly startDrop: (leftBytes: number, drop: () => void) => CancelTimer;
   /** The answer is dropped after so many bytes, with so many left. */
@@ -25,9 +27,10 @@
 }
 
 /**
- * Holds an answer until the link has room for it. Of an answer that tells its length and is large, nothing is
- * sent before it is held as far as it will be and its turn has come, so that one that breaks off or comes too
- * late for the link can still become a refusal.
+ * Holds an answer until the link has room for it. Of a large answer nothing is sent before it is held as far as
+ * it will be and its turn has come, so that one that breaks off or comes too late for the link can still become
+ * a refusal. An answer that tells no length is large if more comes soon than goes out freely; one that is not
+ * whole by then is sent as it comes.
  */
 export class PacedSink extends AnswerSink {
   readonly #response: ServerResponse;
@@ -47,6 +50,7 @@
   #isDropped = false;
   #notifyDrained: (() => void) | undefined;
   #cancelDrop: CancelTimer | undefined;
+  #cancelStream: CancelTimer | undefined;
 
   constructor(response: ServerResponse, all: HeldBytes, link: LinkUse) {
     super();
@@ -59,6 +63,7 @@
     });
     response.on('close', () => {
       this.#cancelDrop?.();
+      this.#cancelStream?.();
       this.#forgetHeld();
     });
   }
@@ -94,13 +99,17 @@
 
   override begin(head: AnswerHead): void {
     const length = readLength(head);
-    if (length === undefined || length <= FREE_BYTES) {
+    if (length !== undefined && length <= FREE_BYTES) {
       writeHead(this.#response, head);
       return;
     }
     this.#head = head;
     this.#length = length;
     this.#freeBytes = 0;
+    if (length !== undefined) return;
+    this.#cancelStream = this.#link.startStream(() => {
+      this.#startStream();
+    });
   }
 
   override write(chunk: Buffer): boolean {
@@ -119,6 +128,8 @@
   override end(): void {
     if (this.isGone) return;
     this.#isEnded = true;
+    this.#cancelStream?.();
+    if (this.#head !== undefined && this.#length === undefined) this.#addLength(this.#head);
     if (this.#heldBytes === 0) {
       this.#endResponse();
       return;
@@ -177,6 +188,32 @@
     });
   }
 
+  /** Passes on an answer that comes slowly, as it comes. */
+  #startStream(): void {
+    if (this.isGone || this.#head === undefined) return;
+    this.#sendHead();
+    this.#freeBytes = FREE_BYTES;
+    const held = this.#held.splice(0);
+    this.#updateHeld(-this.#heldBytes);
+    for (const chunk of held) this.write(chunk);
+    this.#notifyRoom();
+  }
+
+  /** The answer has ended before any of it was sent, so that its length is known now. */
+  #addLength(head: AnswerHead): void {
+    const bytes = this.#heldBytes;
+    if (bytes > 0)
+      this.#head = { ...head, headers: [...head.headers, 'content-length', `${bytes}`] };
+    if (bytes > FREE_BYTES) this.#length = bytes;
+    else this.#sendAll();
+  }
+
+  #sendAll(): void {
+    const held = this.#held.splice(0);
+    this.#updateHeld(-this.#heldBytes);
+    for (const chunk of held) this.#send(chunk);
+  }
+
   #send(bytes: Buffer): void {
     this.#sendHead();
     this.#sentBytes += bytes.length;
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -19,13 +19,15 @@
 class FakeResponse extends EventEmitter {
   writtenBytes = 0;
   isBegun = false;
+  length: string | undefined;
   isEnded = false;
   destroyed = false;
   isFull = false;
   readonly writableLength = 0;
 
-  writeHead(): void {
+  writeHead(_status?: number, _text?: string, headers: readonly string[] = []): void {
     this.isBegun = true;
+    this.length = headers[headers.indexOf('content-length') + 1];
   }
 
   write(chunk: Buffer): boolean {
@@ -297,6 +299,61 @@
   t.true(answers.every(({ response, told }) => response.isEnded || told[0] === 'refused'));
 });
 
+const CHUNKED = { status: 200, statusText: 'OK', headers: [] };
+
+test('large answers without a length: refused whole, not cut', (t) => {
+  const { clock, pacer } = startPacer();
+  const deadline = addMs(clock.read(), 2_000);
+  const answers = Array.from({ length: 20 }, () => {
+    const response = new FakeResponse();
+    const told: string[] = [];
+    const sink = pacer.open(response as unknown as ServerResponse, deadline, {
+      refuse: () => told.push(response.isBegun ? 'cut' : 'refused'),
+    });
+    sink.begin(CHUNKED);
+    sink.write(Buffer.alloc(LARGE_BYTES / 2));
+    return { response, told, sink };
+  });
+  clock.advance(20);
+  for (const { sink } of answers) {
+    sink.write(Buffer.alloc(LARGE_BYTES / 2));
+    sink.end();
+  }
+  clock.advance(2_000);
+  const endings = answers.map(({ response, told }) => (response.isEnded ? 'whole' : told.join()));
+  t.deepEqual([...new Set(endings)].sort(), ['refused', 'whole'], endings.join(' '));
+  const whole = answers.filter(({ response }) => response.isEnded);
+  t.true(whole.every(({ response }) => response.length === `${LARGE_BYTES}`));
+});
+
+test('short answer without a length: at once', (t) => {
+  const { clock, pacer } = startPacer();
+  const response = new FakeResponse();
+  const sink = pacer.open(response as unknown as ServerResponse, addMs(clock.read(), 2_000));
+  sink.begin(CHUNKED);
+  sink.write(Buffer.alloc(100));
+  sink.end();
+  t.true(response.isEnded);
+  t.is(response.writtenBytes, 100);
+});
+
+test('answer that comes slowly is passed on as it comes', (t) => {
+  const { clock, pacer } = startPacer();
+  const response = new FakeResponse();
+  const sink = pacer.open(response as unknown as ServerResponse, addMs(clock.read(), 60_000));
+  sink.begin(CHUNKED);
+  sink.write(Buffer.alloc(100));
+  clock.advance(100);
+  t.is(response.writtenBytes, 100);
+  for (let chunk = 0; chunk < 20; chunk += 1) {
+    sink.write(Buffer.alloc(100));
+    t.is(response.writtenBytes, 200 + chunk * 100);
+    clock.advance(50);
+  }
+  sink.end();
+  t.true(response.isEnded);
+});
+
 test('large answer without a body', (t) => {
   const { clock, pacer } = startPacer();
   const response = new FakeResponse();
