--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -128,8 +128,7 @@
   /** Counts bytes that were written; what short answers take ahead of the rate is bounded. */
   #addBytes(bytes: number): void {
     const now = this.#clock.read();
-    const from = Math.max(this.#nextAt, this.#queue.size > 0 ? addMs(now, -MAX_CATCH_UP_MS) : now);
-    const paidAt = addMs(from as Instant, bytes / this.#bytesPerMs);
+    const paidAt = addMs(Math.max(this.#nextAt, now) as Instant, bytes / this.#bytesPerMs);
     this.#nextAt = Math.min(paidAt, addMs(now, MAX_DEBT_MS)) as Instant;
   }
 
@@ -168,8 +167,6 @@
 const SENDING_SLACK = 1.25;
 /** A busy entry proxy reads the end of an answer so much later. */
 const DELIVERY_MS = 50;
-/** What timers that fired late left unsent is made up for, up to so much. */
-const MAX_CATCH_UP_MS = 100;
 /** Timers fire late, so a little is sent ahead of the rate. */
 const AHEAD_MS = 10;
 
