End runs of other proxies at a planned stop again after the join

The join of (a deadline for replies) with (a planned stop with an end) put off each run whose own deadline is later than the end of the stop, so that a guard that stops never ended it. calls-guard, 'planned stop: runs end at it, later attempts too', is red on main since (one of two runs stopped) and passes with this.

--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -250,7 +250,8 @@
   for (const attempt of state.deadlines.takeDue(now)) {
     const run = state.places.get(attempt)?.findRun(attempt);
     if (run === undefined) continue;
-    if (run.deadline > now) state.deadlines.add(run.deadline, attempt);
+    const deadline = Math.min(run.deadline, state.answerBy) as Instant;
+    if (deadline > now) state.deadlines.add(deadline, attempt);
     else outputs.push({ kind: 'stop-run', attempt, reason: 'deadline' });
   }
   for (const server of state.servers.values()) {
