--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -77,6 +77,7 @@
       addBytes: (bytes) => {
         this.#addBytes(bytes);
       },
+      startStream: (begin) => this.#clock.callAt(addMs(openedAt, STREAM_AFTER_MS), begin),
       startDrop: (leftBytes, drop) => {
         const by = Math.min(deadline, this.#latest) as Instant;
         return this.#clock.callAt(
@@ -127,8 +128,7 @@
   /** Counts bytes that were written; what short answers take ahead of the rate is bounded. */
   #addBytes(bytes: number): void {
     const now = this.#clock.read();
-    const from = Math.max(this.#nextAt, this.#queue.size > 0 ? addMs(now, -MAX_CATCH_UP_MS) : now);
-    const paidAt = addMs(from as Instant, bytes / this.#bytesPerMs);
+    const paidAt = addMs(Math.max(this.#nextAt, now) as Instant, bytes / this.#bytesPerMs);
     this.#nextAt = Math.min(paidAt, addMs(now, MAX_DEBT_MS)) as Instant;
   }
 
@@ -159,14 +159,14 @@
 const MS_PER_SECOND = 1_000;
 /** The rest of the link is left to requests, short answers and the traffic of the system itself. */
 const LARGE_SHARE = 0.75;
+/** By then an answer that tells no length has ended, or is sent as it comes. */
+const STREAM_AFTER_MS = 100;
 const MIN_PIECE_BYTES = 4 * 1024;
 const MAX_DEBT_MS = 1_000;
 /** Short answers and late timers take a part of the time of an answer under way. */
 const SENDING_SLACK = 1.25;
 /** A busy entry proxy reads the end of an answer so much later. */
 const DELIVERY_MS = 50;
-/** What timers that fired late left unsent is made up for, up to so much. */
-const MAX_CATCH_UP_MS = 100;
 /** Timers fire late, so a little is sent ahead of the rate. */
 const AHEAD_MS = 10;
 
