Frame the bodies of answers by the headers that were checked

The parser read all headers once more at the end of a head to find length, chunks and 'Connection', by rules that are laxer than the check before it. AnswerParser decides now itself, from what it has checked.

--- a/src/edge/answer-parser.ts
+++ b/src/edge/answer-parser.ts
@@ -23,7 +23,11 @@
   initialize(type: 'RESPONSE'): void;
   execute(chunk: Buffer): number | Error;
   finish(): Error | undefined;
+  /** The bytes of the body that are to come. */
+  body_bytes: number | null;
+  nextRequest(): void;
   consumeLine(): string | undefined;
+  HEADER(): void;
   parseHeader(line: string, headers: string[]): void;
 }
 
@@ -32,7 +36,7 @@
   readonly headers: string[];
   readonly statusCode: number;
   readonly statusMessage: string;
-  readonly shouldKeepAlive: boolean;
+  readonly versionMinor: number;
 }
 
 const BaseParser = HTTPParser as unknown as new (type: 'RESPONSE') => LineParser;
@@ -161,6 +165,29 @@
     return line;
   }
 
+  /** Frames the body by the headers that were checked, without reading all of them once more. */
+  override HEADER(): void {
+    const line = this.consumeLine();
+    if (line === undefined) return;
+    if (line !== '') {
+      this.parseHeader(line, this.info.headers);
+      return;
+    }
+    const { 'content-length': length, 'transfer-encoding': encoding } = this.#headers;
+    const bytes = length === undefined ? undefined : Number(length);
+    const isEmpty = this.#isBodiless() || bytes === 0;
+    this.#isKept = this.#keepsAlive() && (isEmpty || (length ?? encoding) !== undefined);
+    this.#passHead();
+    if (isEmpty) {
+      this.nextRequest();
+    } else if (bytes !== undefined) {
+      this.body_bytes = bytes;
+      this.state = 'BODY_SIZED';
+    } else {
+      this.state = encoding === undefined ? 'BODY_RAW' : 'BODY_CHUNKHEAD';
+    }
+  }
+
   override parseHeader(line: string, headers: string[]): void {
     super.parseHeader(line, headers);
     if (headers !== this.info.headers) return;
@@ -173,20 +200,6 @@
     if (name === 'transfer-encoding') this.#checkEncoding(value, known);
   }
 
-  protected [HTTPParser.kOnHeadersComplete](head: ParsedHead): boolean {
-    const { headers: rawHeaders, statusCode: status, statusMessage: statusText } = head;
-    this.#isFinal = status >= FIRST_FINAL_STATUS;
-    if (!this.#isFinal) {
-      this.#headers = {};
-      return true;
-    }
-    this.#lineBytes = 0;
-    this.#isKept = head.shouldKeepAlive && this.#method !== 'HEAD';
-    this.#reader?.handleHead({ status, statusText, rawHeaders, headers: this.#headers });
-    if (this.#isHeld) this.#holdFrom(this.offset);
-    return this.#method === 'HEAD' || STATUSES_WITHOUT_BODY.has(status);
-  }
-
   protected [HTTPParser.kOnBody](bytes: Buffer): void {
     this.#lineBytes = 0;
     this.#reader?.handleBody(Buffer.from(bytes));
@@ -204,6 +217,31 @@
 
   // Internals.
 
+  #isBodiless(): boolean {
+    const { statusCode } = this.info;
+    if (statusCode < FIRST_FINAL_STATUS || this.#method === 'HEAD') return true;
+    return STATUSES_WITHOUT_BODY.has(statusCode);
+  }
+
+  #keepsAlive(): boolean {
+    if (this.info.versionMinor === 0 || this.#method === 'HEAD') return false;
+    const { connection } = this.#headers;
+    return connection === undefined || !CLOSE.test(connection);
+  }
+
+  #passHead(): void {
+    const { headers: rawHeaders, statusCode: status, statusMessage: statusText } = this.info;
+    const headers = this.#headers;
+    this.#isFinal = status >= FIRST_FINAL_STATUS;
+    if (!this.#isFinal) {
+      this.#headers = {};
+      return;
+    }
+    this.#lineBytes = 0;
+    this.#reader?.handleHead({ status, statusText, rawHeaders, headers });
+    if (this.#isHeld) this.#holdFrom(this.offset);
+  }
+
   /** Leaves the bytes from `offset` on unread. */
   #holdFrom(offset: number): void {
     if (offset < this.end) this.#rest = Buffer.from(this.chunk.subarray(offset, this.end));
@@ -244,4 +282,5 @@
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 const LENGTH = /^\d{1,15}$/;
 const LENGTH_BESIDE_CHUNKS = 'there is a length beside chunks';
+const CLOSE = /\bclose\b/i;
 const KEEP_ALIVE_TIMEOUT = /\btimeout=(\d+)/i;
--- a/test/answer-parser.test.ts
+++ b/test/answer-parser.test.ts
@@ -240,6 +240,8 @@
     [`${OK}Content-Length: 2\r\n\r\nok`, 'ok', true],
     [`${OK}content-length:2 \r\nConnection: close\r\n\r\nok`, 'ok', false],
     [`${CHUNKED}5\r\nhello\r\nA;x=y\r\n0123456789\r\n0\r\nA: b\r\n\r\n`, 'hello0123456789', true],
+    [`${OK}Content-Length: 00\r\n\r\n`, '', true],
+    [`${OK}Connection: x\r\nConnection: Close\r\nContent-Length: 0\r\n\r\n`, '', false],
     ['HTTP/1.1 204 No Content\r\n\r\n', '', true],
     ['HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n', '', true],
     [`HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n${OK}Content-Length: 2\r\n\r\nok`, 'ok', true],
