Bound the time for the rest of a body whose call has ended

A caller that was refused before its body had come kept the connection, and a descriptor of the proxy, for as long as it sent a byte now and then: the rest of a body of up to 64 KB is read so that the connection can be kept, without a time limit. The time limit of bodies covers only calls that wait for them, and the idle time limit starts anew with each byte.

The rest of a body now has 10 s from the end of its call, as long as a body has before it; then the connection is closed. This holds for refusals and for answers that come before the body is whole.

calls-path "slow body of a refused call: its connection is closed" failed on the old code: open after 13,037 ms. "body of a refused call that comes in time: its connection is kept" passed before and passes now.

--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -255,6 +255,7 @@
   #forget(call: OpenCall): void {
     if (!this.#calls.delete(call.id)) return;
     this.#connections.forgetCall(call.request.socket, call.id);
+    this.#connections.limitRest(call.request);
     call.end(this.#options.clock.read());
     this.post({ kind: 'gone', id: call.id });
     this.#checkIdle();
--- a/src/edge/caller-connections.ts
+++ b/src/edge/caller-connections.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '../clock.js';
+import { addMs } from '../clock.js';
 import type { CallId } from '../ids.js';
 import { refuseSocket } from './call-refusal.js';
 
@@ -69,6 +70,16 @@
     else if (requests.some(({ complete }) => !complete)) socket.destroy();
   }
 
+  /** Closes the connection of a call that has ended, unless the rest of its body comes in time. */
+  limitRest(request: IncomingMessage): void {
+    if (request.complete || request.socket.destroyed) return;
+    const deadline = addMs(this.#clock.read(), MAX_REST_MS);
+    const cancel = this.#clock.callAt(deadline, () => {
+      request.socket.destroy();
+    });
+    request.once('close', cancel);
+  }
+
   /** Tells whether a connection was refused; Node.js may still read the rest of a head that came too late. */
   isRefused(socket: Socket): boolean {
     return this.#refused.has(socket);
@@ -107,3 +118,5 @@
 const CLOSE_INTERVAL_MS = 20;
 const UNUSED_LINGER_MS = 200;
 const MAX_LINGER_MS = 5_000;
+/** As long as a body may take before its call is refused. */
+const MAX_REST_MS = 10_000;
--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -523,6 +523,7 @@
 });
 
 const BODY_TIME_LIMIT_MS = 10_000;
+const DRIP_MS = 200;
 
 test('stalled body: refused, and its connection is closed', async (t) => {
   const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK] });
@@ -538,3 +539,40 @@
   t.true(Date.now() - startedAt < BODY_TIME_LIMIT_MS + 3_000);
   t.is(mesh.serverAt(0).countRuns(), 0);
 });
+
+test('slow body of a refused call: its connection is closed', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK] });
+  t.teardown(() => mesh.stop());
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const socket = connect(port, host);
+  const startedAt = Date.now();
+  const head = 'POST /notes HTTP/1.1\r\nhost: a\r\nbilberryswitch-forward: no pass';
+  socket.on('error', () => undefined);
+  socket.write(`${head}\r\ncontent-length: 60000\r\n\r\n`);
+  const drip = setInterval(() => socket.write('a'), DRIP_MS);
+  t.teardown(() => {
+    clearInterval(drip);
+    socket.destroy();
+  });
+  const [answer] = (await once(socket, 'data')) as [Buffer];
+  t.regex(answer.toString(), /^HTTP\/1.1 403 /);
+  const limit = BODY_TIME_LIMIT_MS + 3_000;
+  await Promise.race([once(socket, 'close'), new Promise((resolve) => setTimeout(resolve, limit))]);
+  t.true(socket.destroyed, `open after ${Date.now() - startedAt} ms`);
+});
+
+test('body of a refused call that comes in time: its connection is kept', async (t) => {
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [QUICK] });
+  t.teardown(() => mesh.stop());
+  const { host, port } = splitAddress(mesh.at(0).calls);
+  const socket = connect(port, host);
+  t.teardown(() => socket.destroy());
+  const head = 'POST /notes HTTP/1.1\r\nhost: a\r\nbilberryswitch-forward: no pass';
+  socket.write(`${head}\r\ncontent-length: 2\r\n\r\n`);
+  await once(socket, 'data');
+  socket.write('ab');
+  await new Promise((resolve) => setTimeout(resolve, BODY_TIME_LIMIT_MS + 1_000));
+  socket.write('GET /notes HTTP/1.1\r\nhost: a\r\n\r\n');
+  const [answer] = (await once(socket, 'data')) as [Buffer];
+  t.regex(answer.toString(), /^HTTP\/1.1 200 /);
+});
