End the processes of a mesh that could not start

A test whose mesh did not start within 15 s left its sources and proxies running: the test had no mesh yet that it could stop. They went on beside everything else, and ava did not end either.

The mesh now stops what it has started before it passes the error on.

--- a/bench/mesh-plan.ts
+++ b/bench/mesh-plan.ts
@@ -78,10 +78,12 @@
   /** Starts every process of a plan and waits until each of them runs. */
   static async start(plan: MeshPlan): Promise<RunningMesh> {
     const running = new RunningMesh(plan);
-    await running.#startSources();
-    await running.#startProxies();
-    const processes = [...running.sources, ...running.proxies].map(({ process }) => process);
-    for (const process of processes) await waitForStart(process);
+    try {
+      await running.#startAll();
+    } catch (error) {
+      await running.stop();
+      throw error;
+    }
     return running;
   }
 
@@ -143,6 +145,13 @@
 
   // Internals.
 
+  async #startAll(): Promise<void> {
+    await this.#startSources();
+    await this.#startProxies();
+    const processes = [...this.sources, ...this.proxies].map(({ process }) => process);
+    for (const process of processes) await waitForStart(process);
+  }
+
   async #startSources(): Promise<void> {
     const places: Place[] = [];
     for (let index = 0; index < this.plan.sources; index += 1) {
