End a run that waited for its slot at the end of a planned stop

A guard that stops took attempts of other proxies until it drained. One that had to wait for its slot was entered with its own time for a refusal, which the end of the stop did not limit, so a run that began later was not ended at the end of the stop, but cut when the connections were closed. Found by reading; the test failed before: no stop-run at the end of the stop.

--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -150,12 +150,13 @@
   const verdict = state.crashes.findVerdict(head.subject, now);
   if (verdict === 'quarantined') return [{ kind: 'reject', attempt, reason: 'quarantined' }];
   const deadline = Math.min(head.deadline, state.answerBy) as Instant;
+  const replyBy = Math.min(head.replyBy ?? deadline, deadline) as Instant;
   const suspect = head.suspect || verdict === 'suspect';
-  const judged = { ...head, deadline, suspect };
+  const judged = { ...head, deadline, replyBy, suspect };
   state.places.set(attempt, server);
   const admissions = server.admit(judged, now);
   const runs = server.findRun(attempt) !== undefined;
-  state.deadlines.add(runs ? deadline : (head.replyBy ?? deadline), attempt);
+  state.deadlines.add(runs ? deadline : replyBy, attempt);
   return passAdmissions(state, server, admissions, now);
 }
 
--- a/test/guard-ways.test.ts
+++ b/test/guard-ways.test.ts
@@ -173,6 +173,16 @@
   t.deepEqual(guard.list({ kind: 'tick' }, addMs(WARM, 100)), ['stop-run']);
 });
 
+test('planned stop: run that waited before ends by then', (t) => {
+  const guard = new Guard();
+  guard.list({ kind: 'admit', head: makeAttempt('a', 1_000, 1_000) }, WARM);
+  guard.list({ kind: 'stopping', answerBy: addMs(WARM, 100) }, WARM);
+  guard.list({ kind: 'admit', head: makeAttempt('b', 1_000, 900) }, WARM);
+  const ended = { kind: 'run-ended', attempt: 'a' as AttemptId, ending: 'not-sent' } as const;
+  t.deepEqual(guard.list(ended, addMs(WARM, 10)), ['run b']);
+  t.deepEqual(guard.list({ kind: 'tick' }, addMs(WARM, 100)), ['stop-run']);
+});
+
 test('late refusal: no attempt that would leave the outcome unknown', (t) => {
   const entry = new Entry('far', 'farther');
   const { attempt } = entry.send('c', 1_000, WARM);
