Wake at the deadline of a run whose server has left

The guard asked for its next turn once for each server beside it, and a run goes on when its server leaves. With no server left, a turn before the deadline of the run was the last one, and the run was not ended at its deadline, nor at the end of a planned stop. Found by reading; the test failed before: no wake was asked for.

--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -260,7 +260,8 @@
     const admissions = [...server.rejectLate(now), ...server.startWaiting(now)];
     outputs.push(...passAdmissions(state, server, admissions, now));
   }
-  return outputs;
+  // A run may outlast the entry of its server.
+  return [...outputs, ...formWake(state)];
 }
 
 function passAdmissions(
@@ -269,11 +270,14 @@
   admissions: readonly Admission[],
   now: Instant,
 ): GuardOut[] {
-  const outputs: GuardOut[] = forgetRejected(state, admissions);
-  const deadline = state.deadlines.findNext((attempt) => state.places.has(attempt));
-  const turns = [deadline, server.findNextTurn(now)];
-  for (const at of turns) if (at !== undefined) outputs.push({ kind: 'wake', at });
-  return outputs;
+  const at = server.findNextTurn(now);
+  const outputs = [...forgetRejected(state, admissions), ...formWake(state)];
+  return at === undefined ? outputs : [...outputs, { kind: 'wake', at }];
+}
+
+function formWake(state: GuardState): GuardOut[] {
+  const at = state.deadlines.findNext((attempt) => state.places.has(attempt));
+  return at === undefined ? [] : [{ kind: 'wake', at }];
 }
 
 function forgetRejected(state: GuardState, admissions: readonly Admission[]): GuardOut[] {
--- a/test/guard-ways.test.ts
+++ b/test/guard-ways.test.ts
@@ -183,6 +183,13 @@
   t.deepEqual(guard.list({ kind: 'tick' }, addMs(WARM, 100)), ['stop-run']);
 });
 
+test('guard wakes at the deadline of a run whose server has left', (t) => {
+  const guard = new Guard();
+  guard.list({ kind: 'admit', head: makeAttempt('a', 100, 100) }, WARM);
+  guard.list({ kind: 'servers', servers: [] }, WARM);
+  t.is(guard.findWake({ kind: 'tick' }, addMs(WARM, 10)), 90);
+});
+
 test('late refusal: no attempt that would leave the outcome unknown', (t) => {
   const entry = new Entry('far', 'farther');
   const { attempt } = entry.send('c', 1_000, WARM);
