Limit a call whose claim is granted after a planned stop began

The end of a stop limited calls that were open in the attempt filter, and those that were classified later. A call that waited for the ledger in between kept the deadline of its route, and was cut when the connections were closed. Found by reading; the test failed before: the call was not ended at the end of the stop.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -1,5 +1,5 @@
 /** The third filter of a call: picks backend servers for its attempts, retries, hedges and gives up. */
-import { addMs } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
 import type { AttemptId, Instant } from '../ids.js';
 import type { AttemptFailure, RefusalOutcome } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
@@ -68,6 +68,7 @@
       latencies: new Map(),
       ways: new GuardWays(this.#options.place.host),
       timers: new DeadlineHeap(),
+      answerBy: NEVER,
     };
   }
 
@@ -104,8 +105,10 @@
     }
   }
 
-  #openCall(state: AttemptState, routed: RoutedCall, now: Instant): AttemptOut[] {
-    const { id } = routed.head;
+  #openCall(state: AttemptState, claimed: RoutedCall, now: Instant): AttemptOut[] {
+    const { id } = claimed.head;
+    const deadline = Math.min(claimed.deadline, state.answerBy) as Instant;
+    const routed: RoutedCall = { ...claimed, deadline };
     const call: OpenCall = {
       routed,
       tried: new Set(),
@@ -278,8 +281,9 @@
   return delay === undefined ? undefined : addMs(now, Math.max(MIN_HEDGE_DELAY_MS, delay));
 }
 
-/** Gives open calls an earlier deadline; later ones come with it. */
+/** Gives open calls an earlier deadline, and those that are claimed later. */
 function limitDeadlines(state: AttemptState, latest: Instant): AttemptOut[] {
+  state.answerBy = latest;
   for (const [id, call] of state.calls) {
     if (call.routed.deadline <= latest) continue;
     call.routed = { ...call.routed, deadline: latest };
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -17,6 +17,8 @@
   readonly latencies: Map<ServiceName, LatencyEstimate>;
   readonly ways: GuardWays;
   readonly timers: DeadlineHeap<Timer>;
+  /** The latest deadline of a call. */
+  answerBy: Instant;
 }
 
 /** A call whose answer is not complete. */
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -125,6 +125,13 @@
   t.deepEqual(driver.listKinds(failed, answerBy), ['deadline unknown']);
 });
 
+test('planned stop: call whose claim is granted later ends by then', (t) => {
+  const driver = new Driver(1);
+  driver.post({ kind: 'stopping', answerBy: addMs(WARM, 100) });
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) });
+  t.deepEqual(driver.listKinds({ kind: 'tick' }, addMs(WARM, 100)), ['cancel']);
+});
+
 test('no retry: second layer', (t) => {
   const driver = new Driver(2);
   driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }, { attempt: 2 }) });
