Go on with a planned stop when SIGTERM comes again

A second SIGTERM met no listener any more and ended the process at once, which cut every call in flight. Found by reading; the test failed before: the connection closed without an answer.

--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -151,12 +151,13 @@
   return new RecoveryLog({ host, log, clock, sources });
 }
 
+/** SIGTERM that comes again while the process stops has no further effect. */
 function waitForSignal(): Promise<void> {
   return new Promise((resolve) => {
-    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-      process.once(signal, () => {
-        resolve();
-      });
-    }
+    const stop = (): void => {
+      resolve();
+    };
+    process.on('SIGTERM', stop);
+    process.once('SIGINT', stop);
   });
 }
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -76,6 +76,31 @@
   t.regex(process.output(), /"calls-stopped","unanswered":0,"answering":0/);
 });
 
+test('second signal to stop cuts no call', async (t) => {
+  const lines = 'linger_ms = 3000';
+  const { mesh, operator, tokenFile, calls, nodes } = await startSmallMesh(2, 1, lines);
+  t.teardown(() => mesh.stop());
+  const note = mesh.writeFile('note.toml', FIRST_NOTE);
+  const access = ['--operator', operator, '--token-file', tokenFile];
+  await mesh.runCommand(['note', 'submit', note, ...access]);
+  const [, entry = ''] = calls;
+  const readStatus = async (workMs: number): Promise<number> => {
+    const headers = { 'x-work-ms': `${workMs}` };
+    const answer = await request(`http://${entry}/catalogue/canopies`, { headers });
+    await answer.body.dump();
+    return answer.statusCode;
+  };
+  await waitFor('an answer', async () => (await readStatus(0)) === 200 || undefined);
+  const slow = readStatus(1_500);
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  const [, , process] = nodes;
+  if (process === undefined) throw new Error('the mesh has no second proxy');
+  process.child.kill('SIGTERM');
+  await waitFor('the stop', () => process.output().includes('"stopping"') || undefined);
+  process.child.kill('SIGTERM');
+  t.is(await slow, 200);
+});
+
 test('stopping proxy stays not ready: a new version comes', async (t) => {
   const ready = await findFreeAddress();
   const lines = `linger_ms = ${LONG_LINGER_MS}\nready = "${ready}"`;
