Add a failing test: a call at a guard that stops is not sent elsewhere

At the end of its stop a guard ends its runs as if the deadline of the call had passed (504, deadline, unknown), and an entry proxy does not send such a call again, though it may run again and has most of its time left. docs/design/calls.md says that it is sent elsewhere. Fails with 504 in place of 200.

--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -6,6 +6,7 @@
 import test from 'ava';
 import { request } from 'undici';
 import { waitFor } from '../bench/mesh.js';
+import { addMs, SystemClock } from '../src/clock.js';
 import { splitAddress } from '../src/ids.js';
 import type { CallNode } from './call-mesh.js';
 import { CallMesh } from './call-mesh.js';
@@ -577,3 +578,21 @@
   const [answer] = (await once(socket, 'data')) as [Buffer];
   t.regex(answer.toString(), /^HTTP\/1.1 200 /);
 });
+
+test('planned stop of the guard: call that may run again is sent elsewhere', async (t) => {
+  let runs = 0;
+  const answer: Answer = (_, response) => {
+    runs += 1;
+    if (runs > 1) response.end('again');
+  };
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [undefined, answer, answer] });
+  t.teardown(() => mesh.stop());
+  const answered = call(mesh.at(0).calls, '/shop');
+  const guard = await waitFor('the run', () => {
+    return mesh.nodes.find(({ server }) => server?.running === 1);
+  });
+  const now = new SystemClock().read();
+  guard.task.startStop({ answerBy: addMs(now, 300), closeBy: addMs(now, 1_000) });
+  const { status, text } = await answered;
+  t.deepEqual([status, text], [200, 'again']);
+});
