Add a failing test: an answer that has begun is cut at the end of a stop

An answer that began before the stop can't become a refusal. It is cut at the instant by which calls are answered or refused, and not, as docs/OPERATORS.md says, at the later one at which what is left is cut. Fails with 'other side closed'.

--- a/test/calls-path.test.ts
+++ b/test/calls-path.test.ts
@@ -596,3 +596,17 @@
   const { status, text } = await answered;
   t.deepEqual([status, text], [200, 'again']);
 });
+
+test('planned stop: answer that has begun may end until the connections close', async (t) => {
+  const answer: Answer = (_, response) => {
+    response.writeHead(200, { 'content-length': 4 });
+    response.write('ab');
+    setTimeout(() => response.end('cd'), 600);
+  };
+  const mesh = await CallMesh.start({ whole: WHOLE, answers: [undefined, answer] });
+  t.teardown(() => mesh.stop());
+  const { body } = await request(`http://${mesh.at(0).calls}/shop`);
+  const now = new SystemClock().read();
+  mesh.at(0).task.startStop({ answerBy: addMs(now, 200), closeBy: addMs(now, 5_000) });
+  t.is(await body.text(), 'abcd');
+});
