--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -150,12 +150,13 @@
   const verdict = state.crashes.findVerdict(head.subject, now);
   if (verdict === 'quarantined') return [{ kind: 'reject', attempt, reason: 'quarantined' }];
   const deadline = Math.min(head.deadline, state.answerBy) as Instant;
+  const replyBy = Math.min(head.replyBy ?? deadline, deadline) as Instant;
   const suspect = head.suspect || verdict === 'suspect';
-  const judged = { ...head, deadline, suspect };
+  const judged = { ...head, deadline, replyBy, suspect };
   state.places.set(attempt, server);
   const admissions = server.admit(judged, now);
   const runs = server.findRun(attempt) !== undefined;
-  state.deadlines.add(runs ? deadline : (head.replyBy ?? deadline), attempt);
+  state.deadlines.add(runs ? deadline : replyBy, attempt);
   return passAdmissions(state, server, admissions, now);
 }
 
@@ -259,7 +260,8 @@
     const admissions = [...server.rejectLate(now), ...server.startWaiting(now)];
     outputs.push(...passAdmissions(state, server, admissions, now));
   }
-  return outputs;
+  // A run may outlast the entry of its server.
+  return [...outputs, ...formWake(state)];
 }
 
 function passAdmissions(
@@ -268,11 +270,14 @@
   admissions: readonly Admission[],
   now: Instant,
 ): GuardOut[] {
-  const outputs: GuardOut[] = forgetRejected(state, admissions);
-  const deadline = state.deadlines.findNext((attempt) => state.places.has(attempt));
-  const turns = [deadline, server.findNextTurn(now)];
-  for (const at of turns) if (at !== undefined) outputs.push({ kind: 'wake', at });
-  return outputs;
+  const at = server.findNextTurn(now);
+  const outputs = [...forgetRejected(state, admissions), ...formWake(state)];
+  return at === undefined ? outputs : [...outputs, { kind: 'wake', at }];
+}
+
+function formWake(state: GuardState): GuardOut[] {
+  const at = state.deadlines.findNext((attempt) => state.places.has(attempt));
+  return at === undefined ? [] : [{ kind: 'wake', at }];
 }
 
 function forgetRejected(state: GuardState, admissions: readonly Admission[]): GuardOut[] {
