End runs at a guard that stops as 'draining', so that calls are sent elsewhere

What callers saw: a call that may run again and ran at a guard when that guard's stop came to its end got 504, though most of its time was left and another backend server was free.

Cause: at the end of its stop a guard ended its runs with the reason 'deadline', and after an attempt whose time was over a call is not sent again. 'calls-path: planned stop of the guard: call that may run again is sent elsewhere' failed with 504 in place of 200.

--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -47,7 +47,8 @@
   | {
       readonly kind: 'stop-run';
       readonly attempt: AttemptId;
-      readonly reason: 'deadline' | 'withdrawn';
+      /** `draining`: this process stops, and the call itself may have time left. */
+      readonly reason: 'deadline' | 'draining' | 'withdrawn';
     }
   /** Asks whether the server still accepts connections. */
   | { readonly kind: 'probe'; readonly server: Address }
@@ -253,7 +254,7 @@
     if (run === undefined) continue;
     const deadline = Math.min(run.deadline, state.answerBy) as Instant;
     if (deadline > now) state.deadlines.add(deadline, attempt);
-    else outputs.push({ kind: 'stop-run', attempt, reason: 'deadline' });
+    else outputs.push({ kind: 'stop-run', attempt, reason: findStopReason(state, now) });
   }
   for (const server of state.servers.values()) {
     if (server.needsProbe(now)) outputs.push({ kind: 'probe', server: server.address });
@@ -264,6 +265,10 @@
   return [...outputs, ...formWake(state)];
 }
 
+function findStopReason({ answerBy }: GuardState, now: Instant): 'deadline' | 'draining' {
+  return answerBy <= now ? 'draining' : 'deadline';
+}
+
 function passAdmissions(
   state: GuardState,
   server: GuardedServer,
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -3,7 +3,12 @@
 import type { AnswerProof, CallIn, RunEnding } from '../calls/index.js';
 import { judgeAnswer } from '../calls/index.js';
 import type { AttemptId } from '../ids.js';
-import type { AttemptFailure, RefusalOutcome, StoredAnswer } from '../messages/index.js';
+import type {
+  AttemptFailure,
+  RefusalOutcome,
+  RefusalReason,
+  StoredAnswer,
+} from '../messages/index.js';
 import type { AnswerSource, ReceivedHead } from './answer-reader.js';
 import { AnswerReader } from './answer-reader.js';
 import type { AnswerHead, AnswerSink } from './answer-sink.js';
@@ -166,8 +171,7 @@
   #formFailure(): AttemptFailure {
     const isSent = this.#source !== undefined;
     const outcome = isSent ? 'unknown' : 'not-run';
-    const reason = this.#cancelReason === 'deadline' ? 'deadline' : 'upstream-failed';
-    return { outcome, reason };
+    return { outcome, reason: findFailureReason(this.#cancelReason) };
   }
 
   /** Tells whether the head is that of the attempt's own answer, and acts where it is not. */
@@ -212,7 +216,7 @@
 }
 
 /** Why an attempt is cancelled. */
-export type CancelReason = 'withdrawn' | 'deadline';
+export type CancelReason = 'withdrawn' | 'deadline' | 'draining';
 
 // Internals.
 
@@ -242,6 +246,10 @@
   return /\bclose\b/i.test(headers.connection ?? '');
 }
 
+function findFailureReason(reason: CancelReason | undefined): RefusalReason {
+  return reason === 'deadline' || reason === 'draining' ? reason : 'upstream-failed';
+}
+
 function readRefusal(outcome: string, headers: IncomingHttpHeaders): AttemptFailure {
   const load = parseLoad(readHeader(headers, LOAD_HEADER));
   return {
