Let answers that have begun end until the connections close

What callers saw: an answer that had begun before a planned stop was cut an eighth of the grace time before the kill, although what is left is to be cut only a sixteenth before.

Cause: the end of the stop limited calls whose answers are passed on like those that have none yet, and what has begun can't become a refusal. These calls keep their deadlines now. Answers that are held until they are whole are refused by the task that holds them, at the instant at which all others are.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -281,11 +281,14 @@
   return delay === undefined ? undefined : addMs(now, Math.max(MIN_HEDGE_DELAY_MS, delay));
 }
 
-/** Gives open calls an earlier deadline, and those that are claimed later. */
+/**
+ * Gives open calls an earlier deadline, and those that are claimed later. Answers that are passed on already end
+ * by themselves, or when their connections are closed.
+ */
 function limitDeadlines(state: AttemptState, latest: Instant): AttemptOut[] {
   state.answerBy = latest;
   for (const [id, call] of state.calls) {
-    if (call.routed.deadline <= latest) continue;
+    if (call.routed.deadline <= latest || call.relayed !== undefined) continue;
     call.routed = { ...call.routed, deadline: latest };
     state.timers.add(latest, { kind: 'deadline', id });
   }
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -11,7 +11,6 @@
   Place,
   RetryAllowance,
   SlotPolicy,
-  StopEnd,
 } from '../calls/index.js';
 import { CallPipe, NoObserver, SharedSlots, TwoChoicesPicker } from '../calls/index.js';
 import type { CancelTimer, Clock } from '../clock.js';
@@ -38,6 +37,8 @@
 import { LoopLag } from './loop-lag.js';
 import { OpenCall } from './open-call.js';
 import { OwnCallFront } from './own-call-front.js';
+import type { PlannedStop } from './stopping-calls.js';
+import { countLeft, refuseHeld } from './stopping-calls.js';
 
 /** What the call task hands on to other tasks. */
 export type CallNotice = Extract<CallOut, { kind: 'ledger' | 'observed' | 'broadcast' }>;
@@ -48,14 +49,6 @@
   readonly bytes: number;
 }
 
-/** The instants of a planned stop. */
-export interface PlannedStop {
-  /** Until then every call has its answer, or is refused. */
-  readonly answerBy: Instant;
-  /** What is left then is cut. */
-  readonly closeBy: Instant;
-}
-
 /** What a call task needs. */
 export interface CallTaskOptions {
   /** Where callers and other proxies send calls. */
@@ -95,6 +88,7 @@
   readonly #timer: WakeTimer;
   #notifyIdle: (() => void) | undefined;
   #closeBy: Instant = NEVER;
+  #cancelRefusals: CancelTimer | undefined;
   #isDraining = false;
 
   constructor(options: CallTaskOptions) {
@@ -137,6 +131,9 @@
   /** Begins a planned stop: calls are still taken, and end in time. */
   startStop({ answerBy, closeBy }: PlannedStop): void {
     this.#closeBy = closeBy;
+    this.#cancelRefusals = this.#options.clock.callAt(answerBy, () => {
+      refuseHeld(this.#calls.values());
+    });
     this.#sender.startStop();
     this.#pacer?.startStop(answerBy);
     this.post({ kind: 'stopping', answerBy });
@@ -154,7 +151,9 @@
       };
       this.#checkIdle();
     });
-    this.#observer.endStop(this.#formStopEnd());
+    this.#observer.endStop(countLeft([...this.#calls.values()], this.#sender.size));
+    this.#cancelRefusals?.();
+    refuseHeld(this.#calls.values());
   }
 
   protected override prepareServer(server: Server): void {
@@ -317,7 +316,7 @@
         this.#sender.run(this.#calls.get(output.id), output);
         return;
       case 'relay':
-        this.#sender.relay(this.#calls.get(output.id), output);
+        this.#relay(output);
         return;
       case 'cancel':
         this.#sender.cancel(output.attempt, 'withdrawn');
@@ -360,6 +359,12 @@
     else tick();
   }
 
+  #relay(output: Extract<CallOut, { kind: 'relay' }>): void {
+    const call = this.#calls.get(output.id);
+    if (call !== undefined) call.hasAnswer = true;
+    this.#sender.relay(call, output);
+  }
+
   #applyLimits({ headerTimeoutMs, idleTimeoutMs }: LimitsResource): void {
     for (const server of this.servers) {
       server.headersTimeout = headerTimeoutMs;
@@ -384,19 +389,6 @@
     );
   }
 
-  #formStopEnd(): StopEnd {
-    const calls = [...this.#calls.values()];
-    const count = (isForwarded: boolean, hasBegun: boolean) =>
-      calls.filter((call) => call.isForwarded === isForwarded && call.hasBegun === hasBegun).length;
-    return {
-      unanswered: count(false, false),
-      answering: count(false, true),
-      guardUnanswered: count(true, false),
-      guardAnswering: count(true, true),
-      attempts: this.#sender.size,
-    };
-  }
-
   #checkIdle(): void {
     if (this.#calls.size > 0 || this.#sender.size > 0) return;
     this.#notifyIdle?.();
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -37,6 +37,8 @@
   caller: CallerId | undefined;
   /** When the proxy that forwarded the call gives up; later bytes serve nobody. */
   deadline: Instant = NEVER;
+  /** Whether an answer is passed on, or held until it is whole. */
+  hasAnswer = false;
   /** The number of its last attempt; 0 before the first. */
   attempt = 0;
   /** Until when the answer should come, once an attempt was made. */
