--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -17,7 +17,7 @@
   readonly latencies: Map<ServiceName, LatencyEstimate>;
   readonly ways: GuardWays;
   readonly timers: DeadlineHeap<Timer>;
-  /** The latest deadline of a call. */
+  /** The end of a planned stop; no call has a later deadline. */
   answerBy: Instant;
 }
 
--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -56,7 +56,7 @@
   readonly turns: WeightedTurns;
   /** What tells repeated calls from fresh ones; updated in place. */
   readonly patience: UsualPatience;
-  /** The latest deadline of a call. */
+  /** The end of a planned stop; no call has a later deadline. */
   readonly answerBy: Instant;
 }
 
--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -64,7 +64,7 @@
   /** Requests whose connection to a server broke, until it is known whether the server died. */
   readonly lost: Map<Address, string[]>;
   readonly deadlines: DeadlineHeap<AttemptId>;
-  /** The latest deadline of an attempt. */
+  /** The end of a planned stop; no attempt has a later deadline. */
   answerBy: Instant;
   isDraining: boolean;
 }
@@ -113,7 +113,7 @@
         state.crashes.addCrash(message.item);
         return [];
       case 'stopping':
-        return limitDeadlines(state, message.answerBy);
+        return limitRuns(state, message.answerBy);
       case 'drain':
         return startDrain(state);
       case 'tick':
@@ -235,7 +235,7 @@
   return [{ kind: 'broadcast', item }];
 }
 
-function limitDeadlines(state: GuardState, latest: Instant): GuardOut[] {
+function limitRuns(state: GuardState, latest: Instant): GuardOut[] {
   state.answerBy = latest;
   for (const attempt of state.places.keys()) state.deadlines.add(latest, attempt);
   return state.places.size === 0 ? [] : [{ kind: 'wake', at: latest }];
--- a/src/edge/hop-connection.ts
+++ b/src/edge/hop-connection.ts
@@ -231,12 +231,14 @@
 
 /** What was read is handled before the next read, so one buffer serves all connections. */
 const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
+/** A host that is up answers within milliseconds; one that is cut off never does. */
 const CONNECT_TIMEOUT_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 /** For peers that do not tell how long they keep an idle connection; node:http keeps one for 5 s. */
 const IDLE_MS = 4_000;
 /** A request that is written this long before the peer closes the connection still reaches it. */
 const IDLE_MARGIN_MS = 2_000;
+/** Longer promises of a peer are not relied on. */
 const MAX_IDLE_MS = 600_000;
 const OTHER_SIDE_CLOSED = 'other side closed';
 
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -1,4 +1,4 @@
-/** A planned stop of a proxy beside a backend server that keeps running. */
+/** Planned stops of proxies, as processes that get signals. */
 import test from 'ava';
 import { request } from 'undici';
 import { findFreeAddress, stopProcess, waitFor } from '../bench/mesh.js';
