Tell a full queue of new connections from a loop that stands still

`loop_lag_seconds` is a mean between two readings of the metrics.

- `LoopTurns` times the turns between marks; `LoopWatch` marks one with each connection, call and attempt, and once a second with its timer, whose delay shows a single turn that other marks missed.
- `ConnectionWatch` tells of each accept, by listener, of the time until the first call was read, and of connections that close without a call.
- One line `loop-busy` a second at most, when a turn took 5 ms on average (200 accepts a second) or one of them 250 ms.
- `PassingObserver` is what `CallLog` and `LoopWatch` have in common.

--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -10,6 +10,12 @@
 export type AttemptProof =
   'marked-answer' | 'unmarked-answer' | 'guard-answer' | 'nothing-sent' | 'none';
 
+/**
+ * Which listener a connection came to: the one of callers, or the one that only other proxies know. Where
+ * there is no second one, proxies come to that of callers.
+ */
+export type CallListener = 'callers' | 'proxies';
+
 /** How one attempt at a backend server ended. */
 export interface AttemptEnd {
   readonly server: Address;
@@ -94,6 +100,21 @@
     // Nothing to count by default.
   }
 
+  /** Called when a connection has been accepted. */
+  acceptConnection(_listener: CallListener): void {
+    // Nothing to count by default.
+  }
+
+  /** Called when the first call of a connection has been read, with the time since the accept. */
+  readFirstCall(_listener: CallListener, _waitedMs: number): void {
+    // Nothing to count by default.
+  }
+
+  /** Called when a connection has closed that brought no call. */
+  loseUnused(_listener: CallListener): void {
+    // Nothing to count by default.
+  }
+
   /** Called when something came on a connection that is no request, or that came too late for one. */
   refuseConnection(_cause: string | undefined): void {
     // Nothing to count by default.
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -2,13 +2,21 @@
 export { judgeAnswer } from './answer-verdict.js';
 export type { AnswerProof, AnswerVerdict } from './answer-verdict.js';
 export { CallObserver, NoObserver } from './call-observer.js';
-export type { AnswerDrop, AttemptEnd, AttemptProof, CallEnd, StopEnd } from './call-observer.js';
+export type {
+  AnswerDrop,
+  AttemptEnd,
+  AttemptProof,
+  CallEnd,
+  CallListener,
+  StopEnd,
+} from './call-observer.js';
 export type { SendAgainReason, SentAgain } from './attempt-messages.js';
 export { formSubject } from './classify-filter.js';
 export { CallPipe, formForwardedAttempt } from './call-pipe.js';
 export type { CallIn, CallOut } from './call-pipe-messages.js';
 export type { CallPipeOptions, CallPipeState } from './call-pipe.js';
 export type { RunEnding } from './guard-filter.js';
+export { PassingObserver } from './passing-observer.js';
 export { Picker, TwoChoicesPicker } from './picker.js';
 export type { PickContext } from './picker.js';
 export type { Place, ServerRecord, Tiers } from './server-table.js';
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -29,6 +29,7 @@
 import type { HeadFault, UnreadHead } from './call-headers.js';
 import { isForwarded, parseForwardedHead } from './call-headers.js';
 import { CallerConnections } from './caller-connections.js';
+import { ConnectionWatch } from './connection-watch.js';
 import { probeServer } from './call-probe.js';
 import type { Refusal } from './call-refusal.js';
 import { HttpTask } from './http-task.js';
@@ -160,6 +161,8 @@
     server.maxHeadersCount = 0;
     server.maxConnections = MAX_CONNECTIONS;
     this.#connections.watch(server);
+    const listener = server === this.servers[0] ? 'callers' : 'proxies';
+    new ConnectionWatch(this.#options.clock, this.#observer).watch(server, listener);
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       if (socket.writable) this.#observer.refuseConnection(error.code);
       this.#connections.refuse(socket, error.code);
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -16,6 +16,8 @@
 export { LogFile } from './log-file.js';
 export { LogTask } from './log-task.js';
 export { LoopLag } from './loop-lag.js';
+export { LoopTurns } from './loop-turns.js';
+export type { LoopState, TurnCount } from './loop-turns.js';
 export { NoteFront } from './note-front.js';
 export { readNote } from './note-toml.js';
 export type { OperatorAnswer } from './operator-answer.js';
--- a/src/metrics/duration-summary.ts
+++ b/src/metrics/duration-summary.ts
@@ -17,12 +17,12 @@
   override readonly kind = 'summary';
   readonly #series = new Map<string, Series>();
 
-  /** Records one duration in milliseconds. */
-  record(labels: Labels, milliseconds: number): void {
+  /** Records a duration in milliseconds, as often as it was measured. */
+  record(labels: Labels, milliseconds: number, count = 1): void {
     const series = this.#findSeries(labels);
     const micros = Math.round(milliseconds * MICROS_PER_MILLI);
-    series.histogram.recordValue(Math.min(Math.max(micros, 1), MAX_MICROS));
-    series.sumMicros += micros;
+    series.histogram.recordValueWithCount(Math.min(Math.max(micros, 1), MAX_MICROS), count);
+    series.sumMicros += milliseconds * MICROS_PER_MILLI * count;
   }
 
   override listSamples(): readonly Sample[] {
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -1,6 +1,13 @@
 /** Logs the calls and attempts that did not end well. */
-import type { AnswerDrop, AttemptEnd, CallEnd, SentAgain, StopEnd } from '../calls/index.js';
-import { CallObserver } from '../calls/index.js';
+import type {
+  AnswerDrop,
+  AttemptEnd,
+  CallEnd,
+  CallObserver,
+  SentAgain,
+  StopEnd,
+} from '../calls/index.js';
+import { PassingObserver } from '../calls/index.js';
 import type { Log, LogFields } from './logger.js';
 
 /** What a call log needs. */
@@ -15,57 +22,49 @@
  * attempt without a good answer, for each answer that did not get over the link, and for each further attempt of a
  * call. Lines of one request have its id in common, also at other hosts.
  */
-export class CallLog extends CallObserver {
-  readonly #options: CallLogOptions;
+export class CallLog extends PassingObserver {
+  readonly #log: Log;
 
-  constructor(options: CallLogOptions) {
-    super();
-    this.#options = options;
-  }
-
-  override startCall(isForwarded: boolean): void {
-    this.#options.next.startCall(isForwarded);
+  constructor({ log, next }: CallLogOptions) {
+    super(next);
+    this.#log = log;
   }
 
   override endCall(end: CallEnd): void {
-    this.#options.next.endCall(end);
+    super.endCall(end);
     if (isGood(end.status) && end.reason === undefined) {
-      if ((end.lateMs ?? 0) > 0) this.#options.log('call-late', () => formLateFields(end));
+      if ((end.lateMs ?? 0) > 0) this.#log('call-late', () => formLateFields(end));
       return;
     }
-    this.#options.log('call-failed', () => formCallFields(end), formShare('call', end));
+    this.#log('call-failed', () => formCallFields(end), formShare('call', end));
   }
 
   override refuseConnection(cause: string | undefined): void {
-    this.#options.next.refuseConnection(cause);
-    this.#options.log('connection-refused', { cause });
+    super.refuseConnection(cause);
+    this.#log('connection-refused', { cause });
   }
 
   override endAttempt(end: AttemptEnd): void {
-    this.#options.next.endAttempt(end);
+    super.endAttempt(end);
     if (isGood(end.status) && end.outcome === 'answered') return;
-    this.#options.log('attempt-failed', () => formAttemptFields(end), formShare('attempt', end));
+    this.#log('attempt-failed', () => formAttemptFields(end), formShare('attempt', end));
   }
 
   override dropAnswer(drop: AnswerDrop): void {
-    this.#options.next.dropAnswer(drop);
-    this.#options.log('answer-dropped', () => formDropFields(drop));
+    super.dropAnswer(drop);
+    this.#log('answer-dropped', () => formDropFields(drop));
   }
 
   override endStop(end: StopEnd): void {
-    this.#options.next.endStop(end);
-    this.#options.log('calls-stopped', () => ({ ...end }));
+    super.endStop(end);
+    this.#log('calls-stopped', () => ({ ...end }));
   }
 
   override sendAgain(request: string | undefined, again: SentAgain): void {
-    this.#options.next.sendAgain(request, again);
+    super.sendAgain(request, again);
     // Apart from the others, so that these lines are there when a call may have run twice.
     const kind = again.isIdempotent ? 'again' : 'once-only-again';
-    this.#options.log(
-      'call-sent-again',
-      () => formAgainFields(request, again),
-      formShare(kind, again),
-    );
+    this.#log('call-sent-again', () => formAgainFields(request, again), formShare(kind, again));
   }
 }
 
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -58,6 +58,7 @@
   'call-sent-again': FULL,
   'answer-dropped': FULL,
   'calls-stopped': FULL,
+  'loop-busy': ORDINARY,
 } satisfies Record<string, LineRate>;
 
 /** The name of a kind of event; it never changes. */
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -12,6 +12,7 @@
 import { createTracer } from './create-tracer.js';
 import type { Fronts } from './fronts.js';
 import { createLineSink } from './line-sink.js';
+import { LoopWatch } from './loop-watch.js';
 import { BoundedLog } from './logger.js';
 import type { Log } from './logger.js';
 import { runLedger } from './run-ledger.js';
@@ -101,8 +102,10 @@
   addProcessMetrics(registry, links);
   addLogMetrics(registry, logs);
   const tracer = await createTracer(settings.host, settings.traces);
-  const observer = new CallLog({ log, next: new CallMetrics(registry) });
+  const loop = new LoopWatch({ log, clock, registry, next: new CallMetrics(registry) });
+  const observer = new CallLog({ log, next: loop });
 
+  loop.start();
   await status.start();
   await links.start();
   const { source, ledger, proxy, dataFolder } = settings;
@@ -136,6 +139,7 @@
   await members.stop();
   await links.stop();
   await tracer.stop();
+  loop.stop();
   await status.stop();
   log('stopped');
   await logs.close();
