--- a/src/program/loop-watch.ts
+++ b/src/program/loop-watch.ts
@@ -139,8 +139,8 @@
 
 const MS_PER_SECOND = 1_000;
 const MICROS_PER_MS = 1_000;
-/** A listener accepts one connection in a turn, so these turns admit 200 a second. */
-const MIN_BUSY_MEAN_MS = 5;
+/** A listener accepts one connection in a turn, so these turns admit 500 a second. */
+const MIN_BUSY_MEAN_MS = 2;
 /** Short calls wait noticeably for a single turn of this length. */
 const MIN_STALL_MS = 250;
 
--- a/test/loop-watch.test.ts
+++ b/test/loop-watch.test.ts
@@ -141,7 +141,7 @@
 test('short turns: no line', (t) => {
   const { clock, loop, lines, watch } = startWatch();
   for (let count = 0; count < 400; count += 1) {
-    loop.turn(2, 0.5);
+    loop.turn(1.9, 0.6);
     watch.startCall(false);
     watch.endCall(END);
   }
