Test that a full loop still answers new connections of proxies (fails)

The kernel completes a connection that waits, so its request counts as begun, and an order can't be sent again.

Kept connections of callers bring a third more than the loop bears; connections with the header of a forward come to the second listener, where the wrong pass is refused at once.

--- a/test/call-mesh.ts
+++ b/test/call-mesh.ts
@@ -65,6 +65,8 @@
   readonly observer?: CallObserver;
   readonly front?: CallFront;
   readonly caller?: CallerId;
+  /** Where the proxy takes calls of other proxies as well; for a mesh of one. */
+  readonly secondAddress?: Address;
   /** What the link of each host is said to carry. */
   readonly linkBytesPerSecond?: number;
   readonly clock?: Clock;
@@ -123,6 +125,7 @@
     const member = makeMember(host, servers, { calls });
     const task: CallTask = new CallTask({
       address: calls,
+      secondAddress: options.secondAddress,
       place: {
         host: host as HostId,
         dataCentre: 'a' as DataCentreId,
--- a/test/slow-proxy.ts
+++ b/test/slow-proxy.ts
@@ -1,9 +1,10 @@
 /**
  * A proxy in a process of its own, whose calls and turns of the event loop take a set time on any machine.
- * Its argument is a {@link SlowProxyPlan} as JSON. It sends its address once it takes calls, takes the least
+ * Its argument is a {@link SlowProxyPlan} as JSON. It sends its addresses once it takes calls, takes the least
  * time of a turn as a message, and ends with the process that started it.
  */
 import type { IncomingMessage } from 'node:http';
+import { findFreeAddress } from '../bench/mesh.js';
 import type { Result } from '../src/errors.js';
 import type { HeadFault, UnreadHead } from '../src/edge/call-headers.js';
 import { OwnCallFront } from '../src/edge/index.js';
@@ -19,6 +20,12 @@
   readonly server?: Address;
 }
 
+/** Where a slow proxy takes calls of callers, and those of other proxies. */
+export interface SlowProxyAddresses {
+  readonly calls: Address;
+  readonly forwards: Address;
+}
+
 class SlowFront extends OwnCallFront {
   readonly #headMs: number;
 
@@ -49,7 +56,13 @@
 
 const { headMs, server } = JSON.parse(process.argv[2] ?? '') as SlowProxyPlan;
 const whole = makeWhole(makeKind('browse'), makeRoute('/shop', 'browse'));
-const mesh = await CallMesh.start({ whole, answers: [undefined], front: new SlowFront(headMs) });
+const forwards = (await findFreeAddress()) as Address;
+const mesh = await CallMesh.start({
+  whole,
+  answers: [undefined],
+  front: new SlowFront(headMs),
+  secondAddress: forwards,
+});
 const { task, calls, member } = mesh.at(0);
 if (server !== undefined) {
   const incarnation = 2 as Incarnation;
@@ -58,4 +71,5 @@
 }
 process.once('disconnect', () => process.exit());
 process.once('message', prolongTurns);
-process.send?.(calls);
+const addresses: SlowProxyAddresses = { calls, forwards };
+process.send?.(addresses);
