--- /dev/null
+++ b/test/busy-node.ts
@@ -0,0 +1,60 @@
+/** A proxy whose calls each keep its event loop busy for a while, run as a process of its own. */
+import type { IncomingMessage } from 'node:http';
+import { SystemClock } from '../src/clock.js';
+import type { HeadFault, UnreadHead } from '../src/edge/index.js';
+import { CallTask, OwnCallFront } from '../src/edge/index.js';
+import type { Result } from '../src/errors.js';
+import type { CallId, Instant } from '../src/ids.js';
+import type { Member, Resource } from '../src/messages/index.js';
+import { SeededRandom } from '../src/random.js';
+import { makeWhole } from './call-resources.js';
+
+/** What a busy proxy is told at its start. */
+export interface BusyPlan {
+  readonly self: Member;
+  readonly resources: readonly Resource[];
+  /** How long each call keeps the event loop busy. */
+  readonly costMs: number;
+}
+
+class BusyFront extends OwnCallFront {
+  readonly #costMs: number;
+
+  constructor(costMs: number) {
+    super();
+    this.#costMs = costMs;
+  }
+
+  override parseHead(
+    request: IncomingMessage,
+    id: CallId,
+    now: Instant,
+  ): Result<UnreadHead, HeadFault> {
+    const until = performance.now() + this.#costMs;
+    while (performance.now() < until);
+    return super.parseHead(request, id, now);
+  }
+}
+
+const { self, resources, costMs } = JSON.parse(process.argv[2] ?? '{}') as BusyPlan;
+const task = new CallTask({
+  address: self.calls,
+  front: new BusyFront(costMs),
+  place: self,
+  pass: self.pass,
+  clock: new SystemClock(),
+  random: new SeededRandom(1),
+  reportFailure: (name, error) => {
+    throw new Error(`${name} failed`, { cause: error });
+  },
+  send: () => {
+    // Nobody else listens.
+  },
+});
+await task.start();
+task.post({ kind: 'whole', whole: makeWhole(...resources) });
+task.post({ kind: 'member-up', member: self });
+process.on('disconnect', () => {
+  process.exit(0);
+});
+process.send?.('ready');
