Measure a hop with the metrics, the call log and the paced link that every proxy has

The hop bench left out what the deployed proxies do for each call beside carrying it: CallMetrics behind CallLog, and the sinks of a link whose rate is known.

--- a/bench/hop-bench.ts
+++ b/bench/hop-bench.ts
@@ -14,7 +14,10 @@
 import { splitAddress } from '../src/ids.js';
 import type { Announcement, Member, Resource } from '../src/messages/index.js';
 import { formKey } from '../src/messages/index.js';
+import { MetricsRegistry } from '../src/metrics/index.js';
 import { EMPTY_WHOLE } from '../src/notes/index.js';
+import { CallLog } from '../src/program/call-log.js';
+import { CallMetrics } from '../src/program/call-metrics.js';
 import { SeededRandom } from '../src/random.js';
 import { makeMember } from './call-fleet.js';
 import { findFreeAddress } from './mesh.js';
@@ -27,6 +30,8 @@
 const SERVICE = 'shop' as ServiceName;
 const KIND = 'reads' as RequestKindName;
 const FAR_FUTURE = 1e15 as Instant;
+/** A link of 1 Gbit/s, which nothing waits for. */
+const LINK_BYTES_PER_SECOND = 125_000_000;
 
 const rounds = Number(process.argv[2] ?? 20);
 const server = await startServer();
@@ -73,6 +78,13 @@
     send: () => {
       // Nobody listens in a benchmark.
     },
+    observer: new CallLog({
+      log: () => {
+        // Calls that end well leave no line.
+      },
+      next: new CallMetrics(new MetricsRegistry()),
+    }),
+    linkBytesPerSecond: LINK_BYTES_PER_SECOND,
   });
   await task.start();
   const resources = new Map(formResources().map((one) => [formKey(one), one]));
