Write the labels of call metrics once for each series, not with each call

Each hop wrote, sorted and escaped the labels of three series, for the end of its call and of its attempt. CallMetrics now keeps the series that it has found; there are as many as before, since statuses count by class. The text of the metrics is unchanged (metrics.test.ts).

--- a/src/metrics/counter.ts
+++ b/src/metrics/counter.ts
@@ -13,15 +13,37 @@
  */
 export class Counter extends Metric {
   override readonly kind = 'counter';
-  readonly #values = new Map<string, number>();
+  readonly #series = new Map<string, CounterSeries>();
 
   /** Adds an amount, 1 unless told otherwise. */
   add(labels: Labels = {}, amount = 1): void {
-    const series = formatLabels(labels);
-    this.#values.set(series, (this.#values.get(series) ?? 0) + amount);
+    this.findSeries(labels).add(amount);
+  }
+
+  /** Finds the series of a set of labels; keep it for what is counted with each call. */
+  findSeries(labels: Labels): CounterSeries {
+    const key = formatLabels(labels);
+    const known = this.#series.get(key);
+    if (known !== undefined) return known;
+    const fresh = new CounterSeries();
+    this.#series.set(key, fresh);
+    return fresh;
   }
 
   override listSamples(): readonly Sample[] {
-    return [...this.#values].map(([labels, value]) => ({ suffix: '', labels, value }));
+    return [...this.#series].map(([labels, { value }]) => ({ suffix: '', labels, value }));
+  }
+}
+
+/** What is counted for one set of labels. */
+export class CounterSeries {
+  #value = 0;
+
+  get value(): number {
+    return this.#value;
+  }
+
+  add(amount = 1): void {
+    this.#value += amount;
   }
 }
--- a/src/metrics/duration-summary.ts
+++ b/src/metrics/duration-summary.ts
@@ -1,6 +1,5 @@
 /** Quantiles of durations, from an HDR histogram per set of labels. */
 import { build } from 'hdr-histogram-js';
-import type { Histogram } from 'hdr-histogram-js';
 import type { Labels } from './labels.js';
 import { formatLabels } from './labels.js';
 import type { Sample } from './metric.js';
@@ -15,66 +14,70 @@
  */
 export class DurationSummary extends Metric {
   override readonly kind = 'summary';
-  readonly #series = new Map<string, Series>();
+  readonly #series = new Map<string, DurationSeries>();
 
   /** Records one duration in milliseconds. */
   record(labels: Labels, milliseconds: number): void {
-    const series = this.#findSeries(labels);
-    const micros = Math.round(milliseconds * MICROS_PER_MILLI);
-    series.histogram.recordValue(Math.min(Math.max(micros, 1), MAX_MICROS));
-    series.sumMicros += micros;
+    this.findSeries(labels).record(milliseconds);
   }
 
-  override listSamples(): readonly Sample[] {
-    return [...this.#series.values()].flatMap((series) => listSeries(series));
-  }
-
-  // Internals.
-
-  #findSeries(labels: Labels): Series {
+  /** Finds the series of a set of labels; keep it for what is recorded with each call. */
+  findSeries(labels: Labels): DurationSeries {
     const key = formatLabels(labels);
     const known = this.#series.get(key);
     if (known !== undefined) return known;
-    const fresh: Series = { labels, histogram: createHistogram(), sumMicros: 0 };
+    const fresh = new DurationSeries(labels);
     this.#series.set(key, fresh);
     return fresh;
   }
-}
-
-// Internals.
 
-const MICROS_PER_MILLI = 1_000;
-const MICROS_PER_SECOND = 1_000_000;
-const MAX_MICROS = 3_600 * MICROS_PER_SECOND;
-const SIGNIFICANT_DIGITS = 2;
-const QUANTILES = [0.5, 0.9, 0.99, 0.999];
-const PERCENT = 100;
-
-interface Series {
-  readonly labels: Labels;
-  readonly histogram: Histogram;
-  sumMicros: number;
+  override listSamples(): readonly Sample[] {
+    return [...this.#series.values()].flatMap((series) => series.listSamples());
+  }
 }
 
-function createHistogram(): Histogram {
-  return build({
+/** The durations of one set of labels. */
+export class DurationSeries {
+  readonly #labels: Labels;
+  readonly #histogram = build({
     bitBucketSize: 32,
     autoResize: true,
     lowestDiscernibleValue: 1,
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
   });
-}
+  #sumMicros = 0;
+
+  constructor(labels: Labels) {
+    this.#labels = labels;
+  }
 
-function listSeries({ labels, histogram, sumMicros }: Series): Sample[] {
-  const quantiles = QUANTILES.map((quantile) => ({
-    suffix: '',
-    labels: formatLabels({ ...labels, quantile: String(quantile) }),
-    value: histogram.getValueAtPercentile(quantile * PERCENT) / MICROS_PER_SECOND,
-  }));
-  const own = formatLabels(labels);
-  return [
-    ...quantiles,
-    { suffix: '_sum', labels: own, value: sumMicros / MICROS_PER_SECOND },
-    { suffix: '_count', labels: own, value: histogram.totalCount },
-  ];
+  /** Records one duration in milliseconds. */
+  record(milliseconds: number): void {
+    const micros = Math.round(milliseconds * MICROS_PER_MILLI);
+    this.#histogram.recordValue(Math.min(Math.max(micros, 1), MAX_MICROS));
+    this.#sumMicros += micros;
+  }
+
+  listSamples(): Sample[] {
+    const quantiles = QUANTILES.map((quantile) => ({
+      suffix: '',
+      labels: formatLabels({ ...this.#labels, quantile: String(quantile) }),
+      value: this.#histogram.getValueAtPercentile(quantile * PERCENT) / MICROS_PER_SECOND,
+    }));
+    const own = formatLabels(this.#labels);
+    return [
+      ...quantiles,
+      { suffix: '_sum', labels: own, value: this.#sumMicros / MICROS_PER_SECOND },
+      { suffix: '_count', labels: own, value: this.#histogram.totalCount },
+    ];
+  }
 }
+
+// Internals.
+
+const MICROS_PER_MILLI = 1_000;
+const MICROS_PER_SECOND = 1_000_000;
+const MAX_MICROS = 3_600 * MICROS_PER_SECOND;
+const SIGNIFICANT_DIGITS = 2;
+const QUANTILES = [0.5, 0.9, 0.99, 0.999];
+const PERCENT = 100;
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -1,6 +1,8 @@
 /** Metrics: counters, gauges and quantiles of durations. */
 export { Counter } from './counter.js';
+export type { CounterSeries } from './counter.js';
 export { DurationSummary } from './duration-summary.js';
+export type { DurationSeries } from './duration-summary.js';
 export { Gauge } from './gauge.js';
 export type { Reading } from './gauge.js';
 export type { Labels } from './labels.js';
--- a/src/program/call-metrics.ts
+++ b/src/program/call-metrics.ts
@@ -1,14 +1,16 @@
 /** Metrics of the calls of a proxy. */
 import type { AnswerDrop, AttemptEnd, CallEnd, SentAgain } from '../calls/index.js';
 import { CallObserver } from '../calls/index.js';
-import type { MetricsRegistry } from '../metrics/index.js';
+import type { CounterSeries, DurationSeries, MetricsRegistry } from '../metrics/index.js';
 import { Counter, DurationSummary, Gauge } from '../metrics/index.js';
 
 /** Counts and times the calls of one proxy. Labels have few values, whatever callers send. */
 export class CallMetrics extends CallObserver {
   #running = 0;
   readonly #durations: DurationSummary;
+  readonly #durationSeries = new Map<string, DurationSeries>();
   readonly #attempts: DurationSummary;
+  readonly #attemptSeries = new Map<string, AttemptSeries>();
   readonly #refusals: Counter;
   readonly #attemptEnds: Counter;
   readonly #sentAgain: Counter;
@@ -45,15 +47,14 @@
   override endCall({ isForwarded, status, reason, outcome, milliseconds }: CallEnd): void {
     this.#running -= 1;
     const side = isForwarded ? 'guard' : 'entry';
-    this.#durations.record({ side, status: formatStatus(status) }, milliseconds);
+    this.#findDurations(side, formatStatus(status)).record(milliseconds);
     if (reason !== undefined) this.#refusals.add({ side, reason, outcome: outcome ?? 'unknown' });
   }
 
   override endAttempt(end: AttemptEnd): void {
-    const { isLocal, status, outcome, reason = 'none', proof, milliseconds } = end;
-    const target = isLocal ? 'backend-server' : 'proxy';
-    this.#attempts.record({ target, status: formatStatus(status) }, milliseconds);
-    this.#attemptEnds.add({ target, outcome, reason, proof });
+    const { durations, ends } = this.#findAttempts(end);
+    durations.record(end.milliseconds);
+    ends.add();
   }
 
   override dropAnswer({ sentBytes }: AnswerDrop): void {
@@ -66,10 +67,42 @@
   ): void {
     this.#sentAgain.add({ reason, outcome, idempotent: String(isIdempotent) });
   }
+
+  // Internals.
+
+  #findDurations(side: string, status: string): DurationSeries {
+    const key = `${side} ${status}`;
+    const known = this.#durationSeries.get(key);
+    if (known !== undefined) return known;
+    const fresh = this.#durations.findSeries({ side, status });
+    this.#durationSeries.set(key, fresh);
+    return fresh;
+  }
+
+  #findAttempts(end: AttemptEnd): AttemptSeries {
+    const { isLocal, status, outcome, reason = 'none', proof } = end;
+    const target = isLocal ? 'backend-server' : 'proxy';
+    const statusClass = formatStatus(status);
+    const key = `${target} ${statusClass} ${outcome} ${reason} ${proof}`;
+    const known = this.#attemptSeries.get(key);
+    if (known !== undefined) return known;
+    const fresh: AttemptSeries = {
+      durations: this.#attempts.findSeries({ target, status: statusClass }),
+      ends: this.#attemptEnds.findSeries({ target, outcome, reason, proof }),
+    };
+    this.#attemptSeries.set(key, fresh);
+    return fresh;
+  }
 }
 
 // Internals.
 
+/** What is counted at the ends of attempts that ended alike. */
+interface AttemptSeries {
+  readonly durations: DurationSeries;
+  readonly ends: CounterSeries;
+}
+
 const STATUS_CLASS = 100;
 
 /** Writes the class of a status, so that odd statuses make no series of their own. */
