Believe announcements within bounds that every other process can read

A backend server that announced 5,000,000,000,000,000 slots was taken by the platform's front. Its connections are twice that and no safe integer, so no other process could read the record of its proxy: the whole datagram or frame was dropped, and callers elsewhere never heard of that proxy. A port of 0 or with leading zeros, a warm-up of 1e303 ms, and a life or sequence of 2^53 - 1 were taken as well; a deregistration with an odd life took out the server that is known.

Cause: each front had bounds of its own, and none of them were those of the codecs. AnnounceFront now checks what any front has read against one set of bounds in src/members; the fronts only translate.

--- a/src/edge/announce-front.ts
+++ b/src/edge/announce-front.ts
@@ -1,6 +1,8 @@
 /** How backend servers announce themselves, apart from what follows from it. */
 import type { Result } from '../errors.js';
+import { makeError } from '../errors.js';
 import type { InstanceId, Instant } from '../ids.js';
+import { findAnnouncementFault, findLifeFault } from '../members/index.js';
 import type { Announcement } from '../messages/index.js';
 
 /** What a backend server, or an operator on its host, asks for. */
@@ -27,15 +29,39 @@
 /**
  * Reads announcements and writes the answers. An answer goes out only after the request has taken effect.
  *
- * Extend this class for backend servers that announce themselves by another interface.
+ * Extend this class for backend servers that announce themselves by another interface. What may be believed
+ * of a request that was understood is the same for every interface.
  */
 export abstract class AnnounceFront {
-  /** Reads a request, or forms the answer to one that was not understood. */
-  abstract readRequest(
+  /** Reads a request, or forms the answer to one that was not understood or is not believed. */
+  readRequest(request: AnnounceHttpRequest, now: Instant): Result<AnnounceRequest, AnnounceAnswer> {
+    const read = this.parseRequest(request, now);
+    const fault = read.ok ? findFault(read.value, now) : undefined;
+    return fault === undefined ? read : makeError(this.formRefusal(fault));
+  }
+
+  /** Forms the answer to a request that has taken effect. */
+  abstract formAnswer(request: AnnounceRequest): AnnounceAnswer;
+
+  /** Translates a request, or forms the answer to one that was not understood. */
+  protected abstract parseRequest(
     request: AnnounceHttpRequest,
     now: Instant,
   ): Result<AnnounceRequest, AnnounceAnswer>;
 
-  /** Forms the answer to a request that has taken effect. */
-  abstract formAnswer(request: AnnounceRequest): AnnounceAnswer;
+  /** Forms the answer to a request that is not believed. */
+  protected abstract formRefusal(message: string): AnnounceAnswer;
+}
+
+// Internals.
+
+function findFault(request: AnnounceRequest, now: Instant): string | undefined {
+  switch (request.kind) {
+    case 'announce':
+      return findAnnouncementFault(request.announcement, now);
+    case 'server-left':
+      return findLifeFault(request.life, now);
+    case 'drain':
+      return undefined;
+  }
 }
--- a/src/edge/own-announce-front.ts
+++ b/src/edge/own-announce-front.ts
@@ -11,7 +11,13 @@
 
 /** Reads announcements as docs/OPERATORS.md describes them. */
 export class OwnAnnounceFront extends AnnounceFront {
-  override readRequest(
+  override formAnswer(request: AnnounceRequest): AnnounceAnswer {
+    if (request.kind !== 'announce') return { status: ACCEPTED, body: { kind: 'draining' } };
+    const { heartbeatDeadline } = request.announcement;
+    return { status: OK, body: { heartbeat_deadline: heartbeatDeadline } };
+  }
+
+  protected override parseRequest(
     { method, url, body }: AnnounceHttpRequest,
     now: Instant,
   ): Result<AnnounceRequest, AnnounceAnswer> {
@@ -23,15 +29,12 @@
     try {
       return makeOk({ kind: 'announce', announcement: readAnnouncement(body, now) });
     } catch (error) {
-      const { message } = error as Error;
-      return makeError({ status: BAD_REQUEST, body: { kind: 'bad-request', message } });
+      return makeError(this.formRefusal((error as Error).message));
     }
   }
 
-  override formAnswer(request: AnnounceRequest): AnnounceAnswer {
-    if (request.kind !== 'announce') return { status: ACCEPTED, body: { kind: 'draining' } };
-    const { heartbeatDeadline } = request.announcement;
-    return { status: OK, body: { heartbeat_deadline: heartbeatDeadline } };
+  protected override formRefusal(message: string): AnnounceAnswer {
+    return { status: BAD_REQUEST, body: { kind: 'bad-request', message } };
   }
 }
 
