Leave out an odd part of a membership message alone, and say why

One update that could not be read took the whole datagram or frame with it: the other members' news in it were lost, a probe got no answer, and nothing was logged. A proxy whose record could not be read took its neighbours' records along wherever they met in one message.

Cause: decodeProbe and decodeSync read all parts or threw, and their callers swallowed the error. Lists of updates, hosts and entries are now read part by part; what can't be read is left out, counted (members_dropped_updates) and logged (member-update-dropped) with its reason, as is a whole message.

The codec tests now also fail when a part of a sound message is left out.

--- a/bench/members-bench.ts
+++ b/bench/members-bench.ts
@@ -88,7 +88,10 @@
   receive(message: ProbeMessage, from = MemberFleet.formMember(1).control): void {
     const bytes = encodeProbe(message);
     this.receivedBytes += bytes.length + UDP_HEADER_BYTES;
-    this.post({ kind: 'datagram', from, message: decodeProbe(bytes) });
+    const decoded = decodeProbe(bytes, (reason) => {
+      throw new Error(reason);
+    });
+    this.post({ kind: 'datagram', from, message: decoded });
   }
 
   runUntil(end: Instant): void {
--- a/src/edge/member-codec.ts
+++ b/src/edge/member-codec.ts
@@ -48,6 +48,25 @@
   };
 }
 
+/** Hears why a part of a message was left out. */
+export type NotifyDropped = (reason: string) => void;
+
+/** Decodes a list part by part. A part that is none is left out alone, because its neighbours are as good as ever. */
+export function decodeParts<T>(
+  parts: readonly unknown[],
+  decode: (part: unknown) => T,
+  notifyDropped: NotifyDropped,
+): T[] {
+  return parts.flatMap((part) => {
+    try {
+      return [decode(part)];
+    } catch (error) {
+      notifyDropped((error as Error).message);
+      return [];
+    }
+  });
+}
+
 /** Checks that a value is a list. */
 export function readList(value: unknown): readonly unknown[] {
   if (Array.isArray(value)) return value;
--- a/src/edge/probe-codec.ts
+++ b/src/edge/probe-codec.ts
@@ -2,7 +2,9 @@
 import { Packr } from 'msgpackr';
 import { parseAddress } from '../ids.js';
 import type { MemberUpdate, ProbeMessage } from '../messages/index.js';
+import type { NotifyDropped } from './member-codec.js';
 import {
+  decodeParts,
   decodeUpdate,
   encodeUpdate,
   MemberCodecError,
@@ -24,22 +26,25 @@
   }
 }
 
-/** Decodes a datagram; throws when the bytes are no message. */
-export function decodeProbe(bytes: Buffer): ProbeMessage {
+/** Decodes a datagram; throws when the bytes are no message. Updates that are none are left out. */
+export function decodeProbe(bytes: Buffer, notifyDropped: NotifyDropped): ProbeMessage {
   const fields = readList(packr.unpack(bytes));
   const from = readHost(fields[1]);
+  const decodeFrom = (start: number): MemberUpdate[] => {
+    return decodeParts(fields.slice(start), decodeUpdate, notifyDropped);
+  };
   switch (fields[0]) {
     case PING: {
       const to = fields[3] === null ? undefined : readHost(fields[3]);
       const sequence = readCount(fields[2]);
-      return { kind: 'ping', from, sequence, to, updates: decodeUpdates(fields, 4) };
+      return { kind: 'ping', from, sequence, to, updates: decodeFrom(4) };
     }
     case ACK:
       return {
         kind: 'ack',
         from,
         sequence: readCount(fields[2]),
-        updates: decodeUpdates(fields, 3),
+        updates: decodeFrom(3),
       };
     case PING_REQUEST:
       return {
@@ -48,12 +53,12 @@
         sequence: readCount(fields[2]),
         target: readHost(fields[3]),
         address: parseAddress(readText(fields[4])),
-        updates: decodeUpdates(fields, 5),
+        updates: decodeFrom(5),
       };
     case NACK:
       return { kind: 'nack', from, sequence: readCount(fields[2]) };
     case GOSSIP:
-      return { kind: 'gossip', from, updates: decodeUpdates(fields, 2) };
+      return { kind: 'gossip', from, updates: decodeFrom(2) };
     default:
       throw new MemberCodecError('no datagram has this tag');
   }
@@ -86,7 +91,3 @@
       return [[GOSSIP, message.from], message.updates];
   }
 }
-
-function decodeUpdates(fields: readonly unknown[], start: number): MemberUpdate[] {
-  return fields.slice(start).map(decodeUpdate);
-}
--- a/src/edge/probe-task.ts
+++ b/src/edge/probe-task.ts
@@ -7,6 +7,7 @@
 import type { ProbeMessage } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { Task } from '../pipe/index.js';
+import { MemberCodecError } from './member-codec.js';
 import { decodeProbe, encodeProbe, MAX_DATAGRAM_BYTES } from './probe-codec.js';
 
 /** A datagram to send. */
@@ -23,6 +24,8 @@
   receivedBytes: number;
   /** Datagrams that were ignored because they are no message. */
   malformed: number;
+  /** Updates that were left out of datagrams because they are none. */
+  dropped: number;
   /** Datagrams that the operating system refused to send. */
   failed: number;
 }
@@ -33,6 +36,8 @@
   readonly bind: Address;
   readonly reportFailure: ReportFailure;
   readonly notify: (from: Address, message: ProbeMessage) => void;
+  /** Hears why a datagram or an update in one was left out. */
+  readonly notifyDropped: (from: Address, reason: string) => void;
 }
 
 /** Owns the socket. Delivery is not guaranteed, and malformed datagrams are counted and ignored. */
@@ -44,6 +49,7 @@
     received: 0,
     receivedBytes: 0,
     malformed: 0,
+    dropped: 0,
     failed: 0,
   };
   #socket: Socket | undefined;
@@ -123,25 +129,29 @@
   #receive(bytes: Buffer, sender: RemoteInfo): void {
     this.#counts.received += 1;
     this.#counts.receivedBytes += bytes.length;
-    const message = bytes.length <= MAX_DATAGRAM_BYTES ? readMessage(bytes) : undefined;
-    if (message === undefined) {
+    const from = formAddress(sender);
+    const message = this.#readMessage(bytes, from);
+    if (message !== undefined) this.#options.notify(from, message);
+  }
+
+  #readMessage(bytes: Buffer, from: Address): ProbeMessage | undefined {
+    const { notifyDropped } = this.#options;
+    try {
+      if (bytes.length > MAX_DATAGRAM_BYTES) throw new MemberCodecError('the datagram is too long');
+      return decodeProbe(bytes, (reason) => {
+        this.#counts.dropped += 1;
+        notifyDropped(from, reason);
+      });
+    } catch (error) {
       this.#counts.malformed += 1;
-      return;
+      notifyDropped(from, (error as Error).message);
+      return undefined;
     }
-    this.#options.notify(formAddress(sender), message);
   }
 }
 
 // Internals.
 
-function readMessage(bytes: Buffer): ProbeMessage | undefined {
-  try {
-    return decodeProbe(bytes);
-  } catch {
-    return undefined;
-  }
-}
-
 function formAddress({ address, port, family }: RemoteInfo): Address {
   return (family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`) as Address;
 }
--- a/src/edge/sync-codec.ts
+++ b/src/edge/sync-codec.ts
@@ -1,6 +1,8 @@
 /** The compact form of anti-entropy messages as the link carries them. */
 import type { EntrySummary, SyncMessage } from '../messages/index.js';
+import type { NotifyDropped } from './member-codec.js';
 import {
+  decodeParts,
   decodeUpdate,
   encodeUpdate,
   MemberCodecError,
@@ -28,8 +30,8 @@
   }
 }
 
-/** Decodes the body of a link's message; throws when it is none. */
-export function decodeSync(body: unknown): SyncMessage {
+/** Decodes the body of a link's message; throws when it is none. Parts of lists that are none are left out. */
+export function decodeSync(body: unknown, notifyDropped: NotifyDropped): SyncMessage {
   const fields = readList(body);
   switch (fields[0]) {
     case ROOT:
@@ -40,11 +42,16 @@
       return { kind: 'sync-buckets', digests: readList(fields[1]).map(readCount) };
     case ENTRIES: {
       const buckets = readList(fields[1]).map(readCount);
-      return { kind: 'sync-entries', buckets, entries: decodeEntries(readList(fields[2])) };
+      return {
+        kind: 'sync-entries',
+        buckets,
+        entries: decodeEntries(readList(fields[2]), notifyDropped),
+      };
     }
     case UPDATES: {
-      const updates = readList(fields[1]).map(decodeUpdate);
-      return { kind: 'sync-updates', updates, wanted: readList(fields[2]).map(readHost) };
+      const updates = decodeParts(readList(fields[1]), decodeUpdate, notifyDropped);
+      const wanted = decodeParts(readList(fields[2]), readHost, notifyDropped);
+      return { kind: 'sync-updates', updates, wanted };
     }
     default:
       throw new MemberCodecError('no anti-entropy message has this tag');
@@ -59,11 +66,13 @@
 const UPDATES = 3;
 const SAME = 4;
 
-function decodeEntries(values: readonly unknown[]): EntrySummary[] {
-  const entries: EntrySummary[] = [];
-  for (let index = 0; index < values.length; index += 2) {
-    const host = readHost(values[index]);
-    entries.push({ host, incarnation: readIncarnation(values[index + 1]) });
-  }
-  return entries;
+function decodeEntries(values: readonly unknown[], notifyDropped: NotifyDropped): EntrySummary[] {
+  const pairs: unknown[] = [];
+  for (let index = 0; index < values.length; index += 2) pairs.push(values.slice(index, index + 2));
+  return decodeParts(pairs, decodeEntry, notifyDropped);
+}
+
+function decodeEntry(pair: unknown): EntrySummary {
+  const [host, incarnation] = readList(pair);
+  return { host: readHost(host), incarnation: readIncarnation(incarnation) };
 }
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -48,6 +48,7 @@
   'member-up': ORDINARY,
   'member-gone': FULL,
   'members-left': FULL,
+  'member-update-dropped': FULL,
   'crash-seen': FULL,
   'announcement-ignored': FULL,
   'announcement-rejected': FULL,
--- a/src/program/run-members.ts
+++ b/src/program/run-members.ts
@@ -63,10 +63,15 @@
     notify: (from, message) => {
       members.post({ kind: 'datagram', from, message });
     },
+    notifyDropped: logDropped,
   });
 
   addMetrics(options.registry, probes);
 
+  function logDropped(from: Address, reason: string): void {
+    log('member-update-dropped', { from, reason });
+  }
+
   function route(output: Exclude<MembersOut, { kind: 'wake' }>): void {
     if (output.kind === 'datagram') probes.post(output);
     else if (output.kind === 'send') {
@@ -83,7 +88,7 @@
       members.post(message);
     },
     handleLink: (event) => {
-      const message = readLinkEvent(event);
+      const message = readLinkEvent(event, logDropped);
       if (message !== undefined) members.post(message);
     },
     handleSettings: (changed) => {
@@ -113,12 +118,16 @@
     { labels: { fate: 'malformed' }, value: counts.malformed },
     { labels: { fate: 'failed' }, value: counts.failed },
   ]);
+  const dropped = new Gauge('members_dropped_updates', 'Updates left out of datagrams.', () => [
+    { value: counts.dropped },
+  ]);
   const bytes = new Gauge('members_datagram_bytes', 'Bytes of datagrams, by direction.', () => [
     { labels: { direction: 'sent' }, value: counts.sentBytes },
     { labels: { direction: 'received' }, value: counts.receivedBytes },
   ]);
   registry.add(datagrams);
   registry.add(bytes);
+  registry.add(dropped);
 }
 
 function formSelf(settings: Settings, pass: string): Member {
@@ -143,11 +152,19 @@
   return [...new Set(named.flatMap((addresses) => addresses ?? []))];
 }
 
-function readLinkEvent(event: LinkEvent): MembersIn | undefined {
+function readLinkEvent(
+  event: LinkEvent,
+  notifyDropped: (from: Address, reason: string) => void,
+): MembersIn | undefined {
   if (event.kind !== 'received' || event.channel !== 'members') return undefined;
+  const { address } = event;
+  const drop = (reason: string): void => {
+    notifyDropped(address, reason);
+  };
   try {
-    return { kind: 'received', address: event.address, body: decodeSync(event.body) };
-  } catch {
+    return { kind: 'received', address, body: decodeSync(event.body, drop) };
+  } catch (error) {
+    drop((error as Error).message);
     return undefined;
   }
 }
--- a/test/members-codec.test.ts
+++ b/test/members-codec.test.ts
@@ -94,7 +94,7 @@
   const property = fc.property(probe, (message) => {
     const bytes = encodeProbe(message);
     t.true(bytes.length <= MAX_DATAGRAM_BYTES);
-    t.deepEqual(decodeProbe(bytes), message);
+    t.deepEqual(decodeProbe(bytes, t.fail), message);
   });
   fc.assert(property, RUNS);
 });
@@ -116,7 +116,7 @@
     }),
   );
   const property = fc.property(messages, (message) => {
-    t.deepEqual(decodeSync(encodeSync(message)), message);
+    t.deepEqual(decodeSync(encodeSync(message), t.fail), message);
   });
   fc.assert(property, RUNS);
 });
@@ -142,7 +142,7 @@
     };
     const bytes = encodeProbe(message);
     t.true(bytes.length <= MAX_UPDATE_BYTES + HEAD_BYTES + 16);
-    t.deepEqual(decodeProbe(bytes), message);
+    t.deepEqual(decodeProbe(bytes, t.fail), message);
   });
   fc.assert(property, RUNS);
 });
@@ -174,7 +174,7 @@
 
 test('garbage is refused', (t) => {
   const property = fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
-    t.throws(() => decodeProbe(Buffer.from(bytes)));
+    t.throws(() => decodeProbe(Buffer.from(bytes), t.fail));
   });
   fc.assert(property, { numRuns: 1_000, seed: 3 });
 });
@@ -182,12 +182,14 @@
 test('malformed is counted', async (t) => {
   const number = await findFreePort();
   const heard: ProbeMessage[] = [];
+  const reasons: string[] = [];
   const task = new ProbeTask({
     bind: `127.0.0.1:${number}` as Address,
     reportFailure: (_, error) => {
       t.fail(String(error));
     },
     notify: (_, message) => heard.push(message),
+    notifyDropped: (_, reason) => reasons.push(reason),
   });
   await task.start();
   const peer = createSocket('udp4');
@@ -202,4 +204,5 @@
   await waitFor('three datagrams', () => task.counts.received === 3 || undefined);
   t.deepEqual(heard, [good]);
   t.is(task.counts.malformed, 2);
+  t.is(reasons.length, 2);
 });
--- a/test/odd-announcements.test.ts
+++ b/test/odd-announcements.test.ts
@@ -48,13 +48,16 @@
 }
 
 /** What another process makes of the record that holds this server, by datagram and by link. */
-function passOn(server: Announcement): Announcement[] {
+function passOn(server: Announcement, drop: (reason: string) => void): Announcement[] {
   const member = makeMember('host-1', [server], { control: '127.0.0.1:7000' as Address });
   const update: MemberUpdate = { kind: 'record', member };
-  const probe = decodeProbe(encodeProbe({ kind: 'gossip', from: member.host, updates: [update] }));
+  const probe = decodeProbe(
+    encodeProbe({ kind: 'gossip', from: member.host, updates: [update] }),
+    drop,
+  );
   const body = encodeSync({ kind: 'sync-updates', updates: [update], wanted: [] });
   const frame = decodeFrame(encodeMessage('members', body));
-  const sync = decodeSync(frame.kind === 'message' ? frame.body : undefined);
+  const sync = decodeSync(frame.kind === 'message' ? frame.body : undefined, drop);
   const updates = [probe, sync].flatMap((message) => ('updates' in message ? message.updates : []));
   return updates.flatMap((one) => (one.kind === 'record' ? one.member.servers : []));
 }
@@ -116,7 +119,7 @@
     if (request?.kind !== 'announce') return;
     accepted += 1;
     const { service, slots, connections, state, address: own } = request.announcement;
-    const heard = passOn(request.announcement);
+    const heard = passOn(request.announcement, t.fail);
     t.is(heard.length, 2);
     for (const server of heard)
       t.like(server, { service, slots, connections, state, address: own });
