Accept only configurations that every proxy can read

The source accepted a route with a time limit of 1e306 s (kept as Infinity), and texts of more than 1,024 characters: a host, a path prefix, a name, a health path. Proxies read neither, and drop the whole message with all other changes in it, so one such order would have stopped every proxy from following the configuration, cold starts included. Limits of 1e21 s and more gave request kinds a name that guards refuse, so every call of the route would have failed; header and idle time limits reached node:http as they were; of weights that add up to Infinity only one target got calls.

Cause: the codec of the versions had bounds that no front knew, and each front had bounds of its own. The notes pipe now checks a command against one set of bounds before it proposes it; the codec and the note format take theirs from the same place. The fold of committed commands is unchanged.

--- a/src/edge/note-toml.ts
+++ b/src/edge/note-toml.ts
@@ -12,6 +12,7 @@
   parseServiceName,
 } from '../ids.js';
 import type { NoteDraft, NoteFault, Replacement, Resource } from '../messages/index.js';
+import { MAX_TIMEOUT_MS } from '../notes/index.js';
 import { formIdSchema } from './id-schema.js';
 
 /** How a note is written down. Both forms have the same keys. */
@@ -49,7 +50,6 @@
 
 // Internals.
 
-const MAX_TIMEOUT_MS = 86_400_000;
 const WHOLE_SHARE = 10_000;
 const PATH_PATTERN = /^\/$|^(\/[^/?#\s]+)+$/;
 
--- a/src/edge/spread-codec.ts
+++ b/src/edge/spread-codec.ts
@@ -1,6 +1,7 @@
 /** Checks the form of messages that peers send about configuration versions. */
 import { z } from 'zod';
 import type { SourceSpreadMessage, SpreadMessage } from '../messages/index.js';
+import { MAX_TEXT_LENGTH } from '../notes/index.js';
 
 /** Reads a message of the channel `spread`; undefined when it is not of that form. */
 export function readSpreadMessage(body: unknown): SpreadMessage | undefined {
@@ -16,12 +17,11 @@
 
 // Internals.
 
-const MAX_NAME_LENGTH = 1_024;
 const MAX_CHUNKS = 65_536;
 const MAX_LISTED = 256;
 const DIGEST_PATTERN = /^[0-9a-f]{32}$/;
 
-const name = z.string().max(MAX_NAME_LENGTH);
+const name = z.string().max(MAX_TEXT_LENGTH);
 const count = z.int().min(0);
 const digest = z.string().regex(DIGEST_PATTERN);
 const mark = z.object({ version: count, digest });
--- a/src/notes/index.ts
+++ b/src/notes/index.ts
@@ -22,3 +22,4 @@
 export { WholeTable } from './whole-table.js';
 export type { Break } from './whole-table.js';
 export type { SourceReport } from './note-status.js';
+export { MAX_TEXT_LENGTH, MAX_TIMEOUT_MS } from './resource-bounds.js';
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -21,6 +21,7 @@
 import type { BookSnapshot } from './note-book.js';
 import { NoteBook } from './note-book.js';
 import type { SourceReport } from './note-status.js';
+import { listBoundFaults } from './resource-bounds.js';
 import { formPage, formReport, formStatus, isInForce, NO_COVERAGE } from './note-status.js';
 
 /** A question of an operator. It is answered only after the log has confirmed that this replica leads. */
@@ -129,14 +130,14 @@
   // Internals.
 
   #handleCommand(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
-    if (state.book.decide(command).kind === 'step') return sendProposal(state, id, command);
+    if (state.book.decide(command).kind === 'step') return sendChecked(state, id, command);
     return sendConfirm(state, id, { kind: 'command', command });
   }
 
   /** What a replacement changes is worked out here; whether it still holds is decided at the commit. */
   #handleReplace(state: NotesState, id: RequestId, replacement: Replacement): NotesStep {
     const command = state.book.formReplaceCommand(replacement);
-    if (state.book.decide(command).kind === 'step') return sendProposal(state, id, command);
+    if (state.book.decide(command).kind === 'step') return sendChecked(state, id, command);
     return sendConfirm(state, id, { kind: 'replace', replacement });
   }
 
@@ -205,7 +206,7 @@
   /** Answers a command that was about to be refused, or proposes it when that is no longer so. */
   #answerCommand(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
     const verdict = state.book.decide(command);
-    if (verdict.kind === 'step') return sendProposal(state, id, command);
+    if (verdict.kind === 'step') return sendChecked(state, id, command);
     return { state, outputs: [{ kind: 'answer', id, answer: verdict.answer }] };
   }
 
@@ -256,6 +257,13 @@
   return { kind: 'report', report: formReport(book, coverage, leading) };
 }
 
+/** Proposes a command, unless it is out of bounds: that is so whatever the book of the leader holds. */
+function sendChecked(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
+  const faults = listBoundFaults(command);
+  if (faults.length === 0) return sendProposal(state, id, command);
+  return { state, outputs: [{ kind: 'answer', id, answer: { kind: 'refused', faults } }] };
+}
+
 function sendProposal(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
   return { state, outputs: [{ kind: 'log', request: { kind: 'propose', id, command } }] };
 }
