Never send a call again to a backend server that it has come to

A call could go to the same backend server twice: declined there for want of a free slot, sent there to wait, shed, declined elsewhere, and sent there once more. All attempts of a call bear the same id, so a server that writes its earlier refusal again would have been believed: the caller is told "not run" of an attempt that runs, or the attempt runs at another server as well. A call that was lost at a server could return to it too.

Cause: where no other server is believed to have a free slot, every server that had declined the call was forgotten as tried, also one that the call had come to since. The call now keeps the servers that its attempts may have come to, in place of their number, and these stay tried.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -115,7 +115,7 @@
       declinedBy: [],
       running: new Set(),
       started: 0,
-      reached: 0,
+      reached: new Set(),
       relayed: undefined,
       suspect: false,
       certain: true,
@@ -154,7 +154,7 @@
       const retry = this.#retry(state, call, now, last);
       if (retry.length > 0) {
         removeAttempt(state, message.attempt, open);
-        call.reached += 1;
+        call.reached.add(server);
         call.certain = false;
         return [{ kind: 'cancel', attempt: message.attempt }, ...retry];
       }
@@ -199,7 +199,7 @@
       const passedOn = this.#placement.passOn(state, call, record.announcement.address, now);
       if (passedOn.length > 0) return passedOn;
     }
-    if (mayHaveReached(failure)) call.reached += 1;
+    if (mayHaveReached(failure)) call.reached.add(record.announcement.address);
     const maySend = maySendAgain(call, failure);
     const observed = applyAttemptFailure(state, open, failure, now);
     if (call.relayed === attempt) return [...observed, ...this.#refuse(state, call, failure)];
@@ -218,7 +218,7 @@
     if (call.started - call.declinedBy.length >= MAX_ATTEMPTS) return [];
     if (findAttemptDeadline(deadline) <= now) return [];
     const most = requestKind.maxAttempts ?? MAX_ATTEMPTS;
-    if (call.reached + call.running.size >= most) return [];
+    if (call.reached.size + call.running.size >= most) return [];
     const budget = findBudget(state, service, this.#retries);
     if (!isFree(last) && !budget.spend()) return [];
     return this.#placement.start(state, call, now, last);
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -77,7 +77,7 @@
   passOn(state: AttemptState, call: OpenCall, server: Address, now: Instant): AttemptOut[] {
     call.declinedBy.push(server);
     if (!this.#hasAlternative(state, call, now)) {
-      for (const one of call.declinedBy) call.tried.delete(one);
+      for (const one of call.declinedBy) if (!call.reached.has(one)) call.tried.delete(one);
     }
     return this.start(state, call, now, { server, reason: 'busy', outcome: 'not-run' });
   }
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -29,8 +29,11 @@
   /** Servers that had no free slot for the call, in the order in which they were asked. */
   readonly declinedBy: Address[];
   started: number;
-  /** Attempts that have ended and may have come to a backend server. */
-  reached: number;
+  /**
+   * Servers that attempts may have come to which have ended. The call is never sent there again: what such a server
+   * says of the earlier attempt would pass for what it says of the later one.
+   */
+  readonly reached: Set<Address>;
   /** The attempt whose answer goes to the caller. */
   relayed: AttemptId | undefined;
   /** Whether an attempt was lost after it may have begun to run. */
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -540,3 +540,61 @@
   filter.decide(state, { ...answered, load: undefined }, addMs(START, 100));
   t.is(measureSilence(record, addMs(START, 900)), 0);
 });
+
+/** Ends each attempt of one call as `ends` says, and lists the servers that a call came to and then was sent to. */
+function listReachedAgain(ends: readonly AttemptEnding[]): string[] {
+  const driver = new Driver(3);
+  const reached = new Set<string>();
+  const again: string[] = [];
+  const kind = { idempotent: true, timeoutMs: 1e6 };
+  let outputs = driver.post({ kind: 'claimed', call: makeCall('c', kind) });
+  for (const [turn, { isBusy, isLost, running, others }] of ends.entries()) {
+    others.forEach((load, index) => {
+      passOther(driver, `o${turn}-${index}`, load);
+    });
+    const sent = outputs.find((output) => output.kind === 'dispatch');
+    if (sent === undefined) break;
+    const { attempt, server, onlyIfFree } = sent.head;
+    if (reached.has(server)) again.push(server);
+    const load = { running, waiting: running };
+    const isDeclined = isBusy && onlyIfFree === true;
+    if (!isDeclined) reached.add(server);
+    const failure = isLost ? FAILED : ({ outcome: 'not-run', reason: 'shed', load } as const);
+    const busy = { outcome: 'not-run', reason: 'busy', load } as const;
+    outputs = driver.post({
+      kind: 'attempt-failed',
+      attempt,
+      failure: isDeclined ? busy : failure,
+    });
+  }
+  return again;
+}
+
+interface AttemptEnding {
+  readonly isBusy: boolean;
+  readonly isLost: boolean;
+  readonly running: number;
+  /** What servers tell of their load meanwhile, with the answers to other calls. */
+  readonly others: readonly number[];
+}
+
+function passOther(driver: Driver, id: string, running: number): void {
+  driver.post({ kind: 'claimed', call: makeCall(id, { timeoutMs: 1e6 }) });
+  const load = { running, waiting: running };
+  driver.post({ kind: 'answer-started', attempt: attemptOf(id), status: 200, load });
+  driver.post({ kind: 'answer-complete', attempt: attemptOf(id) });
+}
+
+// A server that has refused a call may write that refusal once more; it would pass for that of a later attempt.
+test('server that a call came to: not sent there again', (t) => {
+  const ending = fc.record({
+    isBusy: fc.boolean(),
+    isLost: fc.boolean(),
+    running: fc.constantFrom(0, 19, 40),
+    others: fc.array(fc.constantFrom(0, 40), { maxLength: 4 }),
+  });
+  const property = fc.property(fc.array(ending, { maxLength: 8 }), (ends) => {
+    t.deepEqual(listReachedAgain(ends), []);
+  });
+  fc.assert(property, { numRuns: 5_000, seed: 7 });
+});
