Play refusals that a backend server writes at the wrong place

A report from another operator: an earlier refusal, written once more on a kept connection, was believed.

--- /dev/null
+++ b/test/stale-refusals.test.ts
@@ -0,0 +1,244 @@
+/** Backend servers that write refusals at the wrong place, behind an entry proxy and a guard. */
+import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import type { ExecutionContext } from 'ava';
+import test from 'ava';
+import { request } from 'undici';
+import { waitFor } from '../bench/mesh.js';
+import { PlatformCallFront } from '../platform/platform-call-front.js';
+import { CallMesh } from './call-mesh.js';
+import { makeKind, makeRoute, makeWhole } from './call-resources.js';
+
+const WHOLE = makeWhole(
+  makeKind('once', { idempotent: false, timeoutMs: 5_000, maxAttempts: 2 }),
+  makeRoute('/', 'once'),
+);
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** What a backend server writes for a request of this id, given that of the request before. */
+type Script = (socket: Socket, id: string, earlier: string) => void | Promise<void>;
+
+function formRefusal(id: string, status = '503 Busy', ...lines: string[]): string {
+  const head = [`HTTP/1.1 ${status}`, `X-Attempt-Id: ${id}`, ...lines];
+  if (status.startsWith('503')) head.push('X-Not-Executed: 1');
+  return [...head, 'Content-Length: 0', '', ''].join('\r\n');
+}
+
+function formAnswer(id: string, ...lines: string[]): string {
+  const head = ['HTTP/1.1 200 OK', `X-Attempt-Id: ${id}`, 'X-Server-Seal: signed', ...lines];
+  return [...head, 'Content-Length: 4', '', 'done'].join('\r\n');
+}
+
+/**
+ * Sends one request that is refused as it should be, and another one for which the server plays the script. Both go
+ * over one connection to the server.
+ */
+async function play(t: ExecutionContext, script: Script, between?: (socket: Socket) => void) {
+  const ids: string[] = [];
+  const sockets: Socket[] = [];
+  const readId = ({ headers }: IncomingMessage): string =>
+    headers['x-attempt-id']?.toString() ?? '';
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      undefined,
+      (incoming) => {
+        const { socket } = incoming;
+        socket.on('error', () => socket.destroy());
+        ids.push(readId(incoming));
+        sockets.push(socket);
+        if (ids.length === 1) socket.write(formRefusal('a-1'));
+        else void script(socket, readId(incoming), 'a-1');
+      },
+    ],
+    front: new PlatformCallFront(),
+  });
+  t.teardown(() => mesh.stop());
+  const call = async (id: string) => {
+    const headers = { 'x-attempt-id': id, 'x-deadline-ms': '4000' };
+    const sent = request(`http://${mesh.at(0).calls}/x`, { method: 'POST', headers });
+    const { statusCode, headers: answered, body } = await sent;
+    const text = await body.text().catch(() => undefined);
+    return { status: statusCode, id: answered['x-attempt-id'], text };
+  };
+  t.is((await call('a-1')).status, 503, 'the refusal that is meant');
+  const [socket] = sockets;
+  if (socket !== undefined) between?.(socket);
+  const second = await call('a-2');
+  return { ...second, ids, sockets };
+}
+
+/** Waits so long that what was written before comes in a packet of its own. */
+function wait(milliseconds = 20): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+const STALE: [name: string, script: Script][] = [
+  ['of the request before', (socket, _, earlier) => void socket.write(formRefusal(earlier))],
+  [
+    'of the request before, and the true answer in one packet',
+    (socket, id, earlier) => void socket.write(formRefusal(earlier) + formAnswer(id)),
+  ],
+  [
+    'of the request before, and the true answer later',
+    async (socket, id, earlier) => {
+      socket.write(formRefusal(earlier));
+      await wait();
+      socket.write(formAnswer(id));
+    },
+  ],
+  [
+    'in two parts',
+    async (socket, id, earlier) => {
+      const text = formRefusal(earlier);
+      socket.write(text.slice(0, 20));
+      await wait();
+      socket.write(text.slice(20) + formAnswer(id));
+    },
+  ],
+  [
+    'without an id',
+    (socket) => void socket.write(formRefusal('').replace('X-Attempt-Id: \r\n', '')),
+  ],
+  ['with an empty id', (socket) => void socket.write(formRefusal(''))],
+  [
+    'with two ids, the earlier one first',
+    (socket, id, earlier) =>
+      void socket.write(formRefusal(earlier, '503 Busy', `X-Attempt-Id: ${id}`)),
+  ],
+  [
+    'with two ids, the earlier one last',
+    (socket, id, earlier) =>
+      void socket.write(formRefusal(id, '503 Busy', `X-Attempt-Id: ${earlier}`)),
+  ],
+  [
+    'with its id twice',
+    (socket, id) => void socket.write(formRefusal(id, '503 Busy', `X-Attempt-Id: ${id}`)),
+  ],
+  [
+    'with two ids in one header',
+    (socket, id, earlier) => void socket.write(formRefusal(`${id}, ${earlier}`)),
+  ],
+  [
+    'of another life, with the earlier id',
+    (socket, _, earlier) => void socket.write(formRefusal(earlier, '421 Misdirected')),
+  ],
+  [
+    'of another life, without an id',
+    (socket) =>
+      void socket.write(formRefusal('', '421 Misdirected').replace('X-Attempt-Id: \r\n', '')),
+  ],
+  [
+    'behind an interim head that names the attempt',
+    (socket, id, earlier) =>
+      void socket.write(
+        `HTTP/1.1 100 Continue\r\nX-Attempt-Id: ${id}\r\nX-Not-Executed: 1\r\n\r\n${formRefusal(earlier)}`,
+      ),
+  ],
+];
+
+for (const [name, script] of STALE) {
+  test(`refusal ${name}: proves nothing`, async (t) => {
+    const { status, ids, sockets } = await play(t, script);
+    t.is(status, 502);
+    t.deepEqual(ids, ['a-1', 'a-2'], 'sent once');
+    t.is(sockets[0], sockets[1], 'over the same connection');
+  });
+}
+
+test('refusal behind the true answer: belongs to no request', async (t) => {
+  const { status, text } = await play(t, (socket, id) => {
+    socket.write(formAnswer(id) + formRefusal(id));
+  });
+  t.is(status, 200);
+  t.is(text, 'done');
+});
+
+test('refusal behind the head of the true answer: never a refusal', async (t) => {
+  const { status, text } = await play(t, async (socket, id) => {
+    const [head = ''] = formAnswer(id).split('done');
+    socket.write(head);
+    await wait();
+    socket.write(formRefusal(id));
+  });
+  t.is(status, 200);
+  t.is(text, 'HTTP', 'four bytes that cannot be told from the body');
+});
+
+test('refusal within a chunked answer: broken off', async (t) => {
+  const { status, text } = await play(t, async (socket, id) => {
+    const head = formAnswer(id).replace('Content-Length: 4', 'Transfer-Encoding: chunked');
+    socket.write(head.replace('done', '4\r\ndone\r\n'));
+    await wait();
+    socket.write(formRefusal(id));
+  });
+  t.false(PROMISES.has(status));
+  t.false(status === 200 && text !== undefined, 'an answer that looks whole');
+});
+
+test('refusal once more before the next request: its connection is not used', async (t) => {
+  for (const length of [formRefusal('a-1').length, 10]) {
+    const { status, sockets } = await play(
+      t,
+      (socket, id) => void socket.write(formAnswer(id)),
+      (socket) => void socket.write(formRefusal('a-1').slice(0, length)),
+    );
+    t.true(status === 200 || status === 502, `${status}`);
+    t.true(status === 502 || sockets[0] !== sockets[1]);
+  }
+});
+
+test('refusal twice in one packet: the next request gets its own answer', async (t) => {
+  const seen: string[] = [];
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      undefined,
+      ({ socket, headers }) => {
+        const id = headers['x-attempt-id']?.toString() ?? '';
+        seen.push(id);
+        socket.write(seen.length === 1 ? formRefusal(id).repeat(2) : formAnswer(id));
+      },
+    ],
+    front: new PlatformCallFront(),
+  });
+  t.teardown(() => mesh.stop());
+  const statuses: number[] = [];
+  for (const id of ['a-1', 'a-2']) {
+    const headers = { 'x-attempt-id': id, 'x-deadline-ms': '4000' };
+    const sent = await request(`http://${mesh.at(0).calls}/x`, { method: 'POST', headers });
+    statuses.push(sent.statusCode);
+    await sent.body.dump();
+  }
+  t.deepEqual(statuses, [503, 200]);
+});
+
+test('refusal once more of a call that was sent elsewhere: runs once', async (t) => {
+  const runs: string[] = [];
+  const mesh = await CallMesh.start({
+    whole: WHOLE,
+    answers: [
+      undefined,
+      ({ socket, headers }) => {
+        const id = headers['x-attempt-id']?.toString() ?? '';
+        socket.write(formRefusal(id));
+        setTimeout(() => socket.destroyed || socket.write(formRefusal(id)), 10);
+      },
+      ({ socket, headers }) => {
+        const id = headers['x-attempt-id']?.toString() ?? '';
+        runs.push(id);
+        setTimeout(() => socket.write(formAnswer(id)), 30);
+      },
+    ],
+    front: new PlatformCallFront(),
+  });
+  t.teardown(() => mesh.stop());
+  for (let count = 0; count < 12; count += 1) {
+    const headers = { 'x-attempt-id': `a-${count}`, 'x-deadline-ms': '4000' };
+    const sent = await request(`http://${mesh.at(0).calls}/x`, { method: 'POST', headers });
+    await sent.body.dump();
+    t.true(sent.statusCode === 200 || sent.statusCode === 502, `${sent.statusCode}`);
+  }
+  t.is(new Set(runs).size, runs.length);
+  await waitFor('runs', () => runs.length > 0 || undefined);
+});
