Say which frame of another process could not be read, and why

A frame that can't be read ended its link, and no log line told of it: the error was swallowed. The link task now hands the reason on, and the process logs it (frame-rejected).

--- a/bench/ledger-cluster.ts
+++ b/bench/ledger-cluster.ts
@@ -47,6 +47,9 @@
         const reply = readLedgerReply(event);
         if (reply !== undefined) this.#client.post(reply);
       },
+      notifyRejected: (_, reason) => {
+        throw new Error(reason);
+      },
     });
     this.#client = createLedgerClient({
       ledgers: ledgers as readonly Address[],
--- a/bench/spread-node.ts
+++ b/bench/spread-node.ts
@@ -90,6 +90,9 @@
     const message = readLinkEvent(event);
     if (message !== undefined) spread.post(message);
   },
+  notifyRejected: (_, reason) => {
+    throw new Error(reason);
+  },
 });
 
 const spread = new FilterTask<unknown, AnyMessage, AnyMessage>({
--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -32,6 +32,8 @@
   readonly reportFailure: ReportFailure;
   /** Receives every event; it must hand it on to the inbox of another task. */
   readonly notify: (event: LinkEvent) => void;
+  /** Hears why a frame could not be read, for which its peer is cut off. */
+  readonly notifyRejected: (from: Address, reason: string) => void;
   /** Hears of the bytes of each message that is sent; like `notify`, it must hand them on. */
   readonly notifySent?: (bytes: number) => void;
 }
@@ -102,8 +104,8 @@
       perMessageDeflate: false,
       maxPayload: MAX_FRAME_BYTES,
     });
-    links.on('connection', (socket) => {
-      this.#accept(socket);
+    links.on('connection', (socket, { socket: { remoteAddress = '', remotePort = 0 } }) => {
+      this.#accept(socket, formatAddress(remoteAddress, remotePort));
     });
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -196,17 +198,17 @@
     socket.on('open', () => {
       socket.send(encodeHello(this.#hello));
     });
-    this.#listen(socket, to);
+    this.#listen(socket, to, to);
   }
 
-  #accept(socket: WebSocket): void {
+  #accept(socket: WebSocket, from: Address): void {
     this.#noteSign(socket);
     socket.send(encodeHello(this.#hello));
-    this.#listen(socket, undefined);
+    this.#listen(socket, from, undefined);
   }
 
   /** Reads frames; the peer's hello tells to which address the socket belongs. */
-  #listen(socket: WebSocket, dialled: Address | undefined): void {
+  #listen(socket: WebSocket, from: Address, dialled: Address | undefined): void {
     let peer: Hello | undefined;
     for (const sign of ['open', 'ping', 'pong'] as const) {
       socket.on(sign, () => {
@@ -215,7 +217,7 @@
     }
     socket.on('message', (data: Buffer) => {
       this.#noteSign(socket);
-      const frame = readFrame(data);
+      const frame = this.#readFrame(data, peer?.control ?? from);
       if (frame === undefined) {
         socket.terminate();
         return;
@@ -242,6 +244,16 @@
     });
   }
 
+  /** Reads a frame; undefined when the bytes are not one. */
+  #readFrame(data: Buffer, from: Address): Frame | undefined {
+    try {
+      return decodeFrame(data);
+    } catch (error) {
+      this.#options.notifyRejected(from, (error as Error).message);
+      return undefined;
+    }
+  }
+
   #adopt(address: Address, host: HostId, socket: WebSocket): void {
     const route = this.#findRoute(address);
     if (route.dialling === socket) route.dialling = undefined;
@@ -353,11 +365,6 @@
   response.writeHead(UPGRADE_REQUIRED).end();
 }
 
-/** Reads a frame; undefined when the bytes are not one. */
-function readFrame(data: Buffer): Frame | undefined {
-  try {
-    return decodeFrame(data);
-  } catch {
-    return undefined;
-  }
+function formatAddress(host: string, port: number): Address {
+  return (host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`) as Address;
 }
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -49,6 +49,7 @@
   'member-gone': FULL,
   'members-left': FULL,
   'member-update-dropped': FULL,
+  'frame-rejected': FULL,
   'crash-seen': FULL,
   'announcement-ignored': FULL,
   'announcement-rejected': FULL,
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -60,6 +60,9 @@
       members.handleLink(event);
       for (const role of roles) role.handleLink(event);
     },
+    notifyRejected: (from, reason) => {
+      log('frame-rejected', { from, reason });
+    },
     notifySent: (bytes) => {
       for (const role of roles) role.handleLinkUse?.(bytes);
     },
--- a/test/link-liveness.test.ts
+++ b/test/link-liveness.test.ts
@@ -25,6 +25,9 @@
       throw new Error(`${name} failed`, { cause: error });
     },
     notify: (event) => events.push(event),
+    notifyRejected: (from, reason) => {
+      throw new Error(`${from}: ${reason}`);
+    },
   });
   return { task, events };
 }
--- a/test/link-task.test.ts
+++ b/test/link-task.test.ts
@@ -14,6 +14,7 @@
   const events: LinkEvent[] = [];
   const failures: unknown[] = [];
   const sent: number[] = [];
+  const rejected: string[] = [];
   const control = parseAddress(await findFreeAddress());
   const task = new LinkTask({
     host: name as HostId,
@@ -24,9 +25,10 @@
     reportFailure: (_task, error) => failures.push(error),
     notify: (event) => events.push(event),
     notifySent: (bytes) => sent.push(bytes),
+    notifyRejected: (from, reason) => rejected.push(`${from} ${reason}`),
   });
   await task.start();
-  return { task, control, events, failures, clock, sent };
+  return { task, control, events, failures, clock, sent, rejected };
 }
 
 test('malformed frames', async (t) => {
@@ -54,6 +56,11 @@
     link.events.filter((event) => event.kind === 'received'),
     [],
   );
+  t.is(link.rejected.length, frames.length);
+  t.true(
+    link.rejected.every((one) => /^127\.0\.0\.1:\d+ .+/.test(one)),
+    link.rejected.join(),
+  );
 });
 
 test('kept by two', async (t) => {
