--- a/test/cut-heads.test.ts
+++ b/test/cut-heads.test.ts
@@ -56,7 +56,7 @@
 /** Tells whether what a caller got is a success that it may take for whole. */
 function looksWhole(text: string): boolean {
   const end = text.indexOf('\r\n\r\n');
-  if (end < 0 || !text.startsWith("HTTP/1.1 2")) return false;
+  if (end < 0 || !text.startsWith('HTTP/1.1 2')) return false;
   const head = text.slice(0, end).toLowerCase();
   const body = text.slice(end + 4);
   if (head.includes('transfer-encoding: chunked')) return body.endsWith('0\r\n\r\n');
