Take only addresses that a socket takes

One datagram with the record of a member at 127.0.0.1:0 ended every process that heard of it, and they told each other: the probe of that member threw in the task that owns the socket. So did a request to probe such an address, and the link to a member at [::::]:80 or 1.2.3.08:5. A process that had ended heard of the record again from the others and ended again.

Cause: settings were checked for port 0 and for odd IP numbers, addresses from other processes were not. parseAddress now makes these checks itself, for settings, peers and announcements alike; ports have one spelling, because records carry them as numbers. A datagram from port 0, which nobody can answer, is left out.

--- a/src/edge/probe-task.ts
+++ b/src/edge/probe-task.ts
@@ -137,6 +137,7 @@
   #readMessage(bytes: Buffer, from: Address): ProbeMessage | undefined {
     const { notifyDropped } = this.#options;
     try {
+      if (from.endsWith(':0')) throw new MemberCodecError('the sender has no port to answer to');
       if (bytes.length > MAX_DATAGRAM_BYTES) throw new MemberCodecError('the datagram is too long');
       return decodeProbe(bytes, (reason) => {
         this.#counts.dropped += 1;
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -107,13 +107,17 @@
   return checkPrintable(text, 'instance id') as InstanceId;
 }
 
-/** Checks an `ip:port` address; IPv6 addresses stand in brackets. */
+/**
+ * Checks an `ip:port` address; IPv6 addresses stand in brackets. What passes can be handed to a socket, and has one
+ * spelling of its port.
+ */
 export function parseAddress(text: string): Address {
   const match = ADDRESS_PATTERN.exec(text);
   const port = Number(match?.groups?.port);
-  if (match === null || port > MAX_PORT) {
+  const isBracketed = text.startsWith('[');
+  if (match === null || port > MAX_PORT || (isBracketed && !URL.canParse(`http://${text}/`))) {
     throw new IdError(
-      `"${text}" is not an address: write an IP number and a port, "10.0.0.7:7000"`,
+      `"${text}" is not an address: write an IP number and a port from 1 to ${MAX_PORT}, "10.0.0.7:7000"`,
     );
   }
   return text as Address;
@@ -142,7 +146,7 @@
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
 const PRINTABLE_PATTERN = /^[\x21-\x7e]{1,256}$/;
 const ADDRESS_PATTERN =
-  /^(?:(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!:)|(?=:))){4}|\[[0-9A-Fa-f:.]+\]):(?<port>\d{1,5})$/;
+  /^(?:(?:(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)(?:\.(?!:)|(?=:))){4}|\[[0-9A-Fa-f:.]+\]):(?<port>[1-9]\d{0,4})$/;
 const MAX_PORT = 65_535;
 
 function checkName(text: string, what: string): string {
--- a/src/members/announcement-bounds.ts
+++ b/src/members/announcement-bounds.ts
@@ -3,8 +3,7 @@
  * read by every other process that hears of the backend server.
  */
 import { addMs } from '../clock.js';
-import type { Address, Instant } from '../ids.js';
-import { splitAddress } from '../ids.js';
+import type { Instant } from '../ids.js';
 import type { Announcement } from '../messages/index.js';
 
 /** Finds why an announcement is not believed; undefined when it is. */
@@ -12,8 +11,7 @@
   announcement: Announcement,
   now: Instant,
 ): string | undefined {
-  const { address, slots, connections, sequence, warmAt, life } = announcement;
-  if (!isReachable(address)) return 'address: no backend server can be reached there';
+  const { slots, connections, sequence, warmAt, life } = announcement;
   if (!isCount(slots, MAX_SLOTS)) return `slots: expected 1 to ${MAX_SLOTS}`;
   if (!isCount(connections, MAX_CONNECTIONS)) {
     return `connections: expected 1 to ${MAX_CONNECTIONS}`;
@@ -47,9 +45,3 @@
 function isCount(value: number, most: number): boolean {
   return Number.isSafeInteger(value) && value >= 1 && value <= most;
 }
-
-/** Records of members carry ports as numbers, so a port must have one spelling only. */
-function isReachable(address: Address): boolean {
-  const { port } = splitAddress(address);
-  return port >= 1 && address.endsWith(`:${port}`) && URL.canParse(`http://${address}/`);
-}
--- a/src/program/settings/schema-parts.ts
+++ b/src/program/settings/schema-parts.ts
@@ -1,14 +1,10 @@
 /** Parts that the schemas of all settings sections share. */
-import { isIP } from 'node:net';
 import { z } from 'zod';
 import { formIdSchema } from '../../edge/index.js';
-import { parseAddress, splitAddress } from '../../ids.js';
+import { parseAddress } from '../../ids.js';
 
 /** An IP number with a port, at which a process listens or reaches another one. */
-export const addressSchema = formIdSchema(parseAddress).refine((address) => {
-  const { host, port } = splitAddress(address);
-  return port > 0 && isIP(host) !== 0;
-}, 'expected an IP number and a port from 1 to 65535, for example "10.0.0.7:7000"');
+export const addressSchema = formIdSchema(parseAddress);
 
 /** The path of a file or folder; a relative one starts at the folder of the settings file. */
 export const pathSchema = z.string().min(1, 'expected a path');
