Check the messages of the ledger's channel before they are taken

A question to the ledger without a request was committed to its log, and the table that applies the log threw: the process ended, and would have ended again at each start, since the entry stays. A reply without an answer ended the proxy that got it.

Cause: messages of this channel were taken by their kind alone. Both ends now read them by one schema (ledger-codec.ts); what is not of its form is left out and logged (ledger-message-dropped).

odd-messages failed before, on real processes: source-0: TypeError: Cannot read properties of undefined (reading 'kind') at LedgerTable.apply proxy-0: TypeError: Cannot destructure property 'id' of 'answer' as it is undefined and passes now, with log-wiring and ledger-*. The messages between the replicas of a log are still taken by their kind alone.

--- a/bench/ledger-cluster.ts
+++ b/bench/ledger-cluster.ts
@@ -44,7 +44,9 @@
       random: new SeededRandom(1),
       reportFailure: fail,
       notify: (event) => {
-        const reply = readLedgerReply(event);
+        const reply = readLedgerReply(event, (from) => {
+          throw new Error(`${from} sent what is no message of a ledger`);
+        });
         if (reply !== undefined) this.#client.post(reply);
       },
       notifyRejected: (_, reason) => {
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -12,6 +12,7 @@
 export type { FloorOptions } from './floor-task.js';
 export type { CallNotice, CallTaskOptions } from './call-task.js';
 export { formIdSchema } from './id-schema.js';
+export { readLedgerMessage } from './ledger-codec.js';
 export { LinkTask } from './link-task.js';
 export { LogFile } from './log-file.js';
 export { LogTask } from './log-task.js';
--- /dev/null
+++ b/src/edge/ledger-codec.ts
@@ -0,0 +1,47 @@
+/** Checks the form of messages between proxies and ledger hosts; whatever a ledger is asked enters its log. */
+import { z } from 'zod';
+import type { LedgerAsk, LedgerReply } from '../messages/index.js';
+
+/** Reads a message of the channel `ledger`; undefined when it is not of that form. */
+export function readLedgerMessage(body: unknown): LedgerAsk | LedgerReply | undefined {
+  const checked = messageSchema.safeParse(body);
+  return checked.success ? (checked.data as unknown as LedgerAsk | LedgerReply) : undefined;
+}
+
+// Internals.
+
+const text = z.string();
+const group = z.int().min(0);
+const stored = z.object({
+  status: z.int(),
+  headers: z.array(text),
+  body: z.instanceof(Uint8Array),
+});
+
+const request = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('claim'),
+    id: text,
+    key: text,
+    digest: text,
+    deadline: z.number(),
+    forgetAt: z.number(),
+  }),
+  z.object({ kind: z.literal('settle'), id: text, key: text, answer: stored }),
+  z.object({ kind: z.literal('release'), id: text, key: text }),
+]);
+
+const answer = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('in-progress'), id: text, until: z.number() }),
+  z.object({ kind: z.literal('answered'), id: text, answer: stored }),
+  z.object({
+    kind: z.enum(['granted', 'may-have-run', 'key-reused', 'recorded', 'unavailable']),
+    id: text,
+  }),
+]);
+
+const messageSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('ask'), group, request }),
+  z.object({ kind: z.literal('answer'), group, answer }),
+  z.object({ kind: z.literal('ask-again'), group, id: text }),
+]);
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -50,6 +50,7 @@
   'members-left': FULL,
   'member-update-dropped': FULL,
   'frame-rejected': FULL,
+  'ledger-message-dropped': FULL,
   'crash-seen': FULL,
   'announcement-ignored': FULL,
   'announcement-rejected': FULL,
--- a/src/program/ledger-client.ts
+++ b/src/program/ledger-client.ts
@@ -1,15 +1,10 @@
 /** Wires a proxy's side of the ledger to the links. */
 import type { Clock } from '../clock.js';
+import { readLedgerMessage } from '../edge/index.js';
 import type { Address } from '../ids.js';
 import type { LedgerClientIn, LedgerClientOut, LedgerClientState } from '../ledger/index.js';
 import { LedgerClientFilter } from '../ledger/index.js';
-import type {
-  LedgerAnswer,
-  LedgerAsk,
-  LedgerReply,
-  LinkCommand,
-  LinkEvent,
-} from '../messages/index.js';
+import type { LedgerAnswer, LinkCommand, LinkEvent } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 
@@ -49,11 +44,18 @@
   });
 }
 
-/** Reads what concerns a ledger client from what the links report; undefined for anything else. */
-export function readLedgerReply(event: LinkEvent): LedgerClientIn | undefined {
+/**
+ * Reads what concerns a ledger client from what the links report; undefined for anything else. `notifyDropped`
+ * hears of the sender of a message that can't be read.
+ */
+export function readLedgerReply(
+  event: LinkEvent,
+  notifyDropped: (from: Address) => void,
+): LedgerClientIn | undefined {
   if (event.kind === 'link-down') return { kind: 'link-down', address: event.address };
   if (event.kind !== 'received' || event.channel !== 'ledger') return undefined;
-  const body = event.body as LedgerAsk | LedgerReply | null | undefined;
-  if (body?.kind !== 'answer' && body?.kind !== 'ask-again') return undefined;
+  const body = readLedgerMessage(event.body);
+  if (body === undefined) notifyDropped(event.address);
+  if (body === undefined || body.kind === 'ask') return undefined;
   return { kind: 'reply', from: event.address, reply: body };
 }
--- a/src/program/run-ledger.ts
+++ b/src/program/run-ledger.ts
@@ -1,18 +1,12 @@
 /** Wires the ledger role: for each group, a log and the state machine on top of it. */
 import { join } from 'node:path';
 import type { Clock } from '../clock.js';
-import { LogTask } from '../edge/index.js';
+import { LogTask, readLedgerMessage } from '../edge/index.js';
 import type { Address, HostId } from '../ids.js';
 import type { LedgerIn, LedgerOut, LedgerSnapshot, LedgerState } from '../ledger/index.js';
 import { LEDGER_GROUPS, LedgerFilter } from '../ledger/index.js';
 import { DEFAULT_SNAPSHOTS, DEFAULT_TIMING } from '../log/index.js';
-import type {
-  LedgerAsk,
-  LedgerCommand,
-  LedgerReply,
-  LinkCommand,
-  LinkEvent,
-} from '../messages/index.js';
+import type { LedgerCommand, LinkCommand, LinkEvent } from '../messages/index.js';
 import type { ReportFailure, Task } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type { Random } from '../random.js';
@@ -45,7 +39,7 @@
   for (const task of tasks) await task.start();
   return {
     handleLink: (event) => {
-      routeLinkEvent(groups, event);
+      routeLinkEvent(groups, event, options.log);
     },
     handleMembership: () => undefined,
     stop: async () => {
@@ -126,14 +120,15 @@
   });
 }
 
-function routeLinkEvent(groups: readonly RunningGroup[], event: LinkEvent): void {
+function routeLinkEvent(groups: readonly RunningGroup[], event: LinkEvent, log: Log): void {
   const packet = readLogPacket<LedgerCommand>(event, 'ledger-log');
   if (packet !== undefined) {
     groups.find(({ name }) => name === packet.group)?.log.post(packet.message);
     return;
   }
   if (event.kind !== 'received' || event.channel !== 'ledger') return;
-  const body = event.body as LedgerAsk | LedgerReply | null | undefined;
+  const body = readLedgerMessage(event.body);
+  if (body === undefined) log('ledger-message-dropped', { from: event.address });
   if (body?.kind !== 'ask') return;
   groups[body.group]?.ledger.post({ kind: 'ask', from: event.address, ask: body });
 }
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -205,7 +205,9 @@
   if (floor === undefined) spread.post({ kind: 'start', floor: undefined });
   return {
     handleLink: (event) => {
-      const reply = readLedgerReply(event);
+      const reply = readLedgerReply(event, (from) => {
+        log('ledger-message-dropped', { from });
+      });
       if (reply !== undefined) ledger.post(reply);
       const message = readLinkEvent(event);
       if (message !== undefined) spread.post(message);
--- a/test/log-wiring.test.ts
+++ b/test/log-wiring.test.ts
@@ -8,7 +8,10 @@
 test('foreign packets', (t) => {
   for (const body of [undefined, null, 7, 'x', {}, { group: 'notes' }, { group: 1, message: {} }]) {
     t.is(readLogPacket(formEvent('log', body), 'log'), undefined);
-    t.is(readLedgerReply(formEvent('ledger', body)), undefined);
+    const dropped: Address[] = [];
+    const reply = readLedgerReply(formEvent('ledger', body), (from) => dropped.push(from));
+    t.is(reply, undefined);
+    t.is(dropped.length, 1);
   }
   t.is(
     readLogPacket(formEvent('ledger-log', { group: 'g', message: { body: {} } }), 'log'),
