Check the messages between replicas of a log before they are taken

A vote without a position, or any other message of a log with a field missing, ended the source that read it; so it did in a ledger.

Cause: these messages were taken by their kind alone. They are now read by a schema (log-codec.ts); what is not of its form is left out and logged (log-message-dropped).

odd-messages failed before, on a real source: TypeError: Cannot read properties of null (reading 'term').

--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -14,6 +14,7 @@
 export { formIdSchema } from './id-schema.js';
 export { readLedgerMessage } from './ledger-codec.js';
 export { LinkTask } from './link-task.js';
+export { readLogMessage } from './log-codec.js';
 export { LogFile } from './log-file.js';
 export { LogTask } from './log-task.js';
 export { LoopLag } from './loop-lag.js';
--- /dev/null
+++ b/src/edge/log-codec.ts
@@ -0,0 +1,61 @@
+/** Checks the form of messages between the replicas of a log; commands are checked before they are proposed. */
+import { z } from 'zod';
+import type { LogPacket } from '../messages/index.js';
+
+/** Reads a message of one of the channels of logs; undefined when it is not of that form. */
+export function readLogMessage(body: unknown): LogPacket<unknown> | undefined {
+  const checked = packetSchema.safeParse(body);
+  return checked.success ? (checked.data as unknown as LogPacket<unknown>) : undefined;
+}
+
+// Internals.
+
+const text = z.string();
+const count = z.int().min(0);
+const position = z.object({ index: count, term: count });
+const membership = z.object({ voters: z.array(z.object({ address: text, replica: text })) });
+
+const entry = z.object({
+  index: count,
+  term: count,
+  content: z.discriminatedUnion('kind', [
+    z.object({ kind: z.literal('command'), command: z.unknown() }),
+    z.object({ kind: z.literal('membership'), membership }),
+  ]),
+});
+
+const bodySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('join'), fresh: z.boolean() }),
+  z.object({ kind: z.literal('welcome'), membership }),
+  z.object({ kind: z.literal('pre-vote'), last: position }),
+  z.object({ kind: z.literal('pre-vote-answer'), granted: z.boolean(), asked: count }),
+  z.object({ kind: z.literal('vote'), last: position }),
+  z.object({ kind: z.literal('vote-answer'), granted: z.boolean() }),
+  z.object({
+    kind: z.literal('append'),
+    previous: position,
+    entries: z.array(entry),
+    committed: count,
+    round: count,
+  }),
+  z.object({
+    kind: z.literal('append-answer'),
+    accepted: z.boolean(),
+    through: count,
+    round: count,
+  }),
+  z.object({
+    kind: z.literal('chunk'),
+    snapshot: z.object({ index: count, term: count, membership }),
+    offset: count,
+    totalBytes: count,
+    bytes: z.instanceof(Uint8Array),
+    round: count,
+  }),
+  z.object({ kind: z.literal('chunk-answer'), index: count, received: count, round: count }),
+]);
+
+const packetSchema = z.object({
+  group: text,
+  message: z.object({ from: text, to: text.optional(), term: count, body: bodySchema }),
+});
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -51,6 +51,7 @@
   'member-update-dropped': FULL,
   'frame-rejected': FULL,
   'ledger-message-dropped': FULL,
+  'log-message-dropped': FULL,
   'crash-seen': FULL,
   'announcement-ignored': FULL,
   'announcement-rejected': FULL,
--- a/src/program/log-wiring.ts
+++ b/src/program/log-wiring.ts
@@ -1,4 +1,5 @@
 /** What the source and the ledger share when they wire a replicated log to the links. */
+import { readLogMessage } from '../edge/index.js';
 import type { Address } from '../ids.js';
 import type { Channel, LinkCommand, LinkEvent, LogPacket } from '../messages/index.js';
 import type { LogIn } from '../log/index.js';
@@ -23,26 +24,22 @@
   return { kind: 'send', to, channel, body: packet };
 }
 
-/** Reads a packet of a log from what the links report; undefined for anything else. */
+/**
+ * Reads a packet of a log from what the links report; undefined for anything else. `notifyDropped` hears of the
+ * sender of a packet that can't be read.
+ */
 export function readLogPacket<Command>(
   event: LinkEvent,
   channel: Channel,
+  notifyDropped: (from: Address) => void,
 ): ReceivedPacket<Command> | undefined {
   if (event.kind !== 'received' || event.channel !== channel) return undefined;
   const { from, address } = event;
-  if (!isLogPacket(event.body)) return undefined;
-  const { group, message } = event.body as LogPacket<Command>;
+  const packet = readLogMessage(event.body) as LogPacket<Command> | undefined;
+  if (packet === undefined) {
+    notifyDropped(address);
+    return undefined;
+  }
+  const { group, message } = packet;
   return { group, message: { kind: 'received', from, address, message } };
 }
-
-// Internals.
-
-/** Another program at a replica's address must not end this process. */
-function isLogPacket(value: unknown): boolean {
-  const packet = value as Partial<LogPacket<unknown>> | null | undefined;
-  return (
-    typeof packet?.group === 'string' &&
-    typeof (packet.message as Partial<LogPacket<unknown>['message']> | undefined)?.body?.kind ===
-      'string'
-  );
-}
--- a/src/program/run-ledger.ts
+++ b/src/program/run-ledger.ts
@@ -121,7 +121,9 @@
 }
 
 function routeLinkEvent(groups: readonly RunningGroup[], event: LinkEvent, log: Log): void {
-  const packet = readLogPacket<LedgerCommand>(event, 'ledger-log');
+  const packet = readLogPacket<LedgerCommand>(event, 'ledger-log', (from) => {
+    log('log-message-dropped', { group: 'ledger', from });
+  });
   if (packet !== undefined) {
     groups.find(({ name }) => name === packet.group)?.log.post(packet.message);
     return;
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -171,7 +171,9 @@
   for (const task of tasks) await task.start();
   return {
     handleLink: (event) => {
-      const packet = readLogPacket<NoteCommand>(event, 'log');
+      const packet = readLogPacket<NoteCommand>(event, 'log', (from) => {
+        options.log('log-message-dropped', { group: LOG_GROUP, from });
+      });
       if (packet?.group === LOG_GROUP) log.post(packet.message);
       const message = readLinkEvent(event);
       if (message !== undefined) spread.post(message);
--- a/test/ledger-process.test.ts
+++ b/test/ledger-process.test.ts
@@ -64,6 +64,9 @@
     runs.map((run) => (JSON.parse(run) as RunRecord).nonce),
     ['nonce-1', 'nonce-4'],
   );
+  for (const { process } of [...mesh.sources, ...mesh.proxies]) {
+    t.notRegex(process.output(), /(?:log-message|ledger-message|member-update)-dropped/);
+  }
 });
 
 interface OrderAnswer {
--- a/test/log-wiring.test.ts
+++ b/test/log-wiring.test.ts
@@ -7,16 +7,18 @@
 
 test('foreign packets', (t) => {
   for (const body of [undefined, null, 7, 'x', {}, { group: 'notes' }, { group: 1, message: {} }]) {
-    t.is(readLogPacket(formEvent('log', body), 'log'), undefined);
     const dropped: Address[] = [];
-    const reply = readLedgerReply(formEvent('ledger', body), (from) => dropped.push(from));
+    const drop = (from: Address) => dropped.push(from);
+    t.is(readLogPacket(formEvent('log', body), 'log', drop), undefined);
+    const reply = readLedgerReply(formEvent('ledger', body), drop);
     t.is(reply, undefined);
-    t.is(dropped.length, 1);
+    t.is(dropped.length, 2);
   }
-  t.is(
-    readLogPacket(formEvent('ledger-log', { group: 'g', message: { body: {} } }), 'log'),
-    undefined,
-  );
+  const dropped: Address[] = [];
+  const drop = (from: Address) => dropped.push(from);
+  const foreign = formEvent('ledger-log', { group: 'g', message: { body: {} } });
+  t.is(readLogPacket(foreign, 'ledger-log', drop), undefined);
+  t.is(dropped.length, 1);
 });
 
 function formEvent(channel: Channel, body: unknown): LinkEvent {
--- a/test/odd-messages.test.ts
+++ b/test/odd-messages.test.ts
@@ -38,6 +38,23 @@
   { kind: 'answer', group: 0 },
   { kind: 'answer', group: 0, answer: { kind: 'odd' } },
 ];
+/** What replicas of a log tell each other, with fields missing or of another type. */
+const ODD_PACKETS: readonly unknown[] = ['notes', 'ledger-0'].flatMap((group) =>
+  [
+    { kind: 'welcome' },
+    { kind: 'pre-vote' },
+    { kind: 'vote', last: null },
+    { kind: 'append', previous: { index: 0 }, entries: {}, committed: 1e300, round: 0 },
+    { kind: 'append', previous: { index: 0, term: 0 }, entries: [7], committed: 9, round: 0 },
+    { kind: 'append-answer', accepted: true, through: 'x', round: 1 },
+    { kind: 'chunk', snapshot: {}, offset: -1, totalBytes: 1e300, bytes: [], round: 0 },
+    { kind: 'chunk-answer' },
+    { kind: 'odd' },
+  ].flatMap((body) => [
+    { group, message: { from: 'odd', term: 1, body } },
+    { group, message: { from: 7, term: 1e300, body } },
+  ]),
+);
 const SETTLE_MS = 1_000;
 
 const odd = fc.constantFrom<unknown>(undefined, null, -1, 0, 1, 1e300, 'x', true, [], {}, [null]);
@@ -83,7 +100,10 @@
   const bodies = fc.sample(message, { numRuns: 1_500, seed: 8 }) as [Channel, unknown][];
   const hosts = [...mesh.sources, ...mesh.proxies];
   const claims = ODD_CLAIMS.map((one) => ['ledger', one] as [Channel, unknown]);
-  for (const { control } of hosts) await sendAll(control, [...bodies, ...claims]);
+  const packets = ODD_PACKETS.flatMap((one) => {
+    return [['log', one] as [Channel, unknown], ['ledger-log', one] as [Channel, unknown]];
+  });
+  for (const { control } of hosts) await sendAll(control, [...bodies, ...claims, ...packets]);
   for (const { name, process } of hosts) {
     t.is(process.child.exitCode, null, `${name}: ${process.output().slice(-1_000)}`);
   }
