--- a/test/source-quorum.test.ts
+++ b/test/source-quorum.test.ts
@@ -27,7 +27,8 @@
   await kill(third);
   const alone = await request(`http://${first.operator}/notes`, { headers: HEADERS });
   t.is(alone.statusCode, 503, await alone.body.text());
-  for (const { process } of mesh.sources) t.notRegex(process.output(), /(?:log-message|ledger-message|member-update)-dropped/);
+  for (const { process } of mesh.sources)
+    t.notRegex(process.output(), /(?:log-message|ledger-message|member-update)-dropped/);
 });
 
 const HEADERS = { authorization: 'Bearer mesh-token' };
