Take a proof that is not passed on for no proof

A backend server that named its seal, or the id of the attempt, in the Connection header got its answer passed on without it: what that header names is for one hop only. Callers saw a success without the server's proof.

Cause: the front read the proof before the headers of one hop were dropped. It now reads only what reaches the caller; without it, the answer proves nothing.

--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -193,6 +193,12 @@
   return Array.isArray(value) ? value.join(', ') : value;
 }
 
+/** Reads a header that reaches the other end; undefined where it is declared to be for one hop only. */
+export function readEndToEnd(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const named = listConnectionHeaders(['connection', readHeader(headers, 'connection') ?? '']);
+  return named?.has(name) === true ? undefined : readHeader(headers, name);
+}
+
 // Internals.
 
 const NO_HEADERS: ReadonlySet<string> = new Set();
--- a/test/platform-calls.test.ts
+++ b/test/platform-calls.test.ts
@@ -188,6 +188,20 @@
   }
 });
 
+// What the Connection header names is not passed on, so the caller would get a success without its proof.
+test('proof that is declared to be for one hop: no proof', async (t) => {
+  for (const named of ['X-Server-Seal', 'close, x-attempt-id']) {
+    const mesh = await start(t, [
+      undefined,
+      (request, response) => {
+        response.setHeader('Connection', named);
+        answer(request, response);
+      },
+    ]);
+    t.is((await call(mesh, '/book/x')).status, 502, named);
+  }
+});
+
 test('own failures of a server pass unchanged', async (t) => {
   const mesh = await start(t, [
     undefined,
