--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -4,7 +4,7 @@
 export { AnnounceTask } from './announce-task.js';
 export { CallFront } from './call-front.js';
 export type { ServerAttempt } from './call-front.js';
-export { parseHostName, readHeader } from './call-headers.js';
+export { parseHostName, readEndToEnd, readHeader } from './call-headers.js';
 export type { HeadFault, UnreadHead } from './call-headers.js';
 export type { Refusal, RefusalAnswer } from './call-refusal.js';
 export { CallTask } from './call-task.js';
@@ -12,7 +12,9 @@
 export type { FloorOptions } from './floor-task.js';
 export type { CallNotice, CallTaskOptions } from './call-task.js';
 export { formIdSchema } from './id-schema.js';
+export { readLedgerMessage } from './ledger-codec.js';
 export { LinkTask } from './link-task.js';
+export { readLogMessage } from './log-codec.js';
 export { LogFile } from './log-file.js';
 export { LogTask } from './log-task.js';
 export { LoopLag } from './loop-lag.js';
