--- a/test/log-wiring.test.ts
+++ b/test/log-wiring.test.ts
@@ -17,6 +17,8 @@
   const dropped: Address[] = [];
   const drop = (from: Address) => dropped.push(from);
   const foreign = formEvent('ledger-log', { group: 'g', message: { body: {} } });
+  t.is(readLogPacket(foreign, 'log', drop), undefined);
+  t.is(dropped.length, 0);
   t.is(readLogPacket(foreign, 'ledger-log', drop), undefined);
   t.is(dropped.length, 1);
 });
