Take calls on in bounded turns of the event loop, and keep the queue before it short

Cause: nothing rationed the event loop. What was readable was read and handled to its end in the turn that found it. libuv accepts one connection of a listener in a turn, so with long turns the 511 connections that the kernel holds were all left by their callers before they were accepted, and the refusals that came of it brought further connections.

- Calls that were read wait in the pipe (IntakeFilter, between classify and claim): what is worth most goes first, what will not get its turn in time is refused at once as not run, with the reason proxy-overloaded.
What is worth least gives way first.
- CallIntake reads heads and begins calls for 20 ms of a turn, 5 ms in one that accepted a connection, and refuses heads that wait for more than 50 ms.
- Listeners hold 32 connections that are not accepted instead of 511.
- A proxy without time is passed over like a server without a free slot.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -195,7 +195,7 @@
       updateLoad(record, call.routed.requestKind.name, failure.load, now);
     }
     if (call.isExpired) return this.#closeExpired(state, call, failure.outcome);
-    if (failure.reason === 'busy' && call.routed.deadline > now) {
+    if (this.#placement.mayPassOn(call, failure) && call.routed.deadline > now) {
       const passedOn = this.#placement.passOn(state, call, record.announcement.address, now);
       if (passedOn.length > 0) return passedOn;
     }
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -1,7 +1,7 @@
 /** Where the attempts of a call go, and whether they may wait there. */
 import { addMs } from '../clock.js';
 import type { Address, AttemptId, Instant, ServiceName } from '../ids.js';
-import type { CallTarget, RefusalOutcome } from '../messages/index.js';
+import type { AttemptFailure, CallTarget, RefusalOutcome } from '../messages/index.js';
 import type { AttemptOut, SendAgainReason, SentAgain } from './attempt-messages.js';
 import type { AttemptState, OpenCall } from './attempt-state.js';
 import { needsClaim } from './classify-filter.js';
@@ -73,6 +73,12 @@
     ];
   }
 
+  /** Tells whether a refused attempt goes to another server without counting as a retry. */
+  mayPassOn({ declinedBy }: OpenCall, { reason }: AttemptFailure): boolean {
+    if (reason === 'busy') return true;
+    return reason === 'proxy-overloaded' && declinedBy.length < MAX_DECLINES;
+  }
+
   /** Tries another server after one without a free slot, or waits at one of those that were asked. */
   passOn(state: AttemptState, call: OpenCall, server: Address, now: Instant): AttemptOut[] {
     call.declinedBy.push(server);
@@ -106,7 +112,7 @@
 
 // Internals.
 
-/** Servers without a free slot that a call asks before it waits at one. */
+/** Servers without a free slot, or behind a proxy without time, that a call asks before it waits at one. */
 const MAX_DECLINES = 2;
 /** The guard gives up a little earlier, so that its answer "not run" still reaches the caller. */
 const ANSWER_MARGIN_MS = 3;
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -15,6 +15,7 @@
 import type { Whole } from '../notes/index.js';
 import type { AttemptOut } from './attempt-messages.js';
 import type { GuardOut, RunEnding } from './guard-filter.js';
+import type { ForwardedAttempt, IntakeIn, IntakeOut } from './intake-filter.js';
 
 /** What the call pipe is told. */
 export type CallIn =
@@ -23,13 +24,8 @@
   | { readonly kind: 'broadcast'; readonly item: Broadcast }
   /** A caller's call. */
   | { readonly kind: 'arrived'; readonly head: CallHead }
-  /** An attempt that another proxy sends to a backend server beside this one. */
-  | {
-      readonly kind: 'forwarded';
-      readonly id: CallId;
-      readonly head: AttemptHead;
-      readonly count: number;
-    }
+  | ForwardedAttempt
+  | Extract<IntakeIn, { kind: 'turn' | 'turn-over' }>
   | {
       readonly kind: 'answer-started';
       readonly attempt: AttemptId;
@@ -84,6 +80,7 @@
     }
   | Exclude<AttemptOut, { kind: 'dispatch' | 'relay' }>
   | Extract<GuardOut, { kind: 'stop-run' | 'probe' | 'broadcast' }>
+  | Extract<IntakeOut, { kind: 'want-turn' }>
   | { readonly kind: 'replay'; readonly id: CallId; readonly answer: StoredAnswer }
   | { readonly kind: 'ledger'; readonly request: LedgerRequest }
   /** What callers may send from now on. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -1,4 +1,4 @@
-/** The call pipe: classify → claim → attempt → guard, as one filter that a task can run. */
+/** The call pipe: classify → intake → claim → attempt → guard, as one filter that a task can run. */
 import type { Address, AttemptId, CallId, HostId, Instant } from '../ids.js';
 import type { AttemptFailure, CallHead, MemberEvent } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
@@ -13,6 +13,8 @@
 import type { GuardIn, GuardOut, GuardState, RunEnding } from './guard-filter.js';
 import { GuardFilter } from './guard-filter.js';
 import type { CallIn, CallOut } from './call-pipe-messages.js';
+import type { ForwardedAttempt, IntakeIn, IntakeOut, IntakeState } from './intake-filter.js';
+import { IntakeFilter } from './intake-filter.js';
 import type { Picker } from './picker.js';
 import type { RetryAllowance } from './retry-budget.js';
 import type { Place } from './server-table.js';
@@ -29,6 +31,7 @@
 /** The states of the filters, and which call each guarded attempt belongs to. */
 export interface CallPipeState {
   classify: ClassifyState;
+  intake: IntakeState;
   claim: ClaimState;
   attempt: AttemptState;
   guard: GuardState;
@@ -42,6 +45,7 @@
 export class CallPipe extends Filter<CallPipeState, CallIn, CallOut> {
   readonly #host: HostId;
   readonly #classify: ClassifyFilter;
+  readonly #intake = new IntakeFilter();
   readonly #claim = new ClaimFilter();
   readonly #attempt: AttemptFilter;
   readonly #guard: GuardFilter;
@@ -57,6 +61,7 @@
   override createState(): CallPipeState {
     return {
       classify: this.#classify.createState(),
+      intake: this.#intake.createState(),
       claim: this.#claim.createState(),
       attempt: this.#attempt.createState(),
       guard: this.#guard.createState(),
@@ -88,8 +93,9 @@
         this.#accept(turn, message.head);
         return;
       case 'forwarded':
-        state.guarded.set(message.head.attempt, formForwardedCall(message));
-        this.#passToGuard(turn, { kind: 'admit', head: message.head });
+      case 'turn':
+      case 'turn-over':
+        this.#passToIntake(turn, message);
         return;
       case 'member-up':
       case 'member-gone':
@@ -195,6 +201,7 @@
 
   /** A claimed call runs on without its caller, so that a resend finds its answer. */
   #handleGone(turn: Turn, id: CallId): void {
+    this.#passToIntake(turn, { kind: 'gone', id });
     this.#withdrawForwarded(turn, id);
     this.#passToClaim(turn, { kind: 'gone', id });
     if (this.#claim.hasGranted(turn.state.claim, id)) return;
@@ -227,11 +234,33 @@
   }
 
   #routeClassified(turn: Turn, output: ClassifyOut): void {
-    if (output.kind === 'routed') this.#passToClaim(turn, output);
+    if (output.kind === 'routed') this.#passToIntake(turn, output);
     else if (output.kind === 'limits') turn.outputs.push(output);
     else turn.outputs.push({ ...output, kind: 'refuse', outcome: 'not-run' });
   }
 
+  #passToIntake(turn: Turn, message: IntakeIn): void {
+    const step = this.#intake.decide(turn.state.intake, message, turn.now);
+    turn.state.intake = step.state;
+    for (const output of step.outputs) this.#routeTaken(turn, output);
+  }
+
+  #routeTaken(turn: Turn, output: IntakeOut): void {
+    switch (output.kind) {
+      case 'routed':
+        this.#passToClaim(turn, output);
+        return;
+      case 'forwarded':
+        turn.state.guarded.set(output.head.attempt, formForwardedCall(output));
+        this.#passToGuard(turn, { kind: 'admit', head: output.head });
+        return;
+      case 'refuse':
+      case 'want-turn':
+        turn.outputs.push(output);
+        return;
+    }
+  }
+
   #passToClaim(turn: Turn, message: ClaimIn): void {
     const step = this.#claim.decide(turn.state.claim, message, turn.now);
     turn.state.claim = step.state;
@@ -323,7 +352,7 @@
   return { id, count, isForwarded: false, keepsAnswer };
 }
 
-function formForwardedCall({ id, count }: Extract<CallIn, { kind: 'forwarded' }>): GuardedCall {
+function formForwardedCall({ id, count }: ForwardedAttempt): GuardedCall {
   return { id, count, isForwarded: true, keepsAnswer: false };
 }
 
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -15,6 +15,8 @@
 export { CallPipe, formForwardedAttempt } from './call-pipe.js';
 export type { CallIn, CallOut } from './call-pipe-messages.js';
 export type { CallPipeOptions, CallPipeState } from './call-pipe.js';
+export { IntakeFilter } from './intake-filter.js';
+export type { IntakeIn, IntakeOut, IntakeState } from './intake-filter.js';
 export type { RunEnding } from './guard-filter.js';
 export { PassingObserver } from './passing-observer.js';
 export { Picker, TwoChoicesPicker } from './picker.js';
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -28,6 +28,7 @@
 import { hasBody, readBody } from './call-body.js';
 import type { HeadFault, UnreadHead } from './call-headers.js';
 import { isForwarded, parseForwardedHead } from './call-headers.js';
+import { CallIntake } from './call-intake.js';
 import { CallerConnections } from './caller-connections.js';
 import { ConnectionWatch } from './connection-watch.js';
 import { probeServer } from './call-probe.js';
@@ -85,6 +86,7 @@
   readonly #pacer: LinkPacer | undefined;
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #connections: CallerConnections;
+  readonly #intake: CallIntake;
   readonly #lag = new LoopLag();
   readonly #timer: WakeTimer;
   #notifyIdle: (() => void) | undefined;
@@ -119,6 +121,14 @@
       const call = this.#calls.get(id);
       if (call !== undefined) this.#forget(call);
     });
+    this.#intake = new CallIntake({
+      beginNext: () => {
+        this.post({ kind: 'turn' });
+      },
+      endTurn: () => {
+        this.post({ kind: 'turn-over' });
+      },
+    });
     this.#timer = new WakeTimer(options.clock, (deadline) => {
       this.#handleDeadline(deadline);
     });
@@ -161,6 +171,9 @@
     server.maxHeadersCount = 0;
     server.maxConnections = MAX_CONNECTIONS;
     this.#connections.watch(server);
+    server.on('connection', () => {
+      this.#intake.addConnection();
+    });
     const listener = server === this.servers[0] ? 'callers' : 'proxies';
     new ConnectionWatch(this.#options.clock, this.#observer).watch(server, listener);
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -220,14 +233,18 @@
     }
     const lagMs = this.#lag.measure();
     const arrivedAt = addMs(this.#options.clock.read(), -lagMs);
-    const accept = (): void => {
-      if (!this.#calls.has(id)) return;
-      if (isFromProxy) this.#acceptForwarded(call, arrivedAt);
-      else this.#acceptCall(call, arrivedAt);
-    };
-    // A fresh connection may have waited to be accepted, which the lag does not show.
-    if (this.#lag.isBusy || isFirst) runAfterPoll(accept);
-    else accept();
+    this.#intake.add({
+      read: () => {
+        if (!this.#calls.has(id)) return;
+        if (isFromProxy) this.#acceptForwarded(call, arrivedAt);
+        else this.#acceptCall(call, arrivedAt);
+      },
+      refuse: () => {
+        call.refuse(NO_TIME);
+      },
+      // A fresh connection may have waited to be accepted, which the lag does not show.
+      needsPoll: this.#lag.isBusy || isFirst,
+    });
   }
 
   // Internals.
@@ -342,6 +359,9 @@
       case 'limits':
         this.#applyLimits(output.limits);
         return;
+      case 'want-turn':
+        this.#intake.wantTurn();
+        return;
       case 'wake':
         this.#timer.wakeAt(output.at);
         return;
@@ -415,6 +435,8 @@
   noDelay: true,
 };
 
+/** The head was not read in time; nothing else is known of the call. */
+const NO_TIME: Refusal = { reason: 'proxy-overloaded', outcome: 'not-run' };
 const OVERLOADED: Refusal = { reason: 'overloaded', outcome: 'not-run' };
 
 function formHeadRefusal({ reason, message }: HeadFault): Refusal {
--- a/src/edge/http-task.ts
+++ b/src/edge/http-task.ts
@@ -73,7 +73,7 @@
     const { host, port } = splitAddress(address);
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(port, host, resolve);
+      server.listen({ port, host, backlog: MAX_UNACCEPTED }, resolve);
     });
   }
 
@@ -89,3 +89,11 @@
     });
   }
 }
+
+// Internals.
+
+/**
+ * Connections that may wait to be accepted. Those behind them are not lost: their openers try again. In a longer
+ * queue, callers of a busy process have given up before their connections are accepted.
+ */
+const MAX_UNACCEPTED = 32;
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -92,6 +92,8 @@
   | 'no-route'
   | 'no-server'
   | 'overloaded'
+  /** This proxy has more calls than its processor bears. */
+  | 'proxy-overloaded'
   /** No slot is free, and the attempt was not to wait for one. */
   | 'busy'
   | 'deadline'
--- a/test/calls-observed.test.ts
+++ b/test/calls-observed.test.ts
@@ -52,6 +52,7 @@
       suspect: false,
     };
     post({ kind: 'forwarded', id, head, count: 1 });
+    post({ kind: 'turn' });
     if (ending === 'answered') post({ kind: 'answer-complete', attempt, answer: undefined });
     else {
       const failure = { reason: 'upstream-failed', outcome: 'unknown', message: ending } as const;
