Take a refusal from its head, not from the end of its body

The head alone proves the refusal, so the attempt ends with it, and the rest is read only so that the connection can be kept, or until 16 KB.

--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -104,11 +104,8 @@
     this.#isWhole = hasLength(this.#options.method, status, headers);
     this.#mayPause = this.#isWhole && !isLastAnswer(headers);
     const outcome = isGuard ? readHeader(headers, OUTCOME_HEADER) : undefined;
-    if (outcome !== undefined) {
-      this.#refusal = readRefusal(outcome, headers);
-      return;
-    }
-    if (!isGuard && !this.#isAnswer(status, headers)) return;
+    if (outcome !== undefined) this.#refuse(readRefusal(outcome, headers));
+    if (outcome !== undefined || (!isGuard && !this.#isAnswer(status, headers))) return;
     const load = isGuard ? parseLoad(readHeader(headers, LOAD_HEADER)) : undefined;
     post({ kind: 'answer-started', attempt, status, load });
     const isDecided = this.#sink !== undefined || this.#isDiscarded;
@@ -144,9 +141,7 @@
   override handleEnd(): void {
     const { attempt, post } = this.#options;
     if (!this.#finish()) return;
-    if (this.#refusal !== undefined) {
-      post({ kind: 'attempt-failed', attempt, failure: this.#refusal, ending: this.#findEnding() });
-    } else if (this.#isWhole) {
+    if (this.#isWhole) {
       post({ kind: 'answer-complete', attempt, answer: this.#formStoredAnswer() });
       this.#sink?.end();
     } else {
@@ -161,7 +156,7 @@
 
   // Internals.
 
-  #fail(cause: string): void {
+  #fail(cause?: string): void {
     const { attempt, post } = this.#options;
     if (!this.#finish(cause)) return;
     const failure = this.#refusal ?? this.#formFailure();
@@ -174,10 +169,16 @@
     return { outcome, reason: findFailureReason(this.#cancelReason) };
   }
 
+  /** The head alone proves a refusal; the rest is read so that the connection can be kept. */
+  #refuse(refusal: AttemptFailure): void {
+    this.#refusal = refusal;
+    this.#fail();
+  }
+
   /** Tells whether the head is that of the attempt's own answer, and acts where it is not. */
   #isAnswer(status: number, headers: IncomingHttpHeaders): boolean {
     const verdict = judgeAnswer(this.#options.readProof(status, headers));
-    if (verdict === 'not-run') this.#refusal = { outcome: 'not-run', reason: 'shed' };
+    if (verdict === 'not-run') this.#refuse({ outcome: 'not-run', reason: 'shed' });
     if (verdict === 'unproven') this.#source?.abort(UNPROVEN);
     return verdict === 'answer';
   }
