Send a body that is read once to no second proxy

A call whose body is streamed was sent on when a proxy had no time for it. The first attempt may have taken a part of the body, so the next backend server would get the rest of it, or none: a run with a changed body, or an attempt that waits for bytes that never come. An attempt that is declined for want of a slot never has such a body (onlyIfFree is not set there); proxy-overloaded needs no such consent.

The call is now refused as not run, which it is; its caller has the whole body.

'no time: a body that is sent once goes nowhere else' failed before: - 'dispatch' + 'proxy-overloaded not-run'

--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -74,9 +74,10 @@
   }
 
   /** Tells whether a refused attempt goes to another server without counting as a retry. */
-  mayPassOn({ declinedBy }: OpenCall, { reason }: AttemptFailure): boolean {
+  mayPassOn({ declinedBy, routed }: OpenCall, { reason }: AttemptFailure): boolean {
     if (reason === 'busy') return true;
-    return reason === 'proxy-overloaded' && declinedBy.length < MAX_DECLINES;
+    if (reason !== 'proxy-overloaded' || !routed.head.repeatable) return false;
+    return declinedBy.length < MAX_DECLINES;
   }
 
   /** Tries another server after one without a free slot, or waits at one of those that were asked. */
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -505,6 +505,18 @@
   t.false(once?.kind === 'dispatch' && once.head.onlyIfFree);
 });
 
+test('no time: a body that is sent once goes nowhere else', (t) => {
+  const driver = new Driver(3);
+  const call = makeCall('c', { timeoutMs: 1e6 }, { repeatable: false });
+  driver.post({ kind: 'claimed', call });
+  t.deepEqual(driver.listKinds(failWithoutTime(0)), ['proxy-overloaded not-run']);
+});
+
+function failWithoutTime(count: number): AttemptIn {
+  const failure = { outcome: 'not-run', reason: 'proxy-overloaded' } as const;
+  return { kind: 'attempt-failed', attempt: attemptOf('c', count), failure };
+}
+
 /** A filter that knows one server. */
 function startFilter() {
   const picker = new TwoChoicesPicker(new SeededRandom(1));
