Ask a proxy without time not again at once

Where no other server of a service was believed to have a free slot, a call that a proxy had refused for want of time went to the same proxy twice more, at once and without a retry. For a server without a free slot that is right: the attempt then waits there. A proxy without time refuses it again, and the two further refusals come out of the processor time whose lack was the reason.

The proxy that refused last now stays tried. With one server the call is refused as not run.

'no time: not sent there again' failed before: - 'dispatch' + 'proxy-overloaded not-run'

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -196,7 +196,8 @@
     }
     if (call.isExpired) return this.#closeExpired(state, call, failure.outcome);
     if (this.#placement.mayPassOn(call, failure) && call.routed.deadline > now) {
-      const passedOn = this.#placement.passOn(state, call, record.announcement.address, now);
+      const declined = { server: record.announcement.address, reason: failure.reason };
+      const passedOn = this.#placement.passOn(state, call, declined, now);
       if (passedOn.length > 0) return passedOn;
     }
     if (mayHaveReached(failure)) call.reached.add(record.announcement.address);
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -15,6 +15,12 @@
   readonly outcome: RefusalOutcome;
 }
 
+/** Where an attempt was declined. */
+export interface Declined {
+  readonly server: Address;
+  readonly reason: AttemptFailure['reason'];
+}
+
 /**
  * Places attempts at backend servers. What an entry proxy knows of their load is as old as their last answers,
  * so an attempt waits at a guard only where no other server is believed to have a free slot.
@@ -80,11 +86,22 @@
     return declinedBy.length < MAX_DECLINES;
   }
 
-  /** Tries another server after one without a free slot, or waits at one of those that were asked. */
-  passOn(state: AttemptState, call: OpenCall, server: Address, now: Instant): AttemptOut[] {
+  /**
+   * Tries another server after one without a free slot, or waits at one of those that were asked. A proxy that had
+   * no time is not asked again at once: nothing waits there.
+   */
+  passOn(
+    state: AttemptState,
+    call: OpenCall,
+    { server, reason }: Declined,
+    now: Instant,
+  ): AttemptOut[] {
     call.declinedBy.push(server);
     if (!this.#hasAlternative(state, call, now)) {
-      for (const one of call.declinedBy) if (!call.reached.has(one)) call.tried.delete(one);
+      const kept = reason === 'busy' ? undefined : server;
+      for (const one of call.declinedBy) {
+        if (one !== kept && !call.reached.has(one)) call.tried.delete(one);
+      }
     }
     return this.start(state, call, now, { server, reason: 'busy', outcome: 'not-run' });
   }
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -512,6 +512,12 @@
   t.deepEqual(driver.listKinds(failWithoutTime(0)), ['proxy-overloaded not-run']);
 });
 
+test('no time: not sent there again', (t) => {
+  const driver = new Driver(1);
+  driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }) });
+  t.deepEqual(driver.listKinds(failWithoutTime(0)), ['proxy-overloaded not-run']);
+});
+
 function failWithoutTime(count: number): AttemptIn {
   const failure = { outcome: 'not-run', reason: 'proxy-overloaded' } as const;
   return { kind: 'attempt-failed', attempt: attemptOf('c', count), failure };
