Forget when a call was taken once the callers behind it have left

An idle proxy refused every second of the calls that came in one turn, as proxy-overloaded. When the last waiting call leaves with its caller, the intake queue kept the instant of the last call that was taken, and the idle time until the next call counted as the time that one call takes. The figure is corrected only while calls wait, and with it none is let in to wait.

'callers that left make no queue look slow' failed before: - 'second proxy-overloaded'

--- a/src/calls/intake-queue.ts
+++ b/src/calls/intake-queue.ts
@@ -46,6 +46,7 @@
   remove(id: CallId): void {
     const index = this.#waiting.findIndex((one) => one.id === id);
     if (index >= 0) this.#waiting.splice(index, 1);
+    if (this.#waiting.length === 0) this.#takenAt = undefined;
   }
 
   /** When a fresh call would get its turn. */
--- a/test/intake.test.ts
+++ b/test/intake.test.ts
@@ -149,3 +149,15 @@
   run.now = addMs(START, 200);
   t.deepEqual(run.endTurn(), ['again proxy-overloaded']);
 });
+
+test('callers that left make no queue look slow', (t) => {
+  const run = new IntakeRun();
+  for (const name of ['a', 'b']) run.post(makeRouted(name, { now: run.now }));
+  run.takeOn(1);
+  run.post({ kind: 'gone', id: 'b' as CallId });
+  run.now = addMs(run.now, 10_000);
+  run.post(makeRouted('alone', { now: run.now }));
+  run.takeOn(1);
+  run.post(makeRouted('first', { now: run.now }));
+  t.deepEqual(formNames(run.post(makeRouted('second', { now: run.now }))), []);
+});
