Let a call that waits alone correct the pace of the intake

A proxy that had stalled once (frozen, or in one long turn) while calls waited went on to refuse every second of the calls that came in one turn, as proxy-overloaded, with an idle event loop and for as long as no two calls waited at once: the stall counts as the time that one call takes, the figure is corrected only while calls wait, and with it none is let in to wait.

The last call of a queue has waited for one turn at least, so the figure cannot be longer than its wait. While calls are taken one by one from a longer queue, that wait is longer than the intervals and changes nothing.

'a stall makes no queue look slow for long' failed before: - 'second proxy-overloaded'

--- a/src/calls/intake-filter.ts
+++ b/src/calls/intake-filter.ts
@@ -107,6 +107,7 @@
     id: head.id,
     isBegun: false,
     worth,
+    since: now,
     startBy: findStartBy(queue, { worth, aim, deadline }, now),
     work: { kind: 'routed', call },
   };
@@ -115,7 +116,7 @@
 function formWaitingAttempt(queue: IntakeQueue, work: ForwardedAttempt, now: Instant): WaitingCall {
   const { worth, aim, replyBy, deadline } = work.head;
   const startBy = findStartBy(queue, { worth, aim, deadline: replyBy ?? deadline }, now);
-  return { id: work.id, isBegun: true, worth, startBy, work };
+  return { id: work.id, isBegun: true, worth, since: now, startBy, work };
 }
 
 /** What the wait of a call depends on. */
--- a/src/calls/intake-queue.ts
+++ b/src/calls/intake-queue.ts
@@ -10,6 +10,7 @@
   /** Whether another proxy has spent work on it. */
   readonly isBegun: boolean;
   readonly worth: number;
+  readonly since: Instant;
   /** A call that has had no turn by then is refused. */
   readonly startBy: Instant;
   readonly work: { readonly kind: 'routed'; readonly call: RoutedCall } | ForwardedAttempt;
@@ -59,6 +60,7 @@
     const next = this.#waiting.shift();
     if (this.#takenAt !== undefined) this.#addInterval(now - this.#takenAt);
     this.#takenAt = this.#waiting.length === 0 ? undefined : now;
+    if (next !== undefined && this.#waiting.length === 0) this.#limitMean(now - next.since);
     return next;
   }
 
@@ -81,6 +83,11 @@
     return place;
   }
 
+  /** The last of a queue has waited for one turn at least; a mean that is longer comes from a stall. */
+  #limitMean(milliseconds: number): void {
+    this.#meanMs = Math.min(this.#meanMs, milliseconds);
+  }
+
   #addInterval(milliseconds: number): void {
     const share = this.#meanMs === 0 ? 1 : NEWEST_SHARE;
     this.#meanMs += (milliseconds - this.#meanMs) * share;
--- a/test/intake.test.ts
+++ b/test/intake.test.ts
@@ -161,3 +161,16 @@
   run.post(makeRouted('first', { now: run.now }));
   t.deepEqual(formNames(run.post(makeRouted('second', { now: run.now }))), []);
 });
+
+test('a stall makes no queue look slow for long', (t) => {
+  const run = new IntakeRun();
+  for (const name of ['a', 'b', 'c']) run.post(makeRouted(name, { now: run.now }));
+  run.takeOn(1);
+  run.takeOn(2, 3_000);
+  t.deepEqual(run.endTurn(), []);
+  run.post(makeRouted('alone', { now: run.now }));
+  t.deepEqual(run.takeOn(1, 1), ['alone']);
+  run.post(makeRouted('first', { now: run.now }));
+  t.deepEqual(formNames(run.post(makeRouted('second', { now: run.now }))), []);
+  t.deepEqual(run.takeOn(2, 1), ['first', 'second']);
+});
