Let no call wait for a turn past its deadline

A call whose aim lies behind its deadline (its caller has less patience than the target latency, its parent's deadline is near, or the process stops) and that is not worth least waited for a turn until its aim. It had no answer at its deadline or at the limit of its route, and no timer of its own.

'no call waits past its deadline, however far its aim is' failed before: + 'attempt proxy-overloaded' + 'call proxy-overloaded' (neither was refused at the deadline)

--- a/src/calls/intake-filter.ts
+++ b/src/calls/intake-filter.ts
@@ -132,7 +132,7 @@
  */
 function findStartBy(queue: IntakeQueue, bounds: WaitBounds, now: Instant): Instant {
   const { worth, aim, deadline } = bounds;
-  const end = aim !== undefined && aim > now ? aim : deadline;
+  const end = aim !== undefined && aim > now ? Math.min(aim, deadline) : deadline;
   const share = queue.isLeast(worth, now) ? LEAST_WAIT_SHARE : 1;
   return addMs(now, (end - now) * share);
 }
--- a/test/intake.test.ts
+++ b/test/intake.test.ts
@@ -174,3 +174,13 @@
   t.deepEqual(formNames(run.post(makeRouted('second', { now: run.now }))), []);
   t.deepEqual(run.takeOn(2, 1), ['first', 'second']);
 });
+
+test('no call waits past its deadline, however far its aim is', (t) => {
+  const run = new IntakeRun();
+  run.post(makeRouted('low', { now: START, worth: 1 }));
+  run.takeOn(1);
+  run.post(makeRouted('call', { now: START, worth: 4, aimMs: 800, deadlineMs: 200 }));
+  run.post(makeForwarded('attempt', { now: START, worth: 4, aimMs: 800, deadlineMs: 200 }));
+  run.now = addMs(START, 200);
+  t.deepEqual(run.endTurn(), ['attempt proxy-overloaded', 'call proxy-overloaded']);
+});
