--- a/test/intake.test.ts
+++ b/test/intake.test.ts
@@ -149,3 +149,38 @@
   run.now = addMs(START, 200);
   t.deepEqual(run.endTurn(), ['again proxy-overloaded']);
 });
+
+test('callers that left make no queue look slow', (t) => {
+  const run = new IntakeRun();
+  for (const name of ['a', 'b']) run.post(makeRouted(name, { now: run.now }));
+  run.takeOn(1);
+  run.post({ kind: 'gone', id: 'b' as CallId });
+  run.now = addMs(run.now, 10_000);
+  run.post(makeRouted('alone', { now: run.now }));
+  run.takeOn(1);
+  run.post(makeRouted('first', { now: run.now }));
+  t.deepEqual(formNames(run.post(makeRouted('second', { now: run.now }))), []);
+});
+
+test('a stall makes no queue look slow for long', (t) => {
+  const run = new IntakeRun();
+  for (const name of ['a', 'b', 'c']) run.post(makeRouted(name, { now: run.now }));
+  run.takeOn(1);
+  run.takeOn(2, 3_000);
+  t.deepEqual(run.endTurn(), []);
+  run.post(makeRouted('alone', { now: run.now }));
+  t.deepEqual(run.takeOn(1, 1), ['alone']);
+  run.post(makeRouted('first', { now: run.now }));
+  t.deepEqual(formNames(run.post(makeRouted('second', { now: run.now }))), []);
+  t.deepEqual(run.takeOn(2, 1), ['first', 'second']);
+});
+
+test('no call waits past its deadline, however far its aim is', (t) => {
+  const run = new IntakeRun();
+  run.post(makeRouted('low', { now: START, worth: 1 }));
+  run.takeOn(1);
+  run.post(makeRouted('call', { now: START, worth: 4, aimMs: 800, deadlineMs: 200 }));
+  run.post(makeForwarded('attempt', { now: START, worth: 4, aimMs: 800, deadlineMs: 200 }));
+  run.now = addMs(START, 200);
+  t.deepEqual(run.endTurn(), ['attempt proxy-overloaded', 'call proxy-overloaded']);
+});
