--- a/test/recovery-log.test.ts
+++ b/test/recovery-log.test.ts
@@ -91,6 +91,8 @@
   const [source, proxy] = nodes as [MeshProcess, MeshProcess];
   const isReady = () => listEvents(proxy).includes('proxy-ready') || undefined;
   await waitFor('a ready proxy', isReady);
+  const hasFound = () => listEvents(proxy).includes('source-found') || undefined;
+  await waitFor('a source that is a member', hasFound);
   await stopProcess(proxy);
   const leading = ['source-leads', 'source-confirms', 'version-committed'];
   t.deepEqual(listEvents(source, leading), leading);
