Refuse what waits for a turn at the end of a planned stop

The intake did not hear of a planned stop. A call that came before it, or an attempt of another proxy, with much time left could wait in a full process until its connection was closed, without an answer. The pipe now tells the intake until when calls are answered, as it tells the other filters.

'planned stop: what still waits at its end is refused' failed before: the intake had no such message (TypeError: step.outputs is not iterable).

--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -122,6 +122,7 @@
         return;
       case 'stopping':
         this.#passToClassify(turn, message);
+        this.#passToIntake(turn, message);
         this.#passToAttempt(turn, message);
         this.#passToGuard(turn, message);
         return;
--- a/src/calls/intake-filter.ts
+++ b/src/calls/intake-filter.ts
@@ -21,6 +21,8 @@
   | { readonly kind: 'routed'; readonly call: RoutedCall }
   | ForwardedAttempt
   | { readonly kind: 'gone'; readonly id: CallId }
+  /** This process stops; until then every call gets its answer, or is refused. */
+  | { readonly kind: 'stopping'; readonly answerBy: Instant }
   /** The event loop has room for one more call. */
   | { readonly kind: 'turn' }
   /** The event loop has no more room before it looks at the sockets again. */
@@ -80,6 +82,9 @@
     case 'gone':
       queue.remove(message.id);
       return [];
+    case 'stopping':
+      queue.limitWaits(message.answerBy);
+      return [];
     case 'turn':
       return takeNext(queue, now);
     case 'turn-over':
--- a/src/calls/intake-queue.ts
+++ b/src/calls/intake-queue.ts
@@ -1,5 +1,5 @@
 /** The calls that wait until the event loop has room for them. */
-import { addMs } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
 import type { CallId, Instant } from '../ids.js';
 import type { RoutedCall } from './classify-filter.js';
 import type { ForwardedAttempt } from './intake-filter.js';
@@ -24,6 +24,8 @@
   #takenAt: Instant | undefined;
   /** Mean time from one call that is taken to the next while calls wait; 0 before the first. */
   #meanMs = 0;
+  /** No call waits for longer. */
+  #latest: Instant = NEVER;
   /** The least worth of late, and when a call of it last came. */
   #least = { worth: Number.POSITIVE_INFINITY, at: 0 as Instant };
 
@@ -64,10 +66,16 @@
     return next;
   }
 
+  /** Lets no call wait for longer. */
+  limitWaits(latest: Instant): void {
+    this.#latest = latest;
+  }
+
   /** Takes the calls that had to have their turn by now. */
   takeDue(now: Instant): WaitingCall[] {
-    const due = this.#waiting.filter(({ startBy }) => startBy <= now);
-    if (due.length > 0) this.#waiting = this.#waiting.filter(({ startBy }) => startBy > now);
+    const isDue = ({ startBy }: WaitingCall): boolean => Math.min(startBy, this.#latest) <= now;
+    const due = this.#waiting.filter(isDue);
+    if (due.length > 0) this.#waiting = this.#waiting.filter((call) => !isDue(call));
     if (this.#waiting.length === 0) this.#takenAt = undefined;
     return due;
   }
--- a/test/intake.test.ts
+++ b/test/intake.test.ts
@@ -184,3 +184,14 @@
   run.now = addMs(START, 200);
   t.deepEqual(run.endTurn(), ['attempt proxy-overloaded', 'call proxy-overloaded']);
 });
+
+test('planned stop: what still waits at its end is refused', (t) => {
+  const run = new IntakeRun();
+  run.post(makeRouted('before', { now: START, aimMs: 8_000 }));
+  run.post({ kind: 'stopping', answerBy: addMs(START, 500) });
+  run.post(makeForwarded('after', { now: START, aimMs: 8_000 }));
+  run.now = addMs(START, 499);
+  t.deepEqual(run.endTurn(), []);
+  run.now = addMs(START, 500);
+  t.deepEqual(run.endTurn(), ['after proxy-overloaded', 'before proxy-overloaded']);
+});
