--- a/src/calls/intake-filter.ts
+++ b/src/calls/intake-filter.ts
@@ -21,6 +21,8 @@
   | { readonly kind: 'routed'; readonly call: RoutedCall }
   | ForwardedAttempt
   | { readonly kind: 'gone'; readonly id: CallId }
+  /** This process stops; until then every call gets its answer, or is refused. */
+  | { readonly kind: 'stopping'; readonly answerBy: Instant }
   /** The event loop has room for one more call. */
   | { readonly kind: 'turn' }
   /** The event loop has no more room before it looks at the sockets again. */
@@ -80,6 +82,9 @@
     case 'gone':
       queue.remove(message.id);
       return [];
+    case 'stopping':
+      queue.limitWaits(message.answerBy);
+      return [];
     case 'turn':
       return takeNext(queue, now);
     case 'turn-over':
@@ -107,6 +112,7 @@
     id: head.id,
     isBegun: false,
     worth,
+    since: now,
     startBy: findStartBy(queue, { worth, aim, deadline }, now),
     work: { kind: 'routed', call },
   };
@@ -115,7 +121,7 @@
 function formWaitingAttempt(queue: IntakeQueue, work: ForwardedAttempt, now: Instant): WaitingCall {
   const { worth, aim, replyBy, deadline } = work.head;
   const startBy = findStartBy(queue, { worth, aim, deadline: replyBy ?? deadline }, now);
-  return { id: work.id, isBegun: true, worth, startBy, work };
+  return { id: work.id, isBegun: true, worth, since: now, startBy, work };
 }
 
 /** What the wait of a call depends on. */
@@ -131,7 +137,7 @@
  */
 function findStartBy(queue: IntakeQueue, bounds: WaitBounds, now: Instant): Instant {
   const { worth, aim, deadline } = bounds;
-  const end = aim !== undefined && aim > now ? aim : deadline;
+  const end = aim !== undefined && aim > now ? Math.min(aim, deadline) : deadline;
   const share = queue.isLeast(worth, now) ? LEAST_WAIT_SHARE : 1;
   return addMs(now, (end - now) * share);
 }
--- a/src/calls/intake-queue.ts
+++ b/src/calls/intake-queue.ts
@@ -1,5 +1,5 @@
 /** The calls that wait until the event loop has room for them. */
-import { addMs } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
 import type { CallId, Instant } from '../ids.js';
 import type { RoutedCall } from './classify-filter.js';
 import type { ForwardedAttempt } from './intake-filter.js';
@@ -10,6 +10,7 @@
   /** Whether another proxy has spent work on it. */
   readonly isBegun: boolean;
   readonly worth: number;
+  readonly since: Instant;
   /** A call that has had no turn by then is refused. */
   readonly startBy: Instant;
   readonly work: { readonly kind: 'routed'; readonly call: RoutedCall } | ForwardedAttempt;
@@ -23,6 +24,8 @@
   #takenAt: Instant | undefined;
   /** Mean time from one call that is taken to the next while calls wait; 0 before the first. */
   #meanMs = 0;
+  /** No call waits for longer. */
+  #latest: Instant = NEVER;
   /** The least worth of late, and when a call of it last came. */
   #least = { worth: Number.POSITIVE_INFINITY, at: 0 as Instant };
 
@@ -46,6 +49,7 @@
   remove(id: CallId): void {
     const index = this.#waiting.findIndex((one) => one.id === id);
     if (index >= 0) this.#waiting.splice(index, 1);
+    if (this.#waiting.length === 0) this.#takenAt = undefined;
   }
 
   /** When a fresh call would get its turn. */
@@ -58,13 +62,20 @@
     const next = this.#waiting.shift();
     if (this.#takenAt !== undefined) this.#addInterval(now - this.#takenAt);
     this.#takenAt = this.#waiting.length === 0 ? undefined : now;
+    if (next !== undefined && this.#waiting.length === 0) this.#limitMean(now - next.since);
     return next;
   }
 
+  /** Lets no call wait for longer. */
+  limitWaits(latest: Instant): void {
+    this.#latest = latest;
+  }
+
   /** Takes the calls that had to have their turn by now. */
   takeDue(now: Instant): WaitingCall[] {
-    const due = this.#waiting.filter(({ startBy }) => startBy <= now);
-    if (due.length > 0) this.#waiting = this.#waiting.filter(({ startBy }) => startBy > now);
+    const isDue = ({ startBy }: WaitingCall): boolean => Math.min(startBy, this.#latest) <= now;
+    const due = this.#waiting.filter(isDue);
+    if (due.length > 0) this.#waiting = this.#waiting.filter((call) => !isDue(call));
     if (this.#waiting.length === 0) this.#takenAt = undefined;
     return due;
   }
@@ -80,6 +91,11 @@
     return place;
   }
 
+  /** The last of a queue has waited for one turn at least; a mean that is longer comes from a stall. */
+  #limitMean(milliseconds: number): void {
+    this.#meanMs = Math.min(this.#meanMs, milliseconds);
+  }
+
   #addInterval(milliseconds: number): void {
     const share = this.#meanMs === 0 ? 1 : NEWEST_SHARE;
     this.#meanMs += (milliseconds - this.#meanMs) * share;
--- a/test/intake.test.ts
+++ b/test/intake.test.ts
@@ -149,3 +149,49 @@
   run.now = addMs(START, 200);
   t.deepEqual(run.endTurn(), ['again proxy-overloaded']);
 });
+
+test('callers that left make no queue look slow', (t) => {
+  const run = new IntakeRun();
+  for (const name of ['a', 'b']) run.post(makeRouted(name, { now: run.now }));
+  run.takeOn(1);
+  run.post({ kind: 'gone', id: 'b' as CallId });
+  run.now = addMs(run.now, 10_000);
+  run.post(makeRouted('alone', { now: run.now }));
+  run.takeOn(1);
+  run.post(makeRouted('first', { now: run.now }));
+  t.deepEqual(formNames(run.post(makeRouted('second', { now: run.now }))), []);
+});
+
+test('a stall makes no queue look slow for long', (t) => {
+  const run = new IntakeRun();
+  for (const name of ['a', 'b', 'c']) run.post(makeRouted(name, { now: run.now }));
+  run.takeOn(1);
+  run.takeOn(2, 3_000);
+  t.deepEqual(run.endTurn(), []);
+  run.post(makeRouted('alone', { now: run.now }));
+  t.deepEqual(run.takeOn(1, 1), ['alone']);
+  run.post(makeRouted('first', { now: run.now }));
+  t.deepEqual(formNames(run.post(makeRouted('second', { now: run.now }))), []);
+  t.deepEqual(run.takeOn(2, 1), ['first', 'second']);
+});
+
+test('no call waits past its deadline, however far its aim is', (t) => {
+  const run = new IntakeRun();
+  run.post(makeRouted('low', { now: START, worth: 1 }));
+  run.takeOn(1);
+  run.post(makeRouted('call', { now: START, worth: 4, aimMs: 800, deadlineMs: 200 }));
+  run.post(makeForwarded('attempt', { now: START, worth: 4, aimMs: 800, deadlineMs: 200 }));
+  run.now = addMs(START, 200);
+  t.deepEqual(run.endTurn(), ['attempt proxy-overloaded', 'call proxy-overloaded']);
+});
+
+test('planned stop: what still waits at its end is refused', (t) => {
+  const run = new IntakeRun();
+  run.post(makeRouted('before', { now: START, aimMs: 8_000 }));
+  run.post({ kind: 'stopping', answerBy: addMs(START, 500) });
+  run.post(makeForwarded('after', { now: START, aimMs: 8_000 }));
+  run.now = addMs(START, 499);
+  t.deepEqual(run.endTurn(), []);
+  run.now = addMs(START, 500);
+  t.deepEqual(run.endTurn(), ['after proxy-overloaded', 'before proxy-overloaded']);
+});
