--- /dev/null
+++ b/src/edge/call-reader.ts
@@ -0,0 +1,120 @@
+/** Reads calls as far as a decision needs them. */
+import type { CallIn } from '../calls/index.js';
+import type { CancelTimer, Clock } from '../clock.js';
+import { addMs } from '../clock.js';
+import type { CallerId, Instant } from '../ids.js';
+import { hasBody, readBody } from './call-body.js';
+import type { CallFront } from './call-front.js';
+import type { HeadFault, UnreadHead } from './call-headers.js';
+import { parseForwardedHead } from './call-headers.js';
+import type { Refusal } from './call-refusal.js';
+import type { OpenCall } from './open-call.js';
+
+/** What a call reader needs. */
+export interface CallReaderOptions {
+  readonly clock: Clock;
+  readonly front: CallFront;
+  /** Who makes all calls that enter here, where that is known beforehand. */
+  readonly caller: CallerId | undefined;
+  /** What other proxies must show with the calls that they forward; see `Member.pass`. */
+  readonly pass: string;
+  /** Tells whether the caller of a call still waits. */
+  readonly isOpen: (call: OpenCall) => boolean;
+  /** Takes the calls that have been read. */
+  readonly post: (message: Extract<CallIn, { kind: 'arrived' | 'forwarded' }>) => void;
+}
+
+/** Reads heads and, of calls that may be sent again, bodies; refuses what is no proper call. */
+export class CallReader {
+  readonly #options: CallReaderOptions;
+  #readsBodies = true;
+
+  constructor(options: CallReaderOptions) {
+    this.#options = options;
+  }
+
+  /** Reads no more bodies: every further call is refused. */
+  startDrain(): void {
+    this.#readsBodies = false;
+  }
+
+  /** Reads a call; `arrivedAt` is the instant from which its deadline counts. */
+  read(call: OpenCall, arrivedAt: Instant): void {
+    if (!this.#options.isOpen(call)) return;
+    if (call.isForwarded) this.#readForwarded(call, arrivedAt);
+    else this.#readCall(call, arrivedAt);
+  }
+
+  // Internals.
+
+  #readCall(call: OpenCall, arrivedAt: Instant): void {
+    const { front, post } = this.#options;
+    const head = front.parseHead(call.request, call.id, arrivedAt);
+    if (!head.ok) {
+      call.refuse(formHeadRefusal(head.error));
+      return;
+    }
+    const caller = this.#options.caller ?? head.value.caller;
+    call.caller = caller;
+    if (!this.#readsBodies || !hasBody(call.request)) {
+      post({
+        kind: 'arrived',
+        head: { ...head.value, caller, bodyDigest: undefined, repeatable: true },
+      });
+      return;
+    }
+    this.#readBody(call, { ...head.value, caller }).catch(() => {
+      call.refuse({ reason: 'bad-request', outcome: 'not-run', message: 'the body broke off' });
+    });
+  }
+
+  async #readBody(call: OpenCall, head: UnreadHead): Promise<void> {
+    const cancelTimer = this.#limitBodyTime(call);
+    try {
+      call.body = await readBody(call.request);
+    } finally {
+      cancelTimer();
+    }
+    if (call.response.writableEnded || !this.#options.isOpen(call)) return;
+    const { body } = call;
+    const bodyDigest = body.kind === 'held' ? body.digest : undefined;
+    const repeatable = body.kind !== 'stream';
+    this.#options.post({ kind: 'arrived', head: { ...head, bodyDigest, repeatable } });
+  }
+
+  #limitBodyTime(call: OpenCall): CancelTimer {
+    const { clock } = this.#options;
+    return clock.callAt(addMs(clock.read(), BODY_TIMEOUT_MS), () => {
+      // The rest of the body may never come.
+      call.response.shouldKeepAlive = false;
+      call.refuse({
+        reason: 'bad-request',
+        outcome: 'not-run',
+        message: 'the body came too slowly',
+      });
+    });
+  }
+
+  #readForwarded(call: OpenCall, arrivedAt: Instant): void {
+    const { pass, post } = this.#options;
+    const parsed = parseForwardedHead(call.request, call.id, pass, arrivedAt);
+    if (!parsed.ok) {
+      call.refuse(formHeadRefusal(parsed.error));
+      return;
+    }
+    const { head, count, caller } = parsed.value;
+    call.caller = caller;
+    call.attempt = count;
+    call.deadline = head.deadline;
+    call.streamBody();
+    post({ kind: 'forwarded', id: call.id, head, count });
+  }
+}
+
+// Internals.
+
+const BODY_TIMEOUT_MS = 10_000;
+
+function formHeadRefusal({ reason, message }: HeadFault): Refusal {
+  return { reason, outcome: 'not-run', message };
+}
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -25,10 +25,9 @@
 import { runAfterPoll } from './after-poll.js';
 import { AttemptSender } from './attempt-sender.js';
 import type { CallFront } from './call-front.js';
-import { hasBody, readBody } from './call-body.js';
-import type { HeadFault, UnreadHead } from './call-headers.js';
-import { isForwarded, parseForwardedHead } from './call-headers.js';
+import { isForwarded } from './call-headers.js';
 import { CallIntake } from './call-intake.js';
+import { CallReader } from './call-reader.js';
 import { CallerConnections } from './caller-connections.js';
 import { ConnectionWatch } from './connection-watch.js';
 import { probeServer } from './call-probe.js';
@@ -86,6 +85,7 @@
   readonly #pacer: LinkPacer | undefined;
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #connections: CallerConnections;
+  readonly #reader: CallReader;
   readonly #intake: CallIntake;
   readonly #lag = new LoopLag();
   readonly #timer: WakeTimer;
@@ -121,6 +121,15 @@
       const call = this.#calls.get(id);
       if (call !== undefined) this.#forget(call);
     });
+    this.#reader = new CallReader({
+      ...options,
+      front: this.#front,
+      caller: options.caller,
+      isOpen: ({ id }) => this.#calls.has(id),
+      post: (message) => {
+        this.post(message);
+      },
+    });
     this.#intake = new CallIntake({
       beginNext: () => {
         this.post({ kind: 'turn' });
@@ -153,6 +162,7 @@
   /** Refuses new calls as not run, and resolves when the last one in flight has ended or is to be cut. */
   async drain(): Promise<void> {
     this.#isDraining = true;
+    this.#reader.startDrain();
     this.post({ kind: 'drain' });
     await new Promise<void>((resolve) => {
       const cancelTimer = this.#options.clock.callAt(this.#closeBy, resolve);
@@ -211,12 +221,11 @@
     if (this.#connections.isRefused(request.socket)) return;
     if (this.#isDraining) response.shouldKeepAlive = false;
     const id = randomUUID() as string as CallId;
-    const isFromProxy = isForwarded(request);
     const call = new OpenCall({
       id,
       request,
       response,
-      isForwarded: isFromProxy,
+      isForwarded: isForwarded(request),
       now: this.#options.clock.read(),
       front: this.#front,
       tracer: this.#tracer,
@@ -235,9 +244,7 @@
     const arrivedAt = addMs(this.#options.clock.read(), -lagMs);
     this.#intake.add({
       read: () => {
-        if (!this.#calls.has(id)) return;
-        if (isFromProxy) this.#acceptForwarded(call, arrivedAt);
-        else this.#acceptCall(call, arrivedAt);
+        this.#reader.read(call, arrivedAt);
       },
       refuse: () => {
         call.refuse(NO_TIME);
@@ -256,67 +263,6 @@
     return true;
   }
 
-  #acceptCall(call: OpenCall, arrivedAt: Instant): void {
-    const head = this.#front.parseHead(call.request, call.id, arrivedAt);
-    if (!head.ok) {
-      call.refuse(formHeadRefusal(head.error));
-      return;
-    }
-    const caller = this.#options.caller ?? head.value.caller;
-    call.caller = caller;
-    if (this.#isDraining || !hasBody(call.request)) {
-      this.post({
-        kind: 'arrived',
-        head: { ...head.value, caller, bodyDigest: undefined, repeatable: true },
-      });
-      return;
-    }
-    this.#readBody(call, { ...head.value, caller }).catch(() => {
-      call.refuse({ reason: 'bad-request', outcome: 'not-run', message: 'the body broke off' });
-    });
-  }
-
-  async #readBody(call: OpenCall, head: UnreadHead): Promise<void> {
-    const cancelTimer = this.#limitBodyTime(call);
-    try {
-      call.body = await readBody(call.request);
-    } finally {
-      cancelTimer();
-    }
-    if (call.response.writableEnded || !this.#calls.has(call.id)) return;
-    const { body } = call;
-    const bodyDigest = body.kind === 'held' ? body.digest : undefined;
-    const repeatable = body.kind !== 'stream';
-    this.post({ kind: 'arrived', head: { ...head, bodyDigest, repeatable } });
-  }
-
-  #limitBodyTime(call: OpenCall): CancelTimer {
-    const { clock } = this.#options;
-    return clock.callAt(addMs(clock.read(), BODY_TIMEOUT_MS), () => {
-      // The rest of the body may never come.
-      call.response.shouldKeepAlive = false;
-      call.refuse({
-        reason: 'bad-request',
-        outcome: 'not-run',
-        message: 'the body came too slowly',
-      });
-    });
-  }
-
-  #acceptForwarded(call: OpenCall, arrivedAt: Instant): void {
-    const parsed = parseForwardedHead(call.request, call.id, this.#options.pass, arrivedAt);
-    if (!parsed.ok) {
-      call.refuse(formHeadRefusal(parsed.error));
-      return;
-    }
-    const { head, count, caller } = parsed.value;
-    call.caller = caller;
-    call.attempt = count;
-    call.deadline = head.deadline;
-    call.streamBody();
-    this.post({ kind: 'forwarded', id: call.id, head, count });
-  }
-
   /** The caller has gone, or has its whole answer. */
   #forget(call: OpenCall): void {
     if (!this.#calls.delete(call.id)) return;
@@ -422,7 +368,6 @@
 
 const MAX_CONNECTIONS = 8_192;
 const MAX_OPEN_CALLS = 8_192;
-const BODY_TIMEOUT_MS = 10_000;
 /** Timers of an idle process are a millisecond or two late. */
 const MIN_LATE_MS = 4;
 
@@ -438,7 +383,3 @@
 /** The head was not read in time; nothing else is known of the call. */
 const NO_TIME: Refusal = { reason: 'proxy-overloaded', outcome: 'not-run' };
 const OVERLOADED: Refusal = { reason: 'overloaded', outcome: 'not-run' };
-
-function formHeadRefusal({ reason, message }: HeadFault): Refusal {
-  return { reason, outcome: 'not-run', message };
-}
--- a/test/members-codec.test.ts
+++ b/test/members-codec.test.ts
@@ -1,11 +1,9 @@
 /** The encodings of membership messages. */
-import { createSocket } from 'node:dgram';
 import test from 'ava';
 import fc from 'fast-check';
-import { findFreePort, waitFor } from '../bench/mesh.js';
+import { waitFor } from '../bench/mesh.js';
 import { NEVER } from '../src/clock.js';
 import { decodeProbe, encodeProbe, MAX_DATAGRAM_BYTES } from '../src/edge/probe-codec.js';
-import { ProbeTask } from '../src/edge/probe-task.js';
 import { decodeSync, encodeSync } from '../src/edge/sync-codec.js';
 import type {
   Address,
@@ -21,6 +19,7 @@
 import { MAX_OWN_SERVERS, MAX_UPDATE_BYTES } from '../src/members/timing.js';
 import { estimateBytes } from '../src/members/update-size.js';
 import type { MemberUpdate, ProbeMessage, SyncMessage } from '../src/messages/index.js';
+import { startProbeListener } from './probe-listener.js';
 
 const RUNS = { numRuns: 300, seed: 2 };
 const HEAD_BYTES = 128;
@@ -180,26 +179,10 @@
 });
 
 test('malformed is counted', async (t) => {
-  const number = await findFreePort();
-  const heard: ProbeMessage[] = [];
-  const reasons: string[] = [];
-  const task = new ProbeTask({
-    bind: `127.0.0.1:${number}` as Address,
-    reportFailure: (_, error) => {
-      t.fail(String(error));
-    },
-    notify: (_, message) => heard.push(message),
-    notifyDropped: (_, reason) => reasons.push(reason),
-  });
-  await task.start();
-  const peer = createSocket('udp4');
-  t.teardown(async () => {
-    peer.close();
-    await task.stop();
-  });
+  const { task, heard, reasons, send } = await startProbeListener(t);
   const good: ProbeMessage = { kind: 'nack', from: 'host-1' as HostId, sequence: 7 };
   for (const bytes of [Buffer.from('nonsense'), Buffer.alloc(1_401), encodeProbe(good)]) {
-    peer.send(bytes, number, '127.0.0.1');
+    send(bytes);
   }
   await waitFor('three datagrams', () => task.counts.received === 3 || undefined);
   t.deepEqual(heard, [good]);
--- a/test/odd-records.test.ts
+++ b/test/odd-records.test.ts
@@ -1,14 +1,13 @@
 /** Membership messages with one odd part: it is left out alone, and somebody hears why. */
-import { createSocket } from 'node:dgram';
 import test from 'ava';
 import { Packr } from 'msgpackr';
-import { findFreePort, waitFor } from '../bench/mesh.js';
+import { waitFor } from '../bench/mesh.js';
 import { encodeUpdate } from '../src/edge/member-codec.js';
-import { ProbeTask } from '../src/edge/probe-task.js';
 import { decodeSync, encodeSync } from '../src/edge/sync-codec.js';
 import type { Address, HostId, Incarnation } from '../src/ids.js';
-import type { MemberUpdate, ProbeMessage, SyncMessage } from '../src/messages/index.js';
+import type { MemberUpdate, SyncMessage } from '../src/messages/index.js';
 import { makeMember, makeServer } from './call-resources.js';
+import { startProbeListener } from './probe-listener.js';
 
 const GOSSIP = 4;
 const ADDRESS = '127.0.0.1:80' as Address;
@@ -37,27 +36,11 @@
 }
 
 test('odd update in a datagram: its neighbours are heard', async (t) => {
-  const number = await findFreePort();
-  const heard: ProbeMessage[] = [];
-  const reasons: string[] = [];
-  const task = new ProbeTask({
-    bind: `127.0.0.1:${number}` as Address,
-    reportFailure: (_, error) => {
-      t.fail(String(error));
-    },
-    notify: (_, message) => heard.push(message),
-    notifyDropped: (_, reason) => reasons.push(reason),
-  });
-  await task.start();
-  const peer = createSocket('udp4');
-  t.teardown(async () => {
-    peer.close();
-    await task.stop();
-  });
+  const { task, heard, reasons, send } = await startProbeListener(t);
   const [first, last] = SOUND.map(encodeUpdate);
   const packr = new Packr({ useRecords: false });
   for (const [index, [part, reason]] of ODD.entries()) {
-    peer.send(packr.pack([GOSSIP, 'h-0', first, part, last]), number, '127.0.0.1');
+    send(packr.pack([GOSSIP, 'h-0', first, part, last]));
     await waitFor('the datagram', () => task.counts.received === index + 1 || undefined);
     t.deepEqual(heard[index], { kind: 'gossip', from: 'h-0' as HostId, updates: SOUND });
     t.regex(reasons[index] ?? '', reason);
--- /dev/null
+++ b/test/probe-listener.ts
@@ -0,0 +1,42 @@
+/** A task that listens for the probes of other hosts, and what it hears. */
+import { createSocket } from 'node:dgram';
+import type { Socket } from 'node:dgram';
+import type { ExecutionContext } from 'ava';
+import { findFreePort } from '../bench/mesh.js';
+import { ProbeTask } from '../src/edge/probe-task.js';
+import type { Address } from '../src/ids.js';
+import type { ProbeMessage } from '../src/messages/index.js';
+
+export interface ProbeListener {
+  readonly task: ProbeTask;
+  readonly heard: readonly ProbeMessage[];
+  /** Why parts of datagrams were left out. */
+  readonly reasons: readonly string[];
+  /** Sends a datagram to the task. */
+  readonly send: (bytes: Uint8Array) => void;
+}
+
+/** Starts a listener that ends with the test; any failure of its task fails the test. */
+export async function startProbeListener(t: ExecutionContext): Promise<ProbeListener> {
+  const number = await findFreePort();
+  const heard: ProbeMessage[] = [];
+  const reasons: string[] = [];
+  const task = new ProbeTask({
+    bind: `127.0.0.1:${number}` as Address,
+    reportFailure: (_, error) => {
+      t.fail(String(error));
+    },
+    notify: (_, message) => heard.push(message),
+    notifyDropped: (_, reason) => reasons.push(reason),
+  });
+  await task.start();
+  const peer: Socket = createSocket('udp4');
+  t.teardown(async () => {
+    peer.close();
+    await task.stop();
+  });
+  const send = (bytes: Uint8Array): void => {
+    peer.send(bytes, number, '127.0.0.1');
+  };
+  return { task, heard, reasons, send };
+}
