Write the code cache after a run that serves calls

The cache was written after `version`, so it held nothing that joins, takes a configuration or serves a call, and each process compiled these itself. The build now starts a source and two proxies on loopback, sends a configuration and calls, and the first process writes the cache when it ends; if that fails, the smaller cache stands.

--- a/scripts/build-target.mjs
+++ b/scripts/build-target.mjs
@@ -4,6 +4,7 @@
 import { Module } from 'node:module';
 import { join } from 'node:path';
 import { bundleProgram } from './bundle.mjs';
+import { warmUp } from './warm-up.mjs';
 
 const root = join(import.meta.dirname, '..');
 const target = join(root, 'target');
@@ -14,7 +15,7 @@
 await bundleProgram(join(root, 'platform', 'main.ts'), bundle);
 wrapBundle();
 copyFileSync(join(root, 'scripts', 'start.cjs'), start);
-runStart({ BILBERRYSWITCH_WRITE_CODE_CACHE: '1' });
+await writeCodeCache({ BILBERRYSWITCH_WRITE_CODE_CACHE: '1' });
 const output = runStart({});
 if (output.includes('code-cache')) throw new Error(`the code cache is not used: ${output}`);
 console.log(output.trim());
@@ -27,6 +28,16 @@
   writeFileSync(bundle, Module.wrap(text));
 }
 
+/** Writes the cache after a run that serves calls; without one, a smaller cache has to do. */
+async function writeCodeCache(variables) {
+  runStart(variables);
+  try {
+    await warmUp(start, join(target, 'warm-up'), variables);
+  } catch (error) {
+    console.log(`the code cache holds only the start: ${error.message}`);
+  }
+}
+
 function runStart(variables) {
   const options = { encoding: 'utf8', env: { ...process.env, ...variables } };
   return execFileSync(process.execPath, [start, 'version'], options);
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -42,12 +42,16 @@
 
 for (const name of BUILT_IN_MODULES) require(`node:${name}`);
 for (const flag of V8_FLAGS) setFlagsFromString(flag);
+// Keeps the functions of the start in memory until they are written.
+if (writesCache) setFlagsFromString('--no-flush-bytecode');
 
 const script = compileBundle();
 script.runInThisContext().call(exports, exports, require, module, __filename, __dirname);
 // Written after a run, so that it holds the functions that were compiled on the way.
 if (writesCache) {
   process.on('exit', () => {
+    // The cache is valid only for the flags that are set when it is written.
+    setFlagsFromString('--flush-bytecode');
     writeFileSync(cacheFile, script.createCachedData());
   });
 }
