Send versions past proxies that do not report

The source pushed to the two roots only, the others compare versions with peers of their own data centre only, and reminders were put off by each new version of a storm.

A version now counts as delivered to a child only by its report. Half a second without one, the source addresses the children of a silent root too, then theirs, one level for each half second; these report to the source as long as it speaks to them. A proxy does the same for its grandchildren. Versions that follow are pushed to stand-ins at once, and a storm no longer postpones reminders. The failure detector has no part in it.

--- a/src/distribution/child-reports.ts
+++ b/src/distribution/child-reports.ts
@@ -47,6 +47,13 @@
     });
   }
 
+  /** Lists the children that have not reported `version` for themselves. */
+  listSilent(children: readonly OverlayMember[], version: Version): OverlayMember[] {
+    return children.filter(
+      ({ host }) => (this.#reports.get(host)?.report.own ?? NO_VERSION) < version,
+    );
+  }
+
   /** Builds the report of a proxy and its subtree. */
   buildReport(proxy: ReportingProxy, now: Instant): VersionReport {
     const { host, held, children } = proxy;
--- a/src/distribution/fleet-coverage.ts
+++ b/src/distribution/fleet-coverage.ts
@@ -76,6 +76,11 @@
     return (report && findLowestVersion(report)) ?? NO_VERSION;
   }
 
+  /** Finds the version that a root has reported for itself. */
+  findOwnVersion(host: HostId): Version {
+    return this.#reports.get(host)?.own ?? NO_VERSION;
+  }
+
   /**
    * Builds the report for operators.
    *
--- a/src/distribution/overlay.ts
+++ b/src/distribution/overlay.ts
@@ -104,6 +104,11 @@
     };
   }
 
+  /** Lists the children of several members. */
+  listChildren(members: readonly OverlayMember[]): OverlayMember[] {
+    return members.flatMap(({ host }) => this.findNeighbours(host).children);
+  }
+
   /** Lists the roots of one data centre. */
   listRoots(dataCentre: DataCentreId): OverlayMember[] {
     return this.#orders.get(dataCentre)?.listRange(0, this.#shape.rootCount) ?? [];
--- a/src/distribution/proxy-distribution-filter.ts
+++ b/src/distribution/proxy-distribution-filter.ts
@@ -212,6 +212,7 @@
     { spans, newest }: Extract<DistributionMessage, { kind: 'push' }>,
     now: Instant,
   ): ProxyDistributionOut[] {
+    if (state.sources.has(address)) this.#reporter.handleSource(state, address, now);
     const isAnswer = state.pullScheduler.isAsking(address);
     const { applied, fault, conflict } = state.store.applySpans(spans);
     const outputs = this.#handleApplied(
@@ -271,6 +272,7 @@
     held: VersionMark,
     now: Instant,
   ): ProxyDistributionOut[] {
+    if (state.sources.has(address)) this.#reporter.handleSource(state, address, now);
     if (held.version < state.store.mark.version && !state.store.hasConflict(held)) {
       return state.sources.has(address) ? [] : [buildAdvertisement(state, address)];
     }
@@ -328,11 +330,13 @@
     state.incomingSnapshots.forgetAll();
     state.pullScheduler.closeApplied(sender, store.mark.version, now);
     const { children } = findNeighbours(state, this.#options);
+    const targets = [...children, ...this.#reporter.listStandIns(state, now)];
+    state.sentVersions.add(store.mark.version, now);
     const body: DistributionMessage =
       pushed.length > 0
         ? { kind: 'push', spans: pushed, newest: store.mark }
         : { kind: 'advertise', held: store.mark };
-    const outputs = children.flatMap(({ control }): ProxyDistributionOut[] =>
+    const outputs = targets.flatMap(({ control }): ProxyDistributionOut[] =>
       control === sender ? [] : [{ kind: 'send', to: control, body }],
     );
     deadlines.advertise = Math.min(deadlines.advertise, policy.decideAdvertise(now)) as Instant;
@@ -412,9 +416,15 @@
   pullScheduler,
   confirmRelay,
   poll,
+  sentVersions,
 }: ProxyDistributionState): ProxyDistributionOut[] {
   const { settle, advertise, compare, report, refresh, remind } = deadlines;
-  const others = [pullScheduler.deadline, confirmRelay.deadline, poll.deadline];
+  const others = [
+    pullScheduler.deadline,
+    confirmRelay.deadline,
+    poll.deadline,
+    sentVersions.deadline,
+  ];
   const earliest = Math.min(
     settle,
     advertise,
--- a/src/distribution/proxy-distribution-state.ts
+++ b/src/distribution/proxy-distribution-state.ts
@@ -14,6 +14,7 @@
 import { PullScheduler } from './pull-scheduler.js';
 import { ChildReports } from './child-reports.js';
 import { Overlay } from './overlay.js';
+import { SentVersions } from './sent-versions.js';
 import type { Neighbours } from './overlay.js';
 import { IncomingSnapshots } from './incoming-snapshots.js';
 import { ServedPoll } from './served-poll.js';
@@ -106,6 +107,7 @@
   readonly incomingSnapshots: IncomingSnapshots;
   readonly rateLimiter: PullRateLimiter;
   readonly reports: ChildReports;
+  readonly sentVersions: SentVersions;
   readonly confirmRelay: ConfirmRelay;
   readonly poll: ServedPoll;
   readonly linked: Set<Address>;
@@ -115,6 +117,8 @@
   namedSources: readonly Address[];
   /** The control addresses of source hosts from the membership. */
   readonly sourceHosts: Map<HostId, Address>;
+  /** The sources that spoke to this proxy in place of its parent, and until when they get its reports. */
+  readonly standInSources: Map<Address, Instant>;
   /** The sources to which this proxy keeps links. */
   readonly keptSources: Set<Address>;
   readonly deadlines: DistributionDeadlines;
@@ -144,12 +148,14 @@
     incomingSnapshots: new IncomingSnapshots(),
     rateLimiter: new PullRateLimiter(PROXY_RATE),
     reports: new ChildReports(),
+    sentVersions: new SentVersions(),
     confirmRelay: new ConfirmRelay(random),
     poll: new ServedPoll(),
     linked: new Set(),
     sources: new Set(options.sources),
     namedSources: options.sources,
     sourceHosts: new Map(),
+    standInSources: new Map(),
     keptSources: new Set(),
     deadlines: { ...NO_DEADLINES },
     appliedAt: 0 as Instant,
--- a/src/distribution/proxy-reporter.ts
+++ b/src/distribution/proxy-reporter.ts
@@ -1,7 +1,8 @@
 /** Reports to the parent which versions a proxy and its subtree hold. */
-import { NEVER } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
 import type { Address, HostId, Instant } from '../ids.js';
 import type { VersionReport, VersionMark } from '../messages/index.js';
+import type { OverlayMember } from './member-order.js';
 import { findNeighbours } from './proxy-neighbours.js';
 import type {
   ProxyDistributionOptions,
@@ -33,10 +34,19 @@
   /** Handles a version that was applied. */
   handleApplied(state: ProxyDistributionState, now: Instant): void {
     state.reminders = 0;
-    state.deadlines.remind = this.#options.policy.decideRemind(now, 0);
+    // A storm of versions must not postpone the reminder.
+    const at = this.#options.policy.decideRemind(now, 0);
+    state.deadlines.remind = Math.min(state.deadlines.remind, at) as Instant;
     this.#schedule(state, now);
   }
 
+  /** Lists the children of the children that have not reported a version in time. */
+  listStandIns(state: ProxyDistributionState, now: Instant): OverlayMember[] {
+    const { children } = findNeighbours(state, this.#options);
+    const overdue = state.sentVersions.findOverdue(now);
+    return state.overlay.listChildren(state.reports.listSilent(children, overdue));
+  }
+
   /** Handles a change of the overlay: a new parent needs a report, and new children need a reminder. */
   handleNeighbours(state: ProxyDistributionState, now: Instant): void {
     const { deadlines } = state;
@@ -53,13 +63,32 @@
     state.deadlines.report = now;
   }
 
+  /** Handles a version from a source that may stand in for the parent: it gets reports for a limited time. */
+  handleSource(state: ProxyDistributionState, source: Address, now: Instant): void {
+    if (findNeighbours(state, this.#options).isRoot) return;
+    state.standInSources.set(source, addMs(now, STAND_IN_MS));
+    const at = this.#options.policy.decideReport(now);
+    state.deadlines.report = Math.min(state.deadlines.report, at) as Instant;
+  }
+
   /** Returns the messages that are due: the report, and reminders to children. */
   decide(state: ProxyDistributionState, now: Instant): ProxyDistributionOut[] {
-    return [...this.#report(state, now), ...this.#remind(state, now)];
+    return [
+      ...this.#report(state, now),
+      ...this.#remind(state, now),
+      ...this.#advertiseOverdue(state, now),
+    ];
   }
 
   // Internals.
 
+  /** Advertises the held version to the children of silent children once a version is overdue. */
+  #advertiseOverdue(state: ProxyDistributionState, now: Instant): ProxyDistributionOut[] {
+    if (state.sentVersions.deadline > now) return [];
+    const standIns = this.listStandIns(state, now);
+    return standIns.map(({ control }) => buildAdvertisement(control, state.store.mark));
+  }
+
   #remind(state: ProxyDistributionState, now: Instant): ProxyDistributionOut[] {
     if (state.deadlines.remind > now) return [];
     const { children } = findNeighbours(state, this.#options);
@@ -68,7 +97,8 @@
     state.reminders += 1;
     state.deadlines.remind =
       lagging.length === 0 ? NEVER : this.#options.policy.decideRemind(now, state.reminders);
-    return lagging.map(({ control }) => buildAdvertisement(control, held));
+    const targets = [...lagging, ...this.listStandIns(state, now)];
+    return targets.map(({ control }) => buildAdvertisement(control, held));
   }
 
   #report(state: ProxyDistributionState, now: Instant): ProxyDistributionOut[] {
@@ -78,7 +108,7 @@
     deadlines.report = NEVER;
     if (needsRefresh) deadlines.refresh = this.#options.policy.decideRefresh(now);
     const report = this.#buildReport(state, now);
-    const outputs = this.#buildAcks(state, report);
+    const outputs = this.#buildAcks(state, report, now);
     const text = JSON.stringify(outputs);
     if (!needsRefresh && text === state.reported) return [];
     state.reported = text;
@@ -100,16 +130,27 @@
     return state.reports.buildReport({ host, held, appliedAt, children, linked }, now);
   }
 
-  #buildAcks(state: ProxyDistributionState, report: VersionReport): ProxyDistributionOut[] {
+  #buildAcks(
+    state: ProxyDistributionState,
+    report: VersionReport,
+    now: Instant,
+  ): ProxyDistributionOut[] {
     const { isRoot, parent } = findNeighbours(state, this.#options);
     if (isRoot) return [...state.sources].map((to) => buildSourceAck(to, report));
-    if (parent === undefined) return [];
-    return [{ kind: 'send', to: parent.control, body: { kind: 'ack', report } }];
+    for (const [source, until] of state.standInSources) {
+      if (until <= now) state.standInSources.delete(source);
+    }
+    const acks = [...state.standInSources.keys()].map((to) => buildSourceAck(to, report));
+    if (parent === undefined) return acks;
+    return [{ kind: 'send', to: parent.control, body: { kind: 'ack', report } }, ...acks];
   }
 }
 
 // Internals.
 
+/** How long a source that stood in for the parent gets reports after its last message. */
+const STAND_IN_MS = 5_000;
+
 function buildAdvertisement(to: Address, held: VersionMark): ProxyDistributionOut {
   return { kind: 'send', to, body: { kind: 'advertise', held } };
 }
--- a/src/distribution/source-distribution-filter.ts
+++ b/src/distribution/source-distribution-filter.ts
@@ -1,6 +1,6 @@
 /** Distribution on the source: a constant number of messages per version for any size of the fleet. */
 import { addMs, NEVER } from '../clock.js';
-import type { Address, HostId, Instant, RequestId } from '../ids.js';
+import type { Address, HostId, Instant, RequestId, Version } from '../ids.js';
 import type {
   CoverageReport,
   DeltaSpan,
@@ -22,6 +22,8 @@
 import { isRelay } from './member-order.js';
 import type { OverlayMember } from './member-order.js';
 import { findEpoch, Overlay } from './overlay.js';
+import { REPORT_TIMEOUT_MS, SentVersions } from './sent-versions.js';
+import { StandIns } from './stand-ins.js';
 import type { DistributionPolicy } from './distribution-policy.js';
 import { VersionStore } from './version-store.js';
 import { SourceConfirmer } from './source-confirmer.js';
@@ -85,6 +87,10 @@
   readonly coverage: FleetCoverage;
   readonly confirmer: SourceConfirmer;
   readonly directProxies: Map<HostId, DirectProxy>;
+  readonly sentVersions: SentVersions;
+  readonly standIns: StandIns;
+  /** When the versions whose reports are overdue are advertised past the roots that do not report. */
+  bypassAt: Instant;
   /** The versions that have not been pushed yet. */
   waiting: DeltaSpan[];
   pushAt: Instant;
@@ -118,6 +124,9 @@
       coverage: new FleetCoverage(),
       confirmer: new SourceConfirmer(),
       directProxies: new Map(),
+      sentVersions: new SentVersions(),
+      standIns: new StandIns(),
+      bypassAt: NEVER,
       waiting: [],
       pushAt: NEVER,
       remindAt: NEVER,
@@ -162,7 +171,11 @@
         return this.#forgetMember(state, message.host, now);
       case 'tick':
         state.wakeAt = NEVER;
-        return [...this.#push(state, now), ...this.#remind(state, now)];
+        return [
+          ...this.#push(state, now),
+          ...this.#remind(state, now),
+          ...this.#bypassSilent(state, now),
+        ];
     }
   }
 
@@ -174,7 +187,7 @@
     const { applied } = state.store.applySpans([buildSpan(delta)]);
     state.waiting.push(...applied);
     state.overlay.setEpoch(findEpoch(state.store.mark.version));
-    state.pushAt = Math.min(state.pushAt, this.#options.policy.decidePush(now)) as Instant;
+    state.pushAt = earliestOf(state.pushAt, this.#options.policy.decidePush(now));
     return [...this.#push(state, now), this.#buildCoverage(state, now)];
   }
 
@@ -194,9 +207,33 @@
     const waiting = state.waiting;
     state.waiting = [];
     state.reminders = 0;
-    state.remindAt = this.#options.policy.decideRemind(now, 0);
+    // A storm of versions must not postpone the reminder.
+    state.remindAt = earliestOf(state.remindAt, this.#options.policy.decideRemind(now, 0));
     const body = this.#buildUpdate(state, waiting);
-    return this.#listTargets(state).map(({ control }) => ({ kind: 'send', to: control, body }));
+    const standIns = this.#listStandIns(state, now);
+    state.sentVersions.add(state.store.mark.version, now);
+    state.bypassAt = earliestOf(state.bypassAt, state.sentVersions.deadline);
+    const targets = [...this.#listTargets(state), ...standIns];
+    return targets.map(({ control }) => ({ kind: 'send', to: control, body }));
+  }
+
+  /** Advertises the newest version past the roots that have not reported a version in time. */
+  #bypassSilent(state: SourceDistributionState, now: Instant): SourceDistributionOut[] {
+    if (state.bypassAt > now) return [];
+    const standIns = this.#listStandIns(state, now);
+    const isDue = standIns.length > 0;
+    state.bypassAt = isDue ? addMs(now, REPORT_TIMEOUT_MS) : state.sentVersions.deadline;
+    const held = state.store.mark;
+    return buildAdvertisements(
+      state,
+      standIns.filter(({ host }) => state.coverage.findOwnVersion(host) < held.version),
+    );
+  }
+
+  #listStandIns(state: SourceDistributionState, now: Instant): OverlayMember[] {
+    const { standIns, overlay, sentVersions, coverage } = state;
+    const findOwn = (host: HostId): Version => coverage.findOwnVersion(host);
+    return standIns.list(overlay, sentVersions.findOverdue(now), findOwn, now);
   }
 
   /** Advertises the newest version to the roots that have not reported it. */
@@ -209,11 +246,7 @@
     const lagging = this.#listTargets(state).filter(
       ({ host }) => state.coverage.findReportedVersion(host) < held.version,
     );
-    return lagging.map(({ control }) => ({
-      kind: 'send',
-      to: control,
-      body: { kind: 'advertise', held },
-    }));
+    return buildAdvertisements(state, lagging);
   }
 
   #buildUpdate(state: SourceDistributionState, waiting: readonly DeltaSpan[]): DistributionMessage {
@@ -316,7 +349,7 @@
   /** Handles a change of the membership: roots without a current report get an advertisement after a short delay. */
   #handleNewRoots(state: SourceDistributionState, now: Instant): SourceDistributionOut[] {
     state.reminders = 0;
-    state.remindAt = Math.min(state.remindAt, addMs(now, NEW_ROOTS_DELAY_MS)) as Instant;
+    state.remindAt = earliestOf(state.remindAt, addMs(now, NEW_ROOTS_DELAY_MS));
     return [this.#buildCoverage(state, now)];
   }
 
@@ -364,9 +397,21 @@
 const MAX_DIRECT_TARGETS = 64;
 const NEW_ROOTS_DELAY_MS = 100;
 
+function buildAdvertisements(
+  { store }: SourceDistributionState,
+  targets: readonly OverlayMember[],
+): SourceDistributionOut[] {
+  const body: DistributionMessage = { kind: 'advertise', held: store.mark };
+  return targets.map(({ control }) => ({ kind: 'send', to: control, body }));
+}
+
+function earliestOf(left: Instant, right: Instant): Instant {
+  return Math.min(left, right) as Instant;
+}
+
 function updateWake(state: SourceDistributionState): SourceDistributionOut[] {
   const remindAt = state.waiting.length > 0 ? NEVER : state.remindAt;
-  const earliest = Math.min(state.pushAt, remindAt) as Instant;
+  const earliest = earliestOf(state.pushAt, earliestOf(remindAt, state.bypassAt));
   if (earliest >= state.wakeAt) return [];
   state.wakeAt = earliest;
   return [{ kind: 'wake', at: earliest }];
