Refuse calls that a stopping proxy can't finish

Other operators saw requests that came late in the grace of a planned stop passed on and then cut, among them some that may not be repeated. Here a stopping proxy takes calls until the end of its linger time and caps their deadlines at the end of its stop, so a call whose run was longer than the rest was sent, broken off there and answered with an unknown outcome.

A call is now refused as not run before anything is sent, if by the answers that the entry proxy has seen from the service it is not expected to end in time; the caller can go to another proxy at once. The decision stands in last-calls.ts.

Ruled out: calls after the linger time, which were refused as not run before, too.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -26,6 +26,7 @@
 import type { RoutedCall } from './classify-filter.js';
 import { DeadlineHeap } from './deadline-heap.js';
 import { GuardRoundTrips } from './guard-round-trips.js';
+import { hasTimeBeforeStop } from './last-calls.js';
 import { applyFailure, applySuccess } from './outlier.js';
 import type { Picker } from './picker.js';
 import type { RetryBudgetLimits } from './retry-budget.js';
@@ -107,6 +108,9 @@
 
   #openCall(state: AttemptState, claimed: RoutedCall, now: Instant): AttemptOut[] {
     const { id } = claimed.head;
+    if (!hasTimeBeforeStop(findLatency(state, claimed.service), state.answerBy, now)) {
+      return [{ kind: 'refuse', id, reason: 'draining', outcome: 'not-run' }];
+    }
     const deadline = Math.min(claimed.deadline, state.answerBy) as Instant;
     const routed: RoutedCall = { ...claimed, deadline };
     const call: OpenCall = {
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -132,6 +132,26 @@
   t.deepEqual(driver.listKinds({ kind: 'tick' }, addMs(WARMED_UP, 100)), ['cancel']);
 });
 
+test('planned stop: call that is expected to take longer is refused as not run', (t) => {
+  const driver = new FilterDriver(1);
+  const answerAfter = (name: string, sentAt: Instant, tookMs: number): void => {
+    driver.post({ kind: 'claimed', call: makeCall(name, { timeoutMs: 1e6 }) }, sentAt);
+    const attempt = makeAttemptId(name);
+    const answeredAt = addMs(sentAt, tookMs);
+    driver.post({ kind: 'answer-started', attempt, status: 200, load: undefined }, answeredAt);
+    driver.post({ kind: 'answer-complete', attempt }, answeredAt);
+  };
+  for (let count = 0; count < 60; count += 1) {
+    answerAfter(`c${count}`, addMs(WARMED_UP, 1_000 * count), 500);
+  }
+  const now = addMs(WARMED_UP, 60_000);
+  driver.post({ kind: 'stopping', answerBy: addMs(now, 1_000) }, now);
+  const call = makeCall('early', { timeoutMs: 1e6 });
+  t.deepEqual(driver.listKinds({ kind: 'claimed', call }, now), ['dispatch']);
+  const late = { kind: 'claimed', call: makeCall('late', { timeoutMs: 1e6 }) } as const;
+  t.deepEqual(driver.listKinds(late, addMs(now, 600)), ['draining not-run']);
+});
+
 test('no retry: forwarded call', (t) => {
   const driver = new FilterDriver(2);
   driver.post({ kind: 'claimed', call: makeCall('c', { timeoutMs: 1e6 }, { attempt: 2 }) });
