--- a/test/log-growth.test.ts
+++ b/test/log-growth.test.ts
@@ -9,9 +9,17 @@
 
 const GROWTH: LogGrowth = { founds: true, minVoters: 5, maxVoters: 5, replaceAfterMs: 2_000 };
 const FOUNDERS = 3;
+const STEP_MS = 5;
+const DELIVERIES_PER_STEP = 40;
+/** A change is answered within 4 s while most of the sources can write. */
+const ACK_TIMEOUT_MS = 4_000;
 
 /** Starts replicas that are configured with the founders only; `founds` tells which may create the log. */
-function startCluster(replicas: number, founds = (_index: number) => true): LogCluster {
+function startCluster(
+  replicas: number,
+  founds = (_index: number) => true,
+  clusterSeed = 7,
+): LogCluster {
   const makeFilter = ({ seed }: ClusterOptions, index: number, addresses: readonly Address[]) => {
     return new LogFilter<string>({
       host: `h${index}` as never,
@@ -23,7 +31,7 @@
       snapshots: undefined,
     });
   };
-  return new LogCluster({ seed: 7, replicas, makeFilter });
+  return new LogCluster({ seed: clusterSeed, replicas, makeFilter });
 }
 
 function countVoters(cluster: LogCluster): number {
@@ -100,3 +108,35 @@
   cluster.settle(() => cluster.nodes.every((node) => node.state?.replica.isVoter === true));
   t.true(wiped.every((node) => node.applied.includes('kept')));
 });
+
+/** Runs a cluster while the disk of one node is full: its writes wait, and everything else goes on. */
+function runWithFullDisk(cluster: LogCluster, full: ClusterNode | undefined, milliseconds: number) {
+  for (let elapsed = 0; elapsed < milliseconds; elapsed += STEP_MS) {
+    cluster.advance(STEP_MS);
+    for (const node of cluster.nodes) if (node.running && node !== full) cluster.sync(node);
+    for (let count = 0; count < DELIVERIES_PER_STEP; count += 1) cluster.deliver();
+  }
+}
+
+test('growth: disks full in turn, commands are accepted all the while', (t) => {
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+    const cluster = startCluster(5, undefined, seed);
+    cluster.settle(() => countVoters(cluster) === 5);
+    const { leader } = cluster;
+    const others = cluster.nodes.filter((node) => node !== leader);
+    for (const full of [...others, leader, ...others]) {
+      for (let step = 0; step < 2; step += 1) {
+        const command = `${seed}-${full?.host ?? ''}-${step}-${cluster.now}`;
+        const accepting = cluster.leader;
+        if (accepting !== undefined) cluster.propose(accepting, command);
+        runWithFullDisk(cluster, full, ACK_TIMEOUT_MS);
+        const isApplied = cluster.nodes.some(({ applied }) => applied.includes(command));
+        t.true(isApplied, `seed ${seed}: ${full?.host ?? ''} is full, no answer in time`);
+      }
+    }
+    runWithFullDisk(cluster, undefined, ACK_TIMEOUT_MS);
+    const counts = new Set(cluster.nodes.map(({ applied }) => applied.length));
+    t.is(counts.size, 1, `seed ${seed}: a replica has not caught up`);
+    t.is(countVoters(cluster), 5);
+  }
+});
