Give proxies the time to apply a large version before it is overdue

A version of 1,560 routes takes a proxy with a quarter of a core more than the half second after which a silent child is passed by, so each such version would have been sent twice to many proxies over their narrow links. A report is now due later by half a millisecond a change, 1 s at most, and a small version behind a large one is not due before it.

--- a/src/distribution/proxy-distribution-filter.ts
+++ b/src/distribution/proxy-distribution-filter.ts
@@ -331,7 +331,7 @@
     state.pullScheduler.closeApplied(sender, store.mark.version, now);
     const { children } = findNeighbours(state, this.#options);
     const targets = [...children, ...this.#reporter.listStandIns(state, now)];
-    state.sentVersions.add(store.mark.version, now);
+    state.sentVersions.add(store.mark.version, pushed, now);
     const body: DistributionMessage =
       pushed.length > 0
         ? { kind: 'push', spans: pushed, newest: store.mark }
--- a/src/distribution/sent-versions.ts
+++ b/src/distribution/sent-versions.ts
@@ -2,9 +2,11 @@
 import { addMs, NEVER } from '../clock.js';
 import type { Instant, Version } from '../ids.js';
 import { NO_VERSION } from '../ids.js';
+import type { DeltaSpan } from '../messages/index.js';
 
 /** A report is due 200 ms after a version was applied; the rest is for the way and for a busy process. */
 export const REPORT_TIMEOUT_MS = 500;
+
 /** A version that was sent, and when a child without a report of it becomes overdue. */
 interface SentVersion {
   readonly version: Version;
@@ -21,10 +23,14 @@
   #sent: readonly SentVersion[] = [];
   #overdue: Version = NO_VERSION;
 
-  /** Records that a version was sent. */
-  add(version: Version, now: Instant): void {
+  /** Records that spans up to a version were sent. */
+  add(version: Version, spans: readonly DeltaSpan[], now: Instant): void {
     this.findOverdue(now);
-    const overdueAt = addMs(now, REPORT_TIMEOUT_MS);
+    const changes = spans.reduce((sum, span) => sum + span.changes.length, 0);
+    const applyMs = Math.min(changes * APPLY_MS_PER_CHANGE, MAX_APPLY_MS);
+    const ownOverdueAt = addMs(now, REPORT_TIMEOUT_MS + applyMs);
+    // A small version waits behind a large one.
+    const overdueAt = Math.max(ownOverdueAt, this.#sent.at(-1)?.overdueAt ?? 0) as Instant;
     this.#sent = [...this.#sent.slice(1 - MAX_SENT), { version, overdueAt }];
   }
 
@@ -45,5 +51,8 @@
 
 // Internals.
 
+/** The time in which a proxy with a quarter of a core reads, applies and relays one change of a large version. */
+const APPLY_MS_PER_CHANGE = 0.5;
+const MAX_APPLY_MS = 1_000;
 /** Bounds the memory in a storm of versions. */
 const MAX_SENT = 64;
--- a/src/distribution/source-distribution-filter.ts
+++ b/src/distribution/source-distribution-filter.ts
@@ -211,7 +211,7 @@
     state.remindAt = earliestOf(state.remindAt, this.#options.policy.decideRemind(now, 0));
     const body = this.#buildUpdate(state, waiting);
     const standIns = this.#listStandIns(state, now);
-    state.sentVersions.add(state.store.mark.version, now);
+    state.sentVersions.add(state.store.mark.version, waiting, now);
     state.bypassAt = earliestOf(state.bypassAt, state.sentVersions.deadline);
     const targets = [...this.#listTargets(state), ...standIns];
     return targets.map(({ control }) => ({ kind: 'send', to: control, body }));
