Give large answers 85 % of a link instead of nine tenths

docs/design/calls.md had weighed both shares: at 0.9 a link that carries 30 KB/s that the pacer doesn't see is overloaded and short messages wait for seconds; 0.85 held in both of its models. I had missed that page. What the pacer doesn't see on the users' machines is still not measured.

--- a/bench/fleet-cost-bench.ts
+++ b/bench/fleet-cost-bench.ts
@@ -3,8 +3,9 @@
  * `npm run bench -- fleet-cost [PROXIES] [ROUTES] [CALLS] [PROFILE_FOLDER]`.
  *
  * Starts `target/start.cjs` as deploy/system.toml does: three sources, and proxies that share one backend
- * server in this process. Phases: start and join, the first configuration, a series of changes of one
- * route, idle seconds, then rounds of calls through two proxies each. With a folder, one source and one proxy write CPU profiles there.
+ * server in this process. Phases: start and join, the first configuration, a series of changes of one route,
+ * idle seconds, then rounds of calls through two proxies each. With a folder, one source and one proxy write
+ * CPU profiles there.
  */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
--- a/src/edge/link-pacer.ts
+++ b/src/edge/link-pacer.ts
@@ -162,7 +162,7 @@
 
 const MS_PER_SECOND = 1_000;
 /** The part of the link for counted bytes; the rest is for requests, datagrams and the headers of packets. */
-const LARGE_ANSWER_SHARE = 0.9;
+const LARGE_ANSWER_SHARE = 0.85;
 /** An answer without a content length that has not ended after this time is streamed. */
 const STREAM_DELAY_MS = 100;
 const MIN_PIECE_BYTES = 4 * 1024;
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -111,7 +111,7 @@
   const atOnce = countWritten();
   t.true(atOnce < LARGE_BYTES / 3);
   for (let step = 0; step < 50; step += 1) {
-    pacer.addOtherTraffic(LINK_BYTES_PER_SECOND * 0.0025);
+    pacer.addOtherTraffic(LINK_BYTES_PER_SECOND * 0.001);
     clock.advance(10);
   }
   t.true(countWritten() - atOnce <= LINK_BYTES_PER_SECOND * 0.4);
@@ -121,9 +121,9 @@
   t.true(answers.every(({ response }) => response.isEnded));
 });
 
-test('answers that need nine tenths of the link: all are sent in time', (t) => {
+test('answers that need five sixths of the link: all are sent in time', (t) => {
   const { clock, open } = startPacer();
-  const gapMs = (LARGE_BYTES / (0.9 * LINK_BYTES_PER_SECOND)) * 1_000;
+  const gapMs = (LARGE_BYTES / ((5 / 6) * LINK_BYTES_PER_SECOND)) * 1_000;
   const answers = Array.from({ length: 100 }, (_, index) => {
     const { response, writer } = open(addMs(clock.read(), 2_000));
     const bytes = LARGE_BYTES * (index % 2 === 0 ? 0.5 : 1.5);
@@ -160,8 +160,8 @@
     clock.advance(10);
   }
   const written = large.response.writtenBytes + shortBytes;
-  t.true(written <= LINK_BYTES_PER_SECOND * 0.95);
-  t.true(written >= LINK_BYTES_PER_SECOND * 0.85);
+  t.true(written <= LINK_BYTES_PER_SECOND * 0.9);
+  t.true(written >= LINK_BYTES_PER_SECOND * 0.8);
 });
 
 test('large answers over a fast link: sent at once', (t) => {
