Take the vote of a replaced source host away before its successor's time to catch up is over

Cause: the successor was added at once, but the silent voter was removed only after 10 s. Until then a quorum was four of six, and two lost disks left three. log-status shows "voters":6 from 6.4 s on, and only candidates after the losses.

The new line log-voters tells who was added or removed, and why.

--- a/bench/log-bench.ts
+++ b/bench/log-bench.ts
@@ -137,6 +137,7 @@
       throw error;
     },
     notifyStatus: () => undefined,
+    notifyVoterChange: () => undefined,
     notifyDiskFull: () => undefined,
     send: () => undefined,
     notify: (notice) => {
--- a/src/edge/log-task.ts
+++ b/src/edge/log-task.ts
@@ -4,7 +4,15 @@
 import { Packr } from 'msgpackr';
 import type { Clock } from '../clock.js';
 import type { Address, ReplicaId } from '../ids.js';
-import type { LogIn, LogOptions, LogOut, LogRecord, LogStatus, LogWrite } from '../log/index.js';
+import type {
+  LogIn,
+  LogOptions,
+  LogOut,
+  LogRecord,
+  LogStatus,
+  LogWrite,
+  VoterChange,
+} from '../log/index.js';
 import { buildStoredLog, LogFilter } from '../log/index.js';
 import type {
   CapturedSnapshot,
@@ -32,6 +40,8 @@
   readonly notify: (notice: LogNotice<Command> | LogSnapshotNotice<Snapshot>) => void;
   /** Called when the role, term, leader or membership changes. */
   readonly notifyStatus: (status: LogStatus) => void;
+  /** Called when this replica leads and has changed the voters. */
+  readonly notifyVoterChange: (change: VoterChange) => void;
   /** Called with true when a write fails on a full disk, and with false once a write succeeds again. */
   readonly notifyDiskFull: (isFull: boolean) => void;
   /** Sends a packet on the log's channel. */
@@ -112,6 +122,9 @@
       case 'status':
         this.#options.notifyStatus(output.status);
         return;
+      case 'voter-changed':
+        this.#options.notifyVoterChange(output.change);
+        return;
       case 'wake':
         this.#timer.wakeAt(output.at);
         return;
--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -2,6 +2,7 @@
 import { addMs } from '../clock.js';
 import type { Address, Instant, LogIndex } from '../ids.js';
 import type { LogContent, LogRequest, Membership, Voter } from '../messages/index.js';
+import type { VoterChange } from './log-messages.js';
 import type { ReceivedAnswer, RoleKind } from './log-role.js';
 import { LogRole } from './log-role.js';
 import { addVoter, findQuorumValue, findVoter, hasQuorum, removeVoter } from './membership.js';
@@ -176,23 +177,32 @@
     for (const learner of this.#learners.values()) {
       const next = this.#findMembershipChange(learner, now);
       if (next === undefined) continue;
-      this.#append({ kind: 'membership', membership: next });
-      this.#replicator.replicate(now);
+      this.#changeMembership(next, now);
       return;
     }
   }
 
-  #findMembershipChange(learner: Voter, now: Instant): Membership | undefined {
+  #changeMembership({ membership, ...change }: MembershipChange, now: Instant): void {
+    this.#append({ kind: 'membership', membership });
+    this.#replicator.replicate(now);
+    this.replica.reportVoterChange({ ...change, voters: membership.voters.length });
+  }
+
+  #findMembershipChange(learner: Voter, now: Instant): MembershipChange | undefined {
     const membership = this.#membership;
-    const formerVoter = findVoter(membership, learner.address);
-    if (formerVoter !== undefined) return removeVoter(membership, learner.address);
+    const { address } = learner;
+    if (findVoter(membership, address) !== undefined) {
+      const remaining = removeVoter(membership, address);
+      return { membership: remaining, action: 'remove', voter: address, cause: 'disk-lost' };
+    }
     if (!this.#hasCaughtUp(learner) || this.#isSilent(learner, now, LEARNER_SILENCE_MS)) {
       return undefined;
     }
     const { maxVoters = UNLIMITED } = this.replica.options.growth ?? {};
     if (membership.voters.length >= maxVoters) return undefined;
-    this.#learners.delete(learner.address);
-    return addVoter(membership, learner);
+    this.#learners.delete(address);
+    const extended = addVoter(membership, learner);
+    return { membership: extended, action: 'add', voter: address, cause: 'caught-up' };
   }
 
   #hasCaughtUp(learner: Voter): boolean {
@@ -201,8 +211,9 @@
   }
 
   /**
-   * Removes a voter that has not answered for `replaceAfterMs`, if a learner at another address has caught up
-   * and can replace it, or if there are more voters than required.
+   * Removes the voter that has been silent longest, and for `replaceAfterMs` at least, if a learner at another
+   * address has caught up and can replace it, or if there are more voters than required. A voter that was merely
+   * cut off becomes a voter again once it has caught up.
    */
   #removeSilentVoter(now: Instant): void {
     const { entries, committed, options } = this.replica;
@@ -215,22 +226,33 @@
       return isNew && isReachable && this.#hasCaughtUp(learner);
     });
     if (voters.length <= growth.minVoters && !hasReplacement) return;
-    const silent = voters.find((voter) => this.#isSilent(voter, now, growth.replaceAfterMs));
-    if (silent === undefined) return;
-    const membership = removeVoter(this.#membership, silent.address);
-    this.#append({ kind: 'membership', membership });
-    this.#replicator.replicate(now);
+    const silent = voters.filter((voter) => this.#isSilent(voter, now, growth.replaceAfterMs));
+    const [longest] = silent.sort((left, right) => {
+      return this.#readLastAnswer(left, now) - this.#readLastAnswer(right, now);
+    });
+    if (longest === undefined) return;
+    const { address } = longest;
+    const membership = removeVoter(this.#membership, address);
+    this.#changeMembership({ membership, action: 'remove', voter: address, cause: 'silent' }, now);
   }
 
   #isSilent(voter: Voter, now: Instant, afterMs: number): boolean {
-    if (voter.replica === this.replica.id) return false;
-    const lastAnswerAt = this.#replicator.find(voter)?.lastAnswerAt;
-    return lastAnswerAt !== undefined && now >= addMs(lastAnswerAt, afterMs);
+    return now >= addMs(this.#readLastAnswer(voter, now), afterMs);
+  }
+
+  #readLastAnswer(voter: Voter, now: Instant): Instant {
+    if (voter.replica === this.replica.id) return now;
+    return this.#replicator.find(voter)?.lastAnswerAt ?? now;
   }
 }
 
 // Internals.
 
+/** The next membership, and how it differs from the present one. */
+interface MembershipChange extends Omit<VoterChange, 'voters'> {
+  readonly membership: Membership;
+}
+
 const NO_VOTERS: Membership = { voters: [] };
 /** A learner without an answer for longer than this may have stopped since it caught up. */
 const LEARNER_SILENCE_MS = 1_000;
--- a/src/log/log-messages.ts
+++ b/src/log/log-messages.ts
@@ -38,8 +38,22 @@
   | { readonly kind: 'capture'; readonly through: LogIndex }
   | { readonly kind: 'restore'; readonly through: LogIndex; readonly bytes: Uint8Array }
   | { readonly kind: 'status'; readonly status: LogStatus }
+  | { readonly kind: 'voter-changed'; readonly change: VoterChange }
   | WakeRequest;
 
+/** A change of the voters that a leader has appended to its log, for operators. */
+export interface VoterChange {
+  readonly action: 'add' | 'remove';
+  readonly voter: Address;
+  /**
+   * `caught-up`: a new replica has all committed entries; `disk-lost`: another replica has started at the
+   * address; `silent`: the voter has not answered for too long, and the others suffice without it.
+   */
+  readonly cause: 'caught-up' | 'disk-lost' | 'silent';
+  /** The number of voters after the change. */
+  readonly voters: number;
+}
+
 /** The status of a replica, for operators. */
 export interface LogStatus {
   readonly role: RoleKind;
--- a/src/log/replica.ts
+++ b/src/log/replica.ts
@@ -13,7 +13,7 @@
 import { DurabilityBarrier } from './durability-barrier.js';
 import type { WriteNumber } from './durability-barrier.js';
 import { EntryTable } from './entry-table.js';
-import type { LogOut } from './log-messages.js';
+import type { LogOut, VoterChange } from './log-messages.js';
 import type { LogOptions } from './log-options.js';
 import type { LogRecord, StoredLog } from './log-record.js';
 import { listRecords, START } from './log-record.js';
@@ -199,6 +199,11 @@
     this.#outputs.push({ kind: 'notice', notice });
   }
 
+  /** Reports a change of the voters that this replica has appended as the leader. */
+  reportVoterChange(change: VoterChange): void {
+    this.#outputs.push({ kind: 'voter-changed', change });
+  }
+
   /** Refuses a request. */
   refuse(id: RequestId, refusal: LogRefusal): void {
     this.notify({ kind: 'refused', id, refusal });
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -40,6 +40,7 @@
   'version-committed': LOW_RATE,
   'version-restored': LOW_RATE,
   'log-status': HIGH_RATE,
+  'log-voters': HIGH_RATE,
   'disk-full': HIGH_RATE,
   'disk-has-room': HIGH_RATE,
   'command-decided': HIGH_RATE,
--- a/src/program/run-ledger.ts
+++ b/src/program/run-ledger.ts
@@ -111,6 +111,9 @@
     notifyStatus: (status) => {
       options.log('log-status', { group: name, ...status });
     },
+    notifyVoterChange: (change) => {
+      options.log('log-voters', { group: name, ...change });
+    },
     notifyDiskFull: (isFull) => {
       options.log(isFull ? 'disk-full' : 'disk-has-room', { group: name });
     },
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -83,6 +83,9 @@
       recovery.report('log-status', { group: LOG_GROUP, ...status });
       report('log', status);
     },
+    notifyVoterChange: (change) => {
+      recovery.report('log-voters', { group: LOG_GROUP, ...change });
+    },
     notifyDiskFull: (isFull) => {
       options.log(isFull ? 'disk-full' : 'disk-has-room', { group: LOG_GROUP });
     },
--- a/src/program/settings/source-settings.ts
+++ b/src/program/settings/source-settings.ts
@@ -34,7 +34,12 @@
 }
 
 const DEFAULT_MAX_VOTERS = 7;
-const DEFAULT_REPLACE_AFTER_MS = 10_000;
+const DEFAULT_CATCH_UP_SECONDS = 4;
+const MAX_CATCH_UP_SECONDS = 3_600;
+const MS_PER_SECOND = 1_000;
+
+/** Leaves half of the time to catch up for an election and the two changes of the membership. */
+const SILENT_SHARE = 0.5;
 
 const growthSchema = z
   .strictObject({
@@ -42,15 +47,27 @@
     founds: z.boolean().default(false),
     tolerated_losses: z.int().min(0),
     max_voters: z.int().min(1).default(DEFAULT_MAX_VOTERS),
-    replace_after_ms: buildMillisecondsSchema(MIN_WAIT_MS, MAX_WAIT_MS).default(
-      DEFAULT_REPLACE_AFTER_MS,
-    ),
+    catch_up_seconds: z
+      .number()
+      .positive()
+      .max(MAX_CATCH_UP_SECONDS)
+      .default(DEFAULT_CATCH_UP_SECONDS),
+    replace_after_ms: buildMillisecondsSchema(MIN_WAIT_MS, MAX_WAIT_MS).optional(),
   })
-  .transform(({ seeds, founds, tolerated_losses, max_voters, replace_after_ms }) => {
+  .transform(({ seeds, founds, tolerated_losses, max_voters, ...times }) => {
     // A quorum must remain after the tolerated number of replicas is lost.
     const minVoters = 2 * tolerated_losses + 1;
     const maxVoters = Math.max(minVoters, max_voters);
-    return { seeds, growth: { founds, minVoters, maxVoters, replaceAfterMs: replace_after_ms } };
+    const { catch_up_seconds: catchUp, replace_after_ms: replaceAfterMs } = times;
+    return {
+      seeds,
+      growth: {
+        founds,
+        minVoters,
+        maxVoters,
+        replaceAfterMs: replaceAfterMs ?? catchUp * MS_PER_SECOND * SILENT_SHARE,
+      },
+    };
   });
 
 /** Checks the section `[source]`. */
--- a/test/disk-full.test.ts
+++ b/test/disk-full.test.ts
@@ -86,6 +86,7 @@
       if (notice.kind !== 'capture' && notice.kind !== 'restore') notices.push(notice);
     },
     notifyStatus: () => undefined,
+    notifyVoterChange: () => undefined,
     notifyDiskFull: (isFull) => diskFullReports.push(isFull),
     send: () => undefined,
   });
--- a/test/log-cluster.ts
+++ b/test/log-cluster.ts
@@ -141,9 +141,14 @@
     for (const other of this.nodes) if (other !== node) this.cut(node, other);
   }
 
+  /** Restores every link. */
+  join(): void {
+    this.#cutLinks.clear();
+  }
+
   /** Restores every link, resumes every paused node and starts every stopped one. */
   heal(): void {
-    this.#cutLinks.clear();
+    this.join();
     for (const node of this.nodes) {
       node.paused = false;
       if (!node.running) this.start(node);
@@ -265,6 +270,7 @@
         this.#options.restore?.(node, node.applied);
         return;
       case 'status':
+      case 'voter-changed':
         return;
       case 'wake':
         node.wakeAt = Math.min(node.wakeAt, output.at - node.clockOffset) as Instant;
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -133,6 +133,13 @@
   t.is(source?.tokenFile, undefined);
 });
 
+test('settings: silent voter is replaced within the time to catch up', (t) => {
+  const growth =
+    'growth = { seeds = ["10.0.0.5:9999"], tolerated_losses = 2, catch_up_seconds = 6 }';
+  const { source } = load(VALID_SETTINGS.replace('token_file = "token"', growth));
+  t.is(source?.growth?.replaceAfterMs, 3_000);
+});
+
 test('settings: filled templates of deploy/ are valid', (t) => {
   const fields: Readonly<Record<string, string>> = {
     'node|json': '"sidecar-a-1"',
