Replace the connection of a link that has gone silent

Cause: a link was believed until nothing was received for 12 s, and the first connection of a link was kept, so that messages went into it all the while, also when the peer had dialled a new one.

Change: a ping follows the messages on a connection, at most one in 250 ms; its pong acknowledges what was sent before. Without one in 400 ms another connection is dialled, sends the rest again and ends the silent one. The newest connection carries messages. A quiet link sends nothing more than before. Related: when an attempt on a reused connection gets no answer and nothing else comes from its address, the idle connections to it are closed, too.

--- a/bench/partition-relay.ts
+++ b/bench/partition-relay.ts
@@ -81,6 +81,16 @@
     for (const connection of this.#connections) if (connection.cut) connection.peerSocket.destroy();
   }
 
+  /** Silences the open connections: they stay open and carry nothing. New ones are forwarded. */
+  silence(): void {
+    for (const connection of this.#connections) stopForwarding(connection);
+  }
+
+  /** Ends the silence of the open connections; what was sent meanwhile arrives late. */
+  release(): void {
+    for (const connection of this.#connections) startForwarding(connection);
+  }
+
   /** Closes every socket. */
   async stop(): Promise<void> {
     for (const connection of this.#connections) connection.peerSocket.destroy();
@@ -115,13 +125,18 @@
       stopForwarding(connection);
       return;
     }
-    peerSocket.pipe(targetSocket);
-    targetSocket.pipe(peerSocket);
+    startForwarding(connection);
   }
 }
 
 // Internals.
 
+function startForwarding(connection: ForwardedConnection): void {
+  connection.cut = false;
+  connection.peerSocket.pipe(connection.targetSocket);
+  connection.targetSocket.pipe(connection.peerSocket);
+}
+
 function stopForwarding(connection: ForwardedConnection): void {
   connection.cut = true;
   connection.peerSocket.unpipe();
--- a/src/edge/hop-connection.ts
+++ b/src/edge/hop-connection.ts
@@ -18,6 +18,10 @@
   readonly clock: Clock;
   /** Called when the connection can carry another request. */
   readonly notifyIdle: (connection: HopConnection) => void;
+  /** Called when anything was received. */
+  readonly notifyReceived: (at: Instant) => void;
+  /** Called when a request that was sent at `sentAt` got no answer on a reused connection. */
+  readonly notifyUnanswered: (sentAt: Instant) => void;
   /** Called once when the connection is closed. */
   readonly notifyClosed: (connection: HopConnection) => void;
 }
@@ -36,6 +40,8 @@
   /** The request that waits for the connection to open. */
   #firstRequest: HopRequest | undefined;
   #exchange: HopExchange | undefined;
+  /** When a request was sent that found the connection idle; undefined once anything was received. */
+  #unansweredSince: Instant | undefined;
   #body: BodyWriter | undefined;
   #idleUntil = NEVER;
   #hasEnded = false;
@@ -88,6 +94,7 @@
     const exchange = new HopExchange(this, handler);
     if (!handler.handleStart(exchange)) return false;
     this.#exchange = exchange;
+    this.#unansweredSince = this.#idleUntil === NEVER ? undefined : this.#options.clock.read();
     this.#idleUntil = NEVER;
     this.#parser.start(handler, request.method);
     const framing = findFraming(request);
@@ -116,6 +123,9 @@
 
   /** Closes the connection; its request fails immediately with this cause. */
   close(cause: string): void {
+    const unansweredSince = this.#unansweredSince;
+    this.#unansweredSince = undefined;
+    if (unansweredSince !== undefined) this.#options.notifyUnanswered(unansweredSince);
     this.#closeCause = cause;
     this.#socket.destroy();
     this.#fail(cause);
@@ -162,6 +172,8 @@
   }
 
   #handleBytes(bytes: Buffer): void {
+    this.#unansweredSince = undefined;
+    this.#options.notifyReceived(this.#options.clock.read());
     if (this.#exchange === undefined) {
       this.close('bytes came that belong to no request');
       return;
--- a/src/edge/hop-pool.ts
+++ b/src/edge/hop-pool.ts
@@ -1,6 +1,6 @@
 /** A pool of client connections to one address. */
 import type { Clock } from '../clock.js';
-import { NEVER } from '../clock.js';
+import { addMs, NEVER } from '../clock.js';
 import type { Address, Instant } from '../ids.js';
 import { HopConnection } from './hop-connection.js';
 import type { HopRequest } from './hop-request.js';
@@ -23,6 +23,8 @@
   readonly #idle: HopConnection[] = [];
   readonly #waiting: HopRequest[] = [];
   #isRetired = false;
+  /** When any connection last received something. */
+  #lastReceivedAt = 0 as Instant;
 
   constructor(options: HopPoolOptions) {
     this.#options = options;
@@ -75,6 +77,12 @@
         notifyIdle: (idle) => {
           this.#handleIdle(idle);
         },
+        notifyReceived: (at) => {
+          this.#lastReceivedAt = at;
+        },
+        notifyUnanswered: (sentAt) => {
+          this.#handleUnanswered(sentAt);
+        },
         notifyClosed: (closed) => {
           this.#handleClosed(closed);
         },
@@ -96,6 +104,16 @@
     this.#options.notifyIdle(connection.idleUntil);
   }
 
+  /**
+   * Closes the idle connections if nothing came on any connection since an unanswered request was sent: they may
+   * have gone silent with its connection, and the next request gets a new one.
+   */
+  #handleUnanswered(sentAt: Instant): void {
+    const isTooSoon = this.#options.clock.read() < addMs(sentAt, MIN_SILENCE_MS);
+    if (isTooSoon || this.#lastReceivedAt >= sentAt) return;
+    for (const idle of [...this.#idle]) idle.close(PEER_SILENT);
+  }
+
   #handleClosed(connection: HopConnection): void {
     this.#connections.delete(connection);
     const index = this.#idle.indexOf(connection);
@@ -107,6 +125,9 @@
 
 // Internals.
 
+/** A request that is given up sooner tells nothing about its connection. */
+const MIN_SILENCE_MS = 400;
 const IDLE_EXPIRED = 'the idle connection expired';
+const PEER_SILENT = 'another connection to the address carried no answer';
 const POOL_RETIRED = 'the connection pool was retired';
 const PROXY_STOPPED = 'the proxy has stopped';
--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -9,10 +9,14 @@
 import { splitAddress } from '../ids.js';
 import type { LinkChannel, LinkCommand, LinkEvent } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
-import { Task } from '../pipe/index.js';
+import { Task, WakeTimer } from '../pipe/index.js';
 import type { Random } from '../random.js';
 import type { Frame, Hello } from './link-codec.js';
+import { AnswerPatience } from './answer-patience.js';
+import { runAfterPoll } from './after-poll.js';
 import { decodeFrame, encodeHello, MAX_FRAME_BYTES, MessageEncoder } from './link-codec.js';
+import type { LinkPacket } from './link-connection.js';
+import { LinkConnection } from './link-connection.js';
 
 /** Bytes sent and received over all links on one channel. */
 export interface ChannelBytes {
@@ -36,6 +40,8 @@
   readonly notifyRejected: (from: Address, reason: string) => void;
   /** Called with the size of each sent message; like `notify`, it must post to another task. */
   readonly notifySent?: (bytes: number) => void;
+  /** Called when a connection did not answer a probe in time, so that the link needs another one. */
+  readonly notifySilent?: (address: Address, unacknowledged: number) => void;
 }
 
 /** Liveness deadlines of an open connection; each received message, ping or pong renews them. */
@@ -46,13 +52,22 @@
   readonly terminateAt: Instant;
 }
 
+/** A connection that this process dials. */
+interface Dial {
+  readonly to: Address;
+  /** The connections that it replaces once it is open. */
+  readonly replaced: readonly LinkConnection[];
+}
+
 /** The state of the link to one address. */
 interface PeerLink {
-  /** The open connection, whichever side dialled it. */
-  socket: WebSocket | undefined;
+  readonly address: Address;
+  /** The open connections, whichever side dialled them; the newest one that is not silent carries messages. */
+  readonly connections: LinkConnection[];
+  readonly patience: AnswerPatience;
   dialling: WebSocket | undefined;
-  /** Messages queued until the connection is open. */
-  waiting: { channel: LinkChannel; bytes: Buffer }[];
+  /** Messages queued until a connection is open. */
+  waiting: LinkPacket[];
   /** The number of `keep` commands without a matching `drop`; above 0, the link is kept open. */
   keepCount: number;
   /** When the last message was sent or received. */
@@ -64,7 +79,8 @@
 /**
  * Owns the listening socket and all links of a process.
  *
- * The first message to an address dials its link. A kept link is redialled after it breaks, with capped
+ * The first message to an address dials its link. A connection that goes silent is replaced by a new one, which
+ * sends again what was not acknowledged; a connection that the peer dials takes the link over. A kept link is redialled after it breaks, with capped
  * exponential backoff and full jitter. Any other link is redialled by the next message and closed after
  * an idle timeout. A connection that receives a malformed frame is terminated. Delivery is not
  * guaranteed: a message is dropped if its link breaks, and the filters in the pipes recover from it.
@@ -73,6 +89,9 @@
   readonly #options: LinkTaskOptions;
   readonly #links = new Map<Address, PeerLink>();
   readonly #deadlines = new Map<WebSocket, ConnectionDeadlines>();
+  /** The connections whose peers have said hello. */
+  readonly #connections = new Map<WebSocket, LinkConnection>();
+  readonly #probeTimer: WakeTimer;
   readonly #bytes = new Map<LinkChannel, ChannelBytes>();
   readonly #encoder = new MessageEncoder();
   #server: Server | undefined;
@@ -82,6 +101,12 @@
   constructor(options: LinkTaskOptions) {
     super('links', options.reportFailure);
     this.#options = options;
+    this.#probeTimer = new WakeTimer(options.clock, () => {
+      // Answers that have arrived during a pause of the process are read first.
+      runAfterPoll(() => {
+        this.#checkConnections();
+      });
+    });
   }
 
   /** Bytes of messages sent and received since the start, per channel. */
@@ -120,9 +145,9 @@
   protected override async close(): Promise<void> {
     this.#closed = true;
     this.#cancelSweep?.();
+    this.#probeTimer.stop();
     for (const link of this.#links.values()) {
       link.cancelRetry?.();
-      link.socket?.terminate();
       link.dialling?.terminate();
     }
     for (const socket of this.#deadlines.keys()) socket.terminate();
@@ -154,30 +179,27 @@
   }
 
   #send(to: Address, channel: LinkChannel, body: unknown): void {
-    const bytes = this.#encoder.encode(channel, body);
+    const packet = { channel, bytes: this.#encoder.encode(channel, body) };
     const link = this.#findLink(to);
     link.lastUsedAt = this.#options.clock.read();
-    if (link.socket !== undefined) {
-      this.#write(link.socket, channel, bytes);
-      return;
-    }
-    if (link.waiting.length < MAX_QUEUED_MESSAGES) link.waiting.push({ channel, bytes });
-    if (link.dialling === undefined && link.cancelRetry === undefined) this.#dial(to, link);
+    const connection = findCurrent(link);
+    if (connection !== undefined) this.#write(connection, packet);
+    else if (link.waiting.length < MAX_QUEUED_MESSAGES) link.waiting.push(packet);
+    this.#dialIfNeeded(link);
   }
 
-  #write(socket: WebSocket, channel: LinkChannel, bytes: Buffer): void {
+  #write(connection: LinkConnection, packet: LinkPacket): void {
+    const { channel, bytes } = packet;
     this.#countBytes(channel).sent += bytes.length;
     this.#options.notifySent?.(bytes.length);
-    socket.send(bytes);
-    if (socket.bufferedAmount > MAX_BUFFERED_BYTES) socket.terminate();
+    connection.send(packet);
+    this.#probeTimer.wakeAt(connection.deadline);
   }
 
   #keep(to: Address): void {
     const link = this.#findLink(to);
     link.keepCount += 1;
-    if (link.socket === undefined && link.dialling === undefined && !link.cancelRetry) {
-      this.#dial(to, link);
-    }
+    this.#dialIfNeeded(link);
   }
 
   #drop(to: Address): void {
@@ -186,11 +208,20 @@
     if (link.keepCount > 0) return;
     link.cancelRetry?.();
     link.cancelRetry = undefined;
-    link.socket?.close();
+    for (const connection of link.connections) connection.close();
     link.dialling?.terminate();
   }
 
+  /** Dials unless a connection that is not silent is open, or will be. */
+  #dialIfNeeded(link: PeerLink): void {
+    if (this.#closed || link.dialling !== undefined || link.cancelRetry !== undefined) return;
+    if (findCurrent(link)?.isSilent === false) return;
+    this.#dial(link.address, link);
+  }
+
   #dial(to: Address, link: PeerLink): void {
+    link.cancelRetry?.();
+    link.cancelRetry = undefined;
     const socket = new WebSocket(`ws://${to}`, {
       localAddress: splitAddress(this.#options.bind).host,
       perMessageDeflate: false,
@@ -198,10 +229,11 @@
       maxPayload: MAX_FRAME_BYTES,
     });
     link.dialling = socket;
+    const replaced = [...link.connections];
     socket.on('open', () => {
       socket.send(encodeHello(this.#hello));
     });
-    this.#addListeners(socket, to, to);
+    this.#addListeners(socket, to, { to, replaced });
   }
 
   #accept(socket: WebSocket, from: Address): void {
@@ -211,13 +243,17 @@
   }
 
   /** Handles the frames of a socket; the peer's hello frame names the address of its link. */
-  #addListeners(socket: WebSocket, from: Address, dialled: Address | undefined): void {
+  #addListeners(socket: WebSocket, from: Address, dialled: Dial | undefined): void {
     let hello: Hello | undefined;
-    for (const event of ['open', 'ping', 'pong'] as const) {
+    for (const event of ['open', 'ping'] as const) {
       socket.on(event, () => {
         this.#updateDeadlines(socket);
       });
     }
+    socket.on('pong', (data: Buffer) => {
+      this.#updateDeadlines(socket);
+      this.#handleAnswer(socket, dialled?.to ?? hello?.control, data);
+    });
     socket.on('message', (data: Buffer) => {
       this.#updateDeadlines(socket);
       const frame = this.#readFrame(data, hello?.control ?? from);
@@ -226,14 +262,16 @@
         return;
       }
       if (frame.kind === 'hello') {
+        if (hello !== undefined) return;
         hello = frame.hello;
-        this.#addConnection(dialled ?? hello.control, hello.host, socket);
+        const link = this.#findLink(dialled?.to ?? hello.control);
+        this.#addConnection(link, hello.host, socket, dialled?.replaced ?? []);
         return;
       }
       if (hello === undefined) return;
       this.#countBytes(frame.channel).received += data.length;
       const { channel, body } = frame;
-      const address = dialled ?? hello.control;
+      const address = dialled?.to ?? hello.control;
       this.#findLink(address).lastUsedAt = this.#options.clock.read();
       this.#options.notify({ kind: 'received', from: hello.host, address, channel, body });
     });
@@ -242,8 +280,9 @@
     });
     socket.on('close', () => {
       this.#deadlines.delete(socket);
-      const address = dialled ?? hello?.control;
+      const address = dialled?.to ?? hello?.control;
       if (address !== undefined) this.#removeConnection(address, hello?.host, socket);
+      this.#connections.delete(socket);
     });
   }
 
@@ -257,38 +296,95 @@
     }
   }
 
-  #addConnection(address: Address, host: HostId, socket: WebSocket): void {
-    const link = this.#findLink(address);
+  /** Adds the newest connection of a link. It takes over from the others, and those it replaces are ended. */
+  #addConnection(
+    link: PeerLink,
+    host: HostId,
+    socket: WebSocket,
+    replaced: readonly LinkConnection[],
+  ): void {
     if (link.dialling === socket) link.dialling = undefined;
-    if (link.socket !== undefined) return;
-    link.socket = socket;
+    const connection = new LinkConnection(socket, this.#options.clock, link.patience);
+    this.#connections.set(socket, connection);
+    const isTakeover = link.connections.length > 0;
+    link.connections.push(connection);
     link.attempts = 0;
-    for (const { channel, bytes } of link.waiting.splice(0)) this.#write(socket, channel, bytes);
-    this.#options.notify({ kind: 'link-up', host, address });
+    const unacknowledged = replaced.flatMap((one) => one.removeUnacknowledged());
+    for (const packet of [...unacknowledged, ...link.waiting.splice(0)]) {
+      this.#write(connection, packet);
+    }
+    for (const one of replaced) one.terminate();
+    if (!isTakeover || replaced.length > 0) {
+      this.#options.notify({ kind: 'link-up', host, address: link.address });
+    }
   }
 
   #removeConnection(address: Address, host: HostId | undefined, socket: WebSocket): void {
     const link = this.#findLink(address);
     const wasDialling = link.dialling === socket;
-    const wasOpen = link.socket === socket;
     if (wasDialling) link.dialling = undefined;
-    if (wasOpen) link.socket = undefined;
-    if (!wasDialling && !wasOpen) return;
-    if (this.#closed) return;
+    const connection = this.#connections.get(socket);
+    const index = connection === undefined ? -1 : link.connections.indexOf(connection);
+    if (index >= 0) link.connections.splice(index, 1);
+    if (this.#closed || (!wasDialling && index < 0)) return;
+    if (findCurrent(link) !== undefined) {
+      const silent = link.connections.filter(({ isSilent }) => isSilent);
+      for (const one of [connection, ...silent]) this.#moveUnacknowledged(link, one);
+      if (findCurrent(link)?.isSilent === true) this.#retryLater(address, link);
+      return;
+    }
     link.waiting = [];
     this.#options.notify({ kind: 'link-down', host, address });
     if (link.keepCount > 0) this.#retryLater(address, link);
-    else if (link.dialling === undefined && link.socket === undefined) this.#links.delete(address);
+    else if (link.dialling === undefined) this.#links.delete(address);
+  }
+
+  /** Sends what a closed or silent connection has not delivered on another one of its link. */
+  #moveUnacknowledged(link: PeerLink, from: LinkConnection | undefined): void {
+    const current = findCurrent(link);
+    if (current === undefined || current === from) return;
+    for (const packet of from?.removeUnacknowledged() ?? []) this.#write(current, packet);
+  }
+
+  /** Handles the answer to a probe. A connection that answers late needs no replacement. */
+  #handleAnswer(socket: WebSocket, address: Address | undefined, answer: Buffer): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined || address === undefined) return;
+    const wasSilent = connection.isSilent;
+    connection.handleAnswer(answer);
+    this.#probeTimer.wakeAt(connection.deadline);
+    if (!wasSilent) return;
+    const link = this.#findLink(address);
+    link.cancelRetry?.();
+    link.cancelRetry = undefined;
+    link.dialling?.terminate();
+  }
+
+  /** Sends the probes that are due, and replaces the connections that have become silent. */
+  #checkConnections(): void {
+    if (this.#closed) return;
+    for (const link of this.#links.values()) {
+      for (const connection of [...link.connections]) {
+        if (connection.check()) this.#handleSilence(link, connection);
+        this.#probeTimer.wakeAt(connection.deadline);
+      }
+    }
+  }
+
+  #handleSilence(link: PeerLink, connection: LinkConnection): void {
+    this.#options.notifySilent?.(link.address, connection.unacknowledged);
+    // The other connections may be silent, too, and not know it yet.
+    if (link.dialling === undefined) this.#dial(link.address, link);
   }
 
   #retryLater(address: Address, link: PeerLink): void {
-    if (link.cancelRetry !== undefined || link.socket !== undefined) return;
+    if (link.cancelRetry !== undefined || findCurrent(link)?.isSilent === false) return;
     const { clock, random } = this.#options;
     const maxDelayMs = Math.min(MAX_RETRY_DELAY_MS, BASE_RETRY_DELAY_MS * 2 ** link.attempts);
     link.attempts += 1;
     link.cancelRetry = clock.callAt(addMs(clock.read(), random.next() * maxDelayMs), () => {
       link.cancelRetry = undefined;
-      this.#dial(address, link);
+      this.#dialIfNeeded(link);
     });
   }
 
@@ -301,7 +397,8 @@
     }
     const idleBefore = addMs(now, -MAX_IDLE_MS);
     for (const link of this.#links.values()) {
-      if (link.keepCount === 0 && link.lastUsedAt < idleBefore) link.socket?.close();
+      if (link.keepCount > 0 || link.lastUsedAt >= idleBefore) continue;
+      for (const connection of link.connections) connection.close();
     }
     this.#sweepLater();
   }
@@ -327,7 +424,9 @@
     const known = this.#links.get(address);
     if (known !== undefined) return known;
     const link: PeerLink = {
-      socket: undefined,
+      address,
+      connections: [],
+      patience: new AnswerPatience(),
       dialling: undefined,
       waiting: [],
       keepCount: 0,
@@ -358,13 +457,17 @@
 const BASE_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 5_000;
 const MAX_QUEUED_MESSAGES = 1_000;
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 const MAX_IDLE_MS = 60_000;
 const UPGRADE_REQUIRED = 426;
 const SWEEP_INTERVAL_MS = 3_000;
 const PING_AFTER_IDLE_MS = 4_000;
 const RECEIVE_TIMEOUT_MS = 12_000;
 
+/** Finds the connection that carries messages: the newest that is not silent, or else the newest. */
+function findCurrent({ connections }: PeerLink): LinkConnection | undefined {
+  return connections.findLast(({ isSilent }) => !isSilent) ?? connections.at(-1);
+}
+
 /** Answers plain HTTP requests: the server accepts only WebSocket connections. */
 function refuseRequest(_request: IncomingMessage, response: ServerResponse): void {
   response.writeHead(UPGRADE_REQUIRED).end();
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -31,6 +31,7 @@
   'source-lost': HIGH_RATE,
   'source-link-up': HIGH_RATE,
   'source-link-down': HIGH_RATE,
+  'link-silent': HIGH_RATE,
   'vouch-asked': HIGH_RATE,
   'version-vouched': HIGH_RATE,
   'source-leads': HIGH_RATE,
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -64,6 +64,9 @@
     notifyRejected: (from, reason) => {
       log('frame-rejected', { from, reason });
     },
+    notifySilent: (control, unacknowledged) => {
+      log('link-silent', { control, unacknowledged });
+    },
     notifySent: (bytes) => {
       for (const role of roles) role.handleBytesSent?.(bytes);
     },
--- a/test/hop-pool.test.ts
+++ b/test/hop-pool.test.ts
@@ -411,3 +411,38 @@
 function toBuffer(text: string): Buffer {
   return Buffer.from(text);
 }
+
+// Guards against a pool whose idle connections have all gone silent, and take one request each.
+test('silent connection: next request gets a new one', async (t) => {
+  let isSilent = false as boolean;
+  const answer: Handle = (connection, index) => {
+    if (!isSilent || index > 1) ANSWER_ALL(connection, index);
+  };
+  const { pool, send, clock } = await startPool(t, answer);
+  const first = [send(), send()];
+  for (const request of first) t.is(await request.waitEnd(), 'complete');
+  isSilent = true;
+  clock.advance(10);
+  const unanswered = send();
+  clock.advance(500);
+  unanswered.source?.abort('deadline');
+  t.is(await unanswered.waitEnd(), 'failed');
+  t.is(await send().waitEnd(), 'complete');
+  pool.close();
+});
+
+test('request given up at once: idle connections stay', async (t) => {
+  let isSilent = false as boolean;
+  const { pool, send, connections, clock } = await startPool(t, (connection, index) => {
+    if (!isSilent) ANSWER_ALL(connection, index);
+  });
+  const first = [send(), send()];
+  for (const request of first) t.is(await request.waitEnd(), 'complete');
+  isSilent = true;
+  clock.advance(10);
+  send().source?.abort('withdrawn');
+  isSilent = false;
+  t.is(await send().waitEnd(), 'complete');
+  t.is(connections.length, 2);
+  pool.close();
+});
