Remember runs of backend servers that have left beyond a restart of their proxy

Cause: which runs have left was known to the memory of one process, and its new record replaced the one in which the server was leaving.

Change: a run that drains or leaves is broadcast (run-left); eight members get it before the announcement is acknowledged. A process asks three members for what they remember when it starts, after a pause, and when it refutes its own death (recall). Announcements of a restarted proxy are taken at once and the server becomes draining when its run turns out to have left, so that a new run is not delayed.

--- a/bench/member-fleet.ts
+++ b/bench/member-fleet.ts
@@ -5,7 +5,7 @@
 import { DeadlineQueue } from '../src/members/deadline-queue.js';
 import type { MembersIn, MembersOut, MembersState } from '../src/members/index.js';
 import { MembersFilter } from '../src/members/index.js';
-import type { Broadcast, Member } from '../src/messages/index.js';
+import type { CrashSeen, Member } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
 
 /**
@@ -38,7 +38,7 @@
   wakeAt: Instant;
   /** The members that the filter has reported to the other pipes of the process. */
   view: Map<HostId, Member>;
-  broadcasts: Broadcast[];
+  broadcasts: CrashSeen[];
 }
 
 /** A message in flight, or a timer if `message` is undefined. */
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -3,7 +3,7 @@
 import type {
   AttemptFailure,
   AttemptHead,
-  Broadcast,
+  CrashSeen,
   CallHead,
   ServerLoad,
   LedgerAnswer,
@@ -21,7 +21,7 @@
 export type CallIn =
   | { readonly kind: 'whole'; readonly configuration: Configuration }
   | MemberEvent
-  | { readonly kind: 'broadcast'; readonly item: Broadcast }
+  | { readonly kind: 'broadcast'; readonly item: CrashSeen }
   /** A call from a caller. */
   | { readonly kind: 'arrived'; readonly head: CallHead }
   | ForwardedAttempt
--- a/src/calls/crash-table.ts
+++ b/src/calls/crash-table.ts
@@ -1,7 +1,7 @@
 /** Tracks requests that were in flight at backend servers that crashed. */
 import { createHash } from 'node:crypto';
 import type { Address, Digest, Instant } from '../ids.js';
-import type { Broadcast } from '../messages/index.js';
+import type { CrashSeen } from '../messages/index.js';
 
 /** The number of servers that crashed with the request in flight: none, one, or at least two. */
 export type CrashVerdict = 'clear' | 'suspect' | 'quarantined';
@@ -17,7 +17,7 @@
   readonly #answered = new Map<string, Instant>();
 
   /** Adds one crash, observed by this or another proxy. */
-  addCrash({ fingerprint, server, until }: Broadcast): void {
+  addCrash({ fingerprint, server, until }: CrashSeen): void {
     const entry = this.#crashes.get(fingerprint) ?? { servers: new Set(), until };
     entry.servers.add(server);
     entry.until = Math.max(entry.until, until) as Instant;
--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -1,7 +1,7 @@
 /** The guard: admission control for the backend servers beside this proxy. */
 import { addMs, NEVER } from '../clock.js';
 import type { Address, AttemptId, Instant } from '../ids.js';
-import type { Announcement, AttemptHead, Broadcast } from '../messages/index.js';
+import type { Announcement, AttemptHead, CrashSeen } from '../messages/index.js';
 import type { WakeRequest } from '../pipe/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
@@ -32,7 +32,7 @@
   | { readonly kind: 'withdraw'; readonly attempt: AttemptId }
   | { readonly kind: 'run-ended'; readonly attempt: AttemptId; readonly ending: RunEnding }
   | { readonly kind: 'probed'; readonly server: Address; readonly accepts: boolean }
-  | { readonly kind: 'broadcast'; readonly item: Broadcast }
+  | { readonly kind: 'broadcast'; readonly item: CrashSeen }
   /** The process is stopping; every deadline is capped at `answerBy`. */
   | { readonly kind: 'stopping'; readonly answerBy: Instant }
   /** The process is stopping: no further attempt starts. */
@@ -52,7 +52,7 @@
     }
   /** Checks whether the server still accepts connections. */
   | { readonly kind: 'probe'; readonly server: Address }
-  | { readonly kind: 'broadcast'; readonly item: Broadcast }
+  | { readonly kind: 'broadcast'; readonly item: CrashSeen }
   | WakeRequest;
 
 /** The state of the guard filter. */
@@ -225,7 +225,7 @@
 ): GuardOut[] {
   if (state.crashes.hasAnswered(subject, now)) return [];
   const until = addMs(now, QUARANTINE_MS);
-  const item: Broadcast = {
+  const item: CrashSeen = {
     kind: 'crash-seen',
     fingerprint: buildFingerprint(subject),
     server,
--- a/src/edge/member-codec.ts
+++ b/src/edge/member-codec.ts
@@ -9,6 +9,7 @@
   parseAddress,
   parseDataCentreId,
   parseHostId,
+  parseInstanceId,
   parseRegionId,
   parseServiceName,
   splitAddress,
@@ -29,6 +30,8 @@
       return [LIVENESS_BY_TAG.indexOf(update.liveness), update.host, update.incarnation];
     case 'crash-seen':
       return [CRASH_SEEN_TAG, update.fingerprint, update.server, Math.round(update.remainingMs)];
+    case 'run-left':
+      return [RUN_LEFT_TAG, update.instance, update.life, Math.round(update.remainingMs)];
   }
 }
 
@@ -38,6 +41,7 @@
   const tag = readCount(fields[0]);
   if (tag === RECORD_TAG) return { kind: 'record', member: decodeRecord(fields) };
   if (tag === CRASH_SEEN_TAG) return decodeCrash(fields);
+  if (tag === RUN_LEFT_TAG) return decodeRunLeft(fields);
   const liveness = LIVENESS_BY_TAG[tag];
   if (liveness === undefined) throw new MemberCodecError(`no update has the tag ${tag}`);
   return {
@@ -100,9 +104,10 @@
 // Internals.
 
 const RECORD_TAG = 0;
-/** The tag of a status update is its index in this list; records (0) and crashes (4) have their own tags. */
+/** The tag of a status update is its index in this list; records (0), crashes (4) and runs (5) have their own tags. */
 const LIVENESS_BY_TAG = [undefined, 'suspect', 'dead', 'left'] as const;
 const CRASH_SEEN_TAG = 4;
+const RUN_LEFT_TAG = 5;
 const SERVER_STATES: readonly ServerState[] = [
   'starting',
   'ready',
@@ -199,11 +204,23 @@
   if (fingerprint.length > MAX_FINGERPRINT_LENGTH) {
     throw new MemberCodecError('the fingerprint is too long');
   }
-  const remainingMs = Math.min(readCount(fields[3]), MAX_REMAINING_MS);
   return {
     kind: 'crash-seen',
     fingerprint,
     server: parseAddress(readText(fields[2])),
-    remainingMs,
+    remainingMs: readRemainingMs(fields[3]),
   };
 }
+
+function decodeRunLeft(fields: readonly unknown[]): MemberUpdate {
+  return {
+    kind: 'run-left',
+    instance: parseInstanceId(readText(fields[1])),
+    life: readCount(fields[2]),
+    remainingMs: readRemainingMs(fields[3]),
+  };
+}
+
+function readRemainingMs(value: unknown): number {
+  return Math.min(readCount(value), MAX_REMAINING_MS);
+}
--- a/src/edge/probe-codec.ts
+++ b/src/edge/probe-codec.ts
@@ -59,6 +59,14 @@
       return { kind: 'nack', from, sequence: readCount(fields[2]) };
     case GOSSIP_TAG:
       return { kind: 'gossip', from, updates: decodeUpdatesFrom(2) };
+    case RECALL_TAG:
+      return { kind: 'recall', from, sequence: readCount(fields[2]) };
+    case RECALLED_TAG: {
+      const [sequence, part, parts] = [fields[2], fields[3], fields[4]].map(readCount);
+      if (sequence === undefined || part === undefined || parts === undefined)
+        throw new MemberCodecError('the part of the answer has no number');
+      return { kind: 'recalled', from, sequence, part, parts, updates: decodeUpdatesFrom(5) };
+    }
     default:
       throw new MemberCodecError('unknown tag of a datagram');
   }
@@ -71,6 +79,8 @@
 const PING_REQUEST_TAG = 2;
 const NACK_TAG = 3;
 const GOSSIP_TAG = 4;
+const RECALL_TAG = 5;
+const RECALLED_TAG = 6;
 const packr = new Packr({ useRecords: false });
 
 function buildFields(message: ProbeMessage): [head: unknown[], updates: readonly MemberUpdate[]] {
@@ -89,5 +99,11 @@
       return [[NACK_TAG, message.from, message.sequence], []];
     case 'gossip':
       return [[GOSSIP_TAG, message.from], message.updates];
+    case 'recall':
+      return [[RECALL_TAG, message.from, message.sequence], []];
+    case 'recalled': {
+      const { from, sequence, part, parts, updates } = message;
+      return [[RECALLED_TAG, from, sequence, part, parts], updates];
+    }
   }
 }
--- a/src/members/apply-update.ts
+++ b/src/members/apply-update.ts
@@ -5,8 +5,9 @@
 import { buildBroadcastKey } from './seen-broadcasts.js';
 import type { MemberStatus } from './member-table.js';
 import type { MembersState } from './members-state.js';
-import { buildRecordKey, buildStatusKey, publishSelf } from './own-record.js';
+import { buildRecordKey, buildStatusKey, publishSelf, updateLocalServers } from './own-record.js';
 import { updateMember } from './member-events.js';
+import { startRecall } from './recall.js';
 import { PROBE_INTERVAL_MS, SUSPICION_MULTIPLIER, TOMBSTONE_MS } from './timing.js';
 import type { StepContext } from './step-context.js';
 
@@ -43,16 +44,29 @@
   else addTombstone(state, status, context.now);
 }
 
-/** Queues a broadcast item for gossip. Returns `false` if `SeenBroadcasts` does not accept it. */
-export function applyBroadcast(state: MembersState, item: Broadcast, now: Instant): boolean {
+/**
+ * Remembers a broadcast item, and queues it for gossip unless `isGossiped` is false. Returns `false` if
+ * `SeenBroadcasts` does not accept it.
+ */
+export function applyBroadcast(
+  state: MembersState,
+  item: Broadcast,
+  now: Instant,
+  isGossiped = true,
+): boolean {
   if (!state.seenBroadcasts.add(item, now)) return false;
-  const remainingMs = item.until - now;
-  const { fingerprint, server } = item;
-  const update: MemberUpdate = { kind: 'crash-seen', fingerprint, server, remainingMs };
-  state.updateQueue.add(`broadcast/${buildBroadcastKey(item)}`, update);
+  if (isGossiped) {
+    const update = buildBroadcastUpdate(item, now);
+    state.updateQueue.add(`broadcast/${buildBroadcastKey(item)}`, update);
+  }
   return true;
 }
 
+/** Builds the update that carries a broadcast item to another member. */
+export function buildBroadcastUpdate({ until, ...item }: Broadcast, now: Instant): MemberUpdate {
+  return { ...item, remainingMs: until - now };
+}
+
 /**
  * Sets the time limit after which a suspect is declared dead unless it refutes the suspicion. It is set again
  * if it passes while the suspect's data centre is unreachable.
@@ -80,9 +94,18 @@
       applyStatus(state, update, context, isGossiped);
       return;
     case 'crash-seen': {
-      const { kind, fingerprint, server } = update;
-      const item = { kind, fingerprint, server, until: addMs(context.now, update.remainingMs) };
-      if (applyBroadcast(state, item, context.now)) context.add({ kind: 'broadcast', item });
+      const { kind, fingerprint, server, remainingMs } = update;
+      const item = { kind, fingerprint, server, until: addMs(context.now, remainingMs) };
+      const isNew = applyBroadcast(state, item, context.now, isGossiped);
+      if (isNew) context.add({ kind: 'broadcast', item });
+      return;
+    }
+    case 'run-left': {
+      const { kind, instance, life, remainingMs } = update;
+      const item = { kind, instance, life, until: addMs(context.now, remainingMs) };
+      if (!applyBroadcast(state, item, context.now, isGossiped)) return;
+      state.servers.addLeftRun(instance, life);
+      updateLocalServers(state, context);
     }
   }
 }
@@ -117,6 +140,8 @@
 
 function refute(state: MembersState, incarnation: Incarnation, context: StepContext): void {
   state.counts.refutations += 1;
+  // Others have missed this process, so it has missed what they broadcast.
+  startRecall(state, context.now);
   publishSelf(state, incarnation, context, true);
 }
 
--- a/src/members/handle-datagram.ts
+++ b/src/members/handle-datagram.ts
@@ -5,6 +5,7 @@
 import { applyUpdates } from './apply-update.js';
 import { buildStatusOf, pickUpdates } from './gossip.js';
 import type { MembersState } from './members-state.js';
+import { answerRecall, handleRecalled } from './recall.js';
 import { notifyDataCentreUp } from './member-events.js';
 import { MAX_RELAYED_PROBES, INTRODUCTION_SAMPLE, PROBE_TIMEOUT_MS } from './timing.js';
 import type { StepContext } from './step-context.js';
@@ -36,6 +37,12 @@
       return;
     case 'gossip':
       applyUpdates(state, message.updates, context);
+      return;
+    case 'recall':
+      answerRecall(state, findReplyAddress(state, message.from, from), message.sequence, context);
+      return;
+    case 'recalled':
+      handleRecalled(state, message, context);
   }
 }
 
--- a/src/members/local-servers.ts
+++ b/src/members/local-servers.ts
@@ -2,7 +2,7 @@
 import { addMs, NEVER } from '../clock.js';
 import type { Address, InstanceId, Instant } from '../ids.js';
 import type { Announcement, CallObservation, ServerState } from '../messages/index.js';
-import { MAX_LOCAL_SERVERS } from './timing.js';
+import { MAX_BROADCASTS, MAX_LOCAL_SERVERS } from './timing.js';
 
 /** One local backend server. */
 interface LocalServer {
@@ -26,12 +26,14 @@
   readonly #servers = new Map<Address, LocalServer>();
   /** Runs that have left, or were draining when their announcements expired, oldest first. */
   readonly #endedLives = new Map<InstanceId, number>();
+  /** Runs that take no new calls, as this process or another member knows, oldest first. */
+  readonly #leftRuns = new Map<InstanceId, number>();
   #isDraining = false;
 
   /** Applies an announcement. Returns `false` if it is ignored. */
   apply(announcement: Announcement, now: Instant): boolean {
     this.removeExpired(now);
-    if (this.#hasEnded(announcement)) return false;
+    if (this.#hasEnded(announcement) || this.#isRevived(announcement)) return false;
     const known = this.#servers.get(announcement.address);
     if (known === undefined) {
       if (this.#servers.size >= MAX_LOCAL_SERVERS) return false;
@@ -50,16 +52,34 @@
     return true;
   }
 
-  /** Marks the server with this instance id as leaving, unless `life` is that of an earlier run. */
-  removeInstance(instance: InstanceId, life: number | undefined): void {
+  /**
+   * Marks the server with this instance id as leaving, unless `life` is that of an earlier run. Returns the life
+   * of the run that has left, if it is known.
+   */
+  removeInstance(instance: InstanceId, life: number | undefined): number | undefined {
     const known = [...this.#servers.values()].find((one) => one.announcement.instance === instance);
-    if (isEarlier(life, known?.announcement.life)) return;
-    this.#addEndedLife(instance, life ?? known?.announcement.life);
+    if (isEarlier(life, known?.announcement.life)) return undefined;
+    const leftLife = life ?? known?.announcement.life;
+    addLife(this.#endedLives, instance, leftLife);
     for (const server of this.#servers.values()) {
       const { announcement } = server;
       if (announcement.instance !== instance || isEarlier(life, announcement.life)) continue;
       server.announcement = { ...announcement, state: 'leaving' };
     }
+    return leftLife;
+  }
+
+  /**
+   * Records that a run, and the earlier ones of its instance, take no new calls. A server that was believed to
+   * take them is draining from now on.
+   */
+  addLeftRun(instance: InstanceId, life: number): void {
+    const latest = Math.max(life, this.#leftRuns.get(instance) ?? life);
+    addLife(this.#leftRuns, instance, latest, MAX_BROADCASTS);
+    for (const server of this.#servers.values()) {
+      if (this.#isRevived(server.announcement))
+        server.announcement = { ...server.announcement, state: 'draining' };
+    }
   }
 
   /** Applies the outcome of a call at a local backend server. */
@@ -94,7 +114,7 @@
       if (announcement.heartbeatDeadline > now) continue;
       this.#servers.delete(address);
       const { instance, life, state } = announcement;
-      if (instance !== undefined && state === 'draining') this.#addEndedLife(instance, life);
+      if (instance !== undefined && state === 'draining') addLife(this.#endedLives, instance, life);
     }
   }
 
@@ -125,14 +145,11 @@
     return life <= (this.#endedLives.get(instance) ?? Number.NEGATIVE_INFINITY);
   }
 
-  #addEndedLife(instance: InstanceId, life: number | undefined): void {
-    if (life === undefined) return;
-    this.#endedLives.delete(instance);
-    this.#endedLives.set(instance, life);
-    for (const oldest of this.#endedLives.keys()) {
-      if (this.#endedLives.size <= MAX_ENDED_LIVES) return;
-      this.#endedLives.delete(oldest);
-    }
+  /** Whether an announcement would take a run that drains or has left for one that takes calls. */
+  #isRevived({ instance, life, state }: Announcement): boolean {
+    if (instance === undefined || life === undefined) return false;
+    if (state !== 'ready' && state !== 'starting') return false;
+    return life <= (this.#leftRuns.get(instance) ?? Number.NEGATIVE_INFINITY);
   }
 
   #buildState({ announcement, failingUntil }: LocalServer, now: Instant): ServerState {
@@ -159,6 +176,22 @@
   return isRevived || isEarlier(next.sequence, known.sequence);
 }
 
+/** Remembers the life of an instance; forgets the oldest instance if there are too many. */
+function addLife(
+  lives: Map<InstanceId, number>,
+  instance: InstanceId,
+  life: number | undefined,
+  maxLives = MAX_ENDED_LIVES,
+): void {
+  if (life === undefined) return;
+  lives.delete(instance);
+  lives.set(instance, life);
+  for (const oldest of lives.keys()) {
+    if (lives.size <= maxLives) return;
+    lives.delete(oldest);
+  }
+}
+
 function isLaterLife(next: Announcement, known: Announcement): boolean {
   return isEarlier(known.life, next.life) || next.instance !== known.instance;
 }
--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -1,11 +1,11 @@
 /** The membership of processes in the mesh, and of their local backend servers. */
 import { addMs, NEVER } from '../clock.js';
-import type { Instant } from '../ids.js';
+import type { InstanceId, Instant } from '../ids.js';
 import type { Announcement } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import { handleDatagram } from './handle-datagram.js';
-import { addSuspect, applyBroadcast, applyStatus } from './apply-update.js';
+import { addSuspect, applyBroadcast, applyStatus, buildBroadcastUpdate } from './apply-update.js';
 import { runGossip, sendLeave } from './gossip.js';
 import { runJoin, runReconnect } from './join.js';
 import type { MembersIn, MembersOptions, MembersOut, MembersState } from './members-state.js';
@@ -13,7 +13,8 @@
 import { publishSelf, notifyHeartbeat, updateLocalServers } from './own-record.js';
 import { needsHelpers, runProbes } from './failure-detector.js';
 import { handleSync, runSync } from './anti-entropy.js';
-import { PAUSE_GRACE_MS, PAUSE_THRESHOLD_MS } from './timing.js';
+import { findRecallDeadline, runRecall, startRecall } from './recall.js';
+import { LEAVE_FANOUT, PAUSE_GRACE_MS, PAUSE_THRESHOLD_MS, RUN_LEFT_MS } from './timing.js';
 import { StepContext } from './step-context.js';
 
 /**
@@ -65,6 +66,7 @@
   state.localHealth.addFailure();
   state.probe = undefined;
   state.graceUntil = addMs(context.now, PAUSE_GRACE_MS);
+  startRecall(state, context.now);
 }
 
 function handle(state: MembersState, message: MembersIn, context: StepContext): void {
@@ -77,10 +79,12 @@
       else if (message.outcome === 'failed') state.priorityTargets.add(message.host);
       updateLocalServers(state, context);
       return;
-    case 'server-left':
-      state.servers.removeInstance(message.instance, message.life);
+    case 'server-left': {
+      const life = state.servers.removeInstance(message.instance, message.life);
+      if (life !== undefined) notifyRunLeft(state, message.instance, life, context);
       updateLocalServers(state, context);
       return;
+    }
     case 'seeds':
       state.seeds = message.seeds;
       state.seedAt = context.now;
@@ -120,10 +124,34 @@
   const isAccepted = state.servers.apply(announcement, context.now);
   if (!isAccepted) state.counts.ignoredAnnouncements += 1;
   const { incarnation } = state.self;
+  const { state: announced, instance, life } = announcement;
+  const takesCalls = announced === 'ready' || announced === 'starting';
+  if (isAccepted && !takesCalls && instance !== undefined && life !== undefined)
+    notifyRunLeft(state, instance, life, context);
   updateLocalServers(state, context);
   if (isAccepted && state.self.incarnation === incarnation) notifyHeartbeat(state, context);
 }
 
+/**
+ * Tells other members that a run takes no new calls. A few hear it at once, before the announcement is
+ * acknowledged, so that it is not forgotten if this process ends.
+ */
+function notifyRunLeft(
+  state: MembersState,
+  instance: InstanceId,
+  life: number,
+  context: StepContext,
+): void {
+  const until = addMs(context.now, RUN_LEFT_MS);
+  const item = { kind: 'run-left', instance, life, until } as const;
+  state.servers.addLeftRun(instance, life);
+  if (!applyBroadcast(state, item, context.now)) return;
+  const updates = [buildBroadcastUpdate(item, context.now)];
+  for (const { control } of state.table.pickRandom(state.random, LEAVE_FANOUT)) {
+    context.send(control, { kind: 'gossip', from: state.self.host, updates });
+  }
+}
+
 /** Runs the periodic actions that are due. */
 function runDue(state: MembersState, context: StepContext): void {
   updateLocalServers(state, context);
@@ -133,6 +161,7 @@
   runJoin(state, context);
   runReconnect(state, context);
   runSync(state, context);
+  runRecall(state, context);
   runGossip(state, context);
 }
 
@@ -175,6 +204,7 @@
     state.syncAt,
     state.seedAt,
     state.reconnectAt,
+    findRecallDeadline(state),
     Math.max(state.suspects.deadline, state.graceUntil),
     state.tombstones.deadline,
     state.servers.findDeadline(now),
--- a/src/members/members-state.ts
+++ b/src/members/members-state.ts
@@ -3,7 +3,7 @@
 import type { Address, HostId, Incarnation, InstanceId, Instant, Version } from '../ids.js';
 import type {
   Announcement,
-  Broadcast,
+  CrashSeen,
   Member,
   MembershipEvent,
   CallObservation,
@@ -20,6 +20,7 @@
 import type { MemberStatus } from './member-table.js';
 import { LocalServers } from './local-servers.js';
 import { ProbeOrder } from './probe-order.js';
+import type { Recall } from './recall.js';
 import { AvailabilityFloor } from './availability-floor.js';
 import {
   GOSSIP_INTERVAL_MS,
@@ -36,7 +37,7 @@
   | { readonly kind: 'announce'; readonly announcement: Announcement }
   | CallObservation
   /** Broadcasts an item to all members. */
-  | { readonly kind: 'broadcast'; readonly item: Broadcast }
+  | { readonly kind: 'broadcast'; readonly item: CrashSeen }
   /** Marks the backend server with this instance id as leaving. */
   | { readonly kind: 'server-left'; readonly instance: InstanceId; readonly life?: number }
   /** Replaces the seeds. */
@@ -129,6 +130,7 @@
   uncertainTarget: HostId | undefined;
   probe: Probe | undefined;
   readonly relayedProbes: Map<number, RelayedProbe>;
+  readonly recall: Recall;
   sequence: number;
   probeAt: Instant;
   gossipAt: Instant;
@@ -169,6 +171,7 @@
     uncertainTarget: undefined,
     probe: undefined,
     relayedProbes: new Map(),
+    recall: { askAt: startedAt, receivedParts: new Map(), answeredBy: new Set() },
     sequence: 0,
     probeAt: delay(PROBE_INTERVAL_MS),
     gossipAt: delay(GOSSIP_INTERVAL_MS),
--- a/src/members/seen-broadcasts.ts
+++ b/src/members/seen-broadcasts.ts
@@ -1,29 +1,47 @@
-/** Deduplication of broadcast items, so that each one is queued for gossip once. */
+/** The broadcast items that this process remembers. */
+import { addMs } from '../clock.js';
 import type { Instant } from '../ids.js';
 import type { Broadcast } from '../messages/index.js';
 import { DeadlineQueue } from './deadline-queue.js';
 import { MAX_BROADCASTS } from './timing.js';
 
 /** Returns the key that identifies a broadcast item. */
-export function buildBroadcastKey({ fingerprint, server }: Omit<Broadcast, 'until'>): string {
-  return `${fingerprint}@${server}`;
+export function buildBroadcastKey(item: Broadcast): string {
+  switch (item.kind) {
+    case 'crash-seen':
+      return `${item.fingerprint}@${item.server}`;
+    case 'run-left':
+      return `${item.instance}#${item.life}`;
+  }
 }
 
-/** Holds the keys of known items until they expire. */
+/** Holds the known items until they expire, so that each one is queued for gossip once. */
 export class SeenBroadcasts {
-  readonly #keys = new Set<string>();
+  readonly #items = new Map<string, Broadcast>();
   readonly #expirations = new DeadlineQueue<string>();
 
-  /** Adds an item. Returns `false` if it is known or expired, or if `MAX_BROADCASTS` items are held. */
+  /**
+   * Adds an item, or extends a known one. Returns `false` if it is known until then or expired, or if
+   * `MAX_BROADCASTS` items are held.
+   */
   add(item: Broadcast, now: Instant): boolean {
     this.#removeExpired(now);
     const key = buildBroadcastKey(item);
-    if (item.until <= now || this.#keys.has(key) || this.#keys.size >= MAX_BROADCASTS) return false;
-    this.#keys.add(key);
+    const known = this.#items.get(key);
+    if (known === undefined && this.#items.size >= MAX_BROADCASTS) return false;
+    if (item.until <= (known === undefined ? now : addMs(known.until, MIN_EXTENSION_MS)))
+      return false;
+    this.#items.set(key, item);
     this.#expirations.add(item.until, key);
     return true;
   }
 
+  /** Lists the items that have not expired, the latest ones first. */
+  list(now: Instant): Broadcast[] {
+    this.#removeExpired(now);
+    return [...this.#items.values()].reverse();
+  }
+
   // Internals.
 
   #removeExpired(now: Instant): void {
@@ -32,7 +50,13 @@
       key !== undefined;
       key = this.#expirations.removeDue(now)
     ) {
-      this.#keys.delete(key);
+      const until = this.#items.get(key)?.until;
+      if (until !== undefined && until <= now) this.#items.delete(key);
     }
   }
 }
+
+// Internals.
+
+/** Remaining times differ by the delays of the paths on which they came. */
+const MIN_EXTENSION_MS = 1_000;
--- a/src/members/timing.ts
+++ b/src/members/timing.ts
@@ -10,7 +10,7 @@
 /** The interval of gossip while updates are queued. */
 export const GOSSIP_INTERVAL_MS = 200;
 export const GOSSIP_FANOUT = 3;
-/** The number of members that receive a leave directly. */
+/** The number of members that receive a leave, or the end of a run of a backend server, directly. */
 export const LEAVE_FANOUT = 8;
 /** Each member transmits an update at most this many times ln(members). */
 export const RETRANSMIT_MULTIPLIER = 1.5;
@@ -49,4 +49,6 @@
 export const MAX_GOSSIP_BYTES = 360;
 /** The maximum number of backend servers per member; a record with the longest names still fits in a datagram. */
 export const MAX_LOCAL_SERVERS = 3;
+/** How long members remember that a run takes no new calls; an announcement may arrive seconds late. */
+export const RUN_LEFT_MS = 60_000;
 export const MAX_BROADCASTS = 1_000;
--- a/src/members/update-queue.ts
+++ b/src/members/update-queue.ts
@@ -55,6 +55,7 @@
     case 'status':
       return update.liveness === 'left';
     case 'crash-seen':
+    case 'run-left':
       return true;
   }
 }
--- a/src/members/update-size.ts
+++ b/src/members/update-size.ts
@@ -10,6 +10,8 @@
       return FIXED_BYTES + update.host.length;
     case 'crash-seen':
       return FIXED_BYTES + update.fingerprint.length + update.server.length;
+    case 'run-left':
+      return FIXED_BYTES + update.instance.length;
   }
 }
 
--- a/src/messages/member.ts
+++ b/src/messages/member.ts
@@ -98,17 +98,31 @@
   readonly outcome: 'answered' | 'failed';
 }
 
-/** An item that is disseminated to every proxy within seconds. It expires at `until`. */
-export interface Broadcast {
-  /** A backend server crashed while a request with this fingerprint was in flight at it. */
+/** A backend server crashed while a request with this fingerprint was in flight at it. Expires at `until`. */
+export interface CrashSeen {
   readonly kind: 'crash-seen';
   readonly fingerprint: Digest;
   readonly server: Address;
   readonly until: Instant;
 }
 
+/** A run of a backend server drains or has left, and takes no new calls. Expires at `until`. */
+export interface RunLeft {
+  readonly kind: 'run-left';
+  readonly instance: InstanceId;
+  /** Earlier runs of the instance have left, too. */
+  readonly life: number;
+  readonly until: Instant;
+}
+
+/**
+ * An item that is disseminated to every member within seconds, and remembered until it expires, so that a
+ * process that was restarted can ask for it.
+ */
+export type Broadcast = CrashSeen | RunLeft;
+
 /** An event from the membership pipe to the other pipes of the process. */
 export type MembershipEvent =
   | MemberEvent
   /** An item that another member broadcast. Its `until` is an instant of the local clock. */
-  | { readonly kind: 'broadcast'; readonly item: Broadcast };
+  | { readonly kind: 'broadcast'; readonly item: CrashSeen };
--- a/src/messages/probe.ts
+++ b/src/messages/probe.ts
@@ -1,5 +1,5 @@
 /** Datagrams of the failure detector, and the membership updates that they piggyback. */
-import type { Address, Digest, HostId, Incarnation } from '../ids.js';
+import type { Address, Digest, HostId, Incarnation, InstanceId } from '../ids.js';
 import type { Liveness, Member } from './member.js';
 
 /** An update that members disseminate by gossip. */
@@ -22,6 +22,13 @@
       readonly fingerprint: Digest;
       readonly server: Address;
       readonly remainingMs: number;
+    }
+  /** A run of a backend server that takes no new calls, with the remaining time like `crash-seen`. */
+  | {
+      readonly kind: 'run-left';
+      readonly instance: InstanceId;
+      readonly life: number;
+      readonly remainingMs: number;
     };
 
 /** One datagram. `sequence` matches an answer to its request, within one run of the requester. */
@@ -55,4 +62,15 @@
       readonly kind: 'gossip';
       readonly from: HostId;
       readonly updates: readonly MemberUpdate[];
+    }
+  /** Asks for the broadcast items that the receiver remembers. */
+  | { readonly kind: 'recall'; readonly from: HostId; readonly sequence: number }
+  /** One part of the answer to a `recall`, counted from 0. */
+  | {
+      readonly kind: 'recalled';
+      readonly from: HostId;
+      readonly sequence: number;
+      readonly part: number;
+      readonly parts: number;
+      readonly updates: readonly MemberUpdate[];
     };
--- a/test/calls-guard.test.ts
+++ b/test/calls-guard.test.ts
@@ -6,7 +6,7 @@
 import { PrioritySlotPolicy } from '../src/calls/index.js';
 import { addMs } from '../src/clock.js';
 import type { Address, AttemptId, Instant, RequestKindName } from '../src/ids.js';
-import type { Announcement, AttemptHead, Broadcast } from '../src/messages/index.js';
+import type { Announcement, AttemptHead, CrashSeen } from '../src/messages/index.js';
 import { makeServer, START } from './call-resources.js';
 
 const SERVER = '10.0.0.1:80' as Address;
@@ -176,7 +176,7 @@
 });
 
 /** Crashes a server with these requests in flight, and returns the broadcasts of its guard. */
-function runCrash(driver: GuardDriver, subjects: readonly string[], address: Address): Broadcast[] {
+function runCrash(driver: GuardDriver, subjects: readonly string[], address: Address): CrashSeen[] {
   for (const subject of subjects) driver.admit(`${subject}@`, { subject });
   subjects.forEach((subject) => driver.end(`${subject}@`, 'lost'));
   const outputs = driver.post({ kind: 'probed', server: SERVER, accepts: false });
