Recognise a crashing request by what its caller sends

Cause: the subject of a request began with the name of its request kind, which the adapter makes from the settings of the route.

Change: the subject consists of method, host, URL, client account and body digest or idempotency key.

--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -1,6 +1,6 @@
 /** Determines the route, the request kind and the deadline of each call. */
 import { addMs, NEVER } from '../clock.js';
-import type { CallId, Instant, RequestKindName, ServiceName } from '../ids.js';
+import type { CallId, Instant, ServiceName } from '../ids.js';
 import type {
   CallHead,
   LimitsResource,
@@ -107,11 +107,11 @@
   'method' | 'host' | 'url' | 'caller' | 'key' | 'bodyDigest'
 >;
 
-/** Builds a key that is the same for equal requests of one caller. */
-export function buildSubject(requestKind: RequestKindName, parts: SubjectParts): string {
+/** Builds a key that is the same for equal requests of one caller, whatever the configuration says about them. */
+export function buildSubject(parts: SubjectParts): string {
   const { method, host, url, caller, key, bodyDigest } = parts;
-  if (key !== undefined) return `${requestKind} ${caller ?? ''} ${key}`;
-  return `${requestKind} ${method} ${host ?? ''}${url} ${caller ?? ''} ${bodyDigest ?? ''}`;
+  const content = key === undefined ? (bodyDigest ?? '') : `key ${key}`;
+  return `${method} ${host ?? ''}${url} ${caller ?? ''} ${content}`;
 }
 
 /** Tells whether a call needs a claim in the ledger before it runs. */
@@ -136,7 +136,7 @@
   }
   const service = turns.pickService(route);
   if (service === undefined) return { kind: 'refused', id, reason: 'no-server' };
-  const subject = buildSubject(requestKind.name, head);
+  const subject = buildSubject(head);
   const aim = buildFullValueDeadline(state, requestKind, head, now);
   return { kind: 'routed', call: { head, service, requestKind, deadline, ...aim, subject } };
 }
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -105,7 +105,7 @@
     const caller = named === undefined ? undefined : parseCallerId(named);
     const host = parseHostName(headers.host);
     const key = readHeader(headers, 'idempotency-key');
-    const subject = buildSubject(requestKind, {
+    const subject = buildSubject({
       method,
       ...(host === undefined ? {} : { host }),
       url,
--- a/test/calls-route.test.ts
+++ b/test/calls-route.test.ts
@@ -1,11 +1,11 @@
 /** Routing and the traffic split between generations, without sockets. */
 import test from 'ava';
 import fc from 'fast-check';
-import { ClassifyFilter } from '../src/calls/classify-filter.js';
+import { buildSubject, ClassifyFilter } from '../src/calls/classify-filter.js';
 import { RouteIndex } from '../src/calls/route-index.js';
 import { pickGeneration } from '../src/calls/split.js';
 import { addMs } from '../src/clock.js';
-import type { CallerId } from '../src/ids.js';
+import type { CallerId, Digest, IdempotencyKey, ServiceName } from '../src/ids.js';
 import type { RouteResource } from '../src/messages/index.js';
 import type { Configuration } from '../src/notes/index.js';
 import {
@@ -125,3 +125,39 @@
   );
   t.like(late[0], { kind: 'refused', reason: 'deadline' });
 });
+
+// Guards against a crashing request that is not recognised after a change of its route.
+test('changed request kind: the same request has the same subject', (t) => {
+  const filter = new ClassifyFilter('host-0');
+  let state = filter.createState();
+  const subjects = ['k-1', 'k-2', 'k-3'].map((kind, index) => {
+    const settings = { timeoutMs: 1_000 + index, worth: index, maxAttempts: 1 + index };
+    const configuration = makeConfiguration(
+      makeKind(kind, settings),
+      makeRoute('/shop', kind, { service: `shop-${index}` as ServiceName }),
+    );
+    ({ state } = filter.decide(state, { kind: 'whole', configuration }, START));
+    const head = makeHead('/shop/crash');
+    const [routed] = filter.decide(state, { kind: 'arrived', head }, START).outputs;
+    return routed?.kind === 'routed' ? routed.call.subject : undefined;
+  });
+  t.truthy(subjects[0]);
+  t.is(new Set(subjects).size, 1);
+});
+
+test('different requests: different subjects', (t) => {
+  const parts = { method: 'POST', host: 'a', url: '/x', caller: 'one' as CallerId };
+  const others = [
+    { method: 'PUT' },
+    { host: 'b' },
+    { url: '/x?y' },
+    { caller: 'two' as CallerId },
+    { bodyDigest: 'd1' as Digest },
+    { bodyDigest: 'd2' as Digest },
+    { key: 'd1' as IdempotencyKey },
+    { key: 'd1' as IdempotencyKey, url: '/y' },
+  ];
+  const complete = { key: undefined, bodyDigest: undefined, ...parts };
+  const subjects = [complete, ...others.map((other) => ({ ...complete, ...other }))];
+  t.is(new Set(subjects.map((one) => buildSubject(one))).size, subjects.length);
+});
