Tell a restarted process which requests crash servers

Cause: a crash was broadcast once and kept in memory, and nobody told it to a process that started later.

Change: the answer to a recall names crashes as well as runs that have left.

--- a/src/members/recall.ts
+++ b/src/members/recall.ts
@@ -85,7 +85,6 @@
   const parts: MemberUpdate[][] = [[]];
   let bytes = 0;
   for (const item of state.seenBroadcasts.list(now)) {
-    if (item.kind !== 'run-left') continue;
     const update = buildBroadcastUpdate(item, now);
     bytes += estimateBytes(update);
     if (bytes > MAX_UPDATE_BYTES) {
--- a/test/members-recall.test.ts
+++ b/test/members-recall.test.ts
@@ -3,7 +3,7 @@
 import type { FleetNode } from '../bench/member-fleet.js';
 import { MemberFleet } from '../bench/member-fleet.js';
 import { addMs } from '../src/clock.js';
-import type { Address, InstanceId, ServiceName } from '../src/ids.js';
+import type { Address, Digest, InstanceId, ServiceName } from '../src/ids.js';
 import type { Announcement, ServerState } from '../src/messages/index.js';
 
 const FLEET_SIZE = 18;
@@ -12,6 +12,9 @@
 const HEARTBEAT_LIFETIME_MS = 6_000;
 /** A process that was restarted is in touch again after this time. */
 const CONTACT_WINDOW_MS = 3_000;
+const CUT_MS = 7_000;
+/** How long a crashing request is refused after its last crash. */
+const QUARANTINE_MS = 60_000;
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 
 function startFleet(seed: number, loss = 0.04): { fleet: MemberFleet; node: FleetNode } {
@@ -102,3 +105,60 @@
     t.is(countTaking(fleet, node), FLEET_SIZE, `seed ${seed}`);
   }
 });
+
+/** Broadcasts crashes as the guards do, and lists what a member has heard of them. */
+function broadcastCrashes(fleet: MemberFleet, node: FleetNode, count: number): void {
+  for (let crash = 0; crash < count; crash += 1) {
+    const fingerprint = crash.toString(16).padStart(64, '0') as Digest;
+    const until = addMs(fleet.now, QUARANTINE_MS);
+    const item = { kind: 'crash-seen', fingerprint, server: node.control, until } as const;
+    fleet.post(node, { kind: 'broadcast', item });
+    fleet.run(10);
+  }
+}
+
+function countCrashes({ broadcasts }: FleetNode): number {
+  return new Set(broadcasts.map(({ fingerprint }) => fingerprint)).size;
+}
+
+// Guards against a restarted proxy that runs a request again that crashes servers and is refused by the others.
+test('restarted member: hears of all crashes', (t) => {
+  for (const seed of SEEDS) {
+    for (const count of [2, 60]) {
+      const { fleet, node } = startFleet(seed);
+      const [origin] = fleet.nodes.filter((one) => one !== node);
+      if (origin !== undefined) broadcastCrashes(fleet, origin, count);
+      fleet.run(5_000);
+      fleet.kill(node);
+      fleet.run(500);
+      fleet.restart(node);
+      fleet.run(CONTACT_WINDOW_MS);
+      t.is(countCrashes(node), count, `seed ${seed}`);
+    }
+  }
+});
+
+test('member that was cut off: hears of the crashes that it missed', (t) => {
+  for (const seed of SEEDS) {
+    const { fleet, node } = startFleet(seed);
+    const [origin] = fleet.nodes.filter((one) => one !== node);
+    fleet.network.isCut = (from, to) => from === node || to === node;
+    if (origin !== undefined) broadcastCrashes(fleet, origin, 2);
+    fleet.run(CUT_MS);
+    fleet.network.isCut = () => false;
+    fleet.run(CONTACT_WINDOW_MS);
+    t.is(countCrashes(node), 2, `seed ${seed}`);
+  }
+});
+
+test('recalled crashes are forgotten in time', (t) => {
+  const { fleet, node } = startFleet(1);
+  const [origin] = fleet.nodes.filter((one) => one !== node);
+  if (origin !== undefined) broadcastCrashes(fleet, origin, 2);
+  // Each member counts the rest of the time from the moment at which it hears of a crash.
+  fleet.run(QUARANTINE_MS + 5_000);
+  fleet.kill(node);
+  fleet.restart(node);
+  fleet.run(CONTACT_WINDOW_MS);
+  t.is(countCrashes(node), 0);
+});
