Bound what all answers without a length hold for slow callers together

What callers saw (reports of other operators): a faulty server sent bytes without end, the proxy ran out of memory, and the calls of others ended with it.

Cause: an answer without a length is read on although its caller is slow.

Evidence: test in call-attempt with 200 such answers.

--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -26,6 +26,7 @@
 import type { OpenCall } from './open-call.js';
 import type { BufferedBytes } from './buffered-answer-writer.js';
 import { BufferedAnswerWriter } from './buffered-answer-writer.js';
+import { UnsentBudget } from './unsent-budget.js';
 
 /** Options of {@link AttemptSender}. */
 export interface AttemptSenderOptions {
@@ -47,6 +48,7 @@
   readonly #pools: HopPools;
   readonly #attempts = new Map<AttemptId, CallAttempt>();
   readonly #bufferedBytes: BufferedBytes = { total: 0 };
+  readonly #unsent = new UnsentBudget();
   #isStopping = false;
 
   constructor(options: AttemptSenderOptions) {
@@ -242,6 +244,7 @@
       post: (message) => {
         this.#post(message, call, report);
       },
+      unsent: this.#unsent,
       onEnd: (status, cause) => {
         this.#attempts.delete(attempt);
         report.handleEnd(status, cause);
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -22,6 +22,7 @@
   REASON_HEADER,
 } from './call-headers.js';
 import { parseReason } from './call-refusal.js';
+import type { UnsentBudget } from './unsent-budget.js';
 
 /** Options of {@link CallAttempt}. */
 export interface CallAttemptOptions {
@@ -34,6 +35,8 @@
   /** Reads from the head of a backend server's answer what it proves about the attempt. */
   readonly readProof: (status: number, headers: IncomingHttpHeaders) => AnswerEvidence;
   readonly post: (message: CallIn) => void;
+  /** Counts what all answers of the process hold for slow callers. */
+  readonly unsent: UnsentBudget;
   /** Called once when the attempt ends, with the HTTP status if the head of an answer was received. */
   readonly onEnd: (status: number | undefined, cause: string | undefined) => void;
 }
@@ -58,8 +61,8 @@
   #copyBytes = 0;
   #isDelimited = true;
   /**
-   * Whether reading may pause while the caller is slow. A peer that closes its connection after the answer may
-   * reset it while it is not read.
+   * Whether reading pauses as soon as the caller is slow. A peer that closes its connection after the answer may
+   * reset it while it is not read; such an answer is held in memory while there is room for it.
    */
   #mayPause = false;
   #cancelReason: CancelReason | undefined;
@@ -131,10 +134,7 @@
     this.#addToCopy(chunk);
     const writer = this.#writer;
     if (writer === undefined || writer.isClosed || writer.write(chunk)) return;
-    if (!this.#mayPause) {
-      if (writer.unsentBytes > MAX_UNSENT_BYTES) this.#control?.abort(CALLER_TOO_SLOW);
-      return;
-    }
+    if (!this.#mayPause && this.#mayReadOn(writer)) return;
     this.#control?.pause();
     writer.waitForDrain(() => {
       this.#control?.resume();
@@ -205,6 +205,15 @@
     return { status: this.#status ?? STATUS_BAD_GATEWAY, statusText: this.#statusText, headers };
   }
 
+  /** Returns whether an answer may be read on for a slow caller; aborts it when it holds too much alone. */
+  #mayReadOn(writer: AnswerWriter): boolean {
+    if (writer.unsentBytes > MAX_UNSENT_BYTES) {
+      this.#control?.abort(CALLER_TOO_SLOW);
+      return true;
+    }
+    return this.#options.unsent.update(writer);
+  }
+
   #addToCopy(chunk: Buffer): void {
     if (this.#copy === undefined) return;
     this.#copyBytes += chunk.length;
--- a/src/edge/paced-answer-writer.ts
+++ b/src/edge/paced-answer-writer.ts
@@ -48,7 +48,7 @@
   #isFull = false;
   #isBlocked = false;
   #isDropped = false;
-  #resumeReading: (() => void) | undefined;
+  #waitingForDrain: (() => void)[] = [];
   #cancelDrop: CancelTimer | undefined;
   #cancelStream: CancelTimer | undefined;
 
@@ -140,7 +140,7 @@
   }
 
   override waitForDrain(resume: () => void): void {
-    this.#resumeReading = resume;
+    this.#waitingForDrain.push(resume);
   }
 
   /** Sends up to `maxBytes` of the first buffered chunk. */
@@ -253,9 +253,7 @@
   }
 
   #notifyDrained(): void {
-    const resume = this.#resumeReading;
-    this.#resumeReading = undefined;
-    resume?.();
+    for (const resume of this.#waitingForDrain.splice(0)) resume();
   }
 }
 
--- a/test/call-attempt.test.ts
+++ b/test/call-attempt.test.ts
@@ -1,7 +1,8 @@
 /** One attempt on a fake connection. */
-import { once } from 'node:events';
+import { EventEmitter, once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import { UnsentBudget } from '../src/edge/unsent-budget.js';
 import type { AddressInfo } from 'node:net';
 import test from 'ava';
 import { waitFor } from '../bench/mesh.js';
@@ -12,6 +13,8 @@
 import { HopPool } from '../src/edge/hop-pool.js';
 import type { Address, AttemptId } from '../src/ids.js';
 
+/** A process on a small host may have 250 MB, about 100 MB of which it needs without calls. */
+const MAX_HELD_BYTES = 32 * 1024 * 1024;
 const SIGNED: AnswerEvidence = {
   hasAttemptId: true,
   isSigned: true,
@@ -42,7 +45,12 @@
 /** Returns how often the attempt paused its connection for a caller whose buffer is always full. */
 function countPauses(headers: Record<string, string>): number {
   const source = new FakeControl();
-  const response = { write: () => false, writeHead: () => undefined, on: () => undefined };
+  const response = {
+    writableLength: 8,
+    write: () => false,
+    writeHead: () => undefined,
+    on: () => undefined,
+  };
   const attempt = new CallAttempt({
     attempt: 'a' as AttemptId,
     isGuard: false,
@@ -54,6 +62,7 @@
         attempt.relay(response as unknown as ServerResponse, []);
       }
     },
+    unsent: new UnsentBudget(),
     onEnd: () => undefined,
   });
   attempt.handleStart(source);
@@ -74,6 +83,7 @@
     method: 'POST',
     readProof: () => SIGNED,
     post: (message) => posted.push(message),
+    unsent: new UnsentBudget(),
     onEnd: () => undefined,
   });
   source.reader = attempt;
@@ -150,3 +160,71 @@
   attempt.handleFailure('reset');
   t.like(posted, [{ failure: { outcome: 'not-run', reason: 'overloaded' } }]);
 });
+
+/** The caller's side of an answer: holds what is written until it is drained. */
+class HeldResponse extends EventEmitter {
+  destroyed = false;
+  writableLength = 0;
+
+  writeHead(): void {
+    // The head is not counted.
+  }
+
+  write(chunk: Buffer): boolean {
+    this.writableLength += chunk.length;
+    return false;
+  }
+
+  drain(): void {
+    this.writableLength = 0;
+    this.emit('drain');
+  }
+}
+
+/** Starts answers without a length to callers that do not read. */
+function startHeldAnswers(count: number, unsent: UnsentBudget) {
+  return Array.from({ length: count }, (_, index) => {
+    const response = new HeldResponse();
+    const source = new FakeControl();
+    const attempt = new CallAttempt({
+      attempt: `a-${index}` as AttemptId,
+      isGuard: false,
+      keepsAnswer: false,
+      method: 'GET',
+      readProof: () => SIGNED,
+      post: ({ kind }) => {
+        if (kind === 'answer-started') attempt.relay(response as unknown as ServerResponse, []);
+      },
+      unsent,
+      onEnd: () => undefined,
+    });
+    attempt.handleStart(source);
+    attempt.handleHead({ status: 200, statusText: 'OK', rawHeaders: [], headers: {} });
+    return { attempt, response, source };
+  });
+}
+
+// Guards against a backend server whose endless answers fill the memory of the process, each one within its bound.
+test('answers without a length to slow callers: memory of all together is bounded', (t) => {
+  const unsent = new UnsentBudget();
+  const answers = startHeldAnswers(200, unsent);
+  const chunk = Buffer.alloc(64 * 1024);
+  for (let round = 0; round < 200; round += 1) {
+    for (const { attempt, source } of answers) if (source.pauses === 0) attempt.handleBody(chunk);
+  }
+  const held = answers.reduce((sum, { response }) => sum + response.writableLength, 0);
+  t.true(held <= MAX_HELD_BYTES + answers.length * chunk.length, `${held} bytes`);
+  t.true(answers.every(({ source }) => source.pauses === 1 && source.aborts === 0));
+  for (const { response } of answers) response.drain();
+  t.is(unsent.total, 0);
+});
+
+test('answer without a length, caller leaves: its memory is free again', (t) => {
+  const unsent = new UnsentBudget();
+  const [answer] = startHeldAnswers(1, unsent);
+  answer?.attempt.handleBody(Buffer.alloc(1_000));
+  t.is(unsent.total, 1_000);
+  if (answer !== undefined) answer.response.destroyed = true;
+  answer?.response.emit('close');
+  t.is(unsent.total, 0);
+});
--- a/test/link-pacer.test.ts
+++ b/test/link-pacer.test.ts
@@ -2,6 +2,7 @@
 import { EventEmitter } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
+import { UnsentBudget } from '../src/edge/unsent-budget.js';
 import type { AnswerEvidence } from '../src/calls/index.js';
 import { addMs, NEVER } from '../src/clock.js';
 import type { AnswerControl } from '../src/edge/answer-handler.js';
@@ -82,6 +83,7 @@
         attempt.relay(caller, [], pacer.open(caller, NEVER));
       }
     },
+    unsent: new UnsentBudget(),
     onEnd: () => undefined,
   });
   response.isFull = true;
