Reserve the ports of tests, and end the span collector of a test that fails

One worker was left, that of the trace test, with only the span collector listening: "three hops" had failed while its mesh started, before the teardown that stops the collector was registered.

Why it failed: a proxy ended with EADDRINUSE on 127.0.0.1:22101. Test processes pick random ports in one range, and check a port by listening on it, so one may take, or just check, what another has picked and not yet bound.

Change: a port is reserved by a file until the process ends, before it is checked; the collector's teardown comes first.

--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -5,6 +5,7 @@
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { reservePort } from './port-reservations.js';
 
 const BUILD_FOLDER = join(import.meta.dirname, '..');
 const BACKEND_SERVER_SCRIPT = join(BUILD_FOLDER, 'bench', 'stand-in-server.js');
@@ -23,15 +24,14 @@
 }
 
 /**
- * Returns a loopback port that was free when checked, and never the same port twice. The ports lie below
- * the system's ephemeral range, so that no outgoing connection takes one before the caller binds it.
+ * Returns a loopback port that was free when checked and is reserved for this process, and never the same port
+ * twice. The ports lie below the system's ephemeral range, so that no outgoing connection takes one before the
+ * caller binds it.
  */
 export async function findFreePort(): Promise<number> {
   for (;;) {
     const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-    if (returnedPorts.has(port)) continue;
-    returnedPorts.add(port);
-    if (await isFree(port)) return port;
+    if (reservePort(port) && (await isFree(port))) return port;
   }
 }
 
@@ -157,7 +157,6 @@
 
 const FIRST_PORT = 12_000;
 const PORT_COUNT = 18_000;
-const returnedPorts = new Set<number>();
 
 function isFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
--- a/test/trace.test.ts
+++ b/test/trace.test.ts
@@ -20,11 +20,11 @@
   const collector = await SpanCollector.start();
   const services = { first: 1, second: 1, third: 1 };
   const plan = { ...NAPERNYO_PLAN, sources: 1, services, otlpUrl: collector.url };
-  const running = await RunningMesh.start(plan);
-  t.teardown(async () => {
-    await running.stop();
+  t.teardown(() => {
     collector.stop();
   });
+  const running = await RunningMesh.start(plan);
+  t.teardown(() => running.stop());
   const note = running.mesh.writeFile('n.toml', buildServicesNote(1, Object.keys(services)));
   const submitted = await running.mesh.runCommand([
     'note',
