--- a/test/link-liveness.test.ts
+++ b/test/link-liveness.test.ts
@@ -3,35 +3,14 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { PartitionRelay } from '../bench/partition-relay.js';
 import { findFreePort, waitFor } from '../bench/mesh.js';
-import { LinkTask } from '../src/edge/index.js';
-import type { Address, HostId } from '../src/ids.js';
-import type { LinkEvent } from '../src/messages/index.js';
-import { SeededRandom } from '../src/random.js';
+import type { Address } from '../src/ids.js';
+import { createLink } from './link-fixture.js';
 import { ManualClock } from './manual-clock.js';
 
 const STEP_MS = 1_000;
 const DETECTION_STEPS = 20;
 const REAL_PAUSE_MS = 20;
 
-function createLink(host: string, control: string, bind: string, clock: ManualClock) {
-  const events: LinkEvent[] = [];
-  const task = new LinkTask({
-    host: host as HostId,
-    control: control as Address,
-    bind: bind as Address,
-    clock,
-    random: new SeededRandom(1),
-    reportFailure: (name, error) => {
-      throw new Error(`${name} failed`, { cause: error });
-    },
-    notify: (event) => events.push(event),
-    notifyRejected: (from, reason) => {
-      throw new Error(`${from}: ${reason}`);
-    },
-  });
-  return { task, events };
-}
-
 test('silent partition: link goes down at both ends', async (t) => {
   const port = await findFreePort();
   const relay = new PartitionRelay('127.1.0.1', port, '127.2.0.1');
--- a/test/log-replacement.test.ts
+++ b/test/log-replacement.test.ts
@@ -1,4 +1,5 @@
 /** A fleet bears its promised losses again once a replaced host's successor has had its time to catch up. */
+import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import { addMs } from '../src/clock.js';
 import type { Address, HostId } from '../src/ids.js';
@@ -78,7 +79,7 @@
 
 /** Stops a host for good, and starts an empty successor at another address a second later. */
 function replaceHost(cluster: LogCluster, gone: ClusterNode, successor: ClusterNode): void {
-  cluster.kill(gone);
+  if (gone.running) cluster.kill(gone);
   runFor(cluster, SUCCESSOR_DELAY_MS);
   startHost(cluster, successor);
   runFor(cluster, CATCH_UP_MS);
@@ -118,78 +119,67 @@
   return spare;
 }
 
+/** Runs a scenario for each seed, and checks that the log then bears the promised losses. */
+function checkEachSeed(
+  t: ExecutionContext,
+  spares: number,
+  run: (cluster: LogCluster, seed: number) => void,
+): void {
+  for (const seed of SEEDS) {
+    const cluster = startCluster(seed, spares);
+    run(cluster, seed);
+    t.notThrows(() => {
+      checkLosses(cluster, seed);
+    }, `seed ${seed}`);
+  }
+}
+
 // Guards against a replaced host that keeps its vote, so that two lost disks end the log for good.
 for (const role of ['follower', 'leader']) {
   test(`replaced ${role}, then two lost disks: log survives`, (t) => {
-    for (const seed of SEEDS) {
-      const cluster = startCluster(seed, 1);
+    checkEachSeed(t, 1, (cluster) => {
       replaceHost(cluster, pickHost(cluster, role === 'leader'), findSpare(cluster));
-      t.notThrows(() => {
-        checkLosses(cluster, seed);
-      }, `seed ${seed}`);
-    }
+    });
   });
 }
 
 test('two replaced hosts, then two lost disks: log survives', (t) => {
-  for (const seed of SEEDS) {
-    const cluster = startCluster(seed, 2);
+  checkEachSeed(t, 2, (cluster, seed) => {
     replaceHost(cluster, pickHost(cluster, false), findSpare(cluster));
     replaceHost(cluster, pickHost(cluster, seed % 2 === 0), findSpare(cluster, 1));
-    t.notThrows(() => {
-      checkLosses(cluster, seed);
-    }, `seed ${seed}`);
-  }
+  });
 });
 
 test('two hosts replaced at once, then two lost disks: log survives', (t) => {
-  for (const seed of SEEDS) {
-    const cluster = startCluster(seed, 2);
+  checkEachSeed(t, 2, (cluster) => {
     cluster.kill(pickHost(cluster, false));
     startHost(cluster, findSpare(cluster));
     replaceHost(cluster, pickHost(cluster, false), findSpare(cluster, 1));
-    t.notThrows(() => {
-      checkLosses(cluster, seed);
-    }, `seed ${seed}`);
-  }
+  });
 });
 
 test('replacement during a cut, then two lost disks: log survives', (t) => {
-  for (const seed of SEEDS) {
-    const cluster = startCluster(seed, 1);
-    const [one, two, three, four] = cluster.nodes;
-    if (!one || !two || !three || !four) throw new Error('the cluster has too few hosts');
+  checkEachSeed(t, 1, (cluster) => {
+    const [one, two, three, four, fifth] = cluster.nodes;
+    if (!one || !two || !three || !four || !fifth) throw new Error('too few hosts');
     for (const near of [one, two]) for (const far of [three, four]) cluster.cut(near, far);
-    const fifth = cluster.nodes[HOSTS - 1];
-    if (fifth !== undefined) cluster.kill(fifth);
-    runFor(cluster, SUCCESSOR_DELAY_MS);
-    startHost(cluster, findSpare(cluster));
-    runFor(cluster, CATCH_UP_MS);
+    replaceHost(cluster, fifth, findSpare(cluster));
     cluster.join();
     runFor(cluster, CATCH_UP_MS);
-    t.notThrows(() => {
-      checkLosses(cluster, seed);
-    }, `seed ${seed}`);
-  }
+  });
 });
 
 test('host cut off while another is replaced: successor and returned host vote', (t) => {
-  for (const seed of SEEDS) {
-    const cluster = startCluster(seed, 1);
+  checkEachSeed(t, 1, (cluster, seed) => {
     const gone = pickHost(cluster, false);
     cluster.kill(gone);
     const cutOff = pickHost(cluster, false);
     cluster.isolate(cutOff);
-    runFor(cluster, SUCCESSOR_DELAY_MS);
-    startHost(cluster, findSpare(cluster));
-    runFor(cluster, CATCH_UP_MS);
+    replaceHost(cluster, gone, findSpare(cluster));
     cluster.join();
     runFor(cluster, CATCH_UP_MS);
     const voters = readVoters(cluster);
     t.false(voters.includes(gone.address), `seed ${seed}: the replaced host still votes`);
     t.true(voters.includes(cutOff.address), `seed ${seed}: the returned host has no vote`);
-    t.notThrows(() => {
-      checkLosses(cluster, seed);
-    }, `seed ${seed}`);
-  }
+  });
 });
--- a/test/silent-links.test.ts
+++ b/test/silent-links.test.ts
@@ -4,11 +4,9 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { findFreePort, waitFor } from '../bench/mesh.js';
 import { PartitionRelay } from '../bench/partition-relay.js';
-import { LinkTask } from '../src/edge/index.js';
-import type { Address, HostId } from '../src/ids.js';
 import type { LinkEvent } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
-import { ManualClock } from './manual-clock.js';
+import { createLink } from './link-fixture.js';
 
 /** A version is in force 2 s after its acknowledgement, up to three links away from the source. */
 const ARRIVAL_LIMIT_MS = 650;
@@ -17,26 +15,9 @@
 const SEEDS = [1, 2, 3];
 
 function startLink(t: ExecutionContext, host: string, control: string, bind: string) {
-  const clock = new ManualClock();
-  const events: LinkEvent[] = [];
-  const replaced: Address[] = [];
-  const task = new LinkTask({
-    host: host as HostId,
-    control: control as Address,
-    bind: bind as Address,
-    clock,
-    random: new SeededRandom(1),
-    reportFailure: (name, error) => {
-      throw new Error(`${name} failed`, { cause: error });
-    },
-    notify: (event) => events.push(event),
-    notifyRejected: (from, reason) => {
-      throw new Error(`${from}: ${reason}`);
-    },
-    notifySilent: (address) => replaced.push(address),
-  });
-  t.teardown(() => task.stop());
-  return { task, events, clock, replaced, control: control as Address };
+  const link = createLink(host, control, bind);
+  t.teardown(() => link.task.stop());
+  return link;
 }
 
 /** Opens a link from `near` to `far`; both are reached through relays that can silence it. */
@@ -98,7 +79,7 @@
     pair[from].task.post({ kind: 'send', to: pair[to].control, channel: 'spread', body: 'moved' });
     await advance(ARRIVAL_LIMIT_MS);
     await waitForBody(pair[to].events, 'moved');
-    t.deepEqual(pair[from].replaced, [pair[to].control]);
+    t.deepEqual(pair[from].silent, [pair[to].control]);
     // The other end uses the new connection, too.
     pair[to].task.post({ kind: 'send', to: pair[from].control, channel: 'spread', body: 'answer' });
     await waitForBody(pair[from].events, 'answer');
@@ -123,7 +104,7 @@
   release();
   await waitForBody(far.events, 'late');
   t.deepEqual(listBodies(far.events), ['first', 'late']);
-  t.deepEqual(near.replaced, []);
+  t.deepEqual(near.silent, []);
 });
 
 test('late answer while nothing new gets through: link goes on', async (t) => {
@@ -131,7 +112,7 @@
   cut();
   near.task.post({ kind: 'send', to: far.control, channel: 'spread', body: 'late' });
   await advance(1_000);
-  t.deepEqual(near.replaced, [far.control]);
+  t.deepEqual(near.silent, [far.control]);
   release();
   await waitForBody(far.events, 'late');
   t.deepEqual(listBodies(far.events), ['first', 'late']);
