Name what is new by the verbs of CONTRIBUTING.md, and bound a recall

A recall asked every half second for ever where members never answer, e.g. in a fleet that runs two versions of the program, and remembered each request. It now asks after 0.5 s, doubling up to 5 s, and remembers 32 requests.

--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -5,7 +5,7 @@
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { reservePort } from './port-reservations.js';
+import { addReservation } from './port-reservations.js';
 
 const BUILD_FOLDER = join(import.meta.dirname, '..');
 const BACKEND_SERVER_SCRIPT = join(BUILD_FOLDER, 'bench', 'stand-in-server.js');
@@ -31,7 +31,7 @@
 export async function findFreePort(): Promise<number> {
   for (;;) {
     const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-    if (reservePort(port) && (await isFree(port))) return port;
+    if (addReservation(port) && (await isFree(port))) return port;
   }
 }
 
--- a/bench/port-reservations.ts
+++ b/bench/port-reservations.ts
@@ -7,7 +7,7 @@
  * Reserves a port until this process ends. Returns false if another process has reserved it. Without the
  * reservation, two processes may pick the same port before one of them listens on it.
  */
-export function reservePort(port: number): boolean {
+export function addReservation(port: number): boolean {
   mkdirSync(FOLDER, { recursive: true });
   const path = join(FOLDER, `${port}`);
   removeOutdated(path);
--- a/src/edge/answer-patience.ts
+++ b/src/edge/answer-patience.ts
@@ -15,12 +15,12 @@
   }
 
   /** Waits longer after an answer that was late. */
-  extend(): void {
+  handleLateAnswer(): void {
     this.#factor = Math.min(MAX_FACTOR, this.#factor * EXTENSION);
   }
 
   /** Waits less after an answer in time. */
-  shorten(): void {
+  handleTimelyAnswer(): void {
     this.#factor = Math.max(1, this.#factor * REDUCTION);
   }
 }
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -134,7 +134,7 @@
     this.#addToCopy(chunk);
     const writer = this.#writer;
     if (writer === undefined || writer.isClosed || writer.write(chunk)) return;
-    if (!this.#mayPause && this.#mayReadOn(writer)) return;
+    if (!this.#mayPause && this.#admitUnsent(writer)) return;
     this.#control?.pause();
     writer.waitForDrain(() => {
       this.#control?.resume();
@@ -206,7 +206,7 @@
   }
 
   /** Returns whether an answer may be read on for a slow caller; aborts it when it holds too much alone. */
-  #mayReadOn(writer: AnswerWriter): boolean {
+  #admitUnsent(writer: AnswerWriter): boolean {
     if (writer.unsentBytes > MAX_UNSENT_BYTES) {
       this.#control?.abort(CALLER_TOO_SLOW);
       return true;
--- a/src/edge/link-connection.ts
+++ b/src/edge/link-connection.ts
@@ -76,8 +76,8 @@
     }
     this.#sent.push({ packet, probe: undefined });
     this.#sentBytes += packet.bytes.length;
-    this.#dropExcess();
-    this.#probe();
+    this.#removeExcess();
+    this.#sendProbe();
   }
 
   /** Sends the probe that is due. Returns true if the connection has just become silent. */
@@ -87,7 +87,7 @@
       this.#isSilent = true;
       return true;
     }
-    this.#probe();
+    this.#sendProbe();
     return false;
   }
 
@@ -95,13 +95,13 @@
   handleAnswer(answer: Buffer): void {
     if (answer.length !== PROBE_BYTES) return;
     const number = answer.readUInt32BE();
-    if (this.#isSilent) this.#patience.extend();
-    else this.#patience.shorten();
+    if (this.#isSilent) this.#patience.handleLateAnswer();
+    else this.#patience.handleTimelyAnswer();
     this.#isSilent = false;
     this.#sent = this.#sent.filter(({ probe }) => probe === undefined || probe > number);
     this.#sentBytes = this.#sent.reduce((sum, { packet }) => sum + packet.bytes.length, 0);
     if (this.#openProbe?.number === number) this.#openProbe = undefined;
-    this.#probe();
+    this.#sendProbe();
   }
 
   /** Removes and returns the packets that are not acknowledged, oldest first. */
@@ -116,7 +116,7 @@
   }
 
   /** Ends the connection at once. */
-  terminate(): void {
+  stop(): void {
     this.#socket.terminate();
   }
 
@@ -126,7 +126,7 @@
     return this.#sent.at(-1)?.probe === undefined && this.#sent.length > 0;
   }
 
-  #probe(): void {
+  #sendProbe(): void {
     const now = this.#clock.read();
     if (this.#openProbe !== undefined || this.#isSilent) return;
     if (!this.#hasUnprobed || now < this.#nextProbeAt) return;
@@ -141,7 +141,7 @@
     this.#nextProbeAt = addMs(now, PROBE_INTERVAL_MS);
   }
 
-  #dropExcess(): void {
+  #removeExcess(): void {
     while (this.#sent.length > MAX_UNACKNOWLEDGED || this.#sentBytes > MAX_UNACKNOWLEDGED_BYTES) {
       const dropped = this.#sent.shift();
       if (dropped === undefined) return;
--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -313,7 +313,7 @@
     for (const packet of [...unacknowledged, ...link.waiting.splice(0)]) {
       this.#write(connection, packet);
     }
-    for (const one of replaced) one.terminate();
+    for (const one of replaced) one.stop();
     if (!isTakeover || replaced.length > 0) {
       this.#options.notify({ kind: 'link-up', host, address: link.address });
     }
@@ -329,7 +329,7 @@
     if (this.#closed || (!wasDialling && index < 0)) return;
     if (findCurrent(link) !== undefined) {
       const silent = link.connections.filter(({ isSilent }) => isSilent);
-      for (const one of [connection, ...silent]) this.#moveUnacknowledged(link, one);
+      for (const one of [connection, ...silent]) this.#passUnacknowledged(link, one);
       if (findCurrent(link)?.isSilent === true) this.#retryLater(address, link);
       return;
     }
@@ -340,7 +340,7 @@
   }
 
   /** Sends what a closed or silent connection has not delivered on another one of its link. */
-  #moveUnacknowledged(link: PeerLink, from: LinkConnection | undefined): void {
+  #passUnacknowledged(link: PeerLink, from: LinkConnection | undefined): void {
     const current = findCurrent(link);
     if (current === undefined || current === from) return;
     for (const packet of from?.removeUnacknowledged() ?? []) this.#write(current, packet);
--- a/src/edge/unsent-budget.ts
+++ b/src/edge/unsent-budget.ts
@@ -26,17 +26,17 @@
     this.#total += bytes - (known ?? 0);
     if (bytes === 0) this.#held.delete(writer);
     else this.#held.set(writer, bytes);
-    if (known === undefined && bytes > 0) this.#watch(writer);
+    if (known === undefined && bytes > 0) this.#updateOnDrain(writer);
     return this.#total <= this.#maxBytes;
   }
 
   // Internals.
 
-  #watch(writer: AnswerWriter): void {
+  #updateOnDrain(writer: AnswerWriter): void {
     writer.waitForDrain(() => {
       if (!this.#held.has(writer)) return;
       this.update(writer);
-      if (this.#held.has(writer)) this.#watch(writer);
+      if (this.#held.has(writer)) this.#updateOnDrain(writer);
     });
   }
 }
--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -177,12 +177,12 @@
     for (const learner of this.#learners.values()) {
       const next = this.#findMembershipChange(learner, now);
       if (next === undefined) continue;
-      this.#changeMembership(next, now);
+      this.#applyMembershipChange(next, now);
       return;
     }
   }
 
-  #changeMembership({ membership, ...change }: MembershipChange, now: Instant): void {
+  #applyMembershipChange({ membership, ...change }: MembershipChange, now: Instant): void {
     this.#append({ kind: 'membership', membership });
     this.#replicator.replicate(now);
     this.replica.reportVoterChange({ ...change, voters: membership.voters.length });
@@ -233,7 +233,10 @@
     if (longest === undefined) return;
     const { address } = longest;
     const membership = removeVoter(this.#membership, address);
-    this.#changeMembership({ membership, action: 'remove', voter: address, cause: 'silent' }, now);
+    this.#applyMembershipChange(
+      { membership, action: 'remove', voter: address, cause: 'silent' },
+      now,
+    );
   }
 
   #isSilent(voter: Voter, now: Instant, afterMs: number): boolean {
--- a/src/members/members-state.ts
+++ b/src/members/members-state.ts
@@ -171,7 +171,7 @@
     uncertainTarget: undefined,
     probe: undefined,
     relayedProbes: new Map(),
-    recall: { askAt: startedAt, receivedParts: new Map(), answeredBy: new Set() },
+    recall: { askAt: startedAt, asks: 0, receivedParts: new Map(), answeredBy: new Set() },
     sequence: 0,
     probeAt: delay(PROBE_INTERVAL_MS),
     gossipAt: delay(GOSSIP_INTERVAL_MS),
--- a/src/members/recall.ts
+++ b/src/members/recall.ts
@@ -12,6 +12,8 @@
 export interface Recall {
   /** When further members are asked. */
   askAt: Instant;
+  /** How often members were asked. */
+  asks: number;
   /** The parts that each asked member has sent, by the sequence of the request. */
   readonly receivedParts: Map<number, Set<number>>;
   /** The members that have answered completely. */
@@ -21,6 +23,7 @@
 /** Begins to ask again. Called at the start of the process and after it was absent. */
 export function startRecall({ recall }: MembersState, now: Instant): void {
   recall.askAt = now;
+  recall.asks = 0;
   recall.receivedParts.clear();
   recall.answeredBy.clear();
 }
@@ -29,12 +32,16 @@
 export function runRecall(state: MembersState, context: StepContext): void {
   if (context.now < findRecallDeadline(state)) return;
   const { recall, table, random } = state;
-  recall.askAt = addMs(context.now, ASK_AGAIN_AFTER_MS);
+  recall.askAt = addMs(
+    context.now,
+    Math.min(MAX_ASK_DELAY_MS, MIN_ASK_DELAY_MS * 2 ** recall.asks),
+  );
+  recall.asks += 1;
   for (const { host, control } of table.pickRandom(random, ANSWERS_NEEDED)) {
     if (recall.answeredBy.has(host)) continue;
     state.sequence += 1;
     const { sequence } = state;
-    recall.receivedParts.set(sequence, new Set());
+    addAsk(recall, sequence);
     context.send(control, { kind: 'recall', from: state.self.host, sequence });
   }
 }
@@ -78,9 +85,21 @@
 // Internals.
 
 const ANSWERS_NEEDED = 3;
-const ASK_AGAIN_AFTER_MS = 500;
+const MIN_ASK_DELAY_MS = 500;
+const MAX_ASK_DELAY_MS = 5_000;
+/** Members may never answer, for example those that run an earlier version of the program. */
+const MAX_OPEN_ASKS = 32;
 const MAX_PARTS = 32;
 
+/** Waits for the answer to a request; forgets the oldest request if too many are open. */
+function addAsk({ receivedParts }: Recall, sequence: number): void {
+  receivedParts.set(sequence, new Set());
+  for (const oldest of receivedParts.keys()) {
+    if (receivedParts.size <= MAX_OPEN_ASKS) return;
+    receivedParts.delete(oldest);
+  }
+}
+
 function buildParts(state: MembersState, now: Instant): MemberUpdate[][] {
   const parts: MemberUpdate[][] = [[]];
   let bytes = 0;
