Hand the head of an answer over together with the first part of its body

What callers saw: of 30 callers whose answer broke off in an endless chunk extension, 16 had their connection closed without a byte, the others a 502.

Cause: the head of an answer was handed to Node.js when it arrived, which holds it back until the first part of the body. An attempt that failed in between could not be refused any more, because the head counted as sent.

Change: CallAttempt hands the head over with the first part of the body or at the end. What is sent when does not change.

Evidence: endless-answers, "head, then an endless chunk extension", red before.

--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -57,6 +57,8 @@
   /** Bytes received of an answer whose end is not delimited. */
   #undelimitedBytes = 0;
   #writer: AnswerWriter | undefined;
+  /** The head for the writer; undefined once it was handed over. */
+  #unsentHead: AnswerHead | undefined;
   #copy: Buffer[] | undefined;
   #copyBytes = 0;
   #isDelimited = true;
@@ -75,10 +77,13 @@
     if (options.keepsAnswer) this.#copy = [];
   }
 
-  /** Forwards the answer to the caller with additional headers, through `writer` if given. */
+  /**
+   * Forwards the answer to the caller with additional headers, through `writer` if given. The head goes out with
+   * the first part of the body: an answer that breaks off before can still be replaced by a refusal.
+   */
   relay(response: ServerResponse, addedHeaders: readonly string[], writer?: AnswerWriter): void {
     this.#writer = writer ?? new DirectAnswerWriter(response);
-    if (!this.#writer.isClosed) this.#writer.start(this.#buildHead(addedHeaders));
+    this.#unsentHead = this.#buildHead(addedHeaders);
     this.#control?.resume();
   }
 
@@ -132,7 +137,7 @@
       }
     }
     this.#addToCopy(chunk);
-    const writer = this.#writer;
+    const writer = this.#startWriter();
     if (writer === undefined || writer.isClosed || writer.write(chunk)) return;
     if (!this.#mayPause && this.#admitUnsent(writer)) return;
     this.#control?.pause();
@@ -146,7 +151,7 @@
     if (!this.#finish()) return;
     if (this.#isDelimited) {
       post({ kind: 'answer-complete', attempt, answer: this.#buildStoredAnswer() });
-      this.#writer?.end();
+      this.#startWriter()?.end();
     } else {
       const failure = { outcome: 'unknown', reason: 'upstream-failed' } as const;
       post({ kind: 'attempt-failed', attempt, failure, ending: 'answered' });
@@ -205,6 +210,14 @@
     return { status: this.#status ?? STATUS_BAD_GATEWAY, statusText: this.#statusText, headers };
   }
 
+  /** Returns the writer, after the head was handed to it; undefined if the answer is not relayed. */
+  #startWriter(): AnswerWriter | undefined {
+    const head = this.#unsentHead;
+    this.#unsentHead = undefined;
+    if (head !== undefined && this.#writer?.isClosed === false) this.#writer.start(head);
+    return this.#writer;
+  }
+
   /** Returns whether an answer may be read on for a slow caller; aborts it when it holds too much alone. */
   #admitUnsent(writer: AnswerWriter): boolean {
     if (writer.unsentBytes > MAX_UNSENT_BYTES) {
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -84,6 +84,35 @@
   return { status: statusCode, isComplete, milliseconds, flood };
 }
 
+/** Writes the head of an answer in chunks; the chunk extension that follows later never ends. */
+const ANSWER_BY_PARTS: RequestHandler = (sent) => {
+  const { socket } = sent;
+  const head = buildHead(sent, '200 OK', 'X-Server-Seal: s', 'Transfer-Encoding: chunked');
+  socket.write(head);
+  setTimeout(() => {
+    writeEndlessly(socket, '5;a=', 'x', { bytes: 0, runs: 0 });
+  }, PART_DELAY_MS);
+};
+
+// Guards against a connection that is closed without a byte although nothing of the answer was sent.
+test('head, then an endless chunk extension: refused with a status', async (t) => {
+  const mesh = await CallMesh.start({
+    configuration: CONFIGURATION,
+    answers: [undefined, ANSWER_BY_PARTS],
+    front: new PlatformCallFront(),
+  });
+  t.teardown(() => mesh.stop());
+  for (const proxy of [0, 1]) {
+    const { statusCode, body } = await request(`http://${mesh.at(proxy).calls}/x`, {
+      method: 'POST',
+      headers: { 'x-attempt-id': `a-${proxy}`, 'x-deadline-ms': '3000' },
+    });
+    await body.dump();
+    t.is(statusCode, 502, `proxy ${proxy}`);
+  }
+});
+
+const PART_DELAY_MS = 50;
 const MAX_ANSWER_MS = TIME_LIMIT_MS + 500;
 
 test('endless head', async (t) => {
