Broadcast a draining server once, and keep room for crashes

Seen while reading the change again: each heartbeat of a draining server was broadcast to the whole fleet, because an item was extended after 1 s; and runs that have left shared the room for 1,000 items with crashes, so that a release of a large fleet would have left crashes unknown.

An item names its host, so that the answer to a recall has only the runs that the asking proxy needs.

--- a/src/edge/member-codec.ts
+++ b/src/edge/member-codec.ts
@@ -31,7 +31,7 @@
     case 'crash-seen':
       return [CRASH_SEEN_TAG, update.fingerprint, update.server, Math.round(update.remainingMs)];
     case 'run-left':
-      return [RUN_LEFT_TAG, update.instance, update.life, Math.round(update.remainingMs)];
+      return encodeRunLeft(update);
   }
 }
 
@@ -212,12 +212,18 @@
   };
 }
 
+function encodeRunLeft(update: Extract<MemberUpdate, { kind: 'run-left' }>): unknown[] {
+  const { host, instance, life, remainingMs } = update;
+  return [RUN_LEFT_TAG, host, instance, life, Math.round(remainingMs)];
+}
+
 function decodeRunLeft(fields: readonly unknown[]): MemberUpdate {
   return {
     kind: 'run-left',
-    instance: parseInstanceId(readText(fields[1])),
-    life: readCount(fields[2]),
-    remainingMs: readRemainingMs(fields[3]),
+    host: readHost(fields[1]),
+    instance: parseInstanceId(readText(fields[2])),
+    life: readCount(fields[3]),
+    remainingMs: readRemainingMs(fields[4]),
   };
 }
 
--- a/src/members/apply-update.ts
+++ b/src/members/apply-update.ts
@@ -2,12 +2,11 @@
 import { addMs } from '../clock.js';
 import type { Incarnation, Instant } from '../ids.js';
 import type { Broadcast, MemberUpdate } from '../messages/index.js';
-import { buildBroadcastKey } from './seen-broadcasts.js';
+import { buildBroadcastKey, buildBroadcastUpdate } from './seen-broadcasts.js';
 import type { MemberStatus } from './member-table.js';
 import type { MembersState } from './members-state.js';
 import { buildRecordKey, buildStatusKey, publishSelf, updateLocalServers } from './own-record.js';
 import { updateMember } from './member-events.js';
-import { startRecall } from './recall.js';
 import { PROBE_INTERVAL_MS, SUSPICION_MULTIPLIER, TOMBSTONE_MS } from './timing.js';
 import type { StepContext } from './step-context.js';
 
@@ -62,11 +61,6 @@
   return true;
 }
 
-/** Builds the update that carries a broadcast item to another member. */
-export function buildBroadcastUpdate({ until, ...item }: Broadcast, now: Instant): MemberUpdate {
-  return { ...item, remainingMs: until - now };
-}
-
 /**
  * Sets the time limit after which a suspect is declared dead unless it refutes the suspicion. It is set again
  * if it passes while the suspect's data centre is unreachable.
@@ -101,8 +95,8 @@
       return;
     }
     case 'run-left': {
-      const { kind, instance, life, remainingMs } = update;
-      const item = { kind, instance, life, until: addMs(context.now, remainingMs) };
+      const { kind, host, instance, life, remainingMs } = update;
+      const item = { kind, host, instance, life, until: addMs(context.now, remainingMs) };
       if (!applyBroadcast(state, item, context.now, isGossiped)) return;
       state.servers.addLeftRun(instance, life);
       updateLocalServers(state, context);
@@ -141,7 +135,7 @@
 function refute(state: MembersState, incarnation: Incarnation, context: StepContext): void {
   state.counts.refutations += 1;
   // Others have missed this process, so it has missed what they broadcast.
-  startRecall(state, context.now);
+  state.recall.start(context.now);
   publishSelf(state, incarnation, context, true);
 }
 
--- a/src/members/handle-datagram.ts
+++ b/src/members/handle-datagram.ts
@@ -5,8 +5,8 @@
 import { applyUpdates } from './apply-update.js';
 import { buildStatusOf, pickUpdates } from './gossip.js';
 import type { MembersState } from './members-state.js';
-import { answerRecall, handleRecalled } from './recall.js';
 import { notifyDataCentreUp } from './member-events.js';
+import { answerRecall, handleRecalled } from './run-recall.js';
 import { MAX_RELAYED_PROBES, INTRODUCTION_SAMPLE, PROBE_TIMEOUT_MS } from './timing.js';
 import type { StepContext } from './step-context.js';
 
@@ -39,7 +39,7 @@
       applyUpdates(state, message.updates, context);
       return;
     case 'recall':
-      answerRecall(state, findReplyAddress(state, message.from, from), message.sequence, context);
+      answerRecall(state, findReplyAddress(state, message.from, from), message, context);
       return;
     case 'recalled':
       handleRecalled(state, message, context);
--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -5,7 +5,7 @@
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import { handleDatagram } from './handle-datagram.js';
-import { addSuspect, applyBroadcast, applyStatus, buildBroadcastUpdate } from './apply-update.js';
+import { addSuspect, applyBroadcast, applyStatus } from './apply-update.js';
 import { runGossip, sendLeave } from './gossip.js';
 import { runJoin, runReconnect } from './join.js';
 import type { MembersIn, MembersOptions, MembersOut, MembersState } from './members-state.js';
@@ -13,7 +13,8 @@
 import { publishSelf, notifyHeartbeat, updateLocalServers } from './own-record.js';
 import { needsHelpers, runProbes } from './failure-detector.js';
 import { handleSync, runSync } from './anti-entropy.js';
-import { findRecallDeadline, runRecall, startRecall } from './recall.js';
+import { findRecallDeadline, runRecall } from './run-recall.js';
+import { buildBroadcastUpdate } from './seen-broadcasts.js';
 import { LEAVE_FANOUT, PAUSE_GRACE_MS, PAUSE_THRESHOLD_MS, RUN_LEFT_MS } from './timing.js';
 import { StepContext } from './step-context.js';
 
@@ -66,7 +67,7 @@
   state.localHealth.addFailure();
   state.probe = undefined;
   state.graceUntil = addMs(context.now, PAUSE_GRACE_MS);
-  startRecall(state, context.now);
+  state.recall.start(context.now);
 }
 
 function handle(state: MembersState, message: MembersIn, context: StepContext): void {
@@ -143,12 +144,13 @@
   context: StepContext,
 ): void {
   const until = addMs(context.now, RUN_LEFT_MS);
-  const item = { kind: 'run-left', instance, life, until } as const;
+  const { host } = state.self;
+  const item = { kind: 'run-left', host, instance, life, until } as const;
   state.servers.addLeftRun(instance, life);
   if (!applyBroadcast(state, item, context.now)) return;
   const updates = [buildBroadcastUpdate(item, context.now)];
   for (const { control } of state.table.pickRandom(state.random, LEAVE_FANOUT)) {
-    context.send(control, { kind: 'gossip', from: state.self.host, updates });
+    context.send(control, { kind: 'gossip', from: host, updates });
   }
 }
 
--- a/src/members/members-state.ts
+++ b/src/members/members-state.ts
@@ -20,7 +20,7 @@
 import type { MemberStatus } from './member-table.js';
 import { LocalServers } from './local-servers.js';
 import { ProbeOrder } from './probe-order.js';
-import type { Recall } from './recall.js';
+import { Recall } from './recall.js';
 import { AvailabilityFloor } from './availability-floor.js';
 import {
   GOSSIP_INTERVAL_MS,
@@ -171,7 +171,7 @@
     uncertainTarget: undefined,
     probe: undefined,
     relayedProbes: new Map(),
-    recall: { askAt: startedAt, asks: 0, receivedParts: new Map(), answeredBy: new Set() },
+    recall: new Recall(startedAt),
     sequence: 0,
     probeAt: delay(PROBE_INTERVAL_MS),
     gossipAt: delay(GOSSIP_INTERVAL_MS),
--- a/src/members/update-size.ts
+++ b/src/members/update-size.ts
@@ -11,7 +11,7 @@
     case 'crash-seen':
       return FIXED_BYTES + update.fingerprint.length + update.server.length;
     case 'run-left':
-      return FIXED_BYTES + update.instance.length;
+      return FIXED_BYTES + update.host.length + update.instance.length;
   }
 }
 
--- a/src/messages/member.ts
+++ b/src/messages/member.ts
@@ -109,6 +109,8 @@
 /** A run of a backend server drains or has left, and takes no new calls. Expires at `until`. */
 export interface RunLeft {
   readonly kind: 'run-left';
+  /** The host of the local proxy of the server. */
+  readonly host: HostId;
   readonly instance: InstanceId;
   /** Earlier runs of the instance have left, too. */
   readonly life: number;
--- a/src/messages/probe.ts
+++ b/src/messages/probe.ts
@@ -26,6 +26,7 @@
   /** A run of a backend server that takes no new calls, with the remaining time like `crash-seen`. */
   | {
       readonly kind: 'run-left';
+      readonly host: HostId;
       readonly instance: InstanceId;
       readonly life: number;
       readonly remainingMs: number;
@@ -63,7 +64,7 @@
       readonly from: HostId;
       readonly updates: readonly MemberUpdate[];
     }
-  /** Asks for the broadcast items that the receiver remembers. */
+  /** Asks for the crashes that the receiver remembers, and for the runs that have left beside the sender. */
   | { readonly kind: 'recall'; readonly from: HostId; readonly sequence: number }
   /** One part of the answer to a `recall`, counted from 0. */
   | {
--- a/test/members-codec.test.ts
+++ b/test/members-codec.test.ts
@@ -10,6 +10,7 @@
   DataCentreId,
   Digest,
   HostId,
+  InstanceId,
   Incarnation,
   RegionId,
   ServiceName,
@@ -65,7 +66,14 @@
   server: address,
   remainingMs: fc.nat(80_000_000),
 });
-const update: fc.Arbitrary<MemberUpdate> = fc.oneof(record, status, crash);
+const runLeft = fc.record({
+  kind: fc.constant('run-left' as const),
+  host,
+  instance: name as fc.Arbitrary<InstanceId>,
+  life: fc.maxSafeNat(),
+  remainingMs: fc.nat(80_000_000),
+});
+const update: fc.Arbitrary<MemberUpdate> = fc.oneof(record, status, crash, runLeft);
 const sequence = fc.nat();
 const few = fc.array(update, { maxLength: 1 });
 const probe: fc.Arbitrary<ProbeMessage> = fc.oneof(
@@ -87,6 +95,15 @@
     address,
     updates: few,
   }),
+  fc.record({ kind: fc.constant('recall' as const), from: host, sequence }),
+  fc.record({
+    kind: fc.constant('recalled' as const),
+    from: host,
+    sequence,
+    part: fc.nat(31),
+    parts: fc.nat(32),
+    updates: few,
+  }),
 );
 
 test('datagram round trip', (t) => {
--- a/test/members-recall.test.ts
+++ b/test/members-recall.test.ts
@@ -3,9 +3,11 @@
 import type { FleetNode } from '../bench/member-fleet.js';
 import { MemberFleet } from '../bench/member-fleet.js';
 import { addMs } from '../src/clock.js';
-import type { Address, Digest, InstanceId, ServiceName } from '../src/ids.js';
+import type { Address, Digest, HostId, InstanceId, Instant, ServiceName } from '../src/ids.js';
+import { SeenBroadcasts } from '../src/members/seen-broadcasts.js';
 import type { Announcement, ServerState } from '../src/messages/index.js';
 
+const NOW = 1_000 as Instant;
 const FLEET_SIZE = 18;
 const INSTANCE = 'i-1' as InstanceId;
 const LIFE = 1_700_000_000_000;
@@ -117,6 +119,40 @@
   }
 }
 
+// Guards against a draining server whose heartbeats are each passed on to the whole fleet.
+test('draining heartbeats: broadcast once in a while', (t) => {
+  const { fleet, node } = startFleet(1, 0);
+  announce(fleet, node, 'ready', 1);
+  fleet.run(2_000);
+  let sent = 0;
+  fleet.network.countDatagram = (_, { message }) => {
+    if (!('updates' in message)) return;
+    sent += message.updates.filter(({ kind }) => kind === 'run-left').length;
+  };
+  announce(fleet, node, 'draining', 2);
+  fleet.run(10_000);
+  const first = sent;
+  t.true(first > 0);
+  for (let sequence = 3; sequence < 13; sequence += 1) {
+    announce(fleet, node, 'draining', sequence);
+    fleet.run(1_500);
+  }
+  t.is(sent, first);
+});
+
+// Guards against a release of a large fleet that leaves no room for what the members remember of crashes.
+test('many runs that have left: crashes are still remembered', (t) => {
+  const seen = new SeenBroadcasts();
+  const until = addMs(NOW, QUARANTINE_MS);
+  const host = 'h' as HostId;
+  for (let life = 0; life < 3_000; life += 1) {
+    seen.add({ kind: 'run-left', host, instance: INSTANCE, life, until }, NOW);
+  }
+  const server = '10.0.0.1:8000' as Address;
+  t.true(seen.add({ kind: 'crash-seen', fingerprint: 'f' as Digest, server, until }, NOW));
+  t.is(seen.list('crash-seen', NOW).length, 1);
+});
+
 function countCrashes({ broadcasts }: FleetNode): number {
   return new Set(broadcasts.map(({ fingerprint }) => fingerprint)).size;
 }
