--- a/src/edge/link-codec.ts
+++ b/src/edge/link-codec.ts
@@ -14,6 +14,12 @@
   readonly control: Address;
 }
 
+/** An encoded message. */
+export interface LinkPacket {
+  readonly channel: LinkChannel;
+  readonly bytes: Buffer;
+}
+
 /** A decoded frame of a link. */
 export type Frame =
   | { readonly kind: 'hello'; readonly hello: Hello }
--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -5,18 +5,18 @@
 import { WebSocket, WebSocketServer } from 'ws';
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs } from '../clock.js';
-import type { Address, HostId, Instant } from '../ids.js';
+import type { Address, HostId } from '../ids.js';
 import { splitAddress } from '../ids.js';
 import type { LinkChannel, LinkCommand, LinkEvent } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { Task, WakeTimer } from '../pipe/index.js';
 import type { Random } from '../random.js';
-import type { Frame, Hello } from './link-codec.js';
-import { AnswerPatience } from './answer-patience.js';
+import type { Frame, Hello, LinkPacket } from './link-codec.js';
 import { runAfterPoll } from './after-poll.js';
 import { decodeFrame, encodeHello, MAX_FRAME_BYTES, MessageEncoder } from './link-codec.js';
-import type { LinkPacket } from './link-connection.js';
 import { LinkConnection } from './link-connection.js';
+import { PeerLink } from './peer-link.js';
+import { QuietConnections } from './quiet-connections.js';
 
 /** Bytes sent and received over all links on one channel. */
 export interface ChannelBytes {
@@ -44,14 +44,6 @@
   readonly notifySilent?: (address: Address, unacknowledged: number) => void;
 }
 
-/** Liveness deadlines of an open connection; each received message, ping or pong renews them. */
-interface ConnectionDeadlines {
-  /** A ping is sent if nothing is received until this instant. */
-  readonly pingAt: Instant;
-  /** The connection is terminated if nothing is received until this instant. */
-  readonly terminateAt: Instant;
-}
-
 /** A connection that this process dials. */
 interface Dial {
   readonly to: Address;
@@ -59,36 +51,19 @@
   readonly replaced: readonly LinkConnection[];
 }
 
-/** The state of the link to one address. */
-interface PeerLink {
-  readonly address: Address;
-  /** The open connections, whichever side dialled them; the newest one that is not silent carries messages. */
-  readonly connections: LinkConnection[];
-  readonly patience: AnswerPatience;
-  dialling: WebSocket | undefined;
-  /** Messages queued until a connection is open. */
-  waiting: LinkPacket[];
-  /** The number of `keep` commands without a matching `drop`; above 0, the link is kept open. */
-  keepCount: number;
-  /** When the last message was sent or received. */
-  lastUsedAt: Instant;
-  attempts: number;
-  cancelRetry: CancelTimer | undefined;
-}
-
 /**
  * Owns the listening socket and all links of a process.
  *
  * The first message to an address dials its link. A connection that goes silent is replaced by a new one, which
  * sends again what was not acknowledged; a connection that the peer dials takes the link over. A kept link is redialled after it breaks, with capped
  * exponential backoff and full jitter. Any other link is redialled by the next message and closed after
- * an idle timeout. A connection that receives a malformed frame is terminated. Delivery is not
- * guaranteed: a message is dropped if its link breaks, and the filters in the pipes recover from it.
+ * an idle timeout. A connection that receives a malformed frame is terminated. A message may be dropped if its
+ * link breaks, and it may arrive twice; the filters in the pipes recover from both.
  */
 export class LinkTask extends Task<LinkCommand> {
   readonly #options: LinkTaskOptions;
   readonly #links = new Map<Address, PeerLink>();
-  readonly #deadlines = new Map<WebSocket, ConnectionDeadlines>();
+  readonly #quiet = new QuietConnections();
   /** The connections whose peers have said hello. */
   readonly #connections = new Map<WebSocket, LinkConnection>();
   readonly #probeTimer: WakeTimer;
@@ -150,7 +125,7 @@
       link.cancelRetry?.();
       link.dialling?.terminate();
     }
-    for (const socket of this.#deadlines.keys()) socket.terminate();
+    this.#quiet.stop();
     const server = this.#server;
     if (server === undefined) return;
     await new Promise<void>((resolve) => {
@@ -182,9 +157,9 @@
     const packet = { channel, bytes: this.#encoder.encode(channel, body) };
     const link = this.#findLink(to);
     link.lastUsedAt = this.#options.clock.read();
-    const connection = findCurrent(link);
-    if (connection !== undefined) this.#write(connection, packet);
-    else if (link.waiting.length < MAX_QUEUED_MESSAGES) link.waiting.push(packet);
+    const { current } = link;
+    if (current === undefined) link.addWaiting(packet);
+    else this.#write(current, packet);
     this.#dialIfNeeded(link);
   }
 
@@ -206,8 +181,7 @@
     const link = this.#findLink(to);
     link.keepCount = Math.max(0, link.keepCount - 1);
     if (link.keepCount > 0) return;
-    link.cancelRetry?.();
-    link.cancelRetry = undefined;
+    link.stopRetry();
     for (const connection of link.connections) connection.close();
     link.dialling?.terminate();
   }
@@ -215,13 +189,12 @@
   /** Dials unless a connection that is not silent is open, or will be. */
   #dialIfNeeded(link: PeerLink): void {
     if (this.#closed || link.dialling !== undefined || link.cancelRetry !== undefined) return;
-    if (findCurrent(link)?.isSilent === false) return;
-    this.#dial(link.address, link);
+    if (link.needsConnection) this.#dial(link);
   }
 
-  #dial(to: Address, link: PeerLink): void {
-    link.cancelRetry?.();
-    link.cancelRetry = undefined;
+  #dial(link: PeerLink): void {
+    const to = link.address;
+    link.stopRetry();
     const socket = new WebSocket(`ws://${to}`, {
       localAddress: splitAddress(this.#options.bind).host,
       perMessageDeflate: false,
@@ -229,7 +202,7 @@
       maxPayload: MAX_FRAME_BYTES,
     });
     link.dialling = socket;
-    const replaced = [...link.connections];
+    const replaced = link.connections;
     socket.on('open', () => {
       socket.send(encodeHello(this.#hello));
     });
@@ -237,7 +210,7 @@
   }
 
   #accept(socket: WebSocket, from: Address): void {
-    this.#updateDeadlines(socket);
+    this.#updateReceived(socket);
     socket.send(encodeHello(this.#hello));
     this.#addListeners(socket, from, undefined);
   }
@@ -247,15 +220,15 @@
     let hello: Hello | undefined;
     for (const event of ['open', 'ping'] as const) {
       socket.on(event, () => {
-        this.#updateDeadlines(socket);
+        this.#updateReceived(socket);
       });
     }
-    socket.on('pong', (data: Buffer) => {
-      this.#updateDeadlines(socket);
-      this.#handleAnswer(socket, dialled?.to ?? hello?.control, data);
+    socket.on('pong', (payload: Buffer) => {
+      this.#updateReceived(socket);
+      this.#handlePong(socket, dialled?.to ?? hello?.control, payload);
     });
     socket.on('message', (data: Buffer) => {
-      this.#updateDeadlines(socket);
+      this.#updateReceived(socket);
       const frame = this.#readFrame(data, hello?.control ?? from);
       if (frame === undefined) {
         socket.terminate();
@@ -279,7 +252,7 @@
       // `ws` emits 'close' after every error; the close listener does the clean-up.
     });
     socket.on('close', () => {
-      this.#deadlines.delete(socket);
+      this.#quiet.remove(socket);
       const address = dialled?.to ?? hello?.control;
       if (address !== undefined) this.#removeConnection(address, hello?.host, socket);
       this.#connections.delete(socket);
@@ -307,10 +280,9 @@
     const connection = new LinkConnection(socket, this.#options.clock, link.patience);
     this.#connections.set(socket, connection);
     const isTakeover = link.connections.length > 0;
-    link.connections.push(connection);
-    link.attempts = 0;
+    link.addConnection(connection);
     const unacknowledged = replaced.flatMap((one) => one.removeUnacknowledged());
-    for (const packet of [...unacknowledged, ...link.waiting.splice(0)]) {
+    for (const packet of [...unacknowledged, ...link.removeWaiting()]) {
       this.#write(connection, packet);
     }
     for (const one of replaced) one.stop();
@@ -324,39 +296,35 @@
     const wasDialling = link.dialling === socket;
     if (wasDialling) link.dialling = undefined;
     const connection = this.#connections.get(socket);
-    const index = connection === undefined ? -1 : link.connections.indexOf(connection);
-    if (index >= 0) link.connections.splice(index, 1);
-    if (this.#closed || (!wasDialling && index < 0)) return;
-    if (findCurrent(link) !== undefined) {
-      const silent = link.connections.filter(({ isSilent }) => isSilent);
-      for (const one of [connection, ...silent]) this.#passUnacknowledged(link, one);
-      if (findCurrent(link)?.isSilent === true) this.#retryLater(address, link);
+    const wasOpen = link.removeConnection(connection);
+    if (this.#closed || (!wasDialling && !wasOpen)) return;
+    if (link.connections.length > 0) {
+      this.#sendUndelivered(link, connection);
+      if (link.needsConnection) this.#retryLater(link);
       return;
     }
-    link.waiting = [];
+    link.removeWaiting();
     this.#options.notify({ kind: 'link-down', host, address });
-    if (link.keepCount > 0) this.#retryLater(address, link);
+    if (link.keepCount > 0) this.#retryLater(link);
     else if (link.dialling === undefined) this.#links.delete(address);
   }
 
-  /** Sends what a closed or silent connection has not delivered on another one of its link. */
-  #passUnacknowledged(link: PeerLink, from: LinkConnection | undefined): void {
-    const current = findCurrent(link);
-    if (current === undefined || current === from) return;
-    for (const packet of from?.removeUnacknowledged() ?? []) this.#write(current, packet);
+  /** Sends again what a closed connection and silent ones have not delivered. */
+  #sendUndelivered(link: PeerLink, closed: LinkConnection | undefined): void {
+    const { current } = link;
+    if (current === undefined) return;
+    for (const packet of link.removeUndelivered(closed)) this.#write(current, packet);
   }
 
   /** Handles the answer to a probe. A connection that answers late needs no replacement. */
-  #handleAnswer(socket: WebSocket, address: Address | undefined, answer: Buffer): void {
+  #handlePong(socket: WebSocket, address: Address | undefined, payload: Buffer): void {
     const connection = this.#connections.get(socket);
     if (connection === undefined || address === undefined) return;
-    const wasSilent = connection.isSilent;
-    connection.handleAnswer(answer);
+    const hasRecovered = connection.handlePong(payload);
     this.#probeTimer.wakeAt(connection.deadline);
-    if (!wasSilent) return;
+    if (!hasRecovered) return;
     const link = this.#findLink(address);
-    link.cancelRetry?.();
-    link.cancelRetry = undefined;
+    link.stopRetry();
     link.dialling?.terminate();
   }
 
@@ -364,7 +332,7 @@
   #checkConnections(): void {
     if (this.#closed) return;
     for (const link of this.#links.values()) {
-      for (const connection of [...link.connections]) {
+      for (const connection of link.connections) {
         if (connection.check()) this.#handleSilence(link, connection);
         this.#probeTimer.wakeAt(connection.deadline);
       }
@@ -374,11 +342,11 @@
   #handleSilence(link: PeerLink, connection: LinkConnection): void {
     this.#options.notifySilent?.(link.address, connection.unacknowledged);
     // The other connections may be silent, too, and not know it yet.
-    if (link.dialling === undefined) this.#dial(link.address, link);
+    if (link.dialling === undefined) this.#dial(link);
   }
 
-  #retryLater(address: Address, link: PeerLink): void {
-    if (link.cancelRetry !== undefined || findCurrent(link)?.isSilent === false) return;
+  #retryLater(link: PeerLink): void {
+    if (link.cancelRetry !== undefined || !link.needsConnection) return;
     const { clock, random } = this.#options;
     const maxDelayMs = Math.min(MAX_RETRY_DELAY_MS, BASE_RETRY_DELAY_MS * 2 ** link.attempts);
     link.attempts += 1;
@@ -388,13 +356,10 @@
     });
   }
 
-  /** Pings quiet connections, terminates unresponsive ones and closes idle links that are not kept. */
+  /** Checks quiet connections, and closes idle links that are not kept. */
   #sweep(): void {
     const now = this.#options.clock.read();
-    for (const [socket, timing] of this.#deadlines) {
-      if (timing.terminateAt <= now) socket.terminate();
-      else if (timing.pingAt <= now) socket.ping();
-    }
+    this.#quiet.check(now);
     const idleBefore = addMs(now, -MAX_IDLE_MS);
     for (const link of this.#links.values()) {
       if (link.keepCount > 0 || link.lastUsedAt >= idleBefore) continue;
@@ -403,14 +368,8 @@
     this.#sweepLater();
   }
 
-  /** Renews the liveness deadlines of a connection after something was received. */
-  #updateDeadlines(socket: WebSocket): void {
-    const now = this.#options.clock.read();
-    const deadlines = {
-      pingAt: addMs(now, PING_AFTER_IDLE_MS),
-      terminateAt: addMs(now, RECEIVE_TIMEOUT_MS),
-    };
-    this.#deadlines.set(socket, deadlines);
+  #updateReceived(socket: WebSocket): void {
+    this.#quiet.update(socket, this.#options.clock.read());
   }
 
   #sweepLater(): void {
@@ -423,17 +382,7 @@
   #findLink(address: Address): PeerLink {
     const known = this.#links.get(address);
     if (known !== undefined) return known;
-    const link: PeerLink = {
-      address,
-      connections: [],
-      patience: new AnswerPatience(),
-      dialling: undefined,
-      waiting: [],
-      keepCount: 0,
-      lastUsedAt: this.#options.clock.read(),
-      attempts: 0,
-      cancelRetry: undefined,
-    };
+    const link = new PeerLink(address, this.#options.clock.read());
     this.#links.set(address, link);
     return link;
   }
@@ -456,17 +405,9 @@
 const DIAL_TIMEOUT_MS = 2_000;
 const BASE_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 5_000;
-const MAX_QUEUED_MESSAGES = 1_000;
 const MAX_IDLE_MS = 60_000;
 const UPGRADE_REQUIRED = 426;
 const SWEEP_INTERVAL_MS = 3_000;
-const PING_AFTER_IDLE_MS = 4_000;
-const RECEIVE_TIMEOUT_MS = 12_000;
-
-/** Finds the connection that carries messages: the newest that is not silent, or else the newest. */
-function findCurrent({ connections }: PeerLink): LinkConnection | undefined {
-  return connections.findLast(({ isSilent }) => !isSilent) ?? connections.at(-1);
-}
 
 /** Answers plain HTTP requests: the server accepts only WebSocket connections. */
 function refuseRequest(_request: IncomingMessage, response: ServerResponse): void {
