Log and count the answers of the readiness endpoint

A line stands for each answer with another status than the one before, each that took 250 ms or more and each that its caller did not wait for; all are counted, with their time since the request or the accept of the connection. No decision changes.

--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -22,6 +22,7 @@
   'log-lines-lost': HIGH_RATE,
   'proxy-ready': HIGH_RATE,
   'proxy-not-ready': HIGH_RATE,
+  'readiness-answered': HIGH_RATE,
   draining: HIGH_RATE,
   'version-held': LOW_RATE,
   'version-applied': LOW_RATE,
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -12,7 +12,7 @@
   ReadyTask,
 } from '../edge/index.js';
 import type { MembersIn } from '../members/index.js';
-import type { Instant, Version } from '../ids.js';
+import type { Address, Instant, Version } from '../ids.js';
 import { NO_VERSION, parseCallerId } from '../ids.js';
 import type { LinkCommand, LinkEvent } from '../messages/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
@@ -32,6 +32,7 @@
 import type { Fronts } from './fronts.js';
 import type { Log } from './logger.js';
 import { ProxyReadiness } from './proxy-readiness.js';
+import { ReadinessAnswers } from './readiness-answers.js';
 import type { RecoveryLog } from './recovery-log.js';
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
@@ -125,10 +126,7 @@
       log('announcement-rejected', { url, status, body });
     },
   });
-  const ready =
-    proxy.ready === undefined
-      ? undefined
-      : new ReadyTask({ name: 'ready', address: proxy.ready, reportFailure });
+  const ready = proxy.ready === undefined ? undefined : createReadyTask(proxy.ready, options);
   const readiness = new ProxyReadiness({
     recovery,
     post: (message) => {
@@ -309,6 +307,19 @@
   registry.add(bytes);
 }
 
+function createReadyTask(address: Address, options: ProxyOptions): ReadyTask {
+  const { clock, log, registry, reportFailure } = options;
+  const answers = new ReadinessAnswers(log, registry);
+  return new ReadyTask({
+    address,
+    clock,
+    reportFailure,
+    notifyAnswered: (answer) => {
+      answers.handle(answer);
+    },
+  });
+}
+
 /** Creates the task that stores the version floor; undefined without a data folder. */
 function createFloorTask(
   { settings, reportFailure }: ProxyOptions,
