Obey a stop signal that comes while a process starts

What callers saw: a proxy that listened and answered was gone at once, without an answer, when it was told to stop before its start had ended; nothing in its log told of a stop.

Cause: the handlers of SIGTERM and SIGINT were installed after all roles had started, so that until then the default of the system applied. StopSignal installs them before the first listener and keeps the signal; the process ends its start, then stops as at any other time, and says which signal it was.

Evidence: stop-signal, signal during the start, red on (no connection in place of 503) and green now. No step of the start waits longer than before; a start that hangs ends by SIGKILL.

--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -27,6 +27,7 @@
 import { SettingsWatcher } from './settings-watcher.js';
 import type { ReportStatus } from './status.js';
 import { createStatusTask } from './status.js';
+import { StopSignal } from './stop-signal.js';
 
 /** Runs the configured roles until SIGTERM or SIGINT, then stops gracefully. Resolves with the exit code. */
 export async function runProcess(
@@ -34,6 +35,7 @@
   fronts: Fronts,
   settingsFile: string,
 ): Promise<number> {
+  const stopSignal = new StopSignal();
   const clock = new SystemClock();
   const { host, logLevel: level } = settings;
   const boundedLog = new RateLimitedLog({ host, level, clock, sink: createLineSink() });
@@ -136,9 +138,9 @@
   await members.start();
   log('started', { roles: settings.roles, control: settings.control });
   settingsWatcher.start();
-  await waitForSignal();
+  const signal = await stopSignal.wait();
   settingsWatcher.stop();
-  log('stopping');
+  log('stopping', { signal });
   await Promise.all(roles.flatMap((role) => role.linger?.() ?? []));
   members.post({ kind: 'drain' });
   for (const role of roles.toReversed()) await role.stop();
@@ -163,17 +165,3 @@
   const sources = [...(proxy?.sources ?? []), ...(source?.replicas ?? [])];
   return new RecoveryLog({ host, log, clock, sources });
 }
-
-/**
- * Resolves on SIGTERM or SIGINT. The SIGTERM handler stays installed, so a second SIGTERM does not kill the
- * process while it stops.
- */
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    const stop = (): void => {
-      resolve();
-    };
-    process.on('SIGTERM', stop);
-    process.once('SIGINT', stop);
-  });
-}
