Soak planned stops in series

Clients keep their connections and read large answers over a narrow link. A load balancer asks each proxy ten times a second; no process may say that it is ready later than 1 s after its signal, and no server may get calls later than 2 s after its leave was acknowledged.

--- a/bench/mesh-plan.ts
+++ b/bench/mesh-plan.ts
@@ -20,6 +20,8 @@
   readonly usesRelays?: boolean;
   /** Additional lines of the settings section `[proxy]`. */
   readonly proxySettings?: string;
+  /** How long backend servers serve after they have announced that they leave; 0 if absent. */
+  readonly leaveMs?: number;
 }
 
 /**
@@ -51,6 +53,8 @@
   readonly calls: string;
   readonly announce: string;
   readonly status: string;
+  /** The address of the readiness endpoint. */
+  readonly ready: string;
   readonly settings: string;
   readonly serverPort: number;
   process: MeshProcess;
@@ -110,12 +114,17 @@
     await waitForStart(source.process);
   }
 
-  /** Starts a stopped proxy with its previous settings. */
+  /** Starts a stopped proxy with its previous settings, and waits for its start. */
   async restartProxy(proxy: ProxyHost): Promise<void> {
-    proxy.process = this.mesh.startProgram(proxy.name, proxy.settings);
+    this.startProxyAgain(proxy);
     await waitForStart(proxy.process);
   }
 
+  /** Starts a stopped proxy with its previous settings. */
+  startProxyAgain(proxy: ProxyHost): void {
+    proxy.process = this.mesh.startProgram(proxy.name, proxy.settings);
+  }
+
   /** Starts the stopped backend server of a proxy. */
   restartServer(proxy: ProxyHost): void {
     proxy.server = this.mesh.startServer(
@@ -123,6 +132,7 @@
       proxy.serverPort,
       proxy.announce,
       proxy.calls,
+      this.plan.leaveMs,
     );
   }
 
@@ -200,7 +210,8 @@
     const name = `proxy-${index}`;
     const addresses = await this.#openAddresses(name);
     const { control } = addresses;
-    const [calls, announce, status] = [
+    const [calls, announce, status, ready] = [
+      await findFreeAddress(),
       await findFreeAddress(),
       await findFreeAddress(),
       await findFreeAddress(),
@@ -212,6 +223,7 @@
 [proxy]
 calls = "${calls}"
 announce = "${announce}"
+ready = "${ready}"
 sources = ${sources}
 ledgers = ${sources}
 seeds = ${seeds}
@@ -222,7 +234,7 @@
 `;
     const serverPort = await findFreePort();
     const process = this.mesh.startProgram(name, settings);
-    const server = this.mesh.startServer(service, serverPort, announce, calls);
+    const server = this.mesh.startServer(service, serverPort, announce, calls, this.plan.leaveMs);
     return {
       name,
       service,
@@ -230,6 +242,7 @@
       calls,
       announce,
       status,
+      ready,
       settings,
       serverPort,
       process,
--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -61,6 +61,8 @@
   readonly folder = mkdtempSync(join(tmpdir(), 'bilberryswitch-'));
   /** The file in which the backend servers record the requests that they run, one JSON line each. */
   readonly runsFile = join(this.folder, 'runs');
+  /** The file in which they record that they leave. */
+  readonly leavesFile = `${this.runsFile}.left`;
   readonly #processes: MeshProcess[] = [];
 
   /** Writes a file in the mesh's folder and returns its path. */
@@ -85,15 +87,23 @@
 
   /**
    * Starts a test backend server that announces itself to the proxy at `announce` and records the
-   * requests that it runs in {@link Mesh.runsFile}. `calls` is the address through which it calls on.
+   * requests that it runs in {@link Mesh.runsFile}. `calls` is the address through which it calls on;
+   * `leaveMs` is how long it serves after it has announced that it leaves.
    */
-  startServer(service: string, port: number, announce: string, calls = ''): MeshProcess {
+  startServer(
+    service: string,
+    port: number,
+    announce: string,
+    calls = '',
+    leaveMs = 0,
+  ): MeshProcess {
     const options = {
       service,
       port: `${port}`,
       announce,
       calls,
       runs: this.runsFile,
+      'leave-ms': `${leaveMs}`,
     };
     const args = Object.entries(options).flatMap(([name, value]) => [`--${name}`, value]);
     return this.#startProcess(`${service}-${port}`, [
--- a/bench/soak-actions.ts
+++ b/bench/soak-actions.ts
@@ -44,9 +44,15 @@
     const free = this.running.proxies.filter(({ name }) => !this.#busyProxies.has(name));
     if (free.length <= this.running.proxies.length / 2) return;
     const proxy = this.random.pick(free);
-    this.#busyProxies.add(proxy.name);
-    await action(proxy);
-    this.#busyProxies.delete(proxy.name);
+    await this.runOnProxy(proxy, () => action(proxy));
+  }
+
+  /** Runs an action on a proxy, unless another one is running on it. */
+  protected async runOnProxy({ name }: ProxyHost, action: () => Promise<void>): Promise<void> {
+    if (this.#busyProxies.has(name)) return;
+    this.#busyProxies.add(name);
+    await action();
+    this.#busyProxies.delete(name);
   }
 
   /** Restarts a proxy by a planned stop; kills it if it has not ended after {@link SOAK_GRACE_MS}. */
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -2,7 +2,7 @@
  * Runs a mesh of processes while signals, restarts and configuration changes overlap, and checks the
  * results of calls.
  */
-import { readFileSync } from 'node:fs';
+import { existsSync, readFileSync } from 'node:fs';
 import { setTimeout as wait } from 'node:timers/promises';
 import type { Random } from '../src/random.js';
 import { SeededRandom } from '../src/random.js';
@@ -12,19 +12,25 @@
 import type { MeshPlan } from './mesh-plan.js';
 import { RunningMesh } from './mesh-plan.js';
 import { readVersion } from './fault-workload.js';
+import { ReadinessWatch } from './readiness-watch.js';
+import type { SoakActions } from './soak-actions.js';
 import { MixedActions, PlannedActions, SOAK_GRACE_MS } from './soak-actions.js';
 import type { SoakCall } from './soak-client.js';
 import { SoakClient } from './soak-client.js';
-import type { RunRecord } from './stand-in-server.js';
+import { StopActions } from './soak-stops.js';
+import type { LeaveRecord, RunRecord } from './stand-in-server.js';
+
+/**
+ * What a soak run does. `planned`: without faults, and no call may be cut off; `mixed`: with faults, and the
+ * guarantees of the history must hold; `stops`: planned stops in series, no stopping proxy may say that it is
+ * ready, and no server may get calls after it has left.
+ */
+export type SoakKind = 'planned' | 'mixed' | 'stops';
 
 /** Options of a soak run. */
 export interface SoakOptions {
   readonly seed: number;
-  /**
-   * `planned`: without faults, and no call may be cut off; `mixed`: with faults, and the guarantees of
-   * the history must hold.
-   */
-  readonly kind: 'planned' | 'mixed';
+  readonly kind: SoakKind;
   readonly actions: number;
   /** Number of backend servers per service; each has its own proxy. */
   readonly serversPerService: number;
@@ -36,6 +42,8 @@
   /** Violated guarantees; empty if there are none. */
   readonly violations: readonly string[];
   readonly calls: readonly SoakCall[];
+  /** Number of readiness checks that passed. */
+  readonly readyAnswers: number;
 }
 
 /** Starts a mesh, runs the soak on it and stops the mesh. */
@@ -57,6 +65,10 @@
 const REQUEST_READ_MS = 200;
 /** The time limit of the routes. Calls that end at this limit are not counted as cut off. */
 const ROUTE_TIMEOUT_MS = 4_000;
+/** Servers may get calls for this time after their leave was acknowledged. */
+const DRAIN_TIMEOUT_MS = 2_000;
+/** Leaving servers serve for longer than that, so that a late call would run. */
+const LEAVE_MS = 4_000;
 
 /** A low link bandwidth, so that large answers queue. */
 const PROXY_SETTINGS = `linger_ms = 800
@@ -73,6 +85,7 @@
     policy: 'convergence-time',
     usesRelays: kind === 'mixed',
     proxySettings: PROXY_SETTINGS,
+    leaveMs: kind === 'stops' ? LEAVE_MS : 0,
   };
 }
 
@@ -82,8 +95,10 @@
   await submitFirstNote(running);
   const calls: SoakCall[] = [];
   const clients = startClients(running, random, (call) => calls.push(call));
-  const actions =
-    kind === 'planned' ? new PlannedActions(running, random) : new MixedActions(running, random);
+  const watch = new ReadinessWatch(running.proxies);
+  watch.start();
+  const stopActions = new StopActions(running, random);
+  const actions = kind === 'stops' ? stopActions : createActions(kind, running, random);
   const pendingActions: Promise<void>[] = [];
   for (let actionCount = 0; actionCount < options.actions; actionCount += 1) {
     await wait(random.next() * MAX_ACTION_GAP_MS);
@@ -93,10 +108,28 @@
   }
   await Promise.all(pendingActions);
   await Promise.all(clients.map((client) => client.stop()));
-  const runs = readRuns(running);
+  await watch.stop();
+  const runs = readLines<RunRecord>(running.mesh.runsFile);
   const notes = { accepted: [], finalNotes: [], readings: [] };
   const cutCalls = kind === 'planned' ? checkCutCalls(calls, runs) : [];
-  return { violations: [...checkHistory({ calls, runs, ...notes }), ...cutCalls], calls };
+  const leaves = kind === 'stops' ? readLines<LeaveRecord>(running.mesh.leavesFile) : [];
+  const violations = [
+    ...checkHistory({ calls, runs, ...notes }),
+    ...cutCalls,
+    ...watch.check(stopActions.stops),
+    ...checkLeaves(leaves, runs),
+  ];
+  return { violations, calls, readyAnswers: watch.readyCount };
+}
+
+function createActions(
+  kind: 'planned' | 'mixed',
+  running: RunningMesh,
+  random: Random,
+): SoakActions {
+  return kind === 'planned'
+    ? new PlannedActions(running, random)
+    : new MixedActions(running, random);
 }
 
 function startClients(
@@ -143,7 +176,22 @@
     });
 }
 
-function readRuns(running: RunningMesh): RunRecord[] {
-  const lines = readFileSync(running.mesh.runsFile, 'utf8').split('\n');
-  return lines.filter((line) => line !== '').map((line) => JSON.parse(line) as RunRecord);
+/** Lists the runs that began later than the drain time after their server's leave was acknowledged. */
+function checkLeaves(leaves: readonly LeaveRecord[], runs: readonly RunRecord[]): string[] {
+  const leftAt = new Map<number, number>();
+  for (const { pid, acknowledgedAt } of leaves) {
+    leftAt.set(pid, Math.min(acknowledgedAt, leftAt.get(pid) ?? Infinity));
+  }
+  return runs
+    .map((run) => ({ ...run, lateMs: run.startedAt - (leftAt.get(run.pid) ?? Infinity) }))
+    .filter(({ lateMs }) => lateMs > DRAIN_TIMEOUT_MS)
+    .map(({ nonce = '', service, lateMs }) => {
+      return `call ${nonce} ran at a server of ${service} ${lateMs} ms after it had left`;
+    });
+}
+
+function readLines<Line>(file: string): Line[] {
+  if (!existsSync(file)) return [];
+  const lines = readFileSync(file, 'utf8').split('\n');
+  return lines.filter((line) => line !== '').map((line) => JSON.parse(line) as Line);
 }
--- a/bench/stand-in-server.ts
+++ b/bench/stand-in-server.ts
@@ -6,6 +6,8 @@
  * filler bytes in the answer, and `x-crash` exits the process during the run. `x-next` is a
  * comma-separated list of paths: before it answers, the server calls the first path through its proxy
  * and passes the rest of the list on.
+ *
+ * After SIGTERM it announces that it leaves, and serves for `--leave-ms` longer.
  */
 import { appendFileSync } from 'node:fs';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -19,6 +21,14 @@
   readonly nonce: string | undefined;
   readonly key: string | undefined;
   readonly startedAt: number;
+  /** The process id of the server. */
+  readonly pid: number;
+}
+
+/** An acknowledged announcement that the server leaves, as recorded beside the runs, one JSON line each. */
+export interface LeaveRecord {
+  readonly pid: number;
+  readonly acknowledgedAt: number;
 }
 
 const HEARTBEAT_MS = 3_000;
@@ -37,6 +47,7 @@
     runs: { type: 'string' },
     slots: { type: 'string', default: '20' },
     connections: { type: 'string', default: '100' },
+    'leave-ms': { type: 'string', default: '0' },
   },
 });
 const { service, announce } = values;
@@ -66,7 +77,10 @@
 process.once('SIGTERM', () => {
   state = 'leaving';
   announceState();
-  stopWhenIdle(Date.now() + STOP_TIMEOUT_MS);
+  const leaveMs = Number(values['leave-ms']);
+  setTimeout(() => {
+    stopWhenIdle(Date.now() + STOP_TIMEOUT_MS);
+  }, leaveMs);
 });
 
 function recordRun(call: IncomingMessage): void {
@@ -76,6 +90,7 @@
     nonce: readHeader(call, 'x-nonce'),
     key: readHeader(call, 'idempotency-key'),
     startedAt: Date.now(),
+    pid: process.pid,
   };
   appendFileSync(values.runs, `${JSON.stringify(run)}\n`);
 }
@@ -110,7 +125,14 @@
   response.end(text);
 }
 
+function recordLeave(): void {
+  if (values.runs === undefined) return;
+  const leave: LeaveRecord = { pid: process.pid, acknowledgedAt: Date.now() };
+  appendFileSync(`${values.runs}.left`, `${JSON.stringify(leave)}\n`);
+}
+
 function announceState(): void {
+  const announced = state;
   const body = JSON.stringify({
     service,
     address: `127.0.0.1:${port}`,
@@ -120,7 +142,10 @@
     heartbeat_ms: HEARTBEAT_MS,
   });
   request(`http://${announce}/announce`, { method: 'POST', body })
-    .then((answer) => answer.body.dump())
+    .then(async (answer) => {
+      await answer.body.dump();
+      if (announced === 'leaving' && answer.statusCode === 200) recordLeave();
+    })
     .catch(() => undefined);
 }
 
--- a/test/mesh-history.test.ts
+++ b/test/mesh-history.test.ts
@@ -13,7 +13,7 @@
 const NOTE = { number: 1, version: 1, digest: 'd1' };
 const VALID_HISTORY: MeshHistory = {
   calls: [CALL],
-  runs: [{ service: 's', nonce: 'n1', key: 'k1', startedAt: 0 }],
+  runs: [{ service: 's', nonce: 'n1', key: 'k1', startedAt: 0, pid: 1 }],
   accepted: [NOTE],
   finalNotes: [NOTE],
   readings: [
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -26,3 +26,19 @@
   t.deepEqual([...served].sort(), [...asked].sort(), 'every proxy answers calls of every kind');
   t.is(asked.size, PROXIES * KINDS);
 });
+
+test('stops in series: stopping proxies are not ready, servers that left get no calls', async (t) => {
+  t.timeout(120_000);
+  const { violations, calls, readyAnswers } = await runSoak({
+    seed: 20261206,
+    kind: 'stops',
+    actions: ACTIONS,
+    serversPerService: SERVERS_PER_SERVICE,
+    printLine: (line) => {
+      t.log(line);
+    },
+  });
+  t.deepEqual(violations, []);
+  t.true(readyAnswers > 0);
+  t.true(calls.some(({ ending }) => ending.kind === 'answered'));
+});
