Let servers leave with and without a restart of their proxy, and serve longer

The second check found nothing before this change, because the server ended 4 s after its leave, when its restarted proxy had only begun to serve.

--- a/bench/soak-stops.ts
+++ b/bench/soak-stops.ts
@@ -23,9 +23,13 @@
         name: 'a proxy reloads and stops',
         run: () => this.runOnFreeProxy((proxy) => this.#reloadAndStop(proxy)),
       },
+      { name: 'a server leaves', run: () => this.runOnFreeProxy((proxy) => this.#leave(proxy)) },
       {
         name: 'a server leaves, its proxy restarts',
-        run: () => this.runOnFreeProxy((proxy) => this.#leaveAndStop(proxy)),
+        run: () =>
+          this.runOnFreeProxy(async (proxy) => {
+            await Promise.all([this.#leave(proxy), this.#stopSoon(proxy)]);
+          }),
       },
       { name: 'the sources pause beside versions', run: () => this.#pauseSources() },
     ];
@@ -59,12 +63,14 @@
     await Promise.all([this.#changeInSeries(), this.#stop(proxy)]);
   }
 
-  async #leaveAndStop(proxy: ProxyHost): Promise<void> {
-    const left = stopProcess(proxy.server);
+  async #leave(proxy: ProxyHost): Promise<void> {
+    await stopProcess(proxy.server);
+    this.running.restartServer(proxy);
+  }
+
+  async #stopSoon(proxy: ProxyHost): Promise<void> {
     await wait(this.random.next() * MAX_LEAVE_LEAD_MS);
     await this.#stop(proxy);
-    await left;
-    this.running.restartServer(proxy);
   }
 
   async #pauseSources(): Promise<void> {
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -68,7 +68,7 @@
 /** Servers may get calls for this time after their leave was acknowledged. */
 const DRAIN_TIMEOUT_MS = 2_000;
 /** Leaving servers serve for longer than that, so that a late call would run. */
-const LEAVE_MS = 4_000;
+const LEAVE_MS = 6_000;
 
 /** A low link bandwidth, so that large answers queue. */
 const PROXY_SETTINGS = `linger_ms = 800
