Ignore a reload signal while the program is loaded

What callers saw: a proxy that was told to reload its settings right after its start ended, and came back only after another restart.

Cause, the same as for stop signals: the handler was installed by SettingsWatcher, once the program was loaded and the settings were read; before that, the default of the system ends the process. The start file of the users' platform installs it before it reads the program. The settings are read after that, so that nothing is missed. What remains is the time in which Node.js itself starts.

Evidence: early-signals, red before (ended by SIGHUP instead of exit code 7), green now.

--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -40,6 +40,9 @@
 const cacheFile = join(__dirname, 'bilberryswitch.cache');
 const writesCache = process.env.BILBERRYSWITCH_WRITE_CODE_CACHE === '1';
 
+// The default action of a reload signal would end the process; the settings are read once the program is loaded.
+if (process.argv[2] === 'run') process.on('SIGHUP', () => {});
+
 for (const name of BUILT_IN_MODULES) require(`node:${name}`);
 for (const flag of V8_FLAGS) setFlagsFromString(flag);
 // Keeps the functions of the start in memory until they are written.
