--- a/src/program/readiness-answers.ts
+++ b/src/program/readiness-answers.ts
@@ -33,5 +33,5 @@
 
 // Internals.
 
-/** Load balancers wait for about a second. */
+/** A quarter of the second that load balancers usually wait. */
 const MIN_SLOW_MS = 250;
