Check the steps of a start in the order in which one causes the other

Cause: nothing orders the two. A quorum confirms when a proxy asks for it (`vouch-asked`), and a version is committed when an operator submits it. A slower machine answers the proxy before the command line has started.

The test now checks both chains at the source (it leads, then confirms; it leads, then commits) and, across both processes, what does follow: the confirmation comes before the proxy's version counts as confirmed, and the commit before the proxy is ready. So it is as strict in all that the product promises.

--- a/test/recovery-log.test.ts
+++ b/test/recovery-log.test.ts
@@ -94,10 +94,15 @@
   const hasFound = () => listEvents(proxy).includes('source-found') || undefined;
   await waitFor('a source that is a member', hasFound);
   await stopProcess(proxy);
-  const leading = ['source-leads', 'source-confirms', 'version-committed'];
-  t.deepEqual(listEvents(source, leading), leading);
+  const confirming = ['source-leads', 'source-confirms'];
+  t.deepEqual(listEvents(source, confirming), confirming);
+  const committing = ['source-leads', 'version-committed'];
+  t.deepEqual(listEvents(source, committing), committing);
   const serving = ['proxy-not-ready', 'vouch-asked', 'version-vouched', 'proxy-ready'];
   t.deepEqual(listEvents(proxy, serving), [...serving, 'proxy-not-ready']);
+  const confirmedAt = findEventTime(source, 'source-confirms');
+  t.true(confirmedAt <= findEventTime(proxy, 'version-vouched'));
+  t.true(findEventTime(source, 'version-committed') <= findEventTime(proxy, 'proxy-ready'));
   const seen = listEvents(proxy);
   t.true(seen.includes('source-found') && seen.includes('source-link-up'));
 });
@@ -110,3 +115,11 @@
   const listed = events.filter((event) => selected?.includes(event) ?? true);
   return listed.filter((event, index) => event !== listed[index - 1]);
 }
+
+/** Returns when a process first logged `event`, in milliseconds since the Unix epoch; NaN if it did not. */
+function findEventTime({ output }: MeshProcess, event: string): number {
+  const line = output()
+    .split('\n')
+    .find((text) => text.includes(`"event":"${event}"`));
+  return Number(/"time":(\d+)/.exec(line ?? '')?.[1] ?? NaN);
+}
