Name the version that decided a call in the lines of the call

Change: the classify filter puts its version on routed and refused calls, the call pipe announces it before its other outputs, and the open call keeps it for call-failed, call-late, attempt-failed, call-sent-again and the span of the hop. Guards do not classify, so their lines have none.

Before: none of the four lines had a version.

--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -1,5 +1,5 @@
 /** Observers of calls and connections, for metrics and logs; they do not influence decisions. */
-import type { Address } from '../ids.js';
+import type { Address, Version } from '../ids.js';
 import type { RefusalOutcome, RefusalReason } from '../messages/index.js';
 import type { SentAgain } from './attempt-messages.js';
 
@@ -21,6 +21,8 @@
   readonly server: Address;
   /** The request id that the caller sent. */
   readonly request: string | undefined;
+  /** The version of the configuration that routed the call; `undefined` for a forwarded one. */
+  readonly version: Version | undefined;
   /** The number of the attempt within its call, from 1; the same at the entry proxy and at the guard. */
   readonly attempt: number;
   /** The error that broke the connection or ended the attempt early, if any. */
@@ -42,6 +44,11 @@
   readonly isForwarded: boolean;
   /** The request id that the caller sent. */
   readonly request: string | undefined;
+  /**
+   * The version of the configuration that routed or refused the call; `undefined` if none decided, and for a
+   * forwarded call.
+   */
+  readonly version: Version | undefined;
   readonly path: string;
   /** The number of its last attempt; 0 if there was none. */
   readonly attempt: number;
@@ -56,6 +63,14 @@
   readonly milliseconds: number;
 }
 
+/** A call in progress, as reported with its further attempts. */
+export interface ObservedCall {
+  /** The request id that the caller sent. */
+  readonly requestId: string | undefined;
+  /** The version of the configuration that routed the call. */
+  readonly version: Version | undefined;
+}
+
 /** An answer to another proxy that was not fully sent before its deadline. */
 export interface DroppedAnswer {
   /** The request id that the caller sent. */
@@ -137,8 +152,8 @@
     // Does nothing by default.
   }
 
-  /** Called for each further attempt of a call; `_request` is the request id that the caller sent. */
-  sendAgain(_request: string | undefined, _again: SentAgain): void {
+  /** Called for each further attempt of a call; `_call` is `undefined` if its caller has gone. */
+  sendAgain(_call: ObservedCall | undefined, _again: SentAgain): void {
     // Does nothing by default.
   }
 }
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -1,5 +1,5 @@
 /** The messages between the call pipe and the task that runs it. */
-import type { Address, AttemptId, CallId, InstanceId, Instant } from '../ids.js';
+import type { Address, AttemptId, CallId, InstanceId, Instant, Version } from '../ids.js';
 import type {
   AttemptFailure,
   AttemptHead,
@@ -56,6 +56,8 @@
 
 /** Outputs of the call pipe. */
 export type CallOut =
+  /** The call was routed or refused by this version of the configuration; precedes its other outputs. */
+  | { readonly kind: 'classified'; readonly id: CallId; readonly version: Version }
   /** Sends an attempt to the proxy beside its backend server. */
   | Extract<AttemptOut, { kind: 'dispatch' }>
   /** Runs an attempt at a backend server beside this proxy. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -248,9 +248,18 @@
   }
 
   #routeClassified(context: MessageContext, output: ClassifyOut): void {
-    if (output.kind === 'routed') this.#passToIntake(context, output);
-    else if (output.kind === 'limits') context.outputs.push(output);
-    else context.outputs.push({ ...output, kind: 'refuse', outcome: 'not-run' });
+    const { outputs } = context;
+    if (output.kind === 'limits') {
+      outputs.push(output);
+    } else if (output.kind === 'routed') {
+      const { head, version } = output.call;
+      outputs.push({ kind: 'classified', id: head.id, version });
+      this.#passToIntake(context, output);
+    } else {
+      const { id, reason, version } = output;
+      if (version !== undefined) outputs.push({ kind: 'classified', id, version });
+      outputs.push({ kind: 'refuse', id, reason, outcome: 'not-run' });
+    }
   }
 
   #passToIntake(context: MessageContext, message: IntakeIn): void {
--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -1,6 +1,6 @@
 /** Determines the route, the request kind and the deadline of each call. */
 import { addMs, NEVER } from '../clock.js';
-import type { CallId, Instant, ServiceName } from '../ids.js';
+import type { CallId, Instant, ServiceName, Version } from '../ids.js';
 import type {
   CallHead,
   LimitsResource,
@@ -19,6 +19,8 @@
 /** A routed call. It keeps the settings of the configuration in force at its arrival until it ends. */
 export interface RoutedCall {
   readonly head: CallHead;
+  /** The version of the configuration that routed the call. */
+  readonly version: Version;
   readonly service: ServiceName;
   readonly requestKind: RequestKindResource;
   readonly deadline: Instant;
@@ -33,6 +35,8 @@
   readonly kind: 'refused';
   readonly id: CallId;
   readonly reason: RefusalReason;
+  /** The version of the configuration that refused the call; `undefined` if the proxy has none. */
+  readonly version: Version | undefined;
 }
 
 /** Inputs of the classify filter. */
@@ -124,21 +128,33 @@
 function classifyCall(state: ClassifyState, head: CallHead, now: Instant): ClassifyOut {
   const { id } = head;
   const { routes, turns } = state;
-  if (routes === undefined) return { kind: 'refused', id, reason: 'no-configuration' };
+  if (routes === undefined) return buildRefusal(id, 'no-configuration', undefined);
+  const { version } = routes;
   const found = findRoute(routes, head);
-  if (found === undefined) return { kind: 'refused', id, reason: 'no-route' };
+  if (found === undefined) return buildRefusal(id, 'no-route', version);
   const { route, requestKind } = found;
   const latest = Math.min(addMs(now, requestKind.timeoutMs), state.answerBy) as Instant;
   const deadline = Math.min(head.deadline ?? latest, latest) as Instant;
-  if (deadline <= now) return { kind: 'refused', id, reason: 'deadline' };
+  if (deadline <= now) return buildRefusal(id, 'deadline', version);
   if (needsClaim(requestKind, head) && !head.repeatable) {
-    return { kind: 'refused', id, reason: 'too-large' };
+    return buildRefusal(id, 'too-large', version);
   }
   const service = turns.pickService(route);
-  if (service === undefined) return { kind: 'refused', id, reason: 'no-server' };
+  if (service === undefined) return buildRefusal(id, 'no-server', version);
   const subject = buildSubject(head);
   const aim = buildFullValueDeadline(state, requestKind, head, now);
-  return { kind: 'routed', call: { head, service, requestKind, deadline, ...aim, subject } };
+  return {
+    kind: 'routed',
+    call: { head, version, service, requestKind, deadline, ...aim, subject },
+  };
+}
+
+function buildRefusal(
+  id: CallId,
+  reason: RefusalReason,
+  version: Version | undefined,
+): RefusedCall {
+  return { kind: 'refused', id, reason, version };
 }
 
 /** The target latency counts from the first time that the caller sent the call, not from a repetition. */
--- a/src/calls/forwarding-observer.ts
+++ b/src/calls/forwarding-observer.ts
@@ -4,6 +4,7 @@
   AttemptEnd,
   CallEnd,
   CallListener,
+  ObservedCall,
   StopSummary,
 } from './call-observer.js';
 import { CallObserver } from './call-observer.js';
@@ -54,7 +55,7 @@
     this.#next.endStop(end);
   }
 
-  override sendAgain(request: string | undefined, again: SentAgain): void {
-    this.#next.sendAgain(request, again);
+  override sendAgain(call: ObservedCall | undefined, again: SentAgain): void {
+    this.#next.sendAgain(call, again);
   }
 }
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -8,6 +8,7 @@
   AttemptEvidence,
   CallEnd,
   CallListener,
+  ObservedCall,
   StopSummary,
 } from './call-observer.js';
 export type { SendAgainReason, SentAgain } from './attempt-messages.js';
--- a/src/calls/route-index.ts
+++ b/src/calls/route-index.ts
@@ -1,5 +1,5 @@
 /** Finds the route of a call by generation, path prefix and method. */
-import type { Generation, ResourceKey } from '../ids.js';
+import type { Generation, ResourceKey, Version } from '../ids.js';
 import type {
   LimitsResource,
   RequestKindResource,
@@ -40,6 +40,11 @@
   readonly #splits = new Map<string, SplitResource>();
   #shares: readonly SplitShare[] = [];
 
+  /** The version of the indexed configuration. */
+  get version(): Version {
+    return this.#configuration.version;
+  }
+
   /** The limits on requests of callers, if the configuration contains any. */
   get limits(): LimitsResource | undefined {
     return this.#limits;
--- a/src/edge/attempt-report.ts
+++ b/src/edge/attempt-report.ts
@@ -1,11 +1,13 @@
 /** Builds the report of an attempt for the call observer. */
 import type { AttemptEnd, AttemptEvidence, CallIn } from '../calls/index.js';
-import type { Address, Instant } from '../ids.js';
+import type { Address, Instant, Version } from '../ids.js';
 
 /** Options of {@link AttemptReport}; known before the attempt is sent. */
 export interface AttemptReportOptions {
   readonly server: Address;
   readonly request: string | undefined;
+  /** The version of the configuration that routed the call; undefined for a forwarded call. */
+  readonly version: Version | undefined;
   /** The attempt count of the call, 1 for the first attempt. */
   readonly attempt: number;
   /** Whether the backend server runs on the host of this proxy. */
@@ -63,10 +65,10 @@
   // Internals.
 
   #buildBase(now: Instant): Omit<AttemptEnd, 'outcome' | 'proof'> {
-    const { server, request, attempt, isLocal, startedAt } = this.#options;
+    const { startedAt, ...attempt } = this.#options;
     const milliseconds = now - startedAt;
     const [status, cause] = [this.#status, this.#cause];
-    return { server, request, attempt, isLocal, status, cause, reason: undefined, milliseconds };
+    return { ...attempt, status, cause, reason: undefined, milliseconds };
   }
 
   #findProof({ failure, ending }: Extract<CallIn, { kind: 'attempt-failed' }>): AttemptEvidence {
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -197,7 +197,8 @@
     isLocal: boolean,
   ): AttemptReport {
     const startedAt = this.#options.clock.read();
-    return new AttemptReport({ server, request: call.requestId, attempt, isLocal, startedAt });
+    const { requestId: request, version } = call;
+    return new AttemptReport({ server, request, version, attempt, isLocal, startedAt });
   }
 
   /** Posts a message of an attempt; the last one of an attempt is first reported to the observer. */
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -275,6 +275,9 @@
 
   #handleOutput(output: CallOut): void {
     switch (output.kind) {
+      case 'classified':
+        this.#setVersion(output);
+        return;
       case 'dispatch':
         this.#sender.dispatch(this.#calls.get(output.id), output);
         return;
@@ -291,7 +294,7 @@
         this.#sender.cancel(output.attempt, output.reason);
         return;
       case 'sent-again':
-        this.#observer.sendAgain(this.#calls.get(output.id)?.requestId, output);
+        this.#observer.sendAgain(this.#calls.get(output.id), output);
         return;
       case 'refuse':
         this.#calls.get(output.id)?.refuse(output);
@@ -331,6 +334,11 @@
     else tick();
   }
 
+  #setVersion({ id, version }: Extract<CallOut, { kind: 'classified' }>): void {
+    const call = this.#calls.get(id);
+    if (call !== undefined) call.version = version;
+  }
+
   #relay(output: Extract<CallOut, { kind: 'relay' }>): void {
     const call = this.#calls.get(output.id);
     if (call !== undefined) call.hasAnswer = true;
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -3,7 +3,7 @@
 import type { Readable } from 'node:stream';
 import type { CallObserver } from '../calls/index.js';
 import { NEVER } from '../clock.js';
-import type { CallerId, CallId, Instant } from '../ids.js';
+import type { CallerId, CallId, Instant, Version } from '../ids.js';
 import type { HopSpan, HopTracer } from '../traces/index.js';
 import type { CallBody } from './call-body.js';
 import { hasBody } from './call-body.js';
@@ -37,6 +37,8 @@
   caller: CallerId | undefined;
   /** When the proxy that forwarded the call times out; bytes sent later are useless. */
   deadline: Instant = NEVER;
+  /** The version of the configuration that routed or refused the call; undefined before, and for a forwarded call. */
+  version: Version | undefined;
   /** Whether an answer is being forwarded or buffered. */
   hasAnswer = false;
   /** The number of the last attempt; 0 before the first. */
@@ -111,6 +113,7 @@
     this.#observer.endCall({
       isForwarded: this.isForwarded,
       request: this.requestId,
+      version: this.version,
       path: this.request.url ?? '',
       attempt: this.attempt,
       status,
@@ -123,6 +126,7 @@
     this.#hop.end({
       ...(status === undefined ? {} : { 'http.response.status_code': status }),
       ...(reason === undefined ? {} : { 'bilberryswitch.reason': reason }),
+      ...(this.version === undefined ? {} : { 'bilberryswitch.version': this.version }),
     });
   }
 }
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -4,6 +4,7 @@
   AttemptEnd,
   CallEnd,
   CallObserver,
+  ObservedCall,
   SentAgain,
   StopSummary,
 } from '../calls/index.js';
@@ -60,13 +61,13 @@
     this.#log('calls-stopped', () => ({ ...end }));
   }
 
-  override sendAgain(request: string | undefined, again: SentAgain): void {
-    super.sendAgain(request, again);
+  override sendAgain(call: ObservedCall | undefined, again: SentAgain): void {
+    super.sendAgain(call, again);
     // Limited separately, so that these lines are kept when a non-idempotent call may have run twice.
     const kind = again.isIdempotent ? 'again' : 'once-only-again';
     this.#log(
       'call-sent-again',
-      () => buildAgainFields(request, again),
+      () => buildAgainFields(call, again),
       buildRateLimitKey(kind, again),
     );
   }
@@ -97,14 +98,16 @@
 }
 
 function buildCallFields(end: CallEnd): LogFields {
-  const { isForwarded, request, attempt, path, status, reason, outcome, milliseconds } = end;
+  const { isForwarded, request, version, attempt, path, status, reason, outcome } = end;
   const side = isForwarded ? 'guard' : 'entry';
-  return { side, request, attempt, path, status, reason, outcome, ms: Math.round(milliseconds) };
+  const ms = Math.round(end.milliseconds);
+  return { side, request, version, attempt, path, status, reason, outcome, ms };
 }
 
 function buildLateFields({
   isForwarded,
   request,
+  version,
   attempt,
   path,
   status,
@@ -117,20 +120,22 @@
     attemptMs: Math.round(attemptMs),
     lateMs: Math.round(lateMs),
   };
-  return { side, request, attempt, path, status, ...rounded };
+  return { side, request, version, attempt, path, status, ...rounded };
 }
 
 function buildAttemptFields(end: AttemptEnd): LogFields {
-  const { request, attempt, server, isLocal, status, outcome, reason, proof, cause } = end;
-  const ms = Math.round(end.milliseconds);
-  return { request, attempt, server, isLocal, status, outcome, reason, proof, cause, ms };
+  const { milliseconds, request, version, attempt, server, isLocal, status, ...rest } = end;
+  const { outcome, reason, proof, cause } = rest;
+  const ms = Math.round(milliseconds);
+  return { request, version, attempt, server, isLocal, status, outcome, reason, proof, cause, ms };
 }
 
 function buildDropFields({ heldMs, ...drop }: DroppedAnswer): LogFields {
   return { ...drop, heldMs: Math.round(heldMs) };
 }
 
-function buildAgainFields(request: string | undefined, again: SentAgain): LogFields {
+function buildAgainFields(call: ObservedCall | undefined, again: SentAgain): LogFields {
+  const { requestId: request, version } = call ?? {};
   const { attempt, from, to, reason, outcome, isIdempotent } = again;
-  return { request, attempt, from, to, reason, outcome, isIdempotent };
+  return { request, version, attempt, from, to, reason, outcome, isIdempotent };
 }
--- a/src/program/call-metrics.ts
+++ b/src/program/call-metrics.ts
@@ -1,5 +1,11 @@
 /** Metrics of the calls of a proxy. */
-import type { DroppedAnswer, AttemptEnd, CallEnd, SentAgain } from '../calls/index.js';
+import type {
+  DroppedAnswer,
+  AttemptEnd,
+  CallEnd,
+  ObservedCall,
+  SentAgain,
+} from '../calls/index.js';
 import { CallObserver } from '../calls/index.js';
 import type { CounterSeries, DurationSeries, MetricsRegistry } from '../metrics/index.js';
 import { Counter, DurationSummary, Gauge } from '../metrics/index.js';
@@ -65,7 +71,7 @@
   }
 
   override sendAgain(
-    _request: string | undefined,
+    _call: ObservedCall | undefined,
     { reason, outcome, isIdempotent }: SentAgain,
   ): void {
     this.#sentAgain.add({ reason, outcome, idempotent: String(isIdempotent) });
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -1,8 +1,8 @@
 /** Log lines of calls and members: their fields and rate limits. */
 import test from 'ava';
-import type { AttemptEnd, CallEnd, SentAgain } from '../src/calls/index.js';
+import type { AttemptEnd, CallEnd, ObservedCall, SentAgain } from '../src/calls/index.js';
 import { NoopObserver } from '../src/calls/index.js';
-import type { Address, CallId, HostId } from '../src/ids.js';
+import type { Address, CallId, HostId, Version } from '../src/ids.js';
 import { CallLog } from '../src/program/call-log.js';
 import { RateLimitedLog } from '../src/program/logger.js';
 import { MembershipLog } from '../src/program/membership-log.js';
@@ -13,6 +13,7 @@
 const FAILED_CALL: CallEnd = {
   isForwarded: false,
   request: 'a-1',
+  version: 7 as Version,
   path: '/read/x',
   attempt: 0,
   status: 503,
@@ -26,6 +27,7 @@
 const LOST_ATTEMPT: AttemptEnd = {
   server: '10.0.0.1:80' as Address,
   request: 'a-1',
+  version: 7 as Version,
   attempt: 2,
   isLocal: true,
   status: undefined,
@@ -45,6 +47,8 @@
   outcome: 'not-run',
   isIdempotent: false,
 };
+const CALL: ObservedCall = { requestId: 'a-1', version: 7 as Version };
+const OTHER_CALL: ObservedCall = { requestId: 'a-0', version: 6 as Version };
 
 function startLog() {
   const clock = new ManualClock();
@@ -65,6 +69,7 @@
   calls.endCall(FAILED_CALL);
   t.is(lines.length, 1);
   t.like(lines[0], { event: 'call-failed', side: 'entry', request: 'a-1', reason: 'no-server' });
+  t.is(lines[0]?.version, 7);
 });
 
 test('late answer: logged with attempt time and lateness', (t) => {
@@ -81,6 +86,7 @@
   calls.endCall({ ...answered, lateMs: 40, attemptMs: 90, milliseconds: 140 });
   t.is(lines.length, 1);
   t.like(lines[0], { event: 'call-late', request: 'a-1', ms: 140, attemptMs: 90, lateMs: 40 });
+  t.is(lines[0]?.version, 7);
 });
 
 test('failed attempt: logged with cause', (t) => {
@@ -91,6 +97,7 @@
   calls.endAttempt(LOST_ATTEMPT);
   t.is(lines.length, 1);
   t.like(lines[0], { event: 'attempt-failed', cause: 'other side closed', request: 'a-1' });
+  t.is(lines[0]?.version, 7);
   t.like(lines[0], { attempt: 2, outcome: 'unknown', reason: 'upstream-failed', proof: 'none' });
 });
 
@@ -127,12 +134,21 @@
   const { lines, log } = startLog();
   const calls = new CallLog({ log, next: new NoopObserver() });
   for (let count = 0; count < 1_000; count += 1) {
-    calls.sendAgain('a-0', { ...RETRY, isIdempotent: true });
+    calls.sendAgain(OTHER_CALL, { ...RETRY, isIdempotent: true });
   }
-  calls.sendAgain('a-1', RETRY);
+  calls.sendAgain(CALL, RETRY);
   t.is(lines.length, 51);
   const { attempt, from, to, reason, outcome } = RETRY;
-  const fields = { request: 'a-1', attempt, from, to, reason, outcome, isIdempotent: false };
+  const fields = {
+    request: 'a-1',
+    version: 7,
+    attempt,
+    from,
+    to,
+    reason,
+    outcome,
+    isIdempotent: false,
+  };
   t.like(lines.at(-1), { event: 'call-sent-again', ...fields });
 });
 
@@ -149,10 +165,10 @@
   const calls = new CallLog({ log, next: new NoopObserver() });
   const refused = { ...LOST_ATTEMPT, outcome: 'not-run', proof: 'guard-answer' } as const;
   for (let count = 0; count < 1_000; count += 1) {
-    calls.sendAgain('a-0', { ...RETRY, reason: 'busy' });
+    calls.sendAgain(OTHER_CALL, { ...RETRY, reason: 'busy' });
     calls.endAttempt({ ...refused, reason: 'busy' });
   }
-  calls.sendAgain('a-1', RETRY);
+  calls.sendAgain(CALL, RETRY);
   calls.endAttempt({ ...refused, reason: 'shed' });
   t.deepEqual(
     lines.slice(-2).map(({ event, reason }) => [event, reason]),
--- a/test/calls-again.test.ts
+++ b/test/calls-again.test.ts
@@ -7,7 +7,7 @@
 import { PlatformCallFront } from '../platform/platform-call-front.js';
 import { AttemptFilter } from '../src/calls/attempt-filter.js';
 import type { AttemptIn, AttemptOut } from '../src/calls/attempt-messages.js';
-import type { AttemptEnd, RunEnding, SentAgain } from '../src/calls/index.js';
+import type { AttemptEnd, ObservedCall, RunEnding, SentAgain } from '../src/calls/index.js';
 import { CallObserver, TwoChoicesPicker } from '../src/calls/index.js';
 import { addMs } from '../src/clock.js';
 import { AttemptReport } from '../src/edge/attempt-report.js';
@@ -18,6 +18,7 @@
   HostId,
   RegionId,
   ServiceName,
+  Version,
 } from '../src/ids.js';
 import type { RefusalOutcome, RequestKindResource } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
@@ -55,7 +56,8 @@
   const requestKind = makeKind('k', { timeoutMs: 1e6, ...kind });
   const deadline = addMs(NOW, requestKind.timeoutMs);
   const service = 'shop' as ServiceName;
-  const call = { head: makeHead('c'), service, requestKind, deadline, subject: 'c' };
+  const version = 3 as Version;
+  const call = { head: makeHead('c'), version, service, requestKind, deadline, subject: 'c' };
   post({ kind: 'claimed', call });
   return post(end).flatMap((output) => (output.kind === 'sent-again' ? [output] : []));
 }
@@ -100,8 +102,8 @@
     this.ends.push(end);
   }
 
-  override sendAgain(id: string | undefined, again: SentAgain): void {
-    this.again.push([id, again]);
+  override sendAgain(call: ObservedCall | undefined, again: SentAgain): void {
+    this.again.push([call?.requestId, again]);
   }
 
   /** Lists the ends of local attempts, or those of forwarded attempts at the entry proxy. */
@@ -167,7 +169,14 @@
 });
 
 const SERVER = '10.0.0.1:80' as Address;
-const LOCAL = { server: SERVER, request: 'a-1', attempt: 1, isLocal: true, startedAt: NOW };
+const LOCAL = {
+  server: SERVER,
+  request: 'a-1',
+  version: 3 as Version,
+  attempt: 1,
+  isLocal: true,
+  startedAt: NOW,
+};
 
 function findProof(report: AttemptReport, ending: RunEnding, outcome: RefusalOutcome) {
   const failure = { outcome, reason: 'upstream-failed' } as const;
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -19,6 +19,7 @@
   RegionId,
   RequestId,
   ServiceName,
+  Version,
 } from '../src/ids.js';
 import type { CallHead, RequestKindResource } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
@@ -40,7 +41,8 @@
 ): RoutedCall {
   const requestKind = makeKind('k', kind);
   const deadline = addMs(START, requestKind.timeoutMs);
-  return { head: makeHead(id, head), service: SHOP, requestKind, deadline, subject: id };
+  const version = 3 as Version;
+  return { head: makeHead(id, head), version, service: SHOP, requestKind, deadline, subject: id };
 }
 
 /** Drives an attempt filter with the given number of servers, one per host. */
--- a/test/guard-round-trips.test.ts
+++ b/test/guard-round-trips.test.ts
@@ -16,6 +16,7 @@
   RegionId,
   RequestKindName,
   ServiceName,
+  Version,
 } from '../src/ids.js';
 import type { AttemptHead } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
@@ -55,7 +56,8 @@
     const requestKind = makeKind('k', { idempotent: false, timeoutMs });
     const service = 'shop' as ServiceName;
     const deadline = addMs(now, timeoutMs);
-    const call = { head: makeHead(id), service, requestKind, deadline, subject: id };
+    const version = 3 as Version;
+    const call = { head: makeHead(id), version, service, requestKind, deadline, subject: id };
     const dispatch = this.post({ kind: 'claimed', call }, now).find(
       (output) => output.kind === 'dispatch',
     );
--- a/test/intake-calls.ts
+++ b/test/intake-calls.ts
@@ -8,6 +8,7 @@
   Instant,
   RequestKindName,
   ServiceName,
+  Version,
 } from '../src/ids.js';
 import { makeHead, makeKind } from './call-resources.js';
 
@@ -27,6 +28,7 @@
     kind: 'routed',
     call: {
       head: makeHead(id),
+      version: 3 as Version,
       service: 'shop' as ServiceName,
       requestKind: makeKind('read', { worth }),
       deadline: addMs(now, deadlineMs),
--- a/test/loop-watch.test.ts
+++ b/test/loop-watch.test.ts
@@ -68,6 +68,7 @@
 const ENDED_CALL: CallEnd = {
   isForwarded: false,
   request: undefined,
+  version: undefined,
   path: '/',
   attempt: 1,
   status: 200,
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -57,12 +57,19 @@
   const registry = new MetricsRegistry();
   const metrics = new CallMetrics(registry);
   const server = '10.0.0.1:80' as Address;
-  const end = { server, request: 'a-1', attempt: 1, isLocal: true, cause: undefined };
+  const end = {
+    server,
+    request: 'a-1',
+    version: undefined,
+    attempt: 1,
+    isLocal: true,
+    cause: undefined,
+  };
   const refused = { outcome: 'not-run', reason: 'shed', proof: 'marked-answer' } as const;
   metrics.endAttempt({ ...end, ...refused, status: 503, milliseconds: 3 });
   const answered = { outcome: 'answered', reason: undefined, proof: 'marked-answer' } as const;
   metrics.endAttempt({ ...end, ...answered, status: 200, milliseconds: 3 });
-  metrics.sendAgain('a-1', {
+  metrics.sendAgain(undefined, {
     kind: 'sent-again',
     id: 'c' as never,
     attempt: 2,
