Log when an operator is told that a command was accepted

Cause: nothing said which source acknowledged which version and when, so that the time from an acknowledgement to a request that was handled by an older version could not be read from the logs.

Change: command-acknowledged is written where the answer is passed to the operator task, with the number, revision and version, whether the command was a repetition, the time since this source committed the version, and how many of the known proxies hold it. Whether a command was a repetition is known only where it is decided, so an accepted answer says it; the operator's answer to a repetition stays the same as to the first command.

The naive store and the test of resent replacements expected an answer without that field; they now require it, and a test holds that operators see the same answer.

--- a/src/edge/operator-answer.ts
+++ b/src/edge/operator-answer.ts
@@ -14,9 +14,12 @@
 /** Returns the operator address of another source host; undefined if it is unknown. */
 export type FindOperator = (host: HostId) => Address | undefined;
 
-/** Builds the answer to a command. */
+/** Builds the answer to a command; that to a repeated one is the same as that to the first. */
 export function buildCommandAnswer(answer: NoteAnswer): OperatorAnswer {
-  return { status: ANSWER_STATUS[answer.kind], body: answer };
+  const status = ANSWER_STATUS[answer.kind];
+  if (answer.kind !== 'accepted') return { status, body: answer };
+  const { kind, receipt } = answer;
+  return { status, body: { kind, receipt } };
 }
 
 /** Builds the answer to an invalid request. */
--- a/src/messages/note.ts
+++ b/src/messages/note.ts
@@ -73,7 +73,12 @@
 
 /** The source's answer to a {@link NoteCommand}. */
 export type NoteAnswer =
-  | { readonly kind: 'accepted'; readonly receipt: NoteReceipt }
+  | {
+      readonly kind: 'accepted';
+      readonly receipt: NoteReceipt;
+      /** Whether the same command had been accepted before, so that this one changed nothing. */
+      readonly isRepeat?: boolean;
+    }
   | { readonly kind: 'refused'; readonly faults: readonly NoteFault[] }
   /** The number already belongs to another note. */
   | { readonly kind: 'number-taken'; readonly winner: NoteReceipt }
--- a/src/notes/decide-command.ts
+++ b/src/notes/decide-command.ts
@@ -45,7 +45,7 @@
 function decideSubmit(tables: NoteTables, draft: NoteDraft): NoteVerdict {
   const digest = digestValue(draft);
   const first = tables.entries.get(draft.number)?.steps[0].receipt;
-  if (first?.digest === digest) return answerUnchanged({ kind: 'accepted', receipt: first });
+  if (first?.digest === digest) return answerUnchanged(buildRepeat(first));
   if (first !== undefined) return answerUnchanged({ kind: 'number-taken', winner: first });
   const position = (tables.whole.version + 1) as Version;
   const edit: Edit = { number: draft.number, position, former: undefined, next: draft };
@@ -62,7 +62,7 @@
   const digest = digestValue(draft);
   const earlier = findStepAfter(entry, readAt);
   if (earlier?.kind === 'amend' && earlier.receipt.digest === digest) {
-    return answerUnchanged({ kind: 'accepted', receipt: earlier.receipt });
+    return answerUnchanged(buildRepeat(earlier.receipt));
   }
   const stale = findStaleAnswer(entry, readAt);
   if (stale !== undefined) return answerUnchanged(stale);
@@ -77,8 +77,7 @@
   const entry = tables.entries.get(number);
   if (entry === undefined) return answerUnchanged({ kind: 'unknown-note', number });
   const earlier = findStepAfter(entry, readAt);
-  if (earlier?.kind === 'withdraw')
-    return answerUnchanged({ kind: 'accepted', receipt: earlier.receipt });
+  if (earlier?.kind === 'withdraw') return answerUnchanged(buildRepeat(earlier.receipt));
   const stale = findStaleAnswer(entry, readAt);
   if (stale !== undefined) return answerUnchanged(stale);
   const { draft } = entry;
@@ -93,7 +92,7 @@
 function decideReplace(tables: NoteTables, command: ReplaceCommand): NoteVerdict {
   const { number, digest } = command;
   const first = tables.entries.get(number)?.steps[0].receipt;
-  if (first?.digest === digest) return answerUnchanged({ kind: 'accepted', receipt: first });
+  if (first?.digest === digest) return answerUnchanged(buildRepeat(first));
   const refusal = findReplaceRefusal(tables, tables.newestReplacement, command);
   if (refusal !== undefined) return answerUnchanged(refusal);
   if (first !== undefined) return answerUnchanged({ kind: 'number-taken', winner: first });
@@ -168,6 +167,10 @@
   return { kind: 'rested-on', notes };
 }
 
+function buildRepeat(receipt: NoteReceipt): NoteAnswer {
+  return { kind: 'accepted', receipt, isRepeat: true };
+}
+
 function answerUnchanged(answer: NoteAnswer): NoteVerdict {
   return { kind: 'unchanged', answer };
 }
--- a/src/notes/index.ts
+++ b/src/notes/index.ts
@@ -21,5 +21,6 @@
 export { ResourceMap } from './resource-map.js';
 export { ConfigurationTable } from './configuration-table.js';
 export type { Violation } from './configuration-table.js';
+export { countCoverage, NO_COVERAGE } from './note-status.js';
 export type { SourceReport } from './note-status.js';
 export { MAX_TEXT_CHARACTERS, MAX_TIMEOUT_MS } from './resource-bounds.js';
--- a/src/notes/note-status.ts
+++ b/src/notes/note-status.ts
@@ -76,6 +76,16 @@
   return isFullyCovered(countCoverage(report, readReceipt(entry).version));
 }
 
+/** Counts the proxies that hold a version or a later one, and lists those known to lag behind it. */
+export function countCoverage(report: CoverageReport, version: Version): Coverage {
+  const holders = report.held.filter((group) => group.version >= version);
+  return {
+    known: report.known,
+    holding: holders.reduce((sum, group) => sum + group.count, 0),
+    stragglers: report.stragglers.filter((straggler) => straggler.version < version),
+  };
+}
+
 // Internals.
 
 const MAX_REPORTED_STRAGGLERS = 20;
@@ -96,12 +106,3 @@
 function isFullyCovered({ known, holding }: Pick<Coverage, 'known' | 'holding'>): boolean {
   return known > 0 && holding === known;
 }
-
-function countCoverage(report: CoverageReport, version: Version): Coverage {
-  const holders = report.held.filter((group) => group.version >= version);
-  return {
-    known: report.known,
-    holding: holders.reduce((sum, group) => sum + group.count, 0),
-    stragglers: report.stragglers.filter((straggler) => straggler.version < version),
-  };
-}
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -46,6 +46,7 @@
   'disk-full': HIGH_RATE,
   'disk-has-room': HIGH_RATE,
   'command-decided': HIGH_RATE,
+  'command-acknowledged': HIGH_RATE,
   'command-rejected': HIGH_RATE,
   'server-state': HIGH_RATE,
   'member-up': LOW_RATE,
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -28,6 +28,7 @@
   makePolicy,
   SourceDistributionFilter,
 } from '../distribution/index.js';
+import { AcknowledgementLog } from './acknowledgement-log.js';
 import { buildLogSend, listReplicas, readLogPacket } from './log-wiring.js';
 import type { Log } from './logger.js';
 import type { RecoveryLog } from './recovery-log.js';
@@ -58,6 +59,7 @@
 export async function runSource(options: SourceOptions): Promise<RunningRole> {
   const { settings, clock, recovery, reportFailure, postLink, report } = options;
   const peers = new SourcePeers(settings.operator);
+  const acknowledgements = new AcknowledgementLog({ log: options.log, clock });
   const notes = new FilterTask<NotesState, NotesIn, NotesOut>({
     name: 'notes',
     filter: new NotesFilter(),
@@ -130,6 +132,7 @@
         return;
       case 'version':
         recovery.report('version-committed', { version: output.delta.version });
+        acknowledgements.handleCommitted(output.delta.version);
         distribution.post(output);
         return;
       case 'restored':
@@ -139,8 +142,12 @@
       case 'report':
         report('source', output.report);
         return;
+      case 'answer':
+        options.log('command-decided', { answer: output.answer });
+        acknowledgements.handleAnswer(output.answer);
+        operator.post(output);
+        return;
       default:
-        if (output.kind === 'answer') options.log('command-decided', { answer: output.answer });
         operator.post(output);
     }
   }
@@ -174,6 +181,7 @@
         postLink({ kind: 'send', to: output.to, channel: 'spread', body: output.body });
         return;
       case 'coverage':
+        acknowledgements.handleCoverage(output.report);
         notes.post(output);
         return;
       case 'confirm':
--- a/test/naive-note-store.ts
+++ b/test/naive-note-store.ts
@@ -47,7 +47,7 @@
     const digest = command.kind === 'amend' ? digestValue(command.draft) : undefined;
     const step = note.steps[command.readAt];
     if (step?.kind === command.kind && (digest ?? step.receipt.digest) === step.receipt.digest) {
-      return { kind: 'accepted', receipt: step.receipt };
+      return { kind: 'accepted', receipt: step.receipt, isRepeat: true };
     }
     const { revision } = this.#readReceipt(note);
     if (command.readAt !== revision) return { kind: 'stale-revision', current: revision };
@@ -85,7 +85,7 @@
   #submit(draft: NoteDraft, note: NaiveNote | undefined): NoteAnswer {
     const digest = digestValue(draft);
     const first = note?.steps[0].receipt;
-    if (first?.digest === digest) return { kind: 'accepted', receipt: first };
+    if (first?.digest === digest) return { kind: 'accepted', receipt: first, isRepeat: true };
     if (first !== undefined) return { kind: 'number-taken', winner: first };
     return this.#accept('submit', draft.number, undefined, draft, digest);
   }
--- a/test/notes-replace.test.ts
+++ b/test/notes-replace.test.ts
@@ -79,14 +79,15 @@
 test('replace: resend gets the first receipt', (t) => {
   const book = new NoteStore();
   const first = replace(1, 0, [STOCK]);
-  const receipt = apply(book, first);
+  const accepted = apply(book, first);
+  const repeated = { ...accepted, isRepeat: true };
   apply(book, replace(2, 1, [ORDERS]));
   apply(book, replace(3, 2, [STOCK]));
   const { version } = book;
-  t.deepEqual(apply(book, first), receipt);
+  t.deepEqual(apply(book, first), repeated);
   t.is(book.version, version);
   const reopened = NoteStore.open(book.buildSnapshot());
-  t.deepEqual(apply(reopened, first), receipt);
+  t.deepEqual(apply(reopened, first), repeated);
   t.is(reopened.replacement?.number, 3 as NoteNumber);
 });
 
--- a/test/operator.test.ts
+++ b/test/operator.test.ts
@@ -99,6 +99,18 @@
   t.deepEqual(rejected, ['401 /notes', '401 /notes', '401 /notes']);
 });
 
+test('repeated command: same answer as the first', async (t) => {
+  const repeat: Responder = (_message, id, operator) => {
+    const answer = { kind: 'accepted', receipt: RECEIPT, isRepeat: true } as const;
+    operator.post({ kind: 'answer', id, answer });
+  };
+  const [first, again] = [await start(t, accept), await start(t, repeat)];
+  const path = '/notes/7?revision=1';
+  const answer = await send(first.address, 'DELETE', path);
+  t.deepEqual(answer, { status: 200, body: { kind: 'accepted', receipt: RECEIPT } } as never);
+  t.deepEqual(await send(again.address, 'DELETE', path), answer);
+});
+
 test('invalid requests are refused', async (t) => {
   const { address, messages } = await start(t, accept);
   t.is((await send(address, 'GET', '/note')).status, 404);
