Write every line of a series of versions, and one for a replayed log

Cause: version-committed, version-held and version-applied were limited to one a second after the first ten, so that of a series of versions nearly none was written, and a lag read off these lines was a lag of dropped lines.

Change: the three have the rate of failures and decisions, 10 a second with bursts of 50.

Before: of 100 versions at ten a second, 19 lines of each event by the former limit (10 at once and 1 a second). After: test/version-lines finds all 100 of each; 3,000 replayed versions write two lines, and a real source that was killed and restarted with four versions writes two.

--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -6,7 +6,7 @@
   readonly burstLines: number;
 }
 
-/** For failures and decisions: about 2 KB/s per event. */
+/** For failures, decisions and versions: about 2 KB/s per event. */
 const HIGH_RATE: LineRate = { linesPerSecond: 10, burstLines: 50 };
 /** For events that each member of a fleet causes when it starts; metrics and the status have the full data. */
 const LOW_RATE: LineRate = { linesPerSecond: 1, burstLines: 10 };
@@ -24,8 +24,8 @@
   'proxy-not-ready': HIGH_RATE,
   'readiness-answered': HIGH_RATE,
   draining: HIGH_RATE,
-  'version-held': LOW_RATE,
-  'version-applied': LOW_RATE,
+  'version-held': HIGH_RATE,
+  'version-applied': HIGH_RATE,
   'version-rejected': HIGH_RATE,
   'spread-rejected': HIGH_RATE,
   'source-found': HIGH_RATE,
@@ -39,7 +39,7 @@
   'source-follows': HIGH_RATE,
   'source-confirms': HIGH_RATE,
   'source-cannot-confirm': HIGH_RATE,
-  'version-committed': LOW_RATE,
+  'version-committed': HIGH_RATE,
   'version-restored': LOW_RATE,
   'log-status': HIGH_RATE,
   'log-voters': HIGH_RATE,
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -29,6 +29,7 @@
   SourceDistributionFilter,
 } from '../distribution/index.js';
 import { AcknowledgementLog } from './acknowledgement-log.js';
+import { CommitLog } from './commit-log.js';
 import { buildLogSend, listReplicas, readLogPacket } from './log-wiring.js';
 import type { Log } from './logger.js';
 import type { RecoveryLog } from './recovery-log.js';
@@ -59,6 +60,7 @@
 export async function runSource(options: SourceOptions): Promise<RunningRole> {
   const { settings, clock, recovery, reportFailure, postLink, report } = options;
   const peers = new SourcePeers(settings.operator);
+  const commits = new CommitLog({ recovery, clock });
   const acknowledgements = new AcknowledgementLog({ log: options.log, clock });
   const notes = new FilterTask<NotesState, NotesIn, NotesOut>({
     name: 'notes',
@@ -131,7 +133,7 @@
         log.post(output);
         return;
       case 'version':
-        recovery.report('version-committed', { version: output.delta.version });
+        commits.handleCommitted(output.delta.version);
         acknowledgements.handleCommitted(output.delta.version);
         distribution.post(output);
         return;
--- a/test/version-lines.test.ts
+++ b/test/version-lines.test.ts
@@ -1,12 +1,14 @@
-/** The lines of acknowledged versions. */
+/** The lines of committed, acknowledged, held and applied versions. */
 import test from 'ava';
-import { findFreeAddress, Mesh, waitFor } from '../bench/mesh.js';
+import { findFreeAddress, killProcess, Mesh, waitFor } from '../bench/mesh.js';
 import { FIRST_NOTE } from '../bench/small-mesh.js';
 import type { MeshProcess } from '../bench/mesh.js';
 import type { HostId, NoteNumber, Revision, Version } from '../src/ids.js';
 import type { NoteAnswer, NoteReceipt } from '../src/messages/index.js';
 import { AcknowledgementLog } from '../src/program/acknowledgement-log.js';
+import { CommitLog } from '../src/program/commit-log.js';
 import { RateLimitedLog } from '../src/program/logger.js';
+import { RecoveryLog } from '../src/program/recovery-log.js';
 import { ListSink } from './list-sink.js';
 import { ManualClock } from './manual-clock.js';
 
@@ -16,7 +18,8 @@
   const clock = new ManualClock();
   const sink = new ListSink();
   const { write: log } = new RateLimitedLog({ host: HOST, level: 'info', clock, sink });
-  return { lines: sink.lines, clock, log };
+  const recovery = new RecoveryLog({ host: HOST, log, clock, sources: [] });
+  return { lines: sink.lines, clock, log, recovery };
 }
 
 function accept(version: number, isRepeat?: boolean): NoteAnswer {
@@ -73,6 +76,29 @@
   );
 });
 
+test('ten versions a second for 10 s: every line is written', (t) => {
+  const { lines, clock, log, recovery } = startLog();
+  const commits = new CommitLog({ recovery, clock });
+  const acknowledgements = new AcknowledgementLog({ log, clock });
+  const versions = Array.from({ length: 100 }, (_, index) => (index + 1) as Version);
+  for (const version of versions) {
+    commits.handleCommitted(version);
+    acknowledgements.handleAnswer(accept(version));
+    log('version-held', { version });
+    log('version-applied', { version });
+    clock.advance(100);
+  }
+  const events = ['version-committed', 'command-acknowledged', 'version-held', 'version-applied'];
+  for (const event of events) {
+    const written = lines.filter((line) => line.event === event);
+    t.deepEqual(
+      written.map(({ version }) => version),
+      versions,
+      event,
+    );
+  }
+});
+
 test('fifty acknowledgements at once: every line is written', (t) => {
   const { lines, clock, log } = startLog();
   const acknowledgements = new AcknowledgementLog({ log, clock });
@@ -80,7 +106,25 @@
   t.is(lines.length, 50);
 });
 
-test('real source: each command and its repetition are acknowledged', async (t) => {
+test('replayed log: versions share a line, later ones are written', (t) => {
+  const { lines, clock, recovery } = startLog();
+  const commits = new CommitLog({ recovery, clock });
+  for (let version = 1; version <= 3_000; version += 1) {
+    commits.handleCommitted(version as Version);
+  }
+  clock.advance(0);
+  commits.handleCommitted(3_001 as Version);
+  t.deepEqual(
+    lines.map(({ version, after }) => [version, after]),
+    [
+      [1, undefined],
+      [3_000, 1],
+      [3_001, undefined],
+    ],
+  );
+});
+
+test('restarted source: acknowledged versions share a line', async (t) => {
   const mesh = new Mesh();
   t.teardown(() => mesh.stop());
   const [control, operator] = [await findFreeAddress(), await findFreeAddress()];
@@ -118,6 +162,18 @@
     ],
   );
   t.true(acknowledged.every(({ sinceCommitMs }) => Number(sinceCommitMs) >= 0));
+  await killProcess(source);
+  const restarted = mesh.startProgram('source', settings);
+  await waitForEvent(restarted, 'source-leads');
+  await waitForEvent(restarted, 'version-committed', 2);
+  const committed = listLines(restarted, 'version-committed');
+  t.deepEqual(
+    committed.map(({ version, after }) => [version, after]),
+    [
+      [1, undefined],
+      [4, 1],
+    ],
+  );
 });
 
 function buildServiceNote(number: number): string {
