Measure when a proxy last knew that it was current, and log when it is behind

Cause: a proxy had no figure for how long ago it knew that it was current, and nothing told a version that it had never heard of from one that it knew of and did not get.

Change: NewestKnown follows which versions sources and other proxies name. A version that is named and not held for 0.5 s is logged as version-behind, with who named it and when, and version-caught-up tells when it is held. No decision depends on it; the filter wakes once more for a version that is late.

Before: neither line nor gauge.

--- /dev/null
+++ b/src/distribution/newest-known.ts
@@ -0,0 +1,150 @@
+/** The highest version that a proxy has heard of, and when it last knew that it was current. */
+import { addMs, NEVER } from '../clock.js';
+import type { Address, Instant, Version } from '../ids.js';
+import { NO_VERSION } from '../ids.js';
+import type { DistributionMessage, VersionMark } from '../messages/index.js';
+import type { VersionStore } from './version-store.js';
+
+/** Reports for logs and metrics; no decision depends on them. */
+export type NewestKnownOut =
+  | {
+      readonly kind: 'newest-known';
+      /** The highest version heard of, held or not. */
+      readonly version: Version;
+      /** When a message last showed that no higher version is known; undefined before the first. */
+      readonly checkedAt: Instant | undefined;
+    }
+  /** A higher version has been known for some time without being held. */
+  | {
+      readonly kind: 'behind';
+      readonly held: Version;
+      readonly known: Version;
+      /** Who named the lowest missing version first. */
+      readonly from: Address;
+      /** When that version was heard of. */
+      readonly since: Instant;
+    }
+  /** The version named by the last `behind` is held; `since` is the same as there. */
+  | { readonly kind: 'caught-up'; readonly held: Version; readonly since: Instant };
+
+/** Follows the versions that peers and sources claim to hold. */
+export class NewestKnown {
+  /** Versions that were heard of and are not held, ascending by version and by time. */
+  readonly #missing: MissingVersion[] = [];
+  #checkedAt: Instant | undefined;
+  #reported: Omit<Extract<NewestKnownOut, { kind: 'newest-known' }>, 'kind'> = {
+    version: NO_VERSION,
+    checkedAt: undefined,
+  };
+  /** The last `behind` report, until its version is held. */
+  #behind: Extract<NewestKnownOut, { kind: 'behind' }> | undefined;
+
+  /** When a missing version has to be reported. */
+  get deadline(): Instant {
+    const [oldest] = this.#missing;
+    return oldest === undefined || this.#behind !== undefined ? NEVER : oldest.reportAt;
+  }
+
+  /** Handles a message of a peer or a source, after `store` has applied its contents. */
+  handleMessage(from: Address, body: DistributionMessage, store: VersionStore, now: Instant): void {
+    const claimed = findClaimedVersion(body);
+    if (claimed === undefined) return;
+    const { version: held } = store.mark;
+    this.#removeHeld(held);
+    if (claimed > held) {
+      this.#addMissing({ version: claimed, from, since: now, reportAt: addMs(now, LATE_MS) });
+      return;
+    }
+    const mark = findMark(body);
+    if (mark === undefined || mark.version < held || store.hasConflict(mark)) return;
+    if (this.#missing.length === 0) this.#checkedAt = now;
+  }
+
+  /** Returns the reports that are due while the proxy holds `held`. */
+  decide(held: Version, now: Instant): NewestKnownOut[] {
+    this.#removeHeld(held);
+    return [
+      ...this.#decideNewest(held),
+      ...this.#decideCaughtUp(held),
+      ...this.#decideBehind(held, now),
+    ];
+  }
+
+  // Internals.
+
+  #removeHeld(held: Version): void {
+    while (this.#missing[0] !== undefined && this.#missing[0].version <= held) {
+      this.#missing.shift();
+    }
+  }
+
+  #addMissing(claim: MissingVersion): void {
+    const highest = this.#missing.at(-1);
+    if (highest !== undefined && highest.version >= claim.version) return;
+    if (this.#missing.length === MAX_MISSING) this.#missing.pop();
+    this.#missing.push(claim);
+  }
+
+  #decideNewest(held: Version): NewestKnownOut[] {
+    const version = this.#missing.at(-1)?.version ?? held;
+    const checkedAt = this.#checkedAt;
+    if (version === this.#reported.version && checkedAt === this.#reported.checkedAt) return [];
+    this.#reported = { version, checkedAt };
+    return [{ kind: 'newest-known', version, checkedAt }];
+  }
+
+  #decideCaughtUp(held: Version): NewestKnownOut[] {
+    if (this.#behind === undefined || held < this.#behind.known) return [];
+    const { since } = this.#behind;
+    this.#behind = undefined;
+    return [{ kind: 'caught-up', held, since }];
+  }
+
+  #decideBehind(held: Version, now: Instant): NewestKnownOut[] {
+    const [oldest] = this.#missing;
+    if (oldest === undefined || this.deadline > now) return [];
+    const known = this.#missing.at(-1)?.version ?? oldest.version;
+    const { from, since } = oldest;
+    this.#behind = { kind: 'behind', held, known, from, since };
+    return [this.#behind];
+  }
+}
+
+// Internals.
+
+/** A version that was heard of and is not held. */
+interface MissingVersion {
+  readonly version: Version;
+  readonly from: Address;
+  readonly since: Instant;
+  /** When it is reported unless it is held by then. */
+  readonly reportAt: Instant;
+}
+
+/** A quarter of the 2 s within which a version has to be in force. */
+const LATE_MS = 500;
+const MAX_MISSING = 64;
+
+/** Returns the version that the sender of a message holds or has heard of. */
+function findClaimedVersion(body: DistributionMessage): Version | undefined {
+  if (body.kind === 'ack') return body.report.own;
+  if (body.kind === 'pull') return body.held.version;
+  return findMark(body)?.version;
+}
+
+/** Returns the mark of a sender that is not asking for a newer version or reporting to this proxy. */
+function findMark(body: DistributionMessage): VersionMark | undefined {
+  switch (body.kind) {
+    case 'push':
+      return body.newest;
+    case 'advertise':
+      return body.held;
+    case 'chunk':
+      return body.chunk.mark;
+    case 'vouch':
+    case 'served':
+      return body.mark;
+    default:
+      return undefined;
+  }
+}
--- a/src/distribution/proxy-distribution-filter.ts
+++ b/src/distribution/proxy-distribution-filter.ts
@@ -57,7 +57,8 @@
     const { needsConfirmation } = state.served;
     const outputs = this.#handle(state, message, now);
     const confirmed = needsConfirmation ? buildConfirmed(state) : [];
-    return { state, outputs: [...confirmed, ...outputs, ...updateWake(state)] };
+    const known = state.newestKnown.decide(state.store.mark.version, now);
+    return { state, outputs: [...confirmed, ...outputs, ...known, ...updateWake(state)] };
   }
 
   // Internals.
@@ -78,7 +79,7 @@
         return [];
       case 'received':
         state.linked.add(message.address);
-        return this.#handleBody(state, message, now);
+        return this.#handleReceived(state, message, now);
       case 'malformed':
         return this.#reject(state, message.address, { kind: 'malformed' }, now);
       case 'floor-saved':
@@ -96,6 +97,16 @@
     }
   }
 
+  #handleReceived(
+    state: ProxyDistributionState,
+    message: Extract<ProxyDistributionIn, { kind: 'received' }>,
+    now: Instant,
+  ): ProxyDistributionOut[] {
+    const outputs = this.#handleBody(state, message, now);
+    state.newestKnown.handleMessage(message.address, message.body, state.store, now);
+    return outputs;
+  }
+
   #handleBody(
     state: ProxyDistributionState,
     { from, address, body }: Extract<ProxyDistributionIn, { kind: 'received' }>,
@@ -417,6 +428,7 @@
   confirmRelay,
   poll,
   sentVersions,
+  newestKnown,
 }: ProxyDistributionState): ProxyDistributionOut[] {
   const { settle, advertise, compare, report, refresh, remind } = deadlines;
   const others = [
@@ -424,6 +436,7 @@
     confirmRelay.deadline,
     poll.deadline,
     sentVersions.deadline,
+    newestKnown.deadline,
   ];
   const earliest = Math.min(
     settle,
--- a/src/distribution/proxy-distribution-state.ts
+++ b/src/distribution/proxy-distribution-state.ts
@@ -16,6 +16,8 @@
 import { Overlay } from './overlay.js';
 import { SentVersions } from './sent-versions.js';
 import type { Neighbours } from './overlay.js';
+import { NewestKnown } from './newest-known.js';
+import type { NewestKnownOut } from './newest-known.js';
 import { IncomingSnapshots } from './incoming-snapshots.js';
 import { ServedPoll } from './served-poll.js';
 import type { ServeStep, ConfirmedBy } from './served-version.js';
@@ -81,6 +83,7 @@
     }
   /** The minimum version that this proxy may serve was confirmed; sent once. */
   | { readonly kind: 'vouched'; readonly mark: VersionMark; readonly by: ConfirmedBy }
+  | NewestKnownOut
   | ServeStep
   | WakeRequest;
 
@@ -102,6 +105,7 @@
 export interface ProxyDistributionState {
   readonly store: VersionStore;
   readonly served: ServedVersion;
+  readonly newestKnown: NewestKnown;
   readonly overlay: Overlay;
   readonly pullScheduler: PullScheduler;
   readonly incomingSnapshots: IncomingSnapshots;
@@ -143,6 +147,7 @@
   return {
     store: new VersionStore(),
     served: new ServedVersion(keepsFloor),
+    newestKnown: new NewestKnown(),
     overlay: new Overlay(policy.shape),
     pullScheduler: new PullScheduler(random),
     incomingSnapshots: new IncomingSnapshots(),
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -160,6 +160,13 @@
     recovery.report('vouch-asked', { to, isSource: kind === 'send-source' });
   }
 
+  function logLateVersion(output: LateVersion): void {
+    const { held, since } = output;
+    const sinceMs = Math.round(clock.read() - since);
+    if (output.kind === 'caught-up') log('version-caught-up', { version: held, sinceMs });
+    else log('version-behind', { from: output.from, known: output.known, held, sinceMs });
+  }
+
   function routeDistribution(output: ProxyDistributionOut): void {
     switch (output.kind) {
       case 'send':
@@ -181,6 +188,13 @@
         distributionStatus.held = output.mark.version;
         report('distribution', distributionStatus);
         return;
+      case 'newest-known':
+        versions.handleNewestKnown(output);
+        return;
+      case 'behind':
+      case 'caught-up':
+        logLateVersion(output);
+        return;
       case 'vouched':
         isConfirmed = true;
         recovery.report('version-vouched', { version: output.mark.version, by: output.by });
@@ -253,6 +267,8 @@
 
 // Internals.
 
+type LateVersion = Extract<ProxyDistributionOut, { kind: 'behind' | 'caught-up' }>;
+
 type DistributionSend = Extract<ProxyDistributionOut, { kind: 'send' | 'send-source' }>;
 
 /** Last part of the linger time in milliseconds, in which other proxies learn that the local servers drain. */
