--- a/test/fleet-faults.ts
+++ b/test/fleet-faults.ts
@@ -36,6 +36,67 @@
   }
 }
 
+/**
+ * Makes connections stall and proxies busy, without losing anything: what a connection carries while it is stalled
+ * arrives in order at the end of the stall, and a busy proxy reads what arrived only at the end of its turn.
+ */
+export class StalledLinks {
+  /** The share of the time in which a connection is stalled. */
+  stallShare = 0;
+  readonly #random: Random;
+  readonly #stalls = new Map<string, Stalls>();
+  readonly #turnMs = new Map<FakeNode, number>();
+
+  constructor(fleet: FakeFleet, random: Random) {
+    this.#random = random;
+    fleet.deliveryRule = (from, to, body) => {
+      const { now } = fleet.queue;
+      const sentAt = this.#endTurn(from, now);
+      const arrivedAt = this.#passConnection(from, to, sentAt) + fleet.pickDelay(from, to);
+      return [{ delayMs: this.#endTurn(to, arrivedAt) - now, body }];
+    };
+  }
+
+  /** Gives each of these proxies turns of up to {@link MAX_TURN_MS}. */
+  makeBusy(nodes: readonly FakeNode[]): void {
+    for (const node of nodes) this.#turnMs.set(node, MAX_TURN_MS * (0.5 + this.#random.next() / 2));
+  }
+
+  // Internals.
+
+  #endTurn(node: FakeNode, at: number): number {
+    const turnMs = this.#turnMs.get(node);
+    return turnMs === undefined ? at : Math.ceil(at / turnMs) * turnMs;
+  }
+
+  #passConnection(from: FakeNode, to: FakeNode, at: number): number {
+    if (this.stallShare === 0) return at;
+    const key = [from.host, to.host].sort().join(' ');
+    const known = this.#stalls.get(key) ?? this.#startStalls(at);
+    this.#stalls.set(key, known);
+    while (known.endsAt <= at) {
+      const { lengthMs, pauseMs } = this.#pickStall();
+      known.startsAt = known.endsAt + pauseMs;
+      known.endsAt = known.startsAt + lengthMs;
+    }
+    const passedAt = at < known.startsAt ? at : known.endsAt;
+    known.lastAt = Math.max(known.lastAt, passedAt);
+    return known.lastAt;
+  }
+
+  /** Starts a connection at a random point between two stalls. */
+  #startStalls(at: number): Stalls {
+    const { lengthMs, pauseMs } = this.#pickStall();
+    const endsAt = at - this.#random.next() * (lengthMs + pauseMs);
+    return { startsAt: endsAt - lengthMs, endsAt, lastAt: 0 };
+  }
+
+  #pickStall(): { lengthMs: number; pauseMs: number } {
+    const lengthMs = MIN_STALL_MS + this.#random.next() * (MAX_STALL_MS - MIN_STALL_MS);
+    return { lengthMs, pauseMs: 2 * this.#random.next() * lengthMs * (1 / this.stallShare - 1) };
+  }
+}
+
 /** Rates without any fault. */
 export const NO_FAULTS: FaultRates = { loss: 0, duplication: 0, reordering: 0 };
 
@@ -63,6 +124,17 @@
 
 // Internals.
 
+/** The present or last stall of a connection, and when its last message passed. */
+interface Stalls {
+  startsAt: number;
+  endsAt: number;
+  lastAt: number;
+}
+
+const MIN_STALL_MS = 200;
+/** A silent connection is replaced, and what it lost is sent again, within a second. */
+const MAX_STALL_MS = 1_000;
+const MAX_TURN_MS = 250;
 const MAX_EXTRA_MS = 300;
 const MAX_STEP_MS = 200;
 const FAILURE_DETECTION_MS = 1_500;
