--- a/bench/fake-fleet.ts
+++ b/bench/fake-fleet.ts
@@ -162,6 +162,14 @@
     }
   }
 
+  /** Makes every other process remove a running process from its membership, as after a false suspicion. */
+  giveUp(node: FakeNode): void {
+    for (const other of this.#nodes.values()) {
+      if (other === node || !other.isUp) continue;
+      this.#post(other, { kind: 'member-gone', host: node.host });
+    }
+  }
+
   /** Pauses a process until {@link FakeFleet.thaw}. Its links stay up, and what arrives waits. */
   freeze(node: FakeNode): void {
     node.isFrozen = true;
--- a/test/distribution-bound.test.ts
+++ b/test/distribution-bound.test.ts
@@ -10,6 +10,8 @@
 const SEEDS = Array.from({ length: 8 }, (_, index) => index + 1);
 const FLEET = { proxies: 60, sources: 5, dataCentres: 4 };
 const VERSIONS = 4;
+const FROZEN_SHARE = 0.35;
+const GIVEN_UP = 8;
 const FREEZES = 6;
 const FREEZE_MS = 1_000;
 const CALM_MS = 3_000;
@@ -121,6 +123,20 @@
   });
 }
 
+test('proxies that the others have given up, a third frozen', (t) => {
+  const times = SEEDS.map((seed) => {
+    const started = startServing(seed);
+    const random = new SeededRandom(seed);
+    const { fleet } = started;
+    const frozen = new Set(fleet.proxies.filter(() => random.next() < FROZEN_SHARE));
+    for (const node of frozen) fleet.freeze(node);
+    const others = fleet.proxies.filter((node) => !frozen.has(node));
+    for (const node of others.slice(0, GIVEN_UP)) fleet.giveUp(node);
+    return measureLongest(started, others);
+  });
+  t.true(Math.max(...times) <= BOUND_MS, times.join(' '));
+});
+
 for (const { title, share, spreadMs, stallShare, busyShare } of [
   {
     title: 'half freeze while a version spreads, links stall',
