Compare versions four times a second, not once

Cause: a proxy that the other members hold for dead is no part of the tree, and nobody speaks to it. What is left is its own comparison, one peer a second, and a peer that does not answer costs another second. Two silent peers in a row were over the bound.

--- a/src/distribution/convergence-policy.ts
+++ b/src/distribution/convergence-policy.ts
@@ -11,6 +11,6 @@
     advertiseMs: 50,
     reportMs: 200,
     remindMs: 250,
-    compareMs: 1_000,
+    compareMs: 250,
   };
 }
