Ask a second peer when a pull has no sign of an answer for 0.2 s

Cause: one pull is open at a time, and it kept its place for 1, 2, then 4 s while the peer was silent. Other peers that offered the version meanwhile, and the next one, were not asked. The class: waits in series, each shorter than the bound, whose sum is longer.

Change: a pull of a difference without a sign for 0.2 s gives way to a peer that offers the version; only pulls from peers that offer nothing keep doubling their time. A whole configuration goes on waiting 1 s and more, so that a narrow link carries it once; its first chunk is short, so that a sign comes soon.

Tests: pull-scheduler named the former first time-out of 1 s of a difference; it is 0.2 s now.

--- a/src/distribution/pull-scheduler.ts
+++ b/src/distribution/pull-scheduler.ts
@@ -11,16 +11,20 @@
   readonly notBefore: Instant;
 }
 
-/** A pull without an answer so far. */
+/** A pull without a complete answer so far. */
 interface OpenPull {
   readonly address: Address;
+  /** When any other peer may be asked. */
   readonly deadline: Instant;
+  /** When a peer that advertised a higher version may be asked besides. */
+  readonly hedgeAt: Instant;
 }
 
 /**
  * Keeps the peers that advertised a higher version and picks one of them for each pull.
  *
- * The first attempt waits briefly, because a push is usually in transit. Failed attempts are retried
+ * The first attempt waits briefly, because a push is usually in transit. When a pull has no sign of an answer,
+ * another peer is asked at once; the first answer counts, whoever sends it. Failed attempts are retried
  * after an exponential delay with full jitter and a cap. A peer that does not deliver the version it
  * advertised is excluded for a fixed time, so a false advertisement delays a pull by a bounded time.
  */
@@ -46,7 +50,7 @@
 
   /** The next instant at which {@link PullScheduler.pickNext} must be called. */
   get deadline(): Instant {
-    return this.#openPull?.deadline ?? this.#nextAttemptAt;
+    return this.#openPull === undefined ? this.#nextAttemptAt : this.#findEnd(this.#openPull);
   }
 
   /** Failed attempts since the last version was applied. */
@@ -85,7 +89,7 @@
 
   /** Picks the address to pull from now, if any; uses `fallback` when no peer advertises a higher version. */
   pickNext(held: Version, fallback: readonly Address[], now: Instant): Address | undefined {
-    if (this.#openPull !== undefined && this.#openPull.deadline <= now)
+    if (this.#openPull !== undefined && this.#findEnd(this.#openPull) <= now)
       this.#closeTimedOut(this.#openPull, now);
     if (this.#openPull !== undefined || this.#nextAttemptAt > now) return undefined;
     this.#nextAttemptAt = NEVER;
@@ -96,7 +100,8 @@
         this.#nextAttemptAt = addMs(now, MIN_RETRY_DELAY_MS * (1 + this.#random.next()));
       return undefined;
     }
-    this.#startPull(address, now);
+    if (held === NO_VERSION) this.#startLongPull(address, now);
+    else this.#startPull(address, now);
     return address;
   }
 
@@ -107,7 +112,7 @@
   extendPull(address: Address, now: Instant): boolean {
     if (!this.isAsking(address) && !this.#overdue.has(address)) return false;
     if (this.#openPull !== undefined) this.#overdue.add(this.#openPull.address);
-    this.#startPull(address, now);
+    this.#startLongPull(address, now);
     return true;
   }
 
@@ -195,15 +200,38 @@
     return banned <= now && unresponsive <= now && notBefore <= now;
   }
 
+  /** Starts a pull of a difference, which is short: without a sign of it, another peer is asked soon. */
   #startPull(address: Address, now: Instant): void {
     this.#overdue.delete(address);
-    const timeoutMs = PULL_TIMEOUT_MS * 2 ** Math.min(this.#timeouts, MAX_TIMEOUT_DOUBLINGS);
-    this.#openPull = { address, deadline: addMs(now, timeoutMs) };
+    const deadline = this.#findDeadline(SIGN_TIMEOUT_MS, now);
+    this.#openPull = { address, deadline, hedgeAt: addMs(now, SIGN_TIMEOUT_MS) };
+  }
+
+  /** Starts or continues a pull of a whole configuration, which should be sent only once over a narrow link. */
+  #startLongPull(address: Address, now: Instant): void {
+    this.#overdue.delete(address);
+    const deadline = this.#findDeadline(CHUNK_TIMEOUT_MS, now);
+    this.#openPull = { address, deadline, hedgeAt: deadline };
+  }
+
+  #findDeadline(timeoutMs: number, now: Instant): Instant {
+    const doubledMs = timeoutMs * 2 ** Math.min(this.#timeouts, MAX_TIMEOUT_DOUBLINGS);
+    return addMs(now, Math.min(doubledMs, MAX_TIMEOUT_MS));
+  }
+
+  /** Finds when a pull ends without an answer: earlier if another peer is known to hold a higher version. */
+  #findEnd({ address, deadline, hedgeAt }: OpenPull): Instant {
+    let end = deadline;
+    for (const [peer, { notBefore }] of this.#candidates) {
+      if (peer !== address) end = earliestOf(end, latestOf(hedgeAt, notBefore));
+    }
+    return end;
   }
 
   /** The link may just be slow: the next pull gets a longer timeout, and a late answer is still accepted. */
   #closeTimedOut({ address }: OpenPull, now: Instant): void {
     this.#closeFailedPull(now);
+    this.#nextAttemptAt = now;
     this.#timeouts += 1;
     if (this.#overdue.size < MAX_OVERDUE_PULLS) this.#overdue.add(address);
   }
@@ -229,9 +257,13 @@
 
 const MIN_PUSH_WAIT_MS = 50;
 const PUSH_WAIT_JITTER_MS = 100;
-const PULL_TIMEOUT_MS = 1_000;
-/** Limits the timeout to 4 s, below the 12 s after which the link of an unresponsive peer is closed. */
-const MAX_TIMEOUT_DOUBLINGS = 2;
+/** Leaves time for several peers to be asked within the 2 s in which a version must be in force. */
+const SIGN_TIMEOUT_MS = 200;
+/** The time in which a narrow link carries one chunk. */
+const CHUNK_TIMEOUT_MS = 1_000;
+const MAX_TIMEOUT_DOUBLINGS = 4;
+/** Below the 12 s after which the link of an unresponsive peer is closed. */
+const MAX_TIMEOUT_MS = 4_000;
 const MAX_OVERDUE_PULLS = 8;
 const FAULTY_BAN_MS = 3_000;
 const UNRESPONSIVE_BAN_MS = 500;
@@ -245,6 +277,10 @@
   return Math.min(left, right) as Instant;
 }
 
+function latestOf(left: Instant, right: Instant): Instant {
+  return Math.max(left, right) as Instant;
+}
+
 /** Sets an entry; clears the map first if it is full. */
 function setBounded(map: Map<Address, Instant>, address: Address, until: Instant): void {
   if (map.size >= MAX_BANNED) map.clear();
--- a/src/distribution/snapshot-assembly.ts
+++ b/src/distribution/snapshot-assembly.ts
@@ -3,7 +3,10 @@
 import type { Configuration } from '../notes/index.js';
 import { buildMark } from './delta-span.js';
 
-/** Splits a configuration into chunks of bounded size. */
+/**
+ * Splits a configuration into chunks of bounded size. The first one is short, so that the peer soon has a sign that
+ * the answer is on its way.
+ */
 export function buildChunks(configuration: Configuration): SnapshotChunk[] {
   const mark = buildMark(configuration);
   const chunks = splitResources([...configuration.resources.values()]);
@@ -47,14 +50,20 @@
 // Internals.
 
 const RESOURCES_PER_CHUNK = 256;
+const RESOURCES_IN_FIRST_CHUNK = 4;
 const APPROXIMATE_BYTES_PER_RESOURCE = 150;
 
 function splitResources(resources: readonly Resource[]): Resource[][] {
-  const chunks: Resource[][] = [];
-  for (let start = 0; start < resources.length; start += RESOURCES_PER_CHUNK) {
+  const first = resources.slice(0, RESOURCES_IN_FIRST_CHUNK);
+  const chunks: Resource[][] = [first];
+  for (
+    let start = RESOURCES_IN_FIRST_CHUNK;
+    start < resources.length;
+    start += RESOURCES_PER_CHUNK
+  ) {
     chunks.push(resources.slice(start, start + RESOURCES_PER_CHUNK));
   }
-  return chunks.length === 0 ? [[]] : chunks;
+  return chunks;
 }
 
 function matchesSnapshot(left: SnapshotChunk, right: SnapshotChunk): boolean {
--- a/test/distribution-faults.test.ts
+++ b/test/distribution-faults.test.ts
@@ -4,7 +4,8 @@
 import type { DistributionMessage } from '../src/messages/index.js';
 import { findProxy, isRoot, readMark, startFleet } from './started-fleet.js';
 
-const BOUND_MS = 3_000;
+/** Versions are in force within 2 s after they are committed. */
+const BOUND_MS = 2_000;
 
 test('two roots frozen: the other proxies converge', (t) => {
   const { fleet, maker, history, commitNext } = startFleet();
@@ -29,7 +30,7 @@
   for (const node of fleet.proxies.filter(isRoot)) fleet.kill(node, 5_000);
   commitNext();
   t.not(
-    fleet.runUntil(() => fleet.isServedByAll(maker.newest), 2 * BOUND_MS),
+    fleet.runUntil(() => fleet.isServedByAll(maker.newest), BOUND_MS),
     undefined,
   );
   t.deepEqual(history.faults, []);
@@ -96,7 +97,7 @@
   }
   fleet.deliveryRule = (from, to, body) => [{ delayMs: fleet.pickDelay(from, to), body }];
   t.not(
-    fleet.runUntil(() => fleet.isServedByAll(maker.newest), 2 * BOUND_MS),
+    fleet.runUntil(() => fleet.isServedByAll(maker.newest), BOUND_MS),
     undefined,
   );
   t.true(corrupted > 10);
--- a/test/pull-scheduler.test.ts
+++ b/test/pull-scheduler.test.ts
@@ -10,6 +10,7 @@
 const SLOW = '10.0.0.1:1' as Address;
 const OTHER = '10.0.0.2:1' as Address;
 const NEWEST = 7 as Version;
+const HELD = 6 as Version;
 /** When {@link OTHER} is asked, after the pull from {@link SLOW} timed out. */
 const ASKED_OTHER = addMs(START, 2_000);
 
@@ -62,5 +63,38 @@
   scheduler.closeApplied(OTHER, NEWEST, ASKED_OTHER);
   scheduler.addHolder(OTHER, (NEWEST + 1) as Version, ASKED_OTHER);
   t.is(scheduler.pickNext(NEWEST, [], ASKED_OTHER), OTHER);
-  t.is(scheduler.deadline, addMs(ASKED_OTHER, 1_000));
+  t.is(scheduler.deadline, addMs(ASKED_OTHER, 200));
+});
+
+test('silent peer: another that offers the version is asked soon', (t) => {
+  const scheduler = new PullScheduler(new SeededRandom(1));
+  scheduler.addHolder(SLOW, NEWEST, START);
+  t.is(scheduler.pickNext(HELD, [], START), SLOW);
+  scheduler.addHolder(OTHER, NEWEST, addMs(START, 50));
+  t.is(scheduler.deadline, addMs(START, 200));
+  t.is(scheduler.pickNext(HELD, [], addMs(START, 199)), undefined);
+  t.is(scheduler.pickNext(HELD, [], addMs(START, 200)), OTHER);
+});
+
+test('silent peers: an offer never waits for a doubled timeout', (t) => {
+  const scheduler = new PullScheduler(new SeededRandom(1));
+  scheduler.addHolder(SLOW, NEWEST, START);
+  let now = START;
+  for (let pulls = 0; pulls < 5; pulls += 1) {
+    scheduler.pickNext(HELD, [SLOW], now);
+    now = scheduler.deadline;
+  }
+  const askedAt = addMs(now, 1_000);
+  t.is(scheduler.pickNext(HELD, [SLOW], askedAt), SLOW);
+  scheduler.addHolder(OTHER, NEWEST, addMs(askedAt, 10));
+  t.is(scheduler.pickNext(HELD, [], addMs(askedAt, 200)), OTHER);
+});
+
+test('pull of a whole configuration: an offer waits for its timeout', (t) => {
+  const scheduler = new PullScheduler(new SeededRandom(1));
+  scheduler.addHolder(SLOW, NEWEST, START);
+  t.is(scheduler.pickNext(NO_VERSION, [], START), SLOW);
+  scheduler.addHolder(OTHER, NEWEST, addMs(START, 50));
+  t.is(scheduler.pickNext(NO_VERSION, [], addMs(START, 999)), undefined);
+  t.is(scheduler.pickNext(NO_VERSION, [], addMs(START, 1_000)), OTHER);
 });
