--- a/test/fleet-faults.ts
+++ b/test/fleet-faults.ts
@@ -57,9 +57,9 @@
     };
   }
 
-  /** Gives each of these proxies turns of up to {@link MAX_TURN_MS}. */
-  makeBusy(nodes: readonly FakeNode[]): void {
-    for (const node of nodes) this.#turnMs.set(node, MAX_TURN_MS * (0.5 + this.#random.next() / 2));
+  /** Gives each of these proxies turns of up to `maxTurnMs`. */
+  makeBusy(nodes: readonly FakeNode[], maxTurnMs = MAX_TURN_MS): void {
+    for (const node of nodes) this.#turnMs.set(node, maxTurnMs * (0.5 + this.#random.next() / 2));
   }
 
   // Internals.
