Acknowledge a version when the proxies have it, or 0.5 s after its commit

Cause: the acknowledgement came at the commit, before any proxy had the version.

Change: the leader holds the answer to an accepted command until all known proxies have reported the version, for at most 0.5 s after the commit, well below the second after which operators send a command again. A command that is sent again waits no longer than the first one. A leader that steps down answers at once, since the version is committed. Without known proxies nothing is held.

--- a/src/notes/note-status.ts
+++ b/src/notes/note-status.ts
@@ -73,7 +73,12 @@
 
 /** Returns whether every known proxy has the latest revision of a note. */
 export function isInForce(entry: NoteEntry, report: CoverageReport): boolean {
-  return isFullyCovered(countCoverage(report, readReceipt(entry).version));
+  return isHeldByAll(readReceipt(entry).version, report);
+}
+
+/** Returns whether there are known proxies, and all of them hold a version or a later one. */
+export function isHeldByAll(version: Version, report: CoverageReport): boolean {
+  return isFullyCovered(countCoverage(report, version));
 }
 
 // Internals.
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -1,4 +1,5 @@
 /** The filter that answers operators and publishes new versions of the configuration. */
+import { NEVER } from '../clock.js';
 import type { Instant, NoteNumber, RequestId, Version } from '../ids.js';
 import type {
   CapturedSnapshot,
@@ -18,6 +19,8 @@
 } from '../messages/index.js';
 import type { Step, Tick, WakeRequest } from '../pipe/index.js';
 import { Filter } from '../pipe/index.js';
+import type { DueAnswer } from './held-answers.js';
+import { HeldAnswers } from './held-answers.js';
 import type { NoteStoreSnapshot } from './note-store.js';
 import { NoteStore } from './note-store.js';
 import type { SourceReport } from './note-status.js';
@@ -82,6 +85,8 @@
   readonly pending: Map<RequestId, Pending>;
   /** Queries that wait until a note is in force. */
   readonly waits: Map<RequestId, Extract<NoteQuestion, { kind: 'wait' }>>;
+  /** Acknowledgements that wait for the proxies. */
+  readonly heldAnswers: HeldAnswers;
   readonly coverage: CoverageReport;
   readonly leading: boolean;
 }
@@ -92,7 +97,8 @@
  * Handles commands and queries of operators, and applies the commands that the log commits.
  *
  * A command that would be refused does not enter the log. Its refusal is sent only after this replica has
- * confirmed that it leads, because its state may be stale. Acceptance is decided when a command is committed.
+ * confirmed that it leads, because its state may be stale. Acceptance is decided when a command is committed, and
+ * answered once the proxies have the version, see {@link HeldAnswers}.
  */
 export class NotesFilter extends Filter<NotesState, NotesIn, NotesOut> {
   override createState(): NotesState {
@@ -100,6 +106,7 @@
       store: new NoteStore(),
       pending: new Map(),
       waits: new Map(),
+      heldAnswers: new HeldAnswers(),
       coverage: NO_COVERAGE,
       leading: false,
     };
@@ -116,13 +123,14 @@
       case 'cancel':
         state.pending.delete(message.id);
         state.waits.delete(message.id);
+        state.heldAnswers.remove(message.id);
         return { state, outputs: [] };
       case 'log':
         return this.#handleNotice(state, message.notice, now);
       case 'coverage':
-        return this.#handleCoverage({ ...state, coverage: message.report });
+        return this.#handleCoverage({ ...state, coverage: message.report }, now);
       case 'tick':
-        return this.#endExpiredWaits(state, now);
+        return this.#handleTick(state, now);
     }
   }
 
@@ -143,7 +151,7 @@
   #handleNotice(state: NotesState, notice: NotesNotice, now: Instant): NotesStep {
     switch (notice.kind) {
       case 'committed':
-        return this.#applyCommitted(state, notice.command, notice.id);
+        return this.#applyCommitted(state, notice.command, notice.id, now);
       case 'confirmed':
         return this.#handleConfirmed(state, notice.id, now);
       case 'refused': {
@@ -162,19 +170,35 @@
       }
       case 'leading': {
         const next = { ...state, leading: notice.leading };
-        return { state: next, outputs: [createReport(next)] };
+        const due = notice.leading ? [] : state.heldAnswers.removeAll();
+        return { state: next, outputs: [createReport(next), ...due.map(buildAnswerOutput)] };
       }
     }
   }
 
-  #applyCommitted(state: NotesState, command: NoteCommand, id: RequestId | undefined): NotesStep {
+  #applyCommitted(
+    state: NotesState,
+    command: NoteCommand,
+    id: RequestId | undefined,
+    now: Instant,
+  ): NotesStep {
     const { answer, delta } = state.store.apply(command);
     const outputs: NotesOut[] = [];
-    if (delta !== undefined) outputs.push({ kind: 'version', delta }, createReport(state));
-    if (id !== undefined) outputs.push({ kind: 'answer', id, answer });
+    if (delta !== undefined) {
+      state.heldAnswers.addVersion(delta.version, now);
+      outputs.push({ kind: 'version', delta }, createReport(state));
+    }
+    if (id !== undefined) outputs.push(...this.#answer(state, id, answer, now));
     return { state, outputs };
   }
 
+  /** Answers a command, at once or when the proxies have its version. */
+  #answer(state: NotesState, id: RequestId, answer: NoteAnswer, now: Instant): NotesOut[] {
+    const { heldAnswers, coverage } = state;
+    if (!heldAnswers.add(id, answer, coverage, now)) return [{ kind: 'answer', id, answer }];
+    return [{ kind: 'wake', at: heldAnswers.deadline }];
+  }
+
   #handleConfirmed(state: NotesState, id: RequestId, now: Instant): NotesStep {
     const pending = state.pending.get(id);
     state.pending.delete(id);
@@ -182,10 +206,10 @@
       case undefined:
         return { state, outputs: [] };
       case 'command':
-        return this.#answerCommand(state, id, pending.command);
+        return this.#answerCommand(state, id, pending.command, now);
       case 'replace': {
         const command = state.store.buildReplaceCommand(pending.replacement);
-        return this.#answerCommand(state, id, command);
+        return this.#answerCommand(state, id, command, now);
       }
       case 'replacement': {
         const { replacement } = state.store;
@@ -203,10 +227,10 @@
   }
 
   /** Sends the refusal of a command, or proposes the command if it is no longer refused. */
-  #answerCommand(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
+  #answerCommand(state: NotesState, id: RequestId, command: NoteCommand, now: Instant): NotesStep {
     const verdict = state.store.decide(command);
     if (verdict.kind === 'step') return sendCheckedProposal(state, id, command);
-    return { state, outputs: [{ kind: 'answer', id, answer: verdict.answer }] };
+    return { state, outputs: this.#answer(state, id, verdict.answer, now) };
   }
 
   #answerStatus(state: NotesState, id: RequestId, number: NoteNumber): NotesStep {
@@ -231,17 +255,22 @@
     return { state, outputs: [{ kind: 'wake', at: wait.deadline }] };
   }
 
-  #handleCoverage(state: NotesState): NotesStep {
+  #handleCoverage(state: NotesState, now: Instant): NotesStep {
     const finished = [...state.waits].filter(([, { number }]) => {
       const entry = state.store.findEntry(number);
       return entry === undefined || isInForce(entry, state.coverage);
     });
     const answers = finished.flatMap(([id, wait]) => endWait(state, id, wait));
-    return { state, outputs: [createReport(state), ...answers] };
+    const due = state.heldAnswers.removeDue(state.coverage, now).map(buildAnswerOutput);
+    return { state, outputs: [createReport(state), ...answers, ...due] };
   }
 
-  #endExpiredWaits(state: NotesState, now: Instant): NotesStep {
-    const outputs: NotesOut[] = [];
+  /** Ends the waits and sends the held answers whose deadlines have passed. */
+  #handleTick(state: NotesState, now: Instant): NotesStep {
+    const due = state.heldAnswers.removeDue(state.coverage, now);
+    const outputs: NotesOut[] = due.map(buildAnswerOutput);
+    const { deadline } = state.heldAnswers;
+    if (deadline < NEVER) outputs.push({ kind: 'wake', at: deadline });
     for (const [id, wait] of [...state.waits]) {
       if (wait.deadline <= now) outputs.push(...endWait(state, id, wait));
       else outputs.push({ kind: 'wake', at: wait.deadline });
@@ -256,6 +285,10 @@
   return { kind: 'report', report: buildReport(store, coverage, leading) };
 }
 
+function buildAnswerOutput({ id, answer }: DueAnswer): NotesOut {
+  return { kind: 'answer', id, answer };
+}
+
 /** Proposes a command if it is within bounds. A command out of bounds is refused at once, in any state. */
 function sendCheckedProposal(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
   const faults = listBoundFaults(command);
--- a/test/notes-filter.test.ts
+++ b/test/notes-filter.test.ts
@@ -1,5 +1,6 @@
 /** Tests of the notes filter: it answers only after the log has confirmed that this replica leads. */
 import test from 'ava';
+import { addMs } from '../src/clock.js';
 import type {
   HostId,
   Instant,
@@ -68,6 +69,32 @@
   ]);
 });
 
+test('accepted command: answered when all proxies have its version', (t) => {
+  const driver = new Driver();
+  driver.sendCoverage(3, 0);
+  t.like(driver.commit(FIRST, ID), [{ kind: 'version' }, { kind: 'wake' }]);
+  t.deepEqual(driver.sendCoverage(3, 2), []);
+  t.like(driver.sendCoverage(3, 3), [{ kind: 'answer', id: ID, answer: { kind: 'accepted' } }]);
+});
+
+test('accepted command, a proxy is cut off: answered at the deadline', (t) => {
+  const driver = new Driver();
+  driver.sendCoverage(3, 0);
+  driver.commit(FIRST, ID);
+  driver.now = addMs(driver.now, 499);
+  t.like(driver.send({ kind: 'tick' }), [{ kind: 'wake' }]);
+  driver.now = addMs(driver.now, 1);
+  t.like(driver.send({ kind: 'tick' }), [{ kind: 'answer', id: ID }]);
+});
+
+test('accepted command, leadership lost: answered at once', (t) => {
+  const driver = new Driver();
+  driver.sendCoverage(3, 0);
+  driver.commit(FIRST, ID);
+  const lost = driver.sendNotice({ kind: 'leading', leading: false });
+  t.like(lost, [{ kind: 'answer', id: ID, answer: { kind: 'accepted' } }]);
+});
+
 test('refusal is decided again after the confirmation', (t) => {
   const driver = new Driver();
   const command = submit(2, buildRoute('add', 'stock'));
