Compare versions with any member, and with three while nobody shows that one's own is the newest

Cause: a proxy compared versions only with its parent and four fixed peers. One that the others held for dead, and whose five peers were silent, asked nobody else and got no version at all, without end.

Change: every second comparison goes to a member picked at random, from any data centre. While no message has shown for 0.5 s that the held version is the newest, each goes to three of them. A pull or a report that names a higher version than the held one is an offer, too; it was ignored.

--- a/src/distribution/newest-known.ts
+++ b/src/distribution/newest-known.ts
@@ -5,7 +5,7 @@
 import type { DistributionMessage, VersionMark } from '../messages/index.js';
 import type { VersionStore } from './version-store.js';
 
-/** Reports for logs and metrics; no decision depends on them. */
+/** Reports for logs and metrics. */
 export type NewestKnownOut =
   | {
       readonly kind: 'newest-known';
@@ -45,6 +45,11 @@
     return oldest === undefined || this.#behind !== undefined ? NEVER : oldest.reportAt;
   }
 
+  /** Whether a message has shown lately that no higher version is known. */
+  hasRecentCheck(now: Instant): boolean {
+    return this.#checkedAt !== undefined && now < addMs(this.#checkedAt, RECENT_MS);
+  }
+
   /** Handles a message of a peer or a source, after `store` has applied its contents. */
   handleMessage(from: Address, body: DistributionMessage, store: VersionStore, now: Instant): void {
     const claimed = findClaimedVersion(body);
@@ -123,6 +128,8 @@
 
 /** A quarter of the 2 s within which a version has to be in force. */
 const LATE_MS = 500;
+/** Two intervals between comparisons. */
+const RECENT_MS = 500;
 const MAX_MISSING = 64;
 
 /** Returns the version that the sender of a message holds or has heard of. */
--- a/src/distribution/overlay.ts
+++ b/src/distribution/overlay.ts
@@ -1,5 +1,6 @@
 /** The overlay network: one forest per data centre, computed by each process from the membership. */
 import type { DataCentreId, HostId, Version } from '../ids.js';
+import type { Random } from '../random.js';
 import { MemberOrder } from './member-order.js';
 import type { OverlayMember } from './member-order.js';
 
@@ -127,6 +128,13 @@
     return listSpaced(order, position, count);
   }
 
+  /** Picks a member other than `self` at random, from each data centre as often as from any other. */
+  pickMember(self: HostId, random: Random): OverlayMember | undefined {
+    const order = random.pick([...this.#orders.values()].filter(({ size }) => size > 0));
+    const member = order.findAt(random.nextInt(order.size));
+    return member?.host === self ? undefined : member;
+  }
+
   // Internals.
 
   #findOrder(dataCentre: DataCentreId): MemberOrder {
--- a/src/distribution/proxy-distribution-filter.ts
+++ b/src/distribution/proxy-distribution-filter.ts
@@ -1,6 +1,6 @@
 /** Distribution on a proxy: applies versions atomically, in increasing order, and relays them. */
 import { addMs, NEVER } from '../clock.js';
-import type { Address, HostId, Instant } from '../ids.js';
+import type { Address, HostId, Instant, Version } from '../ids.js';
 import type {
   DeltaSpan,
   Member,
@@ -126,6 +126,7 @@
         return [];
       case 'ack':
         this.#reporter.updateReport(state, from, body.report, now);
+        this.#addClaim(state, address, body.report.own, now);
         return [];
       case 'ask-vouch':
       case 'vouch':
@@ -322,10 +323,16 @@
     if (state.store.hasConflict(held)) {
       return this.#reject(state, address, { kind: 'conflict', offered: held }, now);
     }
+    this.#addClaim(state, address, held.version, now);
     const answers = state.store.buildAnswer(held, state.rateLimiter, now);
     return answers.map((body) => ({ kind: 'send', to: address, body }));
   }
 
+  /** Schedules a pull from a peer that names a higher version than the held one. */
+  #addClaim(state: ProxyDistributionState, address: Address, claimed: Version, now: Instant): void {
+    if (claimed > state.store.mark.version) state.pullScheduler.addClaim(address, claimed, now);
+  }
+
   /** Relays what was applied: pushed spans are pushed to the children, anything else is advertised. */
   #handleApplied(
     state: ProxyDistributionState,
--- a/src/distribution/proxy-puller.ts
+++ b/src/distribution/proxy-puller.ts
@@ -68,16 +68,33 @@
     return peers.map(({ control }) => buildAdvertisement(state, control));
   }
 
+  /** Compares versions with one peer, and with more while nobody shows that the held version is the newest. */
   #compare(state: ProxyDistributionState, now: Instant): ProxyDistributionOut[] {
     if (state.deadlines.compare > now) return [];
     state.deadlines.compare = this.#options.policy.decideCompare(now);
-    const candidates = listComparisonPeers(state, this.#options);
-    const address = candidates[state.comparisons % Math.max(1, candidates.length)];
+    const peers = state.newestKnown.hasRecentCheck(now)
+      ? [this.#pickComparisonPeer(state)]
+      : Array.from({ length: PEERS_WITHOUT_CHECK }, () => this.#pickMember(state));
+    return [...new Set(peers)].flatMap((address) => {
+      if (address === undefined) return [];
+      if (!state.sources.has(address)) return [buildAdvertisement(state, address)];
+      state.pullScheduler.requestAttempt(now);
+      return [];
+    });
+  }
+
+  /** Alternates between the neighbours in turn and any member, since all neighbours may be silent or behind. */
+  #pickComparisonPeer(state: ProxyDistributionState): Address | undefined {
+    const count = state.comparisons;
     state.comparisons += 1;
-    if (address === undefined) return [];
-    if (!state.sources.has(address)) return [buildAdvertisement(state, address)];
-    state.pullScheduler.requestAttempt(now);
-    return [];
+    if (count % 2 === 1) return this.#pickMember(state);
+    const candidates = listComparisonPeers(state, this.#options);
+    return candidates[(count / 2) % Math.max(1, candidates.length)];
+  }
+
+  #pickMember({ overlay }: ProxyDistributionState): Address | undefined {
+    const { host, random } = this.#options;
+    return overlay.pickMember(host, random)?.control;
   }
 
   #buildPull(state: ProxyDistributionState, to: Address): ProxyDistributionOut {
@@ -92,3 +109,4 @@
 
 const PEER_ATTEMPTS = 3;
 const ROOT_PEER_ATTEMPTS = 1;
+const PEERS_WITHOUT_CHECK = 3;
--- a/test/distribution-bound.test.ts
+++ b/test/distribution-bound.test.ts
@@ -8,6 +8,7 @@
 /** A version is in force 2 s after it was acknowledged, which is never before its commit. */
 const BOUND_MS = 2_000;
 const SEEDS = Array.from({ length: 8 }, (_, index) => index + 1);
+const MORE_SEEDS = Array.from({ length: 24 }, (_, index) => index + 1);
 const FLEET = { proxies: 60, sources: 5, dataCentres: 4 };
 const VERSIONS = 4;
 const FROZEN_SHARE = 0.35;
@@ -124,7 +125,7 @@
 }
 
 test('proxies that the others have given up, a third frozen', (t) => {
-  const times = SEEDS.map((seed) => {
+  const times = MORE_SEEDS.map((seed) => {
     const started = startServing(seed);
     const random = new SeededRandom(seed);
     const { fleet } = started;
