Apply a version that removes everything

What callers saw: after a version without any resource, calls went on by the one before, without end. The classify filter ignored every empty configuration, so that a proxy that has just started refuses calls as no-configuration in place of no-route; only the first one has to be ignored.

The test was red before: the call was routed by version 1.

--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -93,7 +93,9 @@
       return { state: { ...state, answerBy: message.answerBy }, outputs: [] };
     }
     if (message.kind === 'whole') {
-      if (message.configuration.resources.size === 0) return { state, outputs: [] };
+      if (state.routes === undefined && message.configuration.resources.size === 0) {
+        return { state, outputs: [] };
+      }
       const routes = state.routes ?? new RouteIndex();
       routes.update(message.configuration);
       state.turns.forget((name) => routes.hasRoute(name));
--- a/test/host-routes.test.ts
+++ b/test/host-routes.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava';
 import { ClassifyFilter } from '../src/calls/classify-filter.js';
 import { WeightedRoundRobin } from '../src/calls/weighted-round-robin.js';
-import type { ServiceName } from '../src/ids.js';
+import type { ServiceName, Version } from '../src/ids.js';
 import type { RouteResource, RouteTarget } from '../src/messages/index.js';
 import { makeHead, makeKind, makeRoute, makeConfiguration, START } from './call-resources.js';
 
@@ -78,6 +78,19 @@
   t.is(output?.kind === 'refused' && output.reason, 'no-configuration');
 });
 
+test('version that removes everything: no route any more', (t) => {
+  const filter = new ClassifyFilter('proxy');
+  const full = makeConfiguration(makeKind('k'), makeNamed('a', '/', 'root'));
+  const empty = { ...makeConfiguration(), version: (full.version + 1) as Version };
+  let state = filter.createState();
+  for (const configuration of [full, empty]) {
+    ({ state } = filter.decide(state, { kind: 'whole', configuration }, START));
+  }
+  const head = makeHead('c', { ...SHOP, path: '/' });
+  const [output] = filter.decide(state, { kind: 'arrived', head }, START).outputs;
+  t.like(output, { kind: 'refused', reason: 'no-route', version: empty.version });
+});
+
 test('weighted round robin follows the weights', (t) => {
   const weights = fc.array(fc.integer({ min: 0, max: 9 }), { minLength: 1, maxLength: 4 });
   const property = fc.property(weights, fc.string(), (drawn, seed) => {
