--- a/src/distribution/pull-scheduler.ts
+++ b/src/distribution/pull-scheduler.ts
@@ -39,7 +39,7 @@
   #openPull: OpenPull | undefined;
   #nextAttemptAt: Instant = NEVER;
   #failures = 0;
-  /** Pulls that timed out without any answer, since the last version was applied. */
+  /** Pulls that timed out since the last answer of any peer. */
   #timeouts = 0;
   /** The highest version that is known to exist, whichever peer holds it. */
   #requiredVersion: Version = NO_VERSION;
@@ -133,6 +133,7 @@
   closeEmpty(address: Address, held: Version, now: Instant): void {
     if (!this.isAsking(address)) return;
     this.#openPull = undefined;
+    this.#timeouts = 0;
     if (this.#candidates.has(address)) {
       this.ban(address, now);
       this.#scheduleRetry(now);
--- a/test/pull-scheduler.test.ts
+++ b/test/pull-scheduler.test.ts
@@ -98,3 +98,19 @@
   t.is(scheduler.pickNext(NO_VERSION, [], addMs(START, 999)), undefined);
   t.is(scheduler.pickNext(NO_VERSION, [], addMs(START, 1_000)), OTHER);
 });
+
+test('silent peer, then an answer without a newer version: the first timeout again', (t) => {
+  const scheduler = new PullScheduler(new SeededRandom(1));
+  let now = START;
+  for (let pulls = 0; pulls < 3; pulls += 1) {
+    scheduler.requestAttempt(now);
+    scheduler.pickNext(HELD, [SLOW], now);
+    now = addMs(scheduler.deadline, 1_000);
+  }
+  scheduler.requestAttempt(now);
+  t.is(scheduler.pickNext(HELD, [OTHER], now), OTHER);
+  scheduler.closeEmpty(OTHER, HELD, now);
+  scheduler.requestAttempt(now);
+  t.is(scheduler.pickNext(HELD, [OTHER], now), OTHER);
+  t.is(scheduler.deadline, addMs(now, 200));
+});
