Push a version from the leader alone

So after a start all five sources pushed each version whole to every root, and a root behind a narrow link read five copies of it.

Change: a source follows until it is told that it leads.

distribution-faults › several sources: only the leader pushes a version is red before: five sources, five pushes to each root in place of one. In the simulated fleet the first source leads.

--- a/bench/fake-fleet.ts
+++ b/bench/fake-fleet.ts
@@ -181,6 +181,12 @@
     for (const run of node.pendingWork.splice(0)) run();
   }
 
+  /** Tells a source that it leads the replicated log. The first source leads from its start. */
+  lead(source: FakeNode): void {
+    const notice = { kind: 'leading', leading: true, leader: source.host } as const;
+    this.#postSource(source, { kind: 'log', notice });
+  }
+
   /** Posts a committed version to one source. */
   commit(source: FakeNode, { delta }: GeneratedVersion): void {
     this.#postSource(source, { kind: 'version', delta });
@@ -281,6 +287,7 @@
     const state = this.#sourceFilter.createState();
     node.source =
       this.#sharedOverlay === undefined ? state : { ...state, overlay: this.#sharedOverlay };
+    if (node === this.sources[0]) this.lead(node);
   }
 
   /** Announces a started proxy to the other running processes, and these to the proxy. */
--- a/src/distribution/source-distribution-filter.ts
+++ b/src/distribution/source-distribution-filter.ts
@@ -91,7 +91,7 @@
   readonly standIns: StandIns;
   /** When the versions whose reports are overdue are advertised past the roots that do not report. */
   bypassAt: Instant;
-  /** The versions that have not been pushed yet. */
+  /** The versions that have not been pushed yet; none while this replica follows. */
   waiting: DeltaSpan[];
   pushAt: Instant;
   /** When the roots that have not reported the newest version get another advertisement. */
@@ -99,7 +99,7 @@
   /** The number of reminders since the last push. */
   reminders: number;
   wakeAt: Instant;
-  /** A follower does not push versions; it advertises them and answers pulls. */
+  /** Whether this replica does not lead: it pushes no versions, but reminds roots of them and answers pulls. */
   isFollower: boolean;
 }
 
@@ -132,7 +132,7 @@
       remindAt: NEVER,
       reminders: 0,
       wakeAt: NEVER,
-      isFollower: false,
+      isFollower: true,
     };
   }
 
@@ -185,12 +185,30 @@
     now: Instant,
   ): SourceDistributionOut[] {
     const { applied } = state.store.applySpans([buildSpan(delta)]);
-    state.waiting.push(...applied);
     state.overlay.setEpoch(findEpoch(state.store.mark.version));
+    if (state.isFollower) {
+      this.#handleSent(state, applied, this.#options.policy.decideAdvertise(now), now);
+      return [this.#buildCoverage(state, now)];
+    }
+    state.waiting.push(...applied);
     state.pushAt = earliestOf(state.pushAt, this.#options.policy.decidePush(now));
     return [...this.#push(state, now), this.#buildCoverage(state, now)];
   }
 
+  /** Handles versions that were sent, by this replica or the leader: the roots must report them in time. */
+  #handleSent(
+    state: SourceDistributionState,
+    spans: readonly DeltaSpan[],
+    remindAt: Instant,
+    now: Instant,
+  ): void {
+    state.reminders = 0;
+    // A storm of versions must not postpone the reminder.
+    state.remindAt = earliestOf(state.remindAt, remindAt);
+    state.sentVersions.add(state.store.mark.version, spans, now);
+    state.bypassAt = earliestOf(state.bypassAt, state.sentVersions.deadline);
+  }
+
   #restoreSnapshot(
     state: SourceDistributionState,
     snapshot: ConfigurationSnapshot,
@@ -206,13 +224,9 @@
     state.pushAt = NEVER;
     const waiting = state.waiting;
     state.waiting = [];
-    state.reminders = 0;
-    // A storm of versions must not postpone the reminder.
-    state.remindAt = earliestOf(state.remindAt, this.#options.policy.decideRemind(now, 0));
     const body = this.#buildUpdate(state, waiting);
     const standIns = this.#listStandIns(state, now);
-    state.sentVersions.add(state.store.mark.version, waiting, now);
-    state.bypassAt = earliestOf(state.bypassAt, state.sentVersions.deadline);
+    this.#handleSent(state, waiting, this.#options.policy.decideRemind(now, 0), now);
     const targets = [...this.#listTargets(state), ...standIns];
     return targets.map(({ control }) => ({ kind: 'send', to: control, body }));
   }
@@ -251,7 +265,7 @@
 
   #buildUpdate(state: SourceDistributionState, waiting: readonly DeltaSpan[]): DistributionMessage {
     const newest = state.store.mark;
-    if (state.isFollower || waiting.length === 0) return { kind: 'advertise', held: newest };
+    if (waiting.length === 0) return { kind: 'advertise', held: newest };
     const merges = this.#options.policy.mergesVersions;
     return { kind: 'push', spans: merges ? [buildMergedSpan(waiting)] : waiting, newest };
   }
--- a/test/distribution-faults.test.ts
+++ b/test/distribution-faults.test.ts
@@ -55,6 +55,23 @@
   }
 });
 
+test('several sources: only the leader pushes a version', (t) => {
+  const { fleet, maker, history, commitNext } = startFleet({ sources: 5 });
+  const pushes: string[] = [];
+  fleet.deliveryRule = (from, to, body) => {
+    const message = body as DistributionMessage;
+    const isVersion = message.kind === 'push' && message.spans.length > 0;
+    if (from.role === 'source' && isVersion) pushes.push(from.host);
+    return [{ delayMs: fleet.pickDelay(from, to), body }];
+  };
+  commitNext();
+  fleet.run(100);
+  t.true(fleet.isServedByAll(maker.newest));
+  t.deepEqual([...new Set(pushes)], ['source-0']);
+  t.is(pushes.length, fleet.proxies.filter(isRoot).length);
+  t.deepEqual(history.faults, []);
+});
+
 test('proxy advertises a version that does not exist: the fleet converges', (t) => {
   const { fleet, maker, history, commitNext } = startFleet();
   const faulty = findProxy(fleet, (node) => !isRoot(node));
