Refuse calls while a newer version is known to be in force and does not come

Nothing stopped a proxy that knew of a newer version and could not get it: a rejected history, a narrow link, peers that refuse under load.

Change: 1.2 s after the oldest missing version was first named, calls are refused as not run (503, stale-configuration) if a second peer has named it or a later one, and while any peer names one within 2 s. So one faulty peer fences nobody, and when the holders of the version are gone, calls go on by the held one.

Tests: newest-known (three cases) and host-routes (one) are red before, as the message does not exist there.

--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -20,6 +20,8 @@
 /** Inputs of the call pipe. */
 export type CallIn =
   | { readonly kind: 'whole'; readonly configuration: Configuration }
+  /** Whether the configuration is known to be too old to route calls. */
+  | { readonly kind: 'stale'; readonly isStale: boolean }
   | MemberEvent
   | { readonly kind: 'broadcast'; readonly item: CrashSeen }
   /** A call from a caller. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -87,6 +87,7 @@
     const { state } = context;
     switch (message.kind) {
       case 'whole':
+      case 'stale':
         this.#passToClassify(context, message);
         return;
       case 'arrived':
--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -42,6 +42,8 @@
 /** Inputs of the classify filter. */
 export type ClassifyIn =
   | { readonly kind: 'whole'; readonly configuration: Configuration }
+  /** Whether the configuration is known to be too old to route calls. */
+  | { readonly kind: 'stale'; readonly isStale: boolean }
   | { readonly kind: 'arrived'; readonly head: CallHead }
   /** The process is stopping; every deadline is capped at `answerBy`. */
   | { readonly kind: 'stopping'; readonly answerBy: Instant };
@@ -57,6 +59,7 @@
 export interface ClassifyState {
   /** The index of the configuration in force, updated in place; `undefined` before the first one. */
   readonly routes: RouteIndex | undefined;
+  readonly isStale: boolean;
   /** Distributes calls among the targets of routes; updated in place. */
   readonly turns: WeightedRoundRobin;
   /** Estimates how long the callers of repeated calls have waited; updated in place. */
@@ -78,6 +81,7 @@
   override createState(): ClassifyState {
     return {
       routes: undefined,
+      isStale: false,
       turns: new WeightedRoundRobin(this.#host),
       clientTimeouts: new ClientTimeoutEstimate(),
       answerBy: NEVER,
@@ -92,6 +96,9 @@
     if (message.kind === 'stopping') {
       return { state: { ...state, answerBy: message.answerBy }, outputs: [] };
     }
+    if (message.kind === 'stale') {
+      return { state: { ...state, isStale: message.isStale }, outputs: [] };
+    }
     if (message.kind === 'whole') {
       if (state.routes === undefined && message.configuration.resources.size === 0) {
         return { state, outputs: [] };
@@ -132,6 +139,7 @@
   const { routes, turns } = state;
   if (routes === undefined) return buildRefusal(id, 'no-configuration', undefined);
   const { version } = routes;
+  if (state.isStale) return buildRefusal(id, 'stale-configuration', version);
   const found = findRoute(routes, head);
   if (found === undefined) return buildRefusal(id, 'no-route', version);
   const { route, requestKind } = found;
--- a/src/distribution/newest-known.ts
+++ b/src/distribution/newest-known.ts
@@ -25,7 +25,9 @@
       readonly since: Instant;
     }
   /** The version named by the last `behind` is held; `since` is the same as there. */
-  | { readonly kind: 'caught-up'; readonly held: Version; readonly since: Instant };
+  | { readonly kind: 'caught-up'; readonly held: Version; readonly since: Instant }
+  /** Whether the held version is known to be too old to route calls. */
+  | { readonly kind: 'stale'; readonly isStale: boolean };
 
 /** Follows the versions that peers and sources claim to hold. */
 export class NewestKnown {
@@ -38,11 +40,17 @@
   };
   /** The last `behind` report, until its version is held. */
   #behind: Extract<NewestKnownOut, { kind: 'behind' }> | undefined;
+  /** Until when a peer counts as holding a missing version, after it was last named. */
+  #isNamedUntil = NEVER;
+  #isStale = false;
 
-  /** When a missing version has to be reported. */
+  /** When {@link NewestKnown.decide} must be called next. */
   get deadline(): Instant {
     const [oldest] = this.#missing;
-    return oldest === undefined || this.#behind !== undefined ? NEVER : oldest.reportAt;
+    if (oldest === undefined) return NEVER;
+    const reportAt = this.#behind === undefined ? oldest.reportAt : NEVER;
+    const staleAt = oldest.isConfirmed ? oldest.staleAt : NEVER;
+    return Math.min(reportAt, this.#isStale ? this.#isNamedUntil : staleAt) as Instant;
   }
 
   /** Whether a message has shown lately that no higher version is known. */
@@ -57,7 +65,7 @@
     const { version: held } = store.mark;
     this.#removeHeld(held);
     if (claimed > held) {
-      this.#addMissing({ version: claimed, from, since: now, reportAt: addMs(now, LATE_MS) });
+      this.#addMissing(claimed, from, now);
       return;
     }
     const mark = findMark(body);
@@ -72,6 +80,7 @@
       ...this.#decideNewest(held),
       ...this.#decideCaughtUp(held),
       ...this.#decideBehind(held, now),
+      ...this.#decideStale(now),
     ];
   }
 
@@ -83,11 +92,16 @@
     }
   }
 
-  #addMissing(claim: MissingVersion): void {
+  #addMissing(version: Version, from: Address, now: Instant): void {
+    this.#isNamedUntil = addMs(now, NAMED_MS);
+    for (const missing of this.#missing) {
+      if (missing.version <= version && missing.from !== from) missing.isConfirmed = true;
+    }
     const highest = this.#missing.at(-1);
-    if (highest !== undefined && highest.version >= claim.version) return;
+    if (highest !== undefined && highest.version >= version) return;
     if (this.#missing.length === MAX_MISSING) this.#missing.pop();
-    this.#missing.push(claim);
+    const [reportAt, staleAt] = [addMs(now, LATE_MS), addMs(now, STALE_MS)];
+    this.#missing.push({ version, from, since: now, reportAt, staleAt, isConfirmed: false });
   }
 
   #decideNewest(held: Version): NewestKnownOut[] {
@@ -107,12 +121,23 @@
 
   #decideBehind(held: Version, now: Instant): NewestKnownOut[] {
     const [oldest] = this.#missing;
-    if (oldest === undefined || this.deadline > now) return [];
+    if (oldest === undefined || this.#behind !== undefined || oldest.reportAt > now) return [];
     const known = this.#missing.at(-1)?.version ?? oldest.version;
     const { from, since } = oldest;
     this.#behind = { kind: 'behind', held, known, from, since };
     return [this.#behind];
   }
+
+  /** The held version is stale once two peers have named a missing one long ago, and while any still names it. */
+  #decideStale(now: Instant): NewestKnownOut[] {
+    const [oldest] = this.#missing;
+    const isStale =
+      oldest?.isConfirmed === true && oldest.staleAt <= now && now < this.#isNamedUntil;
+    if (now >= this.#isNamedUntil) for (const missing of this.#missing) missing.isConfirmed = false;
+    if (isStale === this.#isStale) return [];
+    this.#isStale = isStale;
+    return [{ kind: 'stale', isStale }];
+  }
 }
 
 // Internals.
@@ -124,10 +149,18 @@
   readonly since: Instant;
   /** When it is reported unless it is held by then. */
   readonly reportAt: Instant;
+  /** When the held version becomes too old to route calls. */
+  readonly staleAt: Instant;
+  /** Whether a second peer has named it, or a later one. */
+  isConfirmed: boolean;
 }
 
 /** A quarter of the 2 s within which a version has to be in force. */
 const LATE_MS = 500;
+/** Leaves 0.8 s of the 2 s for a version to become known here. */
+const STALE_MS = 1_200;
+/** After this, the peers that held the missing version may be gone, and nobody may have it. */
+const NAMED_MS = 2_000;
 /** Two intervals between comparisons. */
 const RECENT_MS = 500;
 const MAX_MISSING = 64;
--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -95,6 +95,7 @@
 
 const STATUSES: Readonly<Record<RefusalReason, number>> = {
   'no-configuration': 503,
+  'stale-configuration': 503,
   'no-route': 404,
   'no-server': 503,
   overloaded: 503,
@@ -116,6 +117,7 @@
 
 const MESSAGES: Readonly<Record<RefusalReason, string>> = {
   'no-configuration': 'this proxy has no configuration yet; call another one',
+  'stale-configuration': 'this proxy lacks the newest version; call another one',
   'no-route': 'no route matches; check the path, the method and the generation',
   'no-server': 'no backend server of the service is ready; send the call again later',
   overloaded: 'no slot would be free in time; send the call again later',
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -92,6 +92,8 @@
 /** Why a call was refused. */
 export type RefusalReason =
   | 'no-configuration'
+  /** A newer version is in force that this proxy could not get in time. */
+  | 'stale-configuration'
   | 'no-route'
   | 'no-server'
   | 'overloaded'
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -26,6 +26,8 @@
   draining: HIGH_RATE,
   'version-held': HIGH_RATE,
   'version-applied': HIGH_RATE,
+  'configuration-stale': HIGH_RATE,
+  'configuration-current': HIGH_RATE,
   'version-behind': HIGH_RATE,
   'version-caught-up': HIGH_RATE,
   'version-rejected': HIGH_RATE,
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -191,6 +191,10 @@
       case 'newest-known':
         versions.handleNewestKnown(output);
         return;
+      case 'stale':
+        log(output.isStale ? 'configuration-stale' : 'configuration-current');
+        calls.post(output);
+        return;
       case 'behind':
       case 'caught-up':
         logLateVersion(output);
--- a/test/host-routes.test.ts
+++ b/test/host-routes.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import test from 'ava';
 import { ClassifyFilter } from '../src/calls/classify-filter.js';
+import type { ClassifyIn } from '../src/calls/classify-filter.js';
 import { WeightedRoundRobin } from '../src/calls/weighted-round-robin.js';
 import type { ServiceName, Version } from '../src/ids.js';
 import type { RouteResource, RouteTarget } from '../src/messages/index.js';
@@ -91,6 +92,21 @@
   t.like(output, { kind: 'refused', reason: 'no-route', version: empty.version });
 });
 
+test('stale configuration: calls are refused until a newer one is held', (t) => {
+  const filter = new ClassifyFilter('proxy');
+  const configuration = makeConfiguration(makeKind('k'), makeNamed('a', '/', 'root'));
+  const head = makeHead('c', { ...SHOP, path: '/' });
+  let state = filter.createState();
+  const findReason = (message: ClassifyIn) => {
+    ({ state } = filter.decide(state, message, START));
+    const [output] = filter.decide(state, { kind: 'arrived', head }, START).outputs;
+    return output?.kind === 'refused' ? output.reason : output?.kind;
+  };
+  t.is(findReason({ kind: 'stale', isStale: true }), 'no-configuration');
+  t.is(findReason({ kind: 'whole', configuration }), 'stale-configuration');
+  t.is(findReason({ kind: 'stale', isStale: false }), 'routed');
+});
+
 test('weighted round robin follows the weights', (t) => {
   const weights = fc.array(fc.integer({ min: 0, max: 9 }), { minLength: 1, maxLength: 4 });
   const property = fc.property(weights, fc.string(), (drawn, seed) => {
--- a/test/newest-known.test.ts
+++ b/test/newest-known.test.ts
@@ -15,7 +15,8 @@
 const START = 1_000_000 as Instant;
 const SOURCE = '10.0.0.9:7580' as Address;
 const PEER = '10.0.0.2:7580' as Address;
-const REPORTS = new Set(['newest-known', 'behind', 'caught-up']);
+const OTHER = '10.0.0.3:7580' as Address;
+const REPORTS = new Set(['newest-known', 'behind', 'caught-up', 'stale']);
 
 function at(milliseconds: number): Instant {
   return addMs(START, milliseconds);
@@ -153,6 +154,46 @@
   t.like(proxy.tick(at(520))[0], { kind: 'behind', known: 5, since: at(20) });
 });
 
+test('version that two peers name and that does not come: held one is stale', (t) => {
+  const proxy = new ProxyDriver();
+  proxy.push(SOURCE, 0, 3, at(10));
+  proxy.advertise(PEER, 4, at(100));
+  proxy.advertise(OTHER, 4, at(200));
+  t.true(proxy.wakes.some((wake) => wake <= at(1_300)));
+  t.false(hasStale(proxy.tick(at(1_299))));
+  t.true(hasStale(proxy.tick(at(1_300))));
+  const [, ...reports] = proxy.push(PEER, 3, 4, at(1_500));
+  t.deepEqual(
+    reports.filter(({ kind }) => kind === 'stale'),
+    [{ kind: 'stale', isStale: false }],
+  );
+});
+
+test('version that one peer names alone: held one is not stale', (t) => {
+  const proxy = new ProxyDriver();
+  proxy.push(SOURCE, 0, 3, at(10));
+  for (let count = 1; count < 50; count += 1) {
+    t.false(hasStale(proxy.advertise(PEER, 4, at(count * 100))));
+  }
+});
+
+test('missing version that nobody names any more: held one is not stale', (t) => {
+  const proxy = new ProxyDriver();
+  proxy.push(SOURCE, 0, 3, at(10));
+  proxy.advertise(PEER, 4, at(100));
+  proxy.advertise(OTHER, 4, at(200));
+  t.true(hasStale(proxy.tick(at(1_300))));
+  t.deepEqual(proxy.tick(at(2_200)), [{ kind: 'stale', isStale: false }]);
+  proxy.wakes.length = 0;
+  t.deepEqual(proxy.tick(at(2_300)), []);
+  t.true(proxy.wakes.every((wake) => wake > at(2_300)));
+  t.true(hasStale(proxy.advertise(OTHER, 4, at(9_000))));
+});
+
+function hasStale(reports: readonly ProxyDistributionOut[]): boolean {
+  return reports.some((report) => report.kind === 'stale' && report.isStale);
+}
+
 test('gauges: newest known version and age of the last check', (t) => {
   const registry = new MetricsRegistry();
   const clock = new ManualClock();
