--- a/test/truncated-answers.test.ts
+++ b/test/truncated-answers.test.ts
@@ -2,15 +2,11 @@
  * Answers that are truncated at any byte, also within the head. Guards against a caller that receives a truncated
  * answer as a complete success.
  */
-import { once } from 'node:events';
-import type { Server, Socket } from 'node:net';
-import { connect, createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import type { Socket } from 'node:net';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import { PlatformCallFront } from '../platform/platform-call-front.js';
 import type { Address } from '../src/ids.js';
-import { splitAddress } from '../src/ids.js';
 import { CallMesh } from './call-mesh.js';
 import {
   makeKind,
@@ -19,6 +15,7 @@
   makeServer,
   makeConfiguration,
 } from './call-resources.js';
+import { callRaw, listenAsGuard } from './raw-calls.js';
 
 const CONFIGURATION = makeConfiguration(
   makeKind('once', { idempotent: false, timeoutMs: 20_000, maxAttempts: 2 }),
@@ -49,19 +46,6 @@
   };
 }
 
-/** Makes a call on a new connection and returns all received bytes. */
-async function callRaw(calls: Address, path: string): Promise<string> {
-  const { host, port } = splitAddress(calls);
-  const socket = connect(port, host);
-  let text = '';
-  socket.on('data', (chunk) => (text += chunk.toString('latin1')));
-  const head = ['Host: x', 'X-Attempt-Id: a-1', 'X-Deadline-Ms: 15000', 'Connection: close'];
-  socket.write(`POST ${path} HTTP/1.1\r\n${head.join('\r\n')}\r\nContent-Length: 0\r\n\r\n`);
-  socket.on('error', () => socket.destroy());
-  await once(socket, 'close');
-  return text;
-}
-
 /** Returns whether a caller would accept the received text as a complete success. */
 function looksComplete(text: string): boolean {
   const end = text.indexOf('\r\n\r\n');
@@ -179,25 +163,6 @@
   });
 }
 
-/** Starts a fake guard that answers each attempt with `play`. */
-async function listenAsGuard(
-  play: (socket: Socket, url: string) => void,
-): Promise<{ server: Server; address: Address }> {
-  const server = createServer((socket) => {
-    let text = '';
-    socket.on('error', () => socket.destroy());
-    socket.on('data', (chunk) => {
-      text += chunk.toString('latin1');
-      const [, url] = /^POST (\S+) [^]*\r\n\r\n/.exec(text) ?? [];
-      if (url === undefined) return;
-      text = '';
-      play(socket, url);
-    });
-  });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` as Address };
-}
-
 for (const [how, cut] of Object.entries(CUTS)) {
   for (const [framing, { text, isWhole }] of Object.entries(FRAMINGS)) {
     test(`cut between two proxies, ${how}, ${framing}`, async (t) => {
