Reject answers of backend servers whose status is above 599

What callers saw: a backend server that answered with a status of 600 to 999 had this answer passed on, with its seal and body, by the proxy beside it and by the entry proxy. Tried on a bare server: fetch, undici and node:http hand a status of 600 to their callers as it is, so each caller decides what it means. The connection was kept, and the members heard of no failure.

Cause: the grammar of status lines took any three digits from 100 on. RFC 9110, 15: values outside 100 to 599 are invalid, and a client should take them for a server error.

Change: 600 to 999 are malformed, as 000 to 099 are already. The caller gets what every malformed answer gives: 502 without a seal, which promises nothing; the call is repeated only if its kind allows it, the connection is closed, the failure counts for the server and is reported to the members, and the attempt's log line has the cause "read-answer: malformed status line" at the guard, and status 502 at the entry proxy (read in a trial). The check stands on both sides of the hop, so an answer from a proxy without this change is stopped at the entry proxy.

Why 502: to a caller it is the server error that RFC 9110 asks for, without relying on the caller's library. A 503 would promise that the call did not run; it may have.

--- a/src/edge/answer-lines.ts
+++ b/src/edge/answer-lines.ts
@@ -18,9 +18,9 @@
 };
 
 const PATTERNS: Readonly<Record<LineState, LinePattern>> = {
-  // The proxy never requests a protocol upgrade, so status 101 is invalid.
+  // HTTP has no status outside 100 to 599 (RFC 9110, 15); the proxy never requests an upgrade, so 101 is invalid too.
   RESPONSE_LINE: {
-    complete: /^HTTP\/1\.[01] (?!101)[1-9]\d\d(?: [\t\x20-\x7e\x80-\xff]*)?$/,
+    complete: /^HTTP\/1\.[01] (?!101)[1-5]\d\d(?: [\t\x20-\x7e\x80-\xff]*)?$/,
     begun: /^(?:|H|HT|HTT|HTTP|HTTP\/|HTTP\/1|HTTP\/1\.[\t\x20-\x7e\x80-\xff]*\r?)$/,
     message: 'malformed status line',
   },
--- a/test/answer-parser.test.ts
+++ b/test/answer-parser.test.ts
@@ -175,7 +175,7 @@
 });
 
 test('status out of range', (t) => {
-  const statuses = ['99999', '2000', '099', '20', '2x0', '-20', ''];
+  const statuses = ['99999', '2000', '999', '600', '099', '000', '20', '2x0', '-20', ''];
   t.deepEqual(listAcceptedHeads(...statuses.map((one) => `HTTP/1.1 ${one} OK\r\n\r\n`)), []);
 });
 
