Drop ledger messages whose stored answer has an invalid status

A ledger message, from the link of another process, may carry a stored answer with any whole number as its status. The entry proxy replays it to the caller who repeats a claimed call: with a status of 0, writeHead throws (RangeError, Invalid status code: 0, in CallTask #replay) and the exception ends the process; with 600 the caller gets it as an answer.

Cause: the schema of ledger messages checked that the status is a whole number, no more. It is the same class as the status line: a number from another process that was taken for a status.

Change: a stored answer has a status from 200 to 599, in settle as well as in answered; other messages are dropped and logged (ledger-message-dropped), as malformed ones are. A server's answer is stored with nothing else since statuses above 599 are rejected. A ledger that stored one in the 24 hours before an upgrade does not replay it any more: the entry proxy refuses the repeated call as "ledger-unavailable"; the key stays taken, so it does not run again. By reading; not run.

--- a/src/edge/ledger-codec.ts
+++ b/src/edge/ledger-codec.ts
@@ -17,10 +17,13 @@
 
 // Internals.
 
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
 const text = z.string();
 const group = z.int().min(0);
 const storedAnswer = z.object({
-  status: z.int(),
+  status: z.int().min(FIRST_FINAL_STATUS).max(LAST_STATUS),
   headers: z.array(text),
   body: z.instanceof(Uint8Array),
 });
