Take the reason of a refusal only from the table of reasons

A refusal by another proxy whose reason is the name of a property that every object has ("constructor", "toString") was taken for a known one. With the product's own headers its status was then looked up and was a function: writeHead threw inside the connection's reader, which took that for a failure of the connection, and the caller got no answer at all, past the time limit of its route (5 s; given up after 20 s). With the platform's headers the caller got 502 with that word in the body.

Cause: parseReason looked for the name with "in", which finds inherited properties too.

Change: only the table's own names count; anything else is "upstream-failed".

Evidence: unknown reason of a refusal, from a guard does not end on the code before (one run, given up by ava after 20 s). With the change invalid-status, calls-path, calls-guard, stale-refusals and call-attempt pass: 137 tests, one run, load average 31.

--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -75,7 +75,8 @@
 
 /** Parses the reason of a refusal by another proxy; an unknown reason becomes `upstream-failed`. */
 export function parseReason(text: string | undefined): RefusalReason {
-  return text !== undefined && text in STATUSES ? (text as RefusalReason) : 'upstream-failed';
+  const isKnown = text !== undefined && Object.hasOwn(STATUSES, text);
+  return isKnown ? (text as RefusalReason) : 'upstream-failed';
 }
 
 // Internals.
--- a/test/invalid-status.test.ts
+++ b/test/invalid-status.test.ts
@@ -178,6 +178,32 @@
   }
 });
 
+// Guards against a refusal whose reason has no status, so that the call is never answered.
+test('unknown reason of a refusal, from a guard', async (t) => {
+  const reasons = ['odd', 'constructor', 'toString', '__proto__', 'hasOwnProperty'];
+  const { server, address: calls } = await listenAsGuard((socket, url) => {
+    const reason = reasons[Number(url.slice(1))] ?? '';
+    const fields = `bilberryswitch-outcome: unknown\r\nbilberryswitch-reason: ${reason}`;
+    socket.write(`HTTP/1.1 502 Bad Gateway\r\n${fields}\r\nContent-Length: 0\r\n\r\n`);
+  });
+  const mesh = await CallMesh.start({
+    configuration: ONCE,
+    answers: [undefined],
+    front: new DefaultCallFront(),
+  });
+  t.teardown(async () => {
+    server.close();
+    await mesh.stop();
+  });
+  const member = makeMember('guard', [makeServer('127.0.0.1:9')], { calls });
+  mesh.at(0).task.post({ kind: 'member-up', member });
+  for (const [index, reason] of reasons.entries()) {
+    const received = await callRaw(mesh.at(0).calls, `/${index}`);
+    checkRefused(t, received, reason);
+    t.regex(received, /bilberryswitch-reason: upstream-failed/, reason);
+  }
+});
+
 test('valid final statuses reach the caller', async (t) => {
   const mesh = await startMesh(t, new PlatformCallFront(), (socket, url) => {
     socket.write(buildAnswer(url.slice(1)));
