Drop ledger messages whose stored answer has invalid headers

A ledger message may carry a stored answer whose headers are an odd number of texts, no names, or have line ends in their values. Replayed to the caller who repeats a claimed call, writeHead throws and the exception ends the process.

Cause: the schema took any list of texts for headers. A server's own headers are checked by the grammar of answer lines; what comes back from a ledger was not.

Change: the headers of a stored answer are pairs that pass that grammar; other messages are dropped and logged, as malformed ones are. Nothing that a server's answer may have is lost by it: both use one pattern.

Evidence: stored answer with invalid headers fails on the code before (at the first, a name without a value).

--- a/src/edge/answer-lines.ts
+++ b/src/edge/answer-lines.ts
@@ -49,3 +49,8 @@
   const { begun, message } = PATTERNS[state];
   return begun.test(start) ? undefined : message;
 }
+
+/** Returns whether a header has a name and a value that HTTP allows. */
+export function isHeader(name: string, value: string): boolean {
+  return !name.includes(':') && HEADER_LINE.complete.test(`${name}:${value}`);
+}
--- a/src/edge/ledger-codec.ts
+++ b/src/edge/ledger-codec.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 import type { GroupLedgerRequest, GroupLedgerReply } from '../messages/index.js';
+import { isHeader } from './answer-lines.js';
 
 /** Reads a message of the channel `ledger`; undefined if it does not match the schema. */
 export function readLedgerMessage(
@@ -24,7 +25,7 @@
 const group = z.int().min(0);
 const storedAnswer = z.object({
   status: z.int().min(FIRST_FINAL_STATUS).max(LAST_STATUS),
-  headers: z.array(text),
+  headers: z.array(text).refine(isHeaderList),
   body: z.instanceof(Uint8Array),
 });
 
@@ -55,3 +56,9 @@
   z.object({ kind: z.literal('answer'), group, answer }),
   z.object({ kind: z.literal('ask-again'), group, id: text }),
 ]);
+
+/** Returns whether the texts are alternating names and values of headers. */
+function isHeaderList(texts: readonly string[]): boolean {
+  if (texts.length % 2 === 1) return false;
+  return texts.every((name, index) => index % 2 === 1 || isHeader(name, texts[index + 1] ?? ''));
+}
