Add a soak of versions that measures how long proxies decide by older ones

An operator sends notes one after the other; each proxy is asked five times a second for the routes of acknowledged notes while processes, links and sources are disturbed, alone and in pairs. Relays can imitate narrow, filled and lossy links of whole hosts.

--- a/bench/mesh-plan.ts
+++ b/bench/mesh-plan.ts
@@ -1,6 +1,7 @@
 /** Starts meshes from plans, which place hosts in data centres and give them their settings. */
 import type { Address } from '../src/ids.js';
 import { OperatorClient } from '../src/program/commands/operator-client.js';
+import type { HostLink, LinkNetwork } from './link-network.js';
 import { PartitionRelay } from './partition-relay.js';
 import { findFreeAddress, findFreePort, Mesh, waitFor } from './mesh.js';
 import type { MeshProcess } from './mesh.js';
@@ -11,13 +12,17 @@
   readonly dataCentres: readonly string[];
   /** Number of source hosts, which also run the ledger; assigned to data centres round robin. */
   readonly sources: number;
-  /** Number of backend servers by service; assigned to data centres round robin. */
+  /** Number of backend servers, each with its proxy, by service; assigned to data centres round robin. */
   readonly services: Readonly<Record<string, number>>;
   readonly policy: 'convergence-time' | 'control-bytes';
   /** URL to which the proxies export spans over OTLP; absent for none. */
   readonly otlpUrl?: string;
   /** Whether peers reach each process through a relay that can simulate a network partition. */
   readonly usesRelays?: boolean;
+  /** The links that the relays imitate; absent for links without limits. */
+  readonly network?: LinkNetwork;
+  /** The number of proxies of each service that have a backend server; all if absent. */
+  readonly serversPerService?: number;
   /** Additional lines of the settings section `[proxy]`. */
   readonly proxySettings?: string;
   /** How long backend servers serve after they have announced that they leave; 0 if absent. */
@@ -58,7 +63,8 @@
   readonly settings: string;
   readonly serverPort: number;
   process: MeshProcess;
-  server: MeshProcess;
+  /** Absent for a proxy beyond {@link MeshPlan.serversPerService}. */
+  server: MeshProcess | undefined;
 }
 
 /** The production layout of Napernyő: three data centres and four services. */
@@ -155,6 +161,20 @@
     }
   }
 
+  /** Returns the relay of a host. Requires {@link MeshPlan.usesRelays}. */
+  findRelay(name: string): PartitionRelay {
+    const relay = this.#relays.get(name);
+    if (relay === undefined) throw new Error(`${name} has no relay`);
+    return relay;
+  }
+
+  /** Returns the link of a host. Requires {@link MeshPlan.network}. */
+  findLink(name: string): HostLink {
+    const link = this.plan.network?.findLink(formatBindIp(this.#listNames().indexOf(name)));
+    if (link === undefined) throw new Error('the plan has no network');
+    return link;
+  }
+
   /** Stops every process and removes the folder. */
   async stop(): Promise<void> {
     await this.mesh.stop();
@@ -198,15 +218,19 @@
   }
 
   async #startProxies(): Promise<void> {
-    const services = Object.entries(this.plan.services).flatMap(([service, count]) =>
-      Array.from({ length: count }, () => service),
+    const { services, serversPerService = Infinity } = this.plan;
+    const placements = Object.entries(services).flatMap(([service, count]) =>
+      Array.from({ length: count }, (_, rank) => ({
+        service,
+        hasServer: rank < serversPerService,
+      })),
     );
-    for (const [index, service] of services.entries()) {
-      this.proxies.push(await this.#startProxy(index, service));
+    for (const [index, { service, hasServer }] of placements.entries()) {
+      this.proxies.push(await this.#startProxy(index, service, hasServer));
     }
   }
 
-  async #startProxy(index: number, service: string): Promise<ProxyHost> {
+  async #startProxy(index: number, service: string, hasServer: boolean): Promise<ProxyHost> {
     const name = `proxy-${index}`;
     const addresses = await this.#openAddresses(name);
     const { control } = addresses;
@@ -234,7 +258,9 @@
 `;
     const serverPort = await findFreePort();
     const process = this.mesh.startProgram(name, settings);
-    const server = this.mesh.startServer(service, serverPort, announce, calls, this.plan.leaveMs);
+    const server = hasServer
+      ? this.mesh.startServer(service, serverPort, announce, calls, this.plan.leaveMs)
+      : undefined;
     return {
       name,
       service,
@@ -262,7 +288,7 @@
     }
     const index = this.#relays.size;
     const [relayIp, bindIp] = [`127.1.0.${index + 1}`, formatBindIp(index)];
-    const relay = new PartitionRelay(relayIp, port, bindIp);
+    const relay = new PartitionRelay(relayIp, port, bindIp, this.plan.network);
     this.#relays.set(name, relay);
     await relay.start();
     return { control: `${relayIp}:${port}`, bind: `${bindIp}:${port}`, relay };
--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -10,6 +10,8 @@
 const BUILD_FOLDER = join(import.meta.dirname, '..');
 const BACKEND_SERVER_SCRIPT = join(BUILD_FOLDER, 'bench', 'stand-in-server.js');
 
+const CALLERS_SCRIPT = join(BUILD_FOLDER, 'bench', 'version-callers.js');
+
 /** The command that starts the program: the compiled sources, unless the environment names a binary. */
 const PROGRAM_COMMAND = process.env.BILBERRYSWITCH_BINARY
   ? [process.env.BILBERRYSWITCH_BINARY]
@@ -113,6 +115,17 @@
     ]);
   }
 
+  /** Starts a process that sends `rate` calls a second to the proxies for some seconds. */
+  startCallers(addresses: readonly string[], rate: number, seconds: number): MeshProcess {
+    const args = [`${rate}`, `${seconds}`, ...addresses];
+    return this.#startProcess('callers', [process.execPath, CALLERS_SCRIPT, ...args]);
+  }
+
+  /** The processes that were started, ended ones included. */
+  get processes(): readonly MeshProcess[] {
+    return this.#processes;
+  }
+
   /** Runs a command of the program and returns its exit code and output. */
   async runCommand(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
     const [program = '', ...rest] = PROGRAM_COMMAND;
@@ -145,8 +158,13 @@
   }
 }
 
-/** Sends SIGTERM and waits for the exit; sends SIGKILL after `timeoutMs`. */
-export async function stopProcess({ child }: MeshProcess, timeoutMs = 10_000): Promise<void> {
+/** Sends SIGTERM and waits for the exit; sends SIGKILL after `timeoutMs`. Does nothing without a process. */
+export async function stopProcess(
+  process: MeshProcess | undefined,
+  timeoutMs = 10_000,
+): Promise<void> {
+  if (process === undefined) return;
+  const { child } = process;
   if (child.exitCode !== null || child.signalCode !== null) return;
   const ended = new Promise((resolve) => child.once('exit', resolve));
   child.kill('SIGTERM');
@@ -155,8 +173,10 @@
   clearTimeout(timer);
 }
 
-/** Sends SIGKILL and waits for the exit. */
-export async function killProcess({ child }: MeshProcess): Promise<void> {
+/** Sends SIGKILL and waits for the exit. Does nothing without a process. */
+export async function killProcess(process: MeshProcess | undefined): Promise<void> {
+  if (process === undefined) return;
+  const { child } = process;
   if (child.exitCode !== null || child.signalCode !== null) return;
   const ended = new Promise((resolve) => child.once('exit', resolve));
   child.kill('SIGKILL');
