--- a/bench/mesh.ts
+++ b/bench/mesh.ts
@@ -66,6 +66,14 @@
   /** The file in which they record that they leave. */
   readonly leavesFile = `${this.runsFile}.left`;
   readonly #processes: MeshProcess[] = [];
+  /** Ends the processes of a mesh that was not stopped. */
+  readonly #killAll = (): void => {
+    for (const { child } of this.#processes) child.kill('SIGKILL');
+  };
+
+  constructor() {
+    process.once('exit', this.#killAll);
+  }
 
   /** Writes a file in the mesh's folder and returns its path. */
   writeFile(name: string, text: string): string {
@@ -141,6 +149,7 @@
   /** Stops every process, then removes the folder. */
   async stop(): Promise<void> {
     await Promise.all(this.#processes.map((meshProcess) => stopProcess(meshProcess)));
+    process.removeListener('exit', this.#killAll);
     rmSync(this.folder, { recursive: true, force: true });
   }
 
--- a/bench/version-actions.ts
+++ b/bench/version-actions.ts
@@ -17,15 +17,15 @@
   readonly random: Random;
   readonly operator: VersionOperator;
   readonly disturbances: DisturbanceRecord;
-  /** Only actions whose name contains this text are picked. */
-  readonly only: string;
+  /** Only actions whose name contains one of these texts are picked; all if empty. */
+  readonly only: readonly string[];
 }
 
 /** Picks troubles; one that acts on a proxy or on the sources is recorded as a disturbance of it. */
 export class VersionActions extends SoakActions {
   readonly #operator: VersionOperator;
   readonly #disturbances: DisturbanceRecord;
-  readonly #only: string;
+  readonly #only: readonly string[];
   #areSourcesBusy = false;
 
   constructor({ running, random, operator, disturbances, only }: VersionActionOptions) {
@@ -42,7 +42,8 @@
       ...this.#listSourceActions(),
       ...this.#listLoadActions(),
     ];
-    return actions.filter(({ name }) => name.includes(this.#only));
+    if (this.#only.length === 0) return actions;
+    return actions.filter(({ name }) => this.#only.some((text) => name.includes(text)));
   }
 
   // Internals.
--- a/bench/version-lag.ts
+++ b/bench/version-lag.ts
@@ -25,6 +25,11 @@
     };
   }
 
+  /** Adds a trouble that has ended. */
+  add(host: string, trouble: string, startedAt: number, endedAt: number): void {
+    this.#disturbances.push({ host, trouble, startedAt, endedAt });
+  }
+
   /** Returns whether a trouble acted on a host between two instants. */
   isDisturbed(host: string, from: number, to: number): boolean {
     return this.#disturbances
--- a/bench/version-soak.ts
+++ b/bench/version-soak.ts
@@ -5,7 +5,6 @@
 import { mkdtempSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as wait } from 'node:timers/promises';
 import type { Random } from '../src/random.js';
 import { SeededRandom } from '../src/random.js';
@@ -18,6 +17,7 @@
 import { VersionActions } from './version-actions.js';
 import type { LagReport } from './version-lag.js';
 import { DisturbanceRecord, reportLags } from './version-lag.js';
+import { LoopWatch } from './version-loop-watch.js';
 import { VERSION_SERVICES } from './version-notes.js';
 import { VersionOperator } from './version-operator.js';
 import { VersionProber } from './version-prober.js';
@@ -30,10 +30,12 @@
   readonly seed: number;
   readonly links: VersionLinks;
   readonly sources: number;
+  /** The proxies and the sources are assigned to this number of data centres, round robin. */
+  readonly dataCentres: number;
   readonly proxies: number;
   readonly actions: number;
-  /** Only actions whose name contains this text are picked; all if empty. */
-  readonly only: string;
+  /** Only actions whose name contains one of these texts are picked; all if empty. */
+  readonly only: readonly string[];
   /** Whether the logs are kept even if no version was late. */
   readonly keepsLogs: boolean;
   readonly printLine: (line: string) => void;
@@ -64,10 +66,8 @@
 
 // Internals.
 
-const NS_PER_MS = 1e6;
 const START_TIMEOUT_MS = 30_000;
 const SERVERS_PER_SERVICE = 2;
-const DATA_CENTRES = ['a', 'b', 'c', 'd'];
 const NARROW_MBIT_PER_SECOND = 2;
 const BYTES_PER_MEGABIT = 125_000;
 const LOSS_SHARE = 0.01;
@@ -90,12 +90,12 @@
   lossy: { bytesPerSecond: NARROW_MBIT_PER_SECOND * BYTES_PER_MEGABIT, delayMs: 8 },
 };
 
-function buildPlan({ links, sources, proxies }: VersionSoakOptions): MeshPlan {
+function buildPlan({ links, sources, dataCentres, proxies }: VersionSoakOptions): MeshPlan {
   const [first, second] = VERSION_SERVICES;
   const isNarrow = links !== 'wide';
   return {
     region: 'hu-central',
-    dataCentres: DATA_CENTRES,
+    dataCentres: Array.from({ length: dataCentres }, (_, index) => `dc-${index}`),
     sources,
     services: { [first]: Math.ceil(proxies / 2), [second]: Math.floor(proxies / 2) },
     policy: 'convergence-time',
@@ -107,17 +107,20 @@
 }
 
 function loseOnAllLinks(running: RunningMesh, random: Random): void {
-  for (const { name } of [...running.sources, ...running.proxies]) {
+  for (const name of listHosts(running)) {
     running.findLink(name).conditions = new LossyConditions(random, LOSS_SHARE);
   }
 }
 
+function listHosts({ sources, proxies }: RunningMesh): string[] {
+  return [...sources, ...proxies].map(({ name }) => name);
+}
+
 async function runActions(
   running: RunningMesh,
   options: VersionSoakOptions,
 ): Promise<VersionSoakResult> {
   const { seed, only } = options;
-  const loopDelay = monitorEventLoopDelay();
   const operator = new VersionOperator(running, new SeededRandom(seed));
   const prober = new VersionProber(running, operator, new SeededRandom(seed));
   const disturbances = new DisturbanceRecord();
@@ -126,10 +129,11 @@
   await operator.start();
   prober.start();
   await waitForFirstVersion(running, prober);
-  loopDelay.enable();
+  const loopWatch = new LoopWatch(disturbances, listHosts(running));
+  loopWatch.start();
   await runTroubles(buildSchedule(actions, random, options), options);
   await wait(SETTLE_MS);
-  loopDelay.disable();
+  loopWatch.stop();
   await operator.stop();
   await prober.stop();
   const report = reportLags(prober.answers, disturbances);
@@ -139,7 +143,7 @@
     versions: operator.acknowledged.length,
     unanswered: prober.unansweredCount,
     operatorRefusals: operator.refusals,
-    loopDelayMs: Math.round(loopDelay.max / NS_PER_MS),
+    loopDelayMs: loopWatch.longestMs,
     logFolder: isKept ? writeLogs(running, operator, prober, options) : undefined,
   };
 }
--- a/bench/versions-bench.ts
+++ b/bench/versions-bench.ts
@@ -1,7 +1,9 @@
 /**
  * Runs version soaks one after the other:
- * `npm run bench -- versions [SEEDS] [FIRST] [PROXIES] [ACTIONS] [--links=wide|narrow|lossy] [--only=TEXT] [--keep]`.
- * Without a kind of links, seeds take turns; with `--only`, only actions whose name contains the text are picked.
+ * `npm run bench -- versions [SEEDS] [FIRST] [PROXIES] [ACTIONS] [--links=wide|narrow|lossy] [--only=TEXT]...
+ * [--data-centres=N] [--keep]`.
+ * Without a kind of links or a number of data centres, seeds take turns; with `--only`, only actions whose name
+ * contains one of the texts are picked. The logs are kept with `--keep`, or if a version was late.
  */
 import { parseArgs } from 'node:util';
 import { formatLag } from './version-lag.js';
@@ -9,26 +11,35 @@
 import { runVersionSoak } from './version-soak.js';
 
 const LINKS: readonly VersionLinks[] = ['wide', 'narrow', 'lossy'];
+const DATA_CENTRES = [1, 4, 2];
 const SOURCES = 5;
 
 const { values, positionals } = parseArgs({
   allowPositionals: true,
   options: {
     links: { type: 'string' },
-    only: { type: 'string', default: '' },
+    'data-centres': { type: 'string' },
+    only: { type: 'string', multiple: true, default: [] },
     keep: { type: 'boolean', default: false },
   },
 });
 const [seeds = 10, first = 1, proxies = 24, actions = 8] = positionals.map(Number);
 const lateSeeds: number[] = [];
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => process.exit(1));
+}
 
 for (let seed = first; seed < first + seeds; seed += 1) {
   const links = (values.links ?? LINKS[seed % LINKS.length] ?? 'wide') as VersionLinks;
+  const dataCentres = Number(
+    values['data-centres'] ?? DATA_CENTRES[Math.floor(seed / LINKS.length) % DATA_CENTRES.length],
+  );
   const lines: string[] = [];
   const result = await runVersionSoak({
     seed,
     links,
     sources: SOURCES,
+    dataCentres,
     proxies,
     actions,
     only: values.only,
@@ -36,7 +47,9 @@
     printLine: (line) => lines.push(line),
   });
   const { versions, answers, refusals, unanswered, loopDelayMs, logFolder } = result;
-  console.log(`seed ${seed}, ${links}: ${versions} versions, longest ${formatLag(result.longest)}`);
+  console.log(
+    `seed ${seed}, ${links}, ${dataCentres} data centres: ${versions} versions, longest ${formatLag(result.longest)}`,
+  );
   console.log(`  sources unstable: longest ${formatLag(result.longestUnstable)}`);
   console.log(
     `  ${answers} answers in touch, 503: ${formatRefusals(refusals)}; ${unanswered} unanswered; loop delay ${loopDelayMs} ms`,
