--- a/bench/link-network.ts
+++ b/bench/link-network.ts
@@ -93,6 +93,11 @@
     return this.#freeAt;
   }
 
+  /** Returns for how many milliseconds a byte waits that is added now. */
+  readWaitMs(now: number): number {
+    return Math.max(0, this.#freeAt - now);
+  }
+
   /** Adds other traffic until a byte that is added now waits for `waitMs`. */
   fill(waitMs: number, now: number): void {
     this.#freeAt = Math.max(now + waitMs, this.#freeAt);
--- a/bench/version-actions.ts
+++ b/bench/version-actions.ts
@@ -19,6 +19,8 @@
   readonly disturbances: DisturbanceRecord;
   /** Only actions whose name contains one of these texts are picked; all if empty. */
   readonly only: readonly string[];
+  /** The longest time for which packets wait at links that answers fill, in milliseconds. */
+  readonly queueMs: number;
 }
 
 /** Picks troubles; one that acts on a proxy or on the sources is recorded as a disturbance of it. */
@@ -26,13 +28,15 @@
   readonly #operator: VersionOperator;
   readonly #disturbances: DisturbanceRecord;
   readonly #only: readonly string[];
+  readonly #queueMs: number;
   #areSourcesBusy = false;
 
-  constructor({ running, random, operator, disturbances, only }: VersionActionOptions) {
+  constructor({ running, random, operator, disturbances, only, queueMs }: VersionActionOptions) {
     super(running, random);
     this.#operator = operator;
     this.#disturbances = disturbances;
     this.#only = only;
+    this.#queueMs = queueMs;
   }
 
   protected override list(): readonly SoakAction[] {
@@ -139,7 +143,7 @@
   async #fillLinks(): Promise<void> {
     const links = this.#pickShare().map(({ name }) => {
       const { up, down } = this.running.findLink(name);
-      return { up, down, queueMs: MAX_QUEUE_MS * this.random.next() };
+      return { up, down, queueMs: this.#queueMs * this.random.next() };
     });
     const end = this.#disturbances.start('links', 'answers fill links');
     const until = Date.now() + MIN_LOAD_MS + this.random.next() * MAX_LOAD_MS;
@@ -249,8 +253,6 @@
 const MAX_STALL_MS = 2_000;
 const MAX_LOSS_MS = 4_000;
 const MAX_LOSS_SHARE = 0.3;
-/** A host whose packets wait for half a second counts as slowed. */
-const MAX_QUEUE_MS = 400;
 const FILL_INTERVAL_MS = 20;
 const MIN_LOAD_MS = 1_000;
 const MAX_LOAD_MS = 4_000;
--- a/bench/version-soak.ts
+++ b/bench/version-soak.ts
@@ -17,7 +17,7 @@
 import { VersionActions } from './version-actions.js';
 import type { LagReport } from './version-lag.js';
 import { DisturbanceRecord, reportLags } from './version-lag.js';
-import { LoopWatch } from './version-loop-watch.js';
+import { LinkWatch } from './version-link-watch.js';
 import { VERSION_SERVICES } from './version-notes.js';
 import { VersionOperator } from './version-operator.js';
 import { VersionProber } from './version-prober.js';
@@ -36,6 +36,8 @@
   readonly actions: number;
   /** Only actions whose name contains one of these texts are picked; all if empty. */
   readonly only: readonly string[];
+  /** The longest time for which packets wait at links that answers fill, in milliseconds. */
+  readonly queueMs: number;
   /** Whether the logs are kept even if no version was late. */
   readonly keepsLogs: boolean;
   readonly printLine: (line: string) => void;
@@ -120,20 +122,20 @@
   running: RunningMesh,
   options: VersionSoakOptions,
 ): Promise<VersionSoakResult> {
-  const { seed, only } = options;
+  const { seed, only, queueMs } = options;
   const operator = new VersionOperator(running, new SeededRandom(seed));
   const prober = new VersionProber(running, operator, new SeededRandom(seed));
   const disturbances = new DisturbanceRecord();
   const random = new SeededRandom(seed);
-  const actions = new VersionActions({ running, random, operator, disturbances, only });
+  const actions = new VersionActions({ running, random, operator, disturbances, only, queueMs });
   await operator.start();
   prober.start();
   await waitForFirstVersion(running, prober);
-  const loopWatch = new LoopWatch(disturbances, listHosts(running));
-  loopWatch.start();
+  const linkWatch = new LinkWatch(running, disturbances);
+  linkWatch.start();
   await runTroubles(buildSchedule(actions, random, options), options);
   await wait(SETTLE_MS);
-  loopWatch.stop();
+  linkWatch.stop();
   await operator.stop();
   await prober.stop();
   const report = reportLags(prober.answers, disturbances);
@@ -143,7 +145,7 @@
     versions: operator.acknowledged.length,
     unanswered: prober.unansweredCount,
     operatorRefusals: operator.refusals,
-    loopDelayMs: loopWatch.longestMs,
+    loopDelayMs: linkWatch.longestMs,
     logFolder: isKept ? writeLogs(running, operator, prober, options) : undefined,
   };
 }
--- a/bench/versions-bench.ts
+++ b/bench/versions-bench.ts
@@ -1,7 +1,7 @@
 /**
  * Runs version soaks one after the other:
  * `npm run bench -- versions [SEEDS] [FIRST] [PROXIES] [ACTIONS] [--links=wide|narrow|lossy] [--only=TEXT]...
- * [--data-centres=N] [--keep]`.
+ * [--data-centres=N] [--queue-ms=MS] [--keep]`.
  * Without a kind of links or a number of data centres, seeds take turns; with `--only`, only actions whose name
  * contains one of the texts are picked. The logs are kept with `--keep`, or if a version was late.
  */
@@ -20,6 +20,7 @@
     links: { type: 'string' },
     'data-centres': { type: 'string' },
     only: { type: 'string', multiple: true, default: [] },
+    'queue-ms': { type: 'string', default: '400' },
     keep: { type: 'boolean', default: false },
   },
 });
@@ -43,6 +44,7 @@
     proxies,
     actions,
     only: values.only,
+    queueMs: Number(values['queue-ms']),
     keepsLogs: values.keep,
     printLine: (line) => lines.push(line),
   });
--- a/test/version-soak.test.ts
+++ b/test/version-soak.test.ts
@@ -16,6 +16,7 @@
     proxies: PROXIES,
     actions: ACTIONS,
     only: [],
+    queueMs: 400,
     keepsLogs: false,
     printLine: (line) => {
       t.log(line);
