--- a/bench/fake-fleet.ts
+++ b/bench/fake-fleet.ts
@@ -95,6 +95,8 @@
   coverage: CoverageReport | undefined;
   /** Number of bytes sent between data centres. */
   crossDataCentreBytes = 0;
+  /** How late timers run, in milliseconds. */
+  timerDelayMs = 0;
   readonly #plan: FleetPlan;
   readonly #nodes = new Map<Address, FakeNode>();
   readonly #proxyFilters = new Map<FakeNode, ProxyDistributionFilter>();
@@ -162,9 +164,9 @@
     }
   }
 
-  /** Makes every other process remove a running process from its membership, as after a false suspicion. */
-  giveUp(node: FakeNode): void {
-    for (const other of this.#nodes.values()) {
+  /** Makes processes, by default all others, remove a running process from their membership, as after a false suspicion. */
+  giveUp(node: FakeNode, by: Iterable<FakeNode> = this.#nodes.values()): void {
+    for (const other of by) {
       if (other === node || !other.isUp) continue;
       this.#post(other, { kind: 'member-gone', host: node.host });
     }
@@ -437,7 +439,7 @@
   #startTimer(node: FakeNode, at: number): void {
     if (at >= node.wakeAt && node.wakeAt > this.queue.now) return;
     node.wakeAt = at;
-    this.#runLater(node, at - this.queue.now, () => {
+    this.#runLater(node, at - this.queue.now + this.timerDelayMs, () => {
       if (node.wakeAt !== at) return;
       node.wakeAt = Infinity;
       this.#post(node, { kind: 'tick' });
