Show that a change is sent two to three times over congested links (red)

A change of 1,600 routes (24 KB deflated) that reaches 15 proxies over links that leave 40 B/ms takes 0.6 s a hop. While a push is in transit, a proxy hears of the version from comparisons, pulls it, and asks a second peer after 0.2 s; every answer takes the same link.

--- a/test/distribution-bandwidth.test.ts
+++ b/test/distribution-bandwidth.test.ts
@@ -4,6 +4,8 @@
 import { encodeMessage } from '../src/edge/link-codec.js';
 import { startFleet } from './started-fleet.js';
 
+const SEEDS = [1, 2, 3, 4];
+const TWO_DATA_CENTRES = { dataCentres: 2, proxies: 15, sources: 5 };
 const ONE_DATA_CENTRE = { dataCentres: 1, proxies: 15, sources: 2 };
 const LARGE_VERSION_ROUTES = 1_600;
 /** The lowest bandwidth of a proxy's link, 2 Mbit/s. */
@@ -11,6 +13,8 @@
 const APPLY_LIMIT_MS = 2_000;
 /** The share of the 2 Mbit/s link that other traffic leaves; {@link LONG_VERSION_ROUTES} takes 2 s over it. */
 const CONGESTED_BYTES_PER_MS = 30;
+/** The share of the link over which {@link LARGE_VERSION_ROUTES} takes 0.6 s. */
+const CHANGE_BYTES_PER_MS = 40;
 const LONG_VERSION_ROUTES = 4_000;
 /** After a power loss, users expect answers within 15 s. */
 const RECOVERY_LIMIT_MS = 15_000;
@@ -85,6 +89,21 @@
   t.deepEqual(history.faults, []);
 });
 
+test('change that takes 0.6 s over a congested link: sent once', (t) => {
+  const copies = SEEDS.map((seed) => {
+    const { fleet, maker, commitNext } = startFleet({ ...TWO_DATA_CENTRES, seed });
+    commitNext();
+    fleet.run(5_000);
+    const received = limitLinks(fleet, CHANGE_BYTES_PER_MS);
+    const version = maker.makeVersionWithRoutes(LARGE_VERSION_ROUTES);
+    for (const source of fleet.sources) fleet.commit(source, version);
+    fleet.runUntil(() => fleet.isServedByAll(maker.newest), RECOVERY_LIMIT_MS);
+    const bytes = fleet.proxies.reduce((sum, node) => sum + (received.get(node) ?? 0), 0);
+    return bytes / fleet.proxies.length / encodeMessage('spread', version.delta).length;
+  });
+  t.true(Math.max(...copies) < 1.5, copies.map((count) => count.toFixed(2)).join(' '));
+});
+
 /** Limits the bandwidth of each proxy in each direction; returns the bytes received by node. */
 function limitLinks(fleet: FakeFleet, bytesPerMs = LINK_BYTES_PER_MS): Map<FakeNode, number> {
   const received = new Map<FakeNode, number>();
