Compare with neighbours and sources also without a recent check, and pull a change once over a slow link

Members are picked at random once a second, not twice, and three at a time only after 1 s without a check; none before the first version. After a failed pull the next peer that offers the version is asked at once. - Members are picked evenly, so that a small data centre is not asked more often than others.

--- a/src/distribution/newest-known.ts
+++ b/src/distribution/newest-known.ts
@@ -161,8 +161,8 @@
 const STALE_MS = 1_200;
 /** After this, the peers that held the missing version may be gone, and nobody may have it. */
 const NAMED_MS = 2_000;
-/** Two intervals between comparisons. */
-const RECENT_MS = 500;
+/** In a calm fleet, a proxy hears about four comparisons of others in this time. */
+const RECENT_MS = 1_000;
 const MAX_MISSING = 64;
 
 /** Returns the version that the sender of a message holds or has heard of. */
--- a/src/distribution/overlay.ts
+++ b/src/distribution/overlay.ts
@@ -128,11 +128,18 @@
     return listSpaced(order, position, count);
   }
 
-  /** Picks a member other than `self` at random, from each data centre as often as from any other. */
+  /** Picks a member at random; undefined if it is `self`. */
   pickMember(self: HostId, random: Random): OverlayMember | undefined {
-    const order = random.pick([...this.#orders.values()].filter(({ size }) => size > 0));
-    const member = order.findAt(random.nextInt(order.size));
-    return member?.host === self ? undefined : member;
+    if (this.size === 0) return undefined;
+    let position = random.nextInt(this.size);
+    for (const order of this.#orders.values()) {
+      if (position < order.size) {
+        const member = order.findAt(position);
+        return member?.host === self ? undefined : member;
+      }
+      position -= order.size;
+    }
+    return undefined;
   }
 
   // Internals.
--- a/src/distribution/proxy-puller.ts
+++ b/src/distribution/proxy-puller.ts
@@ -68,14 +68,12 @@
     return peers.map(({ control }) => buildAdvertisement(state, control));
   }
 
-  /** Compares versions with one peer, and with more while nobody shows that the held version is the newest. */
+  /** Compares versions with a neighbour, and at times with any members. */
   #compare(state: ProxyDistributionState, now: Instant): ProxyDistributionOut[] {
     if (state.deadlines.compare > now) return [];
     state.deadlines.compare = this.#options.policy.decideCompare(now);
-    const peers = state.newestKnown.hasRecentCheck(now)
-      ? [this.#pickComparisonPeer(state)]
-      : Array.from({ length: PEERS_WITHOUT_CHECK }, () => this.#pickMember(state));
-    return [...new Set(peers)].flatMap((address) => {
+    const peers = new Set([this.#pickNeighbour(state), ...this.#pickMembers(state, now)]);
+    return [...peers].flatMap((address) => {
       if (address === undefined) return [];
       if (!state.sources.has(address)) return [buildAdvertisement(state, address)];
       state.pullScheduler.requestAttempt(now);
@@ -83,18 +81,20 @@
     });
   }
 
-  /** Alternates between the neighbours in turn and any member, since all neighbours may be silent or behind. */
-  #pickComparisonPeer(state: ProxyDistributionState): Address | undefined {
-    const count = state.comparisons;
-    state.comparisons += 1;
-    if (count % 2 === 1) return this.#pickMember(state);
+  /** Picks the neighbours in turn. */
+  #pickNeighbour(state: ProxyDistributionState): Address | undefined {
     const candidates = listComparisonPeers(state, this.#options);
-    return candidates[(count / 2) % Math.max(1, candidates.length)];
+    const address = candidates[state.comparisons % Math.max(1, candidates.length)];
+    state.comparisons += 1;
+    return address;
   }
 
-  #pickMember({ overlay }: ProxyDistributionState): Address | undefined {
+  /** Picks members at random, because the neighbours may all be silent, or be behind as well. */
+  #pickMembers(state: ProxyDistributionState, now: Instant): (Address | undefined)[] {
     const { host, random } = this.#options;
-    return overlay.pickMember(host, random)?.control;
+    return Array.from({ length: countMembers(state, now) }, () => {
+      return state.overlay.pickMember(host, random)?.control;
+    });
   }
 
   #buildPull(state: ProxyDistributionState, to: Address): ProxyDistributionOut {
@@ -109,4 +109,16 @@
 
 const PEER_ATTEMPTS = 3;
 const ROOT_PEER_ATTEMPTS = 1;
-const PEERS_WITHOUT_CHECK = 3;
+const MEMBERS_WITHOUT_CHECK = 3;
+/** Links to members are dialled for this, so most comparisons are with neighbours. */
+const COMPARISONS_PER_MEMBER = 4;
+
+/** Counts the members to compare with: more while nobody shows that the held version is the newest. */
+function countMembers(
+  { newestKnown, store, comparisons }: ProxyDistributionState,
+  now: Instant,
+): number {
+  if (store.mark.version === NO_VERSION) return 0;
+  if (!newestKnown.hasRecentCheck(now)) return MEMBERS_WITHOUT_CHECK;
+  return comparisons % COMPARISONS_PER_MEMBER === 0 ? 1 : 0;
+}
--- a/src/distribution/pull-scheduler.ts
+++ b/src/distribution/pull-scheduler.ts
@@ -1,4 +1,4 @@
-/** Schedules the pulls of missing versions: which peer, and when. One pull is open at a time. */
+/** Schedules the pulls of missing versions: which peer, and when. One pull is open at a time; late answers count. */
 import { addMs, NEVER } from '../clock.js';
 import type { Address, Instant, Version } from '../ids.js';
 import { NO_VERSION } from '../ids.js';
@@ -23,8 +23,8 @@
 /**
  * Keeps the peers that advertised a higher version and picks one of them for each pull.
  *
- * The first attempt waits briefly, because a push is usually in transit. When a pull has no sign of an answer,
- * another peer is asked at once; the first answer counts, whoever sends it. Failed attempts are retried
+ * The first attempt waits briefly, because a push is usually in transit. When a pull of a difference has no sign of an
+ * answer for a short time, a peer that advertised it is asked; the first answer counts, whoever sends it. Failed attempts are retried
  * after an exponential delay with full jitter and a cap. A peer that does not deliver the version it
  * advertised is excluded for a fixed time, so a false advertisement delays a pull by a bounded time.
  */
@@ -39,7 +39,7 @@
   #openPull: OpenPull | undefined;
   #nextAttemptAt: Instant = NEVER;
   #failures = 0;
-  /** Pulls that timed out since the last answer of any peer. */
+  /** Pulls that timed out since the last complete answer of a peer that was asked. */
   #timeouts = 0;
   /** The highest version that is known to exist, whichever peer holds it. */
   #requiredVersion: Version = NO_VERSION;
@@ -90,7 +90,7 @@
   /** Picks the address to pull from now, if any; uses `fallback` when no peer advertises a higher version. */
   pickNext(held: Version, fallback: readonly Address[], now: Instant): Address | undefined {
     if (this.#openPull !== undefined && this.#findEnd(this.#openPull) <= now)
-      this.#closeTimedOut(this.#openPull, now);
+      this.#closeOverdue(this.#openPull, now);
     if (this.#openPull !== undefined || this.#nextAttemptAt > now) return undefined;
     this.#nextAttemptAt = NEVER;
     const address = this.#pickAddress(held, fallback, now);
@@ -230,10 +230,10 @@
   }
 
   /** The link may just be slow: the next pull gets a longer timeout, and a late answer is still accepted. */
-  #closeTimedOut({ address }: OpenPull, now: Instant): void {
+  #closeOverdue({ address, deadline }: OpenPull, now: Instant): void {
     this.#closeFailedPull(now);
     this.#nextAttemptAt = now;
-    this.#timeouts += 1;
+    if (deadline <= now) this.#timeouts += 1;
     if (this.#overdue.size < MAX_OVERDUE_PULLS) this.#overdue.add(address);
   }
 
@@ -250,7 +250,8 @@
   #scheduleRetry(now: Instant): void {
     this.#failures += 1;
     const ceiling = Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** this.#failures);
-    this.#nextAttemptAt = addMs(now, this.#random.next() * ceiling);
+    const hasOther = this.#candidates.size > 0;
+    this.#nextAttemptAt = hasOther ? now : addMs(now, this.#random.next() * ceiling);
   }
 }
 
