Answer delayed acknowledgements before a source stops

The new case of notes-filter is red before, as the message does not exist there. The class has a name of its own: 'held answer' is taken by answers that wait for a link.

--- a/src/distribution/source-distribution-filter.ts
+++ b/src/distribution/source-distribution-filter.ts
@@ -91,7 +91,7 @@
   readonly standIns: StandIns;
   /** When the versions whose reports are overdue are advertised past the roots that do not report. */
   bypassAt: Instant;
-  /** The versions that have not been pushed yet; none while this replica follows. */
+  /** The versions that have not been pushed yet. */
   waiting: DeltaSpan[];
   pushAt: Instant;
   /** When the roots that have not reported the newest version get another advertisement. */
--- a/src/notes/held-answers.ts
+++ b/src/notes/delayed-acknowledgements.ts
@@ -5,14 +5,14 @@
 import { isHeldByAll } from './note-status.js';
 
 /** An accepted answer that waits. */
-interface HeldAnswer {
+interface DelayedAcknowledgement {
   readonly answer: NoteAnswer;
   readonly version: Version;
   readonly deadline: Instant;
 }
 
 /** An answer that is due. */
-export interface DueAnswer {
+export interface DueAcknowledgement {
   readonly id: RequestId;
   readonly answer: NoteAnswer;
 }
@@ -22,12 +22,13 @@
  * it being in force nearly everywhere. The delay is bounded, because a proxy that is down or cut off reports
  * nothing; it starts at the commit, so that a repeated command waits no longer than the first one.
  */
-export class HeldAnswers {
-  readonly #answers = new Map<RequestId, HeldAnswer>();
+export class DelayedAcknowledgements {
+  readonly #answers = new Map<RequestId, DelayedAcknowledgement>();
   /** Until when the answers for the newest versions are held. */
   readonly #deadlines = new Map<Version, Instant>();
+  #isStopped = false;
 
-  /** The next instant at which {@link HeldAnswers.removeDue} must be called. */
+  /** The next instant at which {@link DelayedAcknowledgements.removeDue} must be called. */
   get deadline(): Instant {
     const deadlines = [...this.#answers.values()].map(({ deadline }) => deadline);
     return Math.min(NEVER, ...deadlines) as Instant;
@@ -43,7 +44,7 @@
 
   /** Holds an answer that accepts a version; returns false if it is due already. */
   add(id: RequestId, answer: NoteAnswer, report: CoverageReport, now: Instant): boolean {
-    if (answer.kind !== 'accepted') return false;
+    if (answer.kind !== 'accepted' || this.#isStopped) return false;
     const { version } = answer.receipt;
     const deadline = this.#deadlines.get(version) ?? now;
     if (deadline <= now || report.known === 0 || isHeldByAll(version, report)) return false;
@@ -57,8 +58,8 @@
   }
 
   /** Removes and returns the answers whose version all proxies have, or whose deadline has passed. */
-  removeDue(report: CoverageReport, now: Instant): DueAnswer[] {
-    const due: DueAnswer[] = [];
+  removeDue(report: CoverageReport, now: Instant): DueAcknowledgement[] {
+    const due: DueAcknowledgement[] = [];
     for (const [id, { answer, version, deadline }] of this.#answers) {
       if (deadline > now && !isHeldByAll(version, report)) continue;
       this.#answers.delete(id);
@@ -67,8 +68,14 @@
     return due;
   }
 
+  /** Removes and returns all answers, and delays none from now on. */
+  stop(): DueAcknowledgement[] {
+    this.#isStopped = true;
+    return this.removeAll();
+  }
+
   /** Removes and returns all answers. */
-  removeAll(): DueAnswer[] {
+  removeAll(): DueAcknowledgement[] {
     const all = [...this.#answers].map(([id, { answer }]) => ({ id, answer }));
     this.#answers.clear();
     return all;
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -19,8 +19,8 @@
 } from '../messages/index.js';
 import type { Step, Tick, WakeRequest } from '../pipe/index.js';
 import { Filter } from '../pipe/index.js';
-import type { DueAnswer } from './held-answers.js';
-import { HeldAnswers } from './held-answers.js';
+import type { DueAcknowledgement } from './delayed-acknowledgements.js';
+import { DelayedAcknowledgements } from './delayed-acknowledgements.js';
 import type { NoteStoreSnapshot } from './note-store.js';
 import { NoteStore } from './note-store.js';
 import type { SourceReport } from './note-status.js';
@@ -50,6 +50,8 @@
   | { readonly kind: 'cancel'; readonly id: RequestId }
   | { readonly kind: 'log'; readonly notice: NotesNotice }
   | { readonly kind: 'coverage'; readonly report: CoverageReport }
+  /** The process is stopping: acknowledgements are not delayed any more. */
+  | { readonly kind: 'stopping' }
   | Tick;
 
 /** Output messages of the notes filter. */
@@ -86,7 +88,7 @@
   /** Queries that wait until a note is in force. */
   readonly waits: Map<RequestId, Extract<NoteQuestion, { kind: 'wait' }>>;
   /** Acknowledgements that wait for the proxies. */
-  readonly heldAnswers: HeldAnswers;
+  readonly acknowledgements: DelayedAcknowledgements;
   readonly coverage: CoverageReport;
   readonly leading: boolean;
 }
@@ -98,7 +100,7 @@
  *
  * A command that would be refused does not enter the log. Its refusal is sent only after this replica has
  * confirmed that it leads, because its state may be stale. Acceptance is decided when a command is committed, and
- * answered once the proxies have the version, see {@link HeldAnswers}.
+ * answered once the proxies have the version, see {@link DelayedAcknowledgements}.
  */
 export class NotesFilter extends Filter<NotesState, NotesIn, NotesOut> {
   override createState(): NotesState {
@@ -106,7 +108,7 @@
       store: new NoteStore(),
       pending: new Map(),
       waits: new Map(),
-      heldAnswers: new HeldAnswers(),
+      acknowledgements: new DelayedAcknowledgements(),
       coverage: NO_COVERAGE,
       leading: false,
     };
@@ -123,12 +125,14 @@
       case 'cancel':
         state.pending.delete(message.id);
         state.waits.delete(message.id);
-        state.heldAnswers.remove(message.id);
+        state.acknowledgements.remove(message.id);
         return { state, outputs: [] };
       case 'log':
         return this.#handleNotice(state, message.notice, now);
       case 'coverage':
         return this.#handleCoverage({ ...state, coverage: message.report }, now);
+      case 'stopping':
+        return { state, outputs: state.acknowledgements.stop().map(buildAnswerOutput) };
       case 'tick':
         return this.#handleTick(state, now);
     }
@@ -170,7 +174,7 @@
       }
       case 'leading': {
         const next = { ...state, leading: notice.leading };
-        const due = notice.leading ? [] : state.heldAnswers.removeAll();
+        const due = notice.leading ? [] : state.acknowledgements.removeAll();
         return { state: next, outputs: [createReport(next), ...due.map(buildAnswerOutput)] };
       }
     }
@@ -185,7 +189,7 @@
     const { answer, delta } = state.store.apply(command);
     const outputs: NotesOut[] = [];
     if (delta !== undefined) {
-      state.heldAnswers.addVersion(delta.version, now);
+      state.acknowledgements.addVersion(delta.version, now);
       outputs.push({ kind: 'version', delta }, createReport(state));
     }
     if (id !== undefined) outputs.push(...this.#answer(state, id, answer, now));
@@ -194,9 +198,9 @@
 
   /** Answers a command, at once or when the proxies have its version. */
   #answer(state: NotesState, id: RequestId, answer: NoteAnswer, now: Instant): NotesOut[] {
-    const { heldAnswers, coverage } = state;
-    if (!heldAnswers.add(id, answer, coverage, now)) return [{ kind: 'answer', id, answer }];
-    return [{ kind: 'wake', at: heldAnswers.deadline }];
+    const { acknowledgements, coverage } = state;
+    if (!acknowledgements.add(id, answer, coverage, now)) return [{ kind: 'answer', id, answer }];
+    return [{ kind: 'wake', at: acknowledgements.deadline }];
   }
 
   #handleConfirmed(state: NotesState, id: RequestId, now: Instant): NotesStep {
@@ -261,15 +265,15 @@
       return entry === undefined || isInForce(entry, state.coverage);
     });
     const answers = finished.flatMap(([id, wait]) => endWait(state, id, wait));
-    const due = state.heldAnswers.removeDue(state.coverage, now).map(buildAnswerOutput);
+    const due = state.acknowledgements.removeDue(state.coverage, now).map(buildAnswerOutput);
     return { state, outputs: [createReport(state), ...answers, ...due] };
   }
 
   /** Ends the waits and sends the held answers whose deadlines have passed. */
   #handleTick(state: NotesState, now: Instant): NotesStep {
-    const due = state.heldAnswers.removeDue(state.coverage, now);
+    const due = state.acknowledgements.removeDue(state.coverage, now);
     const outputs: NotesOut[] = due.map(buildAnswerOutput);
-    const { deadline } = state.heldAnswers;
+    const { deadline } = state.acknowledgements;
     if (deadline < NEVER) outputs.push({ kind: 'wake', at: deadline });
     for (const [id, wait] of [...state.waits]) {
       if (wait.deadline <= now) outputs.push(...endWait(state, id, wait));
@@ -285,7 +289,7 @@
   return { kind: 'report', report: buildReport(store, coverage, leading) };
 }
 
-function buildAnswerOutput({ id, answer }: DueAnswer): NotesOut {
+function buildAnswerOutput({ id, answer }: DueAcknowledgement): NotesOut {
   return { kind: 'answer', id, answer };
 }
 
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -216,6 +216,7 @@
       log.post({ kind: 'peers', addresses: peers.listControlAddresses() });
     },
     stop: async () => {
+      notes.post({ kind: 'stopping' });
       for (const task of tasks.toReversed()) await task.stop();
     },
   };
--- a/test/held-answers.test.ts
+++ b/test/delayed-acknowledgements.test.ts
@@ -3,7 +3,7 @@
 import { addMs, NEVER } from '../src/clock.js';
 import type { Digest, Instant, NoteNumber, RequestId, Revision, Version } from '../src/ids.js';
 import type { CoverageReport, NoteAnswer } from '../src/messages/index.js';
-import { HeldAnswers } from '../src/notes/held-answers.js';
+import { DelayedAcknowledgements } from '../src/notes/delayed-acknowledgements.js';
 
 const START = 1_000 as Instant;
 const HOLD_MS = 500;
@@ -25,8 +25,8 @@
   return { known, held: [others, { version: version as Version, count: holding }], stragglers: [] };
 }
 
-function startHeld(): HeldAnswers {
-  const held = new HeldAnswers();
+function startHeld(): DelayedAcknowledgements {
+  const held = new DelayedAcknowledgements();
   held.addVersion(2 as Version, START);
   held.add(ID, accept(2), cover(2, 0), START);
   return held;
@@ -69,3 +69,9 @@
   held.remove(ID);
   t.deepEqual(held.removeAll(), []);
 });
+
+test('process stops: due at once, and none is delayed any more', (t) => {
+  const held = startHeld();
+  t.deepEqual(held.stop(), [{ id: ID, answer: accept(2) }]);
+  t.false(held.add(OTHER, accept(2), cover(2, 0), START));
+});
--- a/test/notes-filter.test.ts
+++ b/test/notes-filter.test.ts
@@ -87,6 +87,13 @@
   t.like(driver.send({ kind: 'tick' }), [{ kind: 'answer', id: ID }]);
 });
 
+test('accepted command, process stops: answered at once', (t) => {
+  const driver = new Driver();
+  driver.sendCoverage(3, 0);
+  driver.commit(FIRST, ID);
+  t.like(driver.send({ kind: 'stopping' }), [{ kind: 'answer', id: ID }]);
+});
+
 test('accepted command, leadership lost: answered at once', (t) => {
   const driver = new Driver();
   driver.sendCoverage(3, 0);
