--- a/src/distribution/pull-scheduler.ts
+++ b/src/distribution/pull-scheduler.ts
@@ -24,9 +24,9 @@
  * Keeps the peers that advertised a higher version and picks one of them for each pull.
  *
  * The first attempt waits briefly, because a push is usually in transit. When a pull of a difference has no sign of an
- * answer for a short time, a peer that advertised it is asked; the first answer counts, whoever sends it. Failed attempts are retried
- * after an exponential delay with full jitter and a cap. A peer that does not deliver the version it
- * advertised is excluded for a fixed time, so a false advertisement delays a pull by a bounded time.
+ * answer for a short time, a peer that advertised it is asked; the first answer counts, whoever sends it. Failed
+ * attempts are retried after an exponential delay with full jitter and a cap. A peer that does not deliver the version
+ * it advertised is excluded for a fixed time, so a false advertisement delays a pull by a bounded time.
  */
 export class PullScheduler {
   readonly #random: Random;
--- a/src/notes/delayed-acknowledgements.ts
+++ b/src/notes/delayed-acknowledgements.ts
@@ -1,4 +1,4 @@
-/** Answers to accepted commands, held back until the proxies have the version or a deadline passes. */
+/** Acknowledgements of accepted commands, delayed until the proxies have the version or a deadline passes. */
 import { addMs, NEVER } from '../clock.js';
 import type { Instant, RequestId, Version } from '../ids.js';
 import type { CoverageReport, NoteAnswer } from '../messages/index.js';
@@ -24,7 +24,7 @@
  */
 export class DelayedAcknowledgements {
   readonly #answers = new Map<RequestId, DelayedAcknowledgement>();
-  /** Until when the answers for the newest versions are held. */
+  /** When the acknowledgement of each of the newest versions is due at the latest. */
   readonly #deadlines = new Map<Version, Instant>();
   #isStopped = false;
 
@@ -36,13 +36,13 @@
 
   /** Records that a version was committed. */
   addVersion(version: Version, now: Instant): void {
-    this.#deadlines.set(version, addMs(now, MAX_HOLD_MS));
+    this.#deadlines.set(version, addMs(now, MAX_DELAY_MS));
     if (this.#deadlines.size <= MAX_VERSIONS) return;
     const [oldest] = this.#deadlines.keys();
     if (oldest !== undefined) this.#deadlines.delete(oldest);
   }
 
-  /** Holds an answer that accepts a version; returns false if it is due already. */
+  /** Delays an answer that accepts a version; returns false if it is due already. */
   add(id: RequestId, answer: NoteAnswer, report: CoverageReport, now: Instant): boolean {
     if (answer.kind !== 'accepted' || this.#isStopped) return false;
     const { version } = answer.receipt;
@@ -85,5 +85,5 @@
 // Internals.
 
 /** Well below the second after which operators send a command again. */
-const MAX_HOLD_MS = 500;
+const MAX_DELAY_MS = 500;
 const MAX_VERSIONS = 64;
