--- a/src/distribution/newest-known.ts
+++ b/src/distribution/newest-known.ts
@@ -157,8 +157,8 @@
 
 /** A quarter of the 2 s within which a version has to be in force. */
 const LATE_MS = 500;
-/** Leaves 0.8 s of the 2 s for a version to become known here. */
-const STALE_MS = 1_200;
+/** Leaves 1 s of the 2 s for a version to become known here. */
+const STALE_MS = 1_000;
 /** After this, the peers that held the missing version may be gone, and nobody may have it. */
 const NAMED_MS = 2_000;
 /** In a calm fleet, a proxy hears about four comparisons of others in this time. */
--- a/test/newest-known.test.ts
+++ b/test/newest-known.test.ts
@@ -159,9 +159,9 @@
   proxy.push(SOURCE, 0, 3, at(10));
   proxy.advertise(PEER, 4, at(100));
   proxy.advertise(OTHER, 4, at(200));
-  t.true(proxy.wakes.some((wake) => wake <= at(1_300)));
-  t.false(hasStale(proxy.tick(at(1_299))));
-  t.true(hasStale(proxy.tick(at(1_300))));
+  t.true(proxy.wakes.some((wake) => wake <= at(1_100)));
+  t.false(hasStale(proxy.tick(at(1_099))));
+  t.true(hasStale(proxy.tick(at(1_100))));
   const [, ...reports] = proxy.push(PEER, 3, 4, at(1_500));
   t.deepEqual(
     reports.filter(({ kind }) => kind === 'stale'),
@@ -182,7 +182,7 @@
   proxy.push(SOURCE, 0, 3, at(10));
   proxy.advertise(PEER, 4, at(100));
   proxy.advertise(OTHER, 4, at(200));
-  t.true(hasStale(proxy.tick(at(1_300))));
+  t.true(hasStale(proxy.tick(at(1_100))));
   t.deepEqual(proxy.tick(at(2_200)), [{ kind: 'stale', isStale: false }]);
   proxy.wakes.length = 0;
   t.deepEqual(proxy.tick(at(2_300)), []);
