--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -192,7 +192,9 @@
         versions.handleNewestKnown(output);
         return;
       case 'stale':
-        log(output.isStale ? 'configuration-stale' : 'configuration-current');
+        log(output.isStale ? 'configuration-stale' : 'configuration-current', {
+          held: distributionStatus.held,
+        });
         calls.post(output);
         return;
       case 'behind':
