Stall links and keep proxies busy for longer in distribution-bound

They are stricter now: connections stall for seven or six tenths of the time in place of three or two, six in ten proxies are busy in place of a third, with turns of up to 0.5 s in place of 0.25 s.

--- a/test/distribution-bound.test.ts
+++ b/test/distribution-bound.test.ts
@@ -13,6 +13,7 @@
 const VERSIONS = 4;
 const FROZEN_SHARE = 0.35;
 const GIVEN_UP = 8;
+const LONG_TURN_MS = 500;
 const FREEZES = 6;
 const FREEZE_MS = 1_000;
 const CALM_MS = 3_000;
@@ -20,6 +21,13 @@
 
 type StartedFleet = ReturnType<typeof startFleet>;
 
+/** The share of the time in which connections stall, and the share of the proxies that are busy. */
+interface Troubles {
+  readonly stallShare: number;
+  readonly busyShare: number;
+  readonly maxTurnMs?: number;
+}
+
 /** Commits versions one after the other; returns the longest time until the chosen proxies served one. */
 function measureLongest({ fleet, maker, commitNext }: StartedFleet, nodes: readonly FakeNode[]) {
   let longest = 0;
@@ -43,11 +51,14 @@
 function stallLinks(
   { fleet }: StartedFleet,
   random: SeededRandom,
-  { stallShare, busyShare }: { stallShare: number; busyShare: number },
+  { stallShare, busyShare, maxTurnMs }: Troubles,
 ): void {
   const links = new StalledLinks(fleet, random);
   links.stallShare = stallShare;
-  links.makeBusy(fleet.proxies.filter(() => random.next() < busyShare));
+  links.makeBusy(
+    fleet.proxies.filter(() => random.next() < busyShare),
+    maxTurnMs,
+  );
 }
 
 /** Freezes a share of the proxies shortly after each commit; returns the longest time until the others served it. */
@@ -118,14 +129,18 @@
 }
 
 for (const { title, stallShare, busyShare } of [
-  { title: 'links stall', stallShare: 0.3, busyShare: 0 },
-  { title: 'a third of the proxies busy', stallShare: 0, busyShare: 0.35 },
-  { title: 'links stall, a third of the proxies busy', stallShare: 0.2, busyShare: 0.35 },
+  { title: 'links stall', stallShare: 0.7, busyShare: 0 },
+  { title: 'six in ten proxies busy', stallShare: 0, busyShare: 0.6 },
+  { title: 'links stall, six in ten proxies busy', stallShare: 0.6, busyShare: 0.6 },
 ]) {
   test(title, (t) => {
     const times = SEEDS.map((seed) => {
       const started = startServing(seed);
-      stallLinks(started, new SeededRandom(seed), { stallShare, busyShare });
+      stallLinks(started, new SeededRandom(seed), {
+        stallShare,
+        busyShare,
+        maxTurnMs: LONG_TURN_MS,
+      });
       return measureLongest(started, started.fleet.proxies);
     });
     t.true(Math.max(...times) <= BOUND_MS, times.join(' '));
