--- a/src/distribution/newest-known.ts
+++ b/src/distribution/newest-known.ts
@@ -131,8 +131,7 @@
   /** The held version is stale once two peers have named a missing one long ago, and while any still names it. */
   #decideStale(now: Instant): NewestKnownOut[] {
     const [oldest] = this.#missing;
-    const isStale =
-      oldest?.isConfirmed === true && oldest.staleAt <= now && now < this.#namedUntil;
+    const isStale = oldest?.isConfirmed === true && oldest.staleAt <= now && now < this.#namedUntil;
     if (now >= this.#namedUntil) for (const missing of this.#missing) missing.isConfirmed = false;
     if (isStale === this.#isStale) return [];
     this.#isStale = isStale;
