--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -37,7 +37,7 @@
    * not sent again if no answer can arrive in time: that would only make a known outcome uncertain.
    */
   start(state: AttemptState, call: OpenCall, now: Instant, last?: PreviousAttempt): AttemptOut[] {
-    const { service, head, requestKind, deadline, aim, subject } = call.routed;
+    const { service, head, requestKind, worth, account, deadline, aim, subject } = call.routed;
     const tiers = state.servers.listTiers(service);
     const record = this.#picker.pick(tiers, buildPickContext(call, now));
     if (record === undefined) return [];
@@ -55,7 +55,7 @@
     record.outstanding += 1;
     record.unansweredStarts.set(attempt, now);
     state.attempts.set(attempt, { call, record, startedAt: now });
-    const { name, worth } = requestKind;
+    const { name } = requestKind;
     const { suspect } = call;
     const count = head.attempt + call.started - 1;
     return [
@@ -76,6 +76,7 @@
             now,
           ),
           ...(aim === undefined ? {} : { aim }),
+          ...(account === undefined ? {} : { account: account.name }),
           subject,
           suspect,
           onlyIfFree: this.#mayBeDeclined(state, call, now),
--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -1,5 +1,5 @@
 /** Observers of calls and connections, for metrics and logs; they do not influence decisions. */
-import type { Address, Version } from '../ids.js';
+import type { Address, ClientAccountName, Version } from '../ids.js';
 import type { RefusalOutcome, RefusalReason } from '../messages/index.js';
 import type { SentAgain } from './attempt-messages.js';
 
@@ -49,6 +49,8 @@
    * forwarded call.
    */
   readonly version: Version | undefined;
+  /** The client account of the call, if it has one. */
+  readonly account: ClientAccountName | undefined;
   readonly path: string;
   /** The number of its last attempt; 0 if there was none. */
   readonly attempt: number;
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -11,6 +11,7 @@
   LimitsResource,
   MemberEvent,
   StoredAnswer,
+  VerifiedAccount,
 } from '../messages/index.js';
 import type { Configuration } from '../notes/index.js';
 import type { AttemptOut } from './attempt-messages.js';
@@ -22,6 +23,8 @@
   | { readonly kind: 'whole'; readonly configuration: Configuration }
   /** Whether the configuration is known to be too old to route calls. */
   | { readonly kind: 'stale'; readonly isStale: boolean }
+  /** Until when keys may be accepted by the held version; sent only if revocation is strict. */
+  | { readonly kind: 'keys-trusted'; readonly until: Instant }
   | MemberEvent
   | { readonly kind: 'broadcast'; readonly item: CrashSeen }
   /** A call from a caller. */
@@ -59,7 +62,13 @@
 /** Outputs of the call pipe. */
 export type CallOut =
   /** The call was routed or refused by this version of the configuration; precedes its other outputs. */
-  | { readonly kind: 'classified'; readonly id: CallId; readonly version: Version }
+  | {
+      readonly kind: 'classified';
+      readonly id: CallId;
+      readonly version: Version;
+      /** Absent if the call was refused or the configuration has no client accounts. */
+      readonly account?: VerifiedAccount | undefined;
+    }
   /** Sends an attempt to the proxy beside its backend server. */
   | Extract<AttemptOut, { kind: 'dispatch' }>
   /** Runs an attempt at a backend server beside this proxy. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -26,6 +26,8 @@
   readonly picker: Picker;
   readonly createPolicy: () => SlotPolicy;
   readonly retries?: RetryBudgetLimits | undefined;
+  /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
+  readonly isRevocationStrict?: boolean | undefined;
 }
 
 /** The states of the filters, and the attempts at backend servers beside this proxy. */
@@ -50,10 +52,10 @@
   readonly #attempt: AttemptFilter;
   readonly #guard: GuardFilter;
 
-  constructor({ place, picker, createPolicy, retries }: CallPipeOptions) {
+  constructor({ place, picker, createPolicy, retries, isRevocationStrict }: CallPipeOptions) {
     super();
     this.#host = place.host;
-    this.#classify = new ClassifyFilter(place.host);
+    this.#classify = new ClassifyFilter(place.host, isRevocationStrict);
     this.#attempt = new AttemptFilter({ place, picker, retries });
     this.#guard = new GuardFilter(createPolicy);
   }
@@ -88,6 +90,7 @@
     switch (message.kind) {
       case 'whole':
       case 'stale':
+      case 'keys-trusted':
         this.#passToClassify(context, message);
         return;
       case 'arrived':
@@ -253,8 +256,8 @@
     if (output.kind === 'limits') {
       outputs.push(output);
     } else if (output.kind === 'routed') {
-      const { head, version } = output.call;
-      outputs.push({ kind: 'classified', id: head.id, version });
+      const { head, version, verified: account } = output.call;
+      outputs.push({ kind: 'classified', id: head.id, version, account });
       this.#passToIntake(context, output);
     } else {
       const { id, reason, version } = output;
--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -3,9 +3,12 @@
 import type { CallId, Instant, ServiceName, Version } from '../ids.js';
 import type {
   CallHead,
+  ClientAccountResource,
   LimitsResource,
   RefusalReason,
   RequestKindResource,
+  RouteResource,
+  VerifiedAccount,
 } from '../messages/index.js';
 import type { Configuration } from '../notes/index.js';
 import { Filter } from '../pipe/index.js';
@@ -23,6 +26,12 @@
   readonly version: Version;
   readonly service: ServiceName;
   readonly requestKind: RequestKindResource;
+  /** The worth of an answer, by the client account or else by the request kind. */
+  readonly worth: number;
+  /** The client account of the call, if it has one. */
+  readonly account?: ClientAccountResource;
+  /** What is known about the key of the call; absent if the configuration has no client accounts. */
+  readonly verified?: VerifiedAccount;
   readonly deadline: Instant;
   /** The full-value deadline: an answer that arrives later is worth less. */
   readonly aim?: Instant;
@@ -44,6 +53,8 @@
   | { readonly kind: 'whole'; readonly configuration: Configuration }
   /** Whether the configuration is known to be too old to route calls. */
   | { readonly kind: 'stale'; readonly isStale: boolean }
+  /** Until when keys may be accepted by the held version; sent only if revocation is strict. */
+  | { readonly kind: 'keys-trusted'; readonly until: Instant }
   | { readonly kind: 'arrived'; readonly head: CallHead }
   /** The process is stopping; every deadline is capped at `answerBy`. */
   | { readonly kind: 'stopping'; readonly answerBy: Instant };
@@ -60,6 +71,8 @@
   /** The index of the configuration in force, updated in place; `undefined` before the first one. */
   readonly routes: RouteIndex | undefined;
   readonly isStale: boolean;
+  /** After this, calls with keys are refused: a key may have been revoked in a version not heard of. */
+  readonly keysTrustedUntil: Instant;
   /** Distributes calls among the targets of routes; updated in place. */
   readonly turns: WeightedRoundRobin;
   /** Estimates how long the callers of repeated calls have waited; updated in place. */
@@ -71,17 +84,23 @@
 /** Routes each call by the configuration that is in force when the call arrives. */
 export class ClassifyFilter extends Filter<ClassifyState, ClassifyIn, ClassifyOut> {
   readonly #host: string;
+  readonly #isRevocationStrict: boolean;
 
-  /** @param host The host of this proxy. */
-  constructor(host: string) {
+  /**
+   * @param host The host of this proxy.
+   * @param isRevocationStrict Whether keys are accepted only until the instant of the last `keys-trusted`.
+   */
+  constructor(host: string, isRevocationStrict = false) {
     super();
     this.#host = host;
+    this.#isRevocationStrict = isRevocationStrict;
   }
 
   override createState(): ClassifyState {
     return {
       routes: undefined,
       isStale: false,
+      keysTrustedUntil: this.#isRevocationStrict ? (0 as Instant) : NEVER,
       turns: new WeightedRoundRobin(this.#host),
       clientTimeouts: new ClientTimeoutEstimate(),
       answerBy: NEVER,
@@ -99,6 +118,9 @@
     if (message.kind === 'stale') {
       return { state: { ...state, isStale: message.isStale }, outputs: [] };
     }
+    if (message.kind === 'keys-trusted') {
+      return { state: { ...state, keysTrustedUntil: message.until }, outputs: [] };
+    }
     if (message.kind === 'whole') {
       if (state.routes === undefined && message.configuration.resources.size === 0) {
         return { state, outputs: [] };
@@ -143,6 +165,12 @@
   const found = findRoute(routes, head);
   if (found === undefined) return buildRefusal(id, 'no-route', version);
   const { route, requestKind } = found;
+  const { accountKey } = head;
+  if (accountKey !== undefined && now >= state.keysTrustedUntil && !routes.accounts.isEmpty) {
+    return buildRefusal(id, 'stale-configuration', version);
+  }
+  const account = accountKey === undefined ? undefined : routes.accounts.find(accountKey);
+  if (isKeyRefused(routes, route, head, account)) return buildRefusal(id, 'unknown-key', version);
   const latest = Math.min(addMs(now, requestKind.timeoutMs), state.answerBy) as Instant;
   const deadline = Math.min(head.deadline ?? latest, latest) as Instant;
   if (deadline <= now) return buildRefusal(id, 'deadline', version);
@@ -155,10 +183,35 @@
   const aim = buildFullValueDeadline(state, requestKind, head, now);
   return {
     kind: 'routed',
-    call: { head, version, service, requestKind, deadline, ...aim, subject },
+    call: {
+      head,
+      version,
+      service,
+      requestKind,
+      worth: account?.worth ?? requestKind.worth,
+      ...(account === undefined ? {} : { account }),
+      ...(routes.accounts.isEmpty ? {} : { verified: { name: account?.name } }),
+      deadline,
+      ...aim,
+      subject,
+    },
   };
 }
 
+/**
+ * Tells whether the key of a call makes it inadmissible. A call without a key comes from a backend server beside this
+ * proxy, and belongs to no account.
+ */
+function isKeyRefused(
+  { accounts }: RouteIndex,
+  { isPublic }: RouteResource,
+  { accountKey }: CallHead,
+  account: ClientAccountResource | undefined,
+): boolean {
+  if (accounts.isEmpty || isPublic === true) return false;
+  return accountKey !== undefined && account === undefined;
+}
+
 function buildRefusal(
   id: CallId,
   reason: RefusalReason,
--- a/src/calls/intake-filter.ts
+++ b/src/calls/intake-filter.ts
@@ -106,8 +106,7 @@
 }
 
 function buildWaitingCall(queue: IntakeQueue, call: RoutedCall, now: Instant): WaitingCall {
-  const { head, requestKind, aim, deadline } = call;
-  const { worth } = requestKind;
+  const { head, worth, aim, deadline } = call;
   return {
     id: head.id,
     isForwarded: false,
--- a/src/calls/route-index.ts
+++ b/src/calls/route-index.ts
@@ -11,6 +11,7 @@
 import { buildKey } from '../messages/index.js';
 import type { Configuration, ResourceMap } from '../notes/index.js';
 import { EMPTY_CONFIGURATION } from '../notes/index.js';
+import { AccountIndex } from './account-index.js';
 import { findMethod, HostRoutes } from './host-routes.js';
 
 /** A route with its request kind. */
@@ -37,6 +38,8 @@
   /** Whether two routes match the same calls, so that the order in which they are added counts. */
   #isAmbiguous = false;
   #limits: LimitsResource | undefined;
+  /** The client accounts; without any, calls need no keys. */
+  readonly accounts = new AccountIndex();
   readonly #splits = new Map<string, SplitResource>();
   #shares: readonly SplitShare[] = [];
 
@@ -119,6 +122,7 @@
     this.#hosts = new Map();
     this.#splits.clear();
     this.#limits = undefined;
+    this.accounts.clear();
     this.#isAmbiguous = false;
     const { resources } = this.#configuration;
     for (const resource of listPresent(resources.keys(), resources)) this.#add(resource);
@@ -132,6 +136,9 @@
       case 'split':
         this.#splits.set(resource.name, resource);
         return;
+      case 'client-account':
+        this.accounts.add(resource);
+        return;
       case 'route': {
         const { host } = resource;
         const isAdded =
@@ -152,6 +159,9 @@
       case 'split':
         this.#splits.delete(resource.name);
         return;
+      case 'client-account':
+        this.accounts.remove(resource);
+        return;
       case 'route':
         if (resource.host === undefined) this.#removePath(resource);
         else this.#removeHost(resource.host, resource);
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -15,6 +15,7 @@
   FORWARD_HEADER,
   formatForward,
   formatLoad,
+  listAccountHeader,
   listRequestHeaders,
   LOAD_HEADER,
   TIMEOUT_HEADER,
@@ -49,11 +50,15 @@
   readonly #attempts = new Map<AttemptId, CallAttempt>();
   readonly #bufferedBytes: BufferedBytes = { total: 0 };
   readonly #unsent = new UnsentBudget();
+  /** Headers of callers that backend servers do not get if the configuration has client accounts. */
+  readonly #withheldHeaders: ReadonlySet<string>;
   #isStopping = false;
 
   constructor(options: AttemptSenderOptions) {
     this.#options = options;
     this.#pools = new HopPools(options.clock);
+    const { proxyOnlyHeaders, accountHeaders } = options.front;
+    this.#withheldHeaders = new Set([...proxyOnlyHeaders, ...accountHeaders]);
   }
 
   /** The number of attempts in progress. */
@@ -76,11 +81,13 @@
     const addedHeaders = [
       ...this.#listCallHeaders(head, count),
       ...callerHeaders,
+      ...listAccountHeader(call.account),
       FORWARD_HEADER,
       formatForward(target.pass, head, this.#options.clock.read(), digest),
     ];
     const pool = this.#pools.findPool(target.guard, MAX_CONNECTIONS_PER_GUARD);
-    const headers = listRequestHeaders(call.request.rawHeaders, addedHeaders);
+    const owned = call.account === undefined ? undefined : this.#options.front.accountHeaders;
+    const headers = listRequestHeaders(call.request.rawHeaders, addedHeaders, owned);
     this.#start(pool, call, head, headers, { count, keepsAnswer, isGuard: true });
   }
 
@@ -94,20 +101,19 @@
     call.attempt = count;
     call.aim = head.aim;
     const pool = this.#pools.findPool(head.server, connections);
-    const { caller } = call;
+    const { caller, account } = call;
     const remainingMs = this.#measureRemainingMs(head);
-    const addedHeaders = this.#options.front.listServerHeaders({
+    const { front } = this.#options;
+    const addedHeaders = front.listServerHeaders({
       caller,
+      account: account?.name,
       instance,
       remainingMs,
       count,
     });
     const { rawHeaders } = call.request;
-    const headers = listRequestHeaders(
-      rawHeaders,
-      addedHeaders,
-      this.#options.front.proxyOnlyHeaders,
-    );
+    const owned = account === undefined ? front.proxyOnlyHeaders : this.#withheldHeaders;
+    const headers = listRequestHeaders(rawHeaders, addedHeaders, owned);
     this.#start(pool, call, head, headers, { count, keepsAnswer, isGuard: false });
   }
 
--- a/src/edge/call-front.ts
+++ b/src/edge/call-front.ts
@@ -2,13 +2,15 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import type { AnswerEvidence } from '../calls/index.js';
 import type { Result } from '../errors.js';
-import type { CallerId, CallId, InstanceId, Instant } from '../ids.js';
+import type { CallerId, CallId, ClientAccountName, InstanceId, Instant } from '../ids.js';
 import type { HeadFault, ParsedCallHead } from './call-headers.js';
 import type { Refusal, RefusalAnswer } from './call-refusal.js';
 
 /** The facts about an attempt that a front may send to the backend server. */
 export interface ServerAttempt {
   readonly caller: CallerId | undefined;
+  /** The client account of the call, if it has one. */
+  readonly account: ClientAccountName | undefined;
   /** The instance of the backend server for which the attempt is meant, if the server announced one. */
   readonly instance: InstanceId | undefined;
   /** Milliseconds until the deadline. */
@@ -27,6 +29,12 @@
   /** Lower-case names of the headers that are removed from requests of callers; only the proxy may set them. */
   abstract readonly proxyOnlyHeaders: ReadonlySet<string>;
 
+  /**
+   * Lower-case names of the headers with keys and names of client accounts. If the configuration has accounts, they are
+   * removed from requests of callers.
+   */
+  abstract readonly accountHeaders: ReadonlySet<string>;
+
   /** Finds the id under which the caller and the logs know a request. */
   abstract findRequestId(request: IncomingMessage): string | undefined;
 
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -5,15 +5,22 @@
 import { addMs } from '../clock.js';
 import type { Result } from '../errors.js';
 import { makeError, makeOk } from '../errors.js';
-import type { CallerId, CallId, Digest, Instant } from '../ids.js';
+import type { AccountKey, CallerId, CallId, Digest, Instant } from '../ids.js';
 import {
   IdError,
   parseAddress,
   parseCallerId,
+  parseClientAccountName,
   parseIdempotencyKey,
   parseRequestKindName,
 } from '../ids.js';
-import type { AttemptHead, CallHead, ServerLoad, RefusalReason } from '../messages/index.js';
+import type {
+  AttemptHead,
+  CallHead,
+  RefusalReason,
+  ServerLoad,
+  VerifiedAccount,
+} from '../messages/index.js';
 
 /** Outcome of a refused call: certainly not run, or unknown. */
 export const OUTCOME_HEADER = 'bilberryswitch-outcome';
@@ -21,6 +28,13 @@
 export const REASON_HEADER = 'bilberryswitch-reason';
 /** Id of the caller. */
 export const CALLER_HEADER = 'bilberryswitch-caller';
+/** Key of the caller's client account. */
+export const KEY_HEADER = 'bilberryswitch-key';
+/**
+ * Name of the verified client account, towards backend servers and other proxies. To other proxies it is sent for each
+ * call if the configuration has accounts, and is empty for a call without one.
+ */
+export const ACCOUNT_HEADER = 'bilberryswitch-account';
 /** Milliseconds until the deadline; relative, because the clocks of hosts are not synchronized. */
 export const TIMEOUT_HEADER = 'bilberryswitch-timeout-ms';
 /** The number of the attempt within its call, from 1. */
@@ -44,6 +58,8 @@
   readonly head: AttemptHead;
   readonly count: number;
   readonly caller: CallerId | undefined;
+  /** Absent if the configuration of the entry proxy has no client accounts. */
+  readonly account: VerifiedAccount | undefined;
 }
 
 /** Returns whether a request claims to come from another proxy; the claim is not authenticated yet. */
@@ -67,6 +83,7 @@
     const host = parseHostName(headers.host);
     const caller = readHeader(headers, CALLER_HEADER);
     const key = readHeader(headers, 'idempotency-key');
+    const accountKey = readHeader(headers, KEY_HEADER);
     return makeOk({
       id,
       method,
@@ -74,6 +91,7 @@
       url,
       ...(host === undefined ? {} : { host }),
       caller: caller === undefined ? undefined : parseCallerId(caller),
+      ...(accountKey === undefined ? {} : { accountKey: readAccountKey(accountKey) }),
       peer: request.socket.remoteAddress ?? '',
       key: key === undefined ? undefined : parseIdempotencyKey(key),
       deadline: parseDeadline(headers, now),
@@ -101,6 +119,7 @@
   }
   try {
     const requestKind = parseRequestKindName(kind);
+    const account = readVerifiedAccount(headers);
     const named = readHeader(headers, CALLER_HEADER);
     const caller = named === undefined ? undefined : parseCallerId(named);
     const host = parseHostName(headers.host);
@@ -121,17 +140,31 @@
       deadline: parseDeadline(headers, now) ?? now,
       ...(replyMs === '' ? {} : { replyBy: addMs(now, Number(replyMs)) }),
       ...(aimMs === '' ? {} : { aim: addMs(now, Number(aimMs)) }),
+      ...(account?.name === undefined ? {} : { account: account.name }),
       subject,
       suspect: suspect === SUSPECT,
       onlyIfFree: onlyIfFree === ONLY_IF_FREE,
     };
-    return makeOk({ head, count: parseAttemptCount(headers), caller });
+    return makeOk({ head, count: parseAttemptCount(headers), caller, account });
   } catch (error) {
     if (error instanceof IdError) return buildFault(error.message);
     throw error;
   }
 }
 
+/**
+ * Reads the key of a client account. A text that cannot be a key is passed on to be refused like an unknown key, because
+ * a call on a public route may carry any text.
+ */
+export function readAccountKey(text: string): AccountKey {
+  return text as AccountKey;
+}
+
+/** Formats {@link ACCOUNT_HEADER} as a name and a value; empty if the configuration has no client accounts. */
+export function listAccountHeader(account: VerifiedAccount | undefined): string[] {
+  return account === undefined ? [] : [ACCOUNT_HEADER, account.name ?? ''];
+}
+
 /** Formats {@link FORWARD_HEADER}. */
 export function formatForward(
   pass: string,
@@ -287,6 +320,12 @@
   }
 }
 
+function readVerifiedAccount(headers: IncomingHttpHeaders): VerifiedAccount | undefined {
+  const text = readHeader(headers, ACCOUNT_HEADER);
+  if (text === undefined) return undefined;
+  return { name: text === '' ? undefined : parseClientAccountName(text) };
+}
+
 function parseDeadline(headers: IncomingHttpHeaders, now: Instant): Instant | undefined {
   const text = readHeader(headers, TIMEOUT_HEADER);
   if (text === undefined) return undefined;
--- a/src/edge/call-reader.ts
+++ b/src/edge/call-reader.ts
@@ -102,8 +102,9 @@
       call.refuse(buildHeadRefusal(parsed.error));
       return;
     }
-    const { head, count, caller } = parsed.value;
+    const { head, count, caller, account } = parsed.value;
     call.caller = caller;
+    call.account = account;
     call.attempt = count;
     call.deadline = head.deadline;
     call.streamBody();
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -60,6 +60,8 @@
   /** The caller of all calls that enter at this proxy, if configured. */
   readonly caller?: CallerId | undefined;
   readonly retries?: RetryBudgetLimits;
+  /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
+  readonly isRevocationStrict?: boolean;
   readonly place: Locality;
   /** The secret that other proxies send with the calls that they forward; see `Member.pass`. */
   readonly pass: string;
@@ -205,11 +207,13 @@
 
   protected override createPipe(messages: Stream<CallIn | LinkUse>): Stream<unknown> {
     const { place, clock, random, picker, createPolicy, retries } = this.#options;
+    const { isRevocationStrict } = this.#options;
     const pipe = new CallPipe({
       place,
       picker: picker ?? new TwoChoicesPicker(random),
       createPolicy: createPolicy ?? (() => new PrioritySlotPolicy()),
       retries,
+      isRevocationStrict,
     });
     const forPipe = messages.filter((message): message is CallIn => !this.#handleLinkUse(message));
     return applyFilter(pipe, clock, forPipe).tap((output) => {
@@ -276,7 +280,7 @@
   #handleOutput(output: CallOut): void {
     switch (output.kind) {
       case 'classified':
-        this.#setVersion(output);
+        this.#setClassified(output);
         return;
       case 'dispatch':
         this.#sender.dispatch(this.#calls.get(output.id), output);
@@ -334,9 +338,11 @@
     else tick();
   }
 
-  #setVersion({ id, version }: Extract<CallOut, { kind: 'classified' }>): void {
+  #setClassified({ id, version, account }: Extract<CallOut, { kind: 'classified' }>): void {
     const call = this.#calls.get(id);
-    if (call !== undefined) call.version = version;
+    if (call === undefined) return;
+    call.version = version;
+    call.account = account;
   }
 
   #relay(output: Extract<CallOut, { kind: 'relay' }>): void {
--- a/src/edge/default-call-front.ts
+++ b/src/edge/default-call-front.ts
@@ -7,6 +7,7 @@
 import { CallFront } from './call-front.js';
 import type { HeadFault, ParsedCallHead } from './call-headers.js';
 import {
+  ACCOUNT_HEADER,
   ATTEMPT_HEADER,
   CALLER_HEADER,
   parseCallHead,
@@ -19,6 +20,8 @@
 /** Encodes calls with the product's own headers, documented in docs/OPERATORS.md. */
 export class DefaultCallFront extends CallFront {
   override readonly proxyOnlyHeaders: ReadonlySet<string> = new Set();
+  // Headers of the product are never passed on as the caller sent them.
+  override readonly accountHeaders: ReadonlySet<string> = new Set();
 
   override findRequestId({ headers }: IncomingMessage): string | undefined {
     return readHeader(headers, 'idempotency-key') ?? readHeader(headers, 'traceparent');
@@ -32,8 +35,9 @@
     return parseCallHead(request, id, now);
   }
 
-  override listServerHeaders({ caller, remainingMs, count }: ServerAttempt): string[] {
+  override listServerHeaders({ caller, account, remainingMs, count }: ServerAttempt): string[] {
     const named = caller === undefined ? [] : [CALLER_HEADER, caller];
+    if (account !== undefined) named.push(ACCOUNT_HEADER, account);
     return [TIMEOUT_HEADER, remainingMs.toFixed(1), ATTEMPT_HEADER, `${count}`, ...named];
   }
 
--- a/src/edge/distribution-codec.ts
+++ b/src/edge/distribution-codec.ts
@@ -1,7 +1,7 @@
 /** Validates the messages that distribute configuration versions. */
 import { z } from 'zod';
 import type { SourceDistributionMessage, DistributionMessage } from '../messages/index.js';
-import { MAX_TEXT_CHARACTERS } from '../notes/index.js';
+import { MAX_KEYS_PER_ACCOUNT, MAX_TEXT_CHARACTERS } from '../notes/index.js';
 
 /** Reads a message of the channel `spread`; undefined if it does not match the schema. */
 export function readDistributionMessage(body: unknown): DistributionMessage | undefined {
@@ -49,6 +49,7 @@
     service: name,
     targets: z.array(target).optional(),
     requestKind: name,
+    isPublic: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal('request-kind'),
@@ -61,6 +62,7 @@
     targetLatencyMs: z.number().optional(),
     maxAttempts: count.optional(),
     largeAnswers: z.boolean().optional(),
+    largeBodies: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal('limits'),
@@ -71,6 +73,14 @@
     idleTimeoutMs: z.number(),
   }),
   z.object({ kind: z.literal('split'), name, shares: z.array(share) }),
+  z.object({
+    kind: z.literal('client-account'),
+    name,
+    keys: z.array(name).max(MAX_KEYS_PER_ACCOUNT),
+    worth: z.number().optional(),
+    ratePerSecond: z.number().optional(),
+    burst: z.number().optional(),
+  }),
 ]);
 
 const change = z.discriminatedUnion('op', [
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -4,7 +4,7 @@
 export { AnnounceTask } from './announce-task.js';
 export { CallFront } from './call-front.js';
 export type { ServerAttempt } from './call-front.js';
-export { parseHostName, readEndToEndHeader, readHeader } from './call-headers.js';
+export { parseHostName, readAccountKey, readEndToEndHeader, readHeader } from './call-headers.js';
 export type { HeadFault, ParsedCallHead } from './call-headers.js';
 export type { Refusal, RefusalAnswer } from './call-refusal.js';
 export { CallTask } from './call-task.js';
--- a/src/edge/note-parser.ts
+++ b/src/edge/note-parser.ts
@@ -6,13 +6,15 @@
 import { makeError, makeOk } from '../errors.js';
 import type { Digest, Generation, ResourceKey } from '../ids.js';
 import {
+  parseAccountKey,
+  parseClientAccountName,
   parseGeneration,
   parseNoteNumber,
   parseRequestKindName,
   parseServiceName,
 } from '../ids.js';
 import type { NoteDraft, NoteFault, Replacement, Resource } from '../messages/index.js';
-import { MAX_TIMEOUT_MS } from '../notes/index.js';
+import { buildKeyDigest, MAX_KEYS_PER_ACCOUNT, MAX_TIMEOUT_MS } from '../notes/index.js';
 import { buildIdSchema } from './id-schema.js';
 
 /** The text format of a note. Both formats use the same keys. */
@@ -102,6 +104,7 @@
     service: buildIdSchema(parseServiceName),
     targets: z.array(targetSchema).min(1).optional(),
     request_kind: buildIdSchema(parseRequestKindName),
+    public: z.boolean().optional(),
   })
   .refine(({ host, path_prefix }) => host !== undefined || PATH_PREFIX_PATTERN.test(path_prefix), {
     path: ['path_prefix'],
@@ -111,12 +114,13 @@
     path: ['targets'],
     error: 'the first target must be the service of the route',
   })
-  .transform(({ host, targets, path_prefix, request_kind, ...rest }) => ({
+  .transform(({ host, targets, path_prefix, request_kind, public: isPublic, ...rest }) => ({
     ...rest,
     ...(host === undefined ? {} : { host }),
     ...(targets === undefined ? {} : { targets }),
     pathPrefix: path_prefix,
     requestKind: request_kind,
+    ...(isPublic === undefined ? {} : { isPublic }),
   }));
 
 const requestKindSchema = z
@@ -131,18 +135,23 @@
     target_latency_ms: z.int().min(1).max(MAX_TIMEOUT_MS).optional(),
     max_attempts: z.int().min(1).optional(),
     large_answers: z.boolean().optional(),
+    large_bodies: z.boolean().optional(),
   })
   .refine(({ idempotent, hedge }) => idempotent || !hedge, {
     path: ['hedge'],
     error: 'only an idempotent kind may be hedged',
   })
-  .transform(({ timeout_ms, target_latency_ms, max_attempts, large_answers, ...rest }) => ({
-    ...rest,
-    timeoutMs: timeout_ms,
-    ...(target_latency_ms === undefined ? {} : { targetLatencyMs: target_latency_ms }),
-    ...(max_attempts === undefined ? {} : { maxAttempts: max_attempts }),
-    ...(large_answers === undefined ? {} : { largeAnswers: large_answers }),
-  }));
+  .transform(({ timeout_ms, target_latency_ms, max_attempts, ...others }) => {
+    const { large_answers, large_bodies, ...rest } = others;
+    return {
+      ...rest,
+      timeoutMs: timeout_ms,
+      ...(target_latency_ms === undefined ? {} : { targetLatencyMs: target_latency_ms }),
+      ...(max_attempts === undefined ? {} : { maxAttempts: max_attempts }),
+      ...(large_answers === undefined ? {} : { largeAnswers: large_answers }),
+      ...(large_bodies === undefined ? {} : { largeBodies: large_bodies }),
+    };
+  });
 
 const limitsSchema = z
   .strictObject({
@@ -182,18 +191,37 @@
     ),
 });
 
+/** Keys are kept as digests only, so a note that is read back names its keys by their digests. */
+const clientAccountSchema = z
+  .strictObject({
+    kind: z.literal('client-account'),
+    name: buildIdSchema(parseClientAccountName),
+    keys: z.array(buildIdSchema(parseAccountKey)).max(MAX_KEYS_PER_ACCOUNT).default([]),
+    worth: z.number().min(0).optional(),
+    rate_per_second: z.number().min(0).optional(),
+    burst: z.number().min(0).optional(),
+  })
+  .transform(({ keys, worth, rate_per_second, burst, ...rest }) => ({
+    ...rest,
+    keys: [...new Set(keys)].map(buildKeyDigest),
+    ...(worth === undefined ? {} : { worth }),
+    ...(rate_per_second === undefined ? {} : { ratePerSecond: rate_per_second }),
+    ...(burst === undefined ? {} : { burst }),
+  }));
+
 const resourceSchema = z.discriminatedUnion('kind', [
   serviceSchema,
   routeSchema,
   requestKindSchema,
   splitSchema,
   limitsSchema,
+  clientAccountSchema,
 ]);
 
 const keySchema = z
   .strictObject({
-    kind: z.enum(['service', 'route', 'request-kind', 'split', 'limits']),
-    name: nameSchema,
+    kind: z.enum(['service', 'route', 'request-kind', 'split', 'limits', 'client-account']),
+    name: z.union([nameSchema, buildIdSchema<string>(parseClientAccountName)]),
   })
   .transform(({ kind, name }) => `${kind}/${name}` as ResourceKey);
 
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -4,6 +4,7 @@
 import type { CallObserver } from '../calls/index.js';
 import { NEVER } from '../clock.js';
 import type { CallerId, CallId, Instant, Version } from '../ids.js';
+import type { VerifiedAccount } from '../messages/index.js';
 import type { HopSpan, HopTracer } from '../traces/index.js';
 import type { CallBody } from './call-body.js';
 import { hasBody } from './call-body.js';
@@ -35,6 +36,8 @@
   body: CallBody = { kind: 'none' };
   /** The caller; set once the head has been parsed. */
   caller: CallerId | undefined;
+  /** The verified client account; `undefined` before, and if the configuration has no accounts. */
+  account: VerifiedAccount | undefined;
   /** When the proxy that forwarded the call times out; bytes sent later are useless. */
   deadline: Instant = NEVER;
   /** The version of the configuration that routed or refused the call; undefined before, and for a forwarded call. */
@@ -114,6 +117,7 @@
       isForwarded: this.isForwarded,
       request: this.requestId,
       version: this.version,
+      account: this.account?.name,
       path: this.request.url ?? '',
       attempt: this.attempt,
       status,
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -50,6 +50,12 @@
 export type IdempotencyKey = Branded<string, 'IdempotencyKey'>;
 /** Identifies a caller (a member or a fitter) for the traffic split between generations. */
 export type CallerId = Branded<string, 'CallerId'>;
+/** Names a client account: the owner of the keys with which callers authenticate. */
+export type ClientAccountName = Branded<string, 'ClientAccountName'>;
+/** The key of a client account as its caller sends it. It is never logged, stored or passed on. */
+export type AccountKey = Branded<string, 'AccountKey'>;
+/** The SHA-256 digest of an {@link AccountKey} in base64url. */
+export type KeyDigest = Branded<string, 'KeyDigest'>;
 /** Identifies one run of a backend server, as the server names itself. */
 export type InstanceId = Branded<string, 'InstanceId'>;
 /**
@@ -105,6 +111,16 @@
   return checkPrintable(text, 'Idempotency-Key') as IdempotencyKey;
 }
 
+/** Parses the name of a client account: 1 to 256 printable ASCII characters without spaces. */
+export function parseClientAccountName(text: string): ClientAccountName {
+  return checkPrintable(text, 'client account name') as ClientAccountName;
+}
+
+/** Parses a key of a client account: 1 to 256 printable ASCII characters without spaces. */
+export function parseAccountKey(text: string): AccountKey {
+  return checkPrintable(text, 'account key') as AccountKey;
+}
+
 /** Parses an instance id: 1 to 256 printable ASCII characters without spaces. */
 export function parseInstanceId(text: string): InstanceId {
   return checkPrintable(text, 'instance id') as InstanceId;
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -1,9 +1,11 @@
 /** Calls as the filters see them, without sockets, bodies or encoding. */
 import type {
+  AccountKey,
   Address,
   AttemptId,
   CallerId,
   CallId,
+  ClientAccountName,
   Digest,
   HostId,
   IdempotencyKey,
@@ -23,6 +25,8 @@
   /** The path with its query. */
   readonly url: string;
   readonly caller: CallerId | undefined;
+  /** The key of a client account that the caller sent, if any; not verified. */
+  readonly accountKey?: AccountKey;
   /** The source IP address of the call; identifies the caller when `caller` is absent. */
   readonly peer: string;
   readonly key: IdempotencyKey | undefined;
@@ -38,6 +42,12 @@
   readonly repeatable: boolean;
 }
 
+/** The result of the verification of a call's key. */
+export interface VerifiedAccount {
+  /** The account of the call; `undefined` for a call that needs no key and has no valid one. */
+  readonly name: ClientAccountName | undefined;
+}
+
 /** The properties of one attempt that the guard uses for admission control. */
 export interface AttemptHead {
   readonly attempt: AttemptId;
@@ -53,6 +63,8 @@
   readonly replyBy?: Instant;
   /** An answer up to this instant has its full worth; a later one has a part of it. */
   readonly aim?: Instant;
+  /** The client account of the call, if it has one. */
+  readonly account?: ClientAccountName;
   /** Equal for calls with the same request; input of the fingerprint of a request that crashes servers. */
   readonly subject: string;
   /** Whether an earlier attempt of this call was in flight at a server that crashed. */
@@ -95,6 +107,8 @@
   /** A newer version is in force that this proxy could not get in time. */
   | 'stale-configuration'
   | 'no-route'
+  /** The key that the caller sent belongs to no client account. */
+  | 'unknown-key'
   | 'no-server'
   | 'overloaded'
   /** This proxy's processor is overloaded. */
--- a/src/messages/resource.ts
+++ b/src/messages/resource.ts
@@ -1,5 +1,12 @@
 /** The resources of a configuration. A configuration is a set of resources with unique keys. */
-import type { Generation, RequestKindName, ResourceKey, ServiceName } from '../ids.js';
+import type {
+  ClientAccountName,
+  Generation,
+  KeyDigest,
+  RequestKindName,
+  ResourceKey,
+  ServiceName,
+} from '../ids.js';
 
 /** A service for which backend servers announce themselves. */
 export interface ServiceResource {
@@ -37,6 +44,8 @@
   /** Splits the calls between several services by weight. */
   readonly targets?: readonly RouteTarget[];
   readonly requestKind: RequestKindName;
+  /** Whether calls need no key of a client account, even if the configuration has accounts. */
+  readonly isPublic?: boolean;
 }
 
 /** The policy for calls of one request kind. */
@@ -62,6 +71,25 @@
    * data centre before they go to another one.
    */
   readonly largeAnswers?: boolean;
+  /** Whether request bodies are so large that they compete for the link of the backend server's host. */
+  readonly largeBodies?: boolean;
+}
+
+/**
+ * A client account. If the configuration has accounts, a call with a key belongs to the account that holds it,
+ * and a call with any other key is refused.
+ */
+export interface ClientAccountResource {
+  readonly kind: 'client-account';
+  readonly name: ClientAccountName;
+  /** The digests of the account's keys; an account may have none. */
+  readonly keys: readonly KeyDigest[];
+  /** The worth of the account's calls, in place of that of their request kinds. */
+  readonly worth?: number;
+  /** The calls per second that may run, over all proxies together; unlimited if absent. */
+  readonly ratePerSecond?: number;
+  /** The calls that may run beyond the rate after a quiet time. */
+  readonly burst?: number;
 }
 
 /** Limits on the size and duration of requests from callers. */
@@ -92,7 +120,12 @@
 
 /** Any resource. */
 export type Resource =
-  ServiceResource | RouteResource | RequestKindResource | SplitResource | LimitsResource;
+  | ServiceResource
+  | RouteResource
+  | RequestKindResource
+  | SplitResource
+  | LimitsResource
+  | ClientAccountResource;
 
 /** One change of a resource in a configuration version. */
 export type Change =
--- a/src/notes/configuration-table.ts
+++ b/src/notes/configuration-table.ts
@@ -3,6 +3,8 @@
 import { NO_VERSION } from '../ids.js';
 import type { Change, Resource, ConfigurationSnapshot } from '../messages/index.js';
 import { buildKey } from '../messages/index.js';
+import type { AccountViolation } from './account-keys.js';
+import { AccountKeys } from './account-keys.js';
 import {
   addToSetDigest,
   EMPTY_SET_DIGEST,
@@ -23,7 +25,8 @@
       readonly field: string;
     }
   /** Two routes would match the same calls. */
-  | { readonly kind: 'ambiguous'; readonly from: ResourceKey; readonly other: ResourceKey };
+  | { readonly kind: 'ambiguous'; readonly from: ResourceKey; readonly other: ResourceKey }
+  | AccountViolation;
 
 /**
  * Holds one configuration. The time to check and apply changes is proportional to the number of changes and of
@@ -41,6 +44,7 @@
   readonly #referrers = new Map<ResourceKey, Set<ResourceKey>>();
   /** The route that matches each pattern. */
   readonly #patterns = new Map<string, ResourceKey>();
+  readonly #accountKeys = new AccountKeys();
 
   /** Builds a table from a snapshot whose digest and references have been checked. */
   static open(snapshot: ConfigurationSnapshot): ConfigurationTable {
@@ -77,6 +81,7 @@
       ...this.#findDanglingOfChanged(next),
       ...this.#findDanglingOfUnchanged(next),
       ...this.#findAmbiguous(next),
+      ...this.#accountKeys.findViolations(next.resources, (key) => this.#resources.get(key)),
     ];
     return violations.sort((left, right) => compareTexts(buildSortKey(left), buildSortKey(right)));
   }
@@ -112,6 +117,7 @@
       else referrers.add(key);
     }
     if (resource.kind === 'route') this.#patterns.set(buildPattern(resource), key);
+    if (resource.kind === 'client-account') this.#accountKeys.add(resource);
   }
 
   #remove(key: ResourceKey): void {
@@ -126,6 +132,7 @@
       if (referrers?.size === 0) this.#referrers.delete(to);
     }
     if (resource.kind === 'route') this.#patterns.delete(buildPattern(resource));
+    if (resource.kind === 'client-account') this.#accountKeys.remove(resource);
   }
 
   #buildOverlay(changes: readonly Change[]): Overlay {
@@ -201,9 +208,14 @@
 }
 
 function buildSortKey(violation: Violation): string {
-  return violation.kind === 'dangling'
-    ? `${violation.from} ${violation.to} ${violation.field}`
-    : `${violation.from} ${violation.other}`;
+  switch (violation.kind) {
+    case 'dangling':
+      return `${violation.from} ${violation.to} ${violation.field}`;
+    case 'too-many-accounts':
+      return violation.from;
+    default:
+      return `${violation.from} ${violation.other}`;
+  }
 }
 
 function compareTexts(left: string, right: string): number {
--- a/src/notes/decide-edit.ts
+++ b/src/notes/decide-edit.ts
@@ -5,6 +5,7 @@
 import type { Layer, LayerTable } from './layer-table.js';
 import type { NoteEntry, ResourceAction } from './note-entry.js';
 import { listActions } from './note-entry.js';
+import { MAX_CLIENT_ACCOUNTS } from './resource-bounds.js';
 import { listProvided } from './references.js';
 import type { Violation, ConfigurationTable } from './configuration-table.js';
 
@@ -159,7 +160,7 @@
   decision: MutableDecision,
 ): void {
   const { faults, dependents } = decision;
-  const other = violation.kind === 'ambiguous' ? violation.other : violation.to;
+  const other = findOther(violation);
   const setter = tables.layers.findTop(violation.from);
   const remover = tables.layers.findTop(other);
   const own = actions.get(violation.from);
@@ -170,12 +171,18 @@
   else faults.push({ place: cause?.place ?? 'note', message: buildMessage(violation, setter) });
 }
 
+/** Returns the other resource that is involved in a violation. */
+function findOther(violation: Violation): ResourceKey {
+  if (violation.kind === 'dangling') return violation.to;
+  return violation.kind === 'too-many-accounts' ? violation.from : violation.other;
+}
+
 function isLater(layer: Layer | undefined, { position }: Edit): layer is Layer {
   return layer !== undefined && layer.position > position;
 }
 
 function buildOwnFault({ place }: ResourceAction, violation: Violation): NoteFault {
-  if (violation.kind === 'ambiguous') return { place, message: buildMessage(violation, undefined) };
+  if (violation.kind !== 'dangling') return { place, message: buildMessage(violation, undefined) };
   return {
     place: `${place}.${violation.field}`,
     message: `${violation.to} would be absent; add it, or correct the name`,
@@ -201,6 +208,9 @@
     setter === undefined ? violation.from : `${violation.from}, set by note ${setter.note},`;
   if (violation.kind === 'dangling')
     return `${from} refers to ${violation.to}, which would be absent`;
+  if (violation.kind === 'shared-key') return `${from} would have a key of ${violation.other}`;
+  if (violation.kind === 'too-many-accounts')
+    return `${from} would exceed the limit of ${MAX_CLIENT_ACCOUNTS} client accounts`;
   return `${from} would match the same generation, method and path prefix as ${violation.other}`;
 }
 
--- a/src/notes/digest.ts
+++ b/src/notes/digest.ts
@@ -1,6 +1,6 @@
 /** Digests of resources, notes and configurations. */
 import { createHash } from 'node:crypto';
-import type { Digest } from '../ids.js';
+import type { AccountKey, Digest, KeyDigest } from '../ids.js';
 import type { Resource } from '../messages/index.js';
 
 /**
@@ -32,6 +32,14 @@
   return createHash('sha256').update(formatCanonical(value)).digest('hex') as Digest;
 }
 
+/**
+ * Builds the digest under which the key of a client account is kept and compared. It needs no salt and no slow hash
+ * function, because keys are random texts and not passwords.
+ */
+export function buildKeyDigest(key: AccountKey): KeyDigest {
+  return createHash('sha256').update(key).digest('base64url') as KeyDigest;
+}
+
 /** Formats a value as JSON with sorted keys and without undefined members. */
 export function formatCanonical(value: unknown): string {
   return JSON.stringify(value, sortMembers);
--- a/src/notes/index.ts
+++ b/src/notes/index.ts
@@ -1,5 +1,5 @@
 /** Release notes: validates them, keeps them in order, and builds the configurations that they produce. */
-export { digestValue, formatCanonical, formatSetDigest } from './digest.js';
+export { buildKeyDigest, digestValue, formatCanonical, formatSetDigest } from './digest.js';
 export type { NoteVerdict } from './decide-command.js';
 export { NoteStore } from './note-store.js';
 export type { NoteStoreSnapshot, NoteOutcome } from './note-store.js';
@@ -23,4 +23,4 @@
 export type { Violation } from './configuration-table.js';
 export { countCoverage, NO_COVERAGE } from './note-status.js';
 export type { SourceReport } from './note-status.js';
-export { MAX_TEXT_CHARACTERS, MAX_TIMEOUT_MS } from './resource-bounds.js';
+export { MAX_KEYS_PER_ACCOUNT, MAX_TEXT_CHARACTERS, MAX_TIMEOUT_MS } from './resource-bounds.js';
--- a/src/notes/references.ts
+++ b/src/notes/references.ts
@@ -38,6 +38,7 @@
     case 'service':
     case 'request-kind':
     case 'limits':
+    case 'client-account':
       return [];
   }
 }
--- a/src/notes/resource-bounds.ts
+++ b/src/notes/resource-bounds.ts
@@ -2,7 +2,7 @@
  * The bounds of resources, for every front end. Every proxy can process resources within these bounds. They are
  * checked before a command enters the log, because the decision on a committed command must never change.
  */
-import type { NoteCommand, NoteFault, Resource } from '../messages/index.js';
+import type { ClientAccountResource, NoteCommand, NoteFault, Resource } from '../messages/index.js';
 import { buildKey } from '../messages/index.js';
 
 /** The maximum length of a text in messages that distribute versions, in characters. */
@@ -10,6 +10,11 @@
 /** The maximum timeout, one day; Node.js timers support at most 24 days. */
 export const MAX_TIMEOUT_MS = 86_400_000;
 
+/** The maximum number of keys of a client account. */
+export const MAX_KEYS_PER_ACCOUNT = 10;
+/** The maximum number of client accounts of a configuration. */
+export const MAX_CLIENT_ACCOUNTS = 1_000;
+
 /** Lists the faults of the resources in a command that are out of bounds. */
 export function listBoundFaults(command: NoteCommand): NoteFault[] {
   return listResources(command).flatMap((resource) => {
@@ -22,6 +27,8 @@
 
 /** The maximum weight of a target. Up to it, sums and differences of weights are exact enough for the shares. */
 const MAX_WEIGHT = 1_000_000_000;
+/** The maximum worth, rate and burst of a client account. */
+const MAX_ACCOUNT_NUMBER = 1_000_000_000;
 
 function listResources(command: NoteCommand): readonly Resource[] {
   switch (command.kind) {
@@ -41,10 +48,21 @@
   return [
     ...texts.map(([field]) => `${field}: longer than ${MAX_TEXT_CHARACTERS} characters`),
     ...timeouts.map(([field]) => `${field}: expected at most ${MAX_TIMEOUT_MS} ms`),
+    ...(resource.kind === 'client-account' ? listAccountFaults(resource) : []),
     ...(hasExcessiveWeight(resource) ? [`targets: a weight is above ${MAX_WEIGHT}`] : []),
   ];
 }
 
+function listAccountFaults({ keys, worth = 0, ...limits }: ClientAccountResource): string[] {
+  const { ratePerSecond = 0, burst = 0 } = limits;
+  const numbers = Object.entries({ worth, ratePerSecond, burst });
+  const invalid = numbers.filter(([, value]) => !(value >= 0 && value <= MAX_ACCOUNT_NUMBER));
+  return [
+    ...invalid.map(([field]) => `${field}: expected 0 to ${MAX_ACCOUNT_NUMBER}`),
+    ...(keys.length > MAX_KEYS_PER_ACCOUNT ? [`keys: more than ${MAX_KEYS_PER_ACCOUNT}`] : []),
+  ];
+}
+
 function listTimeouts(resource: Resource): [field: string, milliseconds: number][] {
   if (resource.kind === 'request-kind') {
     const { timeoutMs, targetLatencyMs = timeoutMs } = resource;
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -98,10 +98,10 @@
 }
 
 function buildCallFields(end: CallEnd): LogFields {
-  const { isForwarded, request, version, attempt, path, status, reason, outcome } = end;
+  const { isForwarded, request, version, account, attempt, path, status, reason, outcome } = end;
   const side = isForwarded ? 'guard' : 'entry';
   const ms = Math.round(end.milliseconds);
-  return { side, request, version, attempt, path, status, reason, outcome, ms };
+  return { side, request, version, account, attempt, path, status, reason, outcome, ms };
 }
 
 function buildLateFields({
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -69,6 +69,7 @@
     front: options.fronts.createCallFront(),
     caller: proxy.service === undefined ? undefined : parseCallerId(proxy.service),
     retries: proxy.retries,
+    isRevocationStrict: proxy.accounts.isRevocationStrict,
     linkBytesPerSecond: proxy.linkBytesPerSecond,
     place: settings,
     pass: options.pass,
@@ -167,6 +168,13 @@
     else log('version-behind', { from: output.from, known: output.known, held, sinceMs });
   }
 
+  /** With strict revocation, keys are accepted only for some time after the version was known to be the newest. */
+  function postKeysTrusted({ checkedAt }: NewestKnown): void {
+    const { isRevocationStrict, revokeMs } = proxy.accounts;
+    if (!isRevocationStrict || checkedAt === undefined) return;
+    calls.post({ kind: 'keys-trusted', until: addMs(checkedAt, revokeMs) });
+  }
+
   function routeDistribution(output: ProxyDistributionOut): void {
     switch (output.kind) {
       case 'send':
@@ -190,6 +198,7 @@
         return;
       case 'newest-known':
         versions.handleNewestKnown(output);
+        postKeysTrusted(output);
         return;
       case 'stale':
         log(output.isStale ? 'configuration-stale' : 'configuration-current', {
@@ -275,6 +284,8 @@
 
 type LateVersion = Extract<ProxyDistributionOut, { kind: 'behind' | 'caught-up' }>;
 
+type NewestKnown = Extract<ProxyDistributionOut, { kind: 'newest-known' }>;
+
 type DistributionSend = Extract<ProxyDistributionOut, { kind: 'send' | 'send-source' }>;
 
 /** Last part of the linger time in milliseconds, in which other proxies learn that the local servers drain. */
--- a/src/program/settings/proxy-settings.ts
+++ b/src/program/settings/proxy-settings.ts
@@ -6,6 +6,14 @@
 import { parseServiceName } from '../../ids.js';
 import { addressSchema, buildMillisecondsSchema } from './schema-parts.js';
 
+/** Settings of the client accounts. */
+export interface AccountSettings {
+  /** Whether keys are refused once this proxy has had no sign of the newest version for {@link revokeMs}. */
+  readonly isRevocationStrict: boolean;
+  /** Time in milliseconds after which a revoked key is refused, also by a proxy that is cut off. */
+  readonly revokeMs: number;
+}
+
 /** Settings of the proxy role. */
 export interface ProxySettings {
   /** The address for calls of callers, and of other proxies unless `forwards` is set. */
@@ -32,6 +40,7 @@
   /** Time in milliseconds from the stop signal until the process is killed; undefined waits for every call. */
   readonly stopWithinMs: number | undefined;
   readonly retries: RetryBudgetLimits;
+  readonly accounts: AccountSettings;
   /** Bandwidth of the host link in bytes per second; undefined disables the pacing of large answers. */
   readonly linkBytesPerSecond: number | undefined;
 }
@@ -41,6 +50,7 @@
 const MS_PER_SECOND = 1_000;
 const DEFAULT_RETRIES_PER_CALL = 0.1;
 const DEFAULT_RETRY_BURST = 20;
+const DEFAULT_REVOKE_SECONDS = 5;
 const BYTES_PER_MEGABIT = 125_000;
 
 const retriesSchema = z
@@ -53,6 +63,15 @@
     return { perCall: per_call, burst, isShared: shared };
   });
 
+const accountsSchema = z
+  .strictObject({
+    strict_revocation: z.boolean().default(false),
+    revoke_seconds: z.number().positive().max(MAX_STOP_SECONDS).default(DEFAULT_REVOKE_SECONDS),
+  })
+  .transform(({ strict_revocation, revoke_seconds }): AccountSettings => {
+    return { isRevocationStrict: strict_revocation, revokeMs: revoke_seconds * MS_PER_SECOND };
+  });
+
 /** Checks the section `[proxy]`. */
 export const proxySchema = z
   .strictObject({
@@ -67,6 +86,7 @@
     linger_ms: buildMillisecondsSchema(0, MAX_LINGER_MS).default(0),
     stop_within_seconds: z.number().positive().max(MAX_STOP_SECONDS).optional(),
     retries: retriesSchema.prefault({}),
+    accounts: accountsSchema.prefault({}),
     link_mbit_per_second: z.number().positive().optional(),
   })
   .refine(({ sources, seeds }) => sources.length + seeds.length > 0, {
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -14,6 +14,7 @@
   isForwarded: false,
   request: 'a-1',
   version: 7 as Version,
+  account: undefined,
   path: '/read/x',
   attempt: 0,
   status: 503,
--- a/test/calls-again.test.ts
+++ b/test/calls-again.test.ts
@@ -57,7 +57,15 @@
   const deadline = addMs(NOW, requestKind.timeoutMs);
   const service = 'shop' as ServiceName;
   const version = 3 as Version;
-  const call = { head: makeHead('c'), version, service, requestKind, deadline, subject: 'c' };
+  const call = {
+    head: makeHead('c'),
+    version,
+    service,
+    requestKind,
+    worth: 1,
+    deadline,
+    subject: 'c',
+  };
   post({ kind: 'claimed', call });
   return post(end).flatMap((output) => (output.kind === 'sent-again' ? [output] : []));
 }
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -42,7 +42,15 @@
   const requestKind = makeKind('k', kind);
   const deadline = addMs(START, requestKind.timeoutMs);
   const version = 3 as Version;
-  return { head: makeHead(id, head), version, service: SHOP, requestKind, deadline, subject: id };
+  return {
+    head: makeHead(id, head),
+    version,
+    service: SHOP,
+    requestKind,
+    worth: requestKind.worth,
+    deadline,
+    subject: id,
+  };
 }
 
 /** Drives an attempt filter with the given number of servers, one per host. */
--- a/test/guard-round-trips.test.ts
+++ b/test/guard-round-trips.test.ts
@@ -57,7 +57,15 @@
     const service = 'shop' as ServiceName;
     const deadline = addMs(now, timeoutMs);
     const version = 3 as Version;
-    const call = { head: makeHead(id), version, service, requestKind, deadline, subject: id };
+    const call = {
+      head: makeHead(id),
+      version,
+      service,
+      requestKind,
+      worth: 1,
+      deadline,
+      subject: id,
+    };
     const dispatch = this.post({ kind: 'claimed', call }, now).find(
       (output) => output.kind === 'dispatch',
     );
--- a/test/intake-calls.ts
+++ b/test/intake-calls.ts
@@ -31,6 +31,7 @@
       version: 3 as Version,
       service: 'shop' as ServiceName,
       requestKind: makeKind('read', { worth }),
+      worth,
       deadline: addMs(now, deadlineMs),
       aim: addMs(now, aimMs),
       subject: id,
--- a/test/loop-watch.test.ts
+++ b/test/loop-watch.test.ts
@@ -69,6 +69,7 @@
   isForwarded: false,
   request: undefined,
   version: undefined,
+  account: undefined,
   path: '/',
   attempt: 1,
   status: 200,
