--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -161,6 +161,7 @@
     const template = readFileSync(join('deploy', `${name}.toml`), 'utf8');
     const text = template
       .replace(/\{\{#seeds\}\}.*\{\{\/seeds\}\}/, '"10.0.0.2:8306"')
+      .replace(/\{\{#bounds\.strictRevocation\}\}(.*)\{\{\/bounds\.strictRevocation\}\}/, '$1')
       .replace(
         /\{\{#(?:bounds|limits)\.(\w+)\}\}(.*)\{\{\.\}\}\{\{\/(?:bounds|limits)\.\w+\}\}/g,
         '$20.5',
