--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -170,7 +170,7 @@
     return buildRefusal(id, 'stale-configuration', version);
   }
   const account = accountKey === undefined ? undefined : routes.accounts.find(accountKey);
-  if (isKeyRefused(routes, route, head, account)) return buildRefusal(id, 'unknown-key', version);
+  if (isKeyRefused(routes, route, account)) return buildRefusal(id, 'unknown-key', version);
   const latest = Math.min(addMs(now, requestKind.timeoutMs), state.answerBy) as Instant;
   const deadline = Math.min(head.deadline ?? latest, latest) as Instant;
   if (deadline <= now) return buildRefusal(id, 'deadline', version);
@@ -198,18 +198,13 @@
   };
 }
 
-/**
- * Tells whether the key of a call makes it inadmissible. A call without a key comes from a backend server beside this
- * proxy, and belongs to no account.
- */
+/** Tells whether a call lacks a valid key although it needs one. */
 function isKeyRefused(
   { accounts }: RouteIndex,
   { isPublic }: RouteResource,
-  { accountKey }: CallHead,
   account: ClientAccountResource | undefined,
 ): boolean {
-  if (accounts.isEmpty || isPublic === true) return false;
-  return accountKey !== undefined && account === undefined;
+  return !accounts.isEmpty && isPublic !== true && account === undefined;
 }
 
 function buildRefusal(
--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -121,7 +121,7 @@
   'no-configuration': 'this proxy has no configuration yet; call another one',
   'stale-configuration': 'this proxy lacks the newest version; call another one',
   'no-route': 'no route matches; check the path, the method and the generation',
-  'unknown-key': 'the key belongs to no client account; send a valid one',
+  'unknown-key': 'this route needs the key of a client account; send a valid one',
   'no-server': 'no backend server of the service is ready; send the call again later',
   overloaded: 'no slot would be free in time; send the call again later',
   'proxy-overloaded': 'this proxy has no time for the call; send it again later',
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -107,7 +107,7 @@
   /** A newer version is in force that this proxy could not get in time. */
   | 'stale-configuration'
   | 'no-route'
-  /** The key that the caller sent belongs to no client account. */
+  /** The call needs a key, and has none or one that belongs to no client account. */
   | 'unknown-key'
   | 'no-server'
   | 'overloaded'
