Send large bodies over narrow links only after a permission

Cause: an entry proxy sends the body of an upload as soon as it has a connection; the bodies fill the link of the guard's host, and a slot is held while a body arrives.

Change: for request kinds with large bodies, and where the bandwidth of the link is configured, the entry proxy sends the head with bilberryswitch-body-bytes and waits for an interim 100 Continue, which states the rate. The guard first checks that the server would take the attempt, asks BodyAdmission, reads the body into memory (up to 1 MiB), and only then asks for a slot. An attempt that waits has not run until its last byte is written, whatever happens to the guard. A guard declines an upload while its link is busy and another host may be free; a streamed body can then go there, because nothing of it was read. Bodies are paced in pieces of 10 ms at the sender.

Bodies up to 4 KiB, other request kinds, and deployments without link_mbit_per_second send as before. The new metrics are link_bodies_total, link_waiting_bodies and link_arriving_bodies; the new log line is body-refused.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -40,6 +40,8 @@
   readonly picker: Picker;
   /** Limits of the retry budget of each service. */
   readonly retries?: RetryBudgetLimits | undefined;
+  /** Whether large bodies are sent only after a permission of the guard, because the link is narrow. */
+  readonly asksForBodies?: boolean;
 }
 
 /**
@@ -56,7 +58,7 @@
   constructor(options: AttemptOptions) {
     super();
     this.#options = options;
-    this.#placement = new AttemptPlacement(options.picker);
+    this.#placement = new AttemptPlacement(options.picker, options.asksForBodies);
     this.#retries = options.retries ?? DEFAULT_RETRY_BUDGET_LIMITS;
   }
 
--- a/src/calls/attempt-messages.ts
+++ b/src/calls/attempt-messages.ts
@@ -67,6 +67,8 @@
       readonly count: number;
       /** Whether the answer is stored so that it can be replayed to a resent call. */
       readonly keepsAnswer: boolean;
+      /** Whether the request kind has large bodies, which are sent over a narrow link only after a permission. */
+      readonly hasLargeBody?: boolean;
     }
   /** Relays the answer of this attempt to the caller. */
   | { readonly kind: 'relay'; readonly id: CallId; readonly attempt: AttemptId }
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -27,9 +27,12 @@
  */
 export class AttemptPlacement {
   readonly #picker: Picker;
+  readonly #asksForBodies: boolean;
 
-  constructor(picker: Picker) {
+  /** @param asksForBodies Whether guards permit large bodies before they are sent. */
+  constructor(picker: Picker, asksForBodies = false) {
     this.#picker = picker;
+    this.#asksForBodies = asksForBodies;
   }
 
   /**
@@ -83,6 +86,7 @@
         },
         count,
         keepsAnswer: needsClaim(requestKind, head),
+        ...(requestKind.largeBodies === true ? { hasLargeBody: true } : {}),
       },
     ];
   }
@@ -119,7 +123,9 @@
   /** Tells whether the guard should decline the attempt if no slot is free, so that it can be redirected. */
   #mayBeDeclined(state: AttemptState, call: OpenCall, now: Instant): boolean {
     const { head, requestKind } = call.routed;
-    if (!head.repeatable || requestKind.largeAnswers === true) return false;
+    // A guard that declines a large body has not received any of it, so a streamed one can go to another server.
+    const isUnsent = this.#asksForBodies && requestKind.largeBodies === true;
+    if (!(head.repeatable || isUnsent) || requestKind.largeAnswers === true) return false;
     if (call.declinedBy.length >= MAX_DECLINES) return false;
     return this.#hasAlternative(state, call, now);
   }
--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -86,6 +86,19 @@
   readonly heldMs: number;
 }
 
+/** The end of the wait of an attempt for the permission to send its body, or of a permitted body that came too slowly. */
+export interface BodyWaitEnd {
+  /** The request id that the caller sent. */
+  readonly request: string | undefined;
+  readonly path: string;
+  /** `stalled`: the body was permitted before, and has not arrived in time. */
+  readonly outcome: 'granted' | 'refused' | 'stalled';
+  /** Why the attempt was refused; `undefined` if the body was permitted. */
+  readonly reason: RefusalReason | undefined;
+  /** Milliseconds since the attempt asked for the permission. */
+  readonly waitedMs: number;
+}
+
 /** The work that was still open at the end of a planned stop and is cut off. */
 export interface StopSummary {
   /** Calls of callers without an answer. */
@@ -149,6 +162,11 @@
     // Does nothing by default.
   }
 
+  /** Called when a large body of another proxy has been permitted or refused. */
+  endBodyWait(_end: BodyWaitEnd): void {
+    // Does nothing by default.
+  }
+
   /** Called once, when a planned stop no longer waits for open calls. */
   endStop(_end: StopSummary): void {
     // Does nothing by default.
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -15,6 +15,7 @@
 } from '../messages/index.js';
 import type { Configuration } from '../notes/index.js';
 import type { AttemptOut } from './attempt-messages.js';
+import type { BodyEvent, BodyOut } from './body-filter.js';
 import type { GuardOut, RunEnding } from './guard-filter.js';
 import type { ForwardedAttempt, IntakeIn, IntakeOut } from './intake-filter.js';
 
@@ -30,6 +31,7 @@
   /** A call from a caller. */
   | { readonly kind: 'arrived'; readonly head: CallHead }
   | ForwardedAttempt
+  | BodyEvent
   | Extract<IntakeIn, { kind: 'turn' | 'turn-over' }>
   | {
       readonly kind: 'answer-started';
@@ -94,6 +96,8 @@
   | Exclude<AttemptOut, { kind: 'dispatch' | 'relay' }>
   | Extract<GuardOut, { kind: 'stop-run' | 'probe' | 'broadcast' }>
   | Extract<IntakeOut, { kind: 'want-turn' }>
+  /** Permits a body, or reports what happened to bodies; the refusal of an attempt is a separate output. */
+  | Extract<BodyOut, { kind: 'grant-body' | 'reject-body' | 'body-counts' }>
   | { readonly kind: 'replay'; readonly id: CallId; readonly answer: StoredAnswer }
   | { readonly kind: 'ledger'; readonly request: LedgerRequest }
   /** The limits on requests of callers that apply from now on. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -1,11 +1,22 @@
-/** Composes the filters of the call path (classify → intake → claim → attempt → guard) into one filter. */
+/**
+ * Composes the filters of the call path (classify → intake → claim → attempt → guard) into one filter. Forwarded
+ * attempts with large bodies pass the body filter between intake and guard.
+ */
 import type { Address, AttemptId, CallId, HostId, Instant } from '../ids.js';
-import type { AttemptFailure, CallHead, MemberEvent } from '../messages/index.js';
+import type {
+  AttemptFailure,
+  CallHead,
+  MemberEvent,
+  RefusalReason,
+  ServerLoad,
+} from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import type { AttemptIn, AttemptOut } from './attempt-messages.js';
 import type { AttemptState } from './attempt-state.js';
 import { AttemptFilter } from './attempt-filter.js';
+import type { BodyIn, BodyOut, BodyState } from './body-filter.js';
+import { BodyFilter } from './body-filter.js';
 import type { ClaimIn, ClaimOut, ClaimState } from './claim-filter.js';
 import { ClaimFilter } from './claim-filter.js';
 import type { ClassifyIn, ClassifyOut, ClassifyState } from './classify-filter.js';
@@ -28,6 +39,8 @@
   readonly retries?: RetryBudgetLimits | undefined;
   /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
   readonly isRevocationStrict?: boolean | undefined;
+  /** The bandwidth of the link of this host, if configured; large bodies then need a permission. */
+  readonly linkBytesPerSecond?: number | undefined;
 }
 
 /** The states of the filters, and the attempts at backend servers beside this proxy. */
@@ -36,6 +49,8 @@
   intake: IntakeState;
   claim: ClaimState;
   attempt: AttemptState;
+  /** Undefined if the bandwidth of the link is not configured. */
+  bodies: BodyState | undefined;
   guard: GuardState;
   readonly guarded: Map<AttemptId, GuardedAttempt>;
   /** Servers beside this proxy with a failed forwarded attempt and no answered one since. */
@@ -50,13 +65,18 @@
   readonly #intake = new IntakeFilter();
   readonly #claim = new ClaimFilter();
   readonly #attempt: AttemptFilter;
+  readonly #bodies: BodyFilter | undefined;
   readonly #guard: GuardFilter;
 
-  constructor({ place, picker, createPolicy, retries, isRevocationStrict }: CallPipeOptions) {
+  constructor(options: CallPipeOptions) {
     super();
+    const { place, picker, createPolicy, retries, isRevocationStrict } = options;
+    const { linkBytesPerSecond: link } = options;
     this.#host = place.host;
     this.#classify = new ClassifyFilter(place.host, isRevocationStrict);
-    this.#attempt = new AttemptFilter({ place, picker, retries });
+    const asksForBodies = link !== undefined;
+    this.#attempt = new AttemptFilter({ place, picker, retries, asksForBodies });
+    this.#bodies = link === undefined ? undefined : new BodyFilter(link);
     this.#guard = new GuardFilter(createPolicy);
   }
 
@@ -66,6 +86,7 @@
       intake: this.#intake.createState(),
       claim: this.#claim.createState(),
       attempt: this.#attempt.createState(),
+      bodies: this.#bodies?.createState(),
       guard: this.#guard.createState(),
       guarded: new Map(),
       failing: new Set(),
@@ -101,6 +122,11 @@
       case 'turn-over':
         this.#passToIntake(context, message);
         return;
+      case 'body-part':
+      case 'body-ready':
+      case 'body-complete':
+        this.#passToBodies(context, message);
+        return;
       case 'member-up':
       case 'member-gone':
         this.#updateMembers(context, message);
@@ -128,15 +154,18 @@
         this.#passToClassify(context, message);
         this.#passToIntake(context, message);
         this.#passToAttempt(context, message);
+        this.#passToBodies(context, message);
         this.#passToGuard(context, message);
         return;
       case 'drain':
         state.isDraining = true;
+        this.#passToBodies(context, message);
         this.#passToGuard(context, message);
         return;
       case 'tick':
         this.#passToClaim(context, message);
         this.#passToAttempt(context, message);
+        this.#passToBodies(context, message);
         this.#passToGuard(context, message);
         return;
     }
@@ -162,9 +191,8 @@
   ): void {
     const { attempt } = message;
     const guarded = context.state.guarded.get(attempt);
-    const load = context.state.guard.serversByAttempt
-      .get(attempt)
-      ?.measureLoadAfter(attempt, context.now);
+    const server = context.state.guard.serversByAttempt.get(attempt);
+    const load = addBodies(context, server?.measureLoadAfter(attempt, context.now));
     if (guarded?.isForwarded !== true)
       this.#passToAttempt(context, { ...message, load: load ?? message.load });
     else context.outputs.push({ kind: 'relay', id: guarded.id, attempt, load });
@@ -229,6 +257,7 @@
   #withdrawForwarded(context: MessageContext, id: CallId): void {
     const attempt = buildForwardedAttempt(id);
     if (context.state.guarded.has(attempt)) this.#withdraw(context, attempt);
+    this.#passToBodies(context, { kind: 'ended', attempt });
   }
 
   /** Removes a waiting attempt immediately; a running one ends when its connection closes. */
@@ -279,7 +308,7 @@
         return;
       case 'forwarded':
         context.state.guarded.set(output.head.attempt, buildGuardedForward(output));
-        this.#passToGuard(context, { kind: 'admit', head: output.head });
+        this.#askForBody(context, output);
         return;
       case 'refuse':
       case 'want-turn':
@@ -288,6 +317,43 @@
     }
   }
 
+  /** Passes an attempt whose body needs a permission to the body filter, and any other one to the guard. */
+  #askForBody(context: MessageContext, work: ForwardedAttempt): void {
+    const { state, now } = context;
+    const { head, bodyBytes: bytes } = work;
+    if (bytes === undefined || this.#bodies === undefined) {
+      this.#passToGuard(context, { kind: 'admit', head });
+      return;
+    }
+    const judged = this.#guard.judgeArrival(state.guard, head, now);
+    if (typeof judged === 'number') {
+      this.#passToBodies(context, { kind: 'ask', work, bytes, runMs: judged });
+    } else {
+      this.#rejectGuarded(context, head.attempt, buildFailure(judged, judged.load));
+    }
+  }
+
+  #passToBodies(context: MessageContext, message: BodyIn): void {
+    const { bodies } = context.state;
+    if (this.#bodies === undefined || bodies === undefined) return;
+    if (bodies.asked.size === 0 && message.kind !== 'ask' && message.kind !== 'stopping') return;
+    for (const output of this.#bodies.decide(bodies, message, context.now).outputs) {
+      this.#routeBody(context, output);
+    }
+  }
+
+  #routeBody(context: MessageContext, output: BodyOut): void {
+    if (output.kind === 'forwarded') {
+      this.#passToGuard(context, { kind: 'admit', head: output.head });
+      return;
+    }
+    context.outputs.push(output);
+    if (output.kind !== 'reject-body') return;
+    const server = context.state.guard.servers.get(output.server);
+    const load = addBodies(context, server?.measureLoad());
+    this.#rejectGuarded(context, output.attempt, buildFailure(output, load));
+  }
+
   #passToClaim(context: MessageContext, message: ClaimIn): void {
     const step = this.#claim.decide(context.state.claim, message, context.now);
     context.state.claim = step.state;
@@ -343,9 +409,8 @@
       const { id, count, keepsAnswer } = call;
       context.outputs.push({ ...output, id, count, keepsAnswer });
     } else if (output.kind === 'reject') {
-      const { attempt, reason, load } = output;
-      const reportedLoad = load === undefined ? {} : { load };
-      this.#rejectGuarded(context, attempt, { outcome: 'not-run', reason, ...reportedLoad });
+      const load = addBodies(context, output.load);
+      this.#rejectGuarded(context, output.attempt, buildFailure(output, load));
     } else {
       context.outputs.push(output);
     }
@@ -384,6 +449,23 @@
   return { id, count, isForwarded: true, keepsAnswer: false };
 }
 
+function buildFailure(
+  { reason }: { readonly reason: RefusalReason },
+  load: ServerLoad | undefined,
+): AttemptFailure {
+  return { outcome: 'not-run', reason, ...(load === undefined ? {} : { load }) };
+}
+
+/** Counts the attempts whose bodies wait or arrive as waiting, so that entry proxies prefer hosts with free links. */
+function addBodies(
+  { state: { bodies } }: MessageContext,
+  load: ServerLoad | undefined,
+): ServerLoad | undefined {
+  const count = bodies === undefined ? 0 : bodies.admission.waiting + bodies.admission.sending;
+  if (load === undefined || count === 0) return load;
+  return { ...load, waiting: load.waiting + count };
+}
+
 /** The state, time and outputs of the handling of one message. */
 class MessageContext {
   readonly state: CallPipeState;
--- a/src/calls/forwarding-observer.ts
+++ b/src/calls/forwarding-observer.ts
@@ -1,5 +1,6 @@
 /** An observer that forwards all events to another one. */
 import type {
+  BodyWaitEnd,
   DroppedAnswer,
   AttemptEnd,
   CallEnd,
@@ -51,6 +52,10 @@
     this.#next.dropAnswer(drop);
   }
 
+  override endBodyWait(end: BodyWaitEnd): void {
+    this.#next.endBodyWait(end);
+  }
+
   override endStop(end: StopSummary): void {
     this.#next.endStop(end);
   }
--- a/src/calls/guard-filter.ts
+++ b/src/calls/guard-filter.ts
@@ -7,7 +7,7 @@
 import type { Step } from '../pipe/index.js';
 import { CrashTable, buildFingerprint } from './crash-table.js';
 import { DeadlineHeap } from './deadline-heap.js';
-import type { Admission } from './guarded-server.js';
+import type { Admission, Rejection } from './guarded-server.js';
 import { GuardedServer } from './guarded-server.js';
 import type { SlotPolicy } from './slot-policy.js';
 
@@ -95,6 +95,14 @@
     return { state, outputs: this.#handle(state, message, now) };
   }
 
+  /** Returns the rejection that an attempt would get now, or the milliseconds until its expected end. */
+  judgeArrival(state: GuardState, head: AttemptHead, now: Instant): Rejection | number {
+    const judged = judgeAttempt(state, head, now);
+    if (judged.kind === 'reject') return judged;
+    const { server } = judged;
+    return server.findReject(judged.head, now) ?? server.measureExpectedMs(judged.head, now);
+  }
+
   // Internals.
 
   #handle(state: GuardState, message: GuardIn, now: Instant): GuardOut[] {
@@ -143,19 +151,37 @@
 
 const QUARANTINE_MS = 60_000;
 
-function admitAttempt(state: GuardState, head: AttemptHead, now: Instant): GuardOut[] {
+/** An attempt that may be admitted, with its deadlines capped. */
+interface JudgedAttempt {
+  readonly kind: 'judged';
+  readonly server: GuardedServer;
+  readonly head: AttemptHead & { readonly replyBy: Instant };
+}
+
+function judgeAttempt(
+  state: GuardState,
+  head: AttemptHead,
+  now: Instant,
+): JudgedAttempt | Rejection {
   const { attempt } = head;
-  if (state.isDraining) return [{ kind: 'reject', attempt, reason: 'draining' }];
+  if (state.isDraining) return { kind: 'reject', attempt, reason: 'draining' };
   const server = state.servers.get(head.server);
-  if (server === undefined) return [{ kind: 'reject', attempt, reason: 'draining' }];
+  if (server === undefined) return { kind: 'reject', attempt, reason: 'draining' };
   const verdict = state.crashes.findVerdict(head.subject, now);
-  if (verdict === 'quarantined') return [{ kind: 'reject', attempt, reason: 'quarantined' }];
+  if (verdict === 'quarantined') return { kind: 'reject', attempt, reason: 'quarantined' };
   const deadline = Math.min(head.deadline, state.answerBy) as Instant;
   const replyBy = Math.min(head.replyBy ?? deadline, deadline) as Instant;
   const suspect = head.suspect || verdict === 'suspect';
-  const judged = { ...head, deadline, replyBy, suspect };
+  return { kind: 'judged', server, head: { ...head, deadline, replyBy, suspect } };
+}
+
+function admitAttempt(state: GuardState, head: AttemptHead, now: Instant): GuardOut[] {
+  const judged = judgeAttempt(state, head, now);
+  if (judged.kind === 'reject') return [judged];
+  const { server } = judged;
+  const { attempt, deadline, replyBy } = judged.head;
   state.serversByAttempt.set(attempt, server);
-  const admissions = server.admit(judged, now);
+  const admissions = server.admit(judged.head, now);
   const runs = server.findRun(attempt) !== undefined;
   state.deadlines.add(runs ? deadline : replyBy, attempt);
   return passAdmissions(state, server, admissions, now);
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -21,12 +21,15 @@
       /** The instance of the backend server that the attempt is meant for, if it has announced one. */
       readonly instance: InstanceId | undefined;
     }
-  | {
-      readonly kind: 'reject';
-      readonly attempt: AttemptId;
-      readonly reason: RefusalReason;
-      readonly load?: ServerLoad;
-    };
+  | Rejection;
+
+/** The rejection of an attempt. */
+export interface Rejection {
+  readonly kind: 'reject';
+  readonly attempt: AttemptId;
+  readonly reason: RefusalReason;
+  readonly load?: ServerLoad;
+}
 
 /**
  * Grants the slots of one backend server. Every call to the server passes through this object, so the
@@ -88,13 +91,26 @@
     return true;
   }
 
-  /** Admits, queues or rejects a new attempt. */
-  admit(head: AttemptHead, now: Instant): Admission[] {
+  /** Returns the rejection that a new attempt would get now; undefined if it would run or be queued. */
+  findReject(head: AttemptHead, now: Instant): Rejection | undefined {
     const refusal = this.#findRefusal(head, now);
-    if (refusal !== undefined) return [buildReject(head.attempt, refusal)];
+    if (refusal !== undefined) return buildReject(head.attempt, refusal);
     if (head.onlyIfFree === true && this.#countFree(now) <= this.#policy.count()) {
-      return [buildReject(head.attempt, 'busy', this.measureLoad())];
+      return buildReject(head.attempt, 'busy', this.measureLoad());
     }
+    return undefined;
+  }
+
+  /** Returns the milliseconds until the expected end of an attempt that would be admitted now. */
+  measureExpectedMs(head: AttemptHead, now: Instant): number {
+    const waitMs = this.#findExpectedStart(head, now) - now;
+    return waitMs + this.#estimate.findUpper(head.requestKind, now);
+  }
+
+  /** Admits, queues or rejects a new attempt. */
+  admit(head: AttemptHead, now: Instant): Admission[] {
+    const reject = this.findReject(head, now);
+    if (reject !== undefined) return [reject];
     this.#policy.addArrival(head.requestKind, now);
     const priority = this.#findPriority(head);
     this.#policy.add({
@@ -300,6 +316,6 @@
   return state === 'ready' || state === 'failing';
 }
 
-function buildReject(attempt: AttemptId, reason: RefusalReason, load?: ServerLoad): Admission {
+function buildReject(attempt: AttemptId, reason: RefusalReason, load?: ServerLoad): Rejection {
   return { kind: 'reject', attempt, reason, ...(load === undefined ? {} : { load }) };
 }
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -3,6 +3,7 @@
 export type { AnswerEvidence, AnswerVerdict } from './answer-verdict.js';
 export { CallObserver, NoopObserver } from './call-observer.js';
 export type {
+  BodyWaitEnd,
   DroppedAnswer,
   AttemptEnd,
   AttemptEvidence,
@@ -16,6 +17,7 @@
 export { CallPipe, buildForwardedAttempt } from './call-pipe.js';
 export type { CallIn, CallOut } from './call-pipe-messages.js';
 export type { CallPipeOptions, CallPipeState } from './call-pipe.js';
+export type { BodyCounts, BodyEvent, BodyGrant, BodyOut } from './body-filter.js';
 export { IntakeFilter } from './intake-filter.js';
 export type { IntakeIn, IntakeOut, IntakeState } from './intake-filter.js';
 export type { RunEnding } from './guard-filter.js';
--- a/src/calls/intake-filter.ts
+++ b/src/calls/intake-filter.ts
@@ -14,6 +14,8 @@
   readonly id: CallId;
   readonly head: AttemptHead;
   readonly count: number;
+  /** The length of the body, if the entry proxy sends it only after a permission; a bound if it is unknown. */
+  readonly bodyBytes?: number;
 }
 
 /** Inputs of the intake filter. */
--- a/src/edge/answer-handler.ts
+++ b/src/edge/answer-handler.ts
@@ -30,6 +30,14 @@
    */
   abstract handleStart(source: AnswerControl): boolean;
 
+  /**
+   * Called before the bytes are written after which the peer may run the request; only for a request whose body waits
+   * for a permission. Does nothing by default.
+   */
+  handleRunnable(): void {
+    // Without such a body, the request may run from `handleStart` on.
+  }
+
   /** Handles the head of the final answer; informational (1xx) heads are skipped. */
   abstract handleHead(head: ReceivedHead): void;
 
--- a/src/edge/answer-parser.ts
+++ b/src/edge/answer-parser.ts
@@ -51,6 +51,7 @@
  */
 export class AnswerParser extends BaseParser {
   readonly #peer: Address;
+  readonly #handleContinue: (headers: IncomingHttpHeaders) => void;
   #handler: AnswerHandler | undefined;
   #method = '';
   #headers: IncomingHttpHeaders = {};
@@ -61,9 +62,14 @@
   #isHeld = false;
   #unparsed: Buffer | undefined;
 
-  constructor(peer: Address) {
+  /** @param handleContinue Receives the headers of each interim answer `100 Continue`. */
+  constructor(
+    peer: Address,
+    handleContinue: (headers: IncomingHttpHeaders) => void = () => undefined,
+  ) {
     super(HTTPParser.RESPONSE);
     this.#peer = peer;
+    this.#handleContinue = handleContinue;
   }
 
   /** Whether received bytes are buffered instead of parsed. */
@@ -236,6 +242,7 @@
     this.#isFinal = status >= FIRST_FINAL_STATUS;
     if (!this.#isFinal) {
       this.#headers = {};
+      if (status === STATUS_CONTINUE) this.#handleContinue(headers);
       return;
     }
     this.#lineBytes = 0;
@@ -279,6 +286,7 @@
 const LINE_END = '\r\n';
 /** Limit of all consecutive lines between body data together; equals the default limit of node:http for heads. */
 const MAX_LINE_BYTES = 16 * 1024;
+const STATUS_CONTINUE = 100;
 const FIRST_FINAL_STATUS = 200;
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 const CONTENT_LENGTH = /^\d{1,15}$/;
--- a/src/edge/attempt-sender.ts
+++ b/src/edge/attempt-sender.ts
@@ -11,6 +11,7 @@
 import type { CallFront } from './call-front.js';
 import {
   ATTEMPT_HEADER,
+  BODY_BYTES_HEADER,
   CALLER_HEADER,
   FORWARD_HEADER,
   formatForward,
@@ -25,6 +26,8 @@
 import type { HopPool } from './hop-pool.js';
 import type { LinkPacer } from './link-pacer.js';
 import type { OpenCall } from './open-call.js';
+import { countAskedBytes } from './body-grant.js';
+import type { BodyPacer } from './body-pacer.js';
 import type { BufferedBytes } from './buffered-answer-writer.js';
 import { BufferedAnswerWriter } from './buffered-answer-writer.js';
 import { UnsentBudget } from './unsent-budget.js';
@@ -37,6 +40,8 @@
   readonly observer: CallObserver;
   /** Paces the answers to other proxies; undefined if the bandwidth of the link is not configured. */
   readonly pacer: LinkPacer | undefined;
+  /** Paces large bodies to other proxies, which ask for a permission; undefined as for `pacer`. */
+  readonly bodyPacer: BodyPacer | undefined;
   /** Receives the events of all attempts. */
   readonly post: (message: CallIn) => void;
   /** Called when an attempt has ended. */
@@ -85,10 +90,14 @@
       FORWARD_HEADER,
       formatForward(target.pass, head, this.#options.clock.read(), digest),
     ];
+    const bodyPacer = output.hasLargeBody === true ? this.#options.bodyPacer : undefined;
+    const askedBytes = bodyPacer === undefined ? undefined : countAskedBytes(call);
+    if (askedBytes !== undefined) addedHeaders.push(BODY_BYTES_HEADER, `${askedBytes}`);
     const pool = this.#pools.findPool(target.guard, MAX_CONNECTIONS_PER_GUARD);
     const owned = call.account === undefined ? undefined : this.#options.front.accountHeaders;
     const headers = listRequestHeaders(call.request.rawHeaders, addedHeaders, owned);
-    this.#start(pool, call, head, headers, { count, keepsAnswer, isGuard: true });
+    const pacer = askedBytes === undefined ? undefined : bodyPacer;
+    this.#start(pool, call, head, headers, { count, keepsAnswer, isGuard: true, pacer });
   }
 
   /** Sends an attempt to a backend server on this host. */
@@ -231,7 +240,7 @@
     call: OpenCall,
     head: AttemptHead,
     headers: string[],
-    { count, keepsAnswer, isGuard }: { count: number; keepsAnswer: boolean; isGuard: boolean },
+    { count, keepsAnswer, isGuard, pacer }: SendOptions,
   ): void {
     const { attempt, server } = head;
     const { method = 'GET', url = '/' } = call.request;
@@ -241,6 +250,7 @@
     const running = new CallAttempt({
       attempt,
       isGuard,
+      awaitsGrant: pacer !== undefined,
       keepsAnswer,
       method,
       readProof: (status, answerHeaders) => {
@@ -261,12 +271,21 @@
     });
     this.#attempts.set(attempt, running);
     headers.push(...trace);
-    pool.send({ method, path: url, headers, body: call.readBody(), handler: running });
+    pool.send({ method, path: url, headers, body: call.readBody(), handler: running, pacer });
   }
 }
 
 // Internals.
 
+/** How an attempt is sent. */
+interface SendOptions {
+  readonly count: number;
+  readonly keepsAnswer: boolean;
+  readonly isGuard: boolean;
+  /** Present if the body waits for a permission of the guard. */
+  readonly pacer?: BodyPacer | undefined;
+}
+
 const MAX_CONNECTIONS_PER_GUARD = 256;
 /** The process stops before the answer can be sent. */
 const PROXY_STOPPING: Refusal = { reason: 'draining', outcome: 'unknown' };
--- a/src/edge/body-writer.ts
+++ b/src/edge/body-writer.ts
@@ -1,6 +1,7 @@
 /** Writes a streamed request body to a socket. */
 import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
+import { RequestBodyWriter } from './request-body-writer.js';
 
 /** Options of {@link BodyWriter}. */
 export interface BodyWriterOptions {
@@ -13,17 +14,17 @@
 }
 
 /** Writes a streamed body to a socket with backpressure. */
-export class BodyWriter {
+export class BodyWriter extends RequestBodyWriter {
   readonly #options: BodyWriterOptions;
   #sentBytes = 0;
   #isSent = false;
 
   constructor(options: BodyWriterOptions) {
+    super();
     this.#options = options;
   }
 
-  /** Whether the body has been written completely. */
-  get isSent(): boolean {
+  override get isSent(): boolean {
     return this.#isSent;
   }
 
@@ -41,7 +42,7 @@
   }
 
   /** Stops writing and discards the rest of the stream, so that the caller's connection can be reused. */
-  stop(): void {
+  override stop(): void {
     const { stream, socket } = this.#options;
     socket.off('drain', this.#resume);
     stream.off('data', this.#handleData);
--- a/src/edge/call-attempt.ts
+++ b/src/edge/call-attempt.ts
@@ -29,6 +29,8 @@
   readonly attempt: AttemptId;
   /** Whether the peer is another proxy; only then are internal headers trusted. */
   readonly isGuard: boolean;
+  /** Whether the body waits for a permission of the guard. */
+  readonly awaitsGrant?: boolean;
   /** Whether to keep a copy of the answer, which is replayed when the caller repeats the call. */
   readonly keepsAnswer: boolean;
   readonly method: string;
@@ -70,10 +72,13 @@
   #cancelReason: CancelReason | undefined;
   #isDone = false;
   #isDiscarded = false;
+  /** Whether the attempt may run once its connection has taken it. */
+  #isRunnable: boolean;
 
   constructor(options: CallAttemptOptions) {
     super();
     this.#options = options;
+    this.#isRunnable = options.awaitsGrant !== true;
     if (options.keepsAnswer) this.#copy = [];
   }
 
@@ -107,6 +112,10 @@
     return true;
   }
 
+  override handleRunnable(): void {
+    this.#isRunnable = true;
+  }
+
   override handleHead({ status, statusText, rawHeaders, headers }: ReceivedHead): void {
     const { attempt, isGuard, post } = this.#options;
     this.#status = status;
@@ -172,7 +181,7 @@
   }
 
   #buildFailure(): AttemptFailure {
-    const isSent = this.#control !== undefined;
+    const isSent = this.#control !== undefined && this.#isRunnable;
     const outcome = isSent ? 'unknown' : 'not-run';
     return { outcome, reason: findFailureReason(this.#cancelReason) };
   }
--- a/src/edge/call-body.ts
+++ b/src/edge/call-body.ts
@@ -4,10 +4,19 @@
 import { Readable } from 'node:stream';
 import type { Digest } from '../ids.js';
 
-/** The body of a call: none, buffered completely, or a stream that can be read only once. */
+/**
+ * The longest body that a guard with a narrow link holds in memory until it is complete. Of a longer one, the rest is
+ * streamed while the attempt runs.
+ */
+export const MAX_HELD_BODY_BYTES = 1024 * 1024;
+
+/**
+ * The body of a call: none, buffered completely, or a stream that can be read only once. The digest is `undefined` if
+ * another proxy has read the body before.
+ */
 export type CallBody =
   | { readonly kind: 'none' }
-  | { readonly kind: 'held'; readonly bytes: Buffer; readonly digest: Digest }
+  | { readonly kind: 'held'; readonly bytes: Buffer; readonly digest: Digest | undefined }
   | { readonly kind: 'stream'; readonly stream: Readable };
 
 /** Returns whether a request has a body. */
@@ -26,19 +35,26 @@
   if (Number(request.headers['content-length'] ?? 0) > MAX_BUFFERED_BODY_BYTES) {
     return { kind: 'stream', stream: request };
   }
+  const bytes = await bufferBody(request, MAX_BUFFERED_BODY_BYTES);
+  if (!Buffer.isBuffer(bytes)) return { kind: 'stream', stream: bytes };
+  const digest = createHash('sha256').update(bytes).digest('hex') as Digest;
+  return { kind: 'held', bytes, digest };
+}
+
+/** Reads a body of at most `maxBytes` into memory; a longer one is returned as a stream that starts with what is read. */
+export async function bufferBody(
+  body: AsyncIterable<Buffer>,
+  maxBytes: number,
+): Promise<Buffer | Readable> {
   const chunks: Buffer[] = [];
   let length = 0;
-  const iterator = (request as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
+  const iterator = body[Symbol.asyncIterator]();
   for (let step = await iterator.next(); step.done !== true; step = await iterator.next()) {
     chunks.push(step.value);
     length += step.value.length;
-    if (length > MAX_BUFFERED_BODY_BYTES) {
-      return { kind: 'stream', stream: Readable.from(joinChunks(chunks, iterator)) };
-    }
+    if (length > maxBytes) return Readable.from(joinChunks(chunks, iterator));
   }
-  const bytes = Buffer.concat(chunks);
-  const digest = createHash('sha256').update(bytes).digest('hex') as Digest;
-  return { kind: 'held', bytes, digest };
+  return Buffer.concat(chunks);
 }
 
 // Internals.
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -41,6 +41,8 @@
 export const ATTEMPT_HEADER = 'bilberryswitch-attempt';
 /** Metadata of an attempt that one proxy forwards to another, with the secret that authenticates it. */
 export const FORWARD_HEADER = 'bilberryswitch-forward';
+/** The length of a body that is sent only after a permission; a bound if the length is unknown. */
+export const BODY_BYTES_HEADER = 'bilberryswitch-body-bytes';
 /** Load of the backend server, reported by its guard to the entry proxy. */
 export const LOAD_HEADER = 'bilberryswitch-load';
 
@@ -57,6 +59,8 @@
 export interface ForwardedHead {
   readonly head: AttemptHead;
   readonly count: number;
+  /** The length of the body, if it is sent only after a permission; a bound if it is unknown. */
+  readonly bodyBytes: number | undefined;
   readonly caller: CallerId | undefined;
   /** Absent if the configuration of the entry proxy has no client accounts. */
   readonly account: VerifiedAccount | undefined;
@@ -145,7 +149,8 @@
       suspect: suspect === SUSPECT,
       onlyIfFree: onlyIfFree === ONLY_IF_FREE,
     };
-    return makeOk({ head, count: parseAttemptCount(headers), caller, account });
+    const bodyBytes = parseBodyBytes(headers);
+    return makeOk({ head, count: parseAttemptCount(headers), bodyBytes, caller, account });
   } catch (error) {
     if (error instanceof IdError) return buildFault(error.message);
     throw error;
@@ -340,6 +345,12 @@
   return until === undefined ? '' : (until - now).toFixed(1);
 }
 
+/** Returns undefined if the header is absent or malformed. */
+function parseBodyBytes(headers: IncomingHttpHeaders): number | undefined {
+  const text = readHeader(headers, BODY_BYTES_HEADER) ?? '';
+  return /^\d{1,15}$/.test(text) ? Number(text) : undefined;
+}
+
 function parseAttemptCount(headers: IncomingHttpHeaders): number {
   const text = readHeader(headers, ATTEMPT_HEADER);
   if (text === undefined) return 1;
--- a/src/edge/call-reader.ts
+++ b/src/edge/call-reader.ts
@@ -3,6 +3,7 @@
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs } from '../clock.js';
 import type { CallerId, Instant } from '../ids.js';
+import { sendGrant } from './body-grant.js';
 import { hasBody, readBody } from './call-body.js';
 import type { CallFront } from './call-front.js';
 import type { HeadFault, ParsedCallHead } from './call-headers.js';
@@ -20,6 +21,8 @@
   readonly pass: string;
   /** Returns whether the caller still waits for the answer. */
   readonly isOpen: (call: OpenCall) => boolean;
+  /** Whether bodies of other proxies need a permission, because the bandwidth of the link is configured. */
+  readonly admitsBodies: boolean;
   /** Receives the calls that have been read. */
   readonly post: (message: Extract<CallIn, { kind: 'arrived' | 'forwarded' }>) => void;
 }
@@ -102,14 +105,32 @@
       call.refuse(buildHeadRefusal(parsed.error));
       return;
     }
-    const { head, count, caller, account } = parsed.value;
+    const { head, count, caller, account, bodyBytes } = parsed.value;
     call.caller = caller;
     call.account = account;
     call.attempt = count;
     call.deadline = head.deadline;
+    if (bodyBytes !== undefined && hasBody(call.request)) {
+      this.#readAsked(call, { kind: 'forwarded', id: call.id, head, count, bodyBytes });
+      return;
+    }
     call.streamBody();
     post({ kind: 'forwarded', id: call.id, head, count });
   }
+
+  /** Reads an attempt whose body waits for a permission; without a narrow link, it gets one at once. */
+  #readAsked(call: OpenCall, attempt: Extract<CallIn, { kind: 'forwarded' }>): void {
+    const { admitsBodies, post } = this.#options;
+    if (admitsBodies) {
+      post(attempt);
+      return;
+    }
+    sendGrant(call.response);
+    call.streamBody();
+    // The entry proxy cannot send the body to another guard once it has begun.
+    const { kind, id, head, count } = attempt;
+    post({ kind, id, head: { ...head, onlyIfFree: false }, count });
+  }
 }
 
 // Internals.
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -4,6 +4,8 @@
 import type { Socket } from 'node:net';
 import type { Stream } from 'most';
 import type {
+  BodyCounts,
+  BodyWaitEnd,
   CallIn,
   CallObserver,
   CallOut,
@@ -16,7 +18,7 @@
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs, NEVER } from '../clock.js';
 import type { Address, CallerId, CallId, Instant } from '../ids.js';
-import type { LimitsResource, StoredAnswer } from '../messages/index.js';
+import type { LimitsResource, RefusalReason, StoredAnswer } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { applyFilter, WakeTimer } from '../pipe/index.js';
 import type { Random } from '../random.js';
@@ -24,6 +26,8 @@
 import { NoopTracer } from '../traces/index.js';
 import { runAfterPoll } from './after-poll.js';
 import { AttemptSender } from './attempt-sender.js';
+import { BodyPacer } from './body-pacer.js';
+import { BodyReceiver } from './body-receiver.js';
 import type { CallFront } from './call-front.js';
 import { isForwarded } from './call-headers.js';
 import { CallIntake } from './call-intake.js';
@@ -88,6 +92,7 @@
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #connections: CallerConnections;
   readonly #reader: CallReader;
+  readonly #bodies: BodyReceiver;
   readonly #intake: CallIntake;
   readonly #lag = new LoopLag();
   readonly #timer: WakeTimer;
@@ -95,6 +100,7 @@
   #closeBy: Instant = NEVER;
   #cancelRefusals: CancelTimer | undefined;
   #isDraining = false;
+  #bodyCounts: Pick<BodyCounts, 'waiting' | 'arriving'> = { waiting: 0, arriving: 0 };
 
   constructor(options: CallTaskOptions) {
     super({ name: 'calls', ...options, server: SERVER_OPTIONS });
@@ -108,6 +114,7 @@
     this.#sender = new AttemptSender({
       clock,
       pacer: this.#pacer,
+      bodyPacer: this.#createBodyPacer(),
       front: this.#front,
       tracer: this.#tracer,
       observer: this.#observer,
@@ -128,10 +135,14 @@
       front: this.#front,
       caller: options.caller,
       isOpen: ({ id }) => this.#calls.has(id),
+      admitsBodies: linkBytesPerSecond !== undefined,
       post: (message) => {
         this.post(message);
       },
     });
+    this.#bodies = new BodyReceiver((event) => {
+      this.post(event);
+    });
     this.#intake = new CallIntake({
       startNext: () => {
         this.post({ kind: 'turn' });
@@ -150,6 +161,11 @@
     return this.#pacer?.held ?? { answers: 0, bytes: 0 };
   }
 
+  /** The large bodies of other proxies that wait for a permission, and those that arrive. */
+  get bodies(): Pick<BodyCounts, 'waiting' | 'arriving'> {
+    return this.#bodyCounts;
+  }
+
   /** Begins a planned stop: calls are still accepted, and each is answered or refused before `answerBy`. */
   startStop({ answerBy, closeBy }: PlannedStop): void {
     this.#closeBy = closeBy;
@@ -207,13 +223,14 @@
 
   protected override createPipe(messages: Stream<CallIn | LinkUse>): Stream<unknown> {
     const { place, clock, random, picker, createPolicy, retries } = this.#options;
-    const { isRevocationStrict } = this.#options;
+    const { isRevocationStrict, linkBytesPerSecond } = this.#options;
     const pipe = new CallPipe({
       place,
       picker: picker ?? new TwoChoicesPicker(random),
       createPolicy: createPolicy ?? (() => new PrioritySlotPolicy()),
       retries,
       isRevocationStrict,
+      linkBytesPerSecond,
     });
     const forPipe = messages.filter((message): message is CallIn => !this.#handleLinkUse(message));
     return applyFilter(pipe, clock, forPipe).tap((output) => {
@@ -260,6 +277,16 @@
 
   // Internals.
 
+  /** Creates the pacer of bodies to other proxies; they take their part of the link from the paced answers. */
+  #createBodyPacer(): BodyPacer | undefined {
+    const { clock, linkBytesPerSecond } = this.#options;
+    if (linkBytesPerSecond === undefined) return undefined;
+    const notifySent = (bytes: number): void => {
+      this.#pacer?.addOtherTraffic(bytes);
+    };
+    return new BodyPacer({ clock, linkBytesPerSecond, notifySent });
+  }
+
   /** Passes a message to the link pacer if it is for it; returns whether it was. */
   #handleLinkUse(message: CallIn | LinkUse): message is LinkUse {
     if (message.kind !== 'link-used') return false;
@@ -288,6 +315,16 @@
       case 'run':
         this.#sender.run(this.#calls.get(output.id), output);
         return;
+      case 'grant-body':
+        this.#observeBody(output, 'granted');
+        this.#bodies.receive(this.#calls.get(output.id), output);
+        return;
+      case 'reject-body':
+        this.#observeBody(output, output.isGranted ? 'stalled' : 'refused', output.reason);
+        return;
+      case 'body-counts':
+        this.#bodyCounts = output;
+        return;
       case 'relay':
         this.#relay(output);
         return;
@@ -345,6 +382,17 @@
     call.account = account;
   }
 
+  #observeBody(
+    { id, waitedMs }: Extract<CallOut, { kind: 'grant-body' | 'reject-body' }>,
+    outcome: BodyWaitEnd['outcome'],
+    reason?: RefusalReason,
+  ): void {
+    const call = this.#calls.get(id);
+    const request = call?.requestId;
+    const path = call?.request.url ?? '';
+    this.#observer.endBodyWait({ request, path, outcome, reason, waitedMs });
+  }
+
   #relay(output: Extract<CallOut, { kind: 'relay' }>): void {
     const call = this.#calls.get(output.id);
     if (call !== undefined) call.hasAnswer = true;
--- a/src/edge/hop-connection.ts
+++ b/src/edge/hop-connection.ts
@@ -10,7 +10,10 @@
 import { AnswerControl } from './answer-handler.js';
 import type { HopRequest } from './hop-request.js';
 import { encodeHead, findFraming, hasValidCharacters } from './hop-request.js';
+import { parseBodyRate } from './body-grant.js';
 import { BodyWriter } from './body-writer.js';
+import { PacedBodyWriter } from './paced-body-writer.js';
+import type { RequestBodyWriter } from './request-body-writer.js';
 
 /** Options of {@link HopConnection}. */
 export interface HopConnectionOptions {
@@ -42,7 +45,9 @@
   #exchange: HopExchange | undefined;
   /** When a request was sent that found the connection idle; undefined once anything was received. */
   #unansweredSince: Instant | undefined;
-  #body: BodyWriter | undefined;
+  #body: RequestBodyWriter | undefined;
+  /** The body that waits for a permission of the peer. */
+  #heldBody: PacedBodyWriter | undefined;
   #idleUntil = NEVER;
   #hasEnded = false;
   #closeCause = OTHER_SIDE_CLOSED;
@@ -52,7 +57,9 @@
     this.#options = options;
     this.#firstRequest = first;
     const { address, clock } = options;
-    this.#parser = new AnswerParser(address);
+    this.#parser = new AnswerParser(address, (headers) => {
+      this.#heldBody?.start(parseBodyRate(headers));
+    });
     const { host, port } = splitAddress(address);
     this.#socket = connect({
       host,
@@ -101,6 +108,21 @@
     const head = encodeHead(request, framing, this.#options.address);
     if (body === null) {
       this.#socket.write(head, 'latin1');
+    } else if (request.pacer !== undefined) {
+      this.#socket.write(head, 'latin1');
+      this.#heldBody = new PacedBodyWriter({
+        body,
+        socket: this.#socket,
+        length: framing.kind === 'length' ? framing.bytes : undefined,
+        pacer: request.pacer,
+        notifyRunnable: () => {
+          handler.handleRunnable();
+        },
+        notifyFailed: (cause) => {
+          this.close(cause);
+        },
+      });
+      this.#body = this.#heldBody;
     } else if (Buffer.isBuffer(body)) {
       this.#socket.cork();
       this.#socket.write(head, 'latin1');
@@ -108,7 +130,7 @@
       this.#socket.uncork();
     } else {
       this.#socket.write(head, 'latin1');
-      this.#body = new BodyWriter({
+      const writer = new BodyWriter({
         stream: body,
         socket: this.#socket,
         length: framing.kind === 'length' ? framing.bytes : undefined,
@@ -116,7 +138,8 @@
           this.close(cause);
         },
       });
-      this.#body.start();
+      this.#body = writer;
+      writer.start();
     }
     return true;
   }
@@ -226,6 +249,7 @@
   #stopBody(): void {
     this.#body?.stop();
     this.#body = undefined;
+    this.#heldBody = undefined;
   }
 
   #findIdleMs(): number {
--- a/src/edge/hop-request.ts
+++ b/src/edge/hop-request.ts
@@ -2,6 +2,7 @@
 import type { Readable } from 'node:stream';
 import type { Address } from '../ids.js';
 import type { AnswerHandler } from './answer-handler.js';
+import type { BodyPacer } from './body-pacer.js';
 
 /** A request to another proxy or a backend server. */
 export interface HopRequest {
@@ -11,6 +12,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer | Readable | null;
   readonly handler: AnswerHandler;
+  /** Present if the body is sent only after a permission of the peer; paces the body. */
+  readonly pacer?: BodyPacer | undefined;
 }
 
 /** How the end of a body is delimited. */
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -1,5 +1,6 @@
 /** Logs failed, refused and late calls, failed attempts and retries. */
 import type {
+  BodyWaitEnd,
   DroppedAnswer,
   AttemptEnd,
   CallEnd,
@@ -20,7 +21,7 @@
 
 /**
  * Writes a line for each call that was refused, failed, lost its caller or was answered late; for each failed
- * attempt; for each answer dropped at the link; and for each further attempt of a call. All lines of a request
+ * attempt; for each answer dropped and each body refused at the link; and for each further attempt of a call. All lines of a request
  * have the same request id, on every host.
  */
 export class CallLog extends ForwardingObserver {
@@ -56,6 +57,13 @@
     this.#log('answer-dropped', () => buildDropFields(drop));
   }
 
+  override endBodyWait(end: BodyWaitEnd): void {
+    super.endBodyWait(end);
+    if (end.outcome === 'granted') return;
+    const limit = `body ${end.outcome} ${end.reason ?? ''}`;
+    this.#log('body-refused', () => ({ ...end, waitedMs: Math.round(end.waitedMs) }), limit);
+  }
+
   override endStop(end: StopSummary): void {
     super.endStop(end);
     this.#log('calls-stopped', () => ({ ...end }));
--- a/src/program/call-metrics.ts
+++ b/src/program/call-metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of the calls of a proxy. */
 import type {
+  BodyWaitEnd,
   DroppedAnswer,
   AttemptEnd,
   CallEnd,
@@ -24,6 +25,7 @@
   readonly #attemptEnds: Counter;
   readonly #sentAgain: Counter;
   readonly #droppedAnswers: Counter;
+  readonly #bodies: Counter;
 
   constructor(registry: MetricsRegistry) {
     super();
@@ -47,6 +49,13 @@
     this.#droppedAnswers = registry.add(
       new Counter('dropped_answers_total', 'Answers that did not get over the link in time.'),
     );
+    this.#bodies = registry.add(
+      new Counter('link_bodies_total', 'Large bodies of other proxies, by outcome and reason.'),
+    );
+  }
+
+  override endBodyWait({ outcome, reason }: BodyWaitEnd): void {
+    this.#bodies.add({ outcome, reason: reason ?? 'none' });
   }
 
   override startCall(): void {
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -69,6 +69,7 @@
   'attempt-failed': HIGH_RATE,
   'call-sent-again': HIGH_RATE,
   'answer-dropped': HIGH_RATE,
+  'body-refused': HIGH_RATE,
   'calls-stopped': HIGH_RATE,
   'loop-busy': LOW_RATE,
 } satisfies Record<string, LineRate>;
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -338,6 +338,12 @@
   ]);
   registry.add(answers);
   registry.add(bytes);
+  const waiting = 'Large bodies of other proxies that wait for the permission to be sent.';
+  registry.add(new Gauge('link_waiting_bodies', waiting, () => [{ value: calls.bodies.waiting }]));
+  const arriving = 'Large bodies of other proxies that are being received.';
+  registry.add(
+    new Gauge('link_arriving_bodies', arriving, () => [{ value: calls.bodies.arriving }]),
+  );
 }
 
 function createReadyTask(address: Address, options: ProxyOptions): ReadyTask {
