Count the time of a body as held by its guard

Cause: an entry proxy takes the duration of an attempt minus the time that the guard reports as the round trip to that host. For an upload, the wait for the permission and the transfer were missing from the report, so the round trip was overestimated, and with it the margin that all calls to the host leave.

Change: the reported time begins when the body asks for its permission.

--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -192,7 +192,8 @@
     const { attempt } = message;
     const guarded = context.state.guarded.get(attempt);
     const server = context.state.guard.serversByAttempt.get(attempt);
-    const load = addBodies(context, server?.measureLoadAfter(attempt, context.now));
+    const measured = server?.measureLoadAfter(attempt, context.now);
+    const load = addBodies(context, addBodyTime(context, attempt, measured));
     if (guarded?.isForwarded !== true)
       this.#passToAttempt(context, { ...message, load: load ?? message.load });
     else context.outputs.push({ kind: 'relay', id: guarded.id, attempt, load });
@@ -466,6 +467,17 @@
   return { ...load, waiting: load.waiting + count };
 }
 
+/** Counts the time for which a body waited and arrived as held, because it is no part of the round trip. */
+function addBodyTime(
+  { state: { bodies }, now }: MessageContext,
+  attempt: AttemptId,
+  load: ServerLoad | undefined,
+): ServerLoad | undefined {
+  const askedAt = bodies?.asked.get(attempt)?.askedAt;
+  if (askedAt === undefined || load?.heldMs === undefined) return load;
+  return { ...load, heldMs: now - askedAt };
+}
+
 /** The state, time and outputs of the handling of one message. */
 class MessageContext {
   readonly state: CallPipeState;
