Share the room of a class of priority by client account

In the queue of calls and at the guard, calls of the same worth were served in the order of arrival, so an account with many times its usual load took the room of all others.

AccountShares keeps what each account asked for and got lately of the room of a class. The next call of a class is one of the account that got least relative to its usual demand; the one that is refused when too many wait, and the estimate of what is ahead of a new call, follow the same order. The structures are created by the first call with an account, so that other deployments take the same decisions as before.

--- /dev/null
+++ b/src/calls/account-shares.ts
@@ -0,0 +1,154 @@
+/** What each client account asked for and got of the room of a class of priority. */
+import type { ClientAccountName, Instant } from '../ids.js';
+
+/** A client account, or `undefined` for the group of all calls without an account. */
+export type AccountGroup = ClientAccountName | undefined;
+
+/**
+ * Compares the accounts of a class by what they got lately, relative to what they usually ask for.
+ *
+ * The weight of an account is its usual demand, an average over a minute. An account that asks for many times its
+ * usual load therefore soon has a higher level than the others, and waits for them. The weight is at least a part of
+ * what the account asks for now, so that such an account and a new one are still served.
+ *
+ * Amounts are in any unit of the room, for example calls or milliseconds of a slot.
+ */
+export class AccountShares {
+  readonly #accounts = new Map<AccountGroup, Usage>();
+  readonly #all: Usage;
+  readonly #startedAt: Instant;
+  #sweepAt: number;
+
+  constructor(now: Instant) {
+    this.#startedAt = now;
+    this.#sweepAt = now + USUAL_MS;
+    this.#all = createUsage(now);
+  }
+
+  /** Records that a call of an account arrived, whether or not it will wait. */
+  addAsked(account: AccountGroup, amount: number, now: Instant): void {
+    this.#addAsked(this.#all, amount, now);
+    const usage = this.#read(account, now);
+    this.#addAsked(usage, amount, now);
+    usage.weight = this.#measureWeight(usage, now);
+    this.#forgetIdle(now);
+  }
+
+  /** Records that an account got room. */
+  addGot(account: AccountGroup, amount: number, now: Instant): void {
+    const usage = this.#read(account, now);
+    applyDecay(usage, now);
+    usage.got += amount;
+    usage.weight = this.#measureWeight(usage, now);
+  }
+
+  /**
+   * Returns the level of an account once it has got `more`; the account with the lowest level is next. All levels fall
+   * at the same rate, so a logarithm that grows with time keeps their order without updates.
+   */
+  findLevel(account: AccountGroup, more = 0): number {
+    const usage = this.#accounts.get(account);
+    if (usage === undefined) return more > 0 ? Number.POSITIVE_INFINITY : Number.NEGATIVE_INFINITY;
+    return usage.at / RECENT_MS + Math.log((usage.got + more) / usage.weight);
+  }
+
+  /** Returns what an account must get to reach a level; negative if it is above the level. */
+  findAmountUpTo(account: AccountGroup, level: number): number {
+    const usage = this.#accounts.get(account);
+    if (usage === undefined) return 0;
+    return Math.exp(level - usage.at / RECENT_MS) * usage.weight - usage.got;
+  }
+
+  /** The number of accounts that asked lately. */
+  get size(): number {
+    return this.#accounts.size;
+  }
+
+  // Internals.
+
+  #read(account: AccountGroup, now: Instant): Usage {
+    const known = this.#accounts.get(account);
+    if (known !== undefined) return known;
+    const usage = createUsage(now);
+    this.#accounts.set(account, usage);
+    return usage;
+  }
+
+  #addAsked(usage: Usage, amount: number, now: Instant): void {
+    applyDecay(usage, now);
+    usage.usual += amount;
+    usage.recent += amount;
+  }
+
+  #measureWeight({ usual, recent }: Usage, now: Instant): number {
+    const age = Math.max(MIN_AGE_MS, now - this.#startedAt);
+    const usualRate = usual / measureSpan(USUAL_MS, age);
+    const recentRate = recent / measureSpan(RECENT_MS, age);
+    const floor = recentRate * LEAST_SHARE * this.#measureUsualShare(age);
+    return Math.max(usualRate, floor, MIN_WEIGHT);
+  }
+
+  /**
+   * Returns the usual demand of all accounts, relative to what they ask for now, at most 1. A part of the present
+   * demand that is scaled by it is the same part of what an account would get in proportion to the present demands.
+   */
+  #measureUsualShare(age: number): number {
+    const { usual, recent } = this.#all;
+    if (recent === 0) return 1;
+    const ratio = (usual * measureSpan(RECENT_MS, age)) / (recent * measureSpan(USUAL_MS, age));
+    return Math.min(1, ratio);
+  }
+
+  /** Removes, once in a while, the accounts that have not asked for long. */
+  #forgetIdle(now: Instant): void {
+    if (now < this.#sweepAt) return;
+    this.#sweepAt = now + USUAL_MS;
+    for (const [account, { at }] of this.#accounts) {
+      if (now - at > IDLE_MS) this.#accounts.delete(account);
+    }
+  }
+}
+
+// Internals.
+
+/** Decaying sums of the amounts of an account. */
+interface Usage {
+  usual: number;
+  recent: number;
+  got: number;
+  /** The instant up to which the sums have decayed. */
+  at: Instant;
+  /** The weight at that instant. */
+  weight: number;
+}
+
+/** Time constant of what an account got lately, and of its present demand. */
+const RECENT_MS = 4_000;
+/** Time constant of the usual demand: a surge of a few seconds hardly changes it, a lasting change does. */
+const USUAL_MS = 60_000;
+/** After this, the sums of an account that does not ask are negligible. */
+const IDLE_MS = 5 * USUAL_MS;
+/** The least weight of an account, relative to one in proportion to its present demand. Above the promised 1/4. */
+const LEAST_SHARE = 0.35;
+/** Rates are not measured over less than this. */
+const MIN_AGE_MS = 1_000;
+const MIN_WEIGHT = 1e-12;
+
+function createUsage(now: Instant): Usage {
+  return { usual: 0, recent: 0, got: 0, at: now, weight: MIN_WEIGHT };
+}
+
+function applyDecay(usage: Usage, now: Instant): void {
+  const elapsed = now - usage.at;
+  if (elapsed <= 0) return;
+  const kept = Math.exp(-elapsed / RECENT_MS);
+  usage.got *= kept;
+  usage.recent *= kept;
+  usage.usual *= Math.exp(-elapsed / USUAL_MS);
+  usage.at = now;
+}
+
+/** Returns the weight of the past in a decaying sum that began `age` ago, in milliseconds. */
+function measureSpan(timeConstant: number, age: number): number {
+  return timeConstant * (1 - Math.exp(-age / timeConstant));
+}
--- a/src/calls/guarded-server.ts
+++ b/src/calls/guarded-server.ts
@@ -90,17 +90,19 @@
 
   /** Admits, queues or rejects a new attempt. */
   admit(head: AttemptHead, now: Instant): Admission[] {
+    const isBusy = head.onlyIfFree === true && this.#countFree(now) <= this.#policy.count();
+    const runMs = this.#findRunMs(head);
+    // A busy server does not keep the attempt waiting; another server counts it.
+    if (!isBusy) this.#policy.addAsked(head, runMs, now);
     const refusal = this.#findRefusal(head, now);
     if (refusal !== undefined) return [buildReject(head.attempt, refusal)];
-    if (head.onlyIfFree === true && this.#countFree(now) <= this.#policy.count()) {
-      return [buildReject(head.attempt, 'busy', this.measureLoad())];
-    }
+    if (isBusy) return [buildReject(head.attempt, 'busy', this.measureLoad())];
     this.#policy.addArrival(head.requestKind, now);
-    const priority = this.#findPriority(head);
     this.#policy.add({
       head,
       arrivedAt: now,
-      priority,
+      priority: head.worth / runMs,
+      runMs,
       latestStart: this.#findLatestTimelyStart(head, now),
     });
     const started = this.startWaiting(now);
@@ -210,9 +212,9 @@
       : undefined;
   }
 
-  /** Worth per millisecond of run time; a kind without samples counts as fast, so that it is tried. */
-  #findPriority({ requestKind, worth }: AttemptHead): number {
-    return worth / Math.max(1, this.#estimate.findMean(requestKind));
+  /** The expected run time in milliseconds; a kind without samples counts as fast, so that it is tried. */
+  #findRunMs({ requestKind }: AttemptHead): number {
+    return Math.max(1, this.#estimate.findMean(requestKind));
   }
 
   /** Uses the upper estimate: half of the runs started a mean run time before the deadline would be late. */
@@ -223,7 +225,8 @@
   /** When a slot is expected for an attempt that arrives now. */
   #findExpectedStart(head: AttemptHead, now: Instant): Instant {
     const free = this.#countFree(now);
-    const ahead = this.#policy.countAhead(this.#findPriority(head)) + 1 - free;
+    const priority = head.worth / this.#findRunMs(head);
+    const ahead = this.#policy.countAhead(priority, head) + 1 - free;
     const startIntervalMs = this.#estimate.findOverall() / this.#countSlots(now);
     return addMs(now, Math.max(0, ahead) * startIntervalMs);
   }
--- a/src/calls/intake-filter.ts
+++ b/src/calls/intake-filter.ts
@@ -51,7 +51,7 @@
  *
  * A queued call has cost little and certainly has not run, so a call that will not be processed in time is
  * refused here. Calls are ordered by worth; at equal worth, forwarded attempts take precedence over calls of
- * callers, because other proxies have already spent work on them.
+ * callers, because other proxies have already spent work on them. Otherwise equal calls are ordered by client account.
  */
 export class IntakeFilter extends Filter<IntakeState, IntakeIn, IntakeOut> {
   override createState(): IntakeState {
@@ -93,10 +93,21 @@
 }
 
 function addCall(queue: IntakeQueue, waiting: WaitingCall, now: Instant): IntakeOut[] {
+  queue.addAsked(waiting, now);
   const isTooLate = queue.findExpectedStart(waiting, now) > waiting.startBy;
-  if (isTooLate || queue.size >= MAX_WAITING_CALLS) return [buildRefusal(waiting)];
+  if (isTooLate) return [buildRefusal(waiting)];
+  if (queue.size < MAX_WAITING_CALLS) {
+    queue.add(waiting);
+    return [{ kind: 'want-turn' }];
+  }
+  return [buildRefusal(exchangeLast(queue, waiting))];
+}
+
+/** Returns the call for which a full queue has no room. */
+function exchangeLast(queue: IntakeQueue, waiting: WaitingCall): WaitingCall {
+  if (!queue.hasAccounts) return waiting;
   queue.add(waiting);
-  return [{ kind: 'want-turn' }];
+  return queue.takeLast() ?? waiting;
 }
 
 function takeNext(queue: IntakeQueue, now: Instant): IntakeOut[] {
@@ -111,6 +122,7 @@
     id: head.id,
     isForwarded: false,
     worth,
+    account: call.account?.name,
     since: now,
     startBy: findStartBy(queue, { worth, fullValueDeadline: aim, deadline }, now),
     work: { kind: 'routed', call },
@@ -122,13 +134,13 @@
   work: ForwardedAttempt,
   now: Instant,
 ): WaitingCall {
-  const { worth, aim, replyBy, deadline } = work.head;
+  const { worth, account, aim, replyBy, deadline } = work.head;
   const startBy = findStartBy(
     queue,
     { worth, fullValueDeadline: aim, deadline: replyBy ?? deadline },
     now,
   );
-  return { id: work.id, isForwarded: true, worth, since: now, startBy, work };
+  return { id: work.id, isForwarded: true, worth, account, since: now, startBy, work };
 }
 
 /** The inputs of {@link findStartBy}. */
--- a/src/calls/slot-policy.ts
+++ b/src/calls/slot-policy.ts
@@ -8,6 +8,8 @@
   readonly arrivedAt: Instant;
   /** Worth of the call per expected millisecond of its run. */
   readonly priority: number;
+  /** The expected run time in milliseconds; at least 1. */
+  readonly runMs: number;
   /** A run that starts later is expected to miss the full-value deadline of its call. */
   readonly latestStart: Instant;
 }
@@ -22,6 +24,14 @@
   /** Records the arrival of an attempt, whether or not it will wait. */
   abstract addArrival(requestKind: RequestKindName, now: Instant): void;
 
+  /**
+   * Records what an attempt asks for, whether it will wait, run or be refused. Override it in policies that share slots
+   * by client account.
+   */
+  addAsked(_head: AttemptHead, _runMs: number, _now: Instant): void {
+    // By default, slots are not shared by account.
+  }
+
   /** Records that an attempt of this kind has taken a slot. */
   abstract addRun(requestKind: RequestKindName): void;
 
@@ -55,7 +65,7 @@
   }
 
   /** Counts the attempts that would run before a new one with this priority. */
-  abstract countAhead(priority: number): number;
+  abstract countAhead(priority: number, head: AttemptHead): number;
 
   /** Counts the waiting attempts. */
   abstract count(): number;
