--- a/src/calls/account-shares.ts
+++ b/src/calls/account-shares.ts
@@ -27,9 +27,16 @@
 
   /** Records that a call of an account arrived, whether or not it will wait. */
   addAsked(account: AccountGroup, amount: number, now: Instant): void {
-    this.#addAsked(this.#all, amount, now);
     const usage = this.#read(account, now);
-    this.#addAsked(usage, amount, now);
+    const elapsedMs = Math.max(0, now - usage.askedAt);
+    usage.askedAt = now;
+    applyDecay(usage, now);
+    applyDecay(this.#all, now);
+    const usualAmount = this.#takeUsualPart(usage, amount, elapsedMs, now);
+    for (const one of [usage, this.#all]) {
+      one.usual += usualAmount;
+      one.recent += amount;
+    }
     usage.weight = this.#measureWeight(usage, now);
     this.#forgetIdle(now);
   }
@@ -74,14 +81,27 @@
     return usage;
   }
 
-  #addAsked(usage: Usage, amount: number, now: Instant): void {
-    applyDecay(usage, now);
-    usage.usual += amount;
-    usage.recent += amount;
+  /**
+   * Returns the part of a new call that counts as usual demand. In a surge it is less than 1; otherwise a surge of some
+   * seconds would double the weight of an account that is known for a minute.
+   */
+  #takeUsualPart(usage: Usage, amount: number, elapsedMs: number, now: Instant): number {
+    const age = this.#measureAge(now);
+    if (age < LEARNING_MS) return amount;
+    const rate = (MAX_USUAL_RISE * usage.usual) / measureSpan(USUAL_MS, age);
+    const most = rate * SURGE_BURST_MS + SURGE_BURST_CALLS * amount;
+    usage.allowance = Math.min(most, usage.allowance + rate * elapsedMs);
+    const taken = Math.min(amount, usage.allowance);
+    usage.allowance -= taken;
+    return Math.max(taken, amount * MIN_USUAL_PART);
+  }
+
+  #measureAge(now: Instant): number {
+    return Math.max(MIN_AGE_MS, now - this.#startedAt);
   }
 
   #measureWeight({ usual, recent }: Usage, now: Instant): number {
-    const age = Math.max(MIN_AGE_MS, now - this.#startedAt);
+    const age = this.#measureAge(now);
     const usualRate = usual / measureSpan(USUAL_MS, age);
     const recentRate = recent / measureSpan(RECENT_MS, age);
     const floor = recentRate * LEAST_SHARE * this.#measureUsualShare(age);
@@ -116,13 +136,16 @@
   usual: number;
   recent: number;
   got: number;
+  /** What may still be counted as usual demand at once. */
+  allowance: number;
+  askedAt: Instant;
   /** The instant up to which the sums have decayed. */
   at: Instant;
   /** The weight at that instant. */
   weight: number;
 }
 
-/** Time constant of what an account got lately, and of its present demand. */
+/** Time constant of what an account got lately, and of its present demand; with 10 s, a surge costs others more. */
 const RECENT_MS = 4_000;
 /** Time constant of the usual demand: a surge of a few seconds hardly changes it, a lasting change does. */
 const USUAL_MS = 60_000;
@@ -130,12 +153,29 @@
 const IDLE_MS = 5 * USUAL_MS;
 /** The least weight of an account, relative to one in proportion to its present demand. Above the promised 1/4. */
 const LEAST_SHARE = 0.35;
+/** A demand up to this multiple of the usual one is no surge. */
+const MAX_USUAL_RISE = 2;
+/** A burst as long or as large as this is no surge. */
+const SURGE_BURST_MS = 500;
+const SURGE_BURST_CALLS = 3;
+/** The least part of a call of a surge that counts as usual, so that a new account is learnt. */
+const MIN_USUAL_PART = 1 / 8;
+/** No demand is a surge before the usual one has been measured for this long. */
+const LEARNING_MS = 10_000;
 /** Rates are not measured over less than this. */
 const MIN_AGE_MS = 1_000;
 const MIN_WEIGHT = 1e-12;
 
 function createUsage(now: Instant): Usage {
-  return { usual: 0, recent: 0, got: 0, at: now, weight: MIN_WEIGHT };
+  return {
+    usual: 0,
+    recent: 0,
+    got: 0,
+    allowance: Number.POSITIVE_INFINITY,
+    askedAt: now,
+    at: now,
+    weight: MIN_WEIGHT,
+  };
 }
 
 function applyDecay(usage: Usage, now: Instant): void {
--- a/src/calls/priority-slot-policy.ts
+++ b/src/calls/priority-slot-policy.ts
@@ -98,8 +98,10 @@
     const waiting = late.flatMap(([, queue]) => [...queue.values()]);
     const soon = Math.round(slots * this.#lateShare * LATE_RUN_TIMES);
     const most = Math.max(1, Math.min(slots, soon));
-    if (this.#accounts !== undefined) return this.#takeLateByAccount(waiting.length - most);
-    waiting.sort((left, right) => left.priority - right.priority);
+    waiting.sort(comparePriorities);
+    if (this.#accounts !== undefined) {
+      return this.#takeLateByAccount(waiting, waiting.length - most);
+    }
     const taken = waiting.slice(0, Math.max(0, waiting.length - most));
     for (const { head } of taken) this.remove(head.attempt);
     return taken;
@@ -158,21 +160,19 @@
     return kinds.toSorted((left, right) => readPriority(left) - readPriority(right))[0];
   }
 
-  /** Removes and returns late attempts of the lowest priority, by account. */
-  #takeLateByAccount(excess: number): WaitingAttempt[] {
-    const taken: WaitingAttempt[] = [];
-    while (taken.length < excess) {
-      const late = [...this.#queues].filter(([name]) => isLateName(name));
-      const [least] = late.toSorted(([, left], [, right]) => {
-        return readPriority(left) - readPriority(right);
-      });
-      const queue = least && this.#findLeastByAccount(least[1]);
-      const first = queue && findFirst(queue);
-      if (first === undefined) break;
-      this.remove(first.head.attempt);
-      taken.push(first);
+  /** Removes and returns late attempts of the lowest priority, by account; `waiting` begins with the lowest. */
+  #takeLateByAccount(waiting: readonly WaitingAttempt[], excess: number): WaitingAttempt[] {
+    const taken = new Set<WaitingAttempt>();
+    while (taken.size < excess) {
+      const least = waiting.find((one) => !taken.has(one));
+      if (least === undefined) break;
+      const kinds = this.#accounts?.listLast(least.head.worth, true) ?? [];
+      const attempts = kinds.flatMap((kind) => [...kind.values()]);
+      const [last = least] = attempts.sort(comparePriorities);
+      this.remove(last.head.attempt);
+      taken.add(last);
     }
-    return taken;
+    return [...taken];
   }
 
   /** Averages over about as many grants as there are slots, which is about one run time. */
@@ -210,6 +210,10 @@
 /** A late attempt waits only if a slot is expected within this many mean run times. */
 const LATE_RUN_TIMES = 2;
 
+function comparePriorities(left: WaitingAttempt, right: WaitingAttempt): number {
+  return left.priority - right.priority;
+}
+
 function isLateName(name: string): boolean {
   return name.endsWith(LATE_SUFFIX);
 }
--- a/test/intake-calls.ts
+++ b/test/intake-calls.ts
@@ -5,6 +5,7 @@
   Address,
   AttemptId,
   CallId,
+  ClientAccountName,
   Instant,
   RequestKindName,
   ServiceName,
@@ -19,11 +20,13 @@
   /** Milliseconds until the full-value deadline. */
   readonly fullValueMs?: number;
   readonly deadlineMs?: number;
+  /** The client account. */
+  readonly account?: ClientAccountName | undefined;
 }
 
 /** Makes a call from a caller. */
 export function makeRouted(id: string, call: IntakeCallOptions): IntakeIn {
-  const { now, worth = 1, fullValueMs: aimMs = 400, deadlineMs = 20_000 } = call;
+  const { now, worth = 1, fullValueMs: aimMs = 400, deadlineMs = 20_000, account } = call;
   return {
     kind: 'routed',
     call: {
@@ -32,6 +35,7 @@
       service: 'shop' as ServiceName,
       requestKind: makeKind('read', { worth }),
       worth,
+      ...(account && { account: { kind: 'client-account', name: account, keys: [] } }),
       deadline: addMs(now, deadlineMs),
       aim: addMs(now, aimMs),
       subject: id,
@@ -41,7 +45,7 @@
 
 /** Makes an attempt forwarded by another proxy. */
 export function makeForwarded(id: string, call: IntakeCallOptions): IntakeIn {
-  const { now, worth = 1, fullValueMs: aimMs = 400, deadlineMs = 20_000 } = call;
+  const { now, worth = 1, fullValueMs: aimMs = 400, deadlineMs = 20_000, account } = call;
   return {
     kind: 'forwarded',
     id: id as CallId,
@@ -53,6 +57,7 @@
       worth,
       deadline: addMs(now, deadlineMs),
       aim: addMs(now, aimMs),
+      ...(account && { account }),
       subject: id,
       suspect: false,
     },
