--- a/src/calls/account-intake-queues.ts
+++ b/src/calls/account-intake-queues.ts
@@ -35,25 +35,26 @@
 
   /** Adds a waiting call. */
   add(call: WaitingCall): void {
-    pickQueue(this.#read(call.worth, call.since), call).add(call.account, call.id, call, 1);
+    const queue = pickQueue(this.#read(call.worth, call.since), call);
+    queue.add(call.account, ONLY_LANE, call.id, call, 1);
   }
 
   /** Removes a waiting call. */
   remove(call: WaitingCall): void {
     const found = this.#classes.get(call.worth);
-    if (found !== undefined) pickQueue(found, call).remove(call.account, call.id, 1);
+    if (found !== undefined) pickQueue(found, call).remove(call.account, ONLY_LANE, call.id, 1);
   }
 
   /** Finds the next call. */
   findFirst(): WaitingCall | undefined {
     const queue = this.#listQueues().find(({ size }) => size > 0);
-    return queue?.findFirst()?.values().next().value;
+    return queue?.listFirst()[0]?.values().next().value;
   }
 
   /** Finds the last call: the newest of the account in the least class that loses one first. */
   findLast(): WaitingCall | undefined {
     const queue = this.#listQueues().findLast(({ size }) => size > 0);
-    return [...(queue?.findLast()?.values() ?? [])].at(-1);
+    return [...(queue?.listLast()[0]?.values() ?? [])].at(-1);
   }
 
   /** Counts the calls that are expected before a new one. */
@@ -88,7 +89,9 @@
 
 // Internals.
 
-type IntakeClassQueue = AccountQueue<CallId, WaitingCall>;
+const ONLY_LANE = 'calls';
+
+type IntakeClassQueue = AccountQueue<typeof ONLY_LANE, CallId, WaitingCall>;
 
 interface WorthClass {
   readonly shares: AccountShares;
--- a/src/calls/account-queue.ts
+++ b/src/calls/account-queue.ts
@@ -4,11 +4,12 @@
 
 /**
  * Orders the accounts of which something waits. The account with the lowest level is next; the one whose last item
- * would be reached last loses an item first. Both are found without looking at the other accounts.
+ * would be reached last loses an item first. Both are found without looking at the other accounts. The items of an account
+ * are kept in lanes, whose order is decided elsewhere.
  */
-export class AccountQueue<Id, Item> {
+export class AccountQueue<Lane, Id, Item> {
   readonly #shares: AccountShares;
-  readonly #accounts = new Map<AccountGroup, WaitingItems<Id, Item>>();
+  readonly #accounts = new Map<AccountGroup, WaitingItems<Lane, Id, Item>>();
   /** By the level before the next item. */
   readonly #first = new AccountHeap();
   /** By the negated level after the last item. */
@@ -25,22 +26,29 @@
   }
 
   /** Adds an item; `amount` is the room that it needs. */
-  add(account: AccountGroup, id: Id, item: Item, amount: number): void {
-    const waiting = this.#accounts.get(account) ?? { items: new Map<Id, Item>(), amount: 0 };
-    this.#accounts.set(account, waiting);
-    waiting.items.set(id, item);
+  add(account: AccountGroup, lane: Lane, id: Id, item: Item, amount: number): void {
+    const known = this.#accounts.get(account);
+    const waiting = known ?? { lanes: new Map<Lane, Map<Id, Item>>(), count: 0, amount: 0 };
+    if (known === undefined) this.#accounts.set(account, waiting);
+    const items = waiting.lanes.get(lane);
+    if (items === undefined) waiting.lanes.set(lane, new Map([[id, item]]));
+    else items.set(id, item);
+    waiting.count += 1;
     waiting.amount += amount;
     this.#size += 1;
     this.update(account);
   }
 
   /** Removes an item of the given amount, if it is waiting. */
-  remove(account: AccountGroup, id: Id, amount: number): void {
+  remove(account: AccountGroup, lane: Lane, id: Id, amount: number): void {
     const waiting = this.#accounts.get(account);
-    if (waiting?.items.delete(id) !== true) return;
+    const items = waiting?.lanes.get(lane);
+    if (waiting === undefined || items?.delete(id) !== true) return;
+    if (items.size === 0) waiting.lanes.delete(lane);
+    waiting.count -= 1;
     waiting.amount -= amount;
     this.#size -= 1;
-    if (waiting.items.size > 0) {
+    if (waiting.count > 0) {
       this.update(account);
       return;
     }
@@ -57,14 +65,14 @@
     this.#last.update(account, -this.#shares.findLevel(account, waiting.amount));
   }
 
-  /** Returns the items of the account that is next, in the order of arrival. */
-  findFirst(): ReadonlyMap<Id, Item> | undefined {
-    return this.#accounts.get(this.#first.findFirst())?.items;
+  /** Lists the lanes of the account that is next, each with its items in the order of arrival. */
+  listFirst(): ReadonlyMap<Id, Item>[] {
+    return [...(this.#accounts.get(this.#first.findFirst())?.lanes.values() ?? [])];
   }
 
-  /** Returns the items of the account that loses one if there are too many. */
-  findLast(): ReadonlyMap<Id, Item> | undefined {
-    return this.#accounts.get(this.#last.findFirst())?.items;
+  /** Lists the lanes of the account that loses an item if there are too many. */
+  listLast(): ReadonlyMap<Id, Item>[] {
+    return [...(this.#accounts.get(this.#last.findFirst())?.lanes.values() ?? [])];
   }
 
   /**
@@ -73,15 +81,15 @@
    */
   countAhead(account: AccountGroup): number {
     const own = this.#accounts.get(account);
-    const ownCount = own?.items.size ?? 0;
+    const ownCount = own?.count ?? 0;
     const level = this.#shares.findLevel(account, own?.amount ?? 0);
     let [ahead, seen, looked] = [0, 0, 0];
-    for (const [other, { items, amount }] of this.#accounts) {
+    for (const [other, { count, amount }] of this.#accounts) {
       if (other === account) continue;
       if (looked === MAX_COMPARED_ACCOUNTS) break;
-      const before = (this.#shares.findAmountUpTo(other, level) / amount) * items.size;
-      ahead += Math.min(items.size, Math.max(0, Math.ceil(before)));
-      seen += items.size;
+      const before = (this.#shares.findAmountUpTo(other, level) / amount) * count;
+      ahead += Math.min(count, Math.max(0, Math.ceil(before)));
+      seen += count;
       looked += 1;
     }
     if (seen === 0) return ownCount;
@@ -92,10 +100,12 @@
 // Internals.
 
 /** Bounds the time for an arrival. */
-const MAX_COMPARED_ACCOUNTS = 64;
+const MAX_COMPARED_ACCOUNTS = 32;
 
-interface WaitingItems<Id, Item> {
-  readonly items: Map<Id, Item>;
+interface WaitingItems<Lane, Id, Item> {
+  /** No lane is empty. */
+  readonly lanes: Map<Lane, Map<Id, Item>>;
+  count: number;
   /** The room that the items need. */
   amount: number;
 }
--- a/src/calls/account-shares.ts
+++ b/src/calls/account-shares.ts
@@ -18,11 +18,13 @@
   readonly #all: Usage;
   readonly #startedAt: Instant;
   #sweepAt: number;
+  #spans: Spans;
 
   constructor(now: Instant) {
     this.#startedAt = now;
     this.#sweepAt = now + USUAL_MS;
     this.#all = createUsage(now);
+    this.#spans = measureSpans(now, now);
   }
 
   /** Records that a call of an account arrived, whether or not it will wait. */
@@ -86,9 +88,8 @@
    * seconds would double the weight of an account that is known for a minute.
    */
   #takeUsualPart(usage: Usage, amount: number, elapsedMs: number, now: Instant): number {
-    const age = this.#measureAge(now);
-    if (age < LEARNING_MS) return amount;
-    const rate = (MAX_USUAL_RISE * usage.usual) / measureSpan(USUAL_MS, age);
+    if (now - this.#startedAt < LEARNING_MS) return amount;
+    const rate = (MAX_USUAL_RISE * usage.usual) / this.#readSpans(now).usual;
     const most = rate * SURGE_BURST_MS + SURGE_BURST_CALLS * amount;
     usage.allowance = Math.min(most, usage.allowance + rate * elapsedMs);
     const taken = Math.min(amount, usage.allowance);
@@ -96,15 +97,17 @@
     return Math.max(taken, amount * MIN_USUAL_PART);
   }
 
-  #measureAge(now: Instant): number {
-    return Math.max(MIN_AGE_MS, now - this.#startedAt);
+  /** Returns the spans of the time constants. They change slowly, and exponentials cost time. */
+  #readSpans(now: Instant): Spans {
+    if (now - this.#spans.at >= SPANS_MAX_AGE_MS) this.#spans = measureSpans(this.#startedAt, now);
+    return this.#spans;
   }
 
   #measureWeight({ usual, recent }: Usage, now: Instant): number {
-    const age = this.#measureAge(now);
-    const usualRate = usual / measureSpan(USUAL_MS, age);
-    const recentRate = recent / measureSpan(RECENT_MS, age);
-    const floor = recentRate * LEAST_SHARE * this.#measureUsualShare(age);
+    const spans = this.#readSpans(now);
+    const usualRate = usual / spans.usual;
+    const recentRate = recent / spans.recent;
+    const floor = recentRate * LEAST_SHARE * this.#measureUsualShare(spans);
     return Math.max(usualRate, floor, MIN_WEIGHT);
   }
 
@@ -112,10 +115,10 @@
    * Returns the usual demand of all accounts, relative to what they ask for now, at most 1. A part of the present
    * demand that is scaled by it is the same part of what an account would get in proportion to the present demands.
    */
-  #measureUsualShare(age: number): number {
+  #measureUsualShare(spans: Spans): number {
     const { usual, recent } = this.#all;
     if (recent === 0) return 1;
-    const ratio = (usual * measureSpan(RECENT_MS, age)) / (recent * measureSpan(USUAL_MS, age));
+    const ratio = (usual * spans.recent) / (recent * spans.usual);
     return Math.min(1, ratio);
   }
 
@@ -188,7 +191,18 @@
   usage.at = now;
 }
 
-/** Returns the weight of the past in a decaying sum that began `age` ago, in milliseconds. */
-function measureSpan(timeConstant: number, age: number): number {
-  return timeConstant * (1 - Math.exp(-age / timeConstant));
+/** What a constant demand of one per millisecond adds up to in the decaying sums, in milliseconds. */
+interface Spans {
+  readonly at: Instant;
+  readonly usual: number;
+  readonly recent: number;
+}
+
+const SPANS_MAX_AGE_MS = 100;
+
+function measureSpans(startedAt: Instant, now: Instant): Spans {
+  const age = Math.max(MIN_AGE_MS, now - startedAt);
+  const measure = (timeConstant: number): number =>
+    timeConstant * (1 - Math.exp(-age / timeConstant));
+  return { at: now, usual: measure(USUAL_MS), recent: measure(RECENT_MS) };
 }
--- a/src/calls/account-slot-queues.ts
+++ b/src/calls/account-slot-queues.ts
@@ -28,24 +28,25 @@
 
   /** Adds a waiting attempt. */
   add(waiting: WaitingAttempt, isLate: boolean, now: Instant): void {
-    const { account, attempt, worth } = waiting.head;
-    pickQueue(this.#read(worth, now), isLate).add(account, attempt, waiting, waiting.runMs);
+    const { account, attempt, requestKind, worth } = waiting.head;
+    const queue = pickQueue(this.#read(worth, now), isLate);
+    queue.add(account, requestKind, attempt, waiting, waiting.runMs);
   }
 
   /** Removes a waiting attempt. */
-  remove({ head: { account, attempt, worth }, runMs }: WaitingAttempt, isLate: boolean): void {
-    const found = this.#classes.get(worth);
-    if (found !== undefined) pickQueue(found, isLate).remove(account, attempt, runMs);
+  remove({ head, runMs }: WaitingAttempt, isLate: boolean): void {
+    const { account, attempt, requestKind, worth } = head;
+    this.#find(worth, isLate)?.remove(account, requestKind, attempt, runMs);
   }
 
   /** Lists the attempts of the account that is next in a class, by request kind, in the order of arrival. */
   listFirst(worth: number, isLate: boolean): ReadonlyMap<AttemptId, WaitingAttempt>[] {
-    return listKinds(this.#find(worth, isLate)?.findFirst());
+    return this.#find(worth, isLate)?.listFirst() ?? [];
   }
 
   /** Lists the attempts of the account that loses one if there are too many, as {@link listFirst} does. */
   listLast(worth: number, isLate: boolean): ReadonlyMap<AttemptId, WaitingAttempt>[] {
-    return listKinds(this.#find(worth, isLate)?.findLast());
+    return this.#find(worth, isLate)?.listLast() ?? [];
   }
 
   /** Counts the timely attempts of the same worth that are expected before a new one. */
@@ -76,7 +77,7 @@
 
 // Internals.
 
-type SlotQueue = AccountQueue<AttemptId, WaitingAttempt>;
+type SlotQueue = AccountQueue<RequestKindName, AttemptId, WaitingAttempt>;
 
 interface WorthClass {
   readonly shares: AccountShares;
@@ -92,16 +93,3 @@
   timely.update(account);
   late.update(account);
 }
-
-function listKinds(
-  attempts: ReadonlyMap<AttemptId, WaitingAttempt> = new Map(),
-): Map<AttemptId, WaitingAttempt>[] {
-  const kinds = new Map<RequestKindName, Map<AttemptId, WaitingAttempt>>();
-  for (const [attempt, waiting] of attempts) {
-    const { requestKind } = waiting.head;
-    const known = kinds.get(requestKind);
-    if (known === undefined) kinds.set(requestKind, new Map([[attempt, waiting]]));
-    else known.set(attempt, waiting);
-  }
-  return [...kinds.values()];
-}
