--- a/test/account-shares.test.ts
+++ b/test/account-shares.test.ts
@@ -1,4 +1,5 @@
 /** How the room of a class of priority is shared among client accounts, under load. */
+import { setImmediate } from 'node:timers/promises';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import type { Admission } from '../src/calls/guarded-server.js';
@@ -98,12 +99,14 @@
 }
 
 /** Plays a load with and without accounts, prints what callers got, and checks the shares of each class. */
-function checkShares(
+async function checkShares(
   t: ExecutionContext,
   player: Player,
   accounts: readonly LoadAccount[],
   classes: readonly LoadClass[] = [{ accounts, room: 1 }],
-): void {
+): Promise<void> {
+  // Lets the test runner report the tests before this one, whose time limit is for the time without a report.
+  await setImmediate();
   const shared = playSeeds(player, accounts, true);
   const byArrival = playSeeds(player, accounts, false);
   for (const { accounts: members, room } of classes) {
@@ -150,26 +153,36 @@
   // Guard against an account that takes the room of the others, and against shares that starve it.
   for (const load of [0.8, 1.2, 2]) {
     for (const [surge, surging] of SURGES) {
-      test(`${name}, load ${load}: ${surge}`, (t) => {
-        checkShares(t, player, makeAccounts(81, load, surging));
+      test.serial(`${name}, load ${load}: ${surge}`, async (t) => {
+        await checkShares(t, player, makeAccounts(81, load, surging));
       });
     }
   }
 
   // Guards against shares that are kept across classes, so that one class pays for the surge of another one.
   for (const rank of [9, 10]) {
-    test(`${name}, two classes, load 1.2: ${rank}th surges`, (t) => {
+    test.serial(`${name}, two classes, load 1.2: ${rank}th surges`, async (t) => {
       const findWorth = (one: number): number => (one % 2 === 1 ? URGENT : LESS_URGENT);
       const accounts = makeAccounts(81, 1.2, new Map([[rank, SURGE]]), findWorth);
-      checkShares(t, player, accounts, listClasses(accounts));
+      await checkShares(t, player, accounts, listClasses(accounts));
     });
   }
 
+  // Guards against an account that gets nothing because nothing is known of its usual load.
+  test.serial(`${name}, load 1.2 and a new account`, async (t) => {
+    const account = { name: 'new' as ClientAccountName, usual: 1e-5, surge: 1e4, worth: 1 };
+    await checkShares(t, player, [...makeAccounts(81, 1.2, new Map()), account]);
+  });
+
   // Guards against a weight that is too uncertain for accounts whose last call is long ago.
-  test(`${name}, few calls beside a large account that surges`, (t) => {
+  test.serial(`${name}, few calls beside a large account that surges`, async (t) => {
     const [large, ...further] = makeAccounts(81, 1, new Map([[1, SURGE]]));
     const small = further.map((one) => ({ ...one, usual: 0.003 }));
-    checkShares(t, player, large === undefined ? small : [{ ...large, usual: 0.5 }, ...small]);
+    await checkShares(
+      t,
+      player,
+      large === undefined ? small : [{ ...large, usual: 0.5 }, ...small],
+    );
   });
 }
 
--- a/test/accounts.test.ts
+++ b/test/accounts.test.ts
@@ -9,6 +9,8 @@
 import { PlatformCallFront } from '../platform/platform-call-front.js';
 import { PlatformOperatorFront } from '../platform/platform-operator-front.js';
 import type { ClassifyIn, ClassifyOut } from '../src/calls/classify-filter.js';
+import type { CallEnd, CallObserver } from '../src/calls/index.js';
+import { NoopObserver } from '../src/calls/index.js';
 import { ClassifyFilter } from '../src/calls/classify-filter.js';
 import { RouteIndex } from '../src/calls/route-index.js';
 import { addMs } from '../src/clock.js';
@@ -370,7 +372,12 @@
 }
 
 /** Starts proxies of the platform of which the last one has a server, and records the requests that it gets. */
-async function startProxies(t: ExecutionContext, count: number, configuration = CONFIGURATION) {
+async function startProxies(
+  t: ExecutionContext,
+  count: number,
+  configuration = CONFIGURATION,
+  observer: CallObserver = new NoopObserver(),
+) {
   const seen: IncomingMessage[] = [];
   const record: RequestHandler = (received, response) => {
     seen.push(received);
@@ -379,7 +386,12 @@
   const answers = Array.from({ length: count }, (_, index) =>
     index === count - 1 ? record : undefined,
   );
-  const mesh = await CallMesh.start({ configuration, answers, front: new PlatformCallFront() });
+  const mesh = await CallMesh.start({
+    configuration,
+    answers,
+    front: new PlatformCallFront(),
+    observer,
+  });
   t.teardown(() => mesh.stop());
   const call = async (headers: Record<string, string>, path = '/read/x') => {
     const url = `http://${mesh.at(0).calls}${path}`;
@@ -419,6 +431,28 @@
   });
 }
 
+/** Records how calls ended. */
+class EndedCalls extends NoopObserver {
+  readonly ends: CallEnd[] = [];
+
+  override endCall(end: CallEnd): void {
+    this.ends.push(end);
+  }
+}
+
+// Guards against a refusal that operators cannot find, and against keys in what is logged and counted.
+test('401 is reported with its reason, without the key', async (t) => {
+  const observer = new EndedCalls();
+  const { call } = await startProxies(t, 2, CONFIGURATION, observer);
+  t.is((await call({ 'x-api-key': UNKNOWN_KEY })).status, 401);
+  t.like(observer.ends, [
+    { status: 401, reason: 'unknown-key', outcome: 'not-run', account: undefined, attempt: 0 },
+  ]);
+  t.is((await call({ 'x-api-key': KEY })).status, 200);
+  t.true(observer.ends.slice(1).every(({ account }) => account === OPERA.name));
+  t.notRegex(JSON.stringify(observer.ends), /key-of-/);
+});
+
 // Guards against refusals that callers take for the wrong kind: 401 is final, 503 is not run.
 test('statuses: 401 for an unknown key, 503 while stale', async (t) => {
   const { mesh, seen, call } = await startProxies(t, 2);
