--- a/test/account-shares.test.ts
+++ b/test/account-shares.test.ts
@@ -2,6 +2,7 @@
 import { setImmediate } from 'node:timers/promises';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
+import { AccountShares } from '../src/calls/account-shares.js';
 import type { Admission } from '../src/calls/guarded-server.js';
 import { GuardedServer } from '../src/calls/guarded-server.js';
 import { IntakeFilter, PrioritySlotPolicy } from '../src/calls/index.js';
@@ -228,6 +229,17 @@
   );
 }
 
+// Guards against memory that grows with every account that ever called.
+test('accounts that no longer call are forgotten', (t) => {
+  const shares = new AccountShares(START);
+  for (let index = 0; index < 10_000; index += 1) {
+    const now = addMs(START, index * 1_000);
+    shares.addAsked(`account-${index}` as ClientAccountName, 1, now);
+    shares.addGot(`account-${index}` as ClientAccountName, 1, now);
+  }
+  t.true(shares.size < 1_000);
+});
+
 // Guards against a sharing that also changes the order of the calls of one account.
 test('one account alone: same decisions as without accounts', (t) => {
   for (let seed = 1; seed <= 20; seed += 1) {
