Test that a key keeps its new holder when the former one is removed later

The check in AccountIndex.remove had no test: RouteIndex removes all accounts before it adds any, so that the test through the filter passed without the check. This one fails without it.

--- a/test/accounts.test.ts
+++ b/test/accounts.test.ts
@@ -8,6 +8,7 @@
 import { decodeDocument } from '../platform/configuration-codec.js';
 import { PlatformCallFront } from '../platform/platform-call-front.js';
 import { PlatformOperatorFront } from '../platform/platform-operator-front.js';
+import { AccountIndex } from '../src/calls/account-index.js';
 import type { ClassifyIn, ClassifyOut } from '../src/calls/classify-filter.js';
 import type { CallEnd, CallObserver } from '../src/calls/index.js';
 import { NoopObserver } from '../src/calls/index.js';
@@ -162,6 +163,16 @@
   }
 });
 
+// Guards against the same where the new holder is added first.
+test('index: new holder of a key added before the former one is removed', (t) => {
+  const index = new AccountIndex();
+  index.add(OPERA);
+  index.add(makeAccount('theatre', [KEY]));
+  index.remove(OPERA);
+  t.is(index.find(KEY as AccountKey)?.name, 'theatre' as ClientAccountName);
+  t.is(index.find(SECOND_KEY as AccountKey), undefined);
+});
+
 // Guards against a priority of the route that overrides that of the account.
 test("account's worth before that of the request kind", (t) => {
   const rich = makeAccount('rich', ['rich'], { worth: 0 });
