--- /dev/null
+++ b/src/allowances/allowance-filter.ts
@@ -0,0 +1,495 @@
+/** Lets a call of a limited client account pass only with a token of the account's limit. */
+import { addMs, NEVER } from '../clock.js';
+import type { Address, CallId, ClientAccountName, Instant, ProxyLife, Term } from '../ids.js';
+import type { TimeOfDay } from '../ids.js';
+import type { AllowanceReply, AllowanceRequest } from '../messages/index.js';
+import type { Configuration } from '../notes/index.js';
+import { Filter } from '../pipe/index.js';
+import type { Step, WakeRequest } from '../pipe/index.js';
+import type { AccountAllowance } from './account-allowance.js';
+import { AccountBuckets } from './account-buckets.js';
+import { listLimits } from './account-limit.js';
+import { AllowanceLease } from './allowance-lease.js';
+import { GrantorFinder } from './grantor-finder.js';
+import { ANSWER_TIMEOUT_MS, REPORT_MS, SHORT_REPORT_MS, SPOT_TOKEN_MS } from './lease-times.js';
+import { TokenQueue } from './token-queue.js';
+
+/** What the filter needs of a call. */
+export interface LimitedCall {
+  readonly head: { readonly id: CallId };
+  readonly account?: { readonly name: ClientAccountName };
+  readonly deadline: Instant;
+  readonly aim?: Instant;
+}
+
+/** Inputs of the allowance filter. */
+export type AllowanceIn<Call> =
+  | { readonly kind: 'whole'; readonly configuration: Configuration }
+  | { readonly kind: 'routed'; readonly call: Call }
+  /** The time of day, posted before other messages while an account has a limit. */
+  | { readonly kind: 'time-of-day'; readonly at: TimeOfDay }
+  /** The control addresses of the source hosts. */
+  | { readonly kind: 'sources'; readonly sources: readonly Address[] }
+  | { readonly kind: 'allowance-reply'; readonly from: Address; readonly body: AllowanceReply }
+  /** A call was sent to a backend server. */
+  | { readonly kind: 'sent'; readonly id: CallId }
+  /** A call has ended; `isNotRun` if it certainly has not run at a backend server. */
+  | { readonly kind: 'ended'; readonly id: CallId; readonly isNotRun: boolean }
+  /** The caller of a call has left, or has received its answer. */
+  | { readonly kind: 'gone'; readonly id: CallId }
+  | { readonly kind: 'tick' };
+
+/** What a proxy knew when it refused a call. */
+export interface AllowanceView {
+  /** The tokens left, and the share of the limit in millionths. */
+  readonly left: number;
+  readonly share: number;
+  readonly grantor: Address | undefined;
+  readonly term: Term;
+}
+
+/** A call that is refused for want of a token. */
+export interface AllowanceRefusal {
+  readonly kind: 'refuse';
+  readonly id: CallId;
+  readonly reason: 'over-allowance' | 'no-allowance';
+  readonly outcome: 'not-run';
+  /** When a token is expected; only with `over-allowance`. */
+  readonly retryAfterMs?: number;
+  readonly allowance: AllowanceView;
+}
+
+/** Outputs of the allowance filter. */
+export type AllowanceOut<Call> =
+  | { readonly kind: 'routed'; readonly call: Call }
+  | AllowanceRefusal
+  | { readonly kind: 'allowance-request'; readonly to: Address; readonly body: AllowanceRequest }
+  /** Whether an account has a limit, so that the filter needs the time of day. */
+  | { readonly kind: 'allowances'; readonly isLimited: boolean }
+  /** The lease has begun or ended. */
+  | {
+      readonly kind: 'allowance-lease';
+      readonly isValid: boolean;
+      readonly grantor: Address | undefined;
+      readonly term: Term;
+    }
+  | WakeRequest;
+
+/** The state of the allowance filter; updated in place. */
+export interface AllowanceState<Call> {
+  readonly buckets: AccountBuckets;
+  readonly lease: AllowanceLease;
+  readonly finder: GrantorFinder;
+  readonly queue: TokenQueue<Call>;
+  /** The calls that hold a token, with their account and whether they were sent to a backend server. */
+  readonly charged: Map<CallId, ChargedCall>;
+  hasLease: boolean;
+  /** When the next report is due. */
+  reportAt: Instant;
+  reportedAt: Instant;
+  /** When the wait for the answer to a report ends; {@link NEVER} if none is awaited. */
+  answerBy: Instant;
+  /** When the wait for single tokens ends; {@link NEVER} if none were asked for. */
+  tokensBy: Instant;
+  /** Whether the last wait for an answer was in vain. */
+  isSilent: boolean;
+  /** The earliest tick that was requested. */
+  wakeAt: Instant;
+}
+
+/**
+ * Charges each call of a limited account one token: of the proxy's share, or a single one that it asks the grantor
+ * for. Other calls pass untouched, and without a limited account the filter sends nothing.
+ */
+export class AllowanceFilter<Call extends LimitedCall> extends Filter<
+  AllowanceState<Call>,
+  AllowanceIn<Call>,
+  AllowanceOut<Call>
+> {
+  readonly #life: ProxyLife;
+
+  /** @param life Identifies this life of the process; no other life has the same. */
+  constructor(life: ProxyLife) {
+    super();
+    this.#life = life;
+  }
+
+  override createState(): AllowanceState<Call> {
+    return {
+      buckets: new AccountBuckets(),
+      lease: new AllowanceLease(this.#life),
+      finder: new GrantorFinder(),
+      queue: new TokenQueue(),
+      charged: new Map(),
+      hasLease: false,
+      reportAt: NEVER,
+      reportedAt: 0 as Instant,
+      answerBy: NEVER,
+      tokensBy: NEVER,
+      isSilent: false,
+      wakeAt: NEVER,
+    };
+  }
+
+  override decide(
+    state: AllowanceState<Call>,
+    message: AllowanceIn<Call>,
+    now: Instant,
+  ): Step<AllowanceState<Call>, AllowanceOut<Call>> {
+    if (message.kind === 'routed' && isUnlimited(state, message.call)) {
+      return { state, outputs: [message] };
+    }
+    if (state.buckets.isEmpty && message.kind !== 'whole' && message.kind !== 'sources') {
+      return { state, outputs: NO_OUTPUTS };
+    }
+    const decision = new AllowanceDecision(state, now);
+    decision.handle(message);
+    return { state, outputs: decision.finish() };
+  }
+}
+
+// Internals.
+
+const NO_OUTPUTS: readonly never[] = [];
+/** The part of the time until its full-value deadline for which a call waits for a token, and the most. */
+const WAIT_SHARE = 1 / 4;
+const MAX_WAIT_MS = 250;
+const MAX_WAITING_CALLS = 1_024;
+/** Single tokens come in steps of this length at the earliest; see the grantor's confirmations. */
+const MIN_RETRY_MS = 10;
+const MS_UNKNOWN_RETRY = 1_000;
+
+interface ChargedCall {
+  readonly account: ClientAccountName;
+  isSent: boolean;
+}
+
+function isUnlimited(state: AllowanceState<unknown>, { account }: LimitedCall): boolean {
+  return account === undefined || state.buckets.find(account.name) === undefined;
+}
+
+/** The handling of one message. */
+class AllowanceDecision<Call extends LimitedCall> {
+  readonly #state: AllowanceState<Call>;
+  readonly #now: Instant;
+  readonly #outputs: AllowanceOut<Call>[] = [];
+
+  constructor(state: AllowanceState<Call>, now: Instant) {
+    this.#state = state;
+    this.#now = now;
+  }
+
+  handle(message: AllowanceIn<Call>): void {
+    const state = this.#state;
+    if (state.hasLease && !state.lease.isValid(this.#now)) this.#endLease();
+    switch (message.kind) {
+      case 'whole':
+        this.#applyConfiguration(message.configuration);
+        return;
+      case 'sources':
+        state.finder.updateSources(message.sources);
+        return;
+      case 'time-of-day':
+        this.#checkClocks(message.at - this.#now);
+        return;
+      case 'routed':
+        this.#admit(message.call);
+        return;
+      case 'allowance-reply':
+        this.#handleReply(message.from, message.body);
+        return;
+      case 'sent':
+        this.#markSent(message.id);
+        return;
+      case 'ended':
+        this.#release(message.id, message.isNotRun);
+        return;
+      case 'gone':
+        state.queue.remove(message.id);
+        this.#release(message.id, state.charged.get(message.id)?.isSent === false);
+        return;
+      case 'tick':
+        state.wakeAt = NEVER;
+        return;
+    }
+  }
+
+  /** Sends what is due, and returns the outputs. */
+  finish(): readonly AllowanceOut<Call>[] {
+    const state = this.#state;
+    if (state.buckets.isEmpty) return this.#outputs;
+    this.#refuseExpired();
+    this.#endWaits();
+    if (this.#now >= state.reportAt) this.#sendReport();
+    this.#sendAsk();
+    this.#requestTick();
+    return this.#outputs;
+  }
+
+  // Internals.
+
+  #applyConfiguration(configuration: Configuration): void {
+    const { buckets } = this.#state;
+    const wasEmpty = buckets.isEmpty;
+    buckets.updateLimits(listLimits(configuration), this.#now);
+    if (wasEmpty === buckets.isEmpty) return;
+    this.#outputs.push({ kind: 'allowances', isLimited: !buckets.isEmpty });
+    if (buckets.isEmpty) this.#stop();
+    else this.#state.reportAt = this.#now;
+  }
+
+  /** No account has a limit any more: nothing is sent, and no call is held back. */
+  #stop(): void {
+    const state = this.#state;
+    for (const { call } of state.queue.takeAll()) this.#outputs.push({ kind: 'routed', call });
+    state.charged.clear();
+    state.lease.end();
+    state.lease.forgetRequests();
+    state.hasLease = false;
+    state.reportAt = NEVER;
+    state.answerBy = NEVER;
+    state.tokensBy = NEVER;
+  }
+
+  #checkClocks(offset: number): void {
+    if (this.#state.lease.handleClockOffset(offset)) this.#endLease();
+  }
+
+  /** Drops all shares, and refuses the calls that wait. */
+  #endLease(): void {
+    const state = this.#state;
+    state.hasLease = false;
+    state.lease.end();
+    state.buckets.dropAll(this.#now);
+    state.reportAt = this.#now;
+    this.#pushLease(false);
+    for (const { id, account } of state.queue.takeAll()) this.#refuse(id, account, 'no-allowance');
+  }
+
+  #admit(call: Call): void {
+    const { account: owner, head } = call;
+    const name = owner?.name;
+    const account = name === undefined ? undefined : this.#state.buckets.find(name);
+    if (name === undefined || account === undefined) return;
+    account.addCall();
+    if (!this.#state.hasLease) this.#refuse(head.id, name, 'no-allowance');
+    else if (account.takeToken(this.#now)) this.#pass(call, name);
+    else this.#waitForToken(call, name, account);
+  }
+
+  #reportSoon(): void {
+    const state = this.#state;
+    const at = addMs(state.reportedAt, SHORT_REPORT_MS);
+    state.reportAt = Math.min(state.reportAt, at) as Instant;
+  }
+
+  #pass(call: Call, account: ClientAccountName): void {
+    this.#state.charged.set(call.head.id, { account, isSent: false });
+    this.#outputs.push({ kind: 'routed', call });
+  }
+
+  #waitForToken(call: Call, name: ClientAccountName, account: AccountAllowance): void {
+    const state = this.#state;
+    const { id } = call.head;
+    state.reportAt = Math.min(state.reportAt, addMs(state.reportedAt, SHORT_REPORT_MS)) as Instant;
+    if (this.#now < account.refusedUntil) this.#refuse(id, name, 'over-allowance');
+    else if (state.isSilent || state.queue.size >= MAX_WAITING_CALLS) {
+      this.#refuse(id, name, 'no-allowance');
+    } else {
+      const until = findWaitEnd(call, this.#now);
+      state.queue.add({ id, account: name, call, until, isAsked: false });
+    }
+  }
+
+  #refuse(id: CallId, name: ClientAccountName, reason: AllowanceRefusal['reason']): void {
+    const { buckets, lease } = this.#state;
+    const account = buckets.find(name);
+    this.#outputs.push({
+      kind: 'refuse',
+      id,
+      reason,
+      outcome: 'not-run',
+      ...(reason === 'over-allowance' ? { retryAfterMs: this.#findRetryMs(account) } : {}),
+      allowance: {
+        left: account?.bucket.measure(this.#now) ?? 0,
+        share: account?.bucket.share ?? 0,
+        grantor: lease.grantor,
+        term: lease.term,
+      },
+    });
+  }
+
+  /** A token is there when the share's bucket or the grantor's reserve has the next one. */
+  #findRetryMs(account: AccountAllowance | undefined): number {
+    if (account === undefined) return MS_UNKNOWN_RETRY;
+    const next = Math.min(account.bucket.findNextAt(this.#now), account.refusedUntil);
+    return Math.max(MIN_RETRY_MS, Math.ceil(next - this.#now));
+  }
+
+  #markSent(id: CallId): void {
+    const charged = this.#state.charged.get(id);
+    if (charged !== undefined) charged.isSent = true;
+  }
+
+  /** Forgets a call; one that has not run gives its token back. */
+  #release(id: CallId, isNotRun: boolean): void {
+    const { charged, buckets, hasLease } = this.#state;
+    const call = charged.get(id);
+    charged.delete(id);
+    if (call === undefined || !isNotRun || !hasLease) return;
+    buckets.find(call.account)?.returnToken(this.#now);
+  }
+
+  #handleReply(from: Address, reply: AllowanceReply): void {
+    switch (reply.kind) {
+      case 'not-leader':
+        this.#changeGrantor(from, reply.leader);
+        return;
+      case 'recall':
+        this.#handleRecall(from, reply);
+        return;
+      case 'tokens':
+        this.#handleTokens(from, reply);
+        return;
+      case 'grant':
+        this.#handleGrant(from, reply);
+        return;
+    }
+  }
+
+  /** Tries the next source host at once, but asks no more often than a proxy that is short of tokens. */
+  #changeGrantor(from: Address, leader: Address | undefined): void {
+    const state = this.#state;
+    if (from !== state.finder.current) return;
+    state.finder.change(leader);
+    this.#restartRequests();
+    state.isSilent ||= leader === undefined;
+    state.reportAt = leader === undefined ? addMs(state.reportedAt, SHORT_REPORT_MS) : this.#now;
+  }
+
+  #restartRequests(): void {
+    const state = this.#state;
+    state.lease.forgetRequests();
+    state.queue.forgetAsked();
+    state.answerBy = NEVER;
+    state.tokensBy = NEVER;
+  }
+
+  #handleRecall(
+    from: Address,
+    { term, shares }: Extract<AllowanceReply, { kind: 'recall' }>,
+  ): void {
+    const state = this.#state;
+    if (from !== state.finder.current || !state.lease.acceptRecall(term)) return;
+    if (state.buckets.lowerShares(shares, this.#now)) state.reportAt = this.#now;
+  }
+
+  #handleGrant(from: Address, grant: Extract<AllowanceReply, { kind: 'grant' }>): void {
+    const state = this.#state;
+    const sentAt = state.lease.renew(from, grant, this.#now);
+    if (sentAt === undefined) return;
+    state.answerBy = NEVER;
+    state.isSilent = false;
+    const hasLowered = this.#lowers(grant.shares);
+    state.buckets.applyShares(grant, sentAt, this.#now);
+    // The grantor hands out what this proxy has given up only after the next report.
+    if (hasLowered) state.reportAt = this.#now;
+    if (state.hasLease) return;
+    state.hasLease = true;
+    this.#pushLease(true);
+  }
+
+  #lowers(shares: Extract<AllowanceReply, { kind: 'grant' }>['shares']): boolean {
+    const { buckets } = this.#state;
+    return shares.some(([name, share]) => (buckets.find(name)?.bucket.share ?? 0) > share);
+  }
+
+  #handleTokens(from: Address, reply: Extract<AllowanceReply, { kind: 'tokens' }>): void {
+    const state = this.#state;
+    const sentAt = state.lease.acceptReply(from, reply);
+    if (sentAt === undefined) return;
+    state.tokensBy = NEVER;
+    state.isSilent = false;
+    const endsAt = addMs(sentAt, SPOT_TOKEN_MS);
+    if (this.#now >= endsAt || !state.hasLease) return;
+    for (const [name, count, nextInMs] of reply.tokens) {
+      const account = state.buckets.find(name);
+      if (account === undefined) continue;
+      account.addSingleTokens(count, endsAt);
+      const waiters = state.queue.takeAsked(name);
+      if (count < waiters.length) account.refusedUntil = addMs(this.#now, nextInMs);
+      for (const { call } of waiters) {
+        if (account.takeToken(this.#now)) this.#pass(call, name);
+        else this.#refuse(call.head.id, name, 'over-allowance');
+      }
+    }
+  }
+
+  /** A call whose wait has ended takes a token that has come meanwhile. */
+  #refuseExpired(): void {
+    const { queue, buckets } = this.#state;
+    if (queue.size === 0) return;
+    for (const { id, account, call } of queue.takeExpired(this.#now)) {
+      if (buckets.find(account)?.takeToken(this.#now) === true) this.#pass(call, account);
+      else this.#refuse(id, account, 'no-allowance');
+    }
+  }
+
+  /** A source host that does not answer is replaced by the next one. */
+  #endWaits(): void {
+    const state = this.#state;
+    if (this.#now < Math.min(state.answerBy, state.tokensBy)) return;
+    state.isSilent = true;
+    state.finder.change();
+    this.#restartRequests();
+    state.reportAt = this.#now;
+  }
+
+  #sendReport(): void {
+    const state = this.#state;
+    const to = state.finder.current;
+    state.reportAt = addMs(this.#now, REPORT_MS);
+    if (to === undefined) return;
+    const { life, applied } = state.lease;
+    const number = state.lease.addRequest(to, this.#now);
+    const accounts = state.buckets.listUse(this.#now);
+    const body = { kind: 'report', life, number, applied, accounts } as const;
+    this.#outputs.push({ kind: 'allowance-request', to, body });
+    state.reportedAt = this.#now;
+    state.answerBy = Math.min(state.answerBy, addMs(this.#now, ANSWER_TIMEOUT_MS)) as Instant;
+  }
+
+  /** Asks for the tokens of all waiting calls at once; the next request waits for the answer. */
+  #sendAsk(): void {
+    const state = this.#state;
+    const to = state.finder.current;
+    if (to === undefined || state.queue.size === 0 || state.tokensBy < NEVER) return;
+    const tokens = state.queue.takeUnasked();
+    if (tokens.length === 0) return;
+    const number = state.lease.addRequest(to, this.#now);
+    const body = { kind: 'ask', life: state.lease.life, number, tokens } as const;
+    this.#outputs.push({ kind: 'allowance-request', to, body });
+    state.tokensBy = addMs(this.#now, ANSWER_TIMEOUT_MS);
+  }
+
+  #requestTick(): void {
+    const state = this.#state;
+    const { reportAt, answerBy, tokensBy, lease, hasLease, queue } = state;
+    const leaseEnd = hasLease ? lease.until : NEVER;
+    const waitEnd = queue.size === 0 ? NEVER : queue.findDeadline();
+    const at = Math.min(reportAt, answerBy, tokensBy, leaseEnd, waitEnd) as Instant;
+    if (at >= state.wakeAt) return;
+    state.wakeAt = at;
+    this.#outputs.push({ kind: 'wake', at });
+  }
+
+  #pushLease(isValid: boolean): void {
+    const { grantor, term } = this.#state.lease;
+    this.#outputs.push({ kind: 'allowance-lease', isValid, grantor, term });
+  }
+}
+
+function findWaitEnd({ aim, deadline }: LimitedCall, now: Instant): Instant {
+  const end = aim !== undefined && aim > now ? aim : deadline;
+  return addMs(now, Math.min(MAX_WAIT_MS, (end - now) * WAIT_SHARE));
+}
--- /dev/null
+++ b/src/allowances/share-ledger.ts
@@ -0,0 +1,197 @@
+/** The grantor's ledger: which proxy may hold which shares in its term. */
+import { addMs } from '../clock.js';
+import type { ClientAccountName, HostId, Instant, ProxyLife, ReportNumber } from '../ids.js';
+import type {
+  AccountShare,
+  AllowanceRequest,
+  TokenGrant,
+  TokenRequest,
+} from '../messages/index.js';
+import type { ShareDecision } from './account-ledger.js';
+import { AccountLedger } from './account-ledger.js';
+import type { AccountLimit } from './account-limit.js';
+import { NO_SHARE } from './account-limit.js';
+import { LOCK_MS } from './lease-times.js';
+
+/** A report of a proxy. */
+export type AllowanceReport = Extract<AllowanceRequest, { kind: 'report' }>;
+
+/** The shares that answer a report. */
+export interface LedgerGrant {
+  readonly isWhole: boolean;
+  readonly shares: readonly AccountShare[];
+}
+
+/** Shares that a proxy is to lower at once. */
+export interface LedgerRecall {
+  readonly host: HostId;
+  readonly share: AccountShare;
+}
+
+/** Holds what a leader knows of the shares, from the start of its term. A new leader begins with a new ledger. */
+export class ShareLedger {
+  readonly #limits: Map<ClientAccountName, AccountLimit>;
+  readonly #accounts = new Map<ClientAccountName, AccountLedger>();
+  readonly #proxies = new Map<HostId, ProxyRecord>();
+  /** When the shares of earlier terms have ended. */
+  readonly #lockedUntil: Instant;
+  /** Until when shares of accounts that have lost their limit may be in use. */
+  readonly #retired = new Map<ClientAccountName, Instant>();
+  #isLocked = true;
+  #checkAt = 0 as Instant;
+
+  constructor(limits: ReadonlyMap<ClientAccountName, AccountLimit>, now: Instant) {
+    this.#limits = new Map(limits);
+    this.#lockedUntil = addMs(now, LOCK_MS);
+    for (const name of limits.keys()) this.#findAccount(name, now);
+  }
+
+  /** Changes the limits of the accounts. */
+  updateLimits(limits: ReadonlyMap<ClientAccountName, AccountLimit>, now: Instant): void {
+    for (const name of this.#limits.keys()) {
+      if (limits.has(name)) continue;
+      this.#limits.delete(name);
+      this.#retired.set(name, addMs(now, LOCK_MS));
+    }
+    for (const [name, limit] of limits) {
+      this.#retired.delete(name);
+      this.#limits.set(name, limit);
+      this.#findAccount(name, now)?.updateLimit(limit, now);
+    }
+  }
+
+  /** Counts what a proxy reports; returns whether the report is to be answered. */
+  addReport(host: HostId, report: AllowanceReport, now: Instant): boolean {
+    this.#endLeases(now);
+    const proxy = this.#findProxy(host, report.life, now);
+    if (proxy === undefined || report.number <= proxy.reported) return false;
+    proxy.reported = report.number;
+    proxy.expiresAt = addMs(now, LOCK_MS);
+    const isSettled = report.applied >= proxy.answered;
+    const listed = new Map(report.accounts.map((use) => [use[0], use]));
+    for (const name of new Set([...proxy.accounts.keys(), ...listed.keys()])) {
+      const [, share, tenthsPerSecond] = listed.get(name) ?? [name, NO_SHARE, 0];
+      const account = this.#findAccount(name, now);
+      account?.addReport(host, { share, tenthsPerSecond, isSettled }, now);
+      if (listed.has(name) || !isSettled) proxy.accounts.set(name, share);
+      else proxy.accounts.delete(name);
+    }
+    return true;
+  }
+
+  /** Decides the shares that answer the last report of a proxy. */
+  decideGrant(host: HostId, now: Instant): LedgerGrant {
+    const proxy = this.#proxies.get(host);
+    if (proxy === undefined) return { isWhole: true, shares: [] };
+    const isWhole = proxy.answered === NONE;
+    proxy.answered = proxy.reported;
+    const shares = [...proxy.accounts].flatMap(([name, reported]): AccountShare[] => {
+      const account = this.#limits.has(name) ? this.#accounts.get(name) : undefined;
+      const { share, tokens } = account?.decideShare(host, now) ?? NOTHING;
+      return share !== reported || (isWhole && share > 0) ? [[name, share, tokens]] : [];
+    });
+    return { isWhole, shares };
+  }
+
+  /** Lists the shares that other proxies are to lower, because a proxy that has just reported is short. */
+  listRecalls(host: HostId, now: Instant): LedgerRecall[] {
+    const names = this.#proxies.get(host)?.accounts.keys() ?? [];
+    return [...names].flatMap((name) => {
+      const recalls = this.#accounts.get(name)?.listRecalls(now) ?? [];
+      return recalls.map(([holder, share]) => ({ host: holder, share: [name, share, 0] as const }));
+    });
+  }
+
+  /** Takes single tokens from the reserves. */
+  takeTokens(requests: readonly TokenRequest[], now: Instant): TokenGrant[] {
+    this.#endLeases(now);
+    return requests.map(([name, count]): TokenGrant => {
+      const account = this.#limits.has(name) ? this.#findAccount(name, now) : undefined;
+      if (account === undefined) return [name, 0, MAX_TOKEN_WAIT_MS];
+      const taken = account.takeTokens(count, now);
+      const nextInMs = Math.ceil(account.findNextTokenAt(now) - now);
+      return [name, taken, Math.min(nextInMs, MAX_TOKEN_WAIT_MS)];
+    });
+  }
+
+  /** Returns the ledger of an account, if the account has been reported. */
+  findAccount(name: ClientAccountName): AccountLedger | undefined {
+    return this.#accounts.get(name);
+  }
+
+  // Internals.
+
+  #findAccount(name: ClientAccountName, now: Instant): AccountLedger | undefined {
+    const found = this.#accounts.get(name);
+    const limit = this.#limits.get(name);
+    if (found !== undefined || limit === undefined) return found;
+    const created = new AccountLedger(limit, this.#isLocked, now);
+    this.#accounts.set(name, created);
+    return created;
+  }
+
+  /** Finds the record of a proxy; a new life of the proxy holds nothing of what its former life held. */
+  #findProxy(host: HostId, life: ProxyLife, now: Instant): ProxyRecord | undefined {
+    const found = this.#proxies.get(host);
+    if (found?.life === life) return found;
+    if (found?.endedLives.includes(life) === true) return undefined;
+    if (found !== undefined) this.#removeShares(host, found, now);
+    const endedLives = found === undefined ? [] : [...found.endedLives, found.life];
+    const record: ProxyRecord = {
+      life,
+      endedLives: endedLives.slice(-MAX_ENDED_LIVES),
+      reported: NONE,
+      answered: NONE,
+      expiresAt: now,
+      accounts: new Map(),
+    };
+    this.#proxies.set(host, record);
+    return record;
+  }
+
+  #removeShares(host: HostId, { accounts }: ProxyRecord, now: Instant): void {
+    for (const name of accounts.keys()) this.#accounts.get(name)?.remove(host, now);
+    accounts.clear();
+  }
+
+  /** Ends what has expired. A late end is safe: what is counted for longer is only granted later. */
+  #endLeases(now: Instant): void {
+    if (now < this.#checkAt) return;
+    this.#checkAt = addMs(now, CHECK_MS);
+    if (this.#isLocked && now >= this.#lockedUntil) {
+      this.#isLocked = false;
+      for (const account of this.#accounts.values()) account.unlock(now);
+    }
+    for (const [host, proxy] of this.#proxies) {
+      if (now >= proxy.expiresAt && proxy.accounts.size > 0) this.#removeShares(host, proxy, now);
+    }
+    for (const [name, endsAt] of this.#retired) {
+      if (now < endsAt) continue;
+      this.#retired.delete(name);
+      this.#accounts.delete(name);
+    }
+  }
+}
+
+// Internals.
+
+/** A proxy in this term. */
+interface ProxyRecord {
+  readonly life: ProxyLife;
+  /** The latest former lives; their late reports are ignored. */
+  readonly endedLives: readonly ProxyLife[];
+  /** The newest report. */
+  reported: ReportNumber;
+  /** The newest report that was answered. */
+  answered: ReportNumber;
+  expiresAt: Instant;
+  /** The share of each account as last reported. */
+  readonly accounts: Map<ClientAccountName, AccountShare[1]>;
+}
+
+const NOTHING: ShareDecision = { share: NO_SHARE, tokens: 0 };
+const NONE = 0 as ReportNumber;
+const MAX_ENDED_LIVES = 8;
+/** With thousands of proxies, a check for each request would be too dear. */
+const CHECK_MS = 50;
+const MAX_TOKEN_WAIT_MS = 1_000;
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -56,6 +56,14 @@
 export type AccountKey = Branded<string, 'AccountKey'>;
 /** The SHA-256 digest of an {@link AccountKey} in base64url. */
 export type KeyDigest = Branded<string, 'KeyDigest'>;
+/** Identifies one life of a proxy process; a restarted proxy has a new one. */
+export type ProxyLife = Branded<string, 'ProxyLife'>;
+/** The number of a proxy's report or request to the grantor of allowances; it increases within one life. */
+export type ReportNumber = Branded<number, 'ReportNumber'>;
+/** A share of an account's limit in millionths, a whole number. */
+export type Share = Branded<number, 'Share'>;
+/** The machine's time of day in milliseconds since the Unix epoch; it can be set and can jump. */
+export type TimeOfDay = Branded<number, 'TimeOfDay'>;
 /** Identifies one run of a backend server, as the server names itself. */
 export type InstanceId = Branded<string, 'InstanceId'>;
 /**
--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -139,7 +139,8 @@
     this.#replicator.replicate(now);
     if (this.#isAnnounced || replica.committed < this.#firstIndexOfTerm) return;
     this.#isAnnounced = true;
-    replica.notify({ kind: 'leading', leading: true, leader: replica.options.host });
+    const { term, options } = replica;
+    replica.notify({ kind: 'leading', leading: true, leader: options.host, term });
   }
 
   /** Confirms reads, but not before all entries committed by earlier leaders are applied. */
--- a/src/messages/index.ts
+++ b/src/messages/index.ts
@@ -1,4 +1,5 @@
 /** The typed messages that tasks exchange, independent of their encoding. */
+export type * from './allowance.js';
 export type * from './call.js';
 export type * from './coverage.js';
 export type * from './ledger.js';
--- a/src/messages/log.ts
+++ b/src/messages/log.ts
@@ -30,7 +30,13 @@
   | { readonly kind: 'confirmed'; readonly id: RequestId }
   | { readonly kind: 'refused'; readonly id: RequestId; readonly refusal: LogRefusal }
   /** Whether this replica leads and has committed all entries of earlier terms. */
-  | { readonly kind: 'leading'; readonly leading: boolean; readonly leader?: HostId | undefined };
+  | {
+      readonly kind: 'leading';
+      readonly leading: boolean;
+      readonly leader?: HostId | undefined;
+      /** The term in which this replica leads; present only if it does. */
+      readonly term?: Term;
+    };
 
 /**
  * An event from a log to a state machine that supports snapshots. It refers to the state after the
