--- a/src/allowances/account-ledger.ts
+++ b/src/allowances/account-ledger.ts
@@ -107,7 +107,9 @@
       const share = this.#raise(holder, target, now);
       return { share, tokens: Math.floor(before - this.#reserve.measure(now)) };
     }
-    const isWasted = target < counted * MIN_USED_PART || this.#isShort || this.#available < 0;
+    const isSmall = counted < findMinShare(this.#limit) * SMOOTH_TOKENS;
+    const usedPart = isSmall ? MIN_USED_PART_OF_SMALL : MIN_USED_PART;
+    const isWasted = target < counted * usedPart || this.#isShort || this.#available < 0;
     return { share: (isWasted ? target : counted) as Share, tokens: 0 };
   }
 
@@ -116,14 +118,17 @@
     if (!this.#isShort || now < this.#recallAt) return [];
     this.#recallAt = addMs(now, RECALL_MS);
     return [...this.#holders].flatMap(([host, holder]): [HostId, Share][] => {
-      const target = this.#findTarget(holder, now);
+      const needed = this.#cutSmall(this.#buildTarget(holder.demand));
+      const target = Math.min(needed, this.#findTarget(holder, now));
       return target * MAX_EXCESS < holder.counted ? [[host, target as Share]] : [];
     });
   }
 
   /** Takes single tokens from the reserve; returns how many there were. */
   takeTokens(count: number, now: Instant): number {
-    return this.#reserve.take(count, now);
+    const taken = this.#reserve.take(count, now);
+    if (taken < count) this.#isShort = true;
+    return taken;
   }
 
   /** Returns when the reserve has its next token; `NEVER` if it gets none. */
@@ -212,3 +217,5 @@
 const MAX_EXCESS = 1.05;
 /** A share of which less than this part is needed is lowered, even if no other proxy needs it. */
 const MIN_USED_PART = 0.5;
+/** Many small shares that are each a little too large would leave too little to the reserve. */
+const MIN_USED_PART_OF_SMALL = 0.9;
--- a/src/allowances/grantor-filter.ts
+++ b/src/allowances/grantor-filter.ts
@@ -99,6 +99,11 @@
 
 // Internals.
 
+/** What an answer says, without the fields that all answers have. */
+type GrantorAnswer =
+  | Pick<Extract<AllowanceReply, { kind: 'tokens' }>, 'kind' | 'tokens'>
+  | Pick<Extract<AllowanceReply, { kind: 'grant' }>, 'kind' | 'isWhole' | 'shares'>;
+
 const CONFIRMATION_ID_PREFIX = 'allowance-';
 /** Requests of this long share one confirmation. It delays a single token by half of it on average. */
 const CONFIRM_INTERVAL_MS = 10;
@@ -179,21 +184,26 @@
   { from, address, body }: ReceivedRequest,
   now: Instant,
 ): GrantorOut[] {
-  const { life, number: answers } = body;
-  if (body.kind === 'ask') {
-    const tokens = ledger.takeTokens(body.tokens, now);
-    return [{ kind: 'send', to: address, body: { kind: 'tokens', term, life, answers, tokens } }];
-  }
+  const answer = buildAnswer(ledger, from, body, now);
+  if (answer === undefined) return [];
   state.addresses.set(from, address);
-  if (!ledger.addReport(from, body, now)) return [];
-  const grant = ledger.decideGrant(from, now);
-  const recalls = ledger.listRecalls(from, now).flatMap(({ host, share }): GrantorOut[] => {
+  const { life, number: answers } = body;
+  const names = (body.kind === 'ask' ? body.tokens : body.accounts).map(([name]) => name);
+  const recalls = ledger.listRecalls(from, names, now).flatMap(({ host, share }): GrantorOut[] => {
     const to = state.addresses.get(host);
-    if (to === undefined || host === from) return [];
+    if (to === undefined) return [];
     return [{ kind: 'send', to, body: { kind: 'recall', term, shares: [share] } }];
   });
-  return [
-    { kind: 'send', to: address, body: { kind: 'grant', term, life, answers, ...grant } },
-    ...recalls,
-  ];
+  return [{ kind: 'send', to: address, body: { ...answer, term, life, answers } }, ...recalls];
+}
+
+function buildAnswer(
+  ledger: ShareLedger,
+  from: HostId,
+  body: AllowanceRequest,
+  now: Instant,
+): GrantorAnswer | undefined {
+  if (body.kind === 'ask') return { kind: 'tokens', tokens: ledger.takeTokens(body.tokens, now) };
+  if (!ledger.addReport(from, body, now)) return undefined;
+  return { kind: 'grant', ...ledger.decideGrant(from, now) };
 }
--- a/src/allowances/share-ledger.ts
+++ b/src/allowances/share-ledger.ts
@@ -93,12 +93,13 @@
     return { isWhole, shares };
   }
 
-  /** Lists the shares that other proxies are to lower, because a proxy that has just reported is short. */
-  listRecalls(host: HostId, now: Instant): LedgerRecall[] {
-    const names = this.#proxies.get(host)?.accounts.keys() ?? [];
+  /** Lists the shares that other proxies are to lower, because a proxy is short of one of the accounts. */
+  listRecalls(host: HostId, names: Iterable<ClientAccountName>, now: Instant): LedgerRecall[] {
     return [...names].flatMap((name) => {
       const recalls = this.#accounts.get(name)?.listRecalls(now) ?? [];
-      return recalls.map(([holder, share]) => ({ host: holder, share: [name, share, 0] as const }));
+      return recalls
+        .filter(([holder]) => holder !== host)
+        .map(([holder, share]) => ({ host: holder, share: [name, share, 0] as const }));
     });
   }
 
