--- a/src/allowances/account-allowance.ts
+++ b/src/allowances/account-allowance.ts
@@ -11,6 +11,8 @@
   readonly bucket: TokenBucket;
   /** Until when the grantor expects no single token; calls without a token are refused without asking. */
   refusedUntil = 0 as Instant;
+  /** Whether the grantor could not yet tell that the account is over its limit. */
+  isLocked = false;
   /** When each unused single token ends. */
   #singleTokens: Instant[] = [];
   #arrived = 0;
--- a/src/allowances/account-ledger.ts
+++ b/src/allowances/account-ledger.ts
@@ -52,6 +52,11 @@
     return this.#counted as Share;
   }
 
+  /** Whether proxies may hold shares of an earlier term that they have not reported. */
+  get isLocked(): boolean {
+    return this.#isLocked && this.#limit.reserve < WHOLE;
+  }
+
   /** The share from which single tokens are granted. */
   get reserve(): Share {
     return this.#reserve.share;
--- a/src/allowances/account-limit.ts
+++ b/src/allowances/account-limit.ts
@@ -1,7 +1,6 @@
 /** The limit of a client account as the proxies and the grantor apply it. */
-import type { ClientAccountName, Share } from '../ids.js';
+import type { Share } from '../ids.js';
 import type { ClientAccountResource } from '../messages/index.js';
-import type { Configuration } from '../notes/index.js';
 
 /** The whole of an account's limit. */
 export const WHOLE = 1_000_000 as Share;
@@ -30,16 +29,6 @@
   return { ratePerSecond, burst: capacity, reserve: Math.ceil(reserve * WHOLE) as Share };
 }
 
-/** Lists the limits of all limited accounts of a configuration. */
-export function listLimits({ resources }: Configuration): Map<ClientAccountName, AccountLimit> {
-  const limits = new Map<ClientAccountName, AccountLimit>();
-  for (const resource of resources.values()) {
-    const limit = resource.kind === 'client-account' ? buildLimit(resource) : undefined;
-    if (limit !== undefined) limits.set((resource as ClientAccountResource).name, limit);
-  }
-  return limits;
-}
-
 /** Returns the smallest share worth granting: its capacity is one token. */
 export function findMinShare({ burst }: AccountLimit): Share {
   return Math.ceil(WHOLE / burst) as Share;
--- a/src/allowances/allowance-filter.ts
+++ b/src/allowances/allowance-filter.ts
@@ -8,10 +8,10 @@
 import type { Step, WakeRequest } from '../pipe/index.js';
 import type { AccountAllowance } from './account-allowance.js';
 import { AccountBuckets } from './account-buckets.js';
-import { listLimits } from './account-limit.js';
 import { AllowanceLease } from './allowance-lease.js';
 import { GrantorFinder } from './grantor-finder.js';
 import { ANSWER_TIMEOUT_MS, REPORT_MS, SHORT_REPORT_MS, SPOT_TOKEN_MS } from './lease-times.js';
+import { LimitTable } from './limit-table.js';
 import { TokenQueue } from './token-queue.js';
 
 /** What the filter needs of a call. */
@@ -77,6 +77,7 @@
 
 /** The state of the allowance filter; updated in place. */
 export interface AllowanceState<Call> {
+  readonly table: LimitTable;
   readonly buckets: AccountBuckets;
   readonly lease: AllowanceLease;
   readonly finder: GrantorFinder;
@@ -116,6 +117,7 @@
 
   override createState(): AllowanceState<Call> {
     return {
+      table: new LimitTable(),
       buckets: new AccountBuckets(),
       lease: new AllowanceLease(this.#life),
       finder: new GrantorFinder(),
@@ -229,9 +231,10 @@
   // Internals.
 
   #applyConfiguration(configuration: Configuration): void {
-    const { buckets } = this.#state;
+    const { buckets, table } = this.#state;
+    if (!table.update(configuration)) return;
     const wasEmpty = buckets.isEmpty;
-    buckets.updateLimits(listLimits(configuration), this.#now);
+    buckets.updateLimits(table.limits, this.#now);
     if (wasEmpty === buckets.isEmpty) return;
     this.#outputs.push({ kind: 'allowances', isLimited: !buckets.isEmpty });
     if (buckets.isEmpty) this.#stop();
@@ -292,7 +295,7 @@
     const state = this.#state;
     const { id } = call.head;
     state.reportAt = Math.min(state.reportAt, addMs(state.reportedAt, SHORT_REPORT_MS)) as Instant;
-    if (this.#now < account.refusedUntil) this.#refuse(id, name, 'over-allowance');
+    if (this.#now < account.refusedUntil) this.#refuseEmpty(id, name, account);
     else if (state.isSilent || state.queue.size >= MAX_WAITING_CALLS) {
       this.#refuse(id, name, 'no-allowance');
     } else {
@@ -301,6 +304,11 @@
     }
   }
 
+  /** Refuses a call for which the grantor has no token. */
+  #refuseEmpty(id: CallId, name: ClientAccountName, { isLocked }: AccountAllowance): void {
+    this.#refuse(id, name, isLocked ? 'no-allowance' : 'over-allowance');
+  }
+
   #refuse(id: CallId, name: ClientAccountName, reason: AllowanceRefusal['reason']): void {
     const { buckets, lease } = this.#state;
     const account = buckets.find(name);
@@ -412,15 +420,16 @@
     state.isSilent = false;
     const endsAt = addMs(sentAt, SPOT_TOKEN_MS);
     if (this.#now >= endsAt || !state.hasLease) return;
-    for (const [name, count, nextInMs] of reply.tokens) {
+    for (const [name, count, nextInMs, isLocked] of reply.tokens) {
       const account = state.buckets.find(name);
       if (account === undefined) continue;
       account.addSingleTokens(count, endsAt);
+      account.isLocked = isLocked;
       const waiters = state.queue.takeAsked(name);
       if (count < waiters.length) account.refusedUntil = addMs(this.#now, nextInMs);
       for (const { call } of waiters) {
         if (account.takeToken(this.#now)) this.#pass(call, name);
-        else this.#refuse(call.head.id, name, 'over-allowance');
+        else this.#refuseEmpty(call.head.id, name, account);
       }
     }
   }
--- a/src/allowances/grantor-filter.ts
+++ b/src/allowances/grantor-filter.ts
@@ -1,10 +1,18 @@
 /** Grants shares and single tokens of the limits of client accounts while this source host leads. */
 import { addMs, NEVER } from '../clock.js';
 import type { Address, ClientAccountName, HostId, Instant, RequestId, Term } from '../ids.js';
-import type { AllowanceReply, AllowanceRequest, LogNotice, LogRequest } from '../messages/index.js';
+import type {
+  AllowanceReply,
+  AllowanceRequest,
+  Change,
+  LogNotice,
+  LogRequest,
+  Resource,
+} from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step, WakeRequest } from '../pipe/index.js';
-import type { AccountLimit } from './account-limit.js';
+import { LimitTable } from './limit-table.js';
+import { LOCK_MS } from './lease-times.js';
 import { ShareLedger } from './share-ledger.js';
 
 /** Inputs of the grantor. */
@@ -15,11 +23,12 @@
       readonly address: Address;
       readonly body: AllowanceRequest;
     }
-  | { readonly kind: 'limits'; readonly limits: ReadonlyMap<ClientAccountName, AccountLimit> }
+  /** The changes of a committed version. */
+  | { readonly kind: 'changes'; readonly changes: readonly Change[] }
+  /** All resources of the configuration. */
+  | { readonly kind: 'resources'; readonly resources: readonly Resource[] }
   /** Whether this replica leads, and the outcome of its confirmations. */
   | { readonly kind: 'log'; readonly notice: GrantorNotice }
-  /** The control address of the leader, if another source host leads. */
-  | { readonly kind: 'leader'; readonly address: Address | undefined }
   | { readonly kind: 'tick' };
 
 /** The notices of the log that the grantor needs. */
@@ -31,8 +40,10 @@
 /** Outputs of the grantor. */
 export type GrantorOut =
   | { readonly kind: 'send'; readonly to: Address; readonly body: AllowanceReply }
+  /** Tells a proxy that this host does not lead, and which one does, if known. */
+  | { readonly kind: 'refuse'; readonly to: Address; readonly leader: HostId | undefined }
   | Extract<LogRequest<never>, { kind: 'confirm' }>
-  /** This host begins or ceases to grant; for the log. */
+  /** This host begins or ceases to grant; sent only while an account has a limit. */
   | { readonly kind: 'granting'; readonly term: Term | undefined }
   | WakeRequest;
 
@@ -52,9 +63,12 @@
 
 /** The state of the grantor; updated in place. */
 export interface GrantorState {
-  limits: ReadonlyMap<ClientAccountName, AccountLimit>;
+  readonly table: LimitTable;
+  /** Until when shares of accounts that have lost their limit may be in use, also of earlier terms. */
+  readonly retired: Map<ClientAccountName, Instant>;
+  /** The term in which this host grants, as last reported. */
+  grantingTerm: Term | undefined;
   leadership: Leadership | undefined;
-  leader: Address | undefined;
   /** Requests that arrived since the open confirmation began. */
   waiting: ReceivedRequest[];
   /** Requests that the open confirmation covers. */
@@ -75,9 +89,10 @@
 export class GrantorFilter extends Filter<GrantorState, GrantorIn, GrantorOut> {
   override createState(): GrantorState {
     return {
-      limits: new Map(),
+      table: new LimitTable(),
+      retired: new Map(),
+      grantingTerm: undefined,
       leadership: undefined,
-      leader: undefined,
       waiting: [],
       confirming: [],
       confirmId: undefined,
@@ -114,13 +129,9 @@
   switch (message.kind) {
     case 'received':
       return addRequest(state, message, now);
-    case 'limits':
-      state.limits = message.limits;
-      state.leadership?.ledger.updateLimits(message.limits, now);
-      return [];
-    case 'leader':
-      state.leader = message.address;
-      return [];
+    case 'changes':
+    case 'resources':
+      return updateLimits(state, message, now);
     case 'log':
       return handleNotice(state, message.notice, now);
     case 'tick':
@@ -129,7 +140,6 @@
 }
 
 function addRequest(state: GrantorState, request: ReceivedRequest, now: Instant): GrantorOut[] {
-  if (state.leadership === undefined) return [refuseRequest(state, request)];
   if (state.waiting.length < MAX_WAITING_REQUESTS) state.waiting.push(request);
   return startConfirmation(state, now);
 }
@@ -141,10 +151,10 @@
   state.confirming = [];
   state.confirmId = undefined;
   const { leadership } = state;
-  const outputs =
-    notice.kind === 'refused' || leadership === undefined
-      ? requests.map((request) => refuseRequest(state, request))
-      : requests.flatMap((request) => answerRequest(state, leadership, request, now));
+  const isRefused = notice.kind === 'refused' || leadership === undefined;
+  const outputs = isRefused
+    ? requests.map((request) => refuseRequest(request, findLeader(notice)))
+    : requests.flatMap((request) => answerRequest(state, leadership, request, now));
   return [...outputs, ...startConfirmation(state, now)];
 }
 
@@ -155,9 +165,37 @@
   state.confirming = [];
   state.confirmId = undefined;
   state.leadership =
-    term === undefined ? undefined : { term, ledger: new ShareLedger(state.limits, now) };
-  const refusals = requests.map((request) => refuseRequest(state, request));
-  return [{ kind: 'granting', term }, ...refusals];
+    term === undefined
+      ? undefined
+      : { term, ledger: new ShareLedger(state.table.limits, state.retired, now) };
+  const refusals = requests.map((request) => refuseRequest(request, undefined));
+  return [...reportGranting(state), ...refusals];
+}
+
+function updateLimits(
+  state: GrantorState,
+  message: Extract<GrantorIn, { kind: 'changes' | 'resources' }>,
+  now: Instant,
+): GrantorOut[] {
+  const former = [...state.table.limits.keys()];
+  const hasChanged =
+    message.kind === 'changes'
+      ? state.table.apply(message.changes)
+      : state.table.reset(message.resources);
+  if (!hasChanged) return [];
+  for (const [name, until] of state.retired) if (now >= until) state.retired.delete(name);
+  for (const name of former) {
+    if (!state.table.limits.has(name)) state.retired.set(name, addMs(now, LOCK_MS));
+  }
+  state.leadership?.ledger.updateLimits(state.table.limits, now);
+  return reportGranting(state);
+}
+
+function reportGranting(state: GrantorState): GrantorOut[] {
+  const term = state.table.limits.size > 0 ? state.leadership?.term : undefined;
+  if (term === state.grantingTerm) return [];
+  state.grantingTerm = term;
+  return [{ kind: 'granting', term }];
 }
 
 /** Starts one confirmation for all waiting requests, unless one is open or the last one began just now. */
@@ -174,8 +212,13 @@
   return [{ kind: 'confirm', id: state.confirmId }];
 }
 
-function refuseRequest({ leader }: GrantorState, { address }: ReceivedRequest): GrantorOut {
-  return { kind: 'send', to: address, body: { kind: 'not-leader', leader } };
+function refuseRequest({ address }: ReceivedRequest, leader: HostId | undefined): GrantorOut {
+  return { kind: 'refuse', to: address, leader };
+}
+
+function findLeader(notice: GrantorNotice): HostId | undefined {
+  const isKnown = notice.kind === 'refused' && notice.refusal.kind === 'not-leader';
+  return isKnown ? notice.refusal.leader : undefined;
 }
 
 function answerRequest(
@@ -203,7 +246,9 @@
   body: AllowanceRequest,
   now: Instant,
 ): GrantorAnswer | undefined {
-  if (body.kind === 'ask') return { kind: 'tokens', tokens: ledger.takeTokens(body.tokens, now) };
+  if (body.kind === 'ask') {
+    return { kind: 'tokens', tokens: ledger.takeTokens(body.tokens, now) };
+  }
   if (!ledger.addReport(from, body, now)) return undefined;
   return { kind: 'grant', ...ledger.decideGrant(from, now) };
 }
--- a/src/allowances/index.ts
+++ b/src/allowances/index.ts
@@ -8,7 +8,7 @@
   AllowanceView,
   LimitedCall,
 } from './allowance-filter.js';
-export { buildLimit, listLimits, WHOLE } from './account-limit.js';
+export { buildLimit, WHOLE } from './account-limit.js';
 export type { AccountLimit } from './account-limit.js';
 export { GrantorFilter, isGrantorConfirmation } from './grantor-filter.js';
 export type { GrantorIn, GrantorNotice, GrantorOut, GrantorState } from './grantor-filter.js';
--- a/src/allowances/share-ledger.ts
+++ b/src/allowances/share-ledger.ts
@@ -36,17 +36,26 @@
   /** When the shares of earlier terms have ended. */
   readonly #lockedUntil: Instant;
   /** Until when shares of accounts that have lost their limit may be in use. */
-  readonly #retired = new Map<ClientAccountName, Instant>();
+  readonly #retired: Map<ClientAccountName, Instant>;
   #isLocked = true;
   #checkAt = 0 as Instant;
 
-  constructor(limits: ReadonlyMap<ClientAccountName, AccountLimit>, now: Instant) {
+  /**
+   * @param limits The limits at the start of the term.
+   * @param retired Until when shares of accounts that have lost their limit may be in use.
+   */
+  constructor(
+    limits: ReadonlyMap<ClientAccountName, AccountLimit>,
+    retired: ReadonlyMap<ClientAccountName, Instant>,
+    now: Instant,
+  ) {
     this.#limits = new Map(limits);
+    this.#retired = new Map(retired);
     this.#lockedUntil = addMs(now, LOCK_MS);
     for (const name of limits.keys()) this.#findAccount(name, now);
   }
 
-  /** Changes the limits of the accounts. */
+  /** Changes the limits of the accounts. Nobody holds a share of an account that has its first limit. */
   updateLimits(limits: ReadonlyMap<ClientAccountName, AccountLimit>, now: Instant): void {
     for (const name of this.#limits.keys()) {
       if (limits.has(name)) continue;
@@ -54,9 +63,11 @@
       this.#retired.set(name, addMs(now, LOCK_MS));
     }
     for (const [name, limit] of limits) {
+      const isNew = !this.#accounts.has(name) && !this.#retired.has(name);
       this.#retired.delete(name);
       this.#limits.set(name, limit);
-      this.#findAccount(name, now)?.updateLimit(limit, now);
+      if (isNew) this.#accounts.set(name, new AccountLedger(limit, false, now));
+      else this.#findAccount(name, now)?.updateLimit(limit, now);
     }
   }
 
@@ -108,10 +119,10 @@
     this.#endLeases(now);
     return requests.map(([name, count]): TokenGrant => {
       const account = this.#limits.has(name) ? this.#findAccount(name, now) : undefined;
-      if (account === undefined) return [name, 0, MAX_TOKEN_WAIT_MS];
+      if (account === undefined) return [name, 0, MAX_TOKEN_WAIT_MS, true];
       const taken = account.takeTokens(count, now);
       const nextInMs = Math.ceil(account.findNextTokenAt(now) - now);
-      return [name, taken, Math.min(nextInMs, MAX_TOKEN_WAIT_MS)];
+      return [name, taken, Math.min(nextInMs, MAX_TOKEN_WAIT_MS), account.isLocked];
     });
   }
 
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -13,9 +13,11 @@
   StoredAnswer,
   VerifiedAccount,
 } from '../messages/index.js';
+import type { AllowanceIn, AllowanceOut, AllowanceRefusal } from '../allowances/index.js';
 import type { Configuration } from '../notes/index.js';
 import type { AttemptOut } from './attempt-messages.js';
 import type { GuardOut, RunEnding } from './guard-filter.js';
+import type { RoutedCall } from './classify-filter.js';
 import type { ForwardedAttempt, IntakeIn, IntakeOut } from './intake-filter.js';
 
 /** Inputs of the call pipe. */
@@ -56,6 +58,7 @@
   | { readonly kind: 'probed'; readonly server: Address; readonly accepts: boolean }
   /** The process is stopping; every call is answered or refused by `answerBy`. */
   | { readonly kind: 'stopping'; readonly answerBy: Instant }
+  | Extract<AllowanceIn<RoutedCall>, { kind: 'time-of-day' | 'sources' | 'allowance-reply' }>
   | { readonly kind: 'drain' }
   | { readonly kind: 'tick' };
 
@@ -96,5 +99,10 @@
   | Extract<IntakeOut, { kind: 'want-turn' }>
   | { readonly kind: 'replay'; readonly id: CallId; readonly answer: StoredAnswer }
   | { readonly kind: 'ledger'; readonly request: LedgerRequest }
+  | AllowanceRefusal
+  | Extract<
+      AllowanceOut<RoutedCall>,
+      { kind: 'allowance-request' | 'allowances' | 'allowance-lease' }
+    >
   /** The limits on requests of callers that apply from now on. */
   | { readonly kind: 'limits'; readonly limits: LimitsResource };
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -1,5 +1,7 @@
-/** Composes the filters of the call path (classify → intake → claim → attempt → guard) into one filter. */
-import type { Address, AttemptId, CallId, HostId, Instant } from '../ids.js';
+/** Composes the filters of the call path (classify → allowance → intake → claim → attempt → guard) into one filter. */
+import type { AllowanceIn, AllowanceOut, AllowanceState } from '../allowances/index.js';
+import { AllowanceFilter } from '../allowances/index.js';
+import type { Address, AttemptId, CallId, HostId, Instant, ProxyLife } from '../ids.js';
 import type { AttemptFailure, CallHead, MemberEvent } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
@@ -8,7 +10,7 @@
 import { AttemptFilter } from './attempt-filter.js';
 import type { ClaimIn, ClaimOut, ClaimState } from './claim-filter.js';
 import { ClaimFilter } from './claim-filter.js';
-import type { ClassifyIn, ClassifyOut, ClassifyState } from './classify-filter.js';
+import type { ClassifyIn, ClassifyOut, ClassifyState, RoutedCall } from './classify-filter.js';
 import { ClassifyFilter } from './classify-filter.js';
 import type { GuardIn, GuardOut, GuardState, RunEnding } from './guard-filter.js';
 import { GuardFilter } from './guard-filter.js';
@@ -28,11 +30,14 @@
   readonly retries?: RetryBudgetLimits | undefined;
   /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
   readonly isRevocationStrict?: boolean | undefined;
+  /** Identifies this life of the process to the grantor of allowances. */
+  readonly life?: ProxyLife | undefined;
 }
 
 /** The states of the filters, and the attempts at backend servers beside this proxy. */
 export interface CallPipeState {
   classify: ClassifyState;
+  allowance: AllowanceState<RoutedCall>;
   intake: IntakeState;
   claim: ClaimState;
   attempt: AttemptState;
@@ -47,13 +52,16 @@
 export class CallPipe extends Filter<CallPipeState, CallIn, CallOut> {
   readonly #host: HostId;
   readonly #classify: ClassifyFilter;
+  readonly #allowance: AllowanceFilter<RoutedCall>;
   readonly #intake = new IntakeFilter();
   readonly #claim = new ClaimFilter();
   readonly #attempt: AttemptFilter;
   readonly #guard: GuardFilter;
 
-  constructor({ place, picker, createPolicy, retries, isRevocationStrict }: CallPipeOptions) {
+  constructor(options: CallPipeOptions) {
     super();
+    const { place, picker, createPolicy, retries, isRevocationStrict } = options;
+    this.#allowance = new AllowanceFilter(options.life ?? (place.host as string as ProxyLife));
     this.#host = place.host;
     this.#classify = new ClassifyFilter(place.host, isRevocationStrict);
     this.#attempt = new AttemptFilter({ place, picker, retries });
@@ -63,6 +71,7 @@
   override createState(): CallPipeState {
     return {
       classify: this.#classify.createState(),
+      allowance: this.#allowance.createState(),
       intake: this.#intake.createState(),
       claim: this.#claim.createState(),
       attempt: this.#attempt.createState(),
@@ -79,7 +88,9 @@
     now: Instant,
   ): Step<CallPipeState, CallOut> {
     const outputs: CallOut[] = [];
-    this.#route(new MessageContext(state, now, outputs), message);
+    const context = new MessageContext(state, now, outputs);
+    this.#route(context, message);
+    if (state.allowance.charged.size > 0) this.#settleTokens(context);
     return { state, outputs };
   }
 
@@ -89,6 +100,14 @@
     const { state } = context;
     switch (message.kind) {
       case 'whole':
+        this.#passToClassify(context, message);
+        this.#passToAllowance(context, message);
+        return;
+      case 'time-of-day':
+      case 'sources':
+      case 'allowance-reply':
+        this.#passToAllowance(context, message);
+        return;
       case 'stale':
       case 'keys-trusted':
         this.#passToClassify(context, message);
@@ -135,6 +154,7 @@
         this.#passToGuard(context, message);
         return;
       case 'tick':
+        this.#passToAllowance(context, message);
         this.#passToClaim(context, message);
         this.#passToAttempt(context, message);
         this.#passToGuard(context, message);
@@ -219,6 +239,11 @@
 
   /** A call with a granted claim continues without its caller, so that a resend gets the stored answer. */
   #handleGone(context: MessageContext, id: CallId): void {
+    // A call that continues may still run, so it keeps its token.
+    if (this.#claim.hasGranted(context.state.claim, id)) {
+      this.#passToAllowance(context, { kind: 'sent', id });
+    }
+    this.#passToAllowance(context, { kind: 'gone', id });
     this.#passToIntake(context, { kind: 'gone', id });
     this.#withdrawForwarded(context, id);
     this.#passToClaim(context, { kind: 'gone', id });
@@ -258,7 +283,7 @@
     } else if (output.kind === 'routed') {
       const { head, version, verified: account } = output.call;
       outputs.push({ kind: 'classified', id: head.id, version, account });
-      this.#passToIntake(context, output);
+      this.#passToAllowance(context, output);
     } else {
       const { id, reason, version } = output;
       if (version !== undefined) outputs.push({ kind: 'classified', id, version });
@@ -266,6 +291,32 @@
     }
   }
 
+  #passToAllowance(context: MessageContext, message: AllowanceIn<RoutedCall>): void {
+    const step = this.#allowance.decide(context.state.allowance, message, context.now);
+    context.state.allowance = step.state;
+    for (const output of step.outputs) this.#routeAllowed(context, output);
+  }
+
+  #routeAllowed(context: MessageContext, output: AllowanceOut<RoutedCall>): void {
+    if (output.kind === 'routed') this.#passToIntake(context, output);
+    else context.outputs.push(output);
+  }
+
+  /** Tells the allowance filter which calls were sent to a backend server, and which have ended without a run. */
+  #settleTokens(context: MessageContext): void {
+    const { charged } = context.state.allowance;
+    for (const output of context.outputs) {
+      const { kind } = output;
+      if (kind !== 'dispatch' && kind !== 'run' && kind !== 'refuse' && kind !== 'replay') continue;
+      const { id } = output;
+      if (!charged.has(id)) continue;
+      const isNotRun = kind === 'replay' || (kind === 'refuse' && output.outcome === 'not-run');
+      if (kind === 'dispatch' || kind === 'run')
+        this.#passToAllowance(context, { kind: 'sent', id });
+      else this.#passToAllowance(context, { kind: 'ended', id, isNotRun });
+    }
+  }
+
   #passToIntake(context: MessageContext, message: IntakeIn): void {
     const step = this.#intake.decide(context.state.intake, message, context.now);
     context.state.intake = step.state;
--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -12,6 +12,8 @@
   readonly message?: string;
   /** The load of the backend server; sent to other proxies only. */
   readonly load?: ServerLoad;
+  /** When sending the call again may help; only with `over-allowance`. */
+  readonly retryAfterMs?: number;
 }
 
 /** A refusal encoded as an HTTP answer. */
@@ -45,7 +47,7 @@
 
 /** Builds a refusal with the product's own headers, which other proxies parse. */
 export function buildDefaultRefusal(refusal: Refusal): RefusalAnswer {
-  const { reason, outcome, message = MESSAGES[reason], load } = refusal;
+  const { reason, outcome, message = MESSAGES[reason], load, retryAfterMs } = refusal;
   return {
     status: STATUSES[reason],
     headers: {
@@ -53,6 +55,7 @@
       [OUTCOME_HEADER]: outcome,
       [REASON_HEADER]: reason,
       ...(load === undefined ? {} : { [LOAD_HEADER]: formatLoad(load) }),
+      ...(retryAfterMs === undefined ? {} : { 'retry-after': formatWholeSeconds(retryAfterMs) }),
     },
     body: JSON.stringify({ kind: reason, outcome, message }),
   };
@@ -94,11 +97,20 @@
   return length > MAX_DRAINED_BYTES;
 }
 
+/** HTTP allows whole seconds only, so the time is rounded up. */
+function formatWholeSeconds(milliseconds: number): string {
+  return `${Math.ceil(milliseconds / MS_PER_S)}`;
+}
+
+const MS_PER_S = 1_000;
+
 const STATUSES: Readonly<Record<RefusalReason, number>> = {
   'no-configuration': 503,
   'stale-configuration': 503,
   'no-route': 404,
   'unknown-key': 401,
+  'over-allowance': 429,
+  'no-allowance': 503,
   'no-server': 503,
   overloaded: 503,
   'proxy-overloaded': 503,
@@ -122,6 +134,8 @@
   'stale-configuration': 'this proxy lacks the newest version; call another one',
   'no-route': 'no route matches; check the path, the method and the generation',
   'unknown-key': 'the key belongs to no client account; send a valid one',
+  'over-allowance': 'the account has used its allowance; send the call again later',
+  'no-allowance': 'this proxy has no share of the allowance yet; call another one',
   'no-server': 'no backend server of the service is ready; send the call again later',
   overloaded: 'no slot would be free in time; send the call again later',
   'proxy-overloaded': 'this proxy has no time for the call; send it again later',
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -15,7 +15,7 @@
 import { CallPipe, NoopObserver, PrioritySlotPolicy, TwoChoicesPicker } from '../calls/index.js';
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs, NEVER } from '../clock.js';
-import type { Address, CallerId, CallId, Instant } from '../ids.js';
+import type { Address, CallerId, CallId, Instant, ProxyLife, TimeOfDay } from '../ids.js';
 import type { LimitsResource, StoredAnswer } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import { applyFilter, WakeTimer } from '../pipe/index.js';
@@ -42,7 +42,10 @@
 import { countRemaining, refuseBufferedAnswers } from './planned-stop.js';
 
 /** Outputs of the call task for other tasks. */
-export type CallNotice = Extract<CallOut, { kind: 'ledger' | 'observed' | 'broadcast' }>;
+export type CallNotice = Extract<
+  CallOut,
+  { kind: 'ledger' | 'observed' | 'broadcast' | 'allowance-request' | 'allowance-lease' }
+>;
 
 /** Reports bytes that other tasks sent over the link of this host. */
 export interface LinkUse {
@@ -62,6 +65,8 @@
   readonly retries?: RetryBudgetLimits;
   /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
   readonly isRevocationStrict?: boolean;
+  /** Identifies this life of the process to the grantor of allowances. */
+  readonly life?: ProxyLife;
   readonly place: Locality;
   /** The secret that other proxies send with the calls that they forward; see `Member.pass`. */
   readonly pass: string;
@@ -95,6 +100,8 @@
   #closeBy: Instant = NEVER;
   #cancelRefusals: CancelTimer | undefined;
   #isDraining = false;
+  /** Whether an account has a limit, so that the pipe needs the time of day. */
+  #isLimited = false;
 
   constructor(options: CallTaskOptions) {
     super({ name: 'calls', ...options, server: SERVER_OPTIONS });
@@ -129,6 +136,7 @@
       caller: options.caller,
       isOpen: ({ id }) => this.#calls.has(id),
       post: (message) => {
+        if (message.kind === 'arrived') this.#postTimeOfDay();
         this.post(message);
       },
     });
@@ -150,6 +158,12 @@
     return this.#pacer?.held ?? { answers: 0, bytes: 0 };
   }
 
+  /** Hands the pipe a message of a source host about allowances. */
+  handleAllowance(reply: Extract<CallIn, { kind: 'allowance-reply' }>): void {
+    this.#postTimeOfDay();
+    this.post(reply);
+  }
+
   /** Begins a planned stop: calls are still accepted, and each is answered or refused before `answerBy`. */
   startStop({ answerBy, closeBy }: PlannedStop): void {
     this.#closeBy = closeBy;
@@ -207,13 +221,14 @@
 
   protected override createPipe(messages: Stream<CallIn | LinkUse>): Stream<unknown> {
     const { place, clock, random, picker, createPolicy, retries } = this.#options;
-    const { isRevocationStrict } = this.#options;
+    const { isRevocationStrict, life } = this.#options;
     const pipe = new CallPipe({
       place,
       picker: picker ?? new TwoChoicesPicker(random),
       createPolicy: createPolicy ?? (() => new PrioritySlotPolicy()),
       retries,
       isRevocationStrict,
+      life,
     });
     const forPipe = messages.filter((message): message is CallIn => !this.#handleLinkUse(message));
     return applyFilter(pipe, clock, forPipe).tap((output) => {
@@ -318,6 +333,11 @@
       case 'wake':
         this.#timer.wakeAt(output.at);
         return;
+      case 'allowances':
+        this.#isLimited = output.isLimited;
+        return;
+      case 'allowance-request':
+      case 'allowance-lease':
       case 'ledger':
       case 'observed':
       case 'broadcast':
@@ -332,12 +352,18 @@
    */
   #handleDeadline(deadline: Instant): void {
     const tick = (): void => {
+      this.#postTimeOfDay();
       this.post({ kind: 'tick' });
     };
     if (this.#options.clock.read() - deadline >= MIN_TIMER_DELAY_MS) runAfterPoll(tick);
     else tick();
   }
 
+  /** A jump of the time of day against the clock of the process shows that the process was frozen. */
+  #postTimeOfDay(): void {
+    if (this.#isLimited) this.post({ kind: 'time-of-day', at: Date.now() as TimeOfDay });
+  }
+
   #setClassified({ id, version, account }: Extract<CallOut, { kind: 'classified' }>): void {
     const call = this.#calls.get(id);
     if (call === undefined) return;
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -1,4 +1,5 @@
 /** Encodings, sockets and files: all code that accesses the network or the disk. */
+export { readAllowanceReply, readAllowanceRequest } from './allowance-codec.js';
 export { AnnounceFront } from './announce-front.js';
 export type { AnnounceAnswer, AnnounceHttpRequest, AnnounceRequest } from './announce-front.js';
 export { AnnounceTask } from './announce-task.js';
--- a/src/messages/allowance.ts
+++ b/src/messages/allowance.ts
@@ -14,8 +14,16 @@
 /** A number of single tokens of an account that a proxy asks for. */
 export type TokenRequest = readonly [account: ClientAccountName, count: number];
 
-/** Single tokens that are granted, and the time in milliseconds until the grantor expects the next one. */
-export type TokenGrant = readonly [account: ClientAccountName, count: number, nextInMs: number];
+/**
+ * Single tokens that are granted, and the time in milliseconds until the grantor expects the next one. A limit is locked
+ * in part for some time after a change of leader, so that an account without tokens may still be below its limit.
+ */
+export type TokenGrant = readonly [
+  account: ClientAccountName,
+  count: number,
+  nextInMs: number,
+  isLocked: boolean,
+];
 
 /** A message from a proxy to a source host. */
 export type AllowanceRequest =
--- a/src/messages/call.ts
+++ b/src/messages/call.ts
@@ -109,6 +109,10 @@
   | 'no-route'
   /** The key that the caller sent belongs to no client account. */
   | 'unknown-key'
+  /** The account of the call has used its allowance. */
+  | 'over-allowance'
+  /** This proxy does not know what it may use of the account's allowance. */
+  | 'no-allowance'
   | 'no-server'
   | 'overloaded'
   /** This proxy's processor is overloaded. */
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -70,6 +70,11 @@
   'call-sent-again': HIGH_RATE,
   'answer-dropped': HIGH_RATE,
   'calls-stopped': HIGH_RATE,
+  'allowances-begin': HIGH_RATE,
+  'allowances-end': HIGH_RATE,
+  'allowance-lease-begins': HIGH_RATE,
+  'allowance-lease-ends': HIGH_RATE,
+  'allowance-message-dropped': HIGH_RATE,
   'loop-busy': LOW_RATE,
 } satisfies Record<string, LineRate>;
 
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -8,13 +8,15 @@
   AnnounceTask,
   CallTask,
   FloorTask,
+  readAllowanceReply,
+  readAllowanceRequest,
   readDistributionMessage,
   ReadyTask,
 } from '../edge/index.js';
 import type { MembersIn } from '../members/index.js';
-import type { Address, Instant, Version } from '../ids.js';
+import type { Address, Instant, ProxyLife, Version } from '../ids.js';
 import { NO_VERSION, parseCallerId } from '../ids.js';
-import type { LinkCommand, LinkEvent } from '../messages/index.js';
+import type { LinkCommand, LinkEvent, ReceivedMessage } from '../messages/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
 import { Gauge } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
@@ -37,6 +39,7 @@
 import type { RunningRole } from './running-role.js';
 import type { ProxySettings, Settings } from './settings.js';
 import type { ReportStatus } from './status.js';
+import { SourceAddresses } from './source-addresses.js';
 import { VersionMetrics } from './version-metrics.js';
 
 /** Options of {@link runProxy}. */
@@ -70,6 +73,7 @@
     caller: proxy.service === undefined ? undefined : parseCallerId(proxy.service),
     retries: proxy.retries,
     isRevocationStrict: proxy.accounts.isRevocationStrict,
+    life: `${random.nextInt(MAX_LIFE)}-${clock.read()}` as ProxyLife,
     linkBytesPerSecond: proxy.linkBytesPerSecond,
     place: settings,
     pass: options.pass,
@@ -138,8 +142,13 @@
   addHeldAnswerMetrics(options.registry, calls);
   const distributionStatus: DistributionStatus = { held: NO_VERSION, rejected: {} };
   const versions = new VersionMetrics(options.registry, clock);
+  const sources = new SourceAddresses(proxy.sources);
   let isConfirmed = false;
 
+  function postSources(): void {
+    calls.post({ kind: 'sources', sources: sources.list() });
+  }
+
   function routeAnnounceRequest(request: AnnounceRequest): void {
     if (request.kind === 'drain') log('draining');
     if (request.kind !== 'announce') {
@@ -237,14 +246,28 @@
   }
 
   function routeCalls(notice: CallNotice): void {
-    if (notice.kind === 'ledger') ledger.post({ kind: 'request', request: notice.request });
-    else postMembers(notice);
+    switch (notice.kind) {
+      case 'ledger':
+        ledger.post({ kind: 'request', request: notice.request });
+        return;
+      case 'allowance-request':
+        postLink({ kind: 'send', to: notice.to, channel: 'allowances', body: notice.body });
+        return;
+      case 'allowance-lease': {
+        const { isValid, grantor, term } = notice;
+        log(isValid ? 'allowance-lease-begins' : 'allowance-lease-ends', { grantor, term });
+        return;
+      }
+      default:
+        postMembers(notice);
+    }
   }
 
   const tasks = [ledger, calls, distribution, announce, ...(floor === undefined ? [] : [floor])];
   readiness.start();
   if (ready !== undefined) await ready.start();
   for (const task of tasks) await task.start();
+  postSources();
   if (floor === undefined) distribution.post({ kind: 'start', floor: undefined });
   return {
     handleLink: (event) => {
@@ -254,17 +277,25 @@
       if (reply !== undefined) ledger.post(reply);
       const message = readLinkEvent(event);
       if (message !== undefined) distribution.post(message);
+      if (event.kind !== 'received' || event.channel !== 'allowances') return;
+      const body = readAllowanceReply(event.body);
+      if (body === undefined) logDroppedAllowance(event, log);
+      else calls.handleAllowance({ kind: 'allowance-reply', from: event.address, body });
     },
     handleBytesSent: (bytes) => {
       calls.post({ kind: 'link-used', bytes });
     },
     handleMembership: (event) => {
       calls.post(event);
-      if (event.kind !== 'broadcast') distribution.post(event);
+      if (event.kind === 'broadcast') return;
+      distribution.post(event);
+      if (sources.apply(event)) postSources();
     },
     handleSettings: ({ proxy: changed }) => {
-      const sources = changed?.sources ?? [];
-      distribution.post({ kind: 'sources', sources });
+      const configured = changed?.sources ?? [];
+      distribution.post({ kind: 'sources', sources: configured });
+      sources.updateConfigured(configured);
+      postSources();
     },
     linger: async () => {
       readiness.stop();
@@ -288,6 +319,13 @@
 
 type DistributionSend = Extract<ProxyDistributionOut, { kind: 'send' | 'send-source' }>;
 
+const MAX_LIFE = 2 ** 32;
+
+/** A source host beside this proxy receives requests on the same channel. */
+function logDroppedAllowance({ address: from, body }: ReceivedMessage, log: Log): void {
+  if (readAllowanceRequest(body) === undefined) log('allowance-message-dropped', { from });
+}
+
 /** Last part of the linger time in milliseconds, in which other proxies learn that the local servers drain. */
 const DRAIN_LEAD_MS = 500;
 
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -30,6 +30,7 @@
 } from '../distribution/index.js';
 import { AcknowledgementLog } from './acknowledgement-log.js';
 import { CommitLog } from './commit-log.js';
+import { GrantorWiring } from './grantor-wiring.js';
 import { buildLogSend, listReplicas, readLogPacket } from './log-wiring.js';
 import type { Log } from './logger.js';
 import type { RecoveryLog } from './recovery-log.js';
@@ -109,6 +110,16 @@
     send: routeDistribution,
     buildTick: () => ({ kind: 'tick' }),
   });
+  const grantor = new GrantorWiring({
+    clock,
+    log: options.log,
+    reportFailure,
+    postLink,
+    confirm: (id) => {
+      log.post({ kind: 'request', request: { kind: 'confirm', id } });
+    },
+    findControlAddress: (host) => peers.findControlAddress(host),
+  });
   const operator = new OperatorTask({
     address: settings.operator,
     clock,
@@ -136,10 +147,12 @@
         commits.handleCommitted(output.delta.version);
         acknowledgements.handleCommitted(output.delta.version);
         distribution.post(output);
+        grantor.task.post({ kind: 'changes', changes: output.delta.changes });
         return;
       case 'restored':
         recovery.report('version-restored', { version: output.configuration.version });
         distribution.post(output);
+        grantor.task.post({ kind: 'resources', resources: output.configuration.resources });
         return;
       case 'report':
         report('source', output.report);
@@ -168,8 +181,15 @@
 
   /** Routes confirmations requested by the distribution to it, and all other notices to the notes. */
   function routeNotice(notice: NotesNotice): void {
+    if (grantor.handleOutcome(notice)) return;
     reportLeadership(notice);
-    if (notice.kind === 'leading') distribution.post({ kind: 'log', notice });
+    if (notice.kind === 'leading') {
+      distribution.post({ kind: 'log', notice });
+      // The notes handle earlier versions first, so that the grantor knows the limits when its term begins.
+      queueMicrotask(() => {
+        grantor.task.post({ kind: 'log', notice });
+      });
+    }
     const isForDistribution =
       (notice.kind === 'confirmed' || notice.kind === 'refused') &&
       isDistributionConfirmation(notice.id);
@@ -195,7 +215,7 @@
     }
   }
 
-  const tasks = [distribution, notes, log, operator];
+  const tasks = [distribution, grantor.task, notes, log, operator];
   for (const task of tasks) await task.start();
   return {
     handleLink: (event) => {
@@ -205,6 +225,7 @@
       if (packet?.group === LOG_GROUP) log.post(packet.message);
       const message = readLinkEvent(event);
       if (message !== undefined) distribution.post(message);
+      grantor.handleLink(event);
     },
     handleMembership: (event) => {
       if (event.kind === 'broadcast') return;
--- a/src/program/source-peers.ts
+++ b/src/program/source-peers.ts
@@ -32,6 +32,11 @@
     return [...new Set([...this.#controlAddresses.values(), ...this.#seeds])];
   }
 
+  /** Returns the control address of a source host. */
+  findControlAddress(host: HostId): Address | undefined {
+    return this.#controlAddresses.get(host);
+  }
+
   /**
    * Returns the operator address of a source host, on the assumption that all source hosts use the operator
    * port of this one.
--- a/test/allowance-mesh.ts
+++ b/test/allowance-mesh.ts
@@ -1,6 +1,6 @@
 /** Proxies and source hosts that divide allowances over a simulated network with faults. */
 import type { AllowanceIn, AllowanceOut, GrantorIn, GrantorOut } from '../src/allowances/index.js';
-import { AllowanceFilter, GrantorFilter, listLimits } from '../src/allowances/index.js';
+import { AllowanceFilter, GrantorFilter } from '../src/allowances/index.js';
 import { NEVER } from '../src/clock.js';
 import type {
   Address,
@@ -109,14 +109,12 @@
     this.#term += 1;
     this.#leader = source;
     source.lead(this.#term as Term);
-    for (const other of this.sources) other.learnLeader(source.address);
   }
 
   /** No source leads until the next election. */
   deposeLeader(): void {
     this.#leader?.follow();
     this.#leader = undefined;
-    for (const source of this.sources) source.learnLeader(undefined);
   }
 
   /** Sends one call through a proxy. */
@@ -174,9 +172,14 @@
   confirm(source: FakeSource, id: RequestId): void {
     this.schedule(2 * this.#latencyMs, () => {
       const isConfirmed = this.#leader === source && !source.isCut;
-      if (!isConfirmed) return;
+      // A replaced leader that has not learnt it yet waits for its quorum in vain.
+      if (!isConfirmed && source.state.leadership !== undefined) return;
+      const refusal = { kind: 'not-leader', leader: this.#leader?.host } as const;
       source.handle(() => {
-        source.post({ kind: 'log', notice: { kind: 'confirmed', id } });
+        const notice = isConfirmed
+          ? ({ kind: 'confirmed', id } as const)
+          : ({ kind: 'refused', id, refusal } as const);
+        source.post({ kind: 'log', notice });
       });
     });
   }
@@ -436,7 +439,7 @@
   }
 
   applyLimits(): void {
-    this.post({ kind: 'limits', limits: listLimits(this.mesh.configuration) });
+    this.post({ kind: 'resources', resources: [...this.mesh.configuration.resources.values()] });
   }
 
   lead(term: Term): void {
@@ -447,12 +450,6 @@
     this.post({ kind: 'log', notice: { kind: 'leading', leading: false } });
   }
 
-  learnLeader(address: Address | undefined): void {
-    this.handle(() => {
-      this.post({ kind: 'leader', address });
-    });
-  }
-
   post(message: GrantorIn): void {
     const step = this.#filter.decide(this.#state, message, this.clock);
     this.#state = step.state;
@@ -468,12 +465,18 @@
       this.wakeAt(output.at, () => {
         this.post({ kind: 'tick' });
       });
-    } else if (output.kind === 'send') {
-      const proxy = mesh.findProxy(output.to);
-      if (proxy === undefined) return;
-      mesh.deliver(this, proxy, () => {
-        proxy.receive(this.address, output.body);
-      });
+    } else if (output.kind === 'send') this.#send(output.to, output.body);
+    else if (output.kind === 'refuse') {
+      const leader = mesh.sources.find(({ host }) => host === output.leader)?.address;
+      this.#send(output.to, { kind: 'not-leader', leader });
     }
   }
+
+  #send(to: Address, body: AllowanceReply): void {
+    const proxy = this.mesh.findProxy(to);
+    if (proxy === undefined) return;
+    this.mesh.deliver(this, proxy, () => {
+      proxy.receive(this.address, body);
+    });
+  }
 }
