--- a/src/allowances/account-allowance.ts
+++ b/src/allowances/account-allowance.ts
@@ -43,6 +43,11 @@
     return this.#singleTokens.shift() !== undefined;
   }
 
+  /** Charges a call for another run. */
+  charge(now: Instant): void {
+    if (this.#singleTokens.shift() === undefined) this.bucket.charge(now);
+  }
+
   /** Adds single tokens that no call has used yet. */
   addSingleTokens(count: number, endsAt: Instant): void {
     for (let added = 0; added < count; added += 1) this.#singleTokens.push(endsAt);
--- a/src/allowances/allowance-filter.ts
+++ b/src/allowances/allowance-filter.ts
@@ -33,6 +33,8 @@
   | { readonly kind: 'allowance-reply'; readonly from: Address; readonly body: AllowanceReply }
   /** A call was sent to a backend server. */
   | { readonly kind: 'sent'; readonly id: CallId }
+  /** A call that may have run is sent to a backend server again. */
+  | { readonly kind: 'sent-again'; readonly id: CallId }
   /** A call has ended; `isNotRun` if it certainly has not run at a backend server. */
   | { readonly kind: 'ended'; readonly id: CallId; readonly isNotRun: boolean }
   /** The caller of a call has left, or has received its answer. */
@@ -203,6 +205,9 @@
       case 'sent':
         this.#markSent(message.id);
         return;
+      case 'sent-again':
+        this.#charge(message.id);
+        return;
       case 'ended':
         this.#release(message.id, message.isNotRun);
         return;
@@ -339,6 +344,12 @@
     if (charged !== undefined) charged.isSent = true;
   }
 
+  #charge(id: CallId): void {
+    const { charged, buckets } = this.#state;
+    const call = charged.get(id);
+    if (call !== undefined) buckets.find(call.account)?.charge(this.#now);
+  }
+
   /** Forgets a call; one that has not run gives its token back. */
   #release(id: CallId, isNotRun: boolean): void {
     const { charged, buckets, hasLease } = this.#state;
--- a/src/allowances/token-bucket.ts
+++ b/src/allowances/token-bucket.ts
@@ -42,8 +42,8 @@
   /** Takes up to `count` tokens; returns how many were there. */
   take(count: number, now: Instant): number {
     this.#fill(now);
-    const taken = Math.min(count, Math.floor(this.#tokens + ROUNDING));
-    this.#tokens = Math.max(0, this.#tokens - taken);
+    const taken = Math.max(0, Math.min(count, Math.floor(this.#tokens + ROUNDING)));
+    if (taken > 0) this.#tokens = Math.max(0, this.#tokens - taken);
     return taken;
   }
 
@@ -53,6 +53,12 @@
     this.#tokens = Math.min(this.#tokens + count, this.#capacity);
   }
 
+  /** Takes a token for a run that has begun already; without one, the next tokens are used up in advance. */
+  charge(now: Instant): void {
+    this.#fill(now);
+    if (this.canHoldToken) this.#tokens = Math.max(this.#tokens - 1, -this.#capacity);
+  }
+
   /** Returns how many tokens are left, with the fraction of the next one. */
   measure(now: Instant): number {
     this.#fill(now);
--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -1,4 +1,5 @@
 /** Observers of calls and connections, for metrics and logs; they do not influence decisions. */
+import type { AllowanceView } from '../allowances/index.js';
 import type { Address, ClientAccountName, Version } from '../ids.js';
 import type { RefusalOutcome, RefusalReason } from '../messages/index.js';
 import type { SentAgain } from './attempt-messages.js';
@@ -58,6 +59,8 @@
   readonly status: number | undefined;
   readonly reason: RefusalReason | undefined;
   readonly outcome: RefusalOutcome | undefined;
+  /** What was left of the account's allowance, if that is why the call was refused. */
+  readonly allowance?: AllowanceView | undefined;
   /** Milliseconds from the full-value deadline of the call to its end; `undefined` without such a deadline. */
   readonly lateMs: number | undefined;
   /** Duration of its last attempt in milliseconds, if that has ended. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -306,14 +306,8 @@
   #settleTokens(context: MessageContext): void {
     const { charged } = context.state.allowance;
     for (const output of context.outputs) {
-      const { kind } = output;
-      if (kind !== 'dispatch' && kind !== 'run' && kind !== 'refuse' && kind !== 'replay') continue;
-      const { id } = output;
-      if (!charged.has(id)) continue;
-      const isNotRun = kind === 'replay' || (kind === 'refuse' && output.outcome === 'not-run');
-      if (kind === 'dispatch' || kind === 'run')
-        this.#passToAllowance(context, { kind: 'sent', id });
-      else this.#passToAllowance(context, { kind: 'ended', id, isNotRun });
+      const message = buildSettlement(output);
+      if (message !== undefined && charged.has(message.id)) this.#passToAllowance(context, message);
     }
   }
 
@@ -435,6 +429,25 @@
   return { id, count, isForwarded: true, keepsAnswer: false };
 }
 
+type Settlement = Extract<AllowanceIn<RoutedCall>, { kind: 'sent' | 'sent-again' | 'ended' }>;
+
+/** Builds what an output means for the token of its call. */
+function buildSettlement(output: CallOut): Settlement | undefined {
+  switch (output.kind) {
+    case 'dispatch':
+    case 'run':
+      return { kind: 'sent', id: output.id };
+    case 'sent-again':
+      return output.outcome === 'unknown' ? { kind: 'sent-again', id: output.id } : undefined;
+    case 'refuse':
+      return { kind: 'ended', id: output.id, isNotRun: output.outcome === 'not-run' };
+    case 'replay':
+      return { kind: 'ended', id: output.id, isNotRun: true };
+    default:
+      return undefined;
+  }
+}
+
 /** The state, time and outputs of the handling of one message. */
 class MessageContext {
   readonly state: CallPipeState;
--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -1,6 +1,7 @@
 /** Builds and sends the answers to refused calls. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { AllowanceView } from '../allowances/index.js';
 import type { ServerLoad, RefusalOutcome, RefusalReason } from '../messages/index.js';
 import { hasBody } from './call-body.js';
 import { formatLoad, LOAD_HEADER, OUTCOME_HEADER, REASON_HEADER } from './call-headers.js';
@@ -14,6 +15,8 @@
   readonly load?: ServerLoad;
   /** When sending the call again may help; only with `over-allowance`. */
   readonly retryAfterMs?: number;
+  /** What was left of the account's allowance; for the log only. */
+  readonly allowance?: AllowanceView;
 }
 
 /** A refusal encoded as an HTTP answer. */
--- a/src/edge/open-call.ts
+++ b/src/edge/open-call.ts
@@ -111,7 +111,7 @@
   end(now: Instant): void {
     const { response } = this;
     const status = response.headersSent ? response.statusCode : undefined;
-    const { reason, outcome } = this.#refusal ?? {};
+    const { reason, outcome, allowance } = this.#refusal ?? {};
     const milliseconds = now - this.#startedAt;
     this.#observer.endCall({
       isForwarded: this.isForwarded,
@@ -123,6 +123,7 @@
       status,
       reason,
       outcome,
+      allowance,
       lateMs: this.aim === undefined ? undefined : now - this.aim,
       attemptMs: this.attemptMs,
       milliseconds,
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -9,6 +9,7 @@
   StopSummary,
 } from '../calls/index.js';
 import { ForwardingObserver } from '../calls/index.js';
+import type { AllowanceView } from '../allowances/index.js';
 import type { Log, LogFields } from './logger.js';
 
 /** Options of a {@link CallLog}. */
@@ -101,9 +102,20 @@
   const { isForwarded, request, version, account, attempt, path, status, reason, outcome } = end;
   const side = isForwarded ? 'guard' : 'entry';
   const ms = Math.round(end.milliseconds);
-  return { side, request, version, account, attempt, path, status, reason, outcome, ms };
+  const fields = { side, request, version, account, attempt, path, status, reason, outcome, ms };
+  return end.allowance === undefined
+    ? fields
+    : { ...fields, ...buildAllowanceFields(end.allowance) };
 }
 
+/** What was left at this proxy, its share of the limit, and who granted it in which term. */
+function buildAllowanceFields({ left, share, grantor, term }: AllowanceView): LogFields {
+  const [tokensLeft, percent] = [Math.round(left * 100) / 100, share / MILLIONTHS_PER_CENT];
+  return { tokensLeft, sharePercent: percent, grantor, term };
+}
+
+const MILLIONTHS_PER_CENT = 10_000;
+
 function buildLateFields({
   isForwarded,
   request,
--- a/src/program/call-metrics.ts
+++ b/src/program/call-metrics.ts
@@ -7,6 +7,7 @@
   SentAgain,
 } from '../calls/index.js';
 import { CallObserver } from '../calls/index.js';
+import type { RefusalReason } from '../messages/index.js';
 import type { CounterSeries, DurationSeries, MetricsRegistry } from '../metrics/index.js';
 import { Counter, DurationSummary, Gauge } from '../metrics/index.js';
 
@@ -21,6 +22,8 @@
   readonly #attemptDurations: DurationSummary;
   readonly #attemptSeries = new Map<string, AttemptSeries>();
   readonly #refusals: Counter;
+  readonly #accountRefusals: Counter;
+  readonly #accounts = new Set<string>();
   readonly #attemptEnds: Counter;
   readonly #sentAgain: Counter;
   readonly #droppedAnswers: Counter;
@@ -38,6 +41,9 @@
     this.#refusals = registry.add(
       new Counter('refused_calls_total', 'Calls refused, by reason and outcome.'),
     );
+    this.#accountRefusals = registry.add(
+      new Counter('account_refused_calls_total', 'Calls refused by key or allowance, by account.'),
+    );
     this.#attemptEnds = registry.add(
       new Counter('attempts_total', 'Attempts that ended, by outcome, reason and proof.'),
     );
@@ -53,10 +59,13 @@
     this.#runningCalls += 1;
   }
 
-  override endCall({ isForwarded, status, reason, outcome, milliseconds }: CallEnd): void {
+  override endCall({ isForwarded, status, reason, outcome, account, milliseconds }: CallEnd): void {
     this.#runningCalls -= 1;
     const side = isForwarded ? 'guard' : 'entry';
     this.#findDurations(side, formatStatusClass(status)).record(milliseconds);
+    if (isAccountRefusal(reason)) {
+      this.#accountRefusals.add({ account: this.#findAccountLabel(account), reason });
+    }
     if (reason !== undefined) this.#refusals.add({ side, reason, outcome: outcome ?? 'unknown' });
   }
 
@@ -79,6 +88,14 @@
 
   // Internals.
 
+  /** Accounts beyond the first ones share a label, which bounds the number of series. */
+  #findAccountLabel(account: string | undefined): string {
+    if (account === undefined) return 'none';
+    if (!this.#accounts.has(account) && this.#accounts.size >= MAX_ACCOUNT_LABELS) return 'other';
+    this.#accounts.add(account);
+    return account;
+  }
+
   #findDurations(side: string, status: string): DurationSeries {
     const key = `${side} ${status}`;
     const existing = this.#durationSeries.get(key);
@@ -113,6 +130,13 @@
 }
 
 const STATUS_CLASS_SIZE = 100;
+const MAX_ACCOUNT_LABELS = 128;
+
+type AccountRefusalReason = 'unknown-key' | 'over-allowance' | 'no-allowance';
+
+function isAccountRefusal(reason: RefusalReason | undefined): reason is AccountRefusalReason {
+  return reason === 'unknown-key' || reason === 'over-allowance' || reason === 'no-allowance';
+}
 
 /** Formats the class of a status, for example `5xx`, so that unusual statuses create no further series. */
 function formatStatusClass(status: number | undefined): string {
