--- a/src/allowances/account-allowance.ts
+++ b/src/allowances/account-allowance.ts
@@ -15,22 +15,30 @@
   isLocked = false;
   /** When each unused single token ends. */
   #singleTokens: Instant[] = [];
+  #limit: AccountLimit;
   #arrived = 0;
   #perSecond = 0;
   #measuredAt: Instant;
 
   constructor(limit: AccountLimit, now: Instant) {
+    this.#limit = limit;
     this.bucket = new TokenBucket(limit, now);
     this.#measuredAt = now;
   }
 
   /** Changes the limit. A proxy never holds a part of the reserve. */
   updateLimit(limit: AccountLimit, now: Instant): void {
+    this.#limit = limit;
     this.bucket.updateLimit(limit, now);
     const most = (WHOLE - limit.reserve) as Share;
     if (this.bucket.share > most) this.bucket.updateShare(most, now);
   }
 
+  /** Whether the account is served by single tokens only, so that its demand at a proxy does not matter. */
+  get isUnshared(): boolean {
+    return this.bucket.share === 0 && this.#limit.reserve === WHOLE;
+  }
+
   /** Counts a call as demand. */
   addCall(): void {
     this.#arrived += 1;
--- a/src/allowances/account-buckets.ts
+++ b/src/allowances/account-buckets.ts
@@ -63,9 +63,10 @@
     for (const account of this.#accounts.values()) account.drop(now);
   }
 
-  /** Lists the accounts that have a share or a demand. */
+  /** Lists the accounts that have a share or a demand, except those that get no shares. */
   listUse(now: Instant): AccountUse[] {
     return [...this.#accounts].flatMap(([name, account]): AccountUse[] => {
+      if (account.isUnshared) return [];
       const tenths = account.measureDemand(now);
       const share: Share = account.bucket.share;
       return share === 0 && tenths === 0 ? [] : [[name, share, tenths]];
--- a/src/allowances/allowance-filter.ts
+++ b/src/allowances/allowance-filter.ts
@@ -299,7 +299,7 @@
   #waitForToken(call: Call, name: ClientAccountName, account: AccountAllowance): void {
     const state = this.#state;
     const { id } = call.head;
-    state.reportAt = Math.min(state.reportAt, addMs(state.reportedAt, SHORT_REPORT_MS)) as Instant;
+    if (!account.isUnshared && account.hasRisen(this.#now)) this.#reportSoon();
     if (this.#now < account.refusedUntil) this.#refuseEmpty(id, name, account);
     else if (state.isSilent || state.queue.size >= MAX_WAITING_CALLS) {
       this.#refuse(id, name, 'no-allowance');
