--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -1,8 +1,10 @@
 /**
- * Composes the filters of the call path (classify → intake → claim → attempt → guard) into one filter. Forwarded
- * attempts with large bodies pass the body filter between intake and guard.
+ * Composes the filters of the call path (classify → allowance → intake → claim → attempt → guard) into one filter.
+ * Forwarded attempts with large bodies pass the body filter between intake and guard.
  */
-import type { Address, AttemptId, CallId, HostId, Instant } from '../ids.js';
+import type { AllowanceIn, AllowanceOut, AllowanceState } from '../allowances/index.js';
+import { AllowanceFilter } from '../allowances/index.js';
+import type { Address, AttemptId, CallId, HostId, Instant, ProxyLife } from '../ids.js';
 import type {
   AttemptFailure,
   CallHead,
@@ -19,7 +21,7 @@
 import { BodyFilter } from './body-filter.js';
 import type { ClaimIn, ClaimOut, ClaimState } from './claim-filter.js';
 import { ClaimFilter } from './claim-filter.js';
-import type { ClassifyIn, ClassifyOut, ClassifyState } from './classify-filter.js';
+import type { ClassifyIn, ClassifyOut, ClassifyState, RoutedCall } from './classify-filter.js';
 import { ClassifyFilter } from './classify-filter.js';
 import type { GuardIn, GuardOut, GuardState, RunEnding } from './guard-filter.js';
 import { GuardFilter } from './guard-filter.js';
@@ -41,11 +43,14 @@
   readonly isRevocationStrict?: boolean | undefined;
   /** The bandwidth of the link of this host, if configured; large bodies then need a permission. */
   readonly linkBytesPerSecond?: number | undefined;
+  /** Identifies this life of the process to the grantor of allowances. */
+  readonly life?: ProxyLife | undefined;
 }
 
 /** The states of the filters, and the attempts at backend servers beside this proxy. */
 export interface CallPipeState {
   classify: ClassifyState;
+  allowance: AllowanceState<RoutedCall>;
   intake: IntakeState;
   claim: ClaimState;
   attempt: AttemptState;
@@ -62,6 +67,7 @@
 export class CallPipe extends Filter<CallPipeState, CallIn, CallOut> {
   readonly #host: HostId;
   readonly #classify: ClassifyFilter;
+  readonly #allowance: AllowanceFilter<RoutedCall>;
   readonly #intake = new IntakeFilter();
   readonly #claim = new ClaimFilter();
   readonly #attempt: AttemptFilter;
@@ -72,6 +78,7 @@
     super();
     const { place, picker, createPolicy, retries, isRevocationStrict } = options;
     const { linkBytesPerSecond: link } = options;
+    this.#allowance = new AllowanceFilter(options.life ?? (place.host as string as ProxyLife));
     this.#host = place.host;
     this.#classify = new ClassifyFilter(place.host, isRevocationStrict);
     const asksForBodies = link !== undefined;
@@ -83,6 +90,7 @@
   override createState(): CallPipeState {
     return {
       classify: this.#classify.createState(),
+      allowance: this.#allowance.createState(),
       intake: this.#intake.createState(),
       claim: this.#claim.createState(),
       attempt: this.#attempt.createState(),
@@ -100,7 +108,9 @@
     now: Instant,
   ): Step<CallPipeState, CallOut> {
     const outputs: CallOut[] = [];
-    this.#route(new MessageContext(state, now, outputs), message);
+    const context = new MessageContext(state, now, outputs);
+    this.#route(context, message);
+    if (state.allowance.charged.size > 0) this.#settleTokens(context);
     return { state, outputs };
   }
 
@@ -110,6 +120,14 @@
     const { state } = context;
     switch (message.kind) {
       case 'whole':
+        this.#passToClassify(context, message);
+        this.#passToAllowance(context, message);
+        return;
+      case 'time-of-day':
+      case 'sources':
+      case 'allowance-reply':
+        this.#passToAllowance(context, message);
+        return;
       case 'stale':
       case 'keys-trusted':
         this.#passToClassify(context, message);
@@ -163,6 +181,7 @@
         this.#passToGuard(context, message);
         return;
       case 'tick':
+        this.#passToAllowance(context, message);
         this.#passToClaim(context, message);
         this.#passToAttempt(context, message);
         this.#passToBodies(context, message);
@@ -248,6 +267,11 @@
 
   /** A call with a granted claim continues without its caller, so that a resend gets the stored answer. */
   #handleGone(context: MessageContext, id: CallId): void {
+    // A call that continues may still run, so it keeps its token.
+    if (this.#claim.hasGranted(context.state.claim, id)) {
+      this.#passToAllowance(context, { kind: 'sent', id });
+    }
+    this.#passToAllowance(context, { kind: 'gone', id });
     this.#passToIntake(context, { kind: 'gone', id });
     this.#withdrawForwarded(context, id);
     this.#passToClaim(context, { kind: 'gone', id });
@@ -288,7 +312,7 @@
     } else if (output.kind === 'routed') {
       const { head, version, verified: account } = output.call;
       outputs.push({ kind: 'classified', id: head.id, version, account });
-      this.#passToIntake(context, output);
+      this.#passToAllowance(context, output);
     } else {
       const { id, reason, version } = output;
       if (version !== undefined) outputs.push({ kind: 'classified', id, version });
@@ -296,6 +320,26 @@
     }
   }
 
+  #passToAllowance(context: MessageContext, message: AllowanceIn<RoutedCall>): void {
+    const step = this.#allowance.decide(context.state.allowance, message, context.now);
+    context.state.allowance = step.state;
+    for (const output of step.outputs) this.#routeAllowed(context, output);
+  }
+
+  #routeAllowed(context: MessageContext, output: AllowanceOut<RoutedCall>): void {
+    if (output.kind === 'routed') this.#passToIntake(context, output);
+    else context.outputs.push(output);
+  }
+
+  /** Tells the allowance filter which calls were sent to a backend server, and which have ended without a run. */
+  #settleTokens(context: MessageContext): void {
+    const { charged } = context.state.allowance;
+    for (const output of context.outputs) {
+      const message = buildSettlement(output);
+      if (message !== undefined && charged.has(message.id)) this.#passToAllowance(context, message);
+    }
+  }
+
   #passToIntake(context: MessageContext, message: IntakeIn): void {
     const step = this.#intake.decide(context.state.intake, message, context.now);
     context.state.intake = step.state;
@@ -478,6 +522,25 @@
   return { ...load, heldMs: now - askedAt };
 }
 
+type Settlement = Extract<AllowanceIn<RoutedCall>, { kind: 'sent' | 'sent-again' | 'ended' }>;
+
+/** Builds what an output means for the token of its call. */
+function buildSettlement(output: CallOut): Settlement | undefined {
+  switch (output.kind) {
+    case 'dispatch':
+    case 'run':
+      return { kind: 'sent', id: output.id };
+    case 'sent-again':
+      return output.outcome === 'unknown' ? { kind: 'sent-again', id: output.id } : undefined;
+    case 'refuse':
+      return { kind: 'ended', id: output.id, isNotRun: output.outcome === 'not-run' };
+    case 'replay':
+      return { kind: 'ended', id: output.id, isNotRun: true };
+    default:
+      return undefined;
+  }
+}
+
 /** The state, time and outputs of the handling of one message. */
 class MessageContext {
   readonly state: CallPipeState;
