Hedge slow calls within a limit of the operators

Hedging was on for each request kind with hedge = true, at four deviations above the mean latency of the service. That latency includes the wait for a slot, so a long queue triggered hedges that made it longer, and only the retry budget limited them.

[proxy.hedging] share now switches hedging on and limits it. A call is slow when its run takes longer than a quantile of the runs of its kind. Only attempts that a guard declines without a free slot are observed, since these run at once. A hedge goes to a server that is believed to have a free slot and is declined if it has none; the first attempt is not touched by that. Without the setting no timer is set and nothing is estimated.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -1,9 +1,10 @@
 /** Runs the attempts of each call: picks backend servers, retries, hedges and enforces the deadline. */
-import { addMs, NEVER } from '../clock.js';
+import { NEVER } from '../clock.js';
 import type { AttemptId, Instant } from '../ids.js';
 import type { AttemptFailure, RefusalOutcome } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
+import { mayStartAnother } from './attempt-limits.js';
 import type { AttemptIn, AttemptOut } from './attempt-messages.js';
 import {
   buildObservation,
@@ -14,8 +15,8 @@
   updateLoad,
 } from './attempt-outcome.js';
 import type { PreviousAttempt } from './attempt-placement.js';
-import { AttemptPlacement, findAttemptDeadline } from './attempt-placement.js';
-import type { AttemptState, OpenCall } from './attempt-state.js';
+import { AttemptPlacement } from './attempt-placement.js';
+import type { AttemptState, OpenAttempt, OpenCall } from './attempt-state.js';
 import {
   cancelAttempt,
   closeCall,
@@ -26,6 +27,8 @@
 import type { RoutedCall } from './classify-filter.js';
 import { DeadlineHeap } from './deadline-heap.js';
 import { GuardRoundTrips } from './guard-round-trips.js';
+import type { HedgingOptions } from './hedging.js';
+import { Hedging } from './hedging.js';
 import { hasTimeBeforeStop } from './last-calls.js';
 import { applyFailure, applySuccess } from './outlier.js';
 import type { Picker } from './picker.js';
@@ -40,6 +43,8 @@
   readonly picker: Picker;
   /** Limits of the retry budget of each service. */
   readonly retries?: RetryBudgetLimits | undefined;
+  /** Limits of the hedges of each service; without them no call is hedged. */
+  readonly hedging?: HedgingOptions | undefined;
 }
 
 /**
@@ -52,12 +57,17 @@
   readonly #options: AttemptOptions;
   readonly #placement: AttemptPlacement;
   readonly #retries: RetryBudgetLimits;
+  /** Undefined if hedging is off. */
+  readonly #hedging: Hedging | undefined;
 
   constructor(options: AttemptOptions) {
     super();
     this.#options = options;
     this.#placement = new AttemptPlacement(options.picker);
     this.#retries = options.retries ?? DEFAULT_RETRY_BUDGET_LIMITS;
+    const { hedging } = options;
+    if (hedging !== undefined && hedging.share > 0)
+      this.#hedging = new Hedging(hedging, this.#placement, this.#retries);
   }
 
   override createState(): AttemptState {
@@ -68,6 +78,7 @@
       retryBudgets: new Map(),
       latencies: new Map(),
       guardRoundTrips: new GuardRoundTrips(this.#options.place.host),
+      hedges: new Map(),
       timers: new DeadlineHeap(),
       answerBy: NEVER,
     };
@@ -119,6 +130,8 @@
       declinedBy: [],
       running: new Set(),
       started: 0,
+      isHedged: false,
+      declinedHedges: 0,
       possiblyReached: new Set(),
       relayedAttempt: undefined,
       suspect: false,
@@ -130,8 +143,7 @@
     state.timers.add(routed.deadline, { kind: 'deadline', id });
     const outputs = this.#placement.start(state, call, now);
     if (outputs.length === 0) return this.#refuse(state, call, NO_SERVER);
-    const hedgeAt = findHedgeTime(state, routed, now);
-    if (hedgeAt !== undefined) state.timers.add(hedgeAt, { kind: 'hedge', id });
+    this.#hedging?.addCall(state, call, now);
     return [...outputs, ...buildWake(state)];
   }
 
@@ -153,6 +165,8 @@
     if (hasFailed && !hasShed) {
       applyFailure(record, state.servers.listTiers(call.routed.service), now);
     }
+    if (hasFailed && call.running.size > 1)
+      return this.#dropFailedAnswer(state, message.attempt, open);
     if (hasFailed && call.routed.requestKind.idempotent && call.relayedAttempt === undefined) {
       const { address: server } = record.announcement;
       const last: PreviousAttempt = { server, reason: 'server-error', outcome: 'unknown' };
@@ -167,16 +181,30 @@
     const hasRecovered = !hasFailed && record.failures + record.ejections > 0;
     if (!hasFailed) applySuccess(record);
     findLatency(state, call.routed.service).add(now - open.startedAt);
+    const hedged =
+      this.#hedging?.addAnswer(state, message.attempt, hasFailed ? undefined : message.load, now) ??
+      [];
     call.relayedAttempt = message.attempt;
     const losers = [...call.running].filter((attempt) => attempt !== message.attempt);
     const { id } = call.routed.head;
     return [
       ...(hasRecovered ? [buildObservation(record, 'answered')] : []),
+      ...hedged,
       { kind: 'relay', id, attempt: message.attempt },
       ...losers.flatMap((attempt) => cancelAttempt(state, attempt)),
     ];
   }
 
+  /** Leaves a hedged call to its other attempt when one of the two gets an answer that is a failure. */
+  #dropFailedAnswer(state: AttemptState, attempt: AttemptId, open: OpenAttempt): AttemptOut[] {
+    const { call, record } = open;
+    removeAttempt(state, attempt, open);
+    call.possiblyReached.add(record.announcement.address);
+    call.isCertainlyNotRun = false;
+    const hedged = this.#hedging?.addFailure(state, open, 'server-error') ?? [];
+    return [...hedged, { kind: 'cancel', attempt }];
+  }
+
   #endAttempt(state: AttemptState, attempt: AttemptId): AttemptOut[] {
     const open = state.attempts.get(attempt);
     if (open === undefined) return [];
@@ -200,20 +228,24 @@
       updateLoad(record, call.routed.requestKind.name, failure.load, now);
     }
     if (call.isExpired) return this.#closeExpired(state, call, failure.outcome);
-    if (this.#placement.mayPassOn(call, failure) && call.routed.deadline > now) {
+    const hedged = this.#hedging?.addFailure(state, open, failure.reason) ?? [];
+    const isAlone = call.running.size === 0;
+    if (isAlone && this.#placement.mayPassOn(call, failure) && call.routed.deadline > now) {
       const declined = { server: record.announcement.address, reason: failure.reason };
       const redirected = this.#placement.passOn(state, call, declined, now);
-      if (redirected.length > 0) return redirected;
+      if (redirected.length > 0) return [...hedged, ...redirected];
     }
     if (mayHaveReached(failure)) call.possiblyReached.add(record.announcement.address);
     const maySend = maySendAgain(call, failure);
-    const observed = applyAttemptFailure(state, open, failure, now);
+    const observed = [...hedged, ...applyAttemptFailure(state, open, failure, now)];
     if (call.relayedAttempt === attempt)
       return [...observed, ...this.#refuse(state, call, failure)];
     if (failure.outcome === 'unknown') call.isCertainlyNotRun = false;
     const last: PreviousAttempt = { server: record.announcement.address, ...failure };
     const retry =
-      maySend && call.relayedAttempt === undefined ? this.#retry(state, call, now, last) : [];
+      isAlone && maySend && call.relayedAttempt === undefined
+        ? this.#retry(state, call, now, last)
+        : [];
     if (retry.length > 0) return [...observed, ...retry];
     if (call.running.size > 0) return observed;
     return [...observed, ...this.#refuse(state, call, failure)];
@@ -221,13 +253,8 @@
 
   /** Starts another attempt if the call, its deadline and the retry budget allow it. */
   #retry(state: AttemptState, call: OpenCall, now: Instant, last: PreviousAttempt): AttemptOut[] {
-    const { head, deadline, service, requestKind } = call.routed;
-    if (head.attempt > 1 || !head.repeatable) return [];
-    if (call.started - call.declinedBy.length >= MAX_ATTEMPTS) return [];
-    if (findAttemptDeadline(deadline) <= now) return [];
-    const most = requestKind.maxAttempts ?? MAX_ATTEMPTS;
-    if (call.possiblyReached.size + call.running.size >= most) return [];
-    const budget = findBudget(state, service, this.#retries);
+    if (!mayStartAnother(call, now)) return [];
+    const budget = findBudget(state, call.routed.service, this.#retries);
     if (!isExemptFromBudget(last) && !budget.spend()) return [];
     return this.#placement.start(state, call, now, last);
   }
@@ -239,11 +266,7 @@
       if (call === undefined) continue;
       if (timer.kind === 'deadline') {
         outputs.push(...this.#stopExpired(state, call));
-      } else if (call.relayedAttempt === undefined) {
-        const server = [...call.triedServers].at(-1);
-        const last: PreviousAttempt = { server, reason: 'hedge', outcome: 'unknown' };
-        outputs.push(...this.#retry(state, call, now, last));
-      }
+      } else outputs.push(...(this.#hedging?.handleTimer(state, call, now) ?? []));
     }
     return [...outputs, ...buildWake(state)];
   }
@@ -274,20 +297,10 @@
 
 type AnswerStarted = Extract<AttemptIn, { kind: 'answer-started' }>;
 
-const MAX_ATTEMPTS = 3;
 const STATUS_SHED = 503;
 const FIRST_FAILURE_STATUS = 500;
 const NO_SERVER: AttemptFailure = { outcome: 'not-run', reason: 'no-server' };
 const EXPIRED: AttemptFailure = { outcome: 'not-run', reason: 'deadline' };
-const HEDGE_DEVIATIONS = 4;
-const MIN_HEDGE_DELAY_MS = 2;
-
-function findHedgeTime(state: AttemptState, call: RoutedCall, now: Instant): Instant | undefined {
-  const { requestKind, head, service } = call;
-  if (!requestKind.hedge || !requestKind.idempotent || !head.repeatable) return undefined;
-  const delay = findLatency(state, service).findQuantile(HEDGE_DEVIATIONS);
-  return delay === undefined ? undefined : addMs(now, Math.max(MIN_HEDGE_DELAY_MS, delay));
-}
 
 /**
  * Caps the deadlines of open and future calls. Answers that are already being relayed end on their own, or
--- a/src/calls/attempt-messages.ts
+++ b/src/calls/attempt-messages.ts
@@ -56,6 +56,20 @@
   readonly isIdempotent: boolean;
 }
 
+/**
+ * What became of a hedge: it answered first, the other attempt did, its guard had no free slot, or it failed. Or why
+ * a slow call was not hedged: no room, the limit of the operators, or the retry budget.
+ */
+export type HedgeResult =
+  'won' | 'lost' | 'declined' | 'failed' | 'no-room' | 'over-limit' | 'over-retry-budget';
+
+/** Reports the end or refusal of a hedge; used only for logs and metrics. */
+export interface HedgeReport {
+  readonly kind: 'hedge-reported';
+  readonly id: CallId;
+  readonly result: HedgeResult;
+}
+
 /** Outputs of the attempt filter. */
 export type AttemptOut =
   | {
@@ -80,5 +94,6 @@
       readonly load?: ServerLoad;
     }
   | SentAgain
+  | HedgeReport
   | CallObservation
   | WakeRequest;
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -39,7 +39,11 @@
   start(state: AttemptState, call: OpenCall, now: Instant, last?: PreviousAttempt): AttemptOut[] {
     const { service, head, requestKind, worth, account, deadline, aim, subject } = call.routed;
     const tiers = state.servers.listTiers(service);
-    const record = this.#picker.pick(tiers, buildPickContext(call, now));
+    const isHedge = last?.reason === 'hedge';
+    const context = buildPickContext(call, now);
+    const record = isHedge
+      ? this.#picker.pickFree(tiers, context)
+      : this.#picker.pick(tiers, context);
     if (record === undefined) return [];
     const server = record.announcement.address;
     const { host } = record.member;
@@ -54,7 +58,8 @@
     call.running.add(attempt);
     record.outstanding += 1;
     record.unansweredStarts.set(attempt, now);
-    state.attempts.set(attempt, { call, record, startedAt: now });
+    const onlyIfFree = isHedge || this.#mayBeDeclined(state, call, now);
+    state.attempts.set(attempt, { call, record, startedAt: now, isHedge, mayWait: !onlyIfFree });
     const { name } = requestKind;
     const { suspect } = call;
     const count = head.attempt + call.started - 1;
@@ -79,7 +84,7 @@
           ...(account === undefined ? {} : { account: account.name }),
           subject,
           suspect,
-          onlyIfFree: this.#mayBeDeclined(state, call, now),
+          onlyIfFree,
         },
         count,
         keepsAnswer: needsClaim(requestKind, head),
@@ -105,7 +110,7 @@
     now: Instant,
   ): AttemptOut[] {
     call.declinedBy.push(server);
-    if (!this.#hasAlternative(state, call, now)) {
+    if (!this.hasAlternative(state, call, now)) {
       const kept = reason === 'busy' ? undefined : server;
       for (const one of call.declinedBy) {
         if (one !== kept && !call.possiblyReached.has(one)) call.triedServers.delete(one);
@@ -114,6 +119,12 @@
     return this.start(state, call, now, { server, reason: 'busy', outcome: 'not-run' });
   }
 
+  /** Tells whether an untried server is believed to have a free slot. */
+  hasAlternative(state: AttemptState, call: OpenCall, now: Instant): boolean {
+    const tiers = state.servers.listTiers(call.routed.service);
+    return this.#picker.hasRoom(tiers, buildPickContext(call, now));
+  }
+
   // Internals.
 
   /** Tells whether the guard should decline the attempt if no slot is free, so that it can be redirected. */
@@ -121,13 +132,7 @@
     const { head, requestKind } = call.routed;
     if (!head.repeatable || requestKind.largeAnswers === true) return false;
     if (call.declinedBy.length >= MAX_DECLINES) return false;
-    return this.#hasAlternative(state, call, now);
-  }
-
-  /** Tells whether an untried server is believed to have a free slot. */
-  #hasAlternative(state: AttemptState, call: OpenCall, now: Instant): boolean {
-    const tiers = state.servers.listTiers(call.routed.service);
-    return this.#picker.hasRoom(tiers, buildPickContext(call, now));
+    return this.hasAlternative(state, call, now);
   }
 }
 
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -7,6 +7,7 @@
 import type { RetryBudgetLimits } from './retry-budget.js';
 import { RetryBudget } from './retry-budget.js';
 import type { ServerRecord, ServerTable } from './server-table.js';
+import type { ServiceHedges } from './service-hedges.js';
 
 /** The state of the attempt filter. */
 export interface AttemptState {
@@ -16,6 +17,8 @@
   readonly retryBudgets: Map<ServiceName, RetryBudget>;
   readonly latencies: Map<ServiceName, LatencyEstimate>;
   readonly guardRoundTrips: GuardRoundTrips;
+  /** Empty if hedging is off. */
+  readonly hedges: Map<ServiceName, ServiceHedges>;
   readonly timers: DeadlineHeap<Timer>;
   /** The end of a planned stop; every deadline is capped at it. */
   answerBy: Instant;
@@ -29,6 +32,10 @@
   /** Servers that declined the call, in the order in which they were asked. */
   readonly declinedBy: Address[];
   started: number;
+  /** Whether a hedge has started; a call is hedged only once. */
+  isHedged: boolean;
+  /** Hedges that their guards declined; they do not count as attempts. */
+  declinedHedges: number;
   /**
    * Servers that an ended attempt may have reached. The call is never sent there again, because a statement of
    * the server about the earlier attempt could be mistaken for one about the later attempt.
@@ -49,6 +56,10 @@
   readonly call: OpenCall;
   readonly record: ServerRecord;
   readonly startedAt: Instant;
+  /** Whether it was started because another attempt was slow. */
+  readonly isHedge: boolean;
+  /** Whether it may wait for a slot at its guard; see {@link AttemptHead.onlyIfFree}. */
+  readonly mayWait: boolean;
 }
 
 /** A time at which a call needs processing: its deadline, or the start of a hedge. */
--- a/src/calls/call-observer.ts
+++ b/src/calls/call-observer.ts
@@ -1,7 +1,7 @@
 /** Observers of calls and connections, for metrics and logs; they do not influence decisions. */
 import type { Address, ClientAccountName, Version } from '../ids.js';
 import type { RefusalOutcome, RefusalReason } from '../messages/index.js';
-import type { SentAgain } from './attempt-messages.js';
+import type { HedgeResult, SentAgain } from './attempt-messages.js';
 
 /**
  * The evidence for the outcome of an attempt: an answer of the backend server that names the request, one that
@@ -158,6 +158,11 @@
   sendAgain(_call: ObservedCall | undefined, _again: SentAgain): void {
     // Does nothing by default.
   }
+
+  /** Called at the end of each hedge, and for each slow call that a limit kept from being hedged. */
+  reportHedge(_call: ObservedCall | undefined, _result: HedgeResult): void {
+    // Does nothing by default.
+  }
 }
 
 /** An observer that ignores all events. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -15,6 +15,7 @@
 import type { CallIn, CallOut } from './call-pipe-messages.js';
 import type { ForwardedAttempt, IntakeIn, IntakeOut, IntakeState } from './intake-filter.js';
 import { IntakeFilter } from './intake-filter.js';
+import type { HedgingOptions } from './hedging.js';
 import type { Picker } from './picker.js';
 import type { RetryBudgetLimits } from './retry-budget.js';
 import type { Locality } from './server-table.js';
@@ -26,6 +27,7 @@
   readonly picker: Picker;
   readonly createPolicy: () => SlotPolicy;
   readonly retries?: RetryBudgetLimits | undefined;
+  readonly hedging?: HedgingOptions | undefined;
   /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
   readonly isRevocationStrict?: boolean | undefined;
 }
@@ -52,11 +54,12 @@
   readonly #attempt: AttemptFilter;
   readonly #guard: GuardFilter;
 
-  constructor({ place, picker, createPolicy, retries, isRevocationStrict }: CallPipeOptions) {
+  constructor(options: CallPipeOptions) {
     super();
+    const { place, picker, createPolicy, retries, hedging, isRevocationStrict } = options;
     this.#host = place.host;
     this.#classify = new ClassifyFilter(place.host, isRevocationStrict);
-    this.#attempt = new AttemptFilter({ place, picker, retries });
+    this.#attempt = new AttemptFilter({ place, picker, retries, hedging });
     this.#guard = new GuardFilter(createPolicy);
   }
 
--- a/src/calls/forwarding-observer.ts
+++ b/src/calls/forwarding-observer.ts
@@ -8,7 +8,7 @@
   StopSummary,
 } from './call-observer.js';
 import { CallObserver } from './call-observer.js';
-import type { SentAgain } from './attempt-messages.js';
+import type { HedgeResult, SentAgain } from './attempt-messages.js';
 
 /** Forwards all events. Subclasses override the methods they need and call the overridden method. */
 export abstract class ForwardingObserver extends CallObserver {
@@ -58,4 +58,8 @@
   override sendAgain(call: ObservedCall | undefined, again: SentAgain): void {
     this.#next.sendAgain(call, again);
   }
+
+  override reportHedge(call: ObservedCall | undefined, result: HedgeResult): void {
+    this.#next.reportHedge(call, result);
+  }
 }
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -11,7 +11,10 @@
   ObservedCall,
   StopSummary,
 } from './call-observer.js';
-export type { SendAgainReason, SentAgain } from './attempt-messages.js';
+export type { HedgeReport, HedgeResult, SendAgainReason, SentAgain } from './attempt-messages.js';
+export type { HedgingOptions } from './hedging.js';
+export { HedgePolicy, QuantileHedgePolicy } from './hedge-policy.js';
+export { RunTimeHistogram } from './run-time-histogram.js';
 export { buildSubject } from './classify-filter.js';
 export { CallPipe, buildForwardedAttempt } from './call-pipe.js';
 export type { CallIn, CallOut } from './call-pipe-messages.js';
--- a/src/calls/picker.ts
+++ b/src/calls/picker.ts
@@ -30,9 +30,12 @@
 
   /** Tells whether a usable server is believed to have a free slot. */
   hasRoom(tiers: LocalityTiers, context: PickContext): boolean {
-    return tiers.some((records) =>
-      records.some((one) => isInService(one, context) && measureLoad(one, context.now) < 1),
-    );
+    return tiers.some((records) => records.some((one) => isFree(one, context)));
+  }
+
+  /** Picks a server that is believed to have a free slot, or `undefined`. */
+  pickFree(tiers: LocalityTiers, context: PickContext): ServerRecord | undefined {
+    return this.#pickAmong(tiers, context, isFree);
   }
 
   /** Chooses one of the usable candidates of one tier; `candidates` is never empty. */
@@ -92,3 +95,7 @@
 function isInService(record: ServerRecord, context: PickContext): boolean {
   return isReady(record, context) && record.ejectedUntil <= context.now;
 }
+
+function isFree(record: ServerRecord, context: PickContext): boolean {
+  return isInService(record, context) && measureLoad(record, context.now) < 1;
+}
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -7,6 +7,7 @@
   CallIn,
   CallObserver,
   CallOut,
+  HedgingOptions,
   Picker,
   Locality,
   RetryBudgetLimits,
@@ -60,6 +61,8 @@
   /** The caller of all calls that enter at this proxy, if configured. */
   readonly caller?: CallerId | undefined;
   readonly retries?: RetryBudgetLimits;
+  /** The limit on hedges; without it no call is hedged. */
+  readonly hedging?: HedgingOptions | undefined;
   /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
   readonly isRevocationStrict?: boolean;
   readonly place: Locality;
@@ -207,12 +210,13 @@
 
   protected override createPipe(messages: Stream<CallIn | LinkUse>): Stream<unknown> {
     const { place, clock, random, picker, createPolicy, retries } = this.#options;
-    const { isRevocationStrict } = this.#options;
+    const { hedging, isRevocationStrict } = this.#options;
     const pipe = new CallPipe({
       place,
       picker: picker ?? new TwoChoicesPicker(random),
       createPolicy: createPolicy ?? (() => new PrioritySlotPolicy()),
       retries,
+      hedging,
       isRevocationStrict,
     });
     const forPipe = messages.filter((message): message is CallIn => !this.#handleLinkUse(message));
@@ -300,6 +304,9 @@
       case 'sent-again':
         this.#observer.sendAgain(this.#calls.get(output.id), output);
         return;
+      case 'hedge-reported':
+        this.#observer.reportHedge(this.#calls.get(output.id), output.result);
+        return;
       case 'refuse':
         this.#calls.get(output.id)?.refuse(output);
         return;
--- a/src/program/call-log.ts
+++ b/src/program/call-log.ts
@@ -4,6 +4,7 @@
   AttemptEnd,
   CallEnd,
   CallObserver,
+  HedgeResult,
   ObservedCall,
   SentAgain,
   StopSummary,
@@ -71,6 +72,12 @@
       buildRateLimitKey(kind, again),
     );
   }
+
+  override reportHedge(call: ObservedCall | undefined, result: HedgeResult): void {
+    super.reportHedge(call, result);
+    const fields = () => ({ request: call?.requestId, version: call?.version, result });
+    this.#log('call-hedged', fields, `hedge ${result}`);
+  }
 }
 
 // Internals.
--- a/src/program/call-metrics.ts
+++ b/src/program/call-metrics.ts
@@ -3,6 +3,7 @@
   DroppedAnswer,
   AttemptEnd,
   CallEnd,
+  HedgeResult,
   ObservedCall,
   SentAgain,
 } from '../calls/index.js';
@@ -23,6 +24,7 @@
   readonly #refusals: Counter;
   readonly #attemptEnds: Counter;
   readonly #sentAgain: Counter;
+  readonly #hedges: Counter;
   readonly #droppedAnswers: Counter;
 
   constructor(registry: MetricsRegistry) {
@@ -44,6 +46,12 @@
     this.#sentAgain = registry.add(
       new Counter('calls_sent_again_total', 'Further attempts of calls, by reason.'),
     );
+    this.#hedges = registry.add(
+      new Counter(
+        'hedges_total',
+        'Hedges started, by result, and slow calls not hedged, by limit.',
+      ),
+    );
     this.#droppedAnswers = registry.add(
       new Counter('dropped_answers_total', 'Answers that did not get over the link in time.'),
     );
@@ -75,6 +83,11 @@
     { reason, outcome, isIdempotent }: SentAgain,
   ): void {
     this.#sentAgain.add({ reason, outcome, idempotent: String(isIdempotent) });
+    if (reason === 'hedge') this.#hedges.add({ result: 'started' });
+  }
+
+  override reportHedge(_call: ObservedCall | undefined, result: HedgeResult): void {
+    this.#hedges.add({ result });
   }
 
   // Internals.
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -68,6 +68,7 @@
   'connection-refused': HIGH_RATE,
   'attempt-failed': HIGH_RATE,
   'call-sent-again': HIGH_RATE,
+  'call-hedged': HIGH_RATE,
   'answer-dropped': HIGH_RATE,
   'calls-stopped': HIGH_RATE,
   'loop-busy': LOW_RATE,
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -69,6 +69,7 @@
     front: options.fronts.createCallFront(),
     caller: proxy.service === undefined ? undefined : parseCallerId(proxy.service),
     retries: proxy.retries,
+    hedging: proxy.hedging,
     isRevocationStrict: proxy.accounts.isRevocationStrict,
     linkBytesPerSecond: proxy.linkBytesPerSecond,
     place: settings,
--- a/src/program/settings/proxy-settings.ts
+++ b/src/program/settings/proxy-settings.ts
@@ -1,6 +1,6 @@
 /** The section `[proxy]`. */
 import { z } from 'zod';
-import type { RetryBudgetLimits } from '../../calls/index.js';
+import type { HedgingOptions, RetryBudgetLimits } from '../../calls/index.js';
 import { buildIdSchema } from '../../edge/index.js';
 import type { Address, ServiceName } from '../../ids.js';
 import { parseServiceName } from '../../ids.js';
@@ -40,6 +40,7 @@
   /** Time in milliseconds from the stop signal until the process is killed; undefined waits for every call. */
   readonly stopWithinMs: number | undefined;
   readonly retries: RetryBudgetLimits;
+  readonly hedging: HedgingOptions;
   readonly accounts: AccountSettings;
   /** Bandwidth of the host link in bytes per second; undefined disables the pacing of large answers. */
   readonly linkBytesPerSecond: number | undefined;
@@ -63,6 +64,9 @@
     return { perCall: per_call, burst, isShared: shared };
   });
 
+/** Without a share, no call is hedged. */
+const hedgingSchema = z.strictObject({ share: z.number().min(0).max(1).default(0) });
+
 const accountsSchema = z
   .strictObject({
     strict_revocation: z.boolean().default(false),
@@ -86,6 +90,7 @@
     linger_ms: buildMillisecondsSchema(0, MAX_LINGER_MS).default(0),
     stop_within_seconds: z.number().positive().max(MAX_STOP_SECONDS).optional(),
     retries: retriesSchema.prefault({}),
+    hedging: hedgingSchema.prefault({}),
     accounts: accountsSchema.prefault({}),
     link_mbit_per_second: z.number().positive().optional(),
   })
--- a/test/call-mesh.ts
+++ b/test/call-mesh.ts
@@ -1,6 +1,6 @@
 /** Several proxies in the test process, over real sockets, each with an optional fake backend server. */
 import { findFreeAddress } from '../bench/mesh.js';
-import type { CallObserver } from '../src/calls/index.js';
+import type { CallObserver, HedgingOptions } from '../src/calls/index.js';
 import type { Clock } from '../src/clock.js';
 import { SystemClock } from '../src/clock.js';
 import type { CallFront, CallNotice } from '../src/edge/index.js';
@@ -69,6 +69,7 @@
   readonly secondAddress?: Address;
   /** The configured bandwidth of the link of each host. */
   readonly linkBytesPerSecond?: number;
+  readonly hedging?: HedgingOptions;
   readonly clock?: Clock;
 }
 
@@ -148,6 +149,7 @@
       ...(options.front && { front: options.front }),
       caller: options.caller,
       linkBytesPerSecond: options.linkBytesPerSecond,
+      hedging: options.hedging,
     });
     await task.start();
     task.post({ kind: 'whole', configuration: options.configuration });
--- a/test/calls-attempt.test.ts
+++ b/test/calls-attempt.test.ts
@@ -58,6 +58,7 @@
   readonly #filter = new AttemptFilter({
     place: PLACE,
     picker: new TwoChoicesPicker(new SeededRandom(1)),
+    hedging: { share: 1 },
   });
   readonly #state = this.#filter.createState();
 
@@ -86,7 +87,12 @@
 }
 
 /** Outputs that carry no decision about a call. */
-const REPORTS: ReadonlySet<AttemptOut['kind']> = new Set(['wake', 'observed', 'sent-again']);
+const REPORTS: ReadonlySet<AttemptOut['kind']> = new Set([
+  'wake',
+  'observed',
+  'sent-again',
+  'hedge-reported',
+]);
 const WARMED_UP = addMs(START, 60_000);
 const makeAttemptId = (id: string, count = 0): AttemptId => `${id}.${count}` as AttemptId;
 
@@ -222,11 +228,15 @@
 test('hedge: first answer wins', (t) => {
   const driver = new FilterDriver(2);
   const kind = { hedge: true, timeoutMs: 1e6 };
+  const load = { running: 0, waiting: 0, runMs: 10, heldMs: 10 };
   const answer = (attempt: AttemptId) =>
-    ({ kind: 'answer-started', attempt, status: 200, load: undefined }) as const;
-  driver.post({ kind: 'claimed', call: makeCall('a', kind) });
-  driver.post(answer(makeAttemptId('a')), addMs(WARMED_UP, 10));
-  driver.post({ kind: 'answer-complete', attempt: makeAttemptId('a') });
+    ({ kind: 'answer-started', attempt, status: 200, load }) as const;
+  for (let count = 0; count < 50; count += 1) {
+    const id = `a${count}`;
+    driver.post({ kind: 'claimed', call: makeCall(id, kind) });
+    driver.post(answer(makeAttemptId(id)), addMs(WARMED_UP, 10));
+    driver.post({ kind: 'answer-complete', attempt: makeAttemptId(id) });
+  }
   driver.post({ kind: 'claimed', call: makeCall('b', kind) });
   t.deepEqual(driver.listKinds({ kind: 'tick' }, addMs(WARMED_UP, 100)), ['dispatch']);
   t.deepEqual(driver.listKinds(answer(makeAttemptId('b', 1))), ['relay', 'cancel']);
--- a/test/calls-history.test.ts
+++ b/test/calls-history.test.ts
@@ -78,6 +78,7 @@
       configuration: CONFIGURATION,
       answers: [faulty, faulty, faulty, undefined],
       server: { slots: 8, connections: 8 },
+      hedging: { share: 1 },
     });
     t.teardown(() => mesh.stop());
     const history: CallRecord[] = [];
