Keep the silence of a server whose attempts are overtaken, and try refused hedges again

An attempt that loses against its hedge is cancelled, so that a server that answers nothing looked idle and got ever more calls. A hedge that was declined or refused by a limit is tried again after 100 ms.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -131,6 +131,7 @@
       running: new Set(),
       started: 0,
       isHedged: false,
+      isHedgeRefused: false,
       declinedHedges: 0,
       possiblyReached: new Set(),
       relayedAttempt: undefined,
@@ -166,7 +167,7 @@
       applyFailure(record, state.servers.listTiers(call.routed.service), now);
     }
     if (hasFailed && call.running.size > 1)
-      return this.#dropFailedAnswer(state, message.attempt, open);
+      return this.#dropFailedAnswer(state, message.attempt, open, now);
     if (hasFailed && call.routed.requestKind.idempotent && call.relayedAttempt === undefined) {
       const { address: server } = record.announcement;
       const last: PreviousAttempt = { server, reason: 'server-error', outcome: 'unknown' };
@@ -196,12 +197,17 @@
   }
 
   /** Leaves a hedged call to its other attempt when one of the two gets an answer that is a failure. */
-  #dropFailedAnswer(state: AttemptState, attempt: AttemptId, open: OpenAttempt): AttemptOut[] {
+  #dropFailedAnswer(
+    state: AttemptState,
+    attempt: AttemptId,
+    open: OpenAttempt,
+    now: Instant,
+  ): AttemptOut[] {
     const { call, record } = open;
     removeAttempt(state, attempt, open);
     call.possiblyReached.add(record.announcement.address);
     call.isCertainlyNotRun = false;
-    const hedged = this.#hedging?.addFailure(state, open, 'server-error') ?? [];
+    const hedged = this.#hedging?.addFailure(state, open, 'server-error', now) ?? [];
     return [...hedged, { kind: 'cancel', attempt }];
   }
 
@@ -228,7 +234,7 @@
       updateLoad(record, call.routed.requestKind.name, failure.load, now);
     }
     if (call.isExpired) return this.#closeExpired(state, call, failure.outcome);
-    const hedged = this.#hedging?.addFailure(state, open, failure.reason) ?? [];
+    const hedged = this.#hedging?.addFailure(state, open, failure.reason, now) ?? [];
     const isAlone = call.running.size === 0;
     if (isAlone && this.#placement.mayPassOn(call, failure) && call.routed.deadline > now) {
       const declined = { server: record.announcement.address, reason: failure.reason };
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -34,6 +34,8 @@
   started: number;
   /** Whether a hedge has started; a call is hedged only once. */
   isHedged: boolean;
+  /** Whether a limit has kept the call from being hedged. */
+  isHedgeRefused: boolean;
   /** Hedges that their guards declined; they do not count as attempts. */
   declinedHedges: number;
   /**
--- a/src/calls/hedging.ts
+++ b/src/calls/hedging.ts
@@ -11,6 +11,7 @@
 import type { HedgePolicy } from './hedge-policy.js';
 import { QuantileHedgePolicy } from './hedge-policy.js';
 import type { RetryBudgetLimits } from './retry-budget.js';
+import { addOvertaken } from './server-load.js';
 import { ServiceHedges } from './service-hedges.js';
 
 /** The limit on hedges that operators set, and the policy. */
@@ -78,16 +79,18 @@
     state: AttemptState,
     open: OpenAttempt,
     reason: AttemptFailure['reason'] | 'server-error',
-  ): HedgeReport[] {
+    now: Instant,
+  ): AttemptOut[] {
     const { call, record, isHedge } = open;
     const isDeclined = reason === 'busy';
     if (isDeclined) this.#findService(state, call).addPlacement(true);
     if (!isHedge) return [];
-    if (isDeclined) {
-      call.declinedHedges += 1;
-      call.triedServers.delete(record.announcement.address);
-    }
-    return [buildReport(call, isDeclined ? 'declined' : 'failed')];
+    if (!isDeclined) return [buildReport(call, 'failed')];
+    call.declinedHedges += 1;
+    call.triedServers.delete(record.announcement.address);
+    call.isHedged = call.declinedHedges >= MAX_DECLINED_HEDGES;
+    const report = buildReport(call, 'declined');
+    return call.isHedged ? [report] : [report, { kind: 'wake', at: addRetry(state, call, now) }];
   }
 
   /** Starts a hedge if the call is slow and all limits allow it. */
@@ -108,11 +111,11 @@
     const { service } = call.routed;
     const hedges = this.#findService(state, call);
     if (hedges.isShortOfRoom || !this.#placement.hasAlternative(state, call, now)) {
-      return [buildReport(call, 'no-room')];
+      return postpone(state, call, 'no-room', now);
     }
-    if (!hedges.budget.hasToken()) return [buildReport(call, 'over-limit')];
+    if (!hedges.budget.hasToken()) return postpone(state, call, 'over-limit', now);
     if (!findBudget(state, service, this.#retries).spend()) {
-      return [buildReport(call, 'over-retry-budget')];
+      return postpone(state, call, 'over-retry-budget', now);
     }
     const server = [...call.triedServers].at(-1);
     const last: PreviousAttempt = { server, reason: 'hedge', outcome: 'unknown' };
@@ -147,7 +150,9 @@
    */
   #addUnfinished(state: AttemptState, attempt: AttemptId, now: Instant): void {
     const open = state.attempts.get(attempt);
-    if (open !== undefined) this.#addRun(state, open, now - open.startedAt);
+    if (open === undefined) return;
+    this.#addRun(state, open, now - open.startedAt);
+    if (!open.isHedge) addOvertaken(open.record, open.startedAt, now);
   }
 
   #findService(state: AttemptState, { routed }: OpenCall): ServiceHedges {
@@ -164,6 +169,10 @@
 
 /** A shorter delay is below what timers and an event loop can keep. */
 const MIN_DELAY_MS = 2;
+/** A token or a slot is rarely available earlier; the calls of a server that is frozen wait for seconds. */
+const RETRY_DELAY_MS = 100;
+/** Each declined hedge costs a token and a message. */
+const MAX_DECLINED_HEDGES = 2;
 
 /**
  * Tells whether a call may have two attempts at a time. A large answer is not hedged: it is mostly delayed by the
@@ -180,6 +189,26 @@
   state.timers.add(at, { kind: 'hedge', id: routed.head.id });
 }
 
+/** Schedules another try to hedge a call that is still slow, and returns its instant. */
+function addRetry(state: AttemptState, call: OpenCall, now: Instant): Instant {
+  const at = addMs(now, RETRY_DELAY_MS);
+  addTimer(state, call, at);
+  return at;
+}
+
+/** Tries again later to hedge a call that a limit keeps from being hedged; reports only the first refusal. */
+function postpone(
+  state: AttemptState,
+  call: OpenCall,
+  result: HedgeResult,
+  now: Instant,
+): HedgeReport[] {
+  addRetry(state, call, now);
+  if (call.isHedgeRefused) return [];
+  call.isHedgeRefused = true;
+  return [buildReport(call, result)];
+}
+
 function buildReport({ routed }: OpenCall, result: HedgeResult): HedgeReport {
   return { kind: 'hedge-reported', id: routed.head.id, result };
 }
--- a/src/calls/server-table.ts
+++ b/src/calls/server-table.ts
@@ -35,6 +35,11 @@
   outstanding: number;
   /** Start times of the attempts in flight that have no answer yet, the oldest first. */
   readonly unansweredStarts: Map<AttemptId, Instant>;
+  /**
+   * Since when the server has not answered, if an attempt was cancelled because its hedge was faster; it counts until
+   * an instant or the next answer.
+   */
+  overtaken: { readonly silentSince: Instant; readonly until: Instant } | undefined;
   /** When the server last answered an attempt. */
   lastAnswerAt: Instant;
   /** The load that its guard last reported. */
@@ -187,6 +192,7 @@
     readySince: now,
     outstanding: 0,
     unansweredStarts: new Map(),
+    overtaken: undefined,
     lastAnswerAt: now,
     load: undefined,
     loadAt: now,
--- a/test/hedge-load.test.ts
+++ b/test/hedge-load.test.ts
@@ -24,6 +24,11 @@
   return hedges.started ?? 0;
 }
 
+/** Counts the calls without an answer within 1 s. */
+function countLate({ calls, latencies }: LoadFigures): number {
+  return calls - latencies.filter((ms) => ms <= 1_000).length;
+}
+
 for (const seed of [1, 2, 3]) {
   test(`stalls: shorter tail within the limit, seed ${seed}`, (t) => {
     const without = runLogged(t, { ...STALLING, share: 0, seed });
@@ -37,6 +42,21 @@
   });
 }
 
+// Guards against hedges that hide from the picker that a server does not answer, so that it gets ever more calls.
+test('servers that freeze for seconds: fewer late calls', (t) => {
+  let [late, lateHedged] = [0, 0];
+  for (const seed of [1, 2, 3]) {
+    const plan = { ...STALLING, stallEveryMs: 120_000, stallMs: [4_000, 6_000], seed } as const;
+    const without = runLogged(t, { ...plan, share: 0 });
+    const hedged = runLogged(t, { ...plan, share: 0.05 });
+    t.true(hedged.answered > without.answered);
+    late += countLate(without);
+    lateHedged += countLate(hedged);
+  }
+  t.log(`later than 1 s or not answered: ${late} without, ${lateHedged} with hedges`);
+  t.true(lateHedged < 0.8 * late);
+});
+
 test('limit that binds', (t) => {
   const hedged = runLogged(t, { ...STALLING, share: 0.005 });
   t.true(countStarted(hedged) <= 0.005 * hedged.calls);
--- a/test/hedge-load.ts
+++ b/test/hedge-load.ts
@@ -24,6 +24,8 @@
   readonly retries?: RetryBudgetLimits;
   /** Mean time in milliseconds between the stalls of one server. */
   readonly stallEveryMs?: number;
+  /** Bounds of the length of a stall in milliseconds. */
+  readonly stallMs?: readonly [min: number, max: number];
   readonly seed?: number;
 }
 
@@ -38,7 +40,7 @@
   readonly latencies: number[];
 }
 
-/** Runs a plan; calls of the first second are not counted in the latencies. */
+/** Runs a plan. */
 export function runPlan(plan: LoadPlan): LoadFigures {
   return new LoadPlayer(plan).run();
 }
@@ -57,7 +59,7 @@
 const SPREAD = 0.3;
 /** The slowest server takes this much longer than the fastest one. */
 const SLOWEST = 2.5;
-const [MIN_STALL_MS, MAX_STALL_MS] = [300, 800];
+const USUAL_STALL_MS = [300, 800] as const;
 const WARM_AT = addMs(START, 60_000);
 const SERVICE = 'shop' as ServiceName;
 
@@ -170,13 +172,13 @@
   }
 
   #makeStalls(): Stalls {
-    const { stallEveryMs } = this.#plan;
+    const { stallEveryMs, stallMs: [min, max] = USUAL_STALL_MS } = this.#plan;
     const stalls: [number, number][] = [];
     if (stallEveryMs === undefined) return stalls;
     for (let at: number = WARM_AT; ;) {
       at += -Math.log(1 - this.#random.next()) * stallEveryMs;
       if (at > this.#endsAt) return stalls;
-      const lastsMs = MIN_STALL_MS + this.#random.next() * (MAX_STALL_MS - MIN_STALL_MS);
+      const lastsMs = min + this.#random.next() * (max - min);
       stalls.push([at, at + lastsMs]);
       at += lastsMs;
     }
@@ -223,7 +225,7 @@
     } else if (output.kind === 'relay') {
       this.#figures.answered += 1;
       const at = this.#startedAt.get(output.id) ?? START;
-      if (at > addMs(WARM_AT, 1_000)) latencies.push(this.#queue.now - at);
+      latencies.push(this.#queue.now - at);
     } else if (output.kind === 'hedge-reported') {
       hedges[output.result] = (hedges[output.result] ?? 0) + 1;
     } else if (output.kind === 'sent-again' && output.reason === 'hedge') {
--- a/test/hedging.test.ts
+++ b/test/hedging.test.ts
@@ -8,7 +8,14 @@
 import { QuantileHedgePolicy, RunTimeHistogram, TwoChoicesPicker } from '../src/calls/index.js';
 import { ServiceHedges } from '../src/calls/service-hedges.js';
 import { addMs } from '../src/clock.js';
-import type { AttemptId, IdempotencyKey, Instant, ServiceName, Version } from '../src/ids.js';
+import type {
+  AttemptId,
+  CallId,
+  IdempotencyKey,
+  Instant,
+  ServiceName,
+  Version,
+} from '../src/ids.js';
 import type { AttemptFailure, CallHead, RequestKindResource } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
 import { makeHead, makeKind, makeMember, makeServer, START } from './call-resources.js';
@@ -56,20 +63,23 @@
   }
 
   /** Starts a call and returns the server of its first attempt. */
-  start(id: string, kind: Partial<RequestKindResource> = {}, head: Partial<CallHead> = {}): string {
+  start(
+    id: string,
+    kind: Partial<RequestKindResource> = {},
+    head: Partial<CallHead> = {},
+    now = NOW,
+  ): string {
     const requestKind = makeKind('k', { hedge: true, ...kind });
-    const outputs = this.post({
-      kind: 'claimed',
-      call: {
-        head: makeHead(id, head),
-        version: 1 as Version,
-        service: 'shop' as ServiceName,
-        requestKind,
-        worth: 1,
-        deadline: addMs(NOW, 1_000),
-        subject: id,
-      },
-    });
+    const call = {
+      head: makeHead(id, head),
+      version: 1 as Version,
+      service: 'shop' as ServiceName,
+      requestKind,
+      worth: 1,
+      deadline: addMs(NOW, 1_000),
+      subject: id,
+    };
+    const outputs = this.post({ kind: 'claimed', call }, now);
     const dispatch = outputs.find((output) => output.kind === 'dispatch');
     return dispatch?.kind === 'dispatch' ? dispatch.target.server : '';
   }
@@ -197,11 +207,32 @@
   driver.start('c');
   driver.tick();
   t.deepEqual(driver.fail('c', 1, BUSY), ['declined']);
-  t.deepEqual(driver.tick(addMs(SLOW, 100)), []);
+  t.deepEqual(driver.tick(addMs(SLOW, 99)), []);
   t.deepEqual(driver.fail('c', 0, LOST), ['send c.2 if free']);
   t.deepEqual(driver.answer('c', 2, SLOW), ['relay c.2']);
 });
 
+test('declined hedges: one more try', (t) => {
+  const driver = new Driver().learn();
+  driver.start('c');
+  driver.tick();
+  driver.fail('c', 1, BUSY);
+  t.deepEqual(driver.tick(addMs(SLOW, 100)), ['send c.2 if free']);
+  t.deepEqual(driver.fail('c', 2, BUSY), ['declined']);
+  t.deepEqual(driver.tick(addMs(SLOW, 500)), []);
+  t.deepEqual(driver.answer('c', 0, addMs(SLOW, 500)), ['relay c.0']);
+});
+
+// Guards against a call at a frozen server that is given up on because the limit was reached once.
+test('limit reached: hedged later, reported once', (t) => {
+  const driver = new Driver({ share: 0.005 }).learn();
+  driver.start('c');
+  t.deepEqual(driver.tick(), ['over-limit']);
+  t.deepEqual(driver.tick(addMs(SLOW, 100)), []);
+  driver.learn();
+  t.deepEqual(driver.tick(addMs(SLOW, 200)), ['send c.1 if free']);
+});
+
 test('failed hedge is not sent again', (t) => {
   const driver = new Driver().learn();
   driver.start('c');
@@ -248,6 +279,21 @@
   t.deepEqual(driver.tick(), ['no-room']);
 });
 
+// Guards against a server without answers that looks idle because each attempt there is cancelled for its hedge.
+test('overtaken server is avoided', (t) => {
+  const driver = new Driver().learn();
+  const silent = driver.start('c');
+  driver.tick();
+  driver.answer('c', 1, SLOW);
+  const later = addMs(SLOW, 500);
+  const picks = Array.from({ length: 90 }, (_, index) => {
+    const server = driver.start(`next-${index}`, { hedge: false }, {}, later);
+    driver.post({ kind: 'gone', id: `next-${index}` as CallId }, later);
+    return server;
+  });
+  t.true(picks.filter((server) => server === silent).length < 20);
+});
+
 test('limit of the operators', (t) => {
   const driver = new Driver({ share: 0.05 }).learn();
   for (let count = 0; count < 10; count += 1) driver.start(`c${count}`);
