Let a fleet with more proxies than the shared burst hedge, and test settings, lines and metrics

A proxy's part of a shared burst is rounded down, so that with 76 proxies and a burst of 58 no proxy has an extra attempt, and no call is hedged. With hedging on, a proxy saves one token that its own calls have earned: 1,000 calls earn at most 120 extra attempts.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -66,8 +66,10 @@
     this.#placement = new AttemptPlacement(options.picker);
     this.#retries = options.retries ?? DEFAULT_RETRY_BUDGET_LIMITS;
     const { hedging } = options;
-    if (hedging !== undefined && hedging.share > 0)
+    if (hedging !== undefined && hedging.share > 0) {
+      this.#retries = { ...this.#retries, savesEarned: true };
       this.#hedging = new Hedging(hedging, this.#placement, this.#retries);
+    }
   }
 
   override createState(): AttemptState {
--- a/src/calls/retry-budget.ts
+++ b/src/calls/retry-budget.ts
@@ -8,6 +8,11 @@
   readonly burst: number;
   /** Whether the burst is divided equally among all proxies. */
   readonly isShared: boolean;
+  /**
+   * Whether a proxy may save one token that its own calls have earned if its part of a shared burst is below one.
+   * Otherwise it has no extra attempts at all in a fleet with more proxies than the burst.
+   */
+  readonly savesEarned?: boolean;
 }
 
 /** The limits that apply if the settings contain none. */
@@ -28,6 +33,8 @@
 export class RetryBudget {
   readonly #allowance: RetryBudgetLimits;
   #tokens: number;
+  /** Whether only tokens are left that calls have earned. */
+  #isEarned = false;
 
   constructor(allowance: RetryBudgetLimits, proxies = 1) {
     this.#allowance = allowance;
@@ -36,7 +43,12 @@
 
   /** Adds the tokens earned by one call; `proxies` is the number of proxies that share the burst. */
   addCall(proxies = 1): void {
-    const most = countBurst(this.#allowance, proxies);
+    const { isShared, savesEarned } = this.#allowance;
+    const part = countBurst(this.#allowance, proxies);
+    const isBelowOne = isShared && savesEarned === true && part < 1;
+    if (isBelowOne && !this.#isEarned) this.#tokens = 0;
+    this.#isEarned = isBelowOne;
+    const most = isBelowOne ? 1 : part;
     this.#tokens = Math.min(most, this.#tokens + countPerCall(this.#allowance));
   }
 
--- a/test/call-log.test.ts
+++ b/test/call-log.test.ts
@@ -153,6 +153,13 @@
   t.like(lines.at(-1), { event: 'call-sent-again', ...fields });
 });
 
+test('hedge: logged with its result', (t) => {
+  const { lines, log } = startLog();
+  const calls = new CallLog({ log, next: new NoopObserver() });
+  calls.reportHedge(CALL, 'won');
+  t.like(lines[0], { event: 'call-hedged', request: CALL.requestId, result: 'won' });
+});
+
 test('refused connection: logged with cause', (t) => {
   const { lines, log } = startLog();
   const calls = new CallLog({ log, next: new NoopObserver() });
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -90,6 +90,19 @@
   ]);
 });
 
+test('hedges are counted by result', (t) => {
+  const registry = new MetricsRegistry();
+  const metrics = new CallMetrics(registry);
+  const again = { id: 'c' as never, attempt: 2, to: '10.0.0.1:80' as Address, from: undefined };
+  const hedge = { reason: 'hedge', outcome: 'unknown', isIdempotent: true } as const;
+  metrics.sendAgain(undefined, { kind: 'sent-again', ...again, ...hedge });
+  metrics.reportHedge(undefined, 'won');
+  t.deepEqual(listLines(registry, 'hedges_total'), [
+    'bilberryswitch_hedges_total{result="started"} 1',
+    'bilberryswitch_hedges_total{result="won"} 1',
+  ]);
+});
+
 test('age of the served version', (t) => {
   const registry = new MetricsRegistry();
   const clock = new ManualClock();
--- a/test/platform-codecs.test.ts
+++ b/test/platform-codecs.test.ts
@@ -193,3 +193,10 @@
   t.like(readKind('download'), { idempotent: true, largeAnswers: true });
   t.false('largeAnswers' in (readKind('safe') ?? {}));
 });
+
+test('configuration: kinds that may be repeated are hedged', (t) => {
+  const readKind = (kind: string) =>
+    readResources({ resources: [SERVICE, makeRoute({ kind })] })[2];
+  for (const kind of ['safe', 'download']) t.like(readKind(kind), { hedge: true });
+  for (const kind of ['unsafe', 'upload']) t.like(readKind(kind), { hedge: false });
+});
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -103,6 +103,12 @@
       'ready = "10.0.0.1:7001"\nannounce =',
       /proxy\.ready: .*taken by/,
     ],
+    [
+      'hedging above 1',
+      '[source]',
+      '[proxy.hedging]\nshare = 1.5\n[source]',
+      /proxy\.hedging\.share: /,
+    ],
     ['unknown policy', '[source]', '[spread]\npolicy = "fast"\n[source]', /spread\.policy: /],
     [
       'bad trace URL',
@@ -120,6 +126,12 @@
   t.is(settings.spread.policy, 'convergence-time');
 });
 
+test('settings: hedging is off without a share', (t) => {
+  t.is(load(VALID_SETTINGS).proxy?.hedging.share, 0);
+  const text = VALID_SETTINGS.replace('[source]', '[proxy.hedging]\nshare = 0.05\n[source]');
+  t.is(load(text).proxy?.hedging.share, 0.05);
+});
+
 test('settings: seed_port replaces the port of seeds', (t) => {
   const seeds = 'seeds = ["10.0.0.5:9999"]';
   const growth = `growth = { ${seeds}, tolerated_losses = 2 }`;
