Add explain: where a proxy would send a call now, and why

A question is a message to the call pipe. Routing, keys and deadlines are judged by judgeCall, which calls use too; costs are those of PickCosts. No turn, random number or estimate is taken: 100 calls with questions in between are decided like 100 calls without.

--- a/src/calls/account-index.ts
+++ b/src/calls/account-index.ts
@@ -34,6 +34,11 @@
     this.#size = 0;
   }
 
+  /** Finds an account with at least one key by its name, by a search through all keys. */
+  findNamed(name: ClientAccountResource['name']): ClientAccountResource | undefined {
+    return [...this.#accounts.values()].find((account) => account.name === name);
+  }
+
   /** Finds the account that holds a key. */
   find(key: AccountKey): ClientAccountResource | undefined {
     return this.#accounts.get(buildKeyDigest(key));
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -4,6 +4,8 @@
   AttemptFailure,
   AttemptHead,
   CrashSeen,
+  ExplainAnswer,
+  ExplainRequest,
   CallHead,
   ServerLoad,
   LedgerAnswer,
@@ -57,6 +59,7 @@
   /** The process is stopping; every call is answered or refused by `answerBy`. */
   | { readonly kind: 'stopping'; readonly answerBy: Instant }
   | { readonly kind: 'drain' }
+  | ExplainRequest
   | { readonly kind: 'tick' };
 
 /** Outputs of the call pipe. */
@@ -96,5 +99,6 @@
   | Extract<IntakeOut, { kind: 'want-turn' }>
   | { readonly kind: 'replay'; readonly id: CallId; readonly answer: StoredAnswer }
   | { readonly kind: 'ledger'; readonly request: LedgerRequest }
+  | ExplainAnswer
   /** The limits on requests of callers that apply from now on. */
   | { readonly kind: 'limits'; readonly limits: LimitsResource };
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -13,6 +13,7 @@
 import type { GuardIn, GuardOut, GuardState, RunEnding } from './guard-filter.js';
 import { GuardFilter } from './guard-filter.js';
 import type { CallIn, CallOut } from './call-pipe-messages.js';
+import { buildExplanation } from './explain-call.js';
 import type { ForwardedAttempt, IntakeIn, IntakeOut, IntakeState } from './intake-filter.js';
 import { IntakeFilter } from './intake-filter.js';
 import type { HedgingOptions } from './hedging.js';
@@ -48,6 +49,7 @@
 /** Routes each message to its filter, and the outputs of each filter to the next one. */
 export class CallPipe extends Filter<CallPipeState, CallIn, CallOut> {
   readonly #host: HostId;
+  readonly #picker: Picker;
   readonly #classify: ClassifyFilter;
   readonly #intake = new IntakeFilter();
   readonly #claim = new ClaimFilter();
@@ -58,6 +60,7 @@
     super();
     const { place, picker, createPolicy, retries, hedging, isRevocationStrict } = options;
     this.#host = place.host;
+    this.#picker = picker;
     this.#classify = new ClassifyFilter(place.host, isRevocationStrict);
     this.#attempt = new AttemptFilter({ place, picker, retries, hedging });
     this.#guard = new GuardFilter(createPolicy);
@@ -133,6 +136,12 @@
         this.#passToAttempt(context, message);
         this.#passToGuard(context, message);
         return;
+      case 'explain': {
+        const { id, query } = message;
+        const explanation = buildExplanation(state, this.#picker, query, context.now);
+        context.outputs.push({ kind: 'explained', id, explanation });
+        return;
+      }
       case 'drain':
         state.isDraining = true;
         this.#passToGuard(context, message);
--- a/src/calls/classify-filter.ts
+++ b/src/calls/classify-filter.ts
@@ -7,7 +7,6 @@
   LimitsResource,
   RefusalReason,
   RequestKindResource,
-  RouteResource,
   VerifiedAccount,
 } from '../messages/index.js';
 import type { Configuration } from '../notes/index.js';
@@ -154,29 +153,57 @@
   return requestKind.claim && head.key !== undefined;
 }
 
-// Internals.
+/** The account whose key a call carries. */
+export interface CallKey {
+  readonly hasKey: boolean;
+  /** Absent without a key, and for a key that belongs to no account. */
+  readonly account: ClientAccountResource | undefined;
+}
 
-function classifyCall(state: ClassifyState, head: CallHead, now: Instant): ClassifyOut {
-  const { id } = head;
-  const { routes, turns } = state;
-  if (routes === undefined) return buildRefusal(id, 'no-configuration', undefined);
-  const { version } = routes;
-  if (state.isStale) return buildRefusal(id, 'stale-configuration', version);
+/** The verdict on a call before its service is chosen. */
+export type CallVerdict =
+  | (RoutedKind & { readonly kind: 'routed'; readonly deadline: Instant })
+  | { readonly kind: 'refused'; readonly reason: RefusalReason };
+
+/** Finds the route and the deadline of a call, or why it is refused. Changes no state. */
+export function judgeCall(
+  { routes, isStale, keysTrustedUntil, answerBy }: ClassifyState,
+  head: CallHead,
+  { hasKey, account }: CallKey,
+  now: Instant,
+): CallVerdict {
+  if (routes === undefined) return { kind: 'refused', reason: 'no-configuration' };
+  if (isStale) return { kind: 'refused', reason: 'stale-configuration' };
   const found = findRoute(routes, head);
-  if (found === undefined) return buildRefusal(id, 'no-route', version);
+  if (found === undefined) return { kind: 'refused', reason: 'no-route' };
   const { route, requestKind } = found;
-  const { accountKey } = head;
-  if (accountKey !== undefined && now >= state.keysTrustedUntil && !routes.accounts.isEmpty) {
-    return buildRefusal(id, 'stale-configuration', version);
+  if (hasKey && now >= keysTrustedUntil && !routes.accounts.isEmpty) {
+    return { kind: 'refused', reason: 'stale-configuration' };
   }
-  const account = accountKey === undefined ? undefined : routes.accounts.find(accountKey);
-  if (isKeyRefused(routes, route, head, account)) return buildRefusal(id, 'unknown-key', version);
-  const latest = Math.min(addMs(now, requestKind.timeoutMs), state.answerBy) as Instant;
+  // A call without a key comes from a backend server beside this proxy, and belongs to no account.
+  if (hasKey && account === undefined && !routes.accounts.isEmpty && route.isPublic !== true) {
+    return { kind: 'refused', reason: 'unknown-key' };
+  }
+  const latest = Math.min(addMs(now, requestKind.timeoutMs), answerBy) as Instant;
   const deadline = Math.min(head.deadline ?? latest, latest) as Instant;
-  if (deadline <= now) return buildRefusal(id, 'deadline', version);
+  if (deadline <= now) return { kind: 'refused', reason: 'deadline' };
   if (needsClaim(requestKind, head) && !head.repeatable) {
-    return buildRefusal(id, 'too-large', version);
+    return { kind: 'refused', reason: 'too-large' };
   }
+  return { kind: 'routed', route, requestKind, deadline };
+}
+
+// Internals.
+
+function classifyCall(state: ClassifyState, head: CallHead, now: Instant): ClassifyOut {
+  const { id, accountKey } = head;
+  const { routes, turns } = state;
+  const account = accountKey === undefined ? undefined : routes?.accounts.find(accountKey);
+  const verdict = judgeCall(state, head, { hasKey: accountKey !== undefined, account }, now);
+  if (routes === undefined) return buildRefusal(id, 'no-configuration', undefined);
+  const { version } = routes;
+  if (verdict.kind === 'refused') return buildRefusal(id, verdict.reason, version);
+  const { route, requestKind, deadline } = verdict;
   const service = turns.pickService(route);
   if (service === undefined) return buildRefusal(id, 'no-server', version);
   const subject = buildSubject(head);
@@ -198,20 +225,6 @@
   };
 }
 
-/**
- * Tells whether the key of a call makes it inadmissible. A call without a key comes from a backend server beside this
- * proxy, and belongs to no account.
- */
-function isKeyRefused(
-  { accounts }: RouteIndex,
-  { isPublic }: RouteResource,
-  { accountKey }: CallHead,
-  account: ClientAccountResource | undefined,
-): boolean {
-  if (accounts.isEmpty || isPublic === true) return false;
-  return accountKey !== undefined && account === undefined;
-}
-
 function buildRefusal(
   id: CallId,
   reason: RefusalReason,
--- a/src/calls/picker.ts
+++ b/src/calls/picker.ts
@@ -1,8 +1,9 @@
 /** Load balancing: picks the backend server of an attempt. */
 import type { Address, Instant, RequestKindName } from '../ids.js';
+import type { ExplainedServer } from '../messages/index.js';
 import type { Random } from '../random.js';
 import { PickCosts } from './pick-costs.js';
-import { measureLoad } from './server-load.js';
+import { measureLoad, measureSilence } from './server-load.js';
 import type { ServerRecord, LocalityTiers } from './server-table.js';
 
 /** The attempt for which a server is picked. */
@@ -38,6 +39,23 @@
     return this.#pickAmong(tiers, context, isFree);
   }
 
+  /** Lists all servers with their costs, the cheapest candidates first. Makes no choice. */
+  listServers(tiers: LocalityTiers, context: PickContext): ExplainedServer[] {
+    const hasOneInService = tiers.flat().some((one) => isInService(one, context));
+    const isUsable = hasOneInService ? isInService : isReady;
+    const costs = new PickCosts(
+      tiers.flat().filter((one) => isUsable(one, context)),
+      context,
+    );
+    const servers = tiers.flatMap((records, tier) =>
+      records.map((record) => {
+        const cost = isUsable(record, context) ? costs.measureFrom(tier, record) : undefined;
+        return buildExplainedServer(record, tier, cost, context);
+      }),
+    );
+    return servers.sort((left, right) => (left.cost ?? Infinity) - (right.cost ?? Infinity));
+  }
+
   /** Chooses one of the usable candidates of one tier; `candidates` is never empty. */
   protected abstract choose(candidates: readonly ServerRecord[], costs: PickCosts): ServerRecord;
 
@@ -99,3 +117,31 @@
 function isFree(record: ServerRecord, context: PickContext): boolean {
   return isInService(record, context) && measureLoad(record, context.now) < 1;
 }
+
+function buildExplainedServer(
+  record: ServerRecord,
+  tier: number,
+  cost: number | undefined,
+  { now, requestKind }: PickContext,
+): ExplainedServer {
+  const { announcement, member, runTimes } = record;
+  const runMs = requestKind === undefined ? undefined : runTimes.find(requestKind, now);
+  return {
+    server: announcement.address,
+    host: member.host,
+    dataCentre: member.dataCentre,
+    tier,
+    ...(cost === undefined ? { excluded: findExclusion(record, now) } : { cost }),
+    load: measureLoad(record, now),
+    ...(runMs === undefined ? {} : { runMs }),
+    silentMs: Math.round(measureSilence(record, now)),
+  };
+}
+
+function findExclusion(
+  { announcement, avoidedUntil }: ServerRecord,
+  now: Instant,
+): NonNullable<ExplainedServer['excluded']> {
+  if (announcement.state !== 'ready') return 'not-ready';
+  return avoidedUntil > now ? 'avoided' : 'ejected';
+}
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -43,7 +43,10 @@
 import { countRemaining, refuseBufferedAnswers } from './planned-stop.js';
 
 /** Outputs of the call task for other tasks. */
-export type CallNotice = Extract<CallOut, { kind: 'ledger' | 'observed' | 'broadcast' }>;
+export type CallNotice = Extract<
+  CallOut,
+  { kind: 'ledger' | 'observed' | 'broadcast' | 'explained' }
+>;
 
 /** Reports bytes that other tasks sent over the link of this host. */
 export interface LinkUse {
@@ -328,6 +331,7 @@
       case 'ledger':
       case 'observed':
       case 'broadcast':
+      case 'explained':
         this.#options.send(output);
         return;
     }
--- a/src/edge/status-task.ts
+++ b/src/edge/status-task.ts
@@ -3,16 +3,20 @@
 import type { Stream } from 'most';
 import type { Clock } from '../clock.js';
 import type { Address, HostId, Instant } from '../ids.js';
-import type { Member, MemberEvent } from '../messages/index.js';
+import type { ExplainAnswer, ExplainRequest, Member, MemberEvent } from '../messages/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
+import { IdError } from '../ids.js';
+import { parseExplainQuery } from './explain-query.js';
 import { sendJson } from './http-body.js';
 import { HttpTask } from './http-task.js';
 
 /** Messages of other tasks to the status task. */
 export type StatusIn =
   /** The latest value of a section of the status; it replaces the previous value. */
-  { readonly kind: 'report'; readonly section: string; readonly value: unknown } | MemberEvent;
+  | { readonly kind: 'report'; readonly section: string; readonly value: unknown }
+  | MemberEvent
+  | ExplainAnswer;
 
 /** Options of a {@link StatusTask}. */
 export interface StatusTaskOptions {
@@ -23,6 +27,8 @@
   readonly clock: Clock;
   readonly registry: MetricsRegistry;
   readonly reportFailure: ReportFailure;
+  /** Passes on a question about a call; returns false if this process has no proxy role. */
+  readonly passQuery: (request: ExplainRequest) => boolean;
 }
 
 /**
@@ -36,6 +42,9 @@
   readonly #startedAt: Instant;
   readonly #sections = new Map<string, unknown>();
   readonly #members = new Map<HostId, Member>();
+  /** The requests whose explanations have not arrived. */
+  readonly #asked = new Map<number, ServerResponse>();
+  #lastQuery = 0;
 
   constructor(options: StatusTaskOptions) {
     super({ name: 'status', ...options, address: options.address ?? UNUSED_ADDRESS });
@@ -61,10 +70,12 @@
     } else if (path === '/metrics') {
       response.writeHead(OK, { 'content-type': METRICS_CONTENT_TYPE });
       response.end(this.#options.registry.formatText());
+    } else if (path?.startsWith('/explain?') === true) {
+      this.#explain(path, response);
     } else {
       sendJson(response, NOT_FOUND, {
         kind: 'unknown-path',
-        message: 'use GET /status or GET /metrics',
+        message: 'use GET /status, GET /metrics or GET /explain?path=PATH',
       });
     }
   }
@@ -82,7 +93,27 @@
       case 'member-gone':
         this.#members.delete(message.host);
         return;
+      case 'explained': {
+        const response = this.#asked.get(message.id);
+        if (response !== undefined) sendJson(response, OK, message.explanation);
+        return;
+      }
+    }
+  }
+
+  /** Asks the proxy role; the answer comes as a message. */
+  #explain(url: string, response: ServerResponse): void {
+    const query = parseExplainQuery(url);
+    if (query instanceof IdError) {
+      sendJson(response, BAD_REQUEST, { kind: 'bad-request', message: query.message });
+      return;
     }
+    this.#lastQuery += 1;
+    const id = this.#lastQuery;
+    this.#asked.set(id, response);
+    response.on('close', () => this.#asked.delete(id));
+    if (this.#options.passQuery({ kind: 'explain', id, query })) return;
+    sendJson(response, NOT_FOUND, { kind: 'no-proxy', message: 'this process has no proxy role' });
   }
 
   #buildStatus(): Record<string, unknown> {
@@ -96,6 +127,7 @@
 // Internals.
 
 const OK = 200;
+const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
 const MS_PER_SECOND = 1000;
 const METRICS_CONTENT_TYPE = 'text/plain; version=0.0.4';
--- a/src/messages/index.ts
+++ b/src/messages/index.ts
@@ -1,6 +1,7 @@
 /** The typed messages that tasks exchange, independent of their encoding. */
 export type * from './call.js';
 export type * from './coverage.js';
+export type * from './explanation.js';
 export type * from './ledger.js';
 export type * from './link.js';
 export type * from './log.js';
--- a/src/program/commands/index.ts
+++ b/src/program/commands/index.ts
@@ -1,6 +1,7 @@
 /** The commands of the program. */
 import type { Fronts } from '../fronts.js';
 import type { Command } from './command.js';
+import { ExplainCommand } from './explain-command.js';
 import { DrainCommand, StatusCommand } from './local-commands.js';
 import {
   ConfigurationReplaceCommand,
@@ -32,6 +33,7 @@
     new ConfigurationReplaceCommand(),
     new ConfigurationShowCommand(),
     new StatusCommand(),
+    new ExplainCommand(),
     new DrainCommand(),
     new VersionCommand(),
   ];
--- a/src/program/commands/local-commands.ts
+++ b/src/program/commands/local-commands.ts
@@ -8,27 +8,32 @@
 import { parseAddressOption } from './operator-client.js';
 
 /** A command that sends one request to a process and prints the answer. */
-abstract class LocalCommand extends Command {
+export abstract class LocalCommand extends Command {
   protected abstract readonly method: 'GET' | 'POST';
   protected abstract readonly path: string;
 
   override async run(input: CommandInput, terminal: Terminal): Promise<ExitCode> {
     input.checkNoArguments();
     const address = parseAddressOption(input.read('address'));
-    const body = await this.#send(address, terminal);
+    const body = await this.#send(address, this.buildPath(input), terminal);
     if (body === undefined) return ExitCode.unknown;
     terminal.print(input.isSet('json') ? JSON.stringify(body) : this.formatAnswer(body));
     return ExitCode.done;
   }
 
+  /** Builds the path of the request with its query. */
+  protected buildPath(_input: CommandInput): string {
+    return this.path;
+  }
+
   /** Formats the answer as text. */
   protected abstract formatAnswer(body: unknown): string;
 
   // Internals.
 
-  async #send(address: Address, terminal: Terminal): Promise<unknown> {
+  async #send(address: Address, path: string, terminal: Terminal): Promise<unknown> {
     try {
-      const { method, path } = this;
+      const { method } = this;
       const sent = { address, method, path, timeoutMs: ANSWER_TIMEOUT_MS };
       const { status, text } = await sendRequest(sent);
       if (status < MIN_ERROR_STATUS) return JSON.parse(text);
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -50,7 +50,17 @@
   const registry = new MetricsRegistry();
   const membershipLog = new MembershipLog(host, log);
   const recovery = createRecoveryLog(settings, log, clock);
-  const status = createStatusTask({ settings, clock, registry, reportFailure });
+  const status = createStatusTask({
+    settings,
+    clock,
+    registry,
+    reportFailure,
+    passQuery: (request) => {
+      const role = roles.find(({ explain }) => explain !== undefined);
+      role?.explain?.(request);
+      return role !== undefined;
+    },
+  });
   const links = new LinkTask({
     host: settings.host,
     control: settings.control,
@@ -132,7 +142,18 @@
   if (settings.roles.includes('proxy') && proxy) {
     const shared = { settings, proxy, pass, clock, random, log, recovery, registry, reportFailure };
     roles.push(
-      await runProxy({ ...shared, fronts, postLink, postMembers, report, tracer, observer }),
+      await runProxy({
+        ...shared,
+        fronts,
+        postLink,
+        postMembers,
+        report,
+        tracer,
+        observer,
+        notifyExplained: (answer) => {
+          status.post(answer);
+        },
+      }),
     );
   }
   await members.start();
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -14,7 +14,7 @@
 import type { MembersIn } from '../members/index.js';
 import type { Address, Instant, Version } from '../ids.js';
 import { NO_VERSION, parseCallerId } from '../ids.js';
-import type { LinkCommand, LinkEvent } from '../messages/index.js';
+import type { ExplainAnswer, LinkCommand, LinkEvent } from '../messages/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
 import { Gauge } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
@@ -57,6 +57,8 @@
   readonly tracer: HopTracer;
   readonly observer: CallObserver;
   readonly fronts: Fronts;
+  /** Receives the answers to `explain` of the role. */
+  readonly notifyExplained: (answer: ExplainAnswer) => void;
 }
 
 /** Creates and starts the tasks of the proxy role. */
@@ -239,6 +241,7 @@
 
   function routeCalls(notice: CallNotice): void {
     if (notice.kind === 'ledger') ledger.post({ kind: 'request', request: notice.request });
+    else if (notice.kind === 'explained') options.notifyExplained(notice);
     else postMembers(notice);
   }
 
@@ -256,6 +259,9 @@
       const message = readLinkEvent(event);
       if (message !== undefined) distribution.post(message);
     },
+    explain: (request) => {
+      calls.post(request);
+    },
     handleBytesSent: (bytes) => {
       calls.post({ kind: 'link-used', bytes });
     },
--- a/src/program/running-role.ts
+++ b/src/program/running-role.ts
@@ -1,5 +1,5 @@
 /** The interface of a running role. */
-import type { LinkEvent, MembershipEvent } from '../messages/index.js';
+import type { ExplainRequest, LinkEvent, MembershipEvent } from '../messages/index.js';
 import type { Settings } from './settings.js';
 
 /** A role whose tasks are running. */
@@ -13,6 +13,8 @@
   readonly handleBytesSent?: (bytes: number) => void;
   /** Routes a membership event to the tasks of the role. */
   readonly handleMembership: (event: MembershipEvent) => void;
+  /** Asks what would happen to a call; only for the proxy role. */
+  readonly explain?: (request: ExplainRequest) => void;
   /** Applies the settings that can change at run time. */
   readonly handleSettings?: (settings: Settings) => void;
   /** Waits until clients have noticed a planned stop; local backend servers still serve meanwhile. */
--- a/src/program/status.ts
+++ b/src/program/status.ts
@@ -1,6 +1,7 @@
 /** The status of a process. Each role reports its own section. */
 import type { Clock } from '../clock.js';
 import { StatusTask } from '../edge/index.js';
+import type { ExplainRequest } from '../messages/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
 import type { Settings } from './settings.js';
@@ -14,6 +15,8 @@
   readonly clock: Clock;
   readonly registry: MetricsRegistry;
   readonly reportFailure: ReportFailure;
+  /** Passes on a question about a call; returns false if this process has no proxy role. */
+  readonly passQuery: (request: ExplainRequest) => boolean;
 }
 
 /** Creates the task that serves the status at the configured address, if there is one. */
--- a/test/commands.test.ts
+++ b/test/commands.test.ts
@@ -55,6 +55,13 @@
     proxy: { version: 1 },
     members: { servers: { catalogue: { ready: 1 } } },
   });
+  const explain = async (path: string): Promise<unknown> =>
+    JSON.parse(await run('explain', '--address', status, '--path', path, '--json'));
+  t.like(await explain('/catalogue/canopies'), {
+    version: 1,
+    services: [{ service: 'catalogue', share: 1, servers: [{ host: 'all', tier: 0 }] }],
+  });
+  t.like(await explain('/nowhere'), { version: 1, refusal: 'no-route' });
   const metrics = await request(`http://${status}/metrics`);
   t.is(metrics.statusCode, 200);
   await metrics.body.dump();
