--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -4,6 +4,8 @@
   AttemptFailure,
   AttemptHead,
   CrashSeen,
+  ExplainAnswer,
+  ExplainRequest,
   CallHead,
   ServerLoad,
   LedgerAnswer,
@@ -62,6 +64,7 @@
   | { readonly kind: 'stopping'; readonly answerBy: Instant }
   | Extract<AllowanceIn<RoutedCall>, { kind: 'time-of-day' | 'sources' | 'allowance-reply' }>
   | { readonly kind: 'drain' }
+  | ExplainRequest
   | { readonly kind: 'tick' };
 
 /** Outputs of the call pipe. */
@@ -108,5 +111,6 @@
       AllowanceOut<RoutedCall>,
       { kind: 'allowance-request' | 'allowances' | 'allowance-lease' }
     >
+  | ExplainAnswer
   /** The limits on requests of callers that apply from now on. */
   | { readonly kind: 'limits'; readonly limits: LimitsResource };
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -26,8 +26,10 @@
 import type { GuardIn, GuardOut, GuardState, RunEnding } from './guard-filter.js';
 import { GuardFilter } from './guard-filter.js';
 import type { CallIn, CallOut } from './call-pipe-messages.js';
+import { buildExplanation } from './explain-call.js';
 import type { ForwardedAttempt, IntakeIn, IntakeOut, IntakeState } from './intake-filter.js';
 import { IntakeFilter } from './intake-filter.js';
+import type { HedgingOptions } from './hedging.js';
 import type { Picker } from './picker.js';
 import type { RetryBudgetLimits } from './retry-budget.js';
 import type { Locality } from './server-table.js';
@@ -39,6 +41,7 @@
   readonly picker: Picker;
   readonly createPolicy: () => SlotPolicy;
   readonly retries?: RetryBudgetLimits | undefined;
+  readonly hedging?: HedgingOptions | undefined;
   /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
   readonly isRevocationStrict?: boolean | undefined;
   /** The bandwidth of the link of this host, if configured; large bodies then need a permission. */
@@ -66,6 +69,7 @@
 /** Routes each message to its filter, and the outputs of each filter to the next one. */
 export class CallPipe extends Filter<CallPipeState, CallIn, CallOut> {
   readonly #host: HostId;
+  readonly #picker: Picker;
   readonly #classify: ClassifyFilter;
   readonly #allowance: AllowanceFilter<RoutedCall>;
   readonly #intake = new IntakeFilter();
@@ -76,13 +80,14 @@
 
   constructor(options: CallPipeOptions) {
     super();
-    const { place, picker, createPolicy, retries, isRevocationStrict } = options;
+    const { place, picker, createPolicy, retries, hedging, isRevocationStrict } = options;
     const { linkBytesPerSecond: link } = options;
     this.#allowance = new AllowanceFilter(options.life ?? (place.host as string as ProxyLife));
     this.#host = place.host;
+    this.#picker = picker;
     this.#classify = new ClassifyFilter(place.host, isRevocationStrict);
     const asksForBodies = link !== undefined;
-    this.#attempt = new AttemptFilter({ place, picker, retries, asksForBodies });
+    this.#attempt = new AttemptFilter({ place, picker, retries, hedging, asksForBodies });
     this.#bodies = link === undefined ? undefined : new BodyFilter(link);
     this.#guard = new GuardFilter(createPolicy);
   }
@@ -175,6 +180,12 @@
         this.#passToBodies(context, message);
         this.#passToGuard(context, message);
         return;
+      case 'explain': {
+        const { id, query } = message;
+        const explanation = buildExplanation(state, this.#picker, query, context.now);
+        context.outputs.push({ kind: 'explained', id, explanation });
+        return;
+      }
       case 'drain':
         state.isDraining = true;
         this.#passToBodies(context, message);
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -9,6 +9,7 @@
   CallIn,
   CallObserver,
   CallOut,
+  HedgingOptions,
   Picker,
   Locality,
   RetryBudgetLimits,
@@ -48,7 +49,10 @@
 /** Outputs of the call task for other tasks. */
 export type CallNotice = Extract<
   CallOut,
-  { kind: 'ledger' | 'observed' | 'broadcast' | 'allowance-request' | 'allowance-lease' }
+  {
+    kind:
+      'ledger' | 'observed' | 'broadcast' | 'allowance-request' | 'allowance-lease' | 'explained';
+  }
 >;
 
 /** Reports bytes that other tasks sent over the link of this host. */
@@ -67,6 +71,8 @@
   /** The caller of all calls that enter at this proxy, if configured. */
   readonly caller?: CallerId | undefined;
   readonly retries?: RetryBudgetLimits;
+  /** The limit on hedges; without it no call is hedged. */
+  readonly hedging?: HedgingOptions | undefined;
   /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
   readonly isRevocationStrict?: boolean;
   /** Identifies this life of the process to the grantor of allowances. */
@@ -237,12 +243,13 @@
 
   protected override createPipe(messages: Stream<CallIn | LinkUse>): Stream<unknown> {
     const { place, clock, random, picker, createPolicy, retries } = this.#options;
-    const { isRevocationStrict, linkBytesPerSecond, life } = this.#options;
+    const { hedging, isRevocationStrict, linkBytesPerSecond, life } = this.#options;
     const pipe = new CallPipe({
       place,
       picker: picker ?? new TwoChoicesPicker(random),
       createPolicy: createPolicy ?? (() => new PrioritySlotPolicy()),
       retries,
+      hedging,
       isRevocationStrict,
       linkBytesPerSecond,
       life,
@@ -352,6 +359,9 @@
       case 'sent-again':
         this.#observer.sendAgain(this.#calls.get(output.id), output);
         return;
+      case 'hedge-reported':
+        this.#observer.reportHedge(this.#calls.get(output.id), output.result);
+        return;
       case 'refuse':
         this.#calls.get(output.id)?.refuse(output);
         return;
@@ -378,6 +388,7 @@
       case 'ledger':
       case 'observed':
       case 'broadcast':
+      case 'explained':
         this.#options.send(output);
         return;
     }
--- a/src/messages/index.ts
+++ b/src/messages/index.ts
@@ -2,6 +2,7 @@
 export type * from './allowance.js';
 export type * from './call.js';
 export type * from './coverage.js';
+export type * from './explanation.js';
 export type * from './ledger.js';
 export type * from './link.js';
 export type * from './log.js';
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -16,7 +16,7 @@
 import type { MembersIn } from '../members/index.js';
 import type { Address, Instant, ProxyLife, Version } from '../ids.js';
 import { NO_VERSION, parseCallerId } from '../ids.js';
-import type { LinkCommand, LinkEvent, ReceivedMessage } from '../messages/index.js';
+import type { ExplainAnswer, LinkCommand, LinkEvent, ReceivedMessage } from '../messages/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
 import { Gauge } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
@@ -60,6 +60,8 @@
   readonly tracer: HopTracer;
   readonly observer: CallObserver;
   readonly fronts: Fronts;
+  /** Receives the answers to `explain` of the role. */
+  readonly notifyExplained: (answer: ExplainAnswer) => void;
 }
 
 /** Creates and starts the tasks of the proxy role. */
@@ -72,6 +74,7 @@
     front: options.fronts.createCallFront(),
     caller: proxy.service === undefined ? undefined : parseCallerId(proxy.service),
     retries: proxy.retries,
+    hedging: proxy.hedging,
     isRevocationStrict: proxy.accounts.isRevocationStrict,
     life: `${random.nextInt(MAX_LIFE)}-${clock.read()}` as ProxyLife,
     linkBytesPerSecond: proxy.linkBytesPerSecond,
@@ -258,6 +261,9 @@
         log(isValid ? 'allowance-lease-begins' : 'allowance-lease-ends', { grantor, term });
         return;
       }
+      case 'explained':
+        options.notifyExplained(notice);
+        return;
       default:
         postMembers(notice);
     }
@@ -282,6 +288,9 @@
       if (body === undefined) logDroppedAllowance(event, log);
       else calls.handleAllowance({ kind: 'allowance-reply', from: event.address, body });
     },
+    explain: (request) => {
+      calls.post(request);
+    },
     handleBytesSent: (bytes) => {
       calls.post({ kind: 'link-used', bytes });
     },
