Add orders of roll-outs and their record in the replicated log

A service could not be moved to another version of its backend servers: there was no order for it and nothing that remembered one.

The configuration gets a resource for each service with a version: the version in use, the newest order, and the share of the calls that the ordered version may get. Each accepted one is a version of the configuration. A command of the leader names the order and the step that it continues, so one that was overtaken has no effect.

A replacement keeps these records. It takes effect if no note or replacement came since its proposal; steps in between don't matter, as they change nothing that a replacement changes. A service that is withdrawn ends its roll-out as rolled back, in the same version.

--- a/src/edge/default-operator-front.ts
+++ b/src/edge/default-operator-front.ts
@@ -50,6 +50,8 @@
         return { status: OK, body: reply.page };
       case 'document':
         return buildDocument(reply.replacement);
+      case 'rollout':
+        return buildRollout(reply);
     }
   }
 
@@ -83,6 +85,15 @@
   return { status: OK, body: { number: replacement.number, document } };
 }
 
+function buildRollout({
+  service,
+  rollout,
+}: Extract<OperatorReply, { kind: 'rollout' }>): OperatorAnswer {
+  if (rollout !== undefined) return { status: OK, body: rollout };
+  const message = `there has been no order for a service ${service}`;
+  return { status: NOT_FOUND, body: { kind: 'unknown-rollout', message } };
+}
+
 /** Hashes a secret to a fixed length, which the constant-time comparison requires. */
 function digestSecret(secret: string): Buffer {
   return createHash('sha256').update(secret).digest();
--- a/src/edge/distribution-codec.ts
+++ b/src/edge/distribution-codec.ts
@@ -81,6 +81,19 @@
     ratePerSecond: z.number().optional(),
     burst: z.number().optional(),
   }),
+  z.object({
+    kind: z.literal('rollout'),
+    name,
+    state: z.enum(['initial', 'running', 'completed', 'rolled-back']),
+    from: name.optional(),
+    to: name,
+    share: z.number().min(0).max(1),
+    order: count,
+    step: count,
+    startedAt: z.number(),
+    deadline: z.number(),
+    reason: name.optional(),
+  }),
 ]);
 
 const change = z.discriminatedUnion('op', [
--- a/src/edge/note-parser.ts
+++ b/src/edge/note-parser.ts
@@ -11,9 +11,16 @@
   parseGeneration,
   parseNoteNumber,
   parseRequestKindName,
+  parseServerVersion,
   parseServiceName,
 } from '../ids.js';
-import type { NoteDraft, NoteFault, Replacement, Resource } from '../messages/index.js';
+import type {
+  NoteDraft,
+  NoteFault,
+  Replacement,
+  Resource,
+  RolloutOrder,
+} from '../messages/index.js';
 import { buildKeyDigest, MAX_KEYS_PER_ACCOUNT, MAX_TIMEOUT_MS } from '../notes/index.js';
 import { buildIdSchema } from './id-schema.js';
 
@@ -25,11 +32,15 @@
   text: string,
   format: NoteFormat = 'toml',
 ): Result<NoteDraft, readonly NoteFault[]> {
-  const parsed = format === 'toml' ? parseToml(text) : parseJson(text);
-  if (!parsed.ok) return parsed;
-  const checked = noteSchema.safeParse(parsed.value);
-  if (checked.success) return makeOk(checked.data);
-  return makeError(checked.error.issues.flatMap((issue) => buildFaults(issue)));
+  return readText(text, format, noteSchema);
+}
+
+/** Parses the version and the duration of an order to start a roll-out. */
+export function readRolloutOrder(
+  text: string,
+  format: NoteFormat = 'toml',
+): Result<Omit<RolloutOrder, 'service'>, readonly NoteFault[]> {
+  return readText(text, format, rolloutOrderSchema);
 }
 
 /**
@@ -40,12 +51,9 @@
   text: string,
   format: NoteFormat = 'toml',
 ): Result<Replacement, readonly NoteFault[]> {
-  const parsed = format === 'toml' ? parseToml(text) : parseJson(text);
+  const parsed = readText(text, format, replacementSchema);
   if (!parsed.ok) return parsed;
-  const checked = replacementSchema.safeParse(parsed.value);
-  if (!checked.success)
-    return makeError(checked.error.issues.flatMap((issue) => buildFaults(issue)));
-  const { number, base, resources } = checked.data;
+  const { number, base, resources } = parsed.value;
   const digest = createHash('sha256').update(text).digest('hex') as Digest;
   return makeOk({ number, base, resources, document: Buffer.from(text), digest });
 }
@@ -55,6 +63,19 @@
 const TOTAL_SHARE = 10_000;
 const PATH_PREFIX_PATTERN = /^\/$|^(\/[^/?#\s]+)+$/;
 
+/** Parses a text and checks it against a schema. */
+function readText<T>(
+  text: string,
+  format: NoteFormat,
+  schema: z.ZodType<T>,
+): Result<T, readonly NoteFault[]> {
+  const parsed = format === 'toml' ? parseToml(text) : parseJson(text);
+  if (!parsed.ok) return parsed;
+  const checked = schema.safeParse(parsed.value);
+  if (checked.success) return makeOk(checked.data);
+  return makeError(checked.error.issues.flatMap((issue) => buildFaults(issue)));
+}
+
 function parseToml(text: string): Result<unknown, readonly NoteFault[]> {
   try {
     return makeOk(parse(text));
@@ -261,6 +282,11 @@
     };
   });
 
+/** The duration is checked when the order is proposed, for every front. */
+const rolloutOrderSchema = z
+  .strictObject({ version: buildIdSchema(parseServerVersion), duration_ms: z.number() })
+  .transform(({ version, duration_ms }) => ({ to: version, durationMs: duration_ms }));
+
 /** Gives each route without a generation the default generation of its file. */
 function applyDefaultGeneration(
   list: 'add' | 'change' | 'resources',
--- a/src/edge/operator-answer.ts
+++ b/src/edge/operator-answer.ts
@@ -77,6 +77,11 @@
   'would-undo': 409,
   'rested-on': 409,
   'unknown-note': 404,
+  rollout: 200,
+  'rollout-in-progress': 409,
+  'rollout-refused': 400,
+  'rollout-moved': 409,
+  'rollouts-off': 404,
 };
 
 const FAULT_STATUS: Record<OperatorRequestFault['kind'], number> = {
--- a/src/edge/operator-front.ts
+++ b/src/edge/operator-front.ts
@@ -8,7 +8,7 @@
 /** An answer of the notes pipe to an operator. */
 export type OperatorReply = Extract<
   NotesOut,
-  { kind: 'answer' | 'status' | 'page' | 'document' | 'refusal' }
+  { kind: 'answer' | 'status' | 'page' | 'document' | 'rollout' | 'refusal' }
 >;
 
 /** The context in which an answer is built. */
--- a/src/edge/operator-request.ts
+++ b/src/edge/operator-request.ts
@@ -1,11 +1,11 @@
 /** Parses operator requests from the method, path and body of HTTP requests. */
 import type { Result } from '../errors.js';
 import { makeError, makeOk } from '../errors.js';
-import type { NoteNumber, Revision, Version } from '../ids.js';
-import { IdError, NO_VERSION, parseNoteNumber } from '../ids.js';
-import type { NoteCommand, NoteFault, Replacement } from '../messages/index.js';
+import type { NoteNumber, Revision, ServiceName, Version } from '../ids.js';
+import { IdError, NO_VERSION, parseNoteNumber, parseServiceName } from '../ids.js';
+import type { NoteCommand, NoteFault, Replacement, RolloutOrder } from '../messages/index.js';
 import type { NoteFormat } from './note-parser.js';
-import { readNote, readReplacement } from './note-parser.js';
+import { readNote, readReplacement, readRolloutOrder } from './note-parser.js';
 
 /** The parts of an HTTP request that are parsed. */
 export interface OperatorHttpRequest {
@@ -21,6 +21,8 @@
   | { readonly kind: 'command'; readonly command: NoteCommand }
   | { readonly kind: 'replace'; readonly replacement: Replacement }
   | { readonly kind: 'replacement' }
+  | { readonly kind: 'order'; readonly order: RolloutOrder }
+  | { readonly kind: 'rollout'; readonly service: ServiceName }
   | { readonly kind: 'show'; readonly number: NoteNumber }
   | { readonly kind: 'list'; readonly after: Version; readonly limit: number }
   /** Waits at most `timeoutMs`; if undefined, up to the limit of the operator task. */
@@ -38,12 +40,15 @@
 ): Result<OperatorRequest, OperatorRequestFault> {
   const url = new URL(request.url, 'http://operator');
   if (url.pathname === '/configuration') return readConfigurationRequest(request);
+  const service = ROLLOUTS_PATH_PATTERN.exec(url.pathname)?.[1];
   const match = NOTES_PATH_PATTERN.exec(url.pathname);
-  if (match === null) {
-    const message = 'use /notes, /notes/NUMBER, /notes/NUMBER/wait or /configuration';
+  if (match === null && service === undefined) {
+    const message =
+      'use /notes, /notes/NUMBER, /notes/NUMBER/wait, /configuration or /rollouts/SERVICE';
     return makeError({ kind: 'unknown-path', message });
   }
   try {
+    if (match === null) return readRolloutRequest(request, parseServiceName(service ?? ''));
     const number = match[1] === undefined ? undefined : parseNoteNumber(Number(match[1]));
     if (number === undefined) return readListRequest(request, url.searchParams);
     const isWait = match[2] !== undefined;
@@ -59,6 +64,7 @@
 type RequestResult = Result<OperatorRequest, OperatorRequestFault>;
 
 const NOTES_PATH_PATTERN = /^\/notes(?:\/(\d+)(\/wait)?)?$/;
+const ROLLOUTS_PATH_PATTERN = /^\/rollouts\/([^/]+)$/;
 const DEFAULT_PAGE_SIZE = 100;
 const MAX_PAGE_SIZE = 1000;
 
@@ -70,6 +76,17 @@
   return makeOk({ kind: 'replace', replacement: replacement.value });
 }
 
+function readRolloutRequest(
+  { method, body, format }: OperatorHttpRequest,
+  service: ServiceName,
+): RequestResult {
+  if (method === 'GET') return makeOk({ kind: 'rollout', service });
+  if (method !== 'POST') return refuseMethod('GET or POST');
+  const order = readRolloutOrder(body, format);
+  if (!order.ok) return makeError({ kind: 'refused', faults: order.error });
+  return makeOk({ kind: 'order', order: { service, ...order.value } });
+}
+
 function readListRequest(request: OperatorHttpRequest, query: URLSearchParams): RequestResult {
   if (request.method === 'GET') {
     const after = readNumber(query, 'after') ?? NO_VERSION;
--- a/src/edge/operator-task.ts
+++ b/src/edge/operator-task.ts
@@ -101,9 +101,15 @@
       return;
     }
     const id = this.#addPending(response, addMs(now, ANSWER_TIMEOUT_MS), url);
-    if (request.kind === 'command' || request.kind === 'replace') {
-      this.#options.request({ ...request, id });
-    } else this.#options.request({ kind: 'question', id, question: request });
+    switch (request.kind) {
+      case 'command':
+      case 'replace':
+      case 'order':
+        this.#options.request({ ...request, id });
+        return;
+      default:
+        this.#options.request({ kind: 'question', id, question: request });
+    }
   }
 
   #addPending(response: ServerResponse, deadline: Instant, url: string): RequestId {
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -56,6 +56,8 @@
 export type AccountKey = Branded<string, 'AccountKey'>;
 /** The SHA-256 digest of an {@link AccountKey} in base64url. */
 export type KeyDigest = Branded<string, 'KeyDigest'>;
+/** The version of a backend server's software, as the server announces it. */
+export type ServerVersion = Branded<string, 'ServerVersion'>;
 /** Identifies one run of a backend server, as the server names itself. */
 export type InstanceId = Branded<string, 'InstanceId'>;
 /**
@@ -121,6 +123,12 @@
   return checkPrintable(text, 'account key') as AccountKey;
 }
 
+/** Parses the version of a backend server: 1 to 64 printable ASCII characters without spaces. */
+export function parseServerVersion(text: string): ServerVersion {
+  if (SERVER_VERSION_PATTERN.test(text)) return text as ServerVersion;
+  throw new IdError('a version must be 1 to 64 printable ASCII characters without spaces');
+}
+
 /** Parses an instance id: 1 to 256 printable ASCII characters without spaces. */
 export function parseInstanceId(text: string): InstanceId {
   return checkPrintable(text, 'instance id') as InstanceId;
@@ -163,6 +171,7 @@
 // Internals.
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
+const SERVER_VERSION_PATTERN = /^[\x21-\x7e]{1,64}$/;
 const PRINTABLE_PATTERN = /^[\x21-\x7e]{1,256}$/;
 const ADDRESS_PATTERN =
   /^(?:(?:(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)(?:\.(?!:)|(?=:))){4}|\[[0-9A-Fa-f:.]+\]):(?<port>[1-9]\d{0,4})$/;
--- a/src/messages/index.ts
+++ b/src/messages/index.ts
@@ -9,6 +9,7 @@
 export type * from './probe.js';
 export { buildKey } from './resource.js';
 export type * from './resource.js';
+export type * from './rollout.js';
 export type * from './distribution.js';
 export type * from './sync.js';
 export type * from './version.js';
--- a/src/messages/note.ts
+++ b/src/messages/note.ts
@@ -2,6 +2,7 @@
 import type { Digest, Generation, NoteNumber, ResourceKey, Revision, Version } from '../ids.js';
 import type { Straggler } from './coverage.js';
 import type { Change, Resource } from './resource.js';
+import type { RolloutAnswer, RolloutCommand } from './rollout.js';
 
 /** A release note that has been parsed but not yet accepted. */
 export interface NoteDraft {
@@ -22,8 +23,8 @@
   | { readonly kind: 'amend'; readonly draft: NoteDraft; readonly readAt: Revision }
   | { readonly kind: 'withdraw'; readonly number: NoteNumber; readonly readAt: Revision };
 
-/** An operator's command to the source. */
-export type NoteCommand = NoteEdit | ReplaceCommand;
+/** A command to the source, of an operator or of the leader itself. */
+export type NoteCommand = NoteEdit | ReplaceCommand | RolloutCommand;
 
 /** A complete configuration that replaces the present one. */
 export interface Replacement {
@@ -39,7 +40,7 @@
 
 /**
  * A {@link Replacement} as stored in the log. It holds only the difference from the configuration version
- * `against`, so it takes effect only if that version is still the newest.
+ * `against`, so it takes effect only if no later version came from a note or a replacement.
  */
 export interface ReplaceCommand {
   readonly kind: 'replace';
@@ -90,7 +91,8 @@
   | { readonly kind: 'would-undo'; readonly notes: readonly NoteNumber[] }
   /** These later notes depend on resources that the withdrawal would remove. */
   | { readonly kind: 'rested-on'; readonly notes: readonly NoteNumber[] }
-  | { readonly kind: 'unknown-note'; readonly number: NoteNumber };
+  | { readonly kind: 'unknown-note'; readonly number: NoteNumber }
+  | RolloutAnswer;
 
 /** How many proxies hold a version. */
 export interface Coverage {
--- a/src/messages/resource.ts
+++ b/src/messages/resource.ts
@@ -2,10 +2,13 @@
 import type {
   ClientAccountName,
   Generation,
+  Instant,
   KeyDigest,
   RequestKindName,
   ResourceKey,
+  ServerVersion,
   ServiceName,
+  Version,
 } from '../ids.js';
 
 /** A service for which backend servers announce themselves. */
@@ -118,6 +121,34 @@
   readonly shares: readonly SplitShare[];
 }
 
+/** The state of a {@link RolloutResource}; `initial` is a version that is in use without an order. */
+export type RolloutState = 'initial' | 'running' | 'completed' | 'rolled-back';
+
+/**
+ * Which version of a service's backend servers gets its calls, and the newest order to change it. It is no part of
+ * release notes or replacements: the commands of roll-outs alone change it.
+ */
+export interface RolloutResource {
+  readonly kind: 'rollout';
+  readonly name: ServiceName;
+  readonly state: RolloutState;
+  /** The version in use before the order; absent if none was known. */
+  readonly from?: ServerVersion;
+  /** The ordered version; with `initial`, the version in use. */
+  readonly to: ServerVersion;
+  /** The share of the calls that may go to `to`, from 0 to 1. */
+  readonly share: number;
+  /** The configuration version that accepted the order; it identifies the order. */
+  readonly order: Version;
+  /** The number of steps since the order. */
+  readonly step: number;
+  /** When the order was accepted, and by when it is to be completed, by the clock of its leader. */
+  readonly startedAt: Instant;
+  readonly deadline: Instant;
+  /** Why the roll-out ended. */
+  readonly reason?: string;
+}
+
 /** Any resource. */
 export type Resource =
   | ServiceResource
@@ -125,7 +156,8 @@
   | RequestKindResource
   | SplitResource
   | LimitsResource
-  | ClientAccountResource;
+  | ClientAccountResource
+  | RolloutResource;
 
 /** One change of a resource in a configuration version. */
 export type Change =
--- a/src/messages/version.ts
+++ b/src/messages/version.ts
@@ -5,9 +5,9 @@
 /** The difference between a version and its predecessor. */
 export interface VersionDelta {
   readonly version: Version;
-  /** The note whose acceptance, amendment or withdrawal created this version. */
-  readonly note: NoteNumber;
-  readonly revision: Revision;
+  /** The note whose acceptance, amendment or withdrawal created this version; absent for a roll-out's step. */
+  readonly note?: NoteNumber;
+  readonly revision?: Revision;
   readonly changes: readonly Change[];
   /** The set digest of the resulting configuration. */
   readonly digest: Digest;
--- a/src/notes/decide-command.ts
+++ b/src/notes/decide-command.ts
@@ -11,11 +11,13 @@
 import type { Edit, EditDecision, NoteTables } from './decide-edit.js';
 import { decideEdit } from './decide-edit.js';
 import { findReplaceRefusal, buildReplaceDraft } from './decide-replace.js';
+import type { RolloutVerdict } from './decide-rollout.js';
+import { decideRollout } from './decide-rollout.js';
 import { digestValue } from './digest.js';
 import type { AcceptedStep, NoteEntry } from './note-entry.js';
 import { isWithdrawn, readPosition, readReceipt } from './note-entry.js';
 
-/** The verdict on a command: an answer without an effect, or a step to apply. */
+/** The verdict on a command: an answer without an effect, a step to apply, or the next record of a roll-out. */
 export type NoteVerdict =
   | { readonly kind: 'unchanged'; readonly answer: NoteAnswer }
   | {
@@ -24,7 +26,8 @@
       readonly draft: NoteDraft;
       readonly position: Version;
       readonly decision: EditDecision;
-    };
+    }
+  | Extract<RolloutVerdict, { kind: 'rollout' }>;
 
 /** Decides on one command. The verdict depends on the arguments only, so that all replicas agree. */
 export function decideCommand(tables: NoteTables, command: NoteCommand): NoteVerdict {
@@ -37,6 +40,11 @@
       return decideWithdraw(tables, command.number, command.readAt);
     case 'replace':
       return decideReplace(tables, command);
+    case 'start-rollout':
+    case 'step-rollout':
+    case 'end-rollout':
+    case 'adopt-version':
+      return decideRollout(tables.whole, command);
   }
 }
 
--- a/src/notes/decide-edit.ts
+++ b/src/notes/decide-edit.ts
@@ -2,6 +2,7 @@
 import type { NoteNumber, ResourceKey, Version } from '../ids.js';
 import type { Change, NoteDraft, NoteFault } from '../messages/index.js';
 import { formatCanonical } from './digest.js';
+import { listRolloutEnds } from './decide-rollout.js';
 import type { Layer, LayerTable } from './layer-table.js';
 import type { NoteEntry, ResourceAction } from './note-entry.js';
 import { listActions } from './note-entry.js';
@@ -16,6 +17,8 @@
   readonly whole: ConfigurationTable;
   /** The number of the latest replacement of the whole configuration. */
   readonly newestReplacement: NoteNumber | undefined;
+  /** The newest version that came from a note or a replacement; later ones are steps of roll-outs. */
+  readonly newestNoteVersion: Version;
 }
 
 /** Sets, replaces or removes the effects of a note at its position in the order of acceptance. */
@@ -58,6 +61,7 @@
   const former = edit.former === undefined ? [] : listActions(edit.former);
   const keys = new Set([...actions.keys(), ...former.map(({ key }) => key)]);
   for (const key of keys) decideKey(tables, edit, key, actions.get(key), decision);
+  decision.changes.push(...listRolloutEnds(tables.whole, decision.changes));
   for (const violation of tables.whole.findViolations(decision.changes)) {
     decideViolation(tables, edit, actions, violation, decision);
   }
--- a/src/notes/decide-replace.ts
+++ b/src/notes/decide-replace.ts
@@ -12,7 +12,7 @@
 import type { NoteTables } from './decide-edit.js';
 import { formatCanonical } from './digest.js';
 
-/** Builds the command of a replacement, with its changes relative to the current configuration. */
+/** Builds the command of a replacement, with its changes relative to the current configuration. It keeps roll-outs. */
 export function buildReplaceCommand(
   { whole: configuration }: Pick<NoteTables, 'whole'>,
   { number, base, resources, document, digest }: Replacement,
@@ -22,8 +22,10 @@
   for (const [key, resource] of next) {
     if (!isSameResource(configuration.find(key), resource)) changes.push({ op: 'put', resource });
   }
-  for (const key of configuration.listKeys())
-    if (!next.has(key)) changes.push({ op: 'remove', key });
+  for (const key of configuration.listKeys()) {
+    const isKept = next.has(key) || configuration.find(key)?.kind === 'rollout';
+    if (!isKept) changes.push({ op: 'remove', key });
+  }
   return {
     kind: 'replace',
     number,
@@ -35,14 +37,17 @@
   };
 }
 
-/** Returns the answer that refuses a replacement; undefined if it may take effect. */
+/**
+ * Returns the answer that refuses a replacement; undefined if it may take effect. Steps of roll-outs since its
+ * proposal don't matter, because they change no resource that a replacement changes.
+ */
 export function findReplaceRefusal(
-  { whole: configuration }: NoteTables,
+  { whole: configuration, newestNoteVersion }: NoteTables,
   newest: NoteNumber | undefined,
   { number, base, against }: ReplaceCommand,
 ): NoteAnswer | undefined {
-  if (base !== newest || against !== configuration.version)
-    return { kind: 'stale-base', current: newest };
+  const isCurrent = against >= newestNoteVersion && against <= configuration.version;
+  if (base !== newest || !isCurrent) return { kind: 'stale-base', current: newest };
   if (newest === undefined || number > newest) return undefined;
   const message = `must be above ${newest}, the number of the present configuration`;
   return { kind: 'refused', faults: [{ place: 'number', message }] };
--- a/src/notes/index.ts
+++ b/src/notes/index.ts
@@ -5,8 +5,16 @@
 export type { NoteStoreSnapshot, NoteOutcome } from './note-store.js';
 export { isWithdrawn, readReceipt } from './note-entry.js';
 export type { AcceptedStep, NoteEntry } from './note-entry.js';
+export { findVersionInUse } from './decide-rollout.js';
 export { NotesFilter } from './notes-filter.js';
-export type { NoteQuestion, NotesIn, NotesNotice, NotesOut, NotesState } from './notes-filter.js';
+export type {
+  NoteQuestion,
+  NotesFilterOptions,
+  NotesIn,
+  NotesNotice,
+  NotesOut,
+  NotesState,
+} from './notes-filter.js';
 export {
   applyDelta,
   applyChanges,
--- a/src/notes/note-store.ts
+++ b/src/notes/note-store.ts
@@ -1,12 +1,15 @@
 /** The replicated state of the source: every accepted note, and the configuration that they produce. */
-import type { Digest, NoteNumber, Version } from '../ids.js';
+import type { Digest, NoteNumber, ServiceName, Version } from '../ids.js';
+import { NO_VERSION } from '../ids.js';
 import type {
+  Change,
   NoteAnswer,
   NoteCommand,
   NoteReceipt,
   ReplaceCommand,
   Replacement,
   ReplacementDocument,
+  RolloutResource,
   VersionDelta,
   ConfigurationSnapshot,
 } from '../messages/index.js';
@@ -14,6 +17,7 @@
 import { decideCommand } from './decide-command.js';
 import type { NoteTables } from './decide-edit.js';
 import { buildReplaceCommand } from './decide-replace.js';
+import { findRollout } from './decide-rollout.js';
 import { LayerTable } from './layer-table.js';
 import type { NoteEntry } from './note-entry.js';
 import { isWithdrawn, listActions, readPosition } from './note-entry.js';
@@ -34,6 +38,8 @@
   readonly entries: readonly NoteEntry[];
   /** The latest replacement of the whole configuration, if there was one. */
   readonly replacement?: ReplacementDocument | undefined;
+  /** The records of roll-outs; absent if there are none. */
+  readonly rollouts?: readonly RolloutResource[];
 }
 
 /**
@@ -54,6 +60,9 @@
   readonly #layers: LayerTable;
   readonly #configuration: ConfigurationTable;
   #replacement: ReplacementDocument | undefined;
+  #newestNoteVersion: Version = NO_VERSION;
+  /** The services that have a record of a roll-out. */
+  readonly #rollouts = new Set<ServiceName>();
 
   /** Creates a state without notes. Only {@link NoteStore.open} passes tables that are not empty. */
   constructor(layers = new LayerTable(), configuration = new ConfigurationTable()) {
@@ -73,10 +82,14 @@
     const configuration = ConfigurationTable.open({
       version,
       digest,
-      resources: layers.listResources(),
+      resources: [...layers.listResources(), ...(snapshot.rollouts ?? [])],
     });
     const book = new NoteStore(layers, configuration);
-    for (const entry of snapshot.entries) book.#setEntry(entry);
+    for (const entry of snapshot.entries) {
+      book.#setEntry(entry);
+      for (const { receipt } of entry.steps) book.#updateNewestNoteVersion(receipt.version);
+    }
+    for (const { name } of snapshot.rollouts ?? []) book.#rollouts.add(name);
     book.#replacement = snapshot.replacement;
     if (book.digest === digest) return book;
     throw new Error(
@@ -112,6 +125,11 @@
       .flatMap((number) => this.#entries.get(number) ?? []);
   }
 
+  /** Finds the record of the roll-outs of a service. */
+  findRollout(service: ServiceName): RolloutResource | undefined {
+    return findRollout(this.#configuration, service);
+  }
+
   /** The latest replacement as it was submitted; undefined before the first one. */
   get replacement(): ReplacementDocument | undefined {
     return this.#replacement;
@@ -131,6 +149,7 @@
   apply(command: NoteCommand): NoteOutcome {
     const verdict = this.decide(command);
     if (verdict.kind === 'unchanged') return { answer: verdict.answer, delta: undefined };
+    if (verdict.kind === 'rollout') return this.#applyRollout(verdict.rollout);
     if (command.kind === 'replace') {
       this.#replacement = { number: command.number, document: command.document };
     }
@@ -146,7 +165,14 @@
   buildSnapshot(): NoteStoreSnapshot {
     const entries = [...this.#entries.values()];
     const { version, digest, replacement } = this;
-    return { version, digest, entries, replacement };
+    const rollouts = [...this.#rollouts].flatMap((service) => this.findRollout(service) ?? []);
+    return {
+      version,
+      digest,
+      entries,
+      replacement,
+      ...(rollouts.length === 0 ? {} : { rollouts }),
+    };
   }
 
   // Internals.
@@ -157,6 +183,7 @@
       layers: this.#layers,
       whole: this.#configuration,
       newestReplacement: this.#replacement?.number,
+      newestNoteVersion: this.#newestNoteVersion,
     };
   }
 
@@ -172,9 +199,22 @@
     this.#setEntry({ draft, steps });
     for (const { key, layer } of decision.updates) this.#layers.update(key, position, layer);
     this.#configuration.apply(decision.changes);
+    this.#updateNewestNoteVersion(receipt.version);
     return { answer: { kind: 'accepted', receipt }, delta: this.#buildDelta(receipt, decision) };
   }
 
+  #applyRollout(rollout: RolloutResource): NoteOutcome {
+    const changes: Change[] = [{ op: 'put', resource: rollout }];
+    this.#configuration.apply(changes);
+    this.#rollouts.add(rollout.name);
+    const { version, digest } = this;
+    return { answer: { kind: 'rollout', rollout }, delta: { version, changes, digest } };
+  }
+
+  #updateNewestNoteVersion(version: Version): void {
+    if (version > this.#newestNoteVersion) this.#newestNoteVersion = version;
+  }
+
   #setEntry(entry: NoteEntry): void {
     const { number } = entry.draft;
     if (!this.#entries.has(number)) this.#order.push(number);
--- a/src/notes/notes-filter.ts
+++ b/src/notes/notes-filter.ts
@@ -1,6 +1,6 @@
 /** The filter that answers operators and publishes new versions of the configuration. */
-import { NEVER } from '../clock.js';
-import type { Instant, NoteNumber, RequestId, Version } from '../ids.js';
+import { addMs, NEVER } from '../clock.js';
+import type { Instant, NoteNumber, RequestId, ServiceName, Version } from '../ids.js';
 import type {
   CapturedSnapshot,
   CoverageReport,
@@ -14,6 +14,9 @@
   NoteStatus,
   Replacement,
   ReplacementDocument,
+  RolloutCommand,
+  RolloutOrder,
+  RolloutResource,
   VersionDelta,
   ConfigurationSnapshot,
 } from '../messages/index.js';
@@ -24,7 +27,7 @@
 import type { NoteStoreSnapshot } from './note-store.js';
 import { NoteStore } from './note-store.js';
 import type { SourceReport } from './note-status.js';
-import { listBoundFaults } from './resource-bounds.js';
+import { listBoundFaults, listRolloutFaults } from './resource-bounds.js';
 import { buildPage, buildReport, buildStatus, isInForce, NO_COVERAGE } from './note-status.js';
 
 /** A query of an operator, answered by a linearizable read: after the log has confirmed that this replica leads. */
@@ -35,7 +38,9 @@
   /** Like `show`, but answered once the note is in force, or at the deadline. */
   | { readonly kind: 'wait'; readonly number: NoteNumber; readonly deadline: Instant }
   /** The latest replacement of the whole configuration. */
-  | { readonly kind: 'replacement' };
+  | { readonly kind: 'replacement' }
+  /** The newest order of a service. */
+  | { readonly kind: 'rollout'; readonly service: ServiceName };
 
 /** Notices of the log. */
 export type NotesNotice = LogNotice<NoteCommand> | LogSnapshotNotice<NoteStoreSnapshot>;
@@ -45,6 +50,8 @@
   | { readonly kind: 'command'; readonly id: RequestId; readonly command: NoteCommand }
   /** Replaces the whole configuration. */
   | { readonly kind: 'replace'; readonly id: RequestId; readonly replacement: Replacement }
+  /** Starts a roll-out. */
+  | { readonly kind: 'order'; readonly id: RequestId; readonly order: RolloutOrder }
   | { readonly kind: 'question'; readonly id: RequestId; readonly question: NoteQuestion }
   /** The operator has disconnected, so the answer is no longer needed. */
   | { readonly kind: 'cancel'; readonly id: RequestId }
@@ -65,6 +72,13 @@
       readonly id: RequestId;
       readonly replacement: ReplacementDocument | undefined;
     }
+  | {
+      readonly kind: 'rollout';
+      readonly id: RequestId;
+      readonly service: ServiceName;
+      /** Absent if the service never had an order. */
+      readonly rollout: RolloutResource | undefined;
+    }
   | { readonly kind: 'refusal'; readonly id: RequestId; readonly refusal: LogRefusal }
   | { readonly kind: 'version'; readonly delta: VersionDelta }
   /** The state was restored from a snapshot; `configuration` is the resulting configuration. */
@@ -79,7 +93,8 @@
 type Pending =
   | NoteQuestion
   | { readonly kind: 'command'; readonly command: NoteCommand }
-  | { readonly kind: 'replace'; readonly replacement: Replacement };
+  | { readonly kind: 'replace'; readonly replacement: Replacement }
+  | { readonly kind: 'order'; readonly order: RolloutOrder };
 
 /** The state of the notes filter. The note book and the maps are updated in place. */
 export interface NotesState {
@@ -95,6 +110,12 @@
 
 type NotesStep = Step<NotesState, NotesOut>;
 
+/** Options of a {@link NotesFilter}. */
+export interface NotesFilterOptions {
+  /** Whether the deployment has roll-outs; otherwise orders and queries of them are refused. */
+  readonly hasRollouts?: boolean;
+}
+
 /**
  * Handles commands and queries of operators, and applies the commands that the log commits.
  *
@@ -103,6 +124,13 @@
  * answered once the proxies have the version, see {@link DelayedAcknowledgements}.
  */
 export class NotesFilter extends Filter<NotesState, NotesIn, NotesOut> {
+  readonly #hasRollouts: boolean;
+
+  constructor({ hasRollouts = false }: NotesFilterOptions = {}) {
+    super();
+    this.#hasRollouts = hasRollouts;
+  }
+
   override createState(): NotesState {
     return {
       store: new NoteStore(),
@@ -120,8 +148,10 @@
         return this.#handleCommand(state, message.id, message.command);
       case 'replace':
         return this.#handleReplace(state, message.id, message.replacement);
+      case 'order':
+        return this.#handleOrder(state, message.id, message.order, now);
       case 'question':
-        return sendConfirm(state, message.id, message.question);
+        return this.#handleQuestion(state, message.id, message.question);
       case 'cancel':
         state.pending.delete(message.id);
         state.waits.delete(message.id);
@@ -141,14 +171,30 @@
   // Internals.
 
   #handleCommand(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
-    if (state.store.decide(command).kind === 'step') return sendCheckedProposal(state, id, command);
+    if (state.store.decide(command).kind !== 'unchanged')
+      return sendCheckedProposal(state, id, command);
     return sendConfirm(state, id, { kind: 'command', command });
   }
 
+  /** Proposes an order with its deadline. A refusal is sent after leadership is confirmed, like that of a command. */
+  #handleOrder(state: NotesState, id: RequestId, order: RolloutOrder, now: Instant): NotesStep {
+    if (!this.#hasRollouts) return refuseRollouts(state, id);
+    const command = buildStartCommand(order, now);
+    if (state.store.decide(command).kind !== 'unchanged')
+      return sendCheckedProposal(state, id, command);
+    return sendConfirm(state, id, { kind: 'order', order });
+  }
+
+  #handleQuestion(state: NotesState, id: RequestId, question: NoteQuestion): NotesStep {
+    if (question.kind === 'rollout' && !this.#hasRollouts) return refuseRollouts(state, id);
+    return sendConfirm(state, id, question);
+  }
+
   /** Computes the changes of a replacement; the commit decides whether they still apply. */
   #handleReplace(state: NotesState, id: RequestId, replacement: Replacement): NotesStep {
     const command = state.store.buildReplaceCommand(replacement);
-    if (state.store.decide(command).kind === 'step') return sendCheckedProposal(state, id, command);
+    if (state.store.decide(command).kind !== 'unchanged')
+      return sendCheckedProposal(state, id, command);
     return sendConfirm(state, id, { kind: 'replace', replacement });
   }
 
@@ -215,6 +261,14 @@
         const command = state.store.buildReplaceCommand(pending.replacement);
         return this.#answerCommand(state, id, command, now);
       }
+      case 'order':
+        return this.#answerCommand(state, id, buildStartCommand(pending.order, now), now);
+      case 'rollout': {
+        const { service } = pending;
+        const found = state.store.findRollout(service);
+        const rollout = found?.state === 'initial' ? undefined : found;
+        return { state, outputs: [{ kind: 'rollout', id, service, rollout }] };
+      }
       case 'replacement': {
         const { replacement } = state.store;
         return { state, outputs: [{ kind: 'document', id, replacement }] };
@@ -233,7 +287,7 @@
   /** Sends the refusal of a command, or proposes the command if it is no longer refused. */
   #answerCommand(state: NotesState, id: RequestId, command: NoteCommand, now: Instant): NotesStep {
     const verdict = state.store.decide(command);
-    if (verdict.kind === 'step') return sendCheckedProposal(state, id, command);
+    if (verdict.kind !== 'unchanged') return sendCheckedProposal(state, id, command);
     return { state, outputs: this.#answer(state, id, verdict.answer, now) };
   }
 
@@ -295,9 +349,43 @@
 
 /** Proposes a command if it is within bounds. A command out of bounds is refused at once, in any state. */
 function sendCheckedProposal(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
+  const answer = findBoundRefusal(command);
+  if (answer === undefined) return sendProposal(state, id, command);
+  return { state, outputs: [{ kind: 'answer', id, answer }] };
+}
+
+function findBoundRefusal(command: NoteCommand): NoteAnswer | undefined {
+  if (isRolloutCommand(command)) {
+    const faults = listRolloutFaults(command);
+    return faults.length === 0 ? undefined : { kind: 'rollout-refused', faults };
+  }
   const faults = listBoundFaults(command);
-  if (faults.length === 0) return sendProposal(state, id, command);
-  return { state, outputs: [{ kind: 'answer', id, answer: { kind: 'refused', faults } }] };
+  return faults.length === 0 ? undefined : { kind: 'refused', faults };
+}
+
+function isRolloutCommand(command: NoteCommand): command is RolloutCommand {
+  return ROLLOUT_COMMANDS.has(command.kind);
+}
+
+const ROLLOUT_COMMANDS: ReadonlySet<NoteCommand['kind']> = new Set<RolloutCommand['kind']>([
+  'start-rollout',
+  'step-rollout',
+  'end-rollout',
+  'adopt-version',
+]);
+
+function buildStartCommand(
+  { service, to, durationMs }: RolloutOrder,
+  now: Instant,
+): RolloutCommand {
+  return { kind: 'start-rollout', service, to, startedAt: now, deadline: addMs(now, durationMs) };
+}
+
+function refuseRollouts(state: NotesState, id: RequestId): NotesStep {
+  const message =
+    'the settings of this source have no roll-outs; add the section [source.rollouts]';
+  const answer: NoteAnswer = { kind: 'rollouts-off', message };
+  return { state, outputs: [{ kind: 'answer', id, answer }] };
 }
 
 function sendProposal(state: NotesState, id: RequestId, command: NoteCommand): NotesStep {
--- a/src/notes/references.ts
+++ b/src/notes/references.ts
@@ -39,6 +39,7 @@
     case 'request-kind':
     case 'limits':
     case 'client-account':
+    case 'rollout':
       return [];
   }
 }
--- a/src/notes/resource-bounds.ts
+++ b/src/notes/resource-bounds.ts
@@ -2,7 +2,13 @@
  * The bounds of resources, for every front end. Every proxy can process resources within these bounds. They are
  * checked before a command enters the log, because the decision on a committed command must never change.
  */
-import type { ClientAccountResource, NoteCommand, NoteFault, Resource } from '../messages/index.js';
+import type {
+  ClientAccountResource,
+  NoteCommand,
+  NoteFault,
+  Resource,
+  RolloutCommand,
+} from '../messages/index.js';
 import { buildKey } from '../messages/index.js';
 
 /** The maximum length of a text in messages that distribute versions, in characters. */
@@ -15,6 +21,22 @@
 /** The maximum number of client accounts of a configuration. */
 export const MAX_CLIENT_ACCOUNTS = 1_000;
 
+/** The maximum time for a roll-out, one day. */
+export const MAX_ROLLOUT_MS = 86_400_000;
+
+/** Lists the faults of a command of a roll-out that is out of bounds. */
+export function listRolloutFaults(command: RolloutCommand): NoteFault[] {
+  if (command.kind === 'start-rollout') {
+    const durationMs = command.deadline - command.startedAt;
+    if (durationMs > 0 && durationMs <= MAX_ROLLOUT_MS) return [];
+    return [
+      { place: 'duration', message: `expected more than 0 and at most ${MAX_ROLLOUT_MS} ms` },
+    ];
+  }
+  if (command.kind !== 'step-rollout' || (command.share >= 0 && command.share <= 1)) return [];
+  return [{ place: 'share', message: 'expected 0 to 1' }];
+}
+
 /** Lists the faults of the resources in a command that are out of bounds. */
 export function listBoundFaults(command: NoteCommand): NoteFault[] {
   return listResources(command).flatMap((resource) => {
@@ -37,7 +59,7 @@
       return [...command.draft.add, ...command.draft.change];
     case 'replace':
       return command.changes.flatMap((change) => (change.op === 'put' ? change.resource : []));
-    case 'withdraw':
+    default:
       return [];
   }
 }
@@ -48,6 +70,7 @@
   return [
     ...texts.map(([field]) => `${field}: longer than ${MAX_TEXT_CHARACTERS} characters`),
     ...timeouts.map(([field]) => `${field}: expected at most ${MAX_TIMEOUT_MS} ms`),
+    ...(resource.kind === 'rollout' ? ['a roll-out is no part of a note; order it'] : []),
     ...(resource.kind === 'client-account' ? listAccountFaults(resource) : []),
     ...(hasExcessiveWeight(resource) ? [`targets: a weight is above ${MAX_WEIGHT}`] : []),
   ];
--- a/src/program/commands/format-note.ts
+++ b/src/program/commands/format-note.ts
@@ -33,6 +33,12 @@
       return `rested on: ${formatNotes(answer.notes)} need what this would take out; withdraw them first`;
     case 'unknown-note':
       return `unknown note: there is no note ${answer.number}`;
+    case 'rollout':
+    case 'rollout-in-progress':
+    case 'rollout-refused':
+    case 'rollout-moved':
+    case 'rollouts-off':
+      return `unexpected answer about a roll-out: ${answer.kind}`;
   }
 }
 
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -64,7 +64,7 @@
   const acknowledgements = new AcknowledgementLog({ log: options.log, clock });
   const notes = new FilterTask<NotesState, NotesIn, NotesOut>({
     name: 'notes',
-    filter: new NotesFilter(),
+    filter: new NotesFilter({ hasRollouts: settings.rollouts !== undefined }),
     clock,
     reportFailure,
     send: routeNotes,
--- a/src/program/settings/proxy-settings.ts
+++ b/src/program/settings/proxy-settings.ts
@@ -4,6 +4,8 @@
 import { buildIdSchema } from '../../edge/index.js';
 import type { Address, ServiceName } from '../../ids.js';
 import { parseServiceName } from '../../ids.js';
+import type { RolloutSettings } from './rollout-settings.js';
+import { rolloutsSchema } from './rollout-settings.js';
 import { addressSchema, buildMillisecondsSchema } from './schema-parts.js';
 
 /** Settings of the client accounts. */
@@ -41,6 +43,8 @@
   readonly stopWithinMs: number | undefined;
   readonly retries: RetryBudgetLimits;
   readonly accounts: AccountSettings;
+  /** The bounds of roll-outs; undefined if the deployment has none. */
+  readonly rollouts: RolloutSettings | undefined;
   /** Bandwidth of the host link in bytes per second; undefined disables the pacing of large answers. */
   readonly linkBytesPerSecond: number | undefined;
 }
@@ -87,6 +91,7 @@
     stop_within_seconds: z.number().positive().max(MAX_STOP_SECONDS).optional(),
     retries: retriesSchema.prefault({}),
     accounts: accountsSchema.prefault({}),
+    rollouts: rolloutsSchema.optional(),
     link_mbit_per_second: z.number().positive().optional(),
   })
   .refine(({ sources, seeds }) => sources.length + seeds.length > 0, {
@@ -95,7 +100,7 @@
   })
   .transform((section): ProxySettings => {
     const { linger_ms, link_mbit_per_second: rate, service, forwards, ready, ...others } = section;
-    const { stop_within_seconds: within, ...rest } = others;
+    const { stop_within_seconds: within, rollouts, ...rest } = others;
     const stopWithinMs = within === undefined ? undefined : within * MS_PER_SECOND;
     const linkBytesPerSecond = rate === undefined ? undefined : rate * BYTES_PER_MEGABIT;
     return {
@@ -106,5 +111,6 @@
       lingerMs: linger_ms,
       stopWithinMs,
       linkBytesPerSecond,
+      rollouts,
     };
   });
--- a/src/program/settings/source-settings.ts
+++ b/src/program/settings/source-settings.ts
@@ -4,6 +4,8 @@
 import type { Address, HostId } from '../../ids.js';
 import type { LogGrowth } from '../../log/index.js';
 import { parseHostId } from '../../ids.js';
+import type { RolloutSettings } from './rollout-settings.js';
+import { rolloutsSchema } from './rollout-settings.js';
 import {
   addressSchema,
   buildMillisecondsSchema,
@@ -31,6 +33,8 @@
   readonly operators: ReadonlyMap<HostId, Address>;
   /** Maximum time in milliseconds for which a request to wait for a note is held open. */
   readonly waitLimitMs: number;
+  /** The bounds of roll-outs; undefined if the deployment has none. */
+  readonly rollouts: RolloutSettings | undefined;
 }
 
 const DEFAULT_MAX_VOTERS = 7;
@@ -79,6 +83,7 @@
     growth: growthSchema.optional(),
     operators: z.record(buildIdSchema(parseHostId), addressSchema).default({}),
     wait_limit_ms: buildMillisecondsSchema(MIN_WAIT_MS, MAX_WAIT_MS).default(DEFAULT_WAIT_MS),
+    rollouts: rolloutsSchema.optional(),
   })
   .refine(({ replicas, growth }) => replicas === undefined || growth === undefined, {
     path: ['growth'],
@@ -92,4 +97,5 @@
     growth: table.growth?.growth,
     operators: new Map(Object.entries(table.operators) as [HostId, Address][]),
     waitLimitMs: table.wait_limit_ms,
+    rollouts: table.rollouts,
   }));
