Divide calls between versions of backend servers

Every announced server of a service got calls, whatever its version, so a new version could not be tried on a part of the calls.

A server's announcement has a version, which is published in the membership record only if the proxy's settings have roll-outs. It shares a field with the state, so records without it have the same bytes. The entry proxy picks the version of a call by the share of the record, evenly for each request kind, and then a server of that version. The candidates of each tier are limited for each version. A retry or hedge stays in its version; a call for the ordered version goes over to the version in use if no ordered server has room, and never comes back. At the whole share it does not go over, because the old servers are about to stop. Versions that no order has named get no calls; without a record, the most common version does.

--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -4,6 +4,7 @@
 import type { AttemptFailure, RefusalOutcome } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
+import { VersionShares } from '../rollouts/index.js';
 import type { AttemptIn, AttemptOut } from './attempt-messages.js';
 import {
   buildObservation,
@@ -40,6 +41,8 @@
   readonly picker: Picker;
   /** Limits of the retry budget of each service. */
   readonly retries?: RetryBudgetLimits | undefined;
+  /** Present if the deployment has roll-outs: a random number from 0 to 1 for each rotation of versions. */
+  readonly versionPhase?: (() => number) | undefined;
 }
 
 /**
@@ -61,13 +64,16 @@
   }
 
   override createState(): AttemptState {
+    const { place, versionPhase } = this.#options;
+    const versions = versionPhase === undefined ? undefined : new VersionShares(versionPhase);
     return {
-      servers: new ServerTable(this.#options.place),
+      servers: new ServerTable(place, versions),
+      versions,
       calls: new Map(),
       attempts: new Map(),
       retryBudgets: new Map(),
       latencies: new Map(),
-      guardRoundTrips: new GuardRoundTrips(this.#options.place.host),
+      guardRoundTrips: new GuardRoundTrips(place.host),
       timers: new DeadlineHeap(),
       answerBy: NEVER,
     };
@@ -89,6 +95,9 @@
       case 'member-gone':
         state.servers.apply(message, now);
         return [];
+      case 'whole':
+        state.servers.updateVersions(state.versions?.update(message.configuration) ?? []);
+        return [];
       case 'claimed':
         return this.#openCall(state, message.call, now);
       case 'answer-started':
@@ -115,6 +124,7 @@
     const routed: RoutedCall = { ...claimed, deadline };
     const call: OpenCall = {
       routed,
+      side: state.versions?.pickSide(routed.service, routed.requestKind.name) ?? 'any',
       triedServers: new Set(),
       declinedBy: [],
       running: new Set(),
@@ -151,7 +161,7 @@
     const hasShed = message.status === STATUS_SHED;
     const hasFailed = message.status >= FIRST_FAILURE_STATUS;
     if (hasFailed && !hasShed) {
-      applyFailure(record, state.servers.listTiers(call.routed.service), now);
+      applyFailure(record, state.servers.listTiers(call.routed.service, call.side), now);
     }
     if (hasFailed && call.routed.requestKind.idempotent && call.relayedAttempt === undefined) {
       const { address: server } = record.announcement;
--- a/src/calls/attempt-messages.ts
+++ b/src/calls/attempt-messages.ts
@@ -10,6 +10,7 @@
   RefusalOutcome,
   RefusalReason,
 } from '../messages/index.js';
+import type { Configuration } from '../notes/index.js';
 import type { WakeRequest } from '../pipe/index.js';
 import type { Cancel } from './attempt-state.js';
 import type { RoutedCall } from './classify-filter.js';
@@ -17,6 +18,8 @@
 /** Inputs of the attempt filter. */
 export type AttemptIn =
   | MemberEvent
+  /** A configuration, of which only the records of roll-outs matter here. */
+  | { readonly kind: 'whole'; readonly configuration: Configuration }
   | { readonly kind: 'claimed'; readonly call: RoutedCall }
   /** The head of an answer has arrived; no byte of the answer has been relayed yet. */
   | {
--- a/src/calls/attempt-outcome.ts
+++ b/src/calls/attempt-outcome.ts
@@ -42,8 +42,8 @@
   if (isExemptFromBudget(failure)) record.avoidedUntil = addMs(now, AVOID_MS);
   if (failure.reason !== 'upstream-failed') return [];
   if (failure.outcome === 'unknown') call.suspect = true;
-  const { service } = call.routed;
-  applyFailure(record, state.servers.listTiers(service), now);
+  const tiers = state.servers.listTiers(call.routed.service, call.side);
+  applyFailure(record, tiers, now);
   return [buildObservation(record, 'failed')];
 }
 
--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -38,8 +38,7 @@
    */
   start(state: AttemptState, call: OpenCall, now: Instant, last?: PreviousAttempt): AttemptOut[] {
     const { service, head, requestKind, worth, account, deadline, aim, subject } = call.routed;
-    const tiers = state.servers.listTiers(service);
-    const record = this.#picker.pick(tiers, buildPickContext(call, now));
+    const record = this.#pick(state, call, now);
     if (record === undefined) return [];
     const server = record.announcement.address;
     const { host } = record.member;
@@ -124,9 +123,27 @@
     return this.#hasAlternative(state, call, now);
   }
 
+  /**
+   * Picks a server of the version of the call. A call for an ordered version goes over to the version in use when
+   * the roll-out has ended, or when no server of the ordered version has room; it never comes back.
+   */
+  #pick(state: AttemptState, call: OpenCall, now: Instant): ServerRecord | undefined {
+    const { service } = call.routed;
+    const context = buildPickContext(call, now);
+    if (call.side === 'ordered') {
+      const rule = state.versions?.findRule(service);
+      const tiers = state.servers.listTiers(service, call.side);
+      const isKept =
+        rule?.isRunning === true && (!rule.mayFallBack || this.#picker.hasRoom(tiers, context));
+      if (isKept) return this.#picker.pick(tiers, context);
+      call.side = 'in-use';
+    }
+    return this.#picker.pick(state.servers.listTiers(service, call.side), context);
+  }
+
   /** Tells whether an untried server is believed to have a free slot. */
   #hasAlternative(state: AttemptState, call: OpenCall, now: Instant): boolean {
-    const tiers = state.servers.listTiers(call.routed.service);
+    const tiers = state.servers.listTiers(call.routed.service, call.side);
     return this.#picker.hasRoom(tiers, buildPickContext(call, now));
   }
 }
--- a/src/calls/attempt-state.ts
+++ b/src/calls/attempt-state.ts
@@ -1,5 +1,6 @@
 /** The state of the attempt filter: open calls, their attempts and the estimates per service. */
 import type { Address, AttemptId, CallId, Instant, ServiceName } from '../ids.js';
+import type { VersionShares, VersionSide } from '../rollouts/index.js';
 import type { RoutedCall } from './classify-filter.js';
 import type { DeadlineHeap } from './deadline-heap.js';
 import type { GuardRoundTrips } from './guard-round-trips.js';
@@ -11,6 +12,8 @@
 /** The state of the attempt filter. */
 export interface AttemptState {
   readonly servers: ServerTable;
+  /** The rules for versions of servers; undefined if the deployment has no roll-outs. */
+  readonly versions: VersionShares | undefined;
   readonly calls: Map<CallId, OpenCall>;
   readonly attempts: Map<AttemptId, OpenAttempt>;
   readonly retryBudgets: Map<ServiceName, RetryBudget>;
@@ -24,6 +27,8 @@
 /** A call whose answer is not complete yet. */
 export interface OpenCall {
   routed: RoutedCall;
+  /** The servers that its next attempt may go to. */
+  side: VersionSide;
   readonly triedServers: Set<Address>;
   readonly running: Set<AttemptId>;
   /** Servers that declined the call, in the order in which they were asked. */
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -28,6 +28,8 @@
   readonly retries?: RetryBudgetLimits | undefined;
   /** Whether keys are accepted only until the instant of the last `keys-trusted`. */
   readonly isRevocationStrict?: boolean | undefined;
+  /** See {@link AttemptOptions.versionPhase}. */
+  readonly versionPhase?: (() => number) | undefined;
 }
 
 /** The states of the filters, and the attempts at backend servers beside this proxy. */
@@ -52,11 +54,12 @@
   readonly #attempt: AttemptFilter;
   readonly #guard: GuardFilter;
 
-  constructor({ place, picker, createPolicy, retries, isRevocationStrict }: CallPipeOptions) {
+  constructor(options: CallPipeOptions) {
     super();
+    const { place, picker, createPolicy, retries, isRevocationStrict, versionPhase } = options;
     this.#host = place.host;
     this.#classify = new ClassifyFilter(place.host, isRevocationStrict);
-    this.#attempt = new AttemptFilter({ place, picker, retries });
+    this.#attempt = new AttemptFilter({ place, picker, retries, versionPhase });
     this.#guard = new GuardFilter(createPolicy);
   }
 
@@ -89,6 +92,9 @@
     const { state } = context;
     switch (message.kind) {
       case 'whole':
+        this.#passToClassify(context, message);
+        if (state.attempt.versions !== undefined) this.#passToAttempt(context, message);
+        return;
       case 'stale':
       case 'keys-trusted':
         this.#passToClassify(context, message);
--- a/src/calls/server-table.ts
+++ b/src/calls/server-table.ts
@@ -15,6 +15,8 @@
   MemberEvent,
   ServerState,
 } from '../messages/index.js';
+import type { VersionShares, VersionSide } from '../rollouts/index.js';
+import { findCommonVersion } from '../rollouts/index.js';
 import { RunTimes } from './run-times.js';
 import { hashText } from './split.js';
 
@@ -64,12 +66,15 @@
  */
 export class ServerTable {
   readonly #place: Locality;
+  readonly #versions: VersionShares | undefined;
   readonly #members = new Map<HostId, Member>();
   readonly #services = new Map<ServiceName, ServiceEntry>();
   readonly #proxies = new Set<HostId>();
 
-  constructor(place: Locality) {
+  /** @param versions The rules for versions, if the deployment has roll-outs. */
+  constructor(place: Locality, versions?: VersionShares) {
     this.#place = place;
+    this.#versions = versions;
   }
 
   /** The number of proxies, including this one. */
@@ -86,11 +91,19 @@
   }
 
   /** Lists the candidates of a service in four tiers: own host, data centre, region, elsewhere. */
-  listTiers(service: ServiceName): LocalityTiers {
+  listTiers(service: ServiceName, side: VersionSide = 'any'): LocalityTiers {
     const entry = this.#services.get(service);
     if (entry === undefined) return [];
-    entry.tiers ??= this.#buildTiers(entry);
-    return entry.tiers;
+    const known = entry.tiers.get(side);
+    if (known !== undefined) return known;
+    const tiers = this.#buildTiers(service, entry, side);
+    entry.tiers.set(side, tiers);
+    return tiers;
+  }
+
+  /** Forgets the candidates of services whose rules for versions have changed. */
+  updateVersions(services: readonly ServiceName[]): void {
+    for (const service of services) this.#services.get(service)?.tiers.clear();
   }
 
   /** Finds the record of a backend server. */
@@ -119,7 +132,7 @@
 
   #removeServer({ service, address }: Announcement): void {
     const entry = this.#services.get(service);
-    if (entry?.servers.delete(address)) entry.tiers = undefined;
+    if (entry?.servers.delete(address)) entry.tiers.clear();
     if (entry?.servers.size === 0) this.#services.delete(service);
   }
 
@@ -130,6 +143,7 @@
     const previous = entry.servers.get(address);
     const isWarm =
       previous !== undefined && isServing(previous.announcement.state) && isServing(state);
+    const hasNewVersion = previous?.announcement.version !== announcement.version;
     const record = previous ?? makeRecord(member, announcement, now);
     const readySince = isWarm ? record.readySince : now;
     const restarted = previous?.member.pass !== member.pass;
@@ -139,15 +153,28 @@
     if (restarted || !isWarm) record.avoidedUntil = now;
     if (!isWarm) record.runTimes.clear();
     entry.servers.set(address, record);
-    if (previous === undefined) entry.tiers = undefined;
+    if (previous === undefined || hasNewVersion) entry.tiers.clear();
   }
 
-  #buildTiers({ servers }: ServiceEntry): LocalityTiers {
+  #buildTiers(service: ServiceName, entry: ServiceEntry, side: VersionSide): LocalityTiers {
     const tiers: ServerRecord[][] = TIER_SIZES.map(() => []);
-    for (const record of servers.values()) tiers[this.#findTier(record.member)]?.push(record);
+    for (const record of this.#listServers(service, entry, side)) {
+      tiers[this.#findTier(record.member)]?.push(record);
+    }
     return tiers.map((tier, index) => this.#limitTier(tier, TIER_SIZES[index] ?? 0));
   }
 
+  /** Lists the servers of a side. Without a rule, those of the most common version are in use. */
+  #listServers(service: ServiceName, { servers }: ServiceEntry, side: VersionSide): ServerRecord[] {
+    const records = [...servers.values()];
+    if (side === 'any') return records;
+    const rule = this.#versions?.findRule(service);
+    if (rule !== undefined)
+      return records.filter(({ announcement }) => rule.matches(side, announcement.version));
+    const common = findCommonVersion(records.map(({ announcement }) => announcement.version));
+    return records.filter(({ announcement }) => (announcement.version ?? common) === common);
+  }
+
   #findTier(member: Member): number {
     if (member.host === this.#place.host) return 0;
     if (member.dataCentre === this.#place.dataCentre) return 1;
@@ -170,14 +197,15 @@
 
 interface ServiceEntry {
   readonly servers: Map<Address, ServerRecord>;
-  tiers: LocalityTiers | undefined;
+  /** The candidates of each side that has been asked for. */
+  readonly tiers: Map<VersionSide, LocalityTiers>;
 }
 
 /** Maximum number of candidates per tier: own host, data centre, region, elsewhere. */
 const TIER_SIZES = [4, 16, 8, 8];
 
 function makeEntry(): ServiceEntry {
-  return { servers: new Map(), tiers: undefined };
+  return { servers: new Map(), tiers: new Map() };
 }
 
 function makeRecord(member: Member, announcement: Announcement, now: Instant): ServerRecord {
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -73,6 +73,8 @@
   readonly observer?: CallObserver;
   readonly picker?: Picker;
   readonly createPolicy?: () => SlotPolicy;
+  /** Whether the deployment has roll-outs, so that versions of backend servers matter. */
+  readonly hasRollouts?: boolean;
   /** The bandwidth of the link of this host, if configured; large answers are paced to a part of it. */
   readonly linkBytesPerSecond?: number | undefined;
 }
@@ -207,13 +209,14 @@
 
   protected override createPipe(messages: Stream<CallIn | LinkUse>): Stream<unknown> {
     const { place, clock, random, picker, createPolicy, retries } = this.#options;
-    const { isRevocationStrict } = this.#options;
+    const { isRevocationStrict, hasRollouts } = this.#options;
     const pipe = new CallPipe({
       place,
       picker: picker ?? new TwoChoicesPicker(random),
       createPolicy: createPolicy ?? (() => new PrioritySlotPolicy()),
       retries,
       isRevocationStrict,
+      versionPhase: hasRollouts === true ? () => random.next() : undefined,
     });
     const forPipe = messages.filter((message): message is CallIn => !this.#handleLinkUse(message));
     return applyFilter(pipe, clock, forPipe).tap((output) => {
--- a/src/edge/default-announce-front.ts
+++ b/src/edge/default-announce-front.ts
@@ -4,10 +4,11 @@
 import type { Result } from '../errors.js';
 import { makeError, makeOk } from '../errors.js';
 import type { Instant } from '../ids.js';
-import { parseAddress, parseServiceName } from '../ids.js';
+import { parseAddress, parseServerVersion, parseServiceName } from '../ids.js';
 import type { Announcement } from '../messages/index.js';
 import type { AnnounceAnswer, AnnounceHttpRequest, AnnounceRequest } from './announce-front.js';
 import { AnnounceFront } from './announce-front.js';
+import { buildIdSchema } from './id-schema.js';
 
 /** Parses announcements in the format described in docs/OPERATORS.md. */
 export class DefaultAnnounceFront extends AnnounceFront {
@@ -52,6 +53,7 @@
   slots: z.int().min(1),
   connections: z.int().min(1),
   state: z.enum(['starting', 'ready', 'draining', 'leaving']),
+  version: buildIdSchema(parseServerVersion).optional(),
   heartbeat_ms: z.int().min(1).max(MAX_HEARTBEAT_MS),
 });
 
@@ -63,6 +65,7 @@
     slots: body.slots,
     connections: body.connections,
     state: body.state,
+    ...(body.version === undefined ? {} : { version: body.version }),
     heartbeatDeadline: addMs(now, body.heartbeat_ms),
   };
 }
--- a/src/edge/member-codec.ts
+++ b/src/edge/member-codec.ts
@@ -11,6 +11,7 @@
   parseHostId,
   parseInstanceId,
   parseRegionId,
+  parseServerVersion,
   parseServiceName,
   splitAddress,
 } from '../ids.js';
@@ -141,10 +142,12 @@
   ];
 }
 
+/** The version shares a field with the state, so that records without versions stay as they were. */
 function encodeServer(server: Announcement, control: Address): unknown[] {
-  const { service, slots, connections, state } = server;
+  const { service, slots, connections, state, version } = server;
   const address = encodeRelativeAddress(server.address, control);
-  return [service, address, slots, connections, SERVER_STATES.indexOf(state)];
+  const tag = SERVER_STATES.indexOf(state);
+  return [service, address, slots, connections, version === undefined ? tag : [tag, version]];
 }
 
 /** Encodes an address on the same host as `control` as its port alone. */
@@ -187,7 +190,8 @@
 }
 
 function decodeServer(fields: readonly unknown[], control: Address): Announcement {
-  const state = SERVER_STATES[readCount(fields[4])];
+  const [tag, version] = Array.isArray(fields[4]) ? readList(fields[4]) : [fields[4]];
+  const state = SERVER_STATES[readCount(tag)];
   if (state === undefined) throw new MemberCodecError('unknown state of a backend server');
   return {
     service: parseServiceName(readText(fields[0])),
@@ -195,6 +199,7 @@
     slots: readCount(fields[2]),
     connections: readCount(fields[3]),
     state,
+    ...(version === undefined ? {} : { version: parseServerVersion(readText(version)) }),
     heartbeatDeadline: NEVER,
   };
 }
--- a/src/members/own-record.ts
+++ b/src/members/own-record.ts
@@ -59,6 +59,7 @@
     left.service === right?.service &&
     left.address === right.address &&
     left.instance === right.instance &&
+    left.version === right.version &&
     left.slots === right.slots &&
     left.connections === right.connections &&
     left.state === right.state
--- a/src/members/update-size.ts
+++ b/src/members/update-size.ts
@@ -20,6 +20,7 @@
 const FIXED_BYTES = 28;
 const RECORD_BYTES = 46;
 const SERVER_BYTES = 28;
+const VERSION_BYTES = 3;
 
 function estimateRecord({ member }: Extract<MemberUpdate, { kind: 'record' }>): number {
   const { host, region, dataCentre, control, calls, pass } = member;
@@ -27,6 +28,7 @@
   for (const text of [host, region, dataCentre, control, calls, pass]) bytes += text.length;
   for (const server of member.servers) {
     bytes += SERVER_BYTES + server.service.length + server.address.length;
+    if (server.version !== undefined) bytes += VERSION_BYTES + server.version.length;
   }
   return bytes;
 }
--- a/src/messages/member.ts
+++ b/src/messages/member.ts
@@ -8,6 +8,7 @@
   InstanceId,
   Instant,
   RegionId,
+  ServerVersion,
   ServiceName,
   Version,
 } from '../ids.js';
@@ -30,6 +31,8 @@
   readonly sequence?: number;
   /** When the backend server expects to be warmed up; defaults to a fixed time after it becomes ready. */
   readonly warmAt?: Instant;
+  /** The version of the server's software, if it announces one and the deployment has roll-outs. */
+  readonly version?: ServerVersion;
   /** The maximum number of concurrent calls of the backend server. */
   readonly slots: number;
   /** The maximum number of concurrent connections of the backend server. */
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -71,6 +71,7 @@
     retries: proxy.retries,
     isRevocationStrict: proxy.accounts.isRevocationStrict,
     linkBytesPerSecond: proxy.linkBytesPerSecond,
+    hasRollouts: proxy.rollouts !== undefined,
     place: settings,
     pass: options.pass,
     clock,
@@ -148,7 +149,7 @@
     }
     const { announcement } = request;
     const isOwn = proxy.service === undefined || announcement.service === proxy.service;
-    if (isOwn) postMembers(request);
+    if (isOwn) postMembers(proxy.rollouts === undefined ? removeVersion(request) : request);
     else log('announcement-ignored', { service: announcement.service });
   }
 
@@ -329,6 +330,12 @@
   readonly rejected: Partial<Record<DistributionFault['kind'], number>>;
 }
 
+/** Versions of backend servers are published only where there are roll-outs. */
+function removeVersion(request: Extract<AnnounceRequest, { kind: 'announce' }>): AnnounceRequest {
+  const { version, ...announcement } = request.announcement;
+  return version === undefined ? request : { kind: 'announce', announcement };
+}
+
 function addHeldAnswerMetrics(registry: MetricsRegistry, calls: CallTask): void {
   const answers = new Gauge('link_held_answers', 'Answers that wait for the link.', () => [
     { value: calls.heldAnswers.answers },
--- /dev/null
+++ b/src/rollouts/index.ts
@@ -0,0 +1,4 @@
+/** Roll-outs: which version of a service's backend servers gets its calls, and whether a new one is good. */
+export { findCommonVersion, VersionRule } from './version-rule.js';
+export type { VersionSide } from './version-rule.js';
+export { VersionShares } from './version-shares.js';
