Decide how a roll-out goes on from the evidence of all proxies

Nothing told a good version from a bad one.

RolloutDecision takes totals of runs, failures and run times by server and request kind, and compares the ordered version with the one in use at the same time: cumulative sums of log likelihood ratios, for failures and for slow runs, for each request kind and for all together. A sum also counts without each server that had several bad runs, so that one sick server condemns no version. The share rises in stages that keep what the version has got, and what it gets until a verdict, in the bound; a control group stays at the version in use until shortly before the whole share.

--- a/src/messages/rollout.ts
+++ b/src/messages/rollout.ts
@@ -1,5 +1,12 @@
 /** Roll-outs: orders to move a service to another version of its backend servers, and their steps. */
-import type { Instant, ServerVersion, ServiceName, Version } from '../ids.js';
+import type {
+  Address,
+  Instant,
+  RequestKindName,
+  ServerVersion,
+  ServiceName,
+  Version,
+} from '../ids.js';
 import type { NoteFault } from './note.js';
 import type { RolloutResource } from './resource.js';
 
@@ -58,3 +65,36 @@
   | { readonly kind: 'rollout-moved'; readonly service: ServiceName }
   /** The settings of this deployment have no roll-outs. */
   | { readonly kind: 'rollouts-off'; readonly message: string };
+
+/** The runs of one request kind at one backend server since the order of a roll-out. */
+export interface RunCounts {
+  readonly server: Address;
+  readonly requestKind: RequestKindName;
+  /** Whether the server has the ordered version; otherwise it has the one in use. */
+  readonly isOrdered: boolean;
+  /** The runs that have begun. */
+  readonly begun: number;
+  /** The runs that have ended with an answer or a failure. */
+  readonly ended: number;
+  readonly failed: number;
+  /** The run times by bucket, except those of servers that are warming up. */
+  readonly runTimes: readonly number[];
+}
+
+/** What a proxy has counted for one running roll-out. All counts are totals, so that a lost report costs nothing. */
+export interface RolloutEvidence {
+  readonly service: ServiceName;
+  readonly order: Version;
+  /** The step that this proxy applies. */
+  readonly step: number;
+  /** The runs in progress at servers of the version in use. */
+  readonly runningInUse: number;
+  readonly counts: readonly RunCounts[];
+}
+
+/** Messages of the channel `rollouts`. */
+export type RolloutMessage =
+  /** From a proxy to the sources. */
+  | { readonly kind: 'evidence'; readonly rollouts: readonly RolloutEvidence[] }
+  /** From the leader to a proxy: its report has been heard. */
+  | { readonly kind: 'heard' };
--- a/src/rollouts/index.ts
+++ b/src/rollouts/index.ts
@@ -2,3 +2,11 @@
 export { findCommonVersion, VersionRule } from './version-rule.js';
 export type { VersionSide } from './version-rule.js';
 export { VersionShares } from './version-shares.js';
+export { RolloutDecision, TURN_MS } from './rollout-decision.js';
+export type {
+  ExposureBounds,
+  RolloutFigures,
+  RolloutVerdict,
+  RolloutView,
+} from './rollout-decision.js';
+export { findBucket, RUN_TIME_BUCKETS } from './run-times.js';
