Run roll-outs: count runs at the proxies, and let the leader step the record

The record of a roll-out changed only by hand, and the decision had no evidence.

While a roll-out runs, the proxy beside a backend server counts its runs, failures and run times by request kind, and sends the totals to all sources every 250 ms, so that a new leader knows as much as the former one. The leading source decides and proposes each step and the end; it also records the version in use of a service when its servers first announce one. It confirms each report. A proxy that has not been confirmed for 1.5 s keeps its calls from the ordered version if its own calls to it fail three times as often as those to the version in use.

--- a/bench/small-mesh.ts
+++ b/bench/small-mesh.ts
@@ -41,19 +41,22 @@
 
 /**
  * Starts the mesh and waits until every process has logged its start. The first `serverCount` proxies have a
- * backend server. `proxySettings` are additional lines of the settings section `[proxy]`.
+ * backend server. `proxySettings` and `sourceSettings` are additional lines of the settings sections `[proxy]` and
+ * `[source]`.
  */
 export async function startSmallMesh(
   proxyCount = 2,
   serverCount = proxyCount,
   proxySettings = '',
+  sourceSettings = '',
 ): Promise<SmallMesh> {
   const mesh = new Mesh();
   const sourceControl = await findFreeAddress();
   const operator = await findFreeAddress();
   const tokenFile = mesh.writeFile('token', 'test-token');
   mesh.createFolder('data');
-  const processes = [mesh.startProgram('source', buildSource(sourceControl, operator))];
+  const source = `${buildSource(sourceControl, operator)}${sourceSettings}\n`;
+  const processes = [mesh.startProgram('source', source)];
   const calls: string[] = [];
   const announceAddresses: string[] = [];
   for (let index = 0; index < proxyCount; index += 1) {
--- a/src/calls/attempt-filter.ts
+++ b/src/calls/attempt-filter.ts
@@ -98,6 +98,9 @@
       case 'whole':
         state.servers.updateVersions(state.versions?.update(message.configuration) ?? []);
         return [];
+      case 'leader-heard':
+        state.versions?.updateTrust(message.until);
+        return [];
       case 'claimed':
         return this.#openCall(state, message.call, now);
       case 'answer-started':
@@ -124,7 +127,7 @@
     const routed: RoutedCall = { ...claimed, deadline };
     const call: OpenCall = {
       routed,
-      side: state.versions?.pickSide(routed.service, routed.requestKind.name) ?? 'any',
+      side: state.versions?.pickSide(routed.service, routed.requestKind.name, now) ?? 'any',
       triedServers: new Set(),
       declinedBy: [],
       running: new Set(),
@@ -160,6 +163,7 @@
     }
     const hasShed = message.status === STATUS_SHED;
     const hasFailed = message.status >= FIRST_FAILURE_STATUS;
+    state.versions?.addOutcome(call.routed.service, call.side, hasFailed);
     if (hasFailed && !hasShed) {
       applyFailure(record, state.servers.listTiers(call.routed.service, call.side), now);
     }
--- a/src/calls/attempt-messages.ts
+++ b/src/calls/attempt-messages.ts
@@ -20,6 +20,8 @@
   | MemberEvent
   /** A configuration, of which only the records of roll-outs matter here. */
   | { readonly kind: 'whole'; readonly configuration: Configuration }
+  /** The leader of the roll-outs hears this proxy until this instant. */
+  | { readonly kind: 'leader-heard'; readonly until: Instant }
   | { readonly kind: 'claimed'; readonly call: RoutedCall }
   /** The head of an answer has arrived; no byte of the answer has been relayed yet. */
   | {
--- a/src/calls/attempt-outcome.ts
+++ b/src/calls/attempt-outcome.ts
@@ -41,6 +41,7 @@
 ): CallObservation[] {
   if (isExemptFromBudget(failure)) record.avoidedUntil = addMs(now, AVOID_MS);
   if (failure.reason !== 'upstream-failed') return [];
+  state.versions?.addOutcome(call.routed.service, call.side, true);
   if (failure.outcome === 'unknown') call.suspect = true;
   const tiers = state.servers.listTiers(call.routed.service, call.side);
   applyFailure(record, tiers, now);
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -14,6 +14,7 @@
   VerifiedAccount,
 } from '../messages/index.js';
 import type { Configuration } from '../notes/index.js';
+import type { RunBegun, RunOver } from '../rollouts/index.js';
 import type { AttemptOut } from './attempt-messages.js';
 import type { GuardOut, RunEnding } from './guard-filter.js';
 import type { ForwardedAttempt, IntakeIn, IntakeOut } from './intake-filter.js';
@@ -25,6 +26,8 @@
   | { readonly kind: 'stale'; readonly isStale: boolean }
   /** Until when keys may be accepted by the held version; sent only if revocation is strict. */
   | { readonly kind: 'keys-trusted'; readonly until: Instant }
+  /** The leader of the roll-outs hears this proxy until this instant. */
+  | { readonly kind: 'leader-heard'; readonly until: Instant }
   | MemberEvent
   | { readonly kind: 'broadcast'; readonly item: CrashSeen }
   /** A call from a caller. */
@@ -96,5 +99,8 @@
   | Extract<IntakeOut, { kind: 'want-turn' }>
   | { readonly kind: 'replay'; readonly id: CallId; readonly answer: StoredAnswer }
   | { readonly kind: 'ledger'; readonly request: LedgerRequest }
+  /** Runs at backend servers beside this proxy, only while a roll-out runs. */
+  | RunBegun
+  | RunOver
   /** The limits on requests of callers that apply from now on. */
   | { readonly kind: 'limits'; readonly limits: LimitsResource };
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -18,6 +18,7 @@
 import type { Picker } from './picker.js';
 import type { RetryBudgetLimits } from './retry-budget.js';
 import type { Locality } from './server-table.js';
+import { RunObserver } from './run-observer.js';
 import type { SlotPolicy } from './slot-policy.js';
 
 /** Options of {@link CallPipe}. */
@@ -40,6 +41,8 @@
   attempt: AttemptState;
   guard: GuardState;
   readonly guarded: Map<AttemptId, GuardedAttempt>;
+  /** The runs beside this proxy that a roll-out counts. */
+  readonly runs: RunObserver;
   /** Servers beside this proxy with a failed forwarded attempt and no answered one since. */
   readonly failing: Set<Address>;
   isDraining: boolean;
@@ -71,6 +74,7 @@
       attempt: this.#attempt.createState(),
       guard: this.#guard.createState(),
       guarded: new Map(),
+      runs: new RunObserver(),
       failing: new Set(),
       isDraining: false,
     };
@@ -99,6 +103,9 @@
       case 'keys-trusted':
         this.#passToClassify(context, message);
         return;
+      case 'leader-heard':
+        this.#passToAttempt(context, message);
+        return;
       case 'arrived':
         this.#accept(context, message.head);
         return;
@@ -171,6 +178,7 @@
     const load = context.state.guard.serversByAttempt
       .get(attempt)
       ?.measureLoadAfter(attempt, context.now);
+    context.outputs.push(...context.state.runs.handleAnswer(attempt, message.status));
     if (guarded?.isForwarded !== true)
       this.#passToAttempt(context, { ...message, load: load ?? message.load });
     else context.outputs.push({ kind: 'relay', id: guarded.id, attempt, load });
@@ -206,6 +214,7 @@
     const server = state.guard.serversByAttempt.get(attempt)?.address;
     const isForwarded = state.guarded.get(attempt)?.isForwarded === true;
     if (!state.guarded.delete(attempt)) return;
+    context.outputs.push(...state.runs.handleEnd(attempt, ending));
     this.#passToGuard(context, { kind: 'run-ended', attempt, ending });
     if (isForwarded && server !== undefined) this.#observe(context, server, ending);
   }
@@ -347,12 +356,15 @@
       const call = guarded.get(output.head.attempt);
       if (call === undefined) return;
       const { id, count, keepsAnswer } = call;
+      if (context.state.attempt.versions?.hasRunning === true)
+        context.outputs.push(context.state.runs.handleStart(output.head, context.now));
       context.outputs.push({ ...output, id, count, keepsAnswer });
     } else if (output.kind === 'reject') {
       const { attempt, reason, load } = output;
       const reportedLoad = load === undefined ? {} : { load };
       this.#rejectGuarded(context, attempt, { outcome: 'not-run', reason, ...reportedLoad });
     } else {
+      if (output.kind === 'stop-run') context.state.runs.handleStop(output);
       context.outputs.push(output);
     }
   }
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -42,7 +42,10 @@
 import { countRemaining, refuseBufferedAnswers } from './planned-stop.js';
 
 /** Outputs of the call task for other tasks. */
-export type CallNotice = Extract<CallOut, { kind: 'ledger' | 'observed' | 'broadcast' }>;
+export type CallNotice = Extract<
+  CallOut,
+  { kind: 'ledger' | 'observed' | 'broadcast' | 'run-begun' | 'run-over' }
+>;
 
 /** Reports bytes that other tasks sent over the link of this host. */
 export interface LinkUse {
@@ -324,6 +327,8 @@
       case 'ledger':
       case 'observed':
       case 'broadcast':
+      case 'run-begun':
+      case 'run-over':
         this.#options.send(output);
         return;
     }
--- a/src/messages/link.ts
+++ b/src/messages/link.ts
@@ -3,7 +3,7 @@
 
 /** The pipe that a message belongs to. The metric of control bytes has one series per channel. */
 export type LinkChannel =
-  'log' | 'ledger-log' | 'spread' | 'source-spread' | 'members' | 'ledger' | 'calls';
+  'log' | 'ledger-log' | 'spread' | 'source-spread' | 'members' | 'ledger' | 'calls' | 'rollouts';
 
 /** A message received over a link. `body` is a member of the channel's message union. */
 export interface ReceivedMessage<Body = unknown> {
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -71,6 +71,8 @@
   'answer-dropped': HIGH_RATE,
   'calls-stopped': HIGH_RATE,
   'loop-busy': LOW_RATE,
+  'rollout-decided': HIGH_RATE,
+  'rollout-recorded': HIGH_RATE,
 } satisfies Record<string, LineRate>;
 
 /** The name of a log event. Names are stable. */
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -32,6 +32,7 @@
 import type { Fronts } from './fronts.js';
 import type { Log } from './logger.js';
 import { ProxyReadiness } from './proxy-readiness.js';
+import { createEvidenceTask, readEvidenceEvent } from './proxy-rollouts.js';
 import { ReadinessAnswers } from './readiness-answers.js';
 import type { RecoveryLog } from './recovery-log.js';
 import type { RunningRole } from './running-role.js';
@@ -101,6 +102,19 @@
     send: routeDistribution,
     buildTick: () => ({ kind: 'tick' }),
   });
+  const evidence =
+    proxy.rollouts === undefined
+      ? undefined
+      : createEvidenceTask({
+          host: settings.host,
+          clock,
+          registry: options.registry,
+          reportFailure,
+          postLink,
+          postCalls: (message) => {
+            calls.post(message);
+          },
+        });
   const floor = createFloorTask(options, {
     notifyLoaded: (mark) => {
       distribution.post({ kind: 'start', floor: mark });
@@ -226,6 +240,7 @@
           resources: output.configuration.resources.size,
         });
         calls.post(output);
+        evidence?.post(output);
         if (output.configuration.resources.size === 0) return;
         readiness.handleServed(output.configuration.version);
         return;
@@ -239,10 +254,12 @@
 
   function routeCalls(notice: CallNotice): void {
     if (notice.kind === 'ledger') ledger.post({ kind: 'request', request: notice.request });
+    else if (notice.kind === 'run-begun' || notice.kind === 'run-over') evidence?.post(notice);
     else postMembers(notice);
   }
 
-  const tasks = [ledger, calls, distribution, announce, ...(floor === undefined ? [] : [floor])];
+  const optional = [floor, evidence].filter((task) => task !== undefined);
+  const tasks = [ledger, calls, distribution, announce, ...optional];
   readiness.start();
   if (ready !== undefined) await ready.start();
   for (const task of tasks) await task.start();
@@ -255,13 +272,17 @@
       if (reply !== undefined) ledger.post(reply);
       const message = readLinkEvent(event);
       if (message !== undefined) distribution.post(message);
+      const heard = evidence && readEvidenceEvent(event);
+      if (heard !== undefined) evidence?.post(heard);
     },
     handleBytesSent: (bytes) => {
       calls.post({ kind: 'link-used', bytes });
     },
     handleMembership: (event) => {
       calls.post(event);
-      if (event.kind !== 'broadcast') distribution.post(event);
+      if (event.kind === 'broadcast') return;
+      distribution.post(event);
+      evidence?.post(event);
     },
     handleSettings: ({ proxy: changed }) => {
       const sources = changed?.sources ?? [];
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -36,6 +36,7 @@
 import type { RunningRole } from './running-role.js';
 import type { SourceSettings } from './settings.js';
 import { SourcePeers } from './source-peers.js';
+import { createRolloutTask, readRolloutEvent } from './source-rollouts.js';
 import type { ReportStatus } from './status.js';
 
 /** Options of {@link runSource}. */
@@ -124,6 +125,20 @@
     },
   });
 
+  const rollouts =
+    settings.rollouts === undefined
+      ? undefined
+      : createRolloutTask({
+          settings: settings.rollouts,
+          clock,
+          log: options.log,
+          reportFailure,
+          postLink,
+          postNotes: (message) => {
+            notes.post(message);
+          },
+        });
+
   function routeNotes(output: Exclude<NotesOut, WakeRequest>): void {
     switch (output.kind) {
       case 'log':
@@ -136,10 +151,12 @@
         commits.handleCommitted(output.delta.version);
         acknowledgements.handleCommitted(output.delta.version);
         distribution.post(output);
+        rollouts?.post(output);
         return;
       case 'restored':
         recovery.report('version-restored', { version: output.configuration.version });
         distribution.post(output);
+        rollouts?.post(output);
         return;
       case 'report':
         report('source', output.report);
@@ -169,7 +186,10 @@
   /** Routes confirmations requested by the distribution to it, and all other notices to the notes. */
   function routeNotice(notice: NotesNotice): void {
     reportLeadership(notice);
-    if (notice.kind === 'leading') distribution.post({ kind: 'log', notice });
+    if (notice.kind === 'leading') {
+      distribution.post({ kind: 'log', notice });
+      rollouts?.post({ kind: 'leading', leading: notice.leading });
+    }
     const isForDistribution =
       (notice.kind === 'confirmed' || notice.kind === 'refused') &&
       isDistributionConfirmation(notice.id);
@@ -195,7 +215,7 @@
     }
   }
 
-  const tasks = [distribution, notes, log, operator];
+  const tasks = [distribution, ...(rollouts === undefined ? [] : [rollouts]), notes, log, operator];
   for (const task of tasks) await task.start();
   return {
     handleLink: (event) => {
@@ -205,10 +225,13 @@
       if (packet?.group === LOG_GROUP) log.post(packet.message);
       const message = readLinkEvent(event);
       if (message !== undefined) distribution.post(message);
+      const evidence = rollouts && readRolloutEvent(event);
+      if (evidence !== undefined) rollouts?.post(evidence);
     },
     handleMembership: (event) => {
       if (event.kind === 'broadcast') return;
       distribution.post(event);
+      rollouts?.post(event);
       if (peers.apply(event)) log.post({ kind: 'peers', addresses: peers.listControlAddresses() });
     },
     handleSettings: ({ source }) => {
--- a/src/rollouts/index.ts
+++ b/src/rollouts/index.ts
@@ -10,3 +10,13 @@
   RolloutView,
 } from './rollout-decision.js';
 export { findBucket, RUN_TIME_BUCKETS } from './run-times.js';
+export { EvidenceFilter } from './evidence-filter.js';
+export type {
+  EvidenceIn,
+  EvidenceOut,
+  EvidenceState,
+  RunBegun,
+  RunOver,
+} from './evidence-filter.js';
+export { RolloutFilter } from './rollout-filter.js';
+export type { RolloutIn, RolloutOut, RolloutState } from './rollout-filter.js';
--- a/src/rollouts/version-shares.ts
+++ b/src/rollouts/version-shares.ts
@@ -1,5 +1,5 @@
 /** Divides the calls of each service between the version in use and the ordered one. */
-import type { RequestKindName, ResourceKey, ServiceName, Version } from '../ids.js';
+import type { Instant, RequestKindName, ResourceKey, ServiceName } from '../ids.js';
 import type { Resource } from '../messages/index.js';
 import { buildKey } from '../messages/index.js';
 import type { Configuration, ResourceMap } from '../notes/index.js';
@@ -17,8 +17,9 @@
   readonly #rules = new Map<ServiceName, VersionRule>();
   /** The part of a call that each request kind of a service owes to the ordered version. */
   readonly #credits = new Map<string, number>();
-  /** The orders whose version this proxy no longer uses. */
-  readonly #braked = new Map<ServiceName, Version>();
+  /** The outcomes of this proxy's own calls since the order. */
+  readonly #outcomes = new Map<ServiceName, Outcomes>();
+  #trustedUntil = 0 as Instant;
   #resources: ResourceMap | undefined;
 
   /** @param phase Returns a random number from 0 to 1, so that proxies do not all begin with the same call. */
@@ -45,10 +46,16 @@
     return this.#rules.get(service);
   }
 
+  /** Whether any roll-out runs. */
+  get hasRunning(): boolean {
+    for (const { isRunning } of this.#rules.values()) if (isRunning) return true;
+    return false;
+  }
+
   /** Picks the side of one call. */
-  pickSide(service: ServiceName, requestKind: RequestKindName): VersionSide {
+  pickSide(service: ServiceName, requestKind: RequestKindName, now: Instant): VersionSide {
     const rule = this.#rules.get(service);
-    const share = rule === undefined || this.#isBraked(rule) ? 0 : rule.share;
+    const share = rule === undefined || this.#isBraked(service, now) ? 0 : rule.share;
     if (share <= 0) return 'in-use';
     if (share >= 1) return 'ordered';
     const key = `${service} ${requestKind}`;
@@ -58,15 +65,30 @@
     return isOrdered ? 'ordered' : 'in-use';
   }
 
-  /** Keeps calls from the ordered version of a service for as long as this order runs. */
-  addBrake(service: ServiceName, order: Version): void {
-    this.#braked.set(service, order);
+  /** Counts an answer or a failure of a call at a server of one side. */
+  addOutcome(service: ServiceName, side: VersionSide, hasFailed: boolean): void {
+    if (this.#rules.get(service)?.isRunning !== true || side === 'any') return;
+    const own = this.#outcomes.get(service) ?? makeOutcomes();
+    this.#outcomes.set(service, own);
+    own[side].runs += 1;
+    if (hasFailed) own[side].failed += 1;
+  }
+
+  /** Until this instant, the leader of the roll-outs hears this proxy and decides. */
+  updateTrust(until: Instant): void {
+    this.#trustedUntil = until;
   }
 
   // Internals.
 
-  #isBraked({ service, rollout }: VersionRule): boolean {
-    return this.#braked.get(service) === rollout.order;
+  /** Whether this proxy's own calls say that the ordered version is bad, and no leader hears it. */
+  #isBraked(service: ServiceName, now: Instant): boolean {
+    const own = this.#outcomes.get(service);
+    if (own === undefined || now <= this.#trustedUntil) return false;
+    const { ordered, 'in-use': inUse } = own;
+    if (ordered.failed < MIN_OWN_FAILURES) return false;
+    const expected = (inUse.failed + 1) / (inUse.runs + PRIOR_RUNS);
+    return ordered.failed / ordered.runs > expected * BRAKE_FACTOR;
   }
 
   #updateRule(key: ResourceKey, resource: Resource | undefined): ServiceName[] {
@@ -76,12 +98,13 @@
     }
     const { name, order } = resource;
     const isNewOrder = this.#rules.get(name)?.rollout.order !== order;
-    if (isNewOrder) this.#forgetCredits(name);
+    if (isNewOrder) this.#forgetOrder(name);
     this.#rules.set(name, new VersionRule(resource));
     return [name];
   }
 
-  #forgetCredits(service: ServiceName): void {
+  #forgetOrder(service: ServiceName): void {
+    this.#outcomes.delete(service);
     for (const key of this.#credits.keys()) {
       if (key.startsWith(`${service} `)) this.#credits.delete(key);
     }
@@ -91,6 +114,17 @@
 // Internals.
 
 const KEY_PREFIX = 'rollout/';
+/** A proxy brakes after this many failures, if the ordered version fails by this factor more often. */
+const MIN_OWN_FAILURES = 3;
+const BRAKE_FACTOR = 3;
+const PRIOR_RUNS = 20;
+
+/** The outcomes of the calls of one service by side. */
+type Outcomes = Record<Exclude<VersionSide, 'any'>, { runs: number; failed: number }>;
+
+function makeOutcomes(): Outcomes {
+  return { ordered: { runs: 0, failed: 0 }, 'in-use': { runs: 0, failed: 0 } };
+}
 
 function isRolloutKey(key: ResourceKey): boolean {
   return key.startsWith(KEY_PREFIX);
