--- a/src/program/proxy-rollouts.ts
+++ b/src/program/proxy-rollouts.ts
@@ -10,10 +10,12 @@
 import { FilterTask } from '../pipe/index.js';
 import type { EvidenceIn, EvidenceOut, EvidenceState } from '../rollouts/index.js';
 import { EvidenceFilter } from '../rollouts/index.js';
+import type { RolloutSettings } from './settings/rollout-settings.js';
 
 /** Options of {@link createEvidenceTask}. */
 export interface EvidenceTaskOptions {
   readonly host: HostId;
+  readonly settings: RolloutSettings;
   readonly clock: Clock;
   readonly registry: MetricsRegistry;
   readonly reportFailure: ReportFailure;
@@ -34,7 +36,7 @@
   );
   return new FilterTask<EvidenceState, EvidenceIn, EvidenceOut>({
     name: 'rollout-evidence',
-    filter: new EvidenceFilter(options.host),
+    filter: new EvidenceFilter(options.host, options.settings.rollbackMs),
     clock: options.clock,
     reportFailure: options.reportFailure,
     buildTick: () => ({ kind: 'tick' }),
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -107,6 +107,7 @@
       ? undefined
       : createEvidenceTask({
           host: settings.host,
+          settings: proxy.rollouts,
           clock,
           registry: options.registry,
           reportFailure,
--- a/src/program/source-rollouts.ts
+++ b/src/program/source-rollouts.ts
@@ -27,10 +27,10 @@
 
 /** Creates the task. */
 export function createRolloutTask(options: RolloutTaskOptions): RolloutTask {
-  const { exposureShare: share, exposureSlack: slack } = options.settings;
+  const { exposureShare: share, exposureSlack: slack, rollbackMs } = options.settings;
   return new FilterTask<RolloutState, RolloutIn, RolloutOut>({
     name: 'rollouts',
-    filter: new RolloutFilter({ share, slack }),
+    filter: new RolloutFilter({ share, slack }, rollbackMs),
     clock: options.clock,
     reportFailure: options.reportFailure,
     buildTick: () => ({ kind: 'tick' }),
--- a/src/rollouts/evidence-filter.ts
+++ b/src/rollouts/evidence-filter.ts
@@ -81,10 +81,13 @@
  */
 export class EvidenceFilter extends Filter<EvidenceState, EvidenceIn, EvidenceOut> {
   readonly #host: HostId;
+  readonly #trustMs: number;
 
-  constructor(host: HostId) {
+  /** @param rollbackMs The time within which calls to a bad version end. */
+  constructor(host: HostId, rollbackMs: number) {
     super();
     this.#host = host;
+    this.#trustMs = rollbackMs * TRUST_SHARE;
   }
 
   override createState(): EvidenceState {
@@ -129,7 +132,7 @@
         return endRun(state, message, now);
       case 'received':
         if (message.body.kind !== 'heard') return [];
-        state.leader = { address: message.address, until: addMs(now, TRUST_MS) };
+        state.leader = { address: message.address, until: addMs(now, this.#trustMs) };
         return [{ kind: 'leader-heard', until: state.leader.until }];
       case 'tick':
         state.isAwake = false;
@@ -140,8 +143,8 @@
 
 // Internals.
 
-/** After this time without a word of the leader, a proxy judges on its own. */
-const TRUST_MS = 1_500;
+/** After this part of the time without a word of the leader, a proxy brakes. */
+const TRUST_SHARE = 0.3;
 /** A full report once a second. */
 const TURNS_PER_FULL_REPORT = 4;
 /** Servers that do not say when they are warm are taken as cold for this time after they become ready. */
--- a/src/rollouts/rollout-filter.ts
+++ b/src/rollouts/rollout-filter.ts
@@ -57,10 +57,13 @@
 /** Every source collects the evidence, so that a new leader goes on from the record at once. */
 export class RolloutFilter extends Filter<RolloutState, RolloutIn, RolloutOut> {
   readonly #bounds: ExposureBounds;
+  readonly #stuckMs: number;
 
-  constructor(bounds: ExposureBounds) {
+  /** @param rollbackMs The time within which calls to a bad version end. */
+  constructor(bounds: ExposureBounds, rollbackMs: number) {
     super();
     this.#bounds = bounds;
+    this.#stuckMs = rollbackMs * STUCK_SHARE;
   }
 
   override createState(): RolloutState {
@@ -111,7 +114,7 @@
         state.members.delete(message.host);
         return [];
       case 'received':
-        return handleReport(state, message, now);
+        return this.#handleReport(state, message, now);
       case 'tick':
         state.isAwake = false;
         return [...decideAll(state, now), ...wakeIfNeeded(state, now)];
@@ -131,6 +134,20 @@
     return outputs;
   }
 
+  #handleReport(
+    state: RolloutState,
+    { from, address, body }: Extract<RolloutIn, { kind: 'received' }>,
+    now: Instant,
+  ): RolloutOut[] {
+    if (body.kind !== 'evidence') return [];
+    for (const report of body.rollouts) {
+      const open = state.running.get(report.service);
+      if (open?.order === report.order) open.decision.add(from, report, now);
+    }
+    if (!state.isLeading || isStuck(state, addMs(now, -this.#stuckMs))) return [];
+    return [{ kind: 'send', to: address, body: { kind: 'heard' } }];
+  }
+
   #updateRecord({ records, running }: RolloutState, rollout: RolloutResource, now: Instant): void {
     records.set(rollout.name, rollout);
     const open = running.get(rollout.name);
@@ -150,7 +167,8 @@
 
 /** A command is proposed again after this time, because its proposal may have been lost. */
 const PROPOSE_AGAIN_MS = 1_000;
-const STUCK_MS = 1_500;
+/** After this part of the time without a commit, a leader confirms no reports, so that the proxies brake. */
+const STUCK_SHARE = 0.3;
 
 interface RunningRollout {
   readonly order: Version;
@@ -167,25 +185,11 @@
   running.delete(name as ServiceName);
 }
 
-function handleReport(
-  state: RolloutState,
-  { from, address, body }: Extract<RolloutIn, { kind: 'received' }>,
-  now: Instant,
-): RolloutOut[] {
-  if (body.kind !== 'evidence') return [];
-  for (const report of body.rollouts) {
-    const open = state.running.get(report.service);
-    if (open?.order === report.order) open.decision.add(from, report, now);
-  }
-  if (!state.isLeading || isStuck(state, now)) return [];
-  return [{ kind: 'send', to: address, body: { kind: 'heard' } }];
-}
-
-/** Whether a command of this leader is not committed; it may have been replaced without knowing. */
-function isStuck({ running, records }: RolloutState, now: Instant): boolean {
+/** Whether a command of this leader has not been committed since an instant; it may have been replaced unknown. */
+function isStuck({ running, records }: RolloutState, since: Instant): boolean {
   return [...running].some(([service, { proposed }]) => {
     if (proposed === undefined || records.get(service)?.step !== proposed.step) return false;
-    return addMs(proposed.since, STUCK_MS) < now;
+    return proposed.since < since;
   });
 }
 
--- a/test/rollout-evidence.test.ts
+++ b/test/rollout-evidence.test.ts
@@ -35,7 +35,7 @@
 };
 
 class Driver {
-  readonly #filter = new EvidenceFilter(HOST);
+  readonly #filter = new EvidenceFilter(HOST, 5_000);
   readonly #state = this.#filter.createState();
   now: Instant = addMs(START, 20_000);
 
--- a/test/rollout-leader.test.ts
+++ b/test/rollout-leader.test.ts
@@ -21,7 +21,7 @@
 
 /** Drives the filter of one source; commands are committed by the test. */
 class Source {
-  readonly #filter = new RolloutFilter({ share: 0.1, slack: 50 });
+  readonly #filter = new RolloutFilter({ share: 0.1, slack: 50 }, 5_000);
   readonly #state = this.#filter.createState();
   now: Instant = START;
 
