--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -41,12 +41,8 @@
    */
   start(state: AttemptState, call: OpenCall, now: Instant, last?: PreviousAttempt): AttemptOut[] {
     const { service, head, requestKind, worth, account, deadline, aim, subject } = call.routed;
-    const tiers = state.servers.listTiers(service);
     const isHedge = last?.reason === 'hedge';
-    const context = buildPickContext(call, now);
-    const record = isHedge
-      ? this.#picker.pickFree(tiers, context)
-      : this.#picker.pick(tiers, context);
+    const record = this.#pick(state, call, now, isHedge);
     if (record === undefined) return [];
     const server = record.announcement.address;
     const { host } = record.member;
@@ -125,7 +121,7 @@
 
   /** Tells whether an untried server is believed to have a free slot. */
   hasAlternative(state: AttemptState, call: OpenCall, now: Instant): boolean {
-    const tiers = state.servers.listTiers(call.routed.service);
+    const tiers = state.servers.listTiers(call.routed.service, call.side);
     return this.#picker.hasRoom(tiers, buildPickContext(call, now));
   }
 
@@ -140,6 +136,33 @@
     if (call.declinedBy.length >= MAX_DECLINES) return false;
     return this.hasAlternative(state, call, now);
   }
+
+  /**
+   * Picks a server of the version of the call. A call for an ordered version goes over to the version in use when
+   * the roll-out has ended, or when no server of the ordered version has room; it never comes back. A hedge stays with
+   * the version of its call.
+   */
+  #pick(
+    state: AttemptState,
+    call: OpenCall,
+    now: Instant,
+    isHedge: boolean,
+  ): ServerRecord | undefined {
+    const { service } = call.routed;
+    const context = buildPickContext(call, now);
+    if (isHedge) {
+      return this.#picker.pickFree(state.servers.listTiers(service, call.side), context);
+    }
+    if (call.side === 'ordered') {
+      const rule = state.versions?.findRule(service);
+      const tiers = state.servers.listTiers(service, call.side);
+      const isKept =
+        rule?.isRunning === true && (!rule.mayFallBack || this.#picker.hasRoom(tiers, context));
+      if (isKept) return this.#picker.pick(tiers, context);
+      call.side = 'in-use';
+    }
+    return this.#picker.pick(state.servers.listTiers(service, call.side), context);
+  }
 }
 
 /** Returns the deadline of the attempts of a call, which is shortly before that of the call. */
--- a/src/calls/call-pipe-messages.ts
+++ b/src/calls/call-pipe-messages.ts
@@ -17,6 +17,7 @@
 } from '../messages/index.js';
 import type { AllowanceIn, AllowanceOut, AllowanceRefusal } from '../allowances/index.js';
 import type { Configuration } from '../notes/index.js';
+import type { RunBegun, RunOver } from '../rollouts/index.js';
 import type { AttemptOut } from './attempt-messages.js';
 import type { BodyEvent, BodyOut } from './body-filter.js';
 import type { GuardOut, RunEnding } from './guard-filter.js';
@@ -30,6 +31,8 @@
   | { readonly kind: 'stale'; readonly isStale: boolean }
   /** Until when keys may be accepted by the held version; sent only if revocation is strict. */
   | { readonly kind: 'keys-trusted'; readonly until: Instant }
+  /** The leader of the roll-outs hears this proxy until this instant. */
+  | { readonly kind: 'leader-heard'; readonly until: Instant }
   | MemberEvent
   | { readonly kind: 'broadcast'; readonly item: CrashSeen }
   /** A call from a caller. */
@@ -112,5 +115,8 @@
       { kind: 'allowance-request' | 'allowances' | 'allowance-lease' }
     >
   | ExplainAnswer
+  /** Runs at backend servers beside this proxy, only while a roll-out runs. */
+  | RunBegun
+  | RunOver
   /** The limits on requests of callers that apply from now on. */
   | { readonly kind: 'limits'; readonly limits: LimitsResource };
--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -33,6 +33,7 @@
 import type { Picker } from './picker.js';
 import type { RetryBudgetLimits } from './retry-budget.js';
 import type { Locality } from './server-table.js';
+import { RunObserver } from './run-observer.js';
 import type { SlotPolicy } from './slot-policy.js';
 
 /** Options of {@link CallPipe}. */
@@ -48,6 +49,8 @@
   readonly linkBytesPerSecond?: number | undefined;
   /** Identifies this life of the process to the grantor of allowances. */
   readonly life?: ProxyLife | undefined;
+  /** See {@link AttemptOptions.versionPhase}. */
+  readonly versionPhase?: (() => number) | undefined;
 }
 
 /** The states of the filters, and the attempts at backend servers beside this proxy. */
@@ -61,6 +64,8 @@
   bodies: BodyState | undefined;
   guard: GuardState;
   readonly guarded: Map<AttemptId, GuardedAttempt>;
+  /** The runs beside this proxy that a roll-out counts. */
+  readonly runs: RunObserver;
   /** Servers beside this proxy with a failed forwarded attempt and no answered one since. */
   readonly failing: Set<Address>;
   isDraining: boolean;
@@ -81,13 +86,20 @@
   constructor(options: CallPipeOptions) {
     super();
     const { place, picker, createPolicy, retries, hedging, isRevocationStrict } = options;
-    const { linkBytesPerSecond: link } = options;
+    const { linkBytesPerSecond: link, versionPhase } = options;
     this.#allowance = new AllowanceFilter(options.life ?? (place.host as string as ProxyLife));
     this.#host = place.host;
     this.#picker = picker;
     this.#classify = new ClassifyFilter(place.host, isRevocationStrict);
     const asksForBodies = link !== undefined;
-    this.#attempt = new AttemptFilter({ place, picker, retries, hedging, asksForBodies });
+    this.#attempt = new AttemptFilter({
+      place,
+      picker,
+      retries,
+      hedging,
+      asksForBodies,
+      versionPhase,
+    });
     this.#bodies = link === undefined ? undefined : new BodyFilter(link);
     this.#guard = new GuardFilter(createPolicy);
   }
@@ -102,6 +114,7 @@
       bodies: this.#bodies?.createState(),
       guard: this.#guard.createState(),
       guarded: new Map(),
+      runs: new RunObserver(),
       failing: new Set(),
       isDraining: false,
     };
@@ -127,6 +140,7 @@
       case 'whole':
         this.#passToClassify(context, message);
         this.#passToAllowance(context, message);
+        if (state.attempt.versions !== undefined) this.#passToAttempt(context, message);
         return;
       case 'time-of-day':
       case 'sources':
@@ -137,6 +151,9 @@
       case 'keys-trusted':
         this.#passToClassify(context, message);
         return;
+      case 'leader-heard':
+        this.#passToAttempt(context, message);
+        return;
       case 'arrived':
         this.#accept(context, message.head);
         return;
@@ -224,6 +241,7 @@
     const server = context.state.guard.serversByAttempt.get(attempt);
     const measured = server?.measureLoadAfter(attempt, context.now);
     const load = addBodies(context, addBodyTime(context, attempt, measured));
+    context.outputs.push(...context.state.runs.handleAnswer(attempt, message.status));
     if (guarded?.isForwarded !== true)
       this.#passToAttempt(context, { ...message, load: load ?? message.load });
     else context.outputs.push({ kind: 'relay', id: guarded.id, attempt, load });
@@ -259,6 +277,7 @@
     const server = state.guard.serversByAttempt.get(attempt)?.address;
     const isForwarded = state.guarded.get(attempt)?.isForwarded === true;
     if (!state.guarded.delete(attempt)) return;
+    context.outputs.push(...state.runs.handleEnd(attempt, ending));
     this.#passToGuard(context, { kind: 'run-ended', attempt, ending });
     if (isForwarded && server !== undefined) this.#observe(context, server, ending);
   }
@@ -463,11 +482,14 @@
       const call = guarded.get(output.head.attempt);
       if (call === undefined) return;
       const { id, count, keepsAnswer } = call;
+      if (context.state.attempt.versions?.hasRunning === true)
+        context.outputs.push(context.state.runs.handleStart(output.head, context.now));
       context.outputs.push({ ...output, id, count, keepsAnswer });
     } else if (output.kind === 'reject') {
       const load = addBodies(context, output.load);
       this.#rejectGuarded(context, output.attempt, buildFailure(output, load));
     } else {
+      if (output.kind === 'stop-run') context.state.runs.handleStop(output);
       context.outputs.push(output);
     }
   }
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -51,7 +51,14 @@
   CallOut,
   {
     kind:
-      'ledger' | 'observed' | 'broadcast' | 'allowance-request' | 'allowance-lease' | 'explained';
+      | 'ledger'
+      | 'observed'
+      | 'broadcast'
+      | 'allowance-request'
+      | 'allowance-lease'
+      | 'explained'
+      | 'run-begun'
+      | 'run-over';
   }
 >;
 
@@ -88,6 +95,8 @@
   readonly observer?: CallObserver;
   readonly picker?: Picker;
   readonly createPolicy?: () => SlotPolicy;
+  /** Whether the deployment has roll-outs, so that versions of backend servers matter. */
+  readonly hasRollouts?: boolean;
   /** The bandwidth of the link of this host, if configured; large answers are paced to a part of it. */
   readonly linkBytesPerSecond?: number | undefined;
 }
@@ -243,7 +252,7 @@
 
   protected override createPipe(messages: Stream<CallIn | LinkUse>): Stream<unknown> {
     const { place, clock, random, picker, createPolicy, retries } = this.#options;
-    const { hedging, isRevocationStrict, linkBytesPerSecond, life } = this.#options;
+    const { hedging, isRevocationStrict, linkBytesPerSecond, life, hasRollouts } = this.#options;
     const pipe = new CallPipe({
       place,
       picker: picker ?? new TwoChoicesPicker(random),
@@ -253,6 +262,7 @@
       isRevocationStrict,
       linkBytesPerSecond,
       life,
+      versionPhase: hasRollouts === true ? () => random.next() : undefined,
     });
     const forPipe = messages.filter((message): message is CallIn => !this.#handleLinkUse(message));
     return applyFilter(pipe, clock, forPipe).tap((output) => {
@@ -389,6 +399,8 @@
       case 'observed':
       case 'broadcast':
       case 'explained':
+      case 'run-begun':
+      case 'run-over':
         this.#options.send(output);
         return;
     }
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -78,6 +78,8 @@
   'allowance-lease-ends': HIGH_RATE,
   'allowance-message-dropped': HIGH_RATE,
   'loop-busy': LOW_RATE,
+  'rollout-decided': HIGH_RATE,
+  'rollout-recorded': HIGH_RATE,
 } satisfies Record<string, LineRate>;
 
 /** The name of a log event. Names are stable. */
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -34,6 +34,7 @@
 import type { Fronts } from './fronts.js';
 import type { Log } from './logger.js';
 import { ProxyReadiness } from './proxy-readiness.js';
+import { createEvidenceTask, readEvidenceEvent } from './proxy-rollouts.js';
 import { ReadinessAnswers } from './readiness-answers.js';
 import type { RecoveryLog } from './recovery-log.js';
 import type { RunningRole } from './running-role.js';
@@ -78,6 +79,7 @@
     isRevocationStrict: proxy.accounts.isRevocationStrict,
     life: `${random.nextInt(MAX_LIFE)}-${clock.read()}` as ProxyLife,
     linkBytesPerSecond: proxy.linkBytesPerSecond,
+    hasRollouts: proxy.rollouts !== undefined,
     place: settings,
     pass: options.pass,
     clock,
@@ -107,6 +109,20 @@
     send: routeDistribution,
     buildTick: () => ({ kind: 'tick' }),
   });
+  const evidence =
+    proxy.rollouts === undefined
+      ? undefined
+      : createEvidenceTask({
+          host: settings.host,
+          settings: proxy.rollouts,
+          clock,
+          registry: options.registry,
+          reportFailure,
+          postLink,
+          postCalls: (message) => {
+            calls.post(message);
+          },
+        });
   const floor = createFloorTask(options, {
     notifyLoaded: (mark) => {
       distribution.post({ kind: 'start', floor: mark });
@@ -160,7 +176,7 @@
     }
     const { announcement } = request;
     const isOwn = proxy.service === undefined || announcement.service === proxy.service;
-    if (isOwn) postMembers(request);
+    if (isOwn) postMembers(proxy.rollouts === undefined ? removeVersion(request) : request);
     else log('announcement-ignored', { service: announcement.service });
   }
 
@@ -237,6 +253,7 @@
           resources: output.configuration.resources.size,
         });
         calls.post(output);
+        evidence?.post(output);
         if (output.configuration.resources.size === 0) return;
         readiness.handleServed(output.configuration.version);
         return;
@@ -261,6 +278,10 @@
         log(isValid ? 'allowance-lease-begins' : 'allowance-lease-ends', { grantor, term });
         return;
       }
+      case 'run-begun':
+      case 'run-over':
+        evidence?.post(notice);
+        return;
       case 'explained':
         options.notifyExplained(notice);
         return;
@@ -269,7 +290,8 @@
     }
   }
 
-  const tasks = [ledger, calls, distribution, announce, ...(floor === undefined ? [] : [floor])];
+  const optional = [floor, evidence].filter((task) => task !== undefined);
+  const tasks = [ledger, calls, distribution, announce, ...optional];
   readiness.start();
   if (ready !== undefined) await ready.start();
   for (const task of tasks) await task.start();
@@ -283,6 +305,8 @@
       if (reply !== undefined) ledger.post(reply);
       const message = readLinkEvent(event);
       if (message !== undefined) distribution.post(message);
+      const heard = evidence && readEvidenceEvent(event);
+      if (heard !== undefined) evidence?.post(heard);
       if (event.kind !== 'received' || event.channel !== 'allowances') return;
       const body = readAllowanceReply(event.body);
       if (body === undefined) logDroppedAllowance(event, log);
@@ -299,6 +323,7 @@
       if (event.kind === 'broadcast') return;
       distribution.post(event);
       if (sources.apply(event)) postSources();
+      evidence?.post(event);
     },
     handleSettings: ({ proxy: changed }) => {
       const configured = changed?.sources ?? [];
@@ -376,6 +401,12 @@
   readonly rejected: Partial<Record<DistributionFault['kind'], number>>;
 }
 
+/** Versions of backend servers are published only where there are roll-outs. */
+function removeVersion(request: Extract<AnnounceRequest, { kind: 'announce' }>): AnnounceRequest {
+  const { version, ...announcement } = request.announcement;
+  return version === undefined ? request : { kind: 'announce', announcement };
+}
+
 function addHeldAnswerMetrics(registry: MetricsRegistry, calls: CallTask): void {
   const answers = new Gauge('link_held_answers', 'Answers that wait for the link.', () => [
     { value: calls.heldAnswers.answers },
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -37,6 +37,7 @@
 import type { RunningRole } from './running-role.js';
 import type { SourceSettings } from './settings.js';
 import { SourcePeers } from './source-peers.js';
+import { createRolloutTask, readRolloutEvent } from './source-rollouts.js';
 import type { ReportStatus } from './status.js';
 
 /** Options of {@link runSource}. */
@@ -65,7 +66,7 @@
   const acknowledgements = new AcknowledgementLog({ log: options.log, clock });
   const notes = new FilterTask<NotesState, NotesIn, NotesOut>({
     name: 'notes',
-    filter: new NotesFilter(),
+    filter: new NotesFilter({ hasRollouts: settings.rollouts !== undefined }),
     clock,
     reportFailure,
     send: routeNotes,
@@ -135,6 +136,20 @@
     },
   });
 
+  const rollouts =
+    settings.rollouts === undefined
+      ? undefined
+      : createRolloutTask({
+          settings: settings.rollouts,
+          clock,
+          log: options.log,
+          reportFailure,
+          postLink,
+          postNotes: (message) => {
+            notes.post(message);
+          },
+        });
+
   function routeNotes(output: Exclude<NotesOut, WakeRequest>): void {
     switch (output.kind) {
       case 'log':
@@ -148,11 +163,13 @@
         acknowledgements.handleCommitted(output.delta.version);
         distribution.post(output);
         grantor.task.post({ kind: 'changes', changes: output.delta.changes });
+        rollouts?.post(output);
         return;
       case 'restored':
         recovery.report('version-restored', { version: output.configuration.version });
         distribution.post(output);
         grantor.task.post({ kind: 'resources', resources: output.configuration.resources });
+        rollouts?.post(output);
         return;
       case 'report':
         report('source', output.report);
@@ -189,6 +206,7 @@
       queueMicrotask(() => {
         grantor.task.post({ kind: 'log', notice });
       });
+      rollouts?.post({ kind: 'leading', leading: notice.leading });
     }
     const isForDistribution =
       (notice.kind === 'confirmed' || notice.kind === 'refused') &&
@@ -215,7 +233,8 @@
     }
   }
 
-  const tasks = [distribution, grantor.task, notes, log, operator];
+  const steppers = rollouts === undefined ? [] : [rollouts];
+  const tasks = [distribution, grantor.task, ...steppers, notes, log, operator];
   for (const task of tasks) await task.start();
   return {
     handleLink: (event) => {
@@ -226,10 +245,13 @@
       const message = readLinkEvent(event);
       if (message !== undefined) distribution.post(message);
       grantor.handleLink(event);
+      const evidence = rollouts && readRolloutEvent(event);
+      if (evidence !== undefined) rollouts?.post(evidence);
     },
     handleMembership: (event) => {
       if (event.kind === 'broadcast') return;
       distribution.post(event);
+      rollouts?.post(event);
       if (peers.apply(event)) log.post({ kind: 'peers', addresses: peers.listControlAddresses() });
     },
     handleSettings: ({ source }) => {
--- a/src/program/settings/proxy-settings.ts
+++ b/src/program/settings/proxy-settings.ts
@@ -4,6 +4,8 @@
 import { buildIdSchema } from '../../edge/index.js';
 import type { Address, ServiceName } from '../../ids.js';
 import { parseServiceName } from '../../ids.js';
+import type { RolloutSettings } from './rollout-settings.js';
+import { rolloutsSchema } from './rollout-settings.js';
 import { addressSchema, buildMillisecondsSchema } from './schema-parts.js';
 
 /** Settings of the client accounts. */
@@ -42,6 +44,8 @@
   readonly retries: RetryBudgetLimits;
   readonly hedging: HedgingOptions;
   readonly accounts: AccountSettings;
+  /** The bounds of roll-outs; undefined if the deployment has none. */
+  readonly rollouts: RolloutSettings | undefined;
   /** Bandwidth of the host link in bytes per second; undefined disables the pacing of large answers. */
   readonly linkBytesPerSecond: number | undefined;
 }
@@ -92,6 +96,7 @@
     retries: retriesSchema.prefault({}),
     hedging: hedgingSchema.prefault({}),
     accounts: accountsSchema.prefault({}),
+    rollouts: rolloutsSchema.optional(),
     link_mbit_per_second: z.number().positive().optional(),
   })
   .refine(({ sources, seeds }) => sources.length + seeds.length > 0, {
@@ -100,7 +105,7 @@
   })
   .transform((section): ProxySettings => {
     const { linger_ms, link_mbit_per_second: rate, service, forwards, ready, ...others } = section;
-    const { stop_within_seconds: within, ...rest } = others;
+    const { stop_within_seconds: within, rollouts, ...rest } = others;
     const stopWithinMs = within === undefined ? undefined : within * MS_PER_SECOND;
     const linkBytesPerSecond = rate === undefined ? undefined : rate * BYTES_PER_MEGABIT;
     return {
@@ -111,5 +116,6 @@
       lingerMs: linger_ms,
       stopWithinMs,
       linkBytesPerSecond,
+      rollouts,
     };
   });
