--- a/test/hedging.test.ts
+++ b/test/hedging.test.ts
@@ -9,6 +9,7 @@
 import { ServiceHedges } from '../src/calls/service-hedges.js';
 import { addMs } from '../src/clock.js';
 import type {
+  Address,
   AttemptId,
   CallId,
   IdempotencyKey,
@@ -294,6 +295,33 @@
   t.true(picks.filter((server) => server === silent).length < 20);
 });
 
+// Guards against a hedge that is picked by cost alone and is sent to a full server.
+test('hedge goes to a server with a free slot', (t) => {
+  const driver = new Driver().learn();
+  const first = Array.from({ length: 12 }, (_, index) => driver.start(`c${index}`));
+  const full = first.find((server) => server !== first[0]);
+  driver.fail(`c${first.indexOf(full ?? '')}`, 0, BUSY);
+  const targets = driver
+    .post({ kind: 'tick' }, SLOW)
+    .flatMap((output) => (output.kind === 'dispatch' ? output.target.server : []));
+  t.true(targets.length >= 8);
+  t.false(targets.includes(full as Address));
+});
+
+// Guards against run times without the longest runs, by which ever more calls would count as slow.
+test('overtaken runs count with their time so far', (t) => {
+  const driver = new Driver().learn();
+  for (let count = 0; count < 6; count += 1) {
+    driver.start(`c${count}`);
+    driver.tick();
+    driver.answer(`c${count}`, 1, SLOW);
+    driver.post({ kind: 'answer-complete', attempt: makeAttempt(`c${count}`, 1) });
+  }
+  driver.start('next');
+  t.deepEqual(driver.tick(addMs(SLOW, -1)), []);
+  t.deepEqual(driver.tick(addMs(SLOW, 10)), ['send next.1 if free']);
+});
+
 test('limit of the operators', (t) => {
   const driver = new Driver({ share: 0.05 }).learn();
   for (let count = 0; count < 10; count += 1) driver.start(`c${count}`);
