--- a/src/calls/hedging.ts
+++ b/src/calls/hedging.ts
@@ -86,10 +86,12 @@
     if (isDeclined) this.#findService(state, call).addPlacement(true);
     if (!isHedge) return [];
     if (!isDeclined) return [buildReport(call, 'failed')];
+    const report = buildReport(call, 'declined');
+    // Without another attempt, the call is redirected like any declined one.
+    if (call.running.size === 0) return [report];
     call.declinedHedges += 1;
     call.triedServers.delete(record.announcement.address);
     call.isHedged = call.declinedHedges >= MAX_DECLINED_HEDGES;
-    const report = buildReport(call, 'declined');
     return call.isHedged ? [report] : [report, { kind: 'wake', at: addRetry(state, call, now) }];
   }
 
--- a/test/hedging.test.ts
+++ b/test/hedging.test.ts
@@ -30,6 +30,7 @@
   reason: 'busy',
   load: { running: 20, waiting: 0 },
 };
+const NOT_RUN: AttemptFailure = { outcome: 'not-run', reason: 'overloaded' };
 const LOST: AttemptFailure = { outcome: 'unknown', reason: 'upstream-failed' };
 const USUAL_RETRIES: RetryBudgetLimits = { perCall: 0.2, burst: 20, isShared: false };
 
@@ -234,6 +235,17 @@
   t.deepEqual(driver.tick(addMs(SLOW, 200)), ['send c.1 if free']);
 });
 
+// Guards against a call that is left without an attempt, or that gets one attempt too many.
+test('first attempt lost, hedge declined: redirected', (t) => {
+  const driver = new Driver({ servers: 4 }).learn();
+  driver.start('c');
+  driver.tick();
+  t.deepEqual(driver.fail('c', 0, LOST), []);
+  t.deepEqual(driver.fail('c', 1, BUSY), ['declined', 'send c.2 if free']);
+  t.deepEqual(driver.fail('c', 2, NOT_RUN), ['send c.3']);
+  t.deepEqual(driver.fail('c', 3, NOT_RUN), ['refuse overloaded unknown']);
+});
+
 test('failed hedge is not sent again', (t) => {
   const driver = new Driver().learn();
   driver.start('c');
