--- a/test/hedging.test.ts
+++ b/test/hedging.test.ts
@@ -9,6 +9,7 @@
 import { ServiceHedges } from '../src/calls/service-hedges.js';
 import { addMs } from '../src/clock.js';
 import type {
+  Address,
   AttemptId,
   CallId,
   IdempotencyKey,
@@ -29,6 +30,7 @@
   reason: 'busy',
   load: { running: 20, waiting: 0 },
 };
+const NOT_RUN: AttemptFailure = { outcome: 'not-run', reason: 'overloaded' };
 const LOST: AttemptFailure = { outcome: 'unknown', reason: 'upstream-failed' };
 const USUAL_RETRIES: RetryBudgetLimits = { perCall: 0.2, burst: 20, isShared: false };
 
@@ -233,6 +235,17 @@
   t.deepEqual(driver.tick(addMs(SLOW, 200)), ['send c.1 if free']);
 });
 
+// Guards against a call that is left without an attempt, or that gets one attempt too many.
+test('first attempt lost, hedge declined: redirected', (t) => {
+  const driver = new Driver({ servers: 4 }).learn();
+  driver.start('c');
+  driver.tick();
+  t.deepEqual(driver.fail('c', 0, LOST), []);
+  t.deepEqual(driver.fail('c', 1, BUSY), ['declined', 'send c.2 if free']);
+  t.deepEqual(driver.fail('c', 2, NOT_RUN), ['send c.3']);
+  t.deepEqual(driver.fail('c', 3, NOT_RUN), ['refuse overloaded unknown']);
+});
+
 test('failed hedge is not sent again', (t) => {
   const driver = new Driver().learn();
   driver.start('c');
@@ -294,6 +307,33 @@
   t.true(picks.filter((server) => server === silent).length < 20);
 });
 
+// Guards against a hedge that is picked by cost alone and is sent to a full server.
+test('hedge goes to a server with a free slot', (t) => {
+  const driver = new Driver().learn();
+  const first = Array.from({ length: 12 }, (_, index) => driver.start(`c${index}`));
+  const full = first.find((server) => server !== first[0]);
+  driver.fail(`c${first.indexOf(full ?? '')}`, 0, BUSY);
+  const targets = driver
+    .post({ kind: 'tick' }, SLOW)
+    .flatMap((output) => (output.kind === 'dispatch' ? output.target.server : []));
+  t.true(targets.length >= 8);
+  t.false(targets.includes(full as Address));
+});
+
+// Guards against run times without the longest runs, by which ever more calls would count as slow.
+test('overtaken runs count with their time so far', (t) => {
+  const driver = new Driver().learn();
+  for (let count = 0; count < 6; count += 1) {
+    driver.start(`c${count}`);
+    driver.tick();
+    driver.answer(`c${count}`, 1, SLOW);
+    driver.post({ kind: 'answer-complete', attempt: makeAttempt(`c${count}`, 1) });
+  }
+  driver.start('next');
+  t.deepEqual(driver.tick(addMs(SLOW, -1)), []);
+  t.deepEqual(driver.tick(addMs(SLOW, 10)), ['send next.1 if free']);
+});
+
 test('limit of the operators', (t) => {
   const driver = new Driver({ share: 0.05 }).learn();
   for (let count = 0; count < 10; count += 1) driver.start(`c${count}`);
