--- a/test/accounts.test.ts
+++ b/test/accounts.test.ts
@@ -125,9 +125,11 @@
   );
 });
 
-// Guards against internal calls of backend servers that are refused or get an account.
-test('no key: no account', (t) => {
-  t.is(startClassify().call(), '');
+// Guards against callers that leave out their key, past the priority and the allowance of their account. Calls of backend
+// servers carry no key and use public routes.
+test('no key: refused, on a public route no account', (t) => {
+  const driver = startClassify();
+  t.deepEqual([driver.call(), driver.call(undefined, '/open/x')], ['unknown-key', '']);
 });
 
 // Guards against a proxy that honours a key after the configuration that revokes it.
@@ -146,7 +148,7 @@
     kind: 'whole',
     configuration: replaceResources(configuration, [makeAccount('opera', [])]),
   });
-  t.deepEqual([driver.call(KEY), driver.call()], ['unknown-key', '']);
+  t.deepEqual([driver.call(KEY), driver.call()], ['unknown-key', 'unknown-key']);
 });
 
 // Guards against an index that forgets a key because its former holder is updated after the new one.
@@ -202,7 +204,7 @@
 test('strict revocation: keys are trusted until an instant', (t) => {
   const driver = startClassify(CONFIGURATION, true);
   const keys = [KEY, UNKNOWN_KEY, undefined];
-  const refused = ['stale-configuration', 'stale-configuration', ''];
+  const refused = ['stale-configuration', 'stale-configuration', 'unknown-key'];
   t.deepEqual(
     keys.map((key) => driver.call(key)),
     refused,
@@ -212,7 +214,7 @@
   driver.now = addMs(START, 4_999);
   t.deepEqual(
     keys.map((key) => driver.call(key)),
-    ['opera', 'unknown-key', ''],
+    ['opera', 'unknown-key', 'unknown-key'],
   );
   driver.now = addMs(START, 5_000);
   t.deepEqual(
@@ -423,7 +425,8 @@
     t.is((await call({ ...FORGED, 'x-api-key': KEY })).status, 200);
     t.is((await call({ ...FORGED, 'X-API-Key': KEY, connection: 'x-tenant' })).status, 200);
     t.is((await call({ ...FORGED, 'x-api-key': UNKNOWN_KEY }, '/open/x')).status, 200);
-    t.is((await call(FORGED)).status, 200);
+    t.is((await call(FORGED)).status, 401);
+    t.is((await call(FORGED, '/open/x')).status, 200);
     t.deepEqual(
       seen.map(({ headers }) => headers['x-tenant']),
       ['opera', 'opera', undefined, undefined],
