--- a/src/allowances/allowance-filter.ts
+++ b/src/allowances/allowance-filter.ts
@@ -160,7 +160,7 @@
 const MAX_WAIT_MS = 250;
 const MAX_WAITING_CALLS = 1_024;
 /** Single tokens come in steps of this length at the earliest; see the grantor's confirmations. */
-const MIN_RETRY_MS = 10;
+const MIN_RETRY_MS = 20;
 const MS_UNKNOWN_RETRY = 1_000;
 
 interface ChargedCall {
--- a/src/allowances/grantor-filter.ts
+++ b/src/allowances/grantor-filter.ts
@@ -120,8 +120,11 @@
   | Pick<Extract<AllowanceReply, { kind: 'grant' }>, 'kind' | 'isWhole' | 'shares'>;
 
 const CONFIRMATION_ID_PREFIX = 'allowance-';
-/** Requests of this long share one confirmation. It delays a single token by half of it on average. */
-const CONFIRM_INTERVAL_MS = 10;
+/**
+ * Requests of this long share one confirmation, which delays a single token by half of it on average. With 10 ms, 400
+ * tokens a second took 0.095 of a core at the leader, with 20 ms 0.064.
+ */
+const CONFIRM_INTERVAL_MS = 20;
 const CONFIRM_TIMEOUT_MS = 1_000;
 const MAX_WAITING_REQUESTS = 65_536;
 
