--- a/test/allowance-pipe.test.ts
+++ b/test/allowance-pipe.test.ts
@@ -15,11 +15,7 @@
   ServiceName,
   TimeOfDay,
 } from '../src/ids.js';
-import type {
-  AllowanceRequest,
-  ClientAccountResource,
-  Resource,
-} from '../src/messages/index.js';
+import type { AllowanceRequest, ClientAccountResource, Resource } from '../src/messages/index.js';
 import { buildKeyDigest } from '../src/notes/index.js';
 import { SeededRandom } from '../src/random.js';
 import { makeConfiguration, makeHead, makeKind, makeRoute, START } from './call-resources.js';
