Tell trouble of all servers from a bad version with few runs to compare

With 30 % of all runs failing for a third of the time, 9 of 40 good versions were rolled back: in half a second the control group has few runs, and the worst server among them, often with one failure, was left out as sick. A server is now taken as sick from three bad runs on, and one bad run of the last two turns counts. 4.5 condemns a version before most calls move, not 3.2, which had rolled back 3 of 60 good versions without trouble.

--- a/src/rollouts/baseline.ts
+++ b/src/rollouts/baseline.ts
@@ -83,9 +83,11 @@
 const KEPT_SHARE = 0.88;
 /** From this number of servers on, the worst one does not count. */
 const MIN_SERVERS = 3;
+/** A server with fewer bad runs is not taken as sick. */
+const MIN_SICK_BAD = 3;
 const MIN_RUNS = 20;
 /** From this number of bad runs on, the last two turns count for themselves. */
-const MIN_LATEST_BAD = 2;
+const MIN_LATEST_BAD = 1;
 const PRIOR_BAD = 0.25;
 const PRIOR_RUNS = 10;
 /** Stray failures, for example of connections that are closed at the wrong moment, condemn no version. */
@@ -105,6 +107,6 @@
     bad += sample.bad;
     if (sample.bad > worst.bad) worst = sample;
   }
-  if (samples.length < MIN_SERVERS) return { runs, bad };
+  if (samples.length < MIN_SERVERS || worst.bad < MIN_SICK_BAD) return { runs, bad };
   return { runs: runs - worst.runs, bad: bad - worst.bad };
 }
--- a/src/rollouts/rollout-decision.ts
+++ b/src/rollouts/rollout-decision.ts
@@ -182,7 +182,7 @@
  */
 const BAD_EVIDENCE = 9;
 /** A version with this much evidence against it does not get most calls. */
-const DOUBTFUL_EVIDENCE = 3.2;
+const DOUBTFUL_EVIDENCE = 4.5;
 /** With so much evidence, a version that has got most calls does not get all. */
 const LATE_DOUBTFUL_EVIDENCE = 6;
 /** From the first bad run to the last call: a report, a decision, its commit, and its way to the proxies. */
--- a/test/rollout-decision.test.ts
+++ b/test/rollout-decision.test.ts
@@ -296,6 +296,7 @@
   { sick: 'ordered' },
   { sick: 'in-use' },
   { allSlow: true },
+  { allFailing: 0.3 },
   { hosts: 4 },
 ];
 
@@ -322,23 +323,15 @@
 const MIN_RIGHT = 0.9;
 
 test('good versions: completed in time', (t) => {
-  for (const trial of GOOD) {
-    const { line, completed } = runTrials(trial);
-    t.log(line);
-    t.true(completed >= TRIALS * MIN_RIGHT, line);
-  }
-});
-
-test('good version, 30 % of all runs fail for a third of the time: mostly completed', (t) => {
-  const { line, completed } = runTrials({ allFailing: 0.3 });
-  t.log(line);
-  t.true(completed >= TRIALS * 0.5, line);
+  const trials = GOOD.map((trial) => runTrials(trial));
+  for (const { line } of trials) t.log(line);
+  for (const { line, completed } of trials) t.true(completed >= TRIALS * MIN_RIGHT, line);
 });
 
 test('bad versions: rolled back within the bounds', (t) => {
-  for (const trial of BAD) {
-    const { line, rolledBack, beyond, late } = runTrials(trial);
-    t.log(line);
+  const trials = BAD.map((trial) => runTrials(trial));
+  for (const { line } of trials) t.log(line);
+  for (const { line, rolledBack, beyond, late } of trials) {
     t.true(rolledBack >= TRIALS * MIN_RIGHT - 1, line);
     t.true(beyond <= TRIALS * 0.2 && late <= TRIALS * 0.2, line);
   }
