Mend what the review of roll-outs, uploads and hedging found

- A roll-out completed while calls were on their way to old servers: all proxies must now have reported after the last of them moved.
- It completed with one server left of many; the slots that the share needs are now checked at the whole share too.
- Retries of calls that had begun before went to old servers after all calls had moved; a service without new servers at the whole share refused every call.
- A slow sender held the link of a host while it was idle, and a stopping host did not wake at the end of its time for a body.
- A hedge could be sent while a large body waited for its link.

Tests failed before for the slow sender, the planned stop, the retry, the service without new servers and the completion.

--- a/src/calls/attempt-placement.ts
+++ b/src/calls/attempt-placement.ts
@@ -139,8 +139,8 @@
 
   /**
    * Picks a server of the version of the call. A call for an ordered version goes over to the version in use when
-   * the roll-out has ended, or when no server of the ordered version has room; it never comes back. A hedge stays with
-   * the version of its call.
+   * the roll-out has ended, or when no server of the ordered version has room or, at the whole share, is there. Once all
+   * calls go to the ordered version, so do further attempts of earlier calls. A hedge stays with the version of its call.
    */
   #pick(
     state: AttemptState,
@@ -153,12 +153,19 @@
     if (isHedge) {
       return this.#picker.pickFree(state.servers.listTiers(service, call.side), context);
     }
+    if (
+      call.side === 'in-use' &&
+      call.started > 0 &&
+      state.versions?.hasMoved(service, now) === true
+    )
+      call.side = 'ordered';
     if (call.side === 'ordered') {
       const rule = state.versions?.findRule(service);
       const tiers = state.servers.listTiers(service, call.side);
       const isKept =
         rule?.isRunning === true && (!rule.mayFallBack || this.#picker.hasRoom(tiers, context));
-      if (isKept) return this.#picker.pick(tiers, context);
+      const record = isKept ? this.#picker.pick(tiers, context) : undefined;
+      if (isKept && (record !== undefined || call.started > 0)) return record;
       call.side = 'in-use';
     }
     return this.#picker.pick(state.servers.listTiers(service, call.side), context);
--- a/src/calls/body-admission.ts
+++ b/src/calls/body-admission.ts
@@ -76,7 +76,7 @@
     const body = this.#sending.get(attempt);
     if (body === undefined) return [];
     body.leftBytes = Math.max(MIN_LEFT_BYTES, body.leftBytes - bytes);
-    body.stallsAt = addMs(now, STALL_MS);
+    body.stallsAt = Math.min(addMs(now, STALL_MS), body.lateAt) as Instant;
     return this.#decide(now);
   }
 
@@ -126,7 +126,8 @@
     if (grantAt > now && grantAt < next) next = grantAt;
     for (const { stallsAt, endsBy } of this.#sending.values()) {
       if (stallsAt > now && stallsAt < next) next = stallsAt;
-      if (endsBy < next) next = endsBy;
+      const end = endsBy === NEVER ? NEVER : (Math.min(endsBy, this.#latest) as Instant);
+      if (end < next) next = end;
     }
     return next === NEVER ? undefined : next;
   }
@@ -177,6 +178,7 @@
     this.#sending.set(attempt, {
       leftBytes: bytes,
       stallsAt: addMs(now, STALL_MS),
+      lateAt: addMs(this.#freeAt, STALL_MS),
       endsBy: Math.min(dueBy, patientUntil) as Instant,
     });
     this.#heldBytes.set(attempt, bytes);
@@ -230,6 +232,8 @@
   leftBytes: number;
   /** From then on the body counts as stalled, unless more of it arrives. */
   stallsAt: Instant;
+  /** From then on the body is later than planned, and counts as stalled although it arrives. */
+  readonly lateAt: Instant;
   /** The body is refused if it is incomplete then; {@link NEVER} once its attempt runs. */
   endsBy: Instant;
 }
--- a/src/calls/hedging.ts
+++ b/src/calls/hedging.ts
@@ -182,8 +182,9 @@
  */
 function isHedgeable({ routed }: OpenCall): boolean {
   const { head, requestKind } = routed;
-  const { hedge, idempotent, largeAnswers, maxAttempts } = requestKind;
-  if (!hedge || !idempotent || largeAnswers === true || maxAttempts === 1) return false;
+  const { hedge, idempotent, largeAnswers, largeBodies, maxAttempts } = requestKind;
+  if (!hedge || !idempotent || maxAttempts === 1) return false;
+  if (largeAnswers === true || largeBodies === true) return false;
   return head.repeatable && head.attempt === 1 && !needsClaim(requestKind, head);
 }
 
--- a/src/edge/call-refusal.ts
+++ b/src/edge/call-refusal.ts
@@ -87,8 +87,11 @@
 
 // Internals.
 
-/** Maximum body length of a refused call that is read to its end, so that the connection can be reused. */
-const MAX_DRAINED_BYTES = 64 * 1024;
+/**
+ * Maximum body length of a refused call that is read to its end. Closing the connection of a caller that still writes can
+ * reset it before the refusal is read, and the caller of an upload then does not learn that it has not run.
+ */
+const MAX_DRAINED_BYTES = 1024 * 1024;
 
 /**
  * Returns whether the rest of a body may be left unread. `hasBody` is needed because Node.js sets `complete` only
--- a/src/rollouts/evidence-table.ts
+++ b/src/rollouts/evidence-table.ts
@@ -11,6 +11,8 @@
 interface ProxyState {
   reportedAt: Instant;
   step: number;
+  /** When the proxy first reported that it applies the step. */
+  stepAt: Instant;
   runningInUse: number;
   readonly counts: Map<string, RunCounts>;
 }
@@ -41,6 +43,7 @@
     const proxy = this.#proxies.get(host) ?? makeProxy();
     this.#proxies.set(host, proxy);
     proxy.reportedAt = now;
+    if (report.step !== proxy.step) proxy.stepAt = now;
     proxy.step = report.step;
     proxy.runningInUse = report.runningInUse;
     for (const counts of report.counts) this.#addCounts(proxy, counts);
@@ -62,11 +65,16 @@
     return found.evidence > worst.evidence ? { ...found, requestKind: undefined } : worst;
   }
 
-  /** Returns whether each of these proxies has reported lately that it applies a step and uses no old server. */
+  /**
+   * Returns whether each of these proxies has reported lately that it applies a step and uses no old server. The last
+   * proxy to apply the step may just have sent calls to old servers beside the others, so all must have reported since.
+   */
   isMovedBy(hosts: Iterable<HostId>, step: number, reportedSince: Instant): boolean {
-    return [...hosts].every((host) => {
-      const proxy = this.#proxies.get(host);
-      if (proxy === undefined || proxy.reportedAt < reportedSince) return false;
+    const proxies = [...hosts].map((host) => this.#proxies.get(host));
+    const stepsAt = proxies.map((proxy) => proxy?.stepAt ?? 0);
+    const since = Math.max(reportedSince, ...stepsAt.map((at) => at + CALL_TRAVEL_MS));
+    return proxies.every((proxy) => {
+      if (proxy === undefined || proxy.reportedAt < since) return false;
       return proxy.step >= step && proxy.runningInUse === 0;
     });
   }
@@ -93,6 +101,9 @@
 
 // Internals.
 
+/** How long a call may take from its entry proxy to the proxy beside its server. */
+const CALL_TRAVEL_MS = 100;
+
 /** The runs of a turn at servers of the ordered version, and what is to be expected of them. */
 interface Turn {
   readonly failures: ReadonlyMap<Address, Sample>;
@@ -161,7 +172,13 @@
 }
 
 function makeProxy(): ProxyState {
-  return { reportedAt: 0 as Instant, step: -1, runningInUse: 0, counts: new Map() };
+  return {
+    reportedAt: 0 as Instant,
+    step: -1,
+    stepAt: 0 as Instant,
+    runningInUse: 0,
+    counts: new Map(),
+  };
 }
 
 function subtract(counts: RunCounts, former: RunCounts | undefined): RunSample {
--- a/src/rollouts/rollout-decision.ts
+++ b/src/rollouts/rollout-decision.ts
@@ -105,11 +105,13 @@
   /** Completes when every proxy has moved, or, near the deadline, without those that cannot be heard. */
   #decideAtWhole(
     { step }: RolloutResource,
-    { proxies, orderedSlots }: RolloutView,
+    { proxies, orderedSlots, inUseSlots }: RolloutView,
     now: Instant,
   ): RolloutVerdict | undefined {
-    if (orderedSlots === 0) {
-      return now >= this.#deadline ? endLate('no server of the version is ready') : undefined;
+    if (orderedSlots === 0 || orderedSlots < inUseSlots * MIN_SLOTS_SHARE) {
+      return now >= this.#deadline
+        ? endLate('too few servers of the version are ready')
+        : undefined;
     }
     const isMoved = this.#evidence.isMovedBy(proxies, step, addMs(now, -REPORT_AGE_MS));
     if (isMoved || now >= this.#lastCompletion) {
--- a/src/rollouts/version-shares.ts
+++ b/src/rollouts/version-shares.ts
@@ -65,6 +65,12 @@
     return isOrdered ? 'ordered' : 'in-use';
   }
 
+  /** Whether all calls of a service go to the ordered version, so that later attempts must not use old servers. */
+  hasMoved(service: ServiceName, now: Instant): boolean {
+    const share = this.#rules.get(service)?.share ?? 0;
+    return share >= 1 && !this.#isBraked(service, share, now);
+  }
+
   /** Counts an answer or a failure of a call at a server of one side. */
   addOutcome(service: ServiceName, side: VersionSide, hasFailed: boolean): void {
     if (this.#rules.get(service)?.isRunning !== true || side === 'any') return;
--- a/test/body-admission.test.ts
+++ b/test/body-admission.test.ts
@@ -111,6 +111,28 @@
   t.is(admission.findNextCheck(at), undefined);
 });
 
+// Guards against one slow sender that holds back all others while the link is idle.
+test('a body that comes more slowly than planned lets others pass', (t) => {
+  const admission = new BodyAdmission(LINK);
+  const dueBy = addMs(NOW, 5_000);
+  admission.add(makeBody('slow', { bytes: 100_000, dueBy }), NOW);
+  admission.add(makeBody('next', { bytes: 10_000, dueBy }), NOW);
+  const granted: string[] = [];
+  for (let ms = 50; ms < 1_000 && granted.length === 0; ms += 50) {
+    granted.push(...format(admission.receive('slow' as AttemptId, 500, addMs(NOW, ms))));
+    granted.push(...format(admission.check(addMs(NOW, ms))));
+  }
+  t.deepEqual(granted, ['next granted']);
+});
+
+// Guards against a stopping host that notices the end of its time only at the deadline of a body.
+test('a planned stop: checked at its end', (t) => {
+  const admission = new BodyAdmission(LINK);
+  admission.add(makeBody('a', { bytes: 400_000, dueBy: addMs(NOW, 9_000) }), NOW);
+  admission.limitDeadlines(addMs(NOW, 60));
+  t.is(admission.findNextCheck(NOW), addMs(NOW, 60));
+});
+
 test('an attempt that leaves frees its place, waiting or not', (t) => {
   const admission = new BodyAdmission(LINK);
   for (const name of ['a', 'b', 'c']) admission.add(makeBody(name), NOW);
--- a/test/rollout-decision.test.ts
+++ b/test/rollout-decision.test.ts
@@ -340,7 +340,11 @@
 const VIEW = { orderedSlots: 10, inUseSlots: 10, proxies: ['a' as HostId] };
 
 /** Runs a decision without calls; returns its verdicts with the instants after the start. */
-function runQuiet(view: typeof VIEW, report?: (step: number) => number): string[] {
+function runQuiet(
+  view: typeof VIEW,
+  report?: (step: number) => number,
+  findSlots = (_share: number): number => view.orderedSlots,
+): string[] {
   const deadline = addMs(START, 12_000);
   const decision = new RolloutDecision(BOUNDS, START, deadline);
   let rollout = makeRollout(deadline);
@@ -353,7 +357,8 @@
     if (step >= 0) {
       decision.add('a' as HostId, { service, order, step, runningInUse: 0, counts }, now);
     }
-    const verdict = decision.decide(rollout, view, now);
+    const orderedSlots = findSlots(rollout.share);
+    const verdict = decision.decide(rollout, { ...view, orderedSlots }, now);
     if (verdict === undefined) continue;
     verdicts.push(verdict.kind === 'end' ? `${verdict.state} at ${ms}` : `step at ${ms}`);
     if (verdict.kind === 'end') break;
@@ -369,6 +374,16 @@
   t.is(silent, 'completed at 11500');
 });
 
+// Guards against a service that is left to the few new servers that remain of those that were there before.
+test('too few slots at the whole share: not completed, rolled back at the deadline', (t) => {
+  const verdicts = runQuiet(
+    VIEW,
+    (step) => step,
+    (share) => (share < 1 ? VIEW.orderedSlots : 1),
+  );
+  t.is(verdicts.at(-1), 'rolled-back at 12000');
+});
+
 test('no server of the version, or too few slots: rolled back at the deadline', (t) => {
   t.deepEqual(runQuiet({ ...VIEW, orderedSlots: 0 }), ['rolled-back at 12000']);
   t.is(runQuiet({ ...VIEW, orderedSlots: 5 }).at(-1), 'rolled-back at 12000');
--- a/test/rollout-leader.test.ts
+++ b/test/rollout-leader.test.ts
@@ -106,6 +106,8 @@
   t.like(next, { kind: 'step-rollout', at: { order: 3, step: 2 } });
   source.apply(put({ ...rollout, share: 1, step: 3 }));
   source.report({ ...rollout, step: 3 });
+  t.is(source.waitForCommand(TURN_MS), undefined, 'calls may be on their way to old servers');
+  source.report({ ...rollout, step: 3 });
   t.like(source.waitForCommand(1_000), { kind: 'end-rollout', state: 'completed' });
 });
 
--- a/test/server-versions.test.ts
+++ b/test/server-versions.test.ts
@@ -278,6 +278,24 @@
   t.is(driver.fail(first.attempt), undefined);
 });
 
+// Guards against calls to old servers after all calls have moved, which are cut when the old servers stop.
+test('retry after the whole share: to the new version', (t) => {
+  const driver = new Driver([V1, V1, V2]);
+  driver.setRollout({ share: 0 });
+  const first = driver.call();
+  if (first === undefined) throw new Error('no attempt');
+  t.is(first.version, V1);
+  driver.setRollout({ share: 1, step: 2 });
+  t.is(driver.fail(first.attempt)?.version, V2);
+});
+
+// Guards against a service without calls when its new servers are lost before the end of the roll-out.
+test('no server of the new version at the whole share: calls go to the old one', (t) => {
+  const driver = new Driver([V1, V1]);
+  driver.setRollout({ share: 1 });
+  t.is(driver.call()?.version, V1);
+});
+
 test('new version full: its calls go to the old one, except at the whole share', (t) => {
   const driver = new Driver([V1, V1, V2], true, 2);
   driver.setRollout({ share: 0.999 });
