--- a/src/allowances/allowance-filter.ts
+++ b/src/allowances/allowance-filter.ts
@@ -257,6 +257,7 @@
     state.reportAt = NEVER;
     state.answerBy = NEVER;
     state.tokensBy = NEVER;
+    state.wakeAt = NEVER;
   }
 
   #checkClocks(offset: number): void {
--- a/test/allowance-pipe.test.ts
+++ b/test/allowance-pipe.test.ts
@@ -15,11 +15,7 @@
   ServiceName,
   TimeOfDay,
 } from '../src/ids.js';
-import type {
-  AllowanceRequest,
-  ClientAccountResource,
-  Resource,
-} from '../src/messages/index.js';
+import type { AllowanceRequest, ClientAccountResource, Resource } from '../src/messages/index.js';
 import { buildKeyDigest } from '../src/notes/index.js';
 import { SeededRandom } from '../src/random.js';
 import { makeConfiguration, makeHead, makeKind, makeRoute, START } from './call-resources.js';
@@ -128,6 +124,18 @@
   t.false(listReasons(outputs).some((reason) => reason.endsWith('allowance')));
 });
 
+test('limit removed and set again: reports begin again', (t) => {
+  const driver = new PipeDriver();
+  driver.grant(driver.configure(ACCOUNT), 500_000);
+  driver.configure();
+  t.notDeepEqual(listReasons(driver.call('one')), ['no-allowance']);
+  driver.now = addMs(driver.now, 60_000);
+  const outputs = driver.configure(ACCOUNT);
+  t.is(findRequest(outputs).kind, 'report');
+  t.true(outputs.some(({ kind }) => kind === 'wake'));
+  t.deepEqual(listReasons(driver.call('two')), ['no-allowance'], 'the former lease has ended');
+});
+
 test('no lease: refused as not run; calls without an account pass', (t) => {
   const driver = new PipeDriver();
   driver.configure(ACCOUNT);
