--- a/src/allowances/index.ts
+++ b/src/allowances/index.ts
@@ -4,10 +4,10 @@
   AllowanceIn,
   AllowanceOut,
   AllowanceRefusal,
-  AllowanceState,
   AllowanceView,
   LimitedCall,
-} from './allowance-filter.js';
+} from './allowance-messages.js';
+export type { AllowanceState } from './allowance-state.js';
 export { buildLimit, WHOLE } from './account-limit.js';
 export type { AccountLimit } from './account-limit.js';
 export { GrantorFilter, isGrantorConfirmation } from './grantor-filter.js';
