Ignore the answers to earlier reports once a lease has ended

Cause: with longer random histories (seed 1), a report lay for 5 s until its proxy's lease had ended and the grantor had given the share to another proxy; the answer brought the share back.

--- a/src/allowances/allowance-decision.ts
+++ b/src/allowances/allowance-decision.ts
@@ -110,6 +110,7 @@
     const state = this.#state;
     state.hasLease = false;
     state.lease.end();
+    this.#restartRequests();
     state.buckets.dropAll(this.#now);
     state.reportAt = this.#now;
     this.#pushLease(false);
--- a/src/allowances/allowance-lease.ts
+++ b/src/allowances/allowance-lease.ts
@@ -71,9 +71,13 @@
     return true;
   }
 
-  /** Ends the lease. */
+  /**
+   * Ends the lease. The replies to all requests so far are ignored: a report may name shares that the grantor has given
+   * to others since, and its answer must not bring them back.
+   */
   end(): void {
     this.#until = 0 as Instant;
+    this.#sent.clear();
   }
 
   /** Numbers a request that is being sent. */
--- a/test/allowance-ledger.test.ts
+++ b/test/allowance-ledger.test.ts
@@ -28,6 +28,7 @@
   buckets = new AccountBuckets();
   lease: AllowanceLease;
   #lives = 1;
+  #hasLease = false;
   #grantor: Address | undefined;
 
   constructor(index: number, now: Instant) {
@@ -38,6 +39,7 @@
 
   restart(now: Instant): void {
     this.#lives += 1;
+    this.#hasLease = false;
     this.lease = new AllowanceLease(`${this.host}-${this.#lives}` as ProxyLife);
     this.buckets = new AccountBuckets();
     this.buckets.updateLimits(makeLimits(), now);
@@ -49,7 +51,7 @@
 
   /** The demand stands in for calls: the test chooses it. */
   buildReport(to: Address, tenths: number, now: Instant): AllowanceReport {
-    if (!this.lease.isValid(now)) this.buckets.dropAll(now);
+    this.#endLease(now);
     const share = (this.buckets.find(name)?.bucket.share ?? 0) as never;
     if (to !== this.#grantor) this.lease.forgetRequests();
     this.#grantor = to;
@@ -58,14 +60,23 @@
     return { kind: 'report', life, number, applied, accounts: [[name, share, tenths]] };
   }
 
+  #endLease(now: Instant): void {
+    if (!this.#hasLease || this.lease.isValid(now)) return;
+    this.#hasLease = false;
+    this.lease.end();
+    this.buckets.dropAll(now);
+  }
+
   receive(from: Address, reply: AllowanceReply, now: Instant): void {
-    if (!this.lease.isValid(now)) this.buckets.dropAll(now);
+    this.#endLease(now);
     if (reply.kind === 'recall' && this.lease.acceptRecall(reply.term)) {
       this.buckets.lowerShares(reply.shares, now);
     }
     if (reply.kind !== 'grant') return;
     const sentAt = this.lease.renew(from, reply, now);
-    if (sentAt !== undefined) this.buckets.applyShares(reply, sentAt, now);
+    if (sentAt === undefined) return;
+    this.#hasLease = true;
+    this.buckets.applyShares(reply, sentAt, now);
   }
 }
 
@@ -153,7 +164,7 @@
 test('shares and reserve: never above the whole', (t) => {
   let most = 0;
   fc.assert(
-    fc.property(fc.array(step, { minLength: 20, maxLength: 200 }), (steps) => {
+    fc.property(fc.array(step, { minLength: 20, maxLength: 200, size: 'max' }), (steps) => {
       const mesh = new LooseMesh();
       for (const each of steps) {
         applyStep(mesh, each);
@@ -162,7 +173,7 @@
       }
       return true;
     }),
-    { numRuns: 20_000, seed: 99 },
+    { numRuns: 5_000, seed: 1 },
   );
   t.is(most, WHOLE, 'the histories reach the whole');
 });
