--- a/src/allowances/share-ledger.ts
+++ b/src/allowances/share-ledger.ts
@@ -81,15 +81,19 @@
       return true;
     }
     if (report.number <= proxy.reported) return false;
+    // No lease of this term or, after the lock, of an earlier one can be valid: the report is late.
+    const hasEnded = now >= proxy.expiresAt && (proxy.answered !== NONE || !this.#isLocked);
+    if (hasEnded) this.#removeShares(host, proxy, now);
     proxy.reported = report.number;
     proxy.expiresAt = addMs(now, LOCK_MS);
-    const isSettled = report.applied >= proxy.answered;
+    const isSettled = hasEnded || report.applied >= proxy.answered;
     const listed = new Map(report.accounts.map((use) => [use[0], use]));
     for (const name of new Set([...proxy.accounts.keys(), ...listed.keys()])) {
-      const [, share, tenthsPerSecond] = listed.get(name) ?? [name, NO_SHARE, 0];
+      const [, claimed, tenthsPerSecond] = listed.get(name) ?? [name, NO_SHARE, 0];
+      const share = hasEnded ? NO_SHARE : claimed;
       const account = this.#findAccount(name, now);
       account?.addReport(host, { share, tenthsPerSecond, isSettled }, now);
-      if (listed.has(name) || !isSettled) proxy.accounts.set(name, share);
+      if (listed.has(name) || !isSettled) proxy.accounts.set(name, claimed);
       else proxy.accounts.delete(name);
     }
     return true;
