Keep the first body coming in the test of an entry proxy that dies

The first sender sent nothing after its permission; once 150 ms had passed, it counted as stalled, as it should, and the second body was permitted at once instead of waiting. The first sender now sends until it dies, so that the second one has to wait whatever the load.

--- a/test/uploads.test.ts
+++ b/test/uploads.test.ts
@@ -342,9 +342,15 @@
   const mesh = await startMesh(t, [recordUploads([])]);
   const first = askGuard(t, mesh, 1_000_000);
   await waitFor('a permission', () => waitForGrant(first));
+  // A body that does not come for 150 ms lets the next one pass.
+  const sender = setInterval(() => first.socket.write(Buffer.alloc(1_000)), 10);
+  t.teardown(() => {
+    clearInterval(sender);
+  });
   const next = askGuard(t, mesh);
   await waitFor('a waiting body', () => mesh.at(0).task.bodies.waiting === 1 || undefined);
   t.is(next.text, '');
+  clearInterval(sender);
   first.socket.destroy();
   await waitFor('a permission', () => waitForGrant(next));
   next.socket.destroy();
