--- a/src/calls/call-pipe.ts
+++ b/src/calls/call-pipe.ts
@@ -19,6 +19,7 @@
 import { AttemptFilter } from './attempt-filter.js';
 import type { BodyIn, BodyOut, BodyState } from './body-filter.js';
 import { BodyFilter } from './body-filter.js';
+import { addBodies, addBodyTime } from './body-load.js';
 import type { ClaimIn, ClaimOut, ClaimState } from './claim-filter.js';
 import { ClaimFilter } from './claim-filter.js';
 import type { ClassifyIn, ClassifyOut, ClassifyState, RoutedCall } from './classify-filter.js';
@@ -240,7 +241,8 @@
     const guarded = context.state.guarded.get(attempt);
     const server = context.state.guard.serversByAttempt.get(attempt);
     const measured = server?.measureLoadAfter(attempt, context.now);
-    const load = addBodies(context, addBodyTime(context, attempt, measured));
+    const { bodies } = context.state;
+    const load = addBodies(bodies, addBodyTime(bodies, attempt, measured, context.now));
     context.outputs.push(...context.state.runs.handleAnswer(attempt, message.status));
     if (guarded?.isForwarded !== true)
       this.#passToAttempt(context, { ...message, load: load ?? message.load });
@@ -425,7 +427,7 @@
     context.outputs.push(output);
     if (output.kind !== 'reject-body') return;
     const server = context.state.guard.servers.get(output.server);
-    const load = addBodies(context, server?.measureLoad());
+    const load = addBodies(context.state.bodies, server?.measureLoad());
     this.#rejectGuarded(context, output.attempt, buildFailure(output, load));
   }
 
@@ -486,7 +488,7 @@
         context.outputs.push(context.state.runs.handleStart(output.head, context.now));
       context.outputs.push({ ...output, id, count, keepsAnswer });
     } else if (output.kind === 'reject') {
-      const load = addBodies(context, output.load);
+      const load = addBodies(context.state.bodies, output.load);
       this.#rejectGuarded(context, output.attempt, buildFailure(output, load));
     } else {
       if (output.kind === 'stop-run') context.state.runs.handleStop(output);
@@ -534,27 +536,6 @@
   return { outcome: 'not-run', reason, ...(load === undefined ? {} : { load }) };
 }
 
-/** Counts the attempts whose bodies wait or arrive as waiting, so that entry proxies prefer hosts with free links. */
-function addBodies(
-  { state: { bodies } }: MessageContext,
-  load: ServerLoad | undefined,
-): ServerLoad | undefined {
-  const count = bodies === undefined ? 0 : bodies.admission.waiting + bodies.admission.sending;
-  if (load === undefined || count === 0) return load;
-  return { ...load, waiting: load.waiting + count };
-}
-
-/** Counts the time for which a body waited and arrived as held, because it is no part of the round trip. */
-function addBodyTime(
-  { state: { bodies }, now }: MessageContext,
-  attempt: AttemptId,
-  load: ServerLoad | undefined,
-): ServerLoad | undefined {
-  const askedAt = bodies?.asked.get(attempt)?.askedAt;
-  if (askedAt === undefined || load?.heldMs === undefined) return load;
-  return { ...load, heldMs: now - askedAt };
-}
-
 type Settlement = Extract<AllowanceIn<RoutedCall>, { kind: 'sent' | 'sent-again' | 'ended' }>;
 
 /** Builds what an output means for the token of its call. */
