--- a/bench/log-bench.ts
+++ b/bench/log-bench.ts
@@ -138,6 +138,7 @@
     },
     notifyStatus: () => undefined,
     notifyVoterChange: () => undefined,
+    notifyEvent: () => undefined,
     notifyDiskFull: () => undefined,
     send: () => undefined,
     notify: (notice) => {
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -19,6 +19,7 @@
 export { encodeRolloutMessage, readRolloutMessage } from './rollout-codec.js';
 export { LogFile } from './log-file.js';
 export { LogTask } from './log-task.js';
+export type { LogTaskEvent } from './log-task.js';
 export { LoopLag } from './loop-lag.js';
 export { LoopTurns } from './loop-turns.js';
 export type { LoopState, TurnStatistics } from './loop-turns.js';
--- a/src/edge/log-task.ts
+++ b/src/edge/log-task.ts
@@ -3,7 +3,8 @@
 import type { Stream } from 'most';
 import { Packr } from 'msgpackr';
 import type { Clock } from '../clock.js';
-import type { Address, ReplicaId } from '../ids.js';
+import { addMs } from '../clock.js';
+import type { Address, Instant, ReplicaId } from '../ids.js';
 import type {
   LogIn,
   LogOptions,
@@ -11,9 +12,10 @@
   LogRecord,
   LogStatus,
   LogWrite,
+  ReplicaEvent,
   VoterChange,
 } from '../log/index.js';
-import { buildStoredLog, LogFilter } from '../log/index.js';
+import { buildStoredLog, DEFAULT_TIMING, LogFilter } from '../log/index.js';
 import type {
   CapturedSnapshot,
   LogNotice,
@@ -29,6 +31,14 @@
 export type LogTaskIn<Command, Snapshot> =
   Exclude<LogIn<Command>, { kind: 'captured' }> | CapturedSnapshot<Snapshot>;
 
+/** What a log task reports besides its status: the events of its replica, and writes that are slow. */
+export type LogTaskEvent =
+  | ReplicaEvent
+  /** A write has not been synced in time; nothing that depends on it is sent meanwhile. */
+  | { readonly kind: 'sync-slow'; readonly sinceMs: number }
+  /** That write has been synced. */
+  | { readonly kind: 'sync-ended'; readonly sinceMs: number };
+
 /** Options of a {@link LogTask}. */
 export interface LogTaskOptions<Command, Snapshot> extends LogOptions {
   /** The path of the log file, in the data folder. */
@@ -42,6 +52,7 @@
   readonly notifyStatus: (status: LogStatus) => void;
   /** Called when this replica leads and has changed the voters. */
   readonly notifyVoterChange: (change: VoterChange) => void;
+  readonly notifyEvent: (event: LogTaskEvent) => void;
   /** Called with true when a write fails on a full disk, and with false once a write succeeds again. */
   readonly notifyDiskFull: (isFull: boolean) => void;
   /** Sends a packet on the log's channel. */
@@ -52,10 +63,13 @@
 export class LogTask<Command, Snapshot = never> extends Task<LogTaskIn<Command, Snapshot>> {
   readonly #options: LogTaskOptions<Command, Snapshot>;
   readonly #timer: WakeTimer;
+  readonly #syncTimer: WakeTimer;
   readonly #packr = new Packr({ useRecords: false });
   #file: LogFile<LogRecord<Command>> | undefined;
   #pendingWrites: LogWrite<Command>[] = [];
   #syncing: Promise<void> | undefined;
+  #syncStartedAt = 0 as Instant;
+  #isSyncSlow = false;
   #isStopping = false;
 
   constructor(options: LogTaskOptions<Command, Snapshot>) {
@@ -64,6 +78,10 @@
     this.#timer = new WakeTimer(options.clock, () => {
       this.post({ kind: 'tick' });
     });
+    this.#syncTimer = new WakeTimer(options.clock, () => {
+      this.#isSyncSlow = true;
+      options.notifyEvent({ kind: 'sync-slow', sinceMs: this.#countSyncMs() });
+    });
   }
 
   protected override async open(): Promise<void> {
@@ -77,6 +95,7 @@
 
   protected override async close(): Promise<void> {
     this.#timer.stop();
+    this.#syncTimer.stop();
     this.#isStopping = true;
     await this.#syncing;
     await this.#file?.close();
@@ -125,6 +144,9 @@
       case 'voter-changed':
         this.#options.notifyVoterChange(output.change);
         return;
+      case 'event':
+        this.#options.notifyEvent(output.event);
+        return;
       case 'wake':
         this.#timer.wakeAt(output.at);
         return;
@@ -135,7 +157,9 @@
     try {
       while (this.#pendingWrites.length > 0) {
         const batch = this.#pickBatch();
+        this.#startSync();
         if (!(await this.#runWithDiskSpace(() => this.#write(batch)))) return;
+        this.#endSync();
         this.post({ kind: 'synced', writeNumber: batch.at(-1)?.writeNumber ?? 0 });
       }
     } catch (error) {
@@ -145,6 +169,22 @@
     }
   }
 
+  #startSync(): void {
+    this.#syncStartedAt = this.#options.clock.read();
+    this.#syncTimer.wakeAt(addMs(this.#syncStartedAt, SLOW_SYNC_MS));
+  }
+
+  #endSync(): void {
+    this.#syncTimer.stop();
+    if (!this.#isSyncSlow) return;
+    this.#isSyncSlow = false;
+    this.#options.notifyEvent({ kind: 'sync-ended', sinceMs: this.#countSyncMs() });
+  }
+
+  #countSyncMs(): number {
+    return Math.round(this.#options.clock.read() - this.#syncStartedAt);
+  }
+
   #runWithDiskSpace(write: () => Promise<void>): Promise<boolean> {
     return runWithDiskSpace(write, {
       clock: this.#options.clock,
@@ -167,3 +207,8 @@
     else await this.#file?.append(records);
   }
 }
+
+// Internals.
+
+/** A sync that lasts as long as the shortest election timeout can cost a leader its role. */
+const SLOW_SYNC_MS = DEFAULT_TIMING.minElectionMs;
--- a/src/log/candidate-role.ts
+++ b/src/log/candidate-role.ts
@@ -6,6 +6,11 @@
 import type { ReceivedAnswer, RoleKind } from './log-role.js';
 import { LogRole } from './log-role.js';
 import { hasQuorum } from './membership.js';
+import type { ElectionPhase } from './replica-events.js';
+import { buildFailedElection } from './replica-events.js';
+
+/** An answer to a request for a vote or a pre-vote. */
+type VoteAnswer = Extract<LogMessageBody<unknown>, { kind: 'vote-answer' | 'pre-vote-answer' }>;
 
 /**
  * Asks for pre-votes first, which change no state at the replicas that grant them, so that a replica that
@@ -13,8 +18,12 @@
  */
 export class CandidateRole<Command> extends LogRole<Command> {
   override readonly kind = 'candidate';
-  #phase: 'asking' | 'voting' = 'asking';
+  #phase: ElectionPhase = 'pre-vote';
+  #hasWon = false;
+  /** The term that the election began in, or that it started. */
+  #electionTerm = 0 as Term;
   #grantedBy = new Set<ReplicaId>();
+  #refusedBy = new Set<ReplicaId>();
   /** The write of this replica's vote for itself. */
   #ownVoteWrite: WriteNumber = 0;
   #restartAt = 0 as Instant;
@@ -24,6 +33,7 @@
     const range = timing.maxElectionMs - timing.minElectionMs;
     this.#restartAt = addMs(now, timing.minElectionMs + random.next() * range);
     this.replica.updateLeader(undefined, now);
+    this.#electionTerm = this.replica.term;
     this.#grantedBy.add(this.replica.id);
     this.#sendToVoters({ kind: 'pre-vote', last: this.#lastPosition });
     return this.#countVotes();
@@ -35,7 +45,11 @@
 
   override handleAnswer(answer: ReceivedAnswer<Command>): RoleKind | undefined {
     const { message, body } = answer;
-    if (!this.#isGrant(body)) return undefined;
+    if (!this.#isCurrent(body)) return undefined;
+    if (!body.granted) {
+      this.#refusedBy.add(message.from);
+      return undefined;
+    }
     this.#grantedBy.add(message.from);
     return this.#countVotes();
   }
@@ -59,7 +73,9 @@
   }
 
   override stop(): void {
+    if (!this.#hasWon) this.#reportFailure();
     this.#grantedBy.clear();
+    this.#refusedBy.clear();
   }
 
   // Internals.
@@ -69,17 +85,33 @@
     return { index, term };
   }
 
-  #isGrant(body: LogMessageBody<Command>): boolean {
-    if (body.kind === 'vote-answer') return this.#phase === 'voting' && body.granted;
-    if (body.kind !== 'pre-vote-answer' || this.#phase !== 'asking') return false;
-    return body.granted && body.asked === this.replica.term + 1;
+  /** Returns whether a message answers what this replica asks now. */
+  #isCurrent(body: LogMessageBody<Command>): body is VoteAnswer {
+    if (body.kind === 'vote-answer') return this.#phase === 'vote';
+    if (body.kind !== 'pre-vote-answer' || this.#phase !== 'pre-vote') return false;
+    return body.asked === this.replica.term + 1;
+  }
+
+  #reportFailure(): void {
+    const { entries, events } = this.replica;
+    const election = { term: this.#electionTerm, phase: this.#phase };
+    const failed = buildFailedElection(
+      entries.membership ?? { voters: [] },
+      election,
+      (replica) => this.#hasVoteOf(replica),
+      (replica) => this.#refusedBy.has(replica),
+    );
+    events.notifyFailedElection(failed);
   }
 
   #countVotes(): RoleKind | undefined {
     const { membership } = this.replica.entries;
     if (membership === undefined) return undefined;
     if (!hasQuorum(membership, ({ replica }) => this.#hasVoteOf(replica))) return undefined;
-    if (this.#phase === 'voting') return 'leader';
+    if (this.#phase === 'vote') {
+      this.#hasWon = true;
+      return 'leader';
+    }
     this.#startTerm();
     return this.#countVotes();
   }
@@ -91,9 +123,11 @@
   }
 
   #startTerm(): void {
-    this.#phase = 'voting';
+    this.#phase = 'vote';
     this.#grantedBy = new Set([this.replica.id]);
+    this.#refusedBy = new Set();
     this.replica.updateTerm((this.replica.term + 1) as Term, this.replica.id);
+    this.#electionTerm = this.replica.term;
     this.#ownVoteWrite = this.replica.lastWriteNumber;
     this.#sendToVoters({ kind: 'vote', last: this.#lastPosition });
   }
--- a/src/log/follower-role.ts
+++ b/src/log/follower-role.ts
@@ -49,11 +49,16 @@
   }
 
   override handleTick(now: Instant): RoleKind | undefined {
-    if (this.replica.isVoter) return now >= this.#electionAt ? 'candidate' : undefined;
+    if (this.replica.isVoter) {
+      this.replica.events.forgetJoining();
+      return now >= this.#electionAt ? 'candidate' : undefined;
+    }
     if (now < this.#joinAt) return undefined;
     this.#joinAt = addMs(now, this.replica.options.timing.joinMs);
     if (this.#isEmpty && this.#isReadyToBootstrap(now)) return this.#createLog(now);
-    for (const address of this.replica.peerAddresses) {
+    const { peerAddresses } = this.replica;
+    this.replica.events.notifyJoining(peerAddresses, this.#isEmpty);
+    for (const address of peerAddresses) {
       this.replica.sendDurable(
         { address, replica: undefined },
         { kind: 'join', fresh: this.#isEmpty },
--- a/src/log/handle-peer-message.ts
+++ b/src/log/handle-peer-message.ts
@@ -16,8 +16,11 @@
   const { replica, peers, role } = loaded;
   const { from, address, message } = received;
   const { body } = message;
-  if (message.to !== undefined && message.to !== replica.id) return undefined;
   const sender: Sender = { host: from, address, replica: message.from };
+  if (message.to !== undefined && message.to !== replica.id) {
+    replica.events.notifyOtherIdentity(sender, body.kind, message.to);
+    return undefined;
+  }
   switch (body.kind) {
     case 'join':
       if (body.fresh) peers.welcome(address, message.from);
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -8,3 +8,4 @@
 export type { LogGrowth, LogOptions, LogTiming, SnapshotPolicy } from './log-options.js';
 export { buildStoredLog, listRecords, START } from './log-record.js';
 export type { LogRecord, StoredLog } from './log-record.js';
+export type { ReplicaEvent } from './replica-events.js';
--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -164,6 +164,8 @@
     if (findVoter(this.#membership, peer.address)?.replica === peer.replica) return;
     if (this.#learners.get(peer.address)?.replica === peer.replica) return;
     this.#learners.set(peer.address, peer);
+    const replacesVoter = findVoter(this.#membership, peer.address) !== undefined;
+    this.replica.events.notifyLearner(peer.address, replacesVoter);
     this.#addProgress(peer, now);
     this.#replicator.sendHeartbeats(now);
   }
--- a/src/log/log-messages.ts
+++ b/src/log/log-messages.ts
@@ -5,6 +5,7 @@
 import type { WriteNumber } from './durability-barrier.js';
 import type { LogRecord, StoredLog } from './log-record.js';
 import type { RoleKind } from './log-role.js';
+import type { ReplicaEvent } from './replica-events.js';
 
 /** Input messages of the log filter. */
 export type LogIn<Command> =
@@ -39,6 +40,7 @@
   | { readonly kind: 'restore'; readonly through: LogIndex; readonly bytes: Uint8Array }
   | { readonly kind: 'status'; readonly status: LogStatus }
   | { readonly kind: 'voter-changed'; readonly change: VoterChange }
+  | { readonly kind: 'event'; readonly event: ReplicaEvent }
   | WakeRequest;
 
 /** A change of the voters that a leader has appended to its log, for operators. */
--- a/src/log/replica.ts
+++ b/src/log/replica.ts
@@ -18,6 +18,7 @@
 import type { LogRecord, StoredLog } from './log-record.js';
 import { listRecords, START } from './log-record.js';
 import { hasVoter } from './membership.js';
+import { ReplicaEventReporter } from './replica-events.js';
 
 /** The recipient of a message. */
 export interface Recipient {
@@ -36,6 +37,9 @@
   readonly options: LogOptions;
   readonly id: ReplicaId;
   readonly entries: EntryTable<Command>;
+  readonly events = new ReplicaEventReporter((event) => {
+    this.#outputs.push({ kind: 'event', event });
+  });
   #term: Term;
   #vote: ReplicaId | undefined;
   #snapshot: LogSnapshot | undefined;
--- a/src/program/run-ledger.ts
+++ b/src/program/run-ledger.ts
@@ -10,6 +10,7 @@
 import type { ReportFailure, Task } from '../pipe/index.js';
 import { FilterTask } from '../pipe/index.js';
 import type { Random } from '../random.js';
+import { buildLogEventLine } from './log-event-lines.js';
 import { buildLogSend, listReplicas, readLogPacket } from './log-wiring.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './running-role.js';
@@ -114,6 +115,10 @@
     notifyVoterChange: (change) => {
       options.log('log-voters', { group: name, ...change });
     },
+    notifyEvent: (logEvent) => {
+      const { event, fields } = buildLogEventLine(name, logEvent);
+      options.log(event, fields);
+    },
     notifyDiskFull: (isFull) => {
       options.log(isFull ? 'disk-full' : 'disk-has-room', { group: name });
     },
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -31,6 +31,7 @@
 import { AcknowledgementLog } from './acknowledgement-log.js';
 import { CommitLog } from './commit-log.js';
 import { GrantorWiring } from './grantor-wiring.js';
+import { buildLogEventLine } from './log-event-lines.js';
 import { buildLogSend, listReplicas, readLogPacket } from './log-wiring.js';
 import type { Log } from './logger.js';
 import type { RecoveryLog } from './recovery-log.js';
@@ -92,6 +93,10 @@
     notifyVoterChange: (change) => {
       recovery.report('log-voters', { group: LOG_GROUP, ...change });
     },
+    notifyEvent: (logEvent) => {
+      const { event, fields } = buildLogEventLine(LOG_GROUP, logEvent);
+      recovery.report(event, fields);
+    },
     notifyDiskFull: (isFull) => {
       options.log(isFull ? 'disk-full' : 'disk-has-room', { group: LOG_GROUP });
     },
--- a/test/disk-full.test.ts
+++ b/test/disk-full.test.ts
@@ -68,6 +68,7 @@
   const disk = await makeDisk(t, folder);
   const notices: LogNotice<string>[] = [];
   const diskFullReports: boolean[] = [];
+  const events: string[] = [];
   const self = '127.0.0.1:1' as Address;
   const task = new LogTask<string>({
     path: join(folder, 'log'),
@@ -87,6 +88,7 @@
     },
     notifyStatus: () => undefined,
     notifyVoterChange: () => undefined,
+    notifyEvent: ({ kind }) => events.push(kind),
     notifyDiskFull: (isFull) => diskFullReports.push(isFull),
     send: () => undefined,
   });
@@ -102,9 +104,11 @@
   task.post({ kind: 'request', request });
   await waitFor('the disk-full report', () => diskFullReports.length > 0 || undefined);
   t.is(countCommitted(), committedBefore);
+  await waitFor('the report of a slow write', () => events.includes('sync-slow') || undefined);
   disk.isFull = false;
   await waitFor('the commit of the command', () => countCommitted() > committedBefore || undefined);
   t.deepEqual(diskFullReports, [true, false]);
+  t.is(events.at(-1), 'sync-ended');
   disk.isFull = true;
   task.post({ kind: 'request', request: { ...request, id: 'r2' as RequestId } });
   await waitFor('the second disk-full report', () => diskFullReports.length > 2 || undefined);
--- a/test/log-cluster.ts
+++ b/test/log-cluster.ts
@@ -1,7 +1,15 @@
 /** A simulated cluster of log replicas with in-memory links and disks, deterministic for a seed. */
 import { addMs, NEVER } from '../src/clock.js';
 import type { Address, HostId, Instant, ReplicaId, RequestId } from '../src/ids.js';
-import type { LogIn, LogOut, LogRecord, LogState, LogWrite, StoredLog } from '../src/log/index.js';
+import type {
+  LogIn,
+  LogOut,
+  LogRecord,
+  LogState,
+  LogWrite,
+  ReplicaEvent,
+  StoredLog,
+} from '../src/log/index.js';
 import { buildStoredLog, DEFAULT_TIMING, LogFilter } from '../src/log/index.js';
 import type { LogMessage, LogNotice, Membership } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
@@ -24,6 +32,8 @@
   unsyncedWrites: LogWrite<string>[];
   /** The state machine: the commands applied so far. */
   applied: string[];
+  /** What the node has reported since the start of the cluster. */
+  readonly events: ReplicaEvent[];
   clockOffset: number;
 }
 
@@ -81,6 +91,7 @@
       diskGeneration: 0,
       unsyncedWrites: [],
       applied: [],
+      events: [],
       clockOffset: this.random.nextInt(options.maxClockOffsetMs ?? 5_000),
     }));
     for (const node of this.nodes) this.start(node);
@@ -272,6 +283,9 @@
       case 'status':
       case 'voter-changed':
         return;
+      case 'event':
+        node.events.push(output.event);
+        return;
       case 'wake':
         node.wakeAt = Math.min(node.wakeAt, output.at - node.clockOffset) as Instant;
         return;
