Log whom a process asks for an introduction, and who answers

No line told which seeds they had asked, which had answered, and whether an answer named anybody. No change of what is asked.

--- a/bench/member-fleet.ts
+++ b/bench/member-fleet.ts
@@ -227,6 +227,9 @@
       case 'broadcast':
         node.broadcasts.push(output.item);
         return;
+      case 'introduction-answered':
+      case 'introduction-unanswered':
+        return;
       case 'datagram':
         this.network.countDatagram?.(node, output);
         this.#sendDatagram(node, output);
--- a/src/members/handle-datagram.ts
+++ b/src/members/handle-datagram.ts
@@ -5,6 +5,7 @@
 import { applyUpdates } from './apply-update.js';
 import { buildStatusOf, pickUpdates } from './gossip.js';
 import type { MembersState } from './members-state.js';
+import { handleIntroduction } from './join.js';
 import { notifyDataCentreUp } from './member-events.js';
 import { answerRecall, handleRecalled } from './run-recall.js';
 import { MAX_RELAYED_PROBES, INTRODUCTION_SAMPLE, PROBE_TIMEOUT_MS } from './timing.js';
@@ -26,6 +27,7 @@
       return;
     case 'ack':
       applyUpdates(state, message.updates, context);
+      handleIntroduction(state, message, context);
       handleAck(state, message.sequence, context);
       return;
     case 'nack':
--- a/src/members/join.ts
+++ b/src/members/join.ts
@@ -1,6 +1,7 @@
 /** Discovers members through seeds, and reconnects to members that were declared dead. */
 import { addMs } from '../clock.js';
 import type { Address } from '../ids.js';
+import type { ProbeMessage } from '../messages/index.js';
 import { buildStatusOf, pickUpdates } from './gossip.js';
 import type { MembersState } from './members-state.js';
 import {
@@ -45,10 +46,25 @@
   });
 }
 
+/** Reports the first answer of an address that was asked for an introduction. */
+export function handleIntroduction(
+  state: MembersState,
+  { from: host, sequence, updates }: Extract<ProbeMessage, { kind: 'ack' }>,
+  context: StepContext,
+): void {
+  const answer = state.introductions.handleAnswer(sequence);
+  if (answer?.isFirst !== true) return;
+  const { address, asks } = answer;
+  const others = updates.filter((one) => one.kind === 'record' && one.member.host !== host).length;
+  context.add({ kind: 'introduction-answered', address, host, others, asks });
+}
+
 // Internals.
 
 function sendSeedPing(state: MembersState, seed: Address, context: StepContext): void {
   state.sequence += 1;
+  const isSilent = state.introductions.addRequest(seed, state.sequence);
+  if (isSilent) context.add({ kind: 'introduction-unanswered', address: seed });
   context.send(seed, {
     kind: 'ping',
     from: state.self.host,
--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -88,6 +88,7 @@
     }
     case 'seeds':
       state.seeds = message.seeds;
+      state.introductions.clear();
       state.seedAt = context.now;
       runJoin(state, context);
       return;
--- a/src/members/members-state.ts
+++ b/src/members/members-state.ts
@@ -15,6 +15,7 @@
 import { SeenBroadcasts } from './seen-broadcasts.js';
 import { DataCentreContacts } from './data-centre-contacts.js';
 import { DeadlineQueue } from './deadline-queue.js';
+import { Introductions } from './introductions.js';
 import { LocalHealth } from './local-health.js';
 import { MemberTable } from './member-table.js';
 import type { MemberStatus } from './member-table.js';
@@ -52,9 +53,23 @@
   | { readonly kind: 'received'; readonly address: Address; readonly body: SyncMessage }
   | Tick;
 
+/** A report on the requests for an introduction to other members. */
+export type IntroductionReport =
+  /** An address has answered for the first time. `others` counts the members that the answer named besides its sender. */
+  | {
+      readonly kind: 'introduction-answered';
+      readonly address: Address;
+      readonly host: HostId;
+      readonly others: number;
+      readonly asks: number;
+    }
+  /** An address has not answered several requests. */
+  | { readonly kind: 'introduction-unanswered'; readonly address: Address };
+
 /** An output message of the membership pipe. */
 export type MembersOut =
   | MembershipEvent
+  | IntroductionReport
   | { readonly kind: 'datagram'; readonly to: Address; readonly message: ProbeMessage }
   /** A message to send over a link. */
   | { readonly kind: 'send'; readonly to: Address; readonly body: SyncMessage }
@@ -131,6 +146,7 @@
   probe: Probe | undefined;
   readonly relayedProbes: Map<number, RelayedProbe>;
   readonly recall: Recall;
+  readonly introductions: Introductions;
   sequence: number;
   probeAt: Instant;
   gossipAt: Instant;
@@ -172,6 +188,7 @@
     probe: undefined,
     relayedProbes: new Map(),
     recall: new Recall(startedAt),
+    introductions: new Introductions(),
     sequence: 0,
     probeAt: delay(PROBE_INTERVAL_MS),
     gossipAt: delay(GOSSIP_INTERVAL_MS),
--- a/src/program/create-membership.ts
+++ b/src/program/create-membership.ts
@@ -72,10 +72,20 @@
     log('member-update-dropped', { from, reason });
   }
 
+  function readUptimeMs(): number {
+    return Math.round(clock.read() - startedAt);
+  }
+
   function route(output: Exclude<MembersOut, { kind: 'wake' }>): void {
     if (output.kind === 'datagram') probes.post(output);
     else if (output.kind === 'send') {
       postLink({ kind: 'send', to: output.to, channel: 'members', body: encodeSync(output.body) });
+    } else if (output.kind === 'introduction-answered') {
+      const { kind, host: member, address, others, asks } = output;
+      log(kind, { address, member, others, asks, sinceStartMs: readUptimeMs() });
+    } else if (output.kind === 'introduction-unanswered') {
+      const { kind, address } = output;
+      log(kind, { address, members: knownHosts.size, sinceStartMs: readUptimeMs() });
     } else {
       if (output.kind === 'member-up') knownHosts.add(output.member.host);
       if (output.kind === 'member-gone') knownHosts.delete(output.host);
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -55,6 +55,8 @@
   'server-state': HIGH_RATE,
   'member-up': LOW_RATE,
   'member-gone': HIGH_RATE,
+  'introduction-answered': HIGH_RATE,
+  'introduction-unanswered': HIGH_RATE,
   'members-left': HIGH_RATE,
   'member-update-dropped': HIGH_RATE,
   'frame-rejected': HIGH_RATE,
