Answer messages for a lost identity with a request to join

A leader learns of a lost disk from a join alone, and the host asked only the addresses that it knew: with seeds that don't help, the source that came back with it. Meanwhile the leader's heartbeats reached the host ten times a second, and were dropped without an answer because they named the lost identity.

Such a message is now answered with a join to its sender, at most twice in a heartbeat interval, so that the next heartbeat is enough, whatever the membership knows. A follower or candidate learns nothing from it but whom to ask; the leader decides as it does on every join.

--- a/src/log/candidate-role.ts
+++ b/src/log/candidate-role.ts
@@ -1,6 +1,6 @@
 /** The candidate role: a pre-vote, then an election. */
 import { addMs } from '../clock.js';
-import type { Instant, ReplicaId, Term } from '../ids.js';
+import type { Address, Instant, ReplicaId, Term } from '../ids.js';
 import type { LogMessageBody, LogPosition, LogRequest } from '../messages/index.js';
 import type { WriteNumber } from './durability-barrier.js';
 import type { ReceivedAnswer, RoleKind } from './log-role.js';
@@ -54,13 +54,18 @@
     return this.#countVotes();
   }
 
+  override handleOtherIdentity(sender: Address, now: Instant): void {
+    this.replica.joins.answerOtherIdentity(sender, now);
+  }
+
   override handleSynced(): RoleKind | undefined {
     return this.#countVotes();
   }
 
   override handleTick(now: Instant): RoleKind | undefined {
     if (now < this.#restartAt) return undefined;
-    this.#sendJoin();
+    // A candidate that cannot win may have been removed from the membership without knowing it.
+    this.replica.joins.sendToAll(now);
     return 'candidate';
   }
 
@@ -132,13 +137,6 @@
     this.#sendToVoters({ kind: 'vote', last: this.#lastPosition });
   }
 
-  /** A candidate that cannot win may have been removed from the membership without knowing it. */
-  #sendJoin(): void {
-    for (const address of this.replica.peerAddresses) {
-      this.replica.sendDurable({ address, replica: undefined }, { kind: 'join', fresh: false });
-    }
-  }
-
   #sendToVoters(body: LogMessageBody<Command>): void {
     const voters = this.replica.entries.membership?.voters ?? [];
     for (const voter of voters) {
--- a/src/log/follower-role.ts
+++ b/src/log/follower-role.ts
@@ -44,6 +44,10 @@
     this.#emptyPeers.set(address, { replica: message.from, validUntil });
   }
 
+  override handleOtherIdentity(sender: Address, now: Instant): void {
+    this.replica.joins.answerOtherIdentity(sender, now);
+  }
+
   override handleSynced(): undefined {
     return;
   }
@@ -56,14 +60,9 @@
     if (now < this.#joinAt) return undefined;
     this.#joinAt = addMs(now, this.replica.options.timing.joinMs);
     if (this.#isEmpty && this.#isReadyToBootstrap(now)) return this.#createLog(now);
-    const { peerAddresses } = this.replica;
-    this.replica.events.notifyJoining(peerAddresses, this.#isEmpty);
-    for (const address of peerAddresses) {
-      this.replica.sendDurable(
-        { address, replica: undefined },
-        { kind: 'join', fresh: this.#isEmpty },
-      );
-    }
+    const { joins, events } = this.replica;
+    events.notifyJoining(joins.addresses, this.#isEmpty);
+    joins.sendToAll(now);
     return undefined;
   }
 
--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -56,6 +56,10 @@
     this.#applyProgress(now);
   }
 
+  override handleOtherIdentity(): void {
+    // A leader has its vote.
+  }
+
   override handleSynced(now: Instant): undefined {
     this.#applyProgress(now);
   }
--- a/src/log/log-filter.ts
+++ b/src/log/log-filter.ts
@@ -80,7 +80,7 @@
     case 'request':
       return role.handleRequest(message.request, now);
     case 'peers':
-      replica.updatePeers(message.addresses);
+      replica.joins.updatePeers(message.addresses);
       return undefined;
     case 'received':
       return handlePeerMessage(loaded, message, now);
--- a/src/log/log-role.ts
+++ b/src/log/log-role.ts
@@ -40,6 +40,9 @@
   /** Handles the answer of another replica. */
   abstract handleAnswer(answer: ReceivedAnswer<Command>, now: Instant): RoleKind | undefined;
 
+  /** Handles a message for another identity at the address of this replica. */
+  abstract handleOtherIdentity(sender: Address, now: Instant): void;
+
   /** Handles the completion of a sync. */
   abstract handleSynced(now: Instant): RoleKind | undefined;
 
--- a/src/log/replica.ts
+++ b/src/log/replica.ts
@@ -13,6 +13,7 @@
 import { DurabilityBarrier } from './durability-barrier.js';
 import type { WriteNumber } from './durability-barrier.js';
 import { EntryTable } from './entry-table.js';
+import { JoinRequests } from './join-requests.js';
 import type { LogOut, VoterChange } from './log-messages.js';
 import type { LogOptions } from './log-options.js';
 import type { LogRecord, StoredLog } from './log-record.js';
@@ -37,6 +38,7 @@
   readonly options: LogOptions;
   readonly id: ReplicaId;
   readonly entries: EntryTable<Command>;
+  readonly joins = new JoinRequests<Command>(this);
   readonly events = new ReplicaEventReporter((event) => {
     this.#outputs.push({ kind: 'event', event });
   });
@@ -51,7 +53,6 @@
   #outputs: LogOut<Command>[] = [];
   readonly #barrier: DurabilityBarrier<LogOut<Command>>;
   readonly #proposals = new Map<LogIndex, RequestId>();
-  #discoveredPeers: readonly Address[] = [];
 
   constructor(options: LogOptions, stored: StoredLog<Command>, newReplicaId: ReplicaId) {
     this.options = options;
@@ -97,19 +98,6 @@
     return hasVoter(this.entries.membership, this.options.self, this.id);
   }
 
-  /** The addresses of all possible other replicas: configured, discovered, and voters. */
-  get peerAddresses(): readonly Address[] {
-    const voters = this.entries.membership?.voters.map(({ address }) => address) ?? [];
-    const all = new Set([...this.options.replicas, ...this.#discoveredPeers, ...voters]);
-    all.delete(this.options.self);
-    return [...all];
-  }
-
-  /** Sets the addresses of further possible replicas besides the configured ones. */
-  updatePeers(addresses: readonly Address[]): void {
-    this.#discoveredPeers = addresses;
-  }
-
   /** The index of the last entry that is synced to disk. */
   get durableIndex(): LogIndex {
     return this.#barrier.durableIndex;
--- a/test/log-cluster.ts
+++ b/test/log-cluster.ts
@@ -19,7 +19,7 @@
 export interface ClusterNode {
   readonly host: HostId;
   readonly address: Address;
-  readonly filter: LogFilter<string>;
+  filter: LogFilter<string>;
   state: LogState<string>;
   running: boolean;
   paused: boolean;
@@ -43,6 +43,12 @@
   readonly message: LogMessage<string>;
 }
 
+/** A packet that {@link LogCluster.settle} delivers once it has arrived. */
+interface DelayedPacket {
+  readonly packet: Packet;
+  readonly arrivesAt: Instant;
+}
+
 /** The options of a cluster. */
 export interface ClusterOptions {
   readonly seed: number;
@@ -52,6 +58,8 @@
   /** Replaces the filter, for example by a faulty one. */
   readonly makeFilter?: typeof makeFilter;
   readonly maxClockOffsetMs?: number;
+  /** The bounds of the random delay of a message while {@link LogCluster.settle} runs; none if absent. */
+  readonly delayMs?: readonly [min: number, max: number];
   /** Receives the notices that a node's log sends to its state machine. */
   readonly notify?: (node: ClusterNode, notice: LogNotice<string>) => void;
   /** Receives the commands that a node starts with: none, or those of a snapshot. */
@@ -66,8 +74,13 @@
   /** The notices of all nodes. */
   readonly notices: LogNotice<string>[] = [];
   now = 1_000_000 as Instant;
+  /** The share of the messages that are lost while {@link LogCluster.settle} runs. */
+  loss = 0;
+  /** The number of messages sent so far, by kind. */
+  readonly sentCounts = new Map<string, number>();
   readonly #options: ClusterOptions;
   #packets: Packet[] = [];
+  #delayedPackets: DelayedPacket[] = [];
   #cutLinks = new Set<string>();
   #requests = 0;
 
@@ -212,14 +225,14 @@
     }
   }
 
-  /** Runs without faults until `isDone`. Throws if this takes longer than the limit. */
+  /** Runs without faults, except for lost and delayed messages, until `isDone`. Throws if this takes longer than the limit. */
   settle(isDone: () => boolean, limitMs = 30_000): void {
     const deadline = addMs(this.now, limitMs);
     while (!isDone()) {
       if (this.now > deadline) throw new Error('the condition was not met within the time limit');
       this.advance(5);
       for (const node of this.nodes) if (node.running) this.sync(node);
-      for (let count = this.#packets.length; count > 0; count -= 1) this.deliver();
+      this.#deliverArrived();
     }
   }
 
@@ -243,6 +256,28 @@
     }
   }
 
+  /** Delivers the messages that have arrived, in random order. */
+  #deliverArrived(): void {
+    const delayed = this.#delayedPackets;
+    this.#delayedPackets = delayed.filter(({ arrivesAt }) => arrivesAt > this.now);
+    const arrived = delayed.filter(({ arrivesAt }) => arrivesAt <= this.now);
+    this.#packets.push(...arrived.map(({ packet }) => packet));
+    for (let count = this.#packets.length; count > 0; count -= 1) this.deliver(this.loss);
+  }
+
+  #addPacket(packet: Packet): void {
+    const { kind } = packet.message.body;
+    this.sentCounts.set(kind, (this.sentCounts.get(kind) ?? 0) + 1);
+    const { delayMs } = this.#options;
+    if (delayMs === undefined) {
+      this.#packets.push(packet);
+      return;
+    }
+    const [min, max] = delayMs;
+    const arrivesAt = addMs(this.now, min + this.random.nextInt(max - min + 1));
+    this.#delayedPackets.push({ packet, arrivesAt });
+  }
+
   #removePacket(position: number): void {
     const last = this.#packets.pop();
     if (last !== undefined && position < this.#packets.length) this.#packets[position] = last;
@@ -265,7 +300,7 @@
         return;
       case 'send':
         this.checker.checkSent(output.message, `${node.host}/${node.diskGeneration}`);
-        this.#packets.push({ from: node, to: output.to, message: output.message });
+        this.#addPacket({ from: node, to: output.to, message: output.message });
         return;
       case 'notice':
         this.#handleNotice(node, output.notice);
--- /dev/null
+++ b/test/log-join.test.ts
@@ -0,0 +1,184 @@
+/** Hosts without a vote find the leader though they know few other hosts, or the wrong ones. */
+import type { ExecutionContext } from 'ava';
+import test from 'ava';
+import { addMs } from '../src/clock.js';
+import type { Address, HostId, ReplicaId } from '../src/ids.js';
+import type { LogGrowth } from '../src/log/index.js';
+import { DEFAULT_TIMING, LogFilter, START } from '../src/log/index.js';
+import { SeededRandom } from '../src/random.js';
+import type { ClusterNode, ClusterOptions } from './log-cluster.js';
+import { isLeader, LogCluster } from './log-cluster.js';
+
+const VOTERS = 5;
+/** The time after which a host that has lost its disk no longer counts as lost. */
+const CATCH_UP_MS = 4_000;
+const VOTE_LIMIT_MS = CATCH_UP_MS / 2;
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
+const GROWTH: LogGrowth = {
+  founds: false,
+  minVoters: VOTERS,
+  maxVoters: VOTERS + 2,
+  replaceAfterMs: VOTE_LIMIT_MS,
+};
+
+interface JoinOptions extends Partial<ClusterOptions> {
+  readonly seed: number;
+  readonly spares?: number;
+}
+
+/** Starts five voters; the spares are down and have no seeds. */
+function startCluster({ seed, spares = 0, ...options }: JoinOptions): LogCluster {
+  const makeFilter = (_: ClusterOptions, index: number, addresses: readonly Address[]) => {
+    const isVoter = index < VOTERS;
+    return makeSeededFilter(seed, index, addresses, isVoter ? addresses.slice(0, 3) : [], isVoter);
+  };
+  const cluster = new LogCluster({ seed, replicas: VOTERS + spares, makeFilter, ...options });
+  for (const spare of cluster.nodes.slice(VOTERS)) cluster.kill(spare);
+  cluster.settle(() => hasAllVoters(cluster));
+  return cluster;
+}
+
+function makeSeededFilter(
+  seed: number,
+  index: number,
+  addresses: readonly Address[],
+  seeds: readonly Address[],
+  founds = false,
+): LogFilter<string> {
+  return new LogFilter<string>({
+    host: `h${index}` as HostId,
+    self: addresses[index] ?? ('' as Address),
+    replicas: seeds,
+    growth: { ...GROWTH, founds },
+    random: new SeededRandom(seed * 31 + index),
+    timing: DEFAULT_TIMING,
+    snapshots: undefined,
+  });
+}
+
+/** Starts a host that knows the given hosts and nobody else. */
+function startKnowing(cluster: LogCluster, node: ClusterNode, known: readonly ClusterNode[]): void {
+  const index = cluster.nodes.indexOf(node);
+  const addresses = cluster.nodes.map(({ address }) => address);
+  const seeds = known.map(({ address }) => address);
+  node.filter = makeSeededFilter(cluster.random.nextInt(1_000), index, addresses, seeds);
+  cluster.start(node);
+}
+
+function hasAllVoters(cluster: LogCluster): boolean {
+  const leader = cluster.nodes.find((node) => node.running && isLeader(node));
+  const voters = leader?.state?.replica.entries.membership?.voters.length;
+  return voters === VOTERS && cluster.nodes.slice(0, VOTERS).every(isVoting);
+}
+
+/** Returns whether a node votes by its own log and by that of the leader. */
+function isVotingNow(cluster: LogCluster, node: ClusterNode): boolean {
+  const id = node.state?.replica.id;
+  const voters = cluster.leader?.state?.replica.entries.membership?.voters ?? [];
+  return isVoting(node) && voters.some(({ replica }) => replica === id);
+}
+
+function isVoting(node: ClusterNode): boolean {
+  return node.state?.replica.isVoter === true;
+}
+
+function runFor(cluster: LogCluster, milliseconds: number): void {
+  const until = addMs(cluster.now, milliseconds);
+  cluster.settle(() => cluster.now >= until, milliseconds + 1_000);
+}
+
+function pickFollowers(cluster: LogCluster, count: number): ClusterNode[] {
+  const followers = cluster.nodes.filter((node) => node.running && node !== cluster.leader);
+  if (followers.length < count) throw new Error('too few followers');
+  return followers.slice(0, count);
+}
+
+/** Loses two disks, and starts the two hosts again with only each other as seeds. */
+function loseTogether(cluster: LogCluster): ClusterNode[] {
+  const lost = pickFollowers(cluster, 2);
+  for (const node of lost) cluster.loseDisk(node);
+  runFor(cluster, 500);
+  for (const node of lost) startKnowing(cluster, node, lost);
+  return lost;
+}
+
+/** Checks that hosts vote in time, and returns how long it took. */
+function checkVotes(
+  t: ExecutionContext,
+  cluster: LogCluster,
+  nodes: readonly ClusterNode[],
+  label: string,
+): void {
+  const startedAt = cluster.now;
+  const areVoting = () => nodes.every((node) => isVotingNow(cluster, node));
+  t.notThrows(() => {
+    cluster.settle(areVoting, VOTE_LIMIT_MS);
+  }, `${label}: no vote within ${VOTE_LIMIT_MS} ms`);
+  t.log(`${label}: voting after ${cluster.now - startedAt} ms`);
+}
+
+test('lost together, each knows only the other: both vote in time', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed });
+    checkVotes(t, cluster, loseTogether(cluster), `seed ${seed}`);
+  }
+});
+
+for (const loss of [0.05, 0.2]) {
+  test(`lost together, ${100 * loss} % of messages lost: both vote in time`, (t) => {
+    for (const seed of SEEDS) {
+      const cluster = startCluster({ seed });
+      cluster.loss = loss;
+      checkVotes(t, cluster, loseTogether(cluster), `seed ${seed}`);
+    }
+  });
+}
+
+test('lost together, then two other disks: log survives', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed });
+    const back = loseTogether(cluster);
+    runFor(cluster, CATCH_UP_MS);
+    const { leader } = cluster;
+    const follower = cluster.nodes.find((node) => node !== leader && !back.includes(node));
+    for (const node of [leader, follower]) if (node !== undefined) cluster.loseDisk(node);
+    runFor(cluster, 500);
+    for (const node of [leader, follower])
+      if (node !== undefined) startKnowing(cluster, node, back);
+    t.notThrows(() => {
+      cluster.settle(() => hasAllVoters(cluster), 2 * CATCH_UP_MS);
+    }, `seed ${seed}`);
+  }
+});
+
+test('old folder restored: host votes again in time', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed });
+    const [node] = pickFollowers(cluster, 1);
+    if (node === undefined) throw new Error('no follower runs');
+    const { disk, diskGeneration } = node;
+    cluster.loseDisk(node);
+    cluster.start(node);
+    cluster.settle(() => isVotingNow(cluster, node));
+    cluster.loseDisk(node);
+    Object.assign(node, { disk, diskGeneration });
+    startKnowing(cluster, node, []);
+    checkVotes(t, cluster, [node], `seed ${seed}`);
+  }
+});
+
+test('messages for a former identity: joins are bounded', (t) => {
+  const cluster = startCluster({ seed: 1 });
+  const [node, sender] = pickFollowers(cluster, 2);
+  if (node === undefined || sender === undefined) throw new Error('too few followers');
+  const { host: from, address } = sender;
+  const body = { kind: 'pre-vote', last: START } as const;
+  const message = { from: 's' as ReplicaId, to: 'former' as ReplicaId, term: START.term, body };
+  const sentBefore = cluster.sentCounts.get('join') ?? 0;
+  for (let count = 0; count < 100; count += 1) {
+    cluster.feed(node, { kind: 'received', from, address, message });
+    runFor(cluster, 5);
+  }
+  const sent = (cluster.sentCounts.get('join') ?? 0) - sentBefore;
+  t.true(sent > 0 && sent <= 12, `${sent} joins in 0.5 s`);
+});
