Dial a kept link again soon after a message to it

After a source host had been down for some seconds, what its roots sent to it (requests for a confirmation, pulls, reports of allowances) could wait for up to 5 s once it was back. A root keeps links to the sources; after each failed dial of such a link the next one is delayed by up to 100 ms, 200 ms ... 5 s, and a message does not dial while that delay runs. A host that is back does not know that something waits for it, so nothing else ends the delay. A link that is not kept dials with the next message.

A message now brings the next dial forward to 100 ms at most, so a kept link is dialled no later than any other, and at most ten times a second.

Test: link-task, "kept link, host back after a long absence: a message is not held up".

--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -5,7 +5,7 @@
 import { WebSocket, WebSocketServer } from 'ws';
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs } from '../clock.js';
-import type { Address, HostId } from '../ids.js';
+import type { Address, HostId, Instant } from '../ids.js';
 import { splitAddress } from '../ids.js';
 import type { LinkChannel, LinkCommand, LinkEvent } from '../messages/index.js';
 import type { ReportFailure } from '../pipe/index.js';
@@ -55,10 +55,11 @@
  * Owns the listening socket and all links of a process.
  *
  * The first message to an address dials its link. A connection that goes silent is replaced by a new one, which
- * sends again what was not acknowledged; a connection that the peer dials takes the link over. A kept link is redialled after it breaks, with capped
- * exponential backoff and full jitter. Any other link is redialled by the next message and closed after
- * an idle timeout. A connection that receives a malformed frame is terminated. A message may be dropped if its
- * link breaks, and it may arrive twice; the filters in the pipes recover from both.
+ * sends again what was not acknowledged; a connection that the peer dials takes the link over. A kept link is
+ * redialled after it breaks, with capped exponential backoff and full jitter, or soon after the next message. Any
+ * other link is redialled by the next message and closed after an idle timeout. A connection that receives a
+ * malformed frame is terminated. A message may be dropped if its link breaks, and it may arrive twice; the filters
+ * in the pipes recover from both.
  */
 export class LinkTask extends Task<LinkCommand> {
   readonly #options: LinkTaskOptions;
@@ -161,6 +162,7 @@
     if (current === undefined) link.addWaiting(packet);
     else this.#write(current, packet);
     this.#dialIfNeeded(link);
+    this.#updateRetry(link);
   }
 
   #write(connection: LinkConnection, packet: LinkPacket): void {
@@ -350,12 +352,25 @@
     const { clock, random } = this.#options;
     const maxDelayMs = Math.min(MAX_RETRY_DELAY_MS, BASE_RETRY_DELAY_MS * 2 ** link.attempts);
     link.attempts += 1;
-    link.cancelRetry = clock.callAt(addMs(clock.read(), random.next() * maxDelayMs), () => {
+    this.#startRetryTimer(link, addMs(clock.read(), random.next() * maxDelayMs));
+  }
+
+  #startRetryTimer(link: PeerLink, at: Instant): void {
+    link.retryAt = at;
+    link.cancelRetry = this.#options.clock.callAt(at, () => {
       link.cancelRetry = undefined;
       this.#dialIfNeeded(link);
     });
   }
 
+  /** Dials sooner for a message: a peer that is back does not know that a message waits for it. */
+  #updateRetry(link: PeerLink): void {
+    const at = addMs(this.#options.clock.read(), BASE_RETRY_DELAY_MS);
+    if (link.cancelRetry === undefined || link.retryAt <= at) return;
+    link.stopRetry();
+    this.#startRetryTimer(link, at);
+  }
+
   /** Checks quiet connections, and closes idle links that are not kept. */
   #sweep(): void {
     const now = this.#options.clock.read();
--- a/src/edge/peer-link.ts
+++ b/src/edge/peer-link.ts
@@ -1,6 +1,7 @@
 /** The link to one address: its connections, and what waits for one. */
 import type { WebSocket } from 'ws';
 import type { CancelTimer } from '../clock.js';
+import { NEVER } from '../clock.js';
 import type { Address, Instant } from '../ids.js';
 import { AnswerPatience } from './answer-patience.js';
 import type { LinkPacket } from './link-codec.js';
@@ -14,6 +15,8 @@
   dialling: WebSocket | undefined;
   /** Cancels the next dial after a failed one; undefined if none is scheduled. */
   cancelRetry: CancelTimer | undefined;
+  /** When the next dial after the last failed one is due. */
+  retryAt = NEVER;
   /** The number of dials that failed since the last connection opened. */
   attempts = 0;
   /** The number of `keep` commands without a matching `drop`; above 0, the link is kept open. */
--- a/test/link-task.test.ts
+++ b/test/link-task.test.ts
@@ -4,18 +4,24 @@
 import { findFreeAddress, waitFor } from '../bench/mesh.js';
 import { LinkTask } from '../src/edge/index.js';
 import { encodeHello, encodeMessage } from '../src/edge/link-codec.js';
-import type { HostId } from '../src/ids.js';
+import type { Address, HostId } from '../src/ids.js';
 import { parseAddress } from '../src/ids.js';
 import type { LinkEvent } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
 import { ManualClock } from './manual-clock.js';
 
-async function startLink(name: string, clock = new ManualClock()) {
+/** Enough for the longest pause between two dials. */
+const FAILED_DIALS = 8;
+const LONGEST_PAUSE_MS = 5_000;
+/** A version is in force 2 s after its acknowledgement, up to three links away from the source. */
+const ARRIVAL_LIMIT_MS = 650;
+
+async function startLink(name: string, clock = new ManualClock(), address?: Address) {
   const events: LinkEvent[] = [];
   const failures: unknown[] = [];
   const sent: number[] = [];
   const rejected: string[] = [];
-  const control = parseAddress(await findFreeAddress());
+  const control = address ?? parseAddress(await findFreeAddress());
   const task = new LinkTask({
     host: name as HostId,
     bind: control,
@@ -100,3 +106,28 @@
   t.is(one.sent.length, 1);
   t.true((one.sent[0] ?? 0) > 500);
 });
+
+// Guards against messages to a host that is back waiting for the next dial of a kept link, up to 5 s later.
+test('kept link, host back after a long absence: a message is not held up', async (t) => {
+  const clock = new ManualClock();
+  const away = await startLink('away', clock);
+  const { control } = away;
+  await away.task.stop();
+  const link = await startLink('near', clock);
+  t.teardown(() => link.task.stop());
+  link.task.post({ kind: 'keep', to: control });
+  const countFailed = () => link.events.filter(({ kind }) => kind === 'link-down').length;
+  for (let dials = 1; dials <= FAILED_DIALS; dials += 1) {
+    await waitFor('a failed dial', () => countFailed() >= dials || undefined);
+    clock.advance(LONGEST_PAUSE_MS);
+  }
+  await waitFor('the last failed dial', () => countFailed() > FAILED_DIALS || undefined);
+  const back = await startLink('back', clock, control);
+  t.teardown(() => back.task.stop());
+  link.task.post({ kind: 'send', to: control, channel: 'spread', body: 'first' });
+  clock.advance(ARRIVAL_LIMIT_MS);
+  await waitFor('the message', () => {
+    return back.events.find((event) => event.kind === 'received' && event.body === 'first');
+  });
+  t.pass();
+});
