Ask a leader of allowances that only the other sources know

A proxy whose membership lacked the leading source host got no lease: all its calls of limited accounts were refused with no-allowance for as long as the membership lacked that host, although every other source named it. A proxy took a named leader only if it was among the source hosts that it knew, and otherwise went on to the next known one, at once: they named the leader in turn, about 200 messages a second.

A named leader is now asked in any case. A proxy believes only the source host that it asked, and the leader answers only with the confirmation of a quorum, so a wrong name costs a wait of 0.3 s, after which the source host after the one that named it is asked.

Test: allowance-faults, "leader missing in the membership of a proxy: the others name it".

--- a/src/allowances/grantor-finder.ts
+++ b/src/allowances/grantor-finder.ts
@@ -1,10 +1,15 @@
 /** Finds the source host that leads, to which a proxy reports. */
 import type { Address } from '../ids.js';
 
-/** Keeps to one source host until it says that it does not lead or does not answer. */
+/**
+ * Keeps to one source host until it says that it does not lead or does not answer. A leader that it names is asked
+ * even if it is not among the known source hosts: the membership may hear of it later than the sources do.
+ */
 export class GrantorFinder {
   #sources: readonly Address[] = [];
   #current: Address | undefined;
+  /** The known source host whose word led to the current one, if that one is not known. */
+  #namedBy: Address | undefined;
 
   /** The source host to report to; `undefined` if none is known. */
   get current(): Address | undefined {
@@ -14,16 +19,21 @@
   /** Replaces the known source hosts. */
   updateSources(sources: readonly Address[]): void {
     this.#sources = sources;
-    if (this.#current !== undefined && !sources.includes(this.#current)) this.#current = undefined;
+    const known = this.#namedBy ?? this.#current;
+    if (known === undefined || sources.includes(known)) return;
+    this.#current = undefined;
+    this.#namedBy = undefined;
   }
 
   /** Changes to the named leader, or else to the next source host. Returns whether the host has changed. */
   change(leader?: Address): boolean {
     const { current } = this;
-    const index = current === undefined ? -1 : this.#sources.indexOf(current);
+    const known = this.#namedBy ?? current;
+    const index = known === undefined ? -1 : this.#sources.indexOf(known);
     const next = this.#sources[(index + 1) % Math.max(1, this.#sources.length)];
-    const isKnown = leader !== undefined && this.#sources.includes(leader);
-    this.#current = isKnown && leader !== current ? leader : next;
+    const isNamed = leader !== undefined && leader !== current;
+    this.#current = isNamed ? leader : next;
+    this.#namedBy = isNamed && !this.#sources.includes(leader) ? known : undefined;
     return this.#current !== current;
   }
 }
--- a/test/allowance-faults.test.ts
+++ b/test/allowance-faults.test.ts
@@ -8,6 +8,8 @@
 const RATE = 400;
 const BURST = 1_000;
 const SOME = [0, 1, 2, 3];
+/** A machine is in touch once it has had a path to the core for this long. */
+const IN_TOUCH_MS = 3_000;
 
 /** Starts a mesh whose four proxies are loaded with three times the limit, or with the stated rate. */
 function startLoaded(perSecond = 3 * RATE): AllowanceMesh {
@@ -87,6 +89,42 @@
   checkBound(t, mesh);
 });
 
+// Guards against a leader that the others name, but that is not asked while the membership does not know it.
+test('leader missing in the membership of a proxy: the others name it', (t) => {
+  for (const leader of [0, 1, 2]) {
+    const mesh = new AllowanceMesh({ proxies: 1 });
+    const [proxy] = mesh.proxies;
+    proxy?.updateSources(mesh.sources.filter((_, index) => index !== leader));
+    mesh.configure(makeAccount('one', RATE, BURST));
+    mesh.elect(leader);
+    mesh.run(IN_TOUCH_MS);
+    const from = mesh.now;
+    mesh.load('one', RATE / 4, [0], 5_000);
+    const counts = mesh.countOutcomes('one', from);
+    t.is(counts['no-allowance'], 0, JSON.stringify({ ...counts, messages: mesh.sentMessages }));
+    t.true(counts.ran > 0);
+  }
+});
+
+test('named leader is gone: the next source is asked', (t) => {
+  const mesh = new AllowanceMesh({ proxies: 1 });
+  const [proxy] = mesh.proxies;
+  const [gone] = mesh.sources;
+  proxy?.updateSources(mesh.sources.slice(1));
+  mesh.configure(makeAccount('one', RATE, BURST));
+  mesh.elect(0);
+  mesh.load('one', RATE / 4, [0], 1_000);
+  if (gone !== undefined) gone.isCut = true;
+  mesh.run(500);
+  mesh.elect(2);
+  mesh.run(IN_TOUCH_MS);
+  const from = mesh.now;
+  mesh.load('one', RATE / 4, [0], 5_000);
+  const counts = mesh.countOutcomes('one', from);
+  t.is(counts['no-allowance'], 0, JSON.stringify(counts));
+  t.true(counts.ran > 0);
+});
+
 test('grantor changes often: no share counts twice', (t) => {
   const mesh = startLoaded();
   for (const leader of [1, 2, 0, 1, 2, 0, 1, 2]) {
--- a/test/allowance-mesh.ts
+++ b/test/allowance-mesh.ts
@@ -353,6 +353,11 @@
     this.applyConfiguration();
   }
 
+  /** Replaces the source hosts that the membership of this proxy knows. */
+  updateSources(sources: readonly FakeSource[]): void {
+    this.#post({ kind: 'sources', sources: sources.map(({ address }) => address) });
+  }
+
   arrive(id: CallId, account: ClientAccountResource): void {
     this.handle(() => {
       const deadline = (this.clock + CALL_MS) as Instant;
