Remove a voter for a lost disk only once its successor has answered

A join names the identity that sent it. When it is delivered late, as after a link that was opened again, the host may have lost its disk once more and vote under another identity. The leader took the join for news: it removed the voter at once, and stopped to follow it even before. With two more voters down, the leader stepped down, or the removal left a membership that had no majority any more.

The leader now follows both identities, and removes the voter only after the other one has answered.

--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -165,11 +165,13 @@
   #addLearner(peer: Voter, now: Instant): void {
     const { replicas, growth } = this.replica.options;
     if (growth === undefined && !replicas.includes(peer.address)) return;
-    if (findVoter(this.#membership, peer.address)?.replica === peer.replica) return;
     if (this.#learners.get(peer.address)?.replica === peer.replica) return;
+    const voter = findVoter(this.#membership, peer.address);
+    this.#learners.delete(peer.address);
+    this.#replicator.removeAt(peer.address, voter?.replica);
+    if (voter?.replica === peer.replica) return;
     this.#learners.set(peer.address, peer);
-    const replacesVoter = findVoter(this.#membership, peer.address) !== undefined;
-    this.replica.events.notifyLearner(peer.address, replacesVoter);
+    this.replica.events.notifyLearner(peer.address, voter !== undefined);
     this.#addProgress(peer, now);
     this.#replicator.sendHeartbeats(now);
   }
@@ -199,6 +201,9 @@
     const membership = this.#membership;
     const { address } = learner;
     if (findVoter(membership, address) !== undefined) {
+      // A join may be late, and the voter at the address the one that replaced its sender.
+      if (this.#replicator.find(learner)?.hasAnswered !== true) return undefined;
+      this.#replicator.removeAt(address, learner.replica);
       const remaining = removeVoter(membership, address);
       return { membership: remaining, action: 'remove', voter: address, cause: 'disk-lost' };
     }
--- a/src/log/progress.ts
+++ b/src/log/progress.ts
@@ -19,8 +19,10 @@
   matchIndex = 0 as LogIndex;
   /** The latest read round that the replica has answered. */
   round = 0;
-  /** When the replica last answered. */
+  /** When the replica last answered; when it was added, until it has answered. */
   lastAnswerAt: Instant;
+  /** Whether the replica has answered since it was added. */
+  hasAnswered = false;
   /** The number of bytes of the current snapshot that the replica has received. */
   snapshotOffset = 0;
   #sent: LogIndex;
--- a/src/log/replicator.ts
+++ b/src/log/replicator.ts
@@ -22,22 +22,31 @@
 export class Replicator<Command> {
   readonly #replica: Replica<Command>;
   readonly #readRounds: ReadRounds;
-  readonly #progress = new Map<Address, PeerProgress>();
+  /** Two identities at one address are followed at once until it is known which one is lost. */
+  readonly #progress = new Map<ReplicaId, PeerProgress>();
 
   constructor(replica: Replica<Command>, reads: ReadRounds) {
     this.#replica = replica;
     this.#readRounds = reads;
   }
 
-  /** Adds a replica, replacing an earlier one at the same address. */
+  /** Adds a replica, or starts over with one. */
   add(progress: PeerProgress): void {
-    this.#progress.set(progress.address, progress);
+    this.#progress.set(progress.replica, progress);
+  }
+
+  /** Sends nothing more to an address, except to one of its identities. */
+  removeAt(address: Address, except: ReplicaId | undefined): void {
+    for (const progress of this.#progress.values()) {
+      const isRemoved = progress.address === address && progress.replica !== except;
+      if (isRemoved) this.#progress.delete(progress.replica);
+    }
   }
 
   /** Finds the progress of the replica with this address and identity. */
   find({ address, replica }: Voter): PeerProgress | undefined {
-    const progress = this.#progress.get(address);
-    return progress?.replica === replica ? progress : undefined;
+    const progress = this.#progress.get(replica);
+    return progress?.address === address ? progress : undefined;
   }
 
   /** Sends each replica its missing entries, as far as its send window allows. */
@@ -72,6 +81,7 @@
     const progress = this.find({ address, replica });
     if (progress === undefined) return;
     progress.lastAnswerAt = now;
+    progress.hasAnswered = true;
     progress.round = Math.max(progress.round, answer.round);
     if (answer.kind === 'append-answer') this.#handleAppended(progress, answer);
     else this.#handleChunk(progress, answer);
--- a/test/log-join.test.ts
+++ b/test/log-join.test.ts
@@ -182,3 +182,51 @@
   const sent = (cluster.sentCounts.get('join') ?? 0) - sentBefore;
   t.true(sent > 0 && sent <= 12, `${sent} joins in 0.5 s`);
 });
+
+/** Delivers a join of an identity that the host of a voter had before. */
+function deliverFormerJoin(cluster: LogCluster, to: ClusterNode, node: ClusterNode): void {
+  const { host: from, address } = node;
+  const body = { kind: 'join', fresh: true } as const;
+  const message = { from: 'former' as ReplicaId, to: undefined, term: START.term, body };
+  cluster.feed(to, { kind: 'received', from, address, message });
+}
+
+test('delayed join of a former identity: voter keeps its vote', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed });
+    const { leader } = cluster;
+    const [voter] = pickFollowers(cluster, 1);
+    if (leader === undefined || voter === undefined) throw new Error('no voter');
+    const term = leader.state?.replica.term;
+    const others = pickFollowers(cluster, 4).filter((node) => node !== voter);
+    for (const node of others.slice(0, 2)) cluster.kill(node);
+    deliverFormerJoin(cluster, leader, voter);
+    for (let elapsed = 0; elapsed < CATCH_UP_MS; elapsed += 5) {
+      runFor(cluster, 5);
+      if (!isVotingNow(cluster, voter)) break;
+    }
+    t.true(isVotingNow(cluster, voter), `seed ${seed}: the vote was lost`);
+    t.is(cluster.leader?.state?.replica.term, term, `seed ${seed}: the leader stepped down`);
+    const changes = leader.events.filter(({ kind }) => kind === 'learner-added').length;
+    t.true(changes <= 3, `seed ${seed}: ${changes} learners`);
+  }
+});
+
+test('delayed joins of a former identity while the host returns: it votes in time', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed });
+    const { leader } = cluster;
+    const [node] = pickFollowers(cluster, 1);
+    if (leader === undefined || node === undefined) throw new Error('no follower runs');
+    cluster.loseDisk(node);
+    runFor(cluster, 500);
+    startKnowing(cluster, node, []);
+    for (let count = 0; count < 10; count += 1) {
+      deliverFormerJoin(cluster, leader, node);
+      runFor(cluster, DEFAULT_TIMING.heartbeatMs / 2);
+    }
+    checkVotes(t, cluster, [node], `seed ${seed}`);
+    runFor(cluster, CATCH_UP_MS);
+    t.true(isVotingNow(cluster, node), `seed ${seed}: the vote was lost`);
+  }
+});
