Tell a replica that asks to join which voters to ask

A join was handled by leaders alone. Followers and candidates, which know the voters, said nothing, so a source at a new address that knew one follower had no vote until the membership introduced it to the leader.

A replica that holds a membership and doesn't lead now answers a join with the addresses of the voters. The asking replica keeps them for each replica that it asked, asks them in its next round, and forgets them once it votes; nothing else follows from them. Processes that don't know the message drop it with a line, as they do with every unknown kind.

--- a/src/log/follower-role.ts
+++ b/src/log/follower-role.ts
@@ -55,6 +55,7 @@
   override handleTick(now: Instant): RoleKind | undefined {
     if (this.replica.isVoter) {
       this.replica.events.forgetJoining();
+      this.replica.joins.forgetVoters();
       return now >= this.#electionAt ? 'candidate' : undefined;
     }
     if (now < this.#joinAt) return undefined;
--- a/src/log/handle-peer-message.ts
+++ b/src/log/handle-peer-message.ts
@@ -25,7 +25,11 @@
   switch (body.kind) {
     case 'join':
       if (body.fresh) peers.welcome(address, message.from);
+      if (role.kind !== 'leader') peers.sendVoters(sender);
       return role.handleAnswer({ address, message, body }, now);
+    case 'voters':
+      replica.joins.handleVoters(address, body.addresses);
+      return undefined;
     case 'welcome':
       peers.handleWelcome(body);
       role.delayElection(now);
--- a/src/log/join-requests.ts
+++ b/src/log/join-requests.ts
@@ -7,18 +7,21 @@
 export class JoinRequests<Command> {
   readonly #replica: Replica<Command>;
   #discoveredPeers: readonly Address[] = [];
-  /** When each replica may be asked again besides the regular rounds. */
+  /** The voters that each replica has named. */
+  readonly #namedVoters = new Map<Address, readonly Address[]>();
+  /** When each replica that was asked may be asked again besides the regular rounds. */
   readonly #nextAnswerAt = new Map<Address, Instant>();
 
   constructor(replica: Replica<Command>) {
     this.#replica = replica;
   }
 
-  /** The addresses of all possible other replicas: configured, discovered, and voters. */
+  /** The addresses of all possible other replicas: configured, discovered, voters, and those named by others. */
   get addresses(): readonly Address[] {
     const { entries, options } = this.#replica;
     const voters = entries.membership?.voters.map(({ address }) => address) ?? [];
-    const all = new Set([...options.replicas, ...this.#discoveredPeers, ...voters]);
+    const named = [...this.#namedVoters.values()].flat();
+    const all = new Set([...options.replicas, ...this.#discoveredPeers, ...voters, ...named]);
     all.delete(options.self);
     return [...all];
   }
@@ -28,6 +31,16 @@
     this.#discoveredPeers = addresses;
   }
 
+  /** Records the voters that a replica names that was asked. They are only asked in turn, in the next round. */
+  handleVoters(from: Address, addresses: readonly Address[]): void {
+    if (this.#nextAnswerAt.has(from)) this.#namedVoters.set(from, addresses);
+  }
+
+  /** Forgets what other replicas have named. */
+  forgetVoters(): void {
+    this.#namedVoters.clear();
+  }
+
   /** Asks all possible replicas. */
   sendToAll(now: Instant): void {
     for (const address of this.addresses) this.#send(address, now);
--- a/src/log/peer-handler.ts
+++ b/src/log/peer-handler.ts
@@ -29,6 +29,14 @@
     this.#replica.sendDurable(to, { kind: 'welcome', membership: baseMembership });
   }
 
+  /** Tells a replica that asks to join which addresses to ask: one of them may lead, now or soon. */
+  sendVoters(to: Recipient): void {
+    const { membership } = this.#replica.entries;
+    if (membership === undefined) return;
+    const addresses = membership.voters.map(({ address }) => address);
+    this.#replica.send(to, { kind: 'voters', addresses });
+  }
+
   /** Adopts the founders' membership, if it contains the identity of this replica. */
   handleWelcome(body: Extract<LogMessageBody<Command>, { kind: 'welcome' }>): void {
     const { entries, options, id } = this.#replica;
--- a/src/messages/log.ts
+++ b/src/messages/log.ts
@@ -99,6 +99,8 @@
 export type LogMessageBody<Command> =
   /** Sent by a replica that knows no membership that includes it. */
   | { readonly kind: 'join'; readonly fresh: boolean }
+  /** Answers a join at a replica that does not lead: whom to ask, as far as this replica knows. */
+  | { readonly kind: 'voters'; readonly addresses: readonly Address[] }
   /** Sends an initial replica the membership that includes it. */
   | { readonly kind: 'welcome'; readonly membership: Membership }
   /** Asks whether a vote would be granted in `term`, without starting an election in it. */
--- a/test/log-join.test.ts
+++ b/test/log-join.test.ts
@@ -93,6 +93,12 @@
   return followers.slice(0, count);
 }
 
+function pickFollower(cluster: LogCluster): ClusterNode {
+  const [follower] = pickFollowers(cluster, 1);
+  if (follower === undefined) throw new Error('no follower runs');
+  return follower;
+}
+
 /** Loses two disks, and starts the two hosts again with only each other as seeds. */
 function loseTogether(cluster: LogCluster): ClusterNode[] {
   const lost = pickFollowers(cluster, 2);
@@ -230,3 +236,33 @@
     t.true(isVotingNow(cluster, node), `seed ${seed}: the vote was lost`);
   }
 });
+
+test('new host knows one follower: votes in time', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed, spares: 1 });
+    const [newHost] = cluster.nodes.slice(VOTERS);
+    if (newHost === undefined) throw new Error('no spare');
+    startKnowing(cluster, newHost, [pickFollower(cluster)]);
+    checkVotes(t, cluster, [newHost], `seed ${seed}`);
+  }
+});
+
+test('new host knows one candidate: votes soon after an election', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed, spares: 1 });
+    const [newHost] = cluster.nodes.slice(VOTERS);
+    if (newHost === undefined) throw new Error('no spare');
+    const leader = cluster.leader ?? pickFollower(cluster);
+    const [known, other, third] = pickFollowers(cluster, 3);
+    if (known === undefined || other === undefined || third === undefined)
+      throw new Error('no host');
+    for (const node of [leader, other, third]) cluster.kill(node);
+    runFor(cluster, 2_000);
+    startKnowing(cluster, newHost, [known]);
+    runFor(cluster, 1_000);
+    for (const node of [leader, other, third]) cluster.start(node);
+    cluster.isolate(known);
+    cluster.settle(() => cluster.leader !== undefined && cluster.leader !== known);
+    checkVotes(t, cluster, [newHost], `seed ${seed}`);
+  }
+});
--- a/test/log-wiring.test.ts
+++ b/test/log-wiring.test.ts
@@ -23,6 +23,24 @@
   t.is(dropped.length, 1);
 });
 
+test('voters that a replica names: read as sent, dropped if malformed', (t) => {
+  const build = (addresses: unknown) => {
+    const body = { kind: 'voters', addresses };
+    return buildEvent('log', { group: 'notes', message: { from: 'a', to: 'b', term: 3, body } });
+  };
+  const addresses = ['10.0.0.2:7000', '10.0.0.3:7000'];
+  const packet = readLogPacket(build(addresses), 'log', () => t.fail());
+  t.deepEqual(packet?.message.message.body, { kind: 'voters', addresses } as never);
+  for (const malformed of [undefined, 'x', [7]]) {
+    const dropped: Address[] = [];
+    t.is(
+      readLogPacket(build(malformed), 'log', (from) => dropped.push(from)),
+      undefined,
+    );
+    t.is(dropped.length, 1);
+  }
+});
+
 function buildEvent(channel: LinkChannel, body: unknown): LinkEvent {
   const [from, address] = ['h' as HostId, '10.0.0.1:7000' as Address];
   return { kind: 'received', from, address, channel, body };
