Count a join that answers a lost identity as proof that it is lost

Since a voter is removed for a lost disk only once its successor has answered, the change takes one more round. A host that was taken for the lost identity has heard of it, and so runs after it: its join now says which identity was named, and the leader removes that voter at once. A late join names an older identity, and still has to be followed by an answer. Older processes ignore the field.

--- a/src/edge/log-codec.ts
+++ b/src/edge/log-codec.ts
@@ -28,7 +28,7 @@
 });
 
 const bodySchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('join'), fresh: z.boolean() }),
+  z.object({ kind: z.literal('join'), fresh: z.boolean(), named: text.optional() }),
   z.object({ kind: z.literal('voters'), addresses: z.array(text) }),
   z.object({ kind: z.literal('welcome'), membership }),
   z.object({ kind: z.literal('pre-vote'), last: position }),
--- a/src/log/candidate-role.ts
+++ b/src/log/candidate-role.ts
@@ -54,8 +54,8 @@
     return this.#countVotes();
   }
 
-  override handleOtherIdentity(sender: Address, now: Instant): void {
-    this.replica.joins.answerOtherIdentity(sender, now);
+  override handleOtherIdentity(sender: Address, named: ReplicaId, now: Instant): void {
+    this.replica.joins.answerOtherIdentity(sender, named, now);
   }
 
   override handleSynced(): RoleKind | undefined {
--- a/src/log/follower-role.ts
+++ b/src/log/follower-role.ts
@@ -44,8 +44,8 @@
     this.#emptyPeers.set(address, { replica: message.from, validUntil });
   }
 
-  override handleOtherIdentity(sender: Address, now: Instant): void {
-    this.replica.joins.answerOtherIdentity(sender, now);
+  override handleOtherIdentity(sender: Address, named: ReplicaId, now: Instant): void {
+    this.replica.joins.answerOtherIdentity(sender, named, now);
   }
 
   override handleSynced(): undefined {
--- a/src/log/handle-peer-message.ts
+++ b/src/log/handle-peer-message.ts
@@ -19,7 +19,7 @@
   const sender: Sender = { host: from, address, replica: message.from };
   if (message.to !== undefined && message.to !== replica.id) {
     replica.events.notifyOtherIdentity(sender, body.kind, message.to);
-    role.handleOtherIdentity(address, now);
+    role.handleOtherIdentity(address, message.to, now);
     return undefined;
   }
   switch (body.kind) {
--- a/src/log/join-requests.ts
+++ b/src/log/join-requests.ts
@@ -1,6 +1,6 @@
 /** The requests of a replica without a vote to let it join. */
 import { addMs } from '../clock.js';
-import type { Address, Instant } from '../ids.js';
+import type { Address, Instant, ReplicaId } from '../ids.js';
 import type { Replica } from './replica.js';
 
 /** Asks the replicas that may know the leader, or be it. */
@@ -50,16 +50,16 @@
    * Answers a message for another identity at this address with a request to join, so that the sender learns of a
    * lost disk from its own heartbeat. A sender is answered at most twice in a heartbeat interval.
    */
-  answerOtherIdentity(address: Address, now: Instant): void {
-    if (now >= (this.#nextAnswerAt.get(address) ?? 0)) this.#send(address, now);
+  answerOtherIdentity(address: Address, named: ReplicaId, now: Instant): void {
+    if (now >= (this.#nextAnswerAt.get(address) ?? 0)) this.#send(address, now, named);
   }
 
   // Internals.
 
-  #send(address: Address, now: Instant): void {
+  #send(address: Address, now: Instant, named?: ReplicaId): void {
     const { entries, options } = this.#replica;
     this.#nextAnswerAt.set(address, addMs(now, options.timing.heartbeatMs / 2));
     const fresh = entries.membership === undefined;
-    this.#replica.sendDurable({ address, replica: undefined }, { kind: 'join', fresh });
+    this.#replica.sendDurable({ address, replica: undefined }, { kind: 'join', fresh, named });
   }
 }
--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -1,6 +1,6 @@
 /** The leader role: orders and replicates commands, confirms reads and changes the membership. */
 import { addMs } from '../clock.js';
-import type { Address, Instant, LogIndex } from '../ids.js';
+import type { Address, Instant, LogIndex, ReplicaId } from '../ids.js';
 import type { LogContent, LogRequest, Membership, Voter } from '../messages/index.js';
 import type { VoterChange } from './log-messages.js';
 import type { ReceivedAnswer, RoleKind } from './log-role.js';
@@ -49,8 +49,11 @@
 
   override handleAnswer(answer: ReceivedAnswer<Command>, now: Instant): undefined {
     const { address, message, body } = answer;
-    if (body.kind === 'join') this.#addLearner({ address, replica: message.from }, now);
-    else if (body.kind === 'append-answer' || body.kind === 'chunk-answer') {
+    if (body.kind === 'join') {
+      const peer = { address, replica: message.from };
+      this.#addLearner(peer, now);
+      this.#confirmLearner(peer, body.named);
+    } else if (body.kind === 'append-answer' || body.kind === 'chunk-answer') {
       this.#replicator.handleAnswer(address, message.from, body, now);
     }
     this.#applyProgress(now);
@@ -176,6 +179,13 @@
     this.#replicator.sendHeartbeats(now);
   }
 
+  /** A learner that was taken for the present voter at its address runs there after it. */
+  #confirmLearner(peer: Voter, named: ReplicaId | undefined): void {
+    const progress = this.#replicator.find(peer);
+    if (named === undefined || progress === undefined) return;
+    if (findVoter(this.#membership, peer.address)?.replica === named) progress.isConfirmed = true;
+  }
+
   /**
    * Changes the membership by one voter at a time: removes the lost identity first, and adds the new one once
    * it has caught up. Quorums of two successive memberships then always share a replica.
@@ -202,7 +212,7 @@
     const { address } = learner;
     if (findVoter(membership, address) !== undefined) {
       // A join may be late, and the voter at the address the one that replaced its sender.
-      if (this.#replicator.find(learner)?.hasAnswered !== true) return undefined;
+      if (this.#replicator.find(learner)?.isConfirmed !== true) return undefined;
       this.#replicator.removeAt(address, learner.replica);
       const remaining = removeVoter(membership, address);
       return { membership: remaining, action: 'remove', voter: address, cause: 'disk-lost' };
--- a/src/log/log-role.ts
+++ b/src/log/log-role.ts
@@ -1,5 +1,5 @@
 /** The behaviour of a replica as follower, candidate or leader. */
-import type { Address, Instant } from '../ids.js';
+import type { Address, Instant, ReplicaId } from '../ids.js';
 import type { LogMessageBody, LogMessage, LogRequest } from '../messages/index.js';
 import type { Replica } from './replica.js';
 
@@ -41,7 +41,7 @@
   abstract handleAnswer(answer: ReceivedAnswer<Command>, now: Instant): RoleKind | undefined;
 
   /** Handles a message for another identity at the address of this replica. */
-  abstract handleOtherIdentity(sender: Address, now: Instant): void;
+  abstract handleOtherIdentity(sender: Address, named: ReplicaId, now: Instant): void;
 
   /** Handles the completion of a sync. */
   abstract handleSynced(now: Instant): RoleKind | undefined;
--- a/src/log/progress.ts
+++ b/src/log/progress.ts
@@ -21,8 +21,8 @@
   round = 0;
   /** When the replica last answered; when it was added, until it has answered. */
   lastAnswerAt: Instant;
-  /** Whether the replica has answered since it was added. */
-  hasAnswered = false;
+  /** Whether the replica is known to run at its address: it has answered since it was added, for example. */
+  isConfirmed = false;
   /** The number of bytes of the current snapshot that the replica has received. */
   snapshotOffset = 0;
   #sent: LogIndex;
--- a/src/messages/log.ts
+++ b/src/messages/log.ts
@@ -98,7 +98,12 @@
 /** The body of a message between replicas. */
 export type LogMessageBody<Command> =
   /** Sent by a replica that knows no membership that includes it. */
-  | { readonly kind: 'join'; readonly fresh: boolean }
+  | {
+      readonly kind: 'join';
+      readonly fresh: boolean;
+      /** The identity that the recipient named at the address of this replica; absent if it named none. */
+      readonly named?: ReplicaId | undefined;
+    }
   /** Answers a join at a replica that does not lead: whom to ask, as far as this replica knows. */
   | { readonly kind: 'voters'; readonly addresses: readonly Address[] }
   /** Sends an initial replica the membership that includes it. */
--- a/test/log-join.test.ts
+++ b/test/log-join.test.ts
@@ -13,6 +13,7 @@
 /** The time after which a host that has lost its disk no longer counts as lost. */
 const CATCH_UP_MS = 4_000;
 const VOTE_LIMIT_MS = CATCH_UP_MS / 2;
+const START_LIMIT_MS = 60_000;
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 const GROWTH: LogGrowth = {
   founds: false,
@@ -34,7 +35,7 @@
   };
   const cluster = new LogCluster({ seed, replicas: VOTERS + spares, makeFilter, ...options });
   for (const spare of cluster.nodes.slice(VOTERS)) cluster.kill(spare);
-  cluster.settle(() => hasAllVoters(cluster));
+  cluster.settle(() => hasAllVoters(cluster), START_LIMIT_MS);
   return cluster;
 }
 
@@ -140,6 +141,13 @@
   });
 }
 
+test('lost together, slow links: both vote in time', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed, delayMs: [200, 200] });
+    checkVotes(t, cluster, loseTogether(cluster), `seed ${seed}`);
+  }
+});
+
 test('lost together, then two other disks: log survives', (t) => {
   for (const seed of SEEDS) {
     const cluster = startCluster({ seed });
@@ -192,7 +200,7 @@
 /** Delivers a join of an identity that the host of a voter had before. */
 function deliverFormerJoin(cluster: LogCluster, to: ClusterNode, node: ClusterNode): void {
   const { host: from, address } = node;
-  const body = { kind: 'join', fresh: true } as const;
+  const body = { kind: 'join', fresh: true, named: 'older' as ReplicaId } as const;
   const message = { from: 'former' as ReplicaId, to: undefined, term: START.term, body };
   cluster.feed(to, { kind: 'received', from, address, message });
 }
--- a/test/log-wiring.test.ts
+++ b/test/log-wiring.test.ts
@@ -41,6 +41,17 @@
   }
 });
 
+test('join with the identity that was named: read as sent', (t) => {
+  for (const body of [
+    { kind: 'join', fresh: true, named: 'former' },
+    { kind: 'join', fresh: true },
+  ]) {
+    const event = buildEvent('log', { group: 'notes', message: { from: 'a', term: 3, body } });
+    const packet = readLogPacket(event, 'log', () => t.fail());
+    t.deepEqual(packet?.message.message.body, body as never);
+  }
+});
+
 function buildEvent(channel: LinkChannel, body: unknown): LinkEvent {
   const [from, address] = ['h' as HostId, '10.0.0.1:7000' as Address];
   return { kind: 'received', from, address, channel, body };
