--- a/src/log/follower-role.ts
+++ b/src/log/follower-role.ts
@@ -44,8 +44,8 @@
     this.#emptyPeers.set(address, { replica: message.from, validUntil });
   }
 
-  override handleOtherIdentity(sender: Address, now: Instant): void {
-    this.replica.joins.answerOtherIdentity(sender, now);
+  override handleOtherIdentity(sender: Address, named: ReplicaId, now: Instant): void {
+    this.replica.joins.answerOtherIdentity(sender, named, now);
   }
 
   override handleSynced(): undefined {
@@ -55,6 +55,7 @@
   override handleTick(now: Instant): RoleKind | undefined {
     if (this.replica.isVoter) {
       this.replica.events.forgetJoining();
+      this.replica.joins.forgetVoters();
       return now >= this.#electionAt ? 'candidate' : undefined;
     }
     if (now < this.#joinAt) return undefined;
--- a/src/log/handle-peer-message.ts
+++ b/src/log/handle-peer-message.ts
@@ -19,13 +19,17 @@
   const sender: Sender = { host: from, address, replica: message.from };
   if (message.to !== undefined && message.to !== replica.id) {
     replica.events.notifyOtherIdentity(sender, body.kind, message.to);
-    role.handleOtherIdentity(address, now);
+    role.handleOtherIdentity(address, message.to, now);
     return undefined;
   }
   switch (body.kind) {
     case 'join':
       if (body.fresh) peers.welcome(address, message.from);
+      if (role.kind !== 'leader') peers.sendVoters(sender);
       return role.handleAnswer({ address, message, body }, now);
+    case 'voters':
+      replica.joins.handleVoters(address, body.addresses);
+      return undefined;
     case 'welcome':
       peers.handleWelcome(body);
       role.delayElection(now);
