Ask the parent for a confirmation again after a failure

When all proxies of a data centre of 60 had been killed, and no source could confirm for the first second, they served nothing for 8 s and more after the sources could again, and refused every call meanwhile.

A proxy whose first request had failed sent all later ones, and what it passed on for others, to a random one of four peers off the tree instead of its parent. Where all have failed, nobody asks a parent any more: requests wander, and reach a root by chance only. What is passed on together carries the highest number of hops, so wandering requests also brought fresh ones to the limit, at which they are dropped.

A request now always goes to the parent. After a failure, a proxy also asks a member at random, in a request that covers only its own, so that a silent parent, or a data centre whose roots are silent, holds nobody up, and no request of others wanders.

--- a/src/distribution/confirm-relay.ts
+++ b/src/distribution/confirm-relay.ts
@@ -15,6 +15,8 @@
 export interface UpstreamRequest {
   readonly id: RequestId;
   readonly hops: number;
+  /** Whether it covers a request of this proxy itself. */
+  readonly isOwn: boolean;
 }
 
 /** An unanswered upstream request, and the requests that it covers. */
@@ -88,12 +90,20 @@
     if (this.#waitingRequests.size === 0) return undefined;
     const requests = [...this.#waitingRequests.values()];
     this.#waitingRequests.clear();
-    const id = this.#makeId();
-    if (requests.some((request) => request.from === 'self')) this.#ownId = id;
-    const retryAt = addMs(now, OWN_RETRY_MS);
-    this.#openRequests.set(id, { requests, retryAt, deadline: addMs(now, ANSWER_TIMEOUT_MS) });
+    const isOwn = requests.some((request) => request.from === 'self');
+    const opened = this.#open(requests, now);
+    if (isOwn) this.#ownId = opened.id;
     this.#earliestRequestAt = addMs(now, MIN_REQUEST_INTERVAL_MS);
-    return { id, hops: 1 + Math.max(...requests.map((request) => request.hops)) };
+    return { ...opened, isOwn };
+  }
+
+  /**
+   * Opens another upstream request for this proxy's own request, to be sent to any peer. It covers no request of
+   * others: among proxies that all have just started, those would wander and reach the limit of hops.
+   */
+  openDetour(now: Instant): UpstreamRequest {
+    const own: ConfirmRequest = { from: 'self', id: this.#makeId(), hops: 0 };
+    return { ...this.#open([own], now), isOwn: true };
   }
 
   /** Closes an answered upstream request and returns the requests that it covers. */
@@ -109,6 +119,16 @@
 
   // Internals.
 
+  #open(
+    requests: readonly ConfirmRequest[],
+    now: Instant,
+  ): { readonly id: RequestId; readonly hops: number } {
+    const id = this.#makeId();
+    const retryAt = addMs(now, OWN_RETRY_MS);
+    this.#openRequests.set(id, { requests, retryAt, deadline: addMs(now, ANSWER_TIMEOUT_MS) });
+    return { id, hops: 1 + Math.max(...requests.map(({ hops }) => hops)) };
+  }
+
   #makeId(): RequestId {
     const parts = [this.#random.nextInt(MAX_NONCE), this.#random.nextInt(MAX_NONCE)];
     return parts.map((part) => part.toString(NONCE_RADIX)).join('-') as RequestId;
--- a/src/distribution/proxy-confirmer.ts
+++ b/src/distribution/proxy-confirmer.ts
@@ -51,7 +51,7 @@
   decide(state: ProxyDistributionState, now: Instant): ProxyDistributionOut[] {
     this.#closePoll(state, now);
     const request = state.confirmRelay.pickRequest(now);
-    const messages = request === undefined ? [] : this.#buildRequests(state, request);
+    const messages = request === undefined ? [] : this.#buildRequests(state, request, now);
     return [...messages, ...this.#startPoll(state, now)];
   }
 
@@ -59,19 +59,31 @@
 
   #buildRequests(
     state: ProxyDistributionState,
-    { id, hops }: UpstreamRequest,
+    request: UpstreamRequest,
+    now: Instant,
   ): ProxyDistributionOut[] {
-    const { isRoot, parent, offTreePeers } = findNeighbours(state, this.#options);
-    const { random } = this.#options;
+    const { isRoot, parent } = findNeighbours(state, this.#options);
     if (isRoot) {
       return [...state.sources].map((to) => {
-        return { kind: 'send-source', to, body: { kind: 'ask-vouch', id } };
+        return { kind: 'send-source', to, body: { kind: 'ask-vouch', id: request.id } };
       });
     }
-    const hasFailed = state.confirmRelay.failures > 0 && offTreePeers.length > 0;
-    const target = hasFailed ? random.pick(offTreePeers) : parent;
-    if (target === undefined) return [];
-    return [{ kind: 'send', to: target.control, body: { kind: 'ask-vouch', id, hops } }];
+    if (parent === undefined) return [];
+    const detour = request.isOwn ? this.#buildDetour(state, parent.control, now) : [];
+    return [buildRequest(parent.control, request), ...detour];
+  }
+
+  /** After a failure, asks any member besides the parent, which may be down, as all neighbours may be. */
+  #buildDetour(
+    state: ProxyDistributionState,
+    parent: Address,
+    now: Instant,
+  ): ProxyDistributionOut[] {
+    const { host, random } = this.#options;
+    if (state.confirmRelay.failures === 0) return [];
+    const member = state.overlay.pickMember(host, random);
+    if (member === undefined || member.control === parent) return [];
+    return [buildRequest(member.control, state.confirmRelay.openDetour(now))];
   }
 
   /** Starts a poll of peers after several requests to the source have failed. */
@@ -115,6 +127,10 @@
 const POLLED_PEERS = 7;
 const MAX_NONCE = 2 ** 32;
 
+function buildRequest(to: Address, { id, hops }: UpstreamRequest): ProxyDistributionOut {
+  return { kind: 'send', to, body: { kind: 'ask-vouch', id, hops } };
+}
+
 /** Passes an answer to every process whose request it covers. */
 function passConfirmation(
   state: ProxyDistributionState,
--- a/test/distribution-start.test.ts
+++ b/test/distribution-start.test.ts
@@ -2,6 +2,9 @@
 import test from 'ava';
 import { findProxy, isRoot, readMark, startFleet } from './started-fleet.js';
 
+/** A machine is in touch once it has had a path to the core for this long. */
+const IN_TOUCH_MS = 3_000;
+
 test('cold start: source confirms', (t) => {
   const { fleet, maker, commitNext } = startFleet();
   commitNext(4);
@@ -50,6 +53,44 @@
   );
 });
 
+// Guards against requests that wander among proxies that have all just started and never reach a root.
+for (const silentMs of [1_000, 3_000]) {
+  test(`cold start of a large data centre, no quorum for ${silentMs} ms: served soon after`, (t) => {
+    for (const seed of [1, 2, 3, 4]) {
+      const { fleet, maker, commitNext } = startFleet({ seed, dataCentres: 1 });
+      commitNext(4);
+      fleet.run(500);
+      fleet.canConfirm = false;
+      for (const node of fleet.proxies) fleet.kill(node, 1_000);
+      for (const node of fleet.proxies) fleet.startProxy(node);
+      fleet.run(silentMs);
+      fleet.canConfirm = true;
+      const tookMs = fleet.runUntil(() => fleet.isServedByAll(maker.newest), 30_000);
+      const isInTime = tookMs !== undefined && tookMs <= IN_TOUCH_MS;
+      t.true(isInTime, `seed ${seed}: ${tookMs ?? 'over 30,000'} ms`);
+    }
+  });
+}
+
+test('cold start, a fifth of the proxies silent: the others are served in time', (t) => {
+  const { fleet, maker, commitNext } = startFleet();
+  commitNext(4);
+  fleet.run(500);
+  fleet.canConfirm = false;
+  for (const node of fleet.proxies) fleet.kill(node, 1_000);
+  for (const node of fleet.proxies) fleet.startProxy(node);
+  fleet.run(200);
+  const silent = fleet.proxies.filter((_, index) => index % 5 === 0);
+  for (const node of silent) fleet.freeze(node);
+  fleet.run(1_000);
+  fleet.canConfirm = true;
+  const others = fleet.proxies.filter((node) => !silent.includes(node));
+  const isServed = () => others.every((node) => node.served?.version === maker.newest);
+  const tookMs = fleet.runUntil(isServed, 15_000);
+  const isInTime = tookMs !== undefined && tookMs <= IN_TOUCH_MS;
+  t.true(isInTime, `${tookMs ?? 'over 15,000'} ms`);
+});
+
 test('cold start, no quorum: own floor confirms', (t) => {
   const { fleet, maker, history, commitNext } = startFleet({ keepsFloor: true });
   commitNext(4);
