Apply settings that change while the process is starting

A process that started while its settings file was being replaced kept the seeds of the former file for good: it read the file at its start, and the first poll, half a second after the start had ended, took whatever it found as the state to compare with. A SIGHUP before the end of the start is ignored, so it did not help either. With former seeds that are gone, nothing introduces the process to the others.

The first poll now compares the settings of the file with those that the process has started with, and applies them if they differ.

Tests: settings-watch, "file changed right after the start: applied".

--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -109,6 +109,7 @@
 
   const settingsWatcher = new SettingsWatcher({
     path: settingsFile,
+    loaded: settings,
     clock,
     apply: (changed) => {
       members.handleSettings(changed);
--- a/src/program/settings-watcher.ts
+++ b/src/program/settings-watcher.ts
@@ -1,5 +1,6 @@
 /** Reloads the settings file on SIGHUP and when polling detects a change. */
 import { stat } from 'node:fs/promises';
+import { isDeepStrictEqual } from 'node:util';
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs } from '../clock.js';
 import type { Log } from './logger.js';
@@ -9,6 +10,8 @@
 /** Options of a {@link SettingsWatcher}. */
 export interface SettingsWatcherOptions {
   readonly path: string;
+  /** The settings with which the process starts. */
+  readonly loaded: Settings;
   readonly clock: Clock;
   /** Applies the settings that can change at run time. */
   readonly apply: (settings: Settings) => void;
@@ -69,15 +72,20 @@
   async #updateFileState(): Promise<void> {
     const { mtimeMs, size, ino } = await stat(this.#options.path);
     const fileState = `${mtimeMs} ${size} ${ino}`;
-    const isChanged = this.#fileState !== undefined && this.#fileState !== fileState;
+    const former = this.#fileState;
     this.#fileState = fileState;
-    if (isChanged) this.#reload('file');
+    // Before the first poll, the file may have changed while the process was starting.
+    if (former === undefined) this.#reload('file', this.#options.loaded);
+    else if (former !== fileState) this.#reload('file');
   }
 
-  #reload(cause: 'signal' | 'file'): void {
+  /** Applies the settings unless they are those that are known. */
+  #reload(cause: 'signal' | 'file', known?: Settings): void {
     const { path, apply, log } = this.#options;
     try {
-      apply(loadSettings(path));
+      const settings = loadSettings(path);
+      if (isDeepStrictEqual(settings, known)) return;
+      apply(settings);
       log('settings-reloaded', { cause });
     } catch (error) {
       if (!(error instanceof SettingsError)) throw error;
--- a/test/settings-watch.test.ts
+++ b/test/settings-watch.test.ts
@@ -6,6 +6,7 @@
 import { waitFor } from '../bench/mesh.js';
 import { SystemClock } from '../src/clock.js';
 import type { Settings } from '../src/program/settings.js';
+import { loadSettings } from '../src/program/settings.js';
 import { SettingsWatcher } from '../src/program/settings-watcher.js';
 
 const folder = mkdtempSync(join(tmpdir(), 'bilberryswitch-watch-'));
@@ -32,6 +33,7 @@
   const events: string[] = [];
   const watcher = new SettingsWatcher({
     path,
+    loaded: loadSettings(path),
     clock: new SystemClock(),
     apply: (settings) => applied.push(settings),
     log: (event) => events.push(event),
@@ -51,6 +53,25 @@
   t.is(settings?.proxy?.seeds[0], '10.0.0.33:7000' as never);
 });
 
+// Guards against new seeds that are never read because the file changed while the process was starting.
+test.serial('file changed right after the start: applied', async (t) => {
+  const { path, applied, watcher } = startWatcher();
+  t.teardown(() => {
+    watcher.stop();
+  });
+  writeFileSync(path, VALID_SETTINGS.replace('10.0.0.2:7000', '10.0.0.33:7000'));
+  const [settings] = await waitFor('the change', () => (applied.length > 0 ? applied : undefined));
+  t.is(settings?.proxy?.seeds[0], '10.0.0.33:7000' as never);
+});
+
+test.serial('unchanged file: not applied again', async (t) => {
+  const { applied, events, watcher } = startWatcher();
+  await new Promise((resolve) => setTimeout(resolve, 1_200));
+  watcher.stop();
+  t.deepEqual(applied, []);
+  t.deepEqual(events, []);
+});
+
 test.serial('signal with invalid settings: not applied', async (t) => {
   const { path, applied, events, watcher } = startWatcher();
   writeFileSync(path, VALID_SETTINGS.replace('roles', 'rolls'));
