Let a root that knows no source ask for a confirmation through others

A proxy that came back as a root of its data centre, and whose membership did not know the sources yet, refused all calls for 3.6 s, though all other proxies served. As a root it asks the sources alone, so it asked nobody, until it polled its peers after eight failures.

Test: distribution-start, "cold start of a root that knows no source: confirmed through the others"; bound 3 s, after which a machine is in touch.

--- a/bench/fake-fleet.ts
+++ b/bench/fake-fleet.ts
@@ -36,6 +36,8 @@
   readonly sharesOverlay: boolean;
   /** Whether messages are encoded to count their bytes. */
   readonly measuresBytes: boolean;
+  /** Whether the settings of the proxies name no sources; see {@link FakeFleet.addSources}. */
+  readonly hidesSources?: boolean;
 }
 
 /** Returns the copies of a message that a link delivers, with their delays; none if the message is lost. */
@@ -172,6 +174,18 @@
     }
   }
 
+  /** Adds the sources to the membership of running proxies, by default all, within a short time. */
+  addSources(proxies: Iterable<FakeNode> = this.proxies): void {
+    for (const node of proxies) {
+      for (const source of this.sources) {
+        const member = { ...buildMember(source), isSource: true, calls: source.address };
+        this.#runLater(node, this.random.next() * MAX_MEMBERSHIP_DELAY_MS, () => {
+          this.#post(node, { kind: 'member-up', member });
+        });
+      }
+    }
+  }
+
   /** Pauses a process until {@link FakeFleet.thaw}. Its links stay up, and what arrives waits. */
   freeze(node: FakeNode): void {
     node.isFrozen = true;
@@ -270,7 +284,7 @@
       host,
       dataCentre,
       control: address,
-      sources: this.sources.map((node) => node.address),
+      sources: this.#plan.hidesSources === true ? [] : this.sources.map(({ address }) => address),
       keepsFloor: this.#plan.keepsFloor,
       policy: makePolicy(this.#plan.policy),
       random: new SeededRandom(this.random.nextInt(MAX_SEED)),
--- a/src/distribution/proxy-confirmer.ts
+++ b/src/distribution/proxy-confirmer.ts
@@ -2,6 +2,7 @@
 import type { Address, Instant, RequestId } from '../ids.js';
 import type { DistributionMessage, VersionMark } from '../messages/index.js';
 import { buildMark } from './delta-span.js';
+import type { OverlayMember } from './member-order.js';
 import { findNeighbours } from './proxy-neighbours.js';
 import type {
   ProxyDistributionOptions,
@@ -63,27 +64,30 @@
     now: Instant,
   ): ProxyDistributionOut[] {
     const { isRoot, parent } = findNeighbours(state, this.#options);
-    if (isRoot) {
-      return [...state.sources].map((to) => {
-        return { kind: 'send-source', to, body: { kind: 'ask-vouch', id: request.id } };
-      });
-    }
-    if (parent === undefined) return [];
-    const detour = request.isOwn ? this.#buildDetour(state, parent.control, now) : [];
-    return [buildRequest(parent.control, request), ...detour];
+    const detour = request.isOwn ? this.#buildDetour(state, parent, now) : [];
+    if (parent !== undefined) return [buildRequest(parent, request), ...detour];
+    if (!isRoot) return detour;
+    const { id } = request;
+    const asks = [...state.sources].map((to): ProxyDistributionOut => {
+      return { kind: 'send-source', to, body: { kind: 'ask-vouch', id } };
+    });
+    return [...asks, ...detour];
   }
 
-  /** After a failure, asks any member besides the parent, which may be down, as all neighbours may be. */
+  /**
+   * After a failure, asks any other member besides: the parent may be down, as all neighbours may be, and a root may
+   * not know the sources yet.
+   */
   #buildDetour(
     state: ProxyDistributionState,
-    parent: Address,
+    parent: OverlayMember | undefined,
     now: Instant,
   ): ProxyDistributionOut[] {
     const { host, random } = this.#options;
     if (state.confirmRelay.failures === 0) return [];
     const member = state.overlay.pickMember(host, random);
-    if (member === undefined || member.control === parent) return [];
-    return [buildRequest(member.control, state.confirmRelay.openDetour(now))];
+    if (member === undefined || member.host === parent?.host) return [];
+    return [buildRequest(member, state.confirmRelay.openDetour(now))];
   }
 
   /** Starts a poll of peers after several requests to the source have failed. */
@@ -127,8 +131,11 @@
 const POLLED_PEERS = 7;
 const MAX_NONCE = 2 ** 32;
 
-function buildRequest(to: Address, { id, hops }: UpstreamRequest): ProxyDistributionOut {
-  return { kind: 'send', to, body: { kind: 'ask-vouch', id, hops } };
+function buildRequest(
+  { control }: OverlayMember,
+  { id, hops }: UpstreamRequest,
+): ProxyDistributionOut {
+  return { kind: 'send', to: control, body: { kind: 'ask-vouch', id, hops } };
 }
 
 /** Passes an answer to every process whose request it covers. */
--- a/test/distribution-start.test.ts
+++ b/test/distribution-start.test.ts
@@ -72,6 +72,24 @@
   });
 }
 
+// Guards against a root that asks nobody until the membership has told it of the sources.
+test('cold start of a root that knows no source: confirmed through the others', (t) => {
+  for (const seed of [1, 2, 3, 4]) {
+    const { fleet, maker, commitNext } = startFleet({ seed, hidesSources: true });
+    fleet.addSources();
+    commitNext(4);
+    const isServed = () => fleet.isServedByAll(maker.newest);
+    t.not(fleet.runUntil(isServed, 10_000), undefined, `seed ${seed}, before`);
+    const node = findProxy(fleet, isRoot);
+    fleet.kill(node, 1_000);
+    fleet.run(100);
+    fleet.startProxy(node);
+    const tookMs = fleet.runUntil(() => node.served?.version === maker.newest, 15_000);
+    const isInTime = tookMs !== undefined && tookMs <= IN_TOUCH_MS;
+    t.true(isInTime, `seed ${seed}: ${tookMs ?? 'over 15,000'} ms`);
+  }
+});
+
 test('cold start, a fifth of the proxies silent: the others are served in time', (t) => {
   const { fleet, maker, commitNext } = startFleet();
   commitNext(4);
