--- a/src/distribution/proxy-confirmer.ts
+++ b/src/distribution/proxy-confirmer.ts
@@ -2,6 +2,7 @@
 import type { Address, Instant, RequestId } from '../ids.js';
 import type { DistributionMessage, VersionMark } from '../messages/index.js';
 import { buildMark } from './delta-span.js';
+import type { OverlayMember } from './member-order.js';
 import { findNeighbours } from './proxy-neighbours.js';
 import type {
   ProxyDistributionOptions,
@@ -51,7 +52,7 @@
   decide(state: ProxyDistributionState, now: Instant): ProxyDistributionOut[] {
     this.#closePoll(state, now);
     const request = state.confirmRelay.pickRequest(now);
-    const messages = request === undefined ? [] : this.#buildRequests(state, request);
+    const messages = request === undefined ? [] : this.#buildRequests(state, request, now);
     return [...messages, ...this.#startPoll(state, now)];
   }
 
@@ -59,19 +60,34 @@
 
   #buildRequests(
     state: ProxyDistributionState,
-    { id, hops }: UpstreamRequest,
+    request: UpstreamRequest,
+    now: Instant,
   ): ProxyDistributionOut[] {
-    const { isRoot, parent, offTreePeers } = findNeighbours(state, this.#options);
-    const { random } = this.#options;
-    if (isRoot) {
-      return [...state.sources].map((to) => {
-        return { kind: 'send-source', to, body: { kind: 'ask-vouch', id } };
-      });
-    }
-    const hasFailed = state.confirmRelay.failures > 0 && offTreePeers.length > 0;
-    const target = hasFailed ? random.pick(offTreePeers) : parent;
-    if (target === undefined) return [];
-    return [{ kind: 'send', to: target.control, body: { kind: 'ask-vouch', id, hops } }];
+    const { isRoot, parent } = findNeighbours(state, this.#options);
+    const detour = request.isOwn ? this.#buildDetour(state, parent, now) : [];
+    if (parent !== undefined) return [buildRequest(parent, request), ...detour];
+    if (!isRoot) return detour;
+    const { id } = request;
+    const asks = [...state.sources].map((to): ProxyDistributionOut => {
+      return { kind: 'send-source', to, body: { kind: 'ask-vouch', id } };
+    });
+    return [...asks, ...detour];
+  }
+
+  /**
+   * After a failure, asks any other member besides: the parent may be down, as all neighbours may be, and a root may
+   * not know the sources yet.
+   */
+  #buildDetour(
+    state: ProxyDistributionState,
+    parent: OverlayMember | undefined,
+    now: Instant,
+  ): ProxyDistributionOut[] {
+    const { host, random } = this.#options;
+    if (state.confirmRelay.failures === 0) return [];
+    const member = state.overlay.pickMember(host, random);
+    if (member === undefined || member.host === parent?.host) return [];
+    return [buildRequest(member, state.confirmRelay.openDetour(now))];
   }
 
   /** Starts a poll of peers after several requests to the source have failed. */
@@ -115,6 +131,13 @@
 const POLLED_PEERS = 7;
 const MAX_NONCE = 2 ** 32;
 
+function buildRequest(
+  { control }: OverlayMember,
+  { id, hops }: UpstreamRequest,
+): ProxyDistributionOut {
+  return { kind: 'send', to: control, body: { kind: 'ask-vouch', id, hops } };
+}
+
 /** Passes an answer to every process whose request it covers. */
 function passConfirmation(
   state: ProxyDistributionState,
