Drop log messages that name an address no socket takes

A replica without a vote asks the addresses that others name, and each replica those of the voters. Such an address reached the links as it was read; one that no socket takes would have failed the link task, and with it the process, at every start once it was in the log. Messages with one are now dropped with a line.

Failed before: log-wiring, 'voters that a replica names: read as sent, dropped if malformed' (new cases) and 'membership with an address that no socket takes: dropped'.

--- a/src/edge/log-codec.ts
+++ b/src/edge/log-codec.ts
@@ -3,7 +3,9 @@
  * proposed.
  */
 import { z } from 'zod';
+import { parseAddress } from '../ids.js';
 import type { GroupLogMessage } from '../messages/index.js';
+import { buildIdSchema } from './id-schema.js';
 
 /** Reads a message of a log channel; undefined if it does not match the schema. */
 export function readLogMessage(body: unknown): GroupLogMessage<unknown> | undefined {
@@ -15,8 +17,9 @@
 
 const text = z.string();
 const count = z.int().min(0);
+const address = buildIdSchema(parseAddress);
 const position = z.object({ index: count, term: count });
-const membership = z.object({ voters: z.array(z.object({ address: text, replica: text })) });
+const membership = z.object({ voters: z.array(z.object({ address, replica: text })) });
 
 const entry = z.object({
   index: count,
@@ -29,7 +32,7 @@
 
 const bodySchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('join'), fresh: z.boolean(), named: text.optional() }),
-  z.object({ kind: z.literal('voters'), addresses: z.array(text) }),
+  z.object({ kind: z.literal('voters'), addresses: z.array(address) }),
   z.object({ kind: z.literal('welcome'), membership }),
   z.object({ kind: z.literal('pre-vote'), last: position }),
   z.object({ kind: z.literal('pre-vote-answer'), granted: z.boolean(), asked: count }),
--- a/test/log-wiring.test.ts
+++ b/test/log-wiring.test.ts
@@ -31,7 +31,7 @@
   const addresses = ['10.0.0.2:7000', '10.0.0.3:7000'];
   const packet = readLogPacket(build(addresses), 'log', () => t.fail());
   t.deepEqual(packet?.message.message.body, { kind: 'voters', addresses } as never);
-  for (const malformed of [undefined, 'x', [7]]) {
+  for (const malformed of [undefined, 'x', [7], ['nowhere'], ['10.0.0.2:70000']]) {
     const dropped: Address[] = [];
     t.is(
       readLogPacket(build(malformed), 'log', (from) => dropped.push(from)),
@@ -41,6 +41,18 @@
   }
 });
 
+test('membership with an address that no socket takes: dropped', (t) => {
+  const body = { kind: 'welcome', membership: { voters: [{ address: 'nowhere', replica: 'b' }] } };
+  const message = { from: 'a', to: 'b', term: 3, body };
+  const dropped: Address[] = [];
+  const event = buildEvent('log', { group: 'notes', message });
+  t.is(
+    readLogPacket(event, 'log', (from) => dropped.push(from)),
+    undefined,
+  );
+  t.is(dropped.length, 1);
+});
+
 test('join with the identity that was named: read as sent', (t) => {
   for (const body of [
     { kind: 'join', fresh: true, named: 'former' },
