Follow an identity at each of its addresses

The leader's progress of other replicas was kept by identity alone since a voter is followed beside its successor. Late joins of one identity from two addresses took it from one another: nothing was sent to the first address any more, so that a host there that knows nobody had nothing to answer. A disk that moves to another address has one identity at two addresses, too. The key is now address and identity.

--- a/src/log/replicator.ts
+++ b/src/log/replicator.ts
@@ -22,8 +22,11 @@
 export class Replicator<Command> {
   readonly #replica: Replica<Command>;
   readonly #readRounds: ReadRounds;
-  /** Two identities at one address are followed at once until it is known which one is lost. */
-  readonly #progress = new Map<ReplicaId, PeerProgress>();
+  /**
+   * By address and identity: two identities at one address are followed at once until it is known which one is
+   * lost, and a replica whose disk has moved has one identity at two addresses.
+   */
+  readonly #progress = new Map<string, PeerProgress>();
 
   constructor(replica: Replica<Command>, reads: ReadRounds) {
     this.#replica = replica;
@@ -32,21 +35,20 @@
 
   /** Adds a replica, or starts over with one. */
   add(progress: PeerProgress): void {
-    this.#progress.set(progress.replica, progress);
+    this.#progress.set(buildKey(progress), progress);
   }
 
   /** Sends nothing more to an address, except to one of its identities. */
   removeAt(address: Address, except: ReplicaId | undefined): void {
     for (const progress of this.#progress.values()) {
       const isRemoved = progress.address === address && progress.replica !== except;
-      if (isRemoved) this.#progress.delete(progress.replica);
+      if (isRemoved) this.#progress.delete(buildKey(progress));
     }
   }
 
   /** Finds the progress of the replica with this address and identity. */
-  find({ address, replica }: Voter): PeerProgress | undefined {
-    const progress = this.#progress.get(replica);
-    return progress?.address === address ? progress : undefined;
+  find(voter: Voter): PeerProgress | undefined {
+    return this.#progress.get(buildKey(voter));
   }
 
   /** Sends each replica its missing entries, as far as its send window allows. */
@@ -166,3 +168,9 @@
     });
   }
 }
+
+// Internals.
+
+function buildKey({ address, replica }: Voter): string {
+  return `${address} ${replica}`;
+}
--- a/test/log-join.test.ts
+++ b/test/log-join.test.ts
@@ -14,6 +14,7 @@
 const CATCH_UP_MS = 4_000;
 const VOTE_LIMIT_MS = CATCH_UP_MS / 2;
 const START_LIMIT_MS = 60_000;
+const RECOVERY_LIMIT_MS = 15_000;
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 const GROWTH: LogGrowth = {
   founds: false,
@@ -274,3 +275,46 @@
     checkVotes(t, cluster, [newHost], `seed ${seed}`);
   }
 });
+
+/** In these, late joins name one identity at two addresses while a host there returns. */
+const ONE_IDENTITY_SEEDS = [85, 215];
+
+/** Lists what a returning host may know: nobody, the hosts that return with it, one other host, or all. */
+function pickKnown(cluster: LogCluster, back: readonly ClusterNode[]): readonly ClusterNode[] {
+  const others = cluster.nodes.filter((node) => !back.includes(node));
+  return cluster.random.pick([[], back, [cluster.random.pick(others)], cluster.nodes]);
+}
+
+/** Stops two hosts, and starts them again, mostly without their disks. Late joins arrive meanwhile. */
+function loseAndReturn(cluster: LogCluster): void {
+  const { random } = cluster;
+  const first = random.pick(cluster.nodes);
+  const lost = [first, random.pick(cluster.nodes.filter((node) => node !== first))];
+  for (const node of lost) {
+    if (random.next() < 0.7) cluster.loseDisk(node);
+    else cluster.kill(node);
+  }
+  runFor(cluster, random.nextInt(1_500));
+  for (const node of lost) {
+    startKnowing(cluster, node, pickKnown(cluster, lost));
+    runFor(cluster, random.nextInt(100));
+    const { leader } = cluster;
+    if (leader !== undefined) deliverFormerJoin(cluster, leader, random.pick(cluster.nodes));
+  }
+}
+
+for (const loss of [0, 0.1]) {
+  test(`hosts lost and back again and again, ${100 * loss} % of messages lost: all vote`, (t) => {
+    const limitMs = loss === 0 ? CATCH_UP_MS : RECOVERY_LIMIT_MS;
+    for (const seed of [...SEEDS, ...ONE_IDENTITY_SEEDS]) {
+      const cluster = startCluster({ seed, delayMs: [0, 30] });
+      cluster.loss = loss;
+      for (let count = 0; count < 8; count += 1) {
+        loseAndReturn(cluster);
+        t.notThrows(() => {
+          cluster.settle(() => hasAllVoters(cluster), limitMs);
+        }, `seed ${seed}, loss ${count}: not all vote in time`);
+      }
+    }
+  });
+}
