Ask another proxy of the level above when a parent does not confirm

When a root of a data centre of 60 and a tenth of the others were silent, some of the proxies that had just started served nothing for 5 s. Half of the forest hangs below a silent root, and only requests of a proxy itself left it, to any member: most of these sit below the same root, or below a silent proxy, and pass the request on to their silent parent.

A proxy that lately got no answer in 0.3 s now sends each request, its own and those that it passes on, to its parent and to another member of the level above, picked at random; a child of a root asks another root, of any data centre. Every step leads upwards, so requests cannot wander, and the separate request for the proxy itself is not needed any more. A root that knows no source asks another root.

Tests: distribution-start, "cold start, a root and a tenth of the others silent: confirmed in time"; bound 3 s, after which a machine is in touch.

--- a/src/distribution/confirm-relay.ts
+++ b/src/distribution/confirm-relay.ts
@@ -15,14 +15,12 @@
 export interface UpstreamRequest {
   readonly id: RequestId;
   readonly hops: number;
-  /** Whether it covers a request of this proxy itself. */
-  readonly isOwn: boolean;
 }
 
 /** An unanswered upstream request, and the requests that it covers. */
 interface OpenRequest {
   readonly requests: readonly ConfirmRequest[];
-  /** When this proxy repeats its own request. */
+  /** When this proxy repeats its own request; without an answer by then, its parent may be down. */
   readonly retryAt: Instant;
   /** Answers after this instant are ignored. */
   readonly deadline: Instant;
@@ -46,6 +44,7 @@
   /** Limits the rate of upstream requests, so that the load of the source is bounded for any number of requests. */
   #earliestRequestAt = 0 as Instant;
   #failures = 0;
+  #failingUntil = 0 as Instant;
 
   constructor(random: Random) {
     this.#random = random;
@@ -63,6 +62,11 @@
     return this.#failures;
   }
 
+  /** Whether a request, of this proxy or of others, was not answered in time lately. */
+  isFailing(now: Instant): boolean {
+    return now < this.#failingUntil;
+  }
+
   /** Adds a request. A second request from the same peer replaces the first. */
   addRequest(request: ConfirmRequest, now: Instant): void {
     if (request.hops >= MAX_HOPS) return;
@@ -84,26 +88,19 @@
   /** Returns the upstream request to send now, if any. */
   pickRequest(now: Instant): UpstreamRequest | undefined {
     this.#repeatOwnRequest(now);
+    this.#updateFailing(now);
     this.#forgetOverdue(now);
     if (this.#nextRequestAt > now) return undefined;
     this.#nextRequestAt = NEVER;
     if (this.#waitingRequests.size === 0) return undefined;
     const requests = [...this.#waitingRequests.values()];
     this.#waitingRequests.clear();
-    const isOwn = requests.some((request) => request.from === 'self');
-    const opened = this.#open(requests, now);
-    if (isOwn) this.#ownId = opened.id;
+    const id = this.#makeId();
+    if (requests.some((request) => request.from === 'self')) this.#ownId = id;
+    const retryAt = addMs(now, OWN_RETRY_MS);
+    this.#openRequests.set(id, { requests, retryAt, deadline: addMs(now, ANSWER_TIMEOUT_MS) });
     this.#earliestRequestAt = addMs(now, MIN_REQUEST_INTERVAL_MS);
-    return { ...opened, isOwn };
-  }
-
-  /**
-   * Opens another upstream request for this proxy's own request, to be sent to any peer. It covers no request of
-   * others: among proxies that all have just started, those would wander and reach the limit of hops.
-   */
-  openDetour(now: Instant): UpstreamRequest {
-    const own: ConfirmRequest = { from: 'self', id: this.#makeId(), hops: 0 };
-    return { ...this.#open([own], now), isOwn: true };
+    return { id, hops: 1 + Math.max(...requests.map((request) => request.hops)) };
   }
 
   /** Closes an answered upstream request and returns the requests that it covers. */
@@ -119,16 +116,6 @@
 
   // Internals.
 
-  #open(
-    requests: readonly ConfirmRequest[],
-    now: Instant,
-  ): { readonly id: RequestId; readonly hops: number } {
-    const id = this.#makeId();
-    const retryAt = addMs(now, OWN_RETRY_MS);
-    this.#openRequests.set(id, { requests, retryAt, deadline: addMs(now, ANSWER_TIMEOUT_MS) });
-    return { id, hops: 1 + Math.max(...requests.map(({ hops }) => hops)) };
-  }
-
   #makeId(): RequestId {
     const parts = [this.#random.nextInt(MAX_NONCE), this.#random.nextInt(MAX_NONCE)];
     return parts.map((part) => part.toString(NONCE_RADIX)).join('-') as RequestId;
@@ -147,6 +134,14 @@
     this.addOwnRequest(addMs(now, this.#random.next() * RETRY_JITTER_MS));
   }
 
+  #updateFailing(now: Instant): void {
+    for (const { retryAt } of this.#openRequests.values()) {
+      if (retryAt > now) return;
+      const until = addMs(retryAt, FAILING_MS);
+      this.#failingUntil = Math.max(this.#failingUntil, until) as Instant;
+    }
+  }
+
   #forgetOverdue(now: Instant): void {
     for (const [id, { deadline }] of this.#openRequests) {
       if (deadline > now) return;
@@ -161,6 +156,8 @@
 const MIN_REQUEST_INTERVAL_MS = 100;
 const OWN_RETRY_MS = 300;
 const ANSWER_TIMEOUT_MS = 10_000;
+/** How long a failure counts; the requests that a proxy passes on may come seconds apart. */
+const FAILING_MS = 5_000;
 const RETRY_JITTER_MS = 200;
 const MAX_HOPS = 16;
 const MAX_WAITING_REQUESTS = 64;
--- a/src/distribution/overlay.ts
+++ b/src/distribution/overlay.ts
@@ -96,10 +96,9 @@
     const { fanOut, rootCount } = this.#shape;
     const firstChild = rootCount + position * fanOut;
     const isRoot = position < rootCount;
-    const parentPosition = Math.floor((position - rootCount) / fanOut);
     return {
       isRoot,
-      parent: isRoot ? undefined : order.findAt(parentPosition),
+      parent: isRoot ? undefined : order.findAt(this.#findParentPosition(position)),
       children: order.listRange(firstChild, firstChild + fanOut),
       offTreePeers: listOffTreePeers(order, position),
     };
@@ -142,8 +141,44 @@
     return undefined;
   }
 
+  /**
+   * Picks a member at random from the level above a member, other than its parent; for a root and for a child of
+   * one, another root of any data centre.
+   */
+  pickAbove(host: HostId, random: Random): OverlayMember | undefined {
+    const member = this.#members.get(host);
+    const order = member && this.#orders.get(member.dataCentre);
+    const position = order?.findPosition(host);
+    if (order === undefined || position === undefined) return undefined;
+    const { first, count } = this.#findLevelAbove(position);
+    const parent = this.#findParentPosition(position);
+    if (first > 0) {
+      const picked = first + random.nextInt(count - 1);
+      return order.findAt(picked < parent ? picked : picked + 1);
+    }
+    const excluded = [host, order.findAt(parent)?.host];
+    const roots = this.listAllRoots().filter((root) => !excluded.includes(root.host));
+    return roots[random.nextInt(roots.length)];
+  }
+
   // Internals.
 
+  /** Finds the position of the parent; negative for a root. */
+  #findParentPosition(position: number): number {
+    return Math.floor((position - this.#shape.rootCount) / this.#shape.fanOut);
+  }
+
+  /** Finds the positions of the level above a position; for a root, those of the roots. */
+  #findLevelAbove(position: number): { readonly first: number; readonly count: number } {
+    const { fanOut, rootCount } = this.#shape;
+    let [first, count] = [0, rootCount];
+    while (position >= first + count + count * fanOut) {
+      first += count;
+      count *= fanOut;
+    }
+    return { first, count };
+  }
+
   #findOrder(dataCentre: DataCentreId): MemberOrder {
     const known = this.#orders.get(dataCentre);
     if (known !== undefined) return known;
--- a/src/distribution/proxy-confirmer.ts
+++ b/src/distribution/proxy-confirmer.ts
@@ -63,31 +63,18 @@
     request: UpstreamRequest,
     now: Instant,
   ): ProxyDistributionOut[] {
-    const { isRoot, parent } = findNeighbours(state, this.#options);
-    const detour = request.isOwn ? this.#buildDetour(state, parent, now) : [];
-    if (parent !== undefined) return [buildRequest(parent, request), ...detour];
-    if (!isRoot) return detour;
     const { id } = request;
-    const asks = [...state.sources].map((to): ProxyDistributionOut => {
-      return { kind: 'send-source', to, body: { kind: 'ask-vouch', id } };
-    });
-    return [...asks, ...detour];
-  }
-
-  /**
-   * After a failure, asks any other member besides: the parent may be down, as all neighbours may be, and a root may
-   * not know the sources yet.
-   */
-  #buildDetour(
-    state: ProxyDistributionState,
-    parent: OverlayMember | undefined,
-    now: Instant,
-  ): ProxyDistributionOut[] {
-    const { host, random } = this.#options;
-    if (state.confirmRelay.failures === 0) return [];
-    const member = state.overlay.pickMember(host, random);
-    if (member === undefined || member.host === parent?.host) return [];
-    return [buildRequest(member, state.confirmRelay.openDetour(now))];
+    const { isRoot, parent } = findNeighbours(state, this.#options);
+    if (isRoot && state.sources.size > 0) {
+      return [...state.sources].map((to) => {
+        return { kind: 'send-source', to, body: { kind: 'ask-vouch', id } };
+      });
+    }
+    const asked = parent === undefined ? [] : [buildRequest(parent, request)];
+    if (!state.confirmRelay.isFailing(now)) return asked;
+    // Only members above this one are asked, so that requests reach a root instead of wandering.
+    const other = state.overlay.pickAbove(this.#options.host, this.#options.random);
+    return other === undefined ? asked : [...asked, buildRequest(other, request)];
   }
 
   /** Starts a poll of peers after several requests to the source have failed. */
--- a/test/distribution-start.test.ts
+++ b/test/distribution-start.test.ts
@@ -109,6 +109,29 @@
   t.true(isInTime, `${tookMs ?? 'over 15,000'} ms`);
 });
 
+// Guards against proxies below a silent root that ask others below it, one at a time.
+test('cold start, a root and a tenth of the others silent: confirmed in time', (t) => {
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    const { fleet, commitNext } = startFleet({ seed, dataCentres: 1 });
+    commitNext(4);
+    fleet.run(500);
+    const root = findProxy(fleet, isRoot);
+    for (const node of fleet.proxies) fleet.kill(node, 1_000);
+    for (const node of fleet.proxies) fleet.startProxy(node);
+    fleet.run(200);
+    const silent = fleet.proxies.filter((node, index) => {
+      return node === root || (index % 10 === 0 && !isRoot(node));
+    });
+    for (const node of silent) fleet.freeze(node);
+    const others = fleet.proxies.filter((node) => !silent.includes(node));
+    const isConfirmed = () =>
+      others.every((node) => node.proxy?.served.needsConfirmation === false);
+    const tookMs = fleet.runUntil(isConfirmed, 15_000);
+    const isInTime = tookMs !== undefined && tookMs <= IN_TOUCH_MS;
+    t.true(isInTime, `seed ${seed}: ${tookMs ?? 'over 15,000'} ms`);
+  }
+});
+
 test('cold start, no quorum: own floor confirms', (t) => {
   const { fleet, maker, history, commitNext } = startFleet({ keepsFloor: true });
   commitNext(4);
--- a/test/overlay.test.ts
+++ b/test/overlay.test.ts
@@ -9,6 +9,7 @@
   buildOwnReport,
   REPORT_BOUNDS,
 } from '../src/distribution/version-report.js';
+import { SeededRandom } from '../src/random.js';
 import { Overlay } from '../src/distribution/overlay.js';
 import type { OverlayMember } from '../src/distribution/member-order.js';
 
@@ -49,6 +50,28 @@
   );
 });
 
+test('member above: of the level above or another root, never the parent', (t) => {
+  const random = new SeededRandom(1);
+  for (const count of [1, 2, 3, 8, 9, 27, 200]) {
+    const overlay = makeOverlay(makeMembers(count));
+    const roots = overlay.listRoots(DATA_CENTRE).map(({ host }) => host);
+    const findDepth = (host: HostId): number => {
+      const { parent } = overlay.findNeighbours(host);
+      return parent === undefined ? 0 : 1 + findDepth(parent.host);
+    };
+    for (const { host } of makeMembers(count)) {
+      const { parent } = overlay.findNeighbours(host);
+      const above = overlay.pickAbove(host, random);
+      const others = roots.filter((root) => root !== host && root !== parent?.host);
+      const depth = findDepth(host);
+      if (depth <= 1) t.is(above !== undefined, others.length > 0);
+      if (above === undefined) continue;
+      t.is(findDepth(above.host), Math.max(0, depth - 1));
+      t.false([host, parent?.host].includes(above.host));
+    }
+  }
+});
+
 test('members added in any order: same forest', (t) => {
   const members = makeMembers(100);
   const one = makeOverlay(members);
