Play losses of source hosts by the stated bounds alone

The harness runs the membership, the known sources and the log of whole hosts in virtual time, over datagrams and links, and loses hosts by the stated bounds; hosts start with any seeds.

--- /dev/null
+++ b/bench/fleet-process.ts
@@ -0,0 +1,73 @@
+/** One life of a simulated process. */
+import type { Address, HostId, Instant } from '../src/ids.js';
+import type { LogMessage, ProbeMessage, SyncMessage } from '../src/messages/index.js';
+import { FleetLinks } from './fleet-links.js';
+import type { FleetNetwork } from './fleet-network.js';
+
+/** A message on a link, by its channel. */
+export type FleetMessage =
+  | { readonly channel: 'members'; readonly body: SyncMessage }
+  | { readonly channel: 'log'; readonly from: HostId; readonly message: LogMessage<string> };
+
+/** Runs actions of a process in order. A frozen process runs them when it wakes; one that has ended, never. */
+export abstract class FleetProcess {
+  readonly address: Address;
+  readonly network: FleetNetwork;
+  readonly links: FleetLinks;
+  #hasEnded = false;
+  #isFrozen = false;
+  #waiting: (() => void)[] = [];
+
+  constructor(address: Address, network: FleetNetwork) {
+    this.address = address;
+    this.network = network;
+    this.links = new FleetLinks(this);
+  }
+
+  abstract start(): void;
+  abstract handleDatagram(from: Address, message: ProbeMessage): void;
+  abstract handlePacket(from: Address, message: FleetMessage): void;
+
+  get now(): Instant {
+    return this.network.now;
+  }
+
+  /** Whether the process runs and is not frozen. */
+  get isActive(): boolean {
+    return !this.#hasEnded && !this.#isFrozen;
+  }
+
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
+  /** Runs an action at once, or when the process wakes. */
+  run(action: () => void): void {
+    if (this.#hasEnded) return;
+    if (this.#isFrozen) this.#waiting.push(action);
+    else action();
+  }
+
+  /** Runs an action at an instant, or when the process wakes after it. */
+  runAt(at: Instant, action: () => void): void {
+    this.network.queue.addEvent(at, () => {
+      this.run(action);
+    });
+  }
+
+  freeze(): void {
+    this.#isFrozen = true;
+  }
+
+  thaw(): void {
+    this.#isFrozen = false;
+    for (const action of this.#waiting.splice(0)) this.run(action);
+  }
+
+  /** Ends the process without a word of its own. With power, the machine closes its connections. */
+  end(hasPower: boolean): void {
+    this.#hasEnded = true;
+    this.#waiting = [];
+    this.links.stop(hasPower);
+  }
+}
