Step clocks, slow disks and cut sources off from each other alone in the harness of lost hosts

The stated impairments have slowed disks, cuts of the sources that the proxies don't share, and clocks that are set.

--- a/bench/fleet-network.ts
+++ b/bench/fleet-network.ts
@@ -13,6 +13,12 @@
   isPowered: boolean;
 }
 
+/** Two groups of addresses that are cut off from each other. */
+interface NetworkCut {
+  readonly one: ReadonlySet<Address>;
+  readonly other: ReadonlySet<Address>;
+}
+
 /** Carries datagrams, and decides which segments of links arrive. */
 export class FleetNetwork {
   /** The probability that a datagram is lost. */
@@ -24,7 +30,7 @@
   readonly queue: EventQueue;
   readonly random: Random;
   readonly #machines = new Map<Address, NetworkMachine>();
-  readonly #separated = new Set<ReadonlySet<Address>>();
+  readonly #cuts = new Set<NetworkCut>();
 
   constructor(queue: EventQueue, random: Random) {
     this.queue = queue;
@@ -50,16 +56,19 @@
     return this.#machines.get(address)?.isPowered === true;
   }
 
-  /** Cuts a group of addresses off from all others. Returns a function that ends the cut. */
-  cut(addresses: readonly Address[]): () => void {
-    const group = new Set(addresses);
-    this.#separated.add(group);
-    return () => this.#separated.delete(group);
+  /** Cuts two groups of addresses off from each other. Returns a function that ends the cut. */
+  cut(one: readonly Address[], other: readonly Address[]): () => void {
+    const cut = { one: new Set(one), other: new Set(other) };
+    this.#cuts.add(cut);
+    return () => this.#cuts.delete(cut);
   }
 
   /** Returns whether two addresses are cut off from each other. */
   isCut(one: Address, other: Address): boolean {
-    for (const group of this.#separated) if (group.has(one) !== group.has(other)) return true;
+    for (const cut of this.#cuts) {
+      if (cut.one.has(one) && cut.other.has(other)) return true;
+      if (cut.one.has(other) && cut.other.has(one)) return true;
+    }
     return false;
   }
 
--- a/bench/fleet-process.ts
+++ b/bench/fleet-process.ts
@@ -1,4 +1,5 @@
 /** One life of a simulated process. */
+import { addMs } from '../src/clock.js';
 import type { Address, HostId, Instant } from '../src/ids.js';
 import type { LogMessage, ProbeMessage, SyncMessage } from '../src/messages/index.js';
 import { FleetLinks } from './fleet-links.js';
@@ -14,13 +15,15 @@
   readonly address: Address;
   readonly network: FleetNetwork;
   readonly links: FleetLinks;
+  readonly #clockOffsetMs: number;
   #hasEnded = false;
   #isFrozen = false;
   #waiting: (() => void)[] = [];
 
-  constructor(address: Address, network: FleetNetwork) {
+  constructor(address: Address, network: FleetNetwork, clockOffsetMs: number) {
     this.address = address;
     this.network = network;
+    this.#clockOffsetMs = clockOffsetMs;
     this.links = new FleetLinks(this);
   }
 
@@ -28,8 +31,9 @@
   abstract handleDatagram(from: Address, message: ProbeMessage): void;
   abstract handlePacket(from: Address, message: FleetMessage): void;
 
+  /** The time on the clock of the host, which is not that of other hosts. */
   get now(): Instant {
-    return this.network.now;
+    return addMs(this.network.now, this.#clockOffsetMs);
   }
 
   /** Whether the process runs and is not frozen. */
@@ -48,9 +52,9 @@
     else action();
   }
 
-  /** Runs an action at an instant, or when the process wakes after it. */
+  /** Runs an action at an instant of the host's clock, or when the process wakes after it. */
   runAt(at: Instant, action: () => void): void {
-    this.network.queue.addEvent(at, () => {
+    this.network.queue.addEvent(at - this.#clockOffsetMs + TIMER_DELAY_MS, () => {
       this.run(action);
     });
   }
@@ -71,3 +75,8 @@
     this.links.stop(hasPower);
   }
 }
+
+// Internals.
+
+/** Timers fire shortly after their deadline, never before it. */
+const TIMER_DELAY_MS = 0.01;
--- a/bench/loss-schedule.ts
+++ b/bench/loss-schedule.ts
@@ -5,7 +5,7 @@
 import type { FleetHost } from './source-fleet.js';
 import { SourceFleet } from './source-fleet.js';
 
-const LOSS_KINDS = ['kill', 'power', 'disk', 'disk', 'disk', 'freeze', 'cut'] as const;
+const LOSS_KINDS = ['kill', 'power', 'disk', 'disk', 'disk', 'freeze', 'slow', 'cut'] as const;
 
 type LossKind = (typeof LOSS_KINDS)[number];
 
@@ -109,14 +109,15 @@
 
   #cut(lost: readonly FleetHost[]): void {
     const lastsMs = this.#pickPauseMs();
-    this.#fleet.cut(lost, lastsMs);
+    this.#fleet.cut(lost, lastsMs, this.#random.next() < 0.5);
     for (const one of lost) this.#addLoss(one, addMs(this.#fleet.now, lastsMs));
   }
 
   #lose(one: FleetHost, kind: Exclude<LossKind, 'cut'>, fellows: readonly FleetHost[]): void {
-    if (kind === 'freeze') {
+    if (kind === 'freeze' || kind === 'slow') {
       const lastsMs = this.#pickPauseMs();
-      this.#fleet.freeze(one, lastsMs);
+      if (kind === 'freeze') this.#fleet.freeze(one, lastsMs);
+      else this.#fleet.slowDisk(one, lastsMs);
       this.#addLoss(one, addMs(this.#fleet.now, lastsMs));
       return;
     }
@@ -147,6 +148,9 @@
   #startLater(one: FleetHost, fellows: readonly FleetHost[]): Instant {
     const downMs = MIN_DOWN_MS + this.#random.next() * (MAX_DOWN_MS - MIN_DOWN_MS);
     const seeds = this.pickSeeds(one, fellows);
+    if (this.#random.next() < CLOCK_SHARE) {
+      one.clockOffsetMs += MAX_CLOCK_STEP_MS * (2 * this.#random.next() - 1);
+    }
     this.#fleet.network.runLater(downMs, () => {
       this.#fleet.start(one, seeds);
     });
@@ -175,6 +179,9 @@
 const FELLOWS_SHARE = 0.35;
 /** How often the final loss takes the power of all other hosts, too. */
 const POWER_SHARE = 0.3;
+/** How often the clock of a host has been set while it was down. */
+const CLOCK_SHARE = 0.1;
+const MAX_CLOCK_STEP_MS = 60_000;
 const MAX_GAP_MS = 3_000;
 const MAX_DELAY_MS = 50;
 /** All processes that are killed at the same moment are back within a second. */
--- a/bench/member-process.ts
+++ b/bench/member-process.ts
@@ -18,6 +18,7 @@
   readonly seeds: readonly Address[];
   readonly random: Random;
   readonly network: FleetNetwork;
+  readonly clockOffsetMs: number;
 }
 
 /** Wires the membership to the network as `createMembership` does. */
@@ -29,7 +30,7 @@
 
   constructor(options: MemberOptions) {
     const { host, address, isSource, seeds, random, network } = options;
-    super(address, network);
+    super(address, network, options.clockOffsetMs);
     this.host = host;
     this.#filter = new MembersFilter({
       self: {
@@ -45,7 +46,7 @@
         version: NO_VERSION,
         servers: [],
       },
-      startedAt: network.now,
+      startedAt: this.now,
       seeds,
       random,
     });
--- a/bench/source-fleet.ts
+++ b/bench/source-fleet.ts
@@ -22,6 +22,10 @@
   /** Whether the process started with an empty disk and has not voted since. */
   startedEmpty: boolean;
   isCutOff: boolean;
+  /** How far the clock of the next process is ahead. */
+  clockOffsetMs: number;
+  /** The time that a sync takes at most. */
+  maxSyncMs: number;
 }
 
 /** A proxy, which is a member only. */
@@ -78,6 +82,8 @@
       startedAt: this.#startAt,
       startedEmpty: false,
       isCutOff: false,
+      clockOffsetMs: this.#random.nextInt(MAX_CLOCK_OFFSET_MS),
+      maxSyncMs: options.maxSyncMs,
     }));
     this.proxies = Array.from({ length: options.proxies }, (_, index) => ({
       host: `proxy-${index}` as HostId,
@@ -92,7 +98,7 @@
 
   /** The addresses that every process is told at the very first start. */
   get firstSeeds(): readonly Address[] {
-    return this.hosts.slice(0, FIRST_SEEDS).map(({ address }) => address);
+    return listAddresses(this.hosts.slice(0, FIRST_SEEDS));
   }
 
   /** The host that leads, as its own process says; a frozen one or one that is cut off doesn't count. */
@@ -138,6 +144,7 @@
         seeds,
         random: this.#makeRandom(),
         network: this.network,
+        clockOffsetMs: 0,
       });
       this.network.updateMachine(one.address, one.process);
       one.process.start();
@@ -162,6 +169,17 @@
     this.print(`${one.host}: disk lost`);
   }
 
+  /** Makes the syncs of a host slow for some time. */
+  slowDisk(one: FleetHost, milliseconds: number): void {
+    this.disturbedAt = this.now;
+    this.print(`${one.host}: slow disk for ${Math.round(milliseconds)} ms`);
+    one.maxSyncMs = SLOW_SYNC_MS;
+    this.network.runLater(milliseconds, () => {
+      this.disturbedAt = this.now;
+      one.maxSyncMs = this.options.maxSyncMs;
+    });
+  }
+
   /** Freezes a host for some time. */
   freeze(one: FleetHost, milliseconds: number): void {
     const { process } = one;
@@ -174,14 +192,16 @@
     });
   }
 
-  /** Cuts hosts off from all others, but not from each other. */
-  cut(group: readonly FleetHost[], milliseconds: number): void {
+  /** Cuts hosts off from all other hosts, and from the proxies or not, but not from each other. */
+  cut(group: readonly FleetHost[], milliseconds: number, areProxiesCut: boolean): void {
     this.disturbedAt = this.now;
     for (const one of group) {
       one.isCutOff = true;
       this.print(`${one.host}: cut off for ${Math.round(milliseconds)} ms`);
     }
-    const join = this.network.cut(group.map(({ address }) => address));
+    const others = this.hosts.filter((one) => !group.includes(one));
+    const far = areProxiesCut ? [...others, ...this.proxies] : others;
+    const join = this.network.cut(listAddresses(group), listAddresses(far));
     this.network.runLater(milliseconds, () => {
       this.disturbedAt = this.now;
       join();
@@ -242,7 +262,9 @@
       random: this.#makeRandom(),
       network,
       founds,
+      clockOffsetMs: one.clockOffsetMs,
       disk: one.disk,
+      readMaxSyncMs: () => one.maxSyncMs,
       newReplicaId: `${one.host}-${this.#random.nextInt(1e9)}` as ReplicaId,
       snapshots: options.snapshots,
       notify: (from, notice) => {
@@ -284,10 +306,16 @@
 const FIRST_SEEDS = 3;
 /** All machines start within this time of each other. */
 const FIRST_START_MS = 300;
+const MAX_CLOCK_OFFSET_MS = 5_000;
+const SLOW_SYNC_MS = 1_200;
 const MIN_BOOT_MS = 50;
 const MAX_BOOT_MS = 300;
 const OPERATOR_DELAY_MS = 1;
 
+function listAddresses(hosts: readonly (FleetHost | FleetProxy)[]): Address[] {
+  return hosts.map(({ address }) => address);
+}
+
 function readTerm({ process }: FleetHost): number {
   return process?.status?.term ?? 0;
 }
--- a/bench/source-process.ts
+++ b/bench/source-process.ts
@@ -21,7 +21,7 @@
   readonly disk: FleetDisk;
   readonly newReplicaId: ReplicaId;
   readonly snapshots: SnapshotPolicy | undefined;
-  readonly maxSyncMs: number;
+  readonly readMaxSyncMs: () => number;
   readonly notify: (process: SourceProcess, notice: LogNotice<string>) => void;
   readonly print: (line: string) => void;
 }
@@ -152,7 +152,7 @@
     if (this.#isSyncing || this.#unsynced.length === 0) return;
     this.#isSyncing = true;
     const batch = [...this.#unsynced];
-    const syncMs = this.#options.maxSyncMs * this.#options.random.next();
+    const syncMs = this.#options.readMaxSyncMs() * this.#options.random.next();
     this.runAt(addMs(this.now, syncMs), () => {
       this.#isSyncing = false;
       this.#options.disk.append(batch);
