--- a/bench/member-process.ts
+++ b/bench/member-process.ts
@@ -89,7 +89,9 @@
       case 'send':
         this.links.send(output.to, { channel: 'members', body: output.body });
         return;
-      default:
+      case 'member-up':
+      case 'member-gone':
+      case 'broadcast':
         this.handleMembership(output);
     }
   }
