Complete a roll-out only after every proxy could report to the leader

A leader that had just started could end a roll-out as completed while proxies still sent calls to old servers. It asked whether all proxies that its membership knew had moved; right after its start that may be one of many, and one report of it was enough.

Just before the deadline it completes as before.

Test: rollout-leader, "leader with an incomplete membership: completes after all proxies".

--- a/src/rollouts/evidence-table.ts
+++ b/src/rollouts/evidence-table.ts
@@ -66,11 +66,14 @@
   }
 
   /**
-   * Returns whether each of these proxies has reported lately that it applies a step and uses no old server. The last
-   * proxy to apply the step may just have sent calls to old servers beside the others, so all must have reported since.
+   * Returns whether each of these proxies, and each other one that reports, has reported lately that it applies a step
+   * and uses no old server. The last proxy to apply the step may just have sent calls to old servers beside the others,
+   * so all must have reported since.
    */
   isMovedBy(hosts: Iterable<HostId>, step: number, reportedSince: Instant): boolean {
-    const proxies = [...hosts].map((host) => this.#proxies.get(host));
+    const reporting = [...this.#proxies].filter(([, proxy]) => proxy.reportedAt >= reportedSince);
+    const all = new Set([...hosts, ...reporting.map(([host]) => host)]);
+    const proxies = [...all].map((host) => this.#proxies.get(host));
     const stepsAt = proxies.map((proxy) => proxy?.stepAt ?? 0);
     const since = Math.max(reportedSince, ...stepsAt.map((at) => at + CALL_TRAVEL_MS));
     return proxies.every((proxy) => {
--- a/src/rollouts/rollout-decision.ts
+++ b/src/rollouts/rollout-decision.ts
@@ -49,17 +49,27 @@
   readonly #bounds: ExposureBounds;
   readonly #startedAt: Instant;
   readonly #deadline: Instant;
+  readonly #openedAt: Instant;
   readonly #evidence = new EvidenceTable();
   #findings: Findings = { evidence: 0, cause: 'failures', requestKind: undefined };
   #stepAt: Instant;
   #step = 0;
 
-  /** @param deadline By the clock of this process, by when the roll-out is to be completed. */
-  constructor(bounds: ExposureBounds, startedAt: Instant, deadline: Instant) {
+  /**
+   * @param deadline By the clock of this process, by when the roll-out is to be completed.
+   * @param openedAt Since when this process collects evidence; later than the start after a restart.
+   */
+  constructor(
+    bounds: ExposureBounds,
+    startedAt: Instant,
+    deadline: Instant,
+    openedAt: Instant = startedAt,
+  ) {
     this.#bounds = bounds;
     this.#startedAt = startedAt;
     this.#deadline = deadline;
     this.#stepAt = startedAt;
+    this.#openedAt = openedAt;
   }
 
   get figures(): RolloutFigures {
@@ -113,7 +123,10 @@
         ? endLate('too few servers of the version are ready')
         : undefined;
     }
-    const isMoved = this.#evidence.isMovedBy(proxies, step, addMs(now, -REPORT_AGE_MS));
+    const reportedSince = addMs(now, -REPORT_AGE_MS);
+    // Until every proxy has had the time to report, the membership may lack some that still use old servers.
+    const hasHeardAll = this.#openedAt <= reportedSince;
+    const isMoved = hasHeardAll && this.#evidence.isMovedBy(proxies, step, reportedSince);
     if (isMoved || now >= this.#lastCompletion) {
       const { exposed, failed } = this.#evidence;
       const reason = `all calls have moved: ${exposed} runs, ${failed} failed`;
--- a/src/rollouts/rollout-filter.ts
+++ b/src/rollouts/rollout-filter.ts
@@ -157,7 +157,7 @@
       const durationMs = rollout.deadline - rollout.startedAt;
       const deadline = Math.min(rollout.deadline, addMs(now, durationMs)) as Instant;
       const startedAt = addMs(deadline, -durationMs);
-      const decision = new RolloutDecision(this.#bounds, startedAt, deadline);
+      const decision = new RolloutDecision(this.#bounds, startedAt, deadline, now);
       running.set(rollout.name, { order: rollout.order, decision, proposed: undefined });
     }
   }
--- a/test/rollout-leader.test.ts
+++ b/test/rollout-leader.test.ts
@@ -41,13 +41,13 @@
     this.post({ kind: 'member-up', member: makeMember(PROXY, servers) });
   }
 
-  report(rollout: RolloutResource): readonly RolloutOut[] {
+  report(rollout: RolloutResource, from = PROXY): readonly RolloutOut[] {
     const { name: service, order, step } = rollout;
     const rollouts = [{ service, order, step, runningInUse: 0, counts: [] }];
     const address = '10.0.0.1:9' as Address;
     return this.post({
       kind: 'received',
-      from: PROXY,
+      from,
       address,
       body: { kind: 'evidence', rollouts },
     });
@@ -111,6 +111,30 @@
   t.like(source.waitForCommand(1_000), { kind: 'end-rollout', state: 'completed' });
 });
 
+// Guards against a leader that has just started and ends a roll-out by the few proxies that its membership knows.
+test('leader with an incomplete membership: completes after all proxies', (t) => {
+  for (const firstReportMs of [0, 1_000]) {
+    const source = new Source();
+    const former = makeRollout({ share: 0.75, step: 3 });
+    const rollout = { ...former, share: 1, step: 4 };
+    source.now = addMs(START, 8_500);
+    source.apply(SERVICE, put(rollout));
+    source.addServers('v1', 'v2');
+    source.post({ kind: 'leading', leading: true });
+    for (let ms = 0; ms < 2_000; ms += TURN_MS) {
+      source.report(rollout);
+      if (ms >= firstReportMs) source.report(former, 'proxy-1' as HostId);
+      t.is(source.waitForCommand(TURN_MS), undefined, `${firstReportMs}: ${ms}`);
+    }
+    source.report(rollout, 'proxy-1' as HostId);
+    source.report(rollout);
+    t.is(source.waitForCommand(TURN_MS), undefined);
+    source.report(rollout, 'proxy-1' as HostId);
+    source.report(rollout);
+    t.like(source.waitForCommand(TURN_MS), { kind: 'end-rollout', state: 'completed' });
+  }
+});
+
 test('leader after the deadline: ends the roll-out', (t) => {
   const source = new Source();
   source.now = addMs(START, 60_000);
