Send operators to a leader that the membership lacks

A source that follows knows its leader's name from the log, but found its address in the membership alone. While that lacked the leader, as right after a start or when it had been given up, an operator got 503 without a Location and tried all sources in turn, and proxies were told of no leader to report to. The address now comes from the messages of the log as well.

Failed before: source-peers, 'leader that the membership lacks: found by its log messages' (there was no such source of addresses; undefined in place of the address).

--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -246,7 +246,10 @@
       const packet = readLogPacket<NoteCommand>(event, 'log', (from) => {
         options.log('log-message-dropped', { group: LOG_GROUP, from });
       });
-      if (packet?.group === LOG_GROUP) log.post(packet.message);
+      if (packet?.group === LOG_GROUP) {
+        peers.addSender(packet.message.from, packet.message.address);
+        log.post(packet.message);
+      }
       const message = readLinkEvent(event);
       if (message !== undefined) distribution.post(message);
       grantor.handleLink(event);
--- a/src/program/source-peers.ts
+++ b/src/program/source-peers.ts
@@ -3,10 +3,11 @@
 import { parseAddress, splitAddress } from '../ids.js';
 import type { MemberEvent } from '../messages/index.js';
 
-/** The other source hosts, known from the membership. */
+/** The other source hosts, known from the membership and from the messages of their logs. */
 export class SourcePeers {
   readonly #operatorPort: number;
   readonly #controlAddresses = new Map<HostId, Address>();
+  readonly #senderAddresses = new Map<HostId, Address>();
   #seeds: readonly Address[] = [];
 
   constructor(operator: Address) {
@@ -22,6 +23,11 @@
     return true;
   }
 
+  /** Records the sender of a log message, which the membership may lack. */
+  addSender(host: HostId, control: Address): void {
+    this.#senderAddresses.set(host, control);
+  }
+
   /** Replaces the configured seeds. */
   updateSeeds(seeds: readonly Address[]): void {
     this.#seeds = seeds;
@@ -34,7 +40,7 @@
 
   /** Returns the control address of a source host. */
   findControlAddress(host: HostId): Address | undefined {
-    return this.#controlAddresses.get(host);
+    return this.#controlAddresses.get(host) ?? this.#senderAddresses.get(host);
   }
 
   /**
@@ -42,7 +48,7 @@
    * port of this one.
    */
   findOperatorAddress(host: HostId): Address | undefined {
-    const control = this.#controlAddresses.get(host);
+    const control = this.findControlAddress(host);
     if (control === undefined) return undefined;
     const ip = control.slice(0, control.lastIndexOf(':'));
     return parseAddress(`${ip}:${this.#operatorPort}`);
