Let the leader answer a join with the voters, too

A host that came back without its disk and knows nobody hears of the log because the leader still names its lost identity. Leaders now answer a join as the others do, so that the host knows all voters from its first join on.

--- a/src/log/handle-peer-message.ts
+++ b/src/log/handle-peer-message.ts
@@ -25,7 +25,7 @@
   switch (body.kind) {
     case 'join':
       if (body.fresh) peers.welcome(address, message.from);
-      if (role.kind !== 'leader') peers.sendVoters(sender);
+      peers.sendVoters(sender);
       return role.handleAnswer({ address, message, body }, now);
     case 'voters':
       replica.joins.handleVoters(address, body.addresses);
--- a/src/log/peer-handler.ts
+++ b/src/log/peer-handler.ts
@@ -29,7 +29,7 @@
     this.#replica.sendDurable(to, { kind: 'welcome', membership: baseMembership });
   }
 
-  /** Tells a replica that asks to join which addresses to ask: one of them may lead, now or soon. */
+  /** Tells a replica that asks to join which addresses to ask: one of them leads now, or will when the leader dies. */
   sendVoters(to: Recipient): void {
     const { membership } = this.#replica.entries;
     if (membership === undefined) return;
--- a/src/messages/log.ts
+++ b/src/messages/log.ts
@@ -104,7 +104,7 @@
       /** The identity that the recipient named at the address of this replica; absent if it named none. */
       readonly named?: ReplicaId | undefined;
     }
-  /** Answers a join at a replica that does not lead: whom to ask, as far as this replica knows. */
+  /** Answers a join: whom to ask, as far as this replica knows. */
   | { readonly kind: 'voters'; readonly addresses: readonly Address[] }
   /** Sends an initial replica the membership that includes it. */
   | { readonly kind: 'welcome'; readonly membership: Membership }
--- a/test/log-join.test.ts
+++ b/test/log-join.test.ts
@@ -14,6 +14,8 @@
 const CATCH_UP_MS = 4_000;
 const VOTE_LIMIT_MS = CATCH_UP_MS / 2;
 const START_LIMIT_MS = 60_000;
+/** Small, so that a snapshot takes many round trips. */
+const SNAPSHOT_CHUNK_BYTES = 16;
 const RECOVERY_LIMIT_MS = 15_000;
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 const GROWTH: LogGrowth = {
@@ -29,10 +31,16 @@
 }
 
 /** Starts five voters; the spares are down and have no seeds. */
-function startCluster({ seed, spares = 0, ...options }: JoinOptions): LogCluster {
+function startCluster({
+  seed,
+  spares = 0,
+  snapshotEvery = 0,
+  ...options
+}: JoinOptions): LogCluster {
   const makeFilter = (_: ClusterOptions, index: number, addresses: readonly Address[]) => {
     const isVoter = index < VOTERS;
-    return makeSeededFilter(seed, index, addresses, isVoter ? addresses.slice(0, 3) : [], isVoter);
+    const seeds = isVoter ? addresses.slice(0, 3) : [];
+    return makeSeededFilter({ seed, index, addresses, seeds, founds: isVoter, snapshotEvery });
   };
   const cluster = new LogCluster({ seed, replicas: VOTERS + spares, makeFilter, ...options });
   for (const spare of cluster.nodes.slice(VOTERS)) cluster.kill(spare);
@@ -40,13 +48,23 @@
   return cluster;
 }
 
-function makeSeededFilter(
-  seed: number,
-  index: number,
-  addresses: readonly Address[],
-  seeds: readonly Address[],
+interface SeededFilterOptions {
+  readonly seed: number;
+  readonly index: number;
+  readonly addresses: readonly Address[];
+  readonly seeds: readonly Address[];
+  readonly founds?: boolean;
+  readonly snapshotEvery?: number;
+}
+
+function makeSeededFilter({
+  seed,
+  index,
+  addresses,
+  seeds,
   founds = false,
-): LogFilter<string> {
+  snapshotEvery = 0,
+}: SeededFilterOptions): LogFilter<string> {
   return new LogFilter<string>({
     host: `h${index}` as HostId,
     self: addresses[index] ?? ('' as Address),
@@ -54,7 +72,10 @@
     growth: { ...GROWTH, founds },
     random: new SeededRandom(seed * 31 + index),
     timing: DEFAULT_TIMING,
-    snapshots: undefined,
+    snapshots:
+      snapshotEvery === 0
+        ? undefined
+        : { everyEntries: snapshotEvery, retainedEntries: 0, chunkBytes: SNAPSHOT_CHUNK_BYTES },
   });
 }
 
@@ -63,7 +84,7 @@
   const index = cluster.nodes.indexOf(node);
   const addresses = cluster.nodes.map(({ address }) => address);
   const seeds = known.map(({ address }) => address);
-  node.filter = makeSeededFilter(cluster.random.nextInt(1_000), index, addresses, seeds);
+  node.filter = makeSeededFilter({ seed: cluster.random.nextInt(1_000), index, addresses, seeds });
   cluster.start(node);
 }
 
@@ -318,3 +339,27 @@
     }
   });
 }
+
+test('leader dies after it removed the lost identity: host without seeds votes', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed, delayMs: [20, 20], snapshotEvery: 12 });
+    const { leader } = cluster;
+    const [lost] = pickFollowers(cluster, 1);
+    if (leader === undefined || lost === undefined) throw new Error('no follower runs');
+    for (let count = 0; count < 30; count += 1) cluster.propose(leader);
+    runFor(cluster, 500);
+    cluster.loseDisk(lost);
+    startKnowing(cluster, lost, []);
+    cluster.settle(() => {
+      const { entries, committed } = leader.state?.replica ?? {};
+      const isCommitted = entries !== undefined && entries.membershipIndex <= (committed ?? 0);
+      return isCommitted && entries.membership?.voters.length === VOTERS - 1;
+    });
+    runFor(cluster, 100);
+    t.is(lost.state?.replica.entries.membership, undefined, 'the snapshot came too early');
+    cluster.kill(leader);
+    t.notThrows(() => {
+      cluster.settle(() => isVotingNow(cluster, lost), CATCH_UP_MS);
+    }, `seed ${seed}: no vote`);
+  }
+});
