Count the vote of a moved leader once

The leader took every voter with its identity for itself. After its disk had moved to another address, the voter at the former address counted as synced and as heard, and as it was never silent, its vote was never removed: six votes stood on five disks, and a commit on three of them. Two lost disks, the tolerated number, could then close the log for good. The leader's own vote is now the one at its own address; the other is followed like that of any voter, and removed once it has been silent.

--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -99,8 +99,13 @@
     return this.#membership.voters.length >= (this.replica.options.growth?.minVoters ?? 0);
   }
 
+  /** A disk that has moved has a second vote at its former address, where nothing of it runs. */
+  #isOwnVote({ address, replica }: Voter): boolean {
+    return replica === this.replica.id && address === this.replica.options.self;
+  }
+
   #addProgress(peer: Voter, now: Instant): void {
-    if (peer.replica === this.replica.id) return;
+    if (this.#isOwnVote(peer)) return;
     const sent = this.replica.entries.last.index;
     this.#replicator.add(new PeerProgress(peer.address, peer.replica, sent, now));
   }
@@ -121,7 +126,7 @@
   #hasQuorumContact(now: Instant): boolean {
     const { minElectionMs } = this.replica.options.timing;
     return hasQuorum(this.#membership, (voter) => {
-      if (voter.replica === this.replica.id) return true;
+      if (this.#isOwnVote(voter)) return true;
       const lastAnswerAt = this.#replicator.find(voter)?.lastAnswerAt;
       return lastAnswerAt !== undefined && now < addMs(lastAnswerAt, minElectionMs);
     });
@@ -137,7 +142,7 @@
   #commit(now: Instant): void {
     const { replica } = this;
     const index = findQuorumValue(this.#membership, (voter) =>
-      voter.replica === replica.id
+      this.#isOwnVote(voter)
         ? replica.durableIndex
         : (this.#replicator.find(voter)?.matchIndex ?? 0),
     ) as LogIndex;
@@ -154,9 +159,7 @@
   #confirmReads(now: Instant): void {
     if (!this.#isAnnounced) return;
     const answered = findQuorumValue(this.#membership, (voter) =>
-      voter.replica === this.replica.id
-        ? this.#reads.current
-        : (this.#replicator.find(voter)?.round ?? 0),
+      this.#isOwnVote(voter) ? this.#reads.current : (this.#replicator.find(voter)?.round ?? 0),
     );
     for (const id of this.#reads.close(answered)) this.replica.notify({ kind: 'confirmed', id });
     if (!this.#reads.openNext()) return;
@@ -266,7 +269,7 @@
   }
 
   #readLastAnswer(voter: Voter, now: Instant): Instant {
-    if (voter.replica === this.replica.id) return now;
+    if (this.#isOwnVote(voter)) return now;
     return this.#replicator.find(voter)?.lastAnswerAt ?? now;
   }
 }
--- a/test/log-join.test.ts
+++ b/test/log-join.test.ts
@@ -318,3 +318,41 @@
     }
   });
 }
+
+/** Starts a host with its disk at another address. */
+function moveHost(cluster: LogCluster, node: ClusterNode): void {
+  const index = cluster.nodes.indexOf(node);
+  const known = cluster.nodes.filter((other) => other !== node);
+  Object.assign(node, { address: '10.0.0.99:7000' as Address });
+  const addresses = cluster.nodes.map(({ address }) => address);
+  const seeds = known.map(({ address }) => address);
+  node.filter = makeSeededFilter(cluster.random.nextInt(1_000), index, addresses, seeds);
+  cluster.start(node);
+}
+
+test('moved host leads: its former address loses its vote', (t) => {
+  let led = 0;
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed });
+    const moved = pickFollower(cluster);
+    const former = moved.address;
+    cluster.kill(moved);
+    runFor(cluster, 100);
+    moveHost(cluster, moved);
+    checkVotes(t, cluster, [moved], `seed ${seed}`);
+    const { leader } = cluster;
+    if (leader === undefined || leader === moved) throw new Error('no other leader');
+    cluster.kill(leader);
+    cluster.settle(() => cluster.leader !== undefined);
+    if (cluster.leader !== moved) continue;
+    led += 1;
+    cluster.start(leader);
+    runFor(cluster, RECOVERY_LIMIT_MS);
+    const voters = cluster.leader.state?.replica.entries.membership?.voters ?? [];
+    t.false(
+      voters.some(({ address }) => address === former),
+      `seed ${seed}: ${voters.map(({ address, replica }) => `${address}=${replica}`).join(' ')}`,
+    );
+  }
+  t.true(led > 0, 'the moved host never led');
+});
