--- a/test/log-join.test.ts
+++ b/test/log-join.test.ts
@@ -371,12 +371,24 @@
   Object.assign(node, { address: '10.0.0.99:7000' as Address });
   const addresses = cluster.nodes.map(({ address }) => address);
   const seeds = known.map(({ address }) => address);
-  node.filter = makeSeededFilter(cluster.random.nextInt(1_000), index, addresses, seeds);
+  node.filter = makeSeededFilter({ seed: cluster.random.nextInt(1_000), index, addresses, seeds });
   cluster.start(node);
 }
 
+/** Stops one leader after the other until a host leads. */
+function electHost(cluster: LogCluster, host: ClusterNode): void {
+  for (let count = 0; count < 40 && cluster.leader !== host; count += 1) {
+    const { leader } = cluster;
+    if (leader === undefined) throw new Error('no host leads');
+    cluster.kill(leader);
+    cluster.settle(() => cluster.leader !== undefined);
+    cluster.start(leader);
+    runFor(cluster, 200);
+  }
+  if (cluster.leader !== host) throw new Error('the host was never elected');
+}
+
 test('moved host leads: its former address loses its vote', (t) => {
-  let led = 0;
   for (const seed of SEEDS) {
     const cluster = startCluster({ seed });
     const moved = pickFollower(cluster);
@@ -385,19 +397,12 @@
     runFor(cluster, 100);
     moveHost(cluster, moved);
     checkVotes(t, cluster, [moved], `seed ${seed}`);
-    const { leader } = cluster;
-    if (leader === undefined || leader === moved) throw new Error('no other leader');
-    cluster.kill(leader);
-    cluster.settle(() => cluster.leader !== undefined);
-    if (cluster.leader !== moved) continue;
-    led += 1;
-    cluster.start(leader);
+    electHost(cluster, moved);
     runFor(cluster, RECOVERY_LIMIT_MS);
-    const voters = cluster.leader.state?.replica.entries.membership?.voters ?? [];
+    const voters = cluster.leader?.state?.replica.entries.membership?.voters ?? [];
     t.false(
       voters.some(({ address }) => address === former),
       `seed ${seed}: ${voters.map(({ address, replica }) => `${address}=${replica}`).join(' ')}`,
     );
   }
-  t.true(led > 0, 'the moved host never led');
 });
