--- a/test/members-introduction.test.ts
+++ b/test/members-introduction.test.ts
@@ -3,7 +3,8 @@
 import type { ExecutionContext } from 'ava';
 import type { FleetNode } from '../bench/member-fleet.js';
 import { MemberFleet } from '../bench/member-fleet.js';
-import type { HostId } from '../src/ids.js';
+import type { Address, HostId } from '../src/ids.js';
+import type { ProbeMessage } from '../src/messages/index.js';
 
 const BOUND_MS = 2_000;
 /** As in `napernyo-mesh`: the first are sources, the others proxies. */
@@ -222,3 +223,101 @@
   }
   t.true(asks >= 1 && asks <= 10 * 4, `${asks} requests in 10 s`);
 });
+
+/** Counts the datagrams to one address that match, while the fleet runs. */
+function countDatagrams(
+  fleet: MemberFleet,
+  ms: number,
+  matches: (from: FleetNode, to: Address, message: ProbeMessage) => boolean,
+): number {
+  let count = 0;
+  fleet.network.countDatagram = (from, { to, message }) => {
+    if (matches(from, to, message)) count += 1;
+  };
+  fleet.run(ms);
+  return count;
+}
+
+function isRequest(message: ProbeMessage): boolean {
+  return message.kind === 'ping' && message.to === undefined;
+}
+
+test('link to an unknown process: asked at once', (t) => {
+  const fleet = startFleet(1);
+  const [node] = fleet.nodes;
+  const [address] = MemberFleet.listControls([FLEET_SIZE + 5]);
+  if (node === undefined || address === undefined) throw new Error('the fleet is empty');
+  fleet.post(node, { kind: 'link-up', host: 'stranger' as HostId, address });
+  const asks = countDatagrams(fleet, 200, (_, to, sent) => to === address && isRequest(sent));
+  t.true(asks >= 1);
+});
+
+test('broken link: member is probed next', (t) => {
+  const fleet = startFleet(1);
+  const [node] = fleet.nodes;
+  for (const { host, control } of fleet.nodes.slice(1)) {
+    if (node === undefined) throw new Error('the fleet is empty');
+    fleet.post(node, { kind: 'link-down', host, address: control });
+    const isProbe = (from: FleetNode, to: Address, sent: ProbeMessage): boolean =>
+      from === node && to === control && sent.kind === 'ping';
+    t.true(countDatagrams(fleet, 1_001, isProbe) >= 1, host);
+  }
+});
+
+test('lost requests: seed asked again within a fraction of the bound', (t) => {
+  const fleet = new MemberFleet(2, 1, 1, (index) => [1 - index]);
+  const [node, seed] = fleet.nodes;
+  if (node === undefined || seed === undefined) throw new Error('the fleet is empty');
+  fleet.kill(seed);
+  const asks = countDatagrams(fleet, BOUND_MS / 2, (_, to) => to === seed.control);
+  t.true(asks >= 4, `${asks} requests`);
+});
+
+test('answer names others to a process that was known before', (t) => {
+  const fleet = startFleet(1);
+  const [seed] = fleet.nodes;
+  const node = fleet.nodes[9];
+  if (node === undefined || seed === undefined) throw new Error('the fleet is empty');
+  const message = {
+    kind: 'ping',
+    from: node.host,
+    to: undefined,
+    sequence: 1e6,
+    updates: [],
+  } as const;
+  let named = 0;
+  fleet.network.countDatagram = (_, { message: sent }) => {
+    if (sent.kind !== 'ack' || sent.sequence !== 1e6) return;
+    named = sent.updates.filter(({ kind }) => kind === 'record').length;
+  };
+  fleet.post(seed, { kind: 'datagram', from: node.control, message });
+  t.true(named > 3, `${named} records`);
+});
+
+test('answer of a seed: its table is compared at once', (t) => {
+  const fleet = startFleet(1);
+  const node = fleet.nodes[9];
+  if (node === undefined) throw new Error('the fleet is empty');
+  fleet.kill(node);
+  fleet.restart(node);
+  fleet.run(BOUND_MS / 4);
+  t.is(node.view.size, FLEET_SIZE);
+});
+
+test('suspected member is contacted by others', (t) => {
+  const fleet = startFleet(1);
+  const suspect = fleet.nodes[9];
+  if (suspect === undefined) throw new Error('the fleet is empty');
+  fleet.freeze(suspect, 60_000);
+  const isSuspected = () => {
+    const views = fleet.nodes.map(({ view }) => view.get(suspect.host)?.liveness);
+    return views.filter((liveness) => liveness === 'suspect').length === FLEET_SIZE - 1;
+  };
+  fleet.runUntil(isSuspected, 60_000);
+  const contacts = countDatagrams(
+    fleet,
+    BOUND_MS / 2,
+    (_, to, sent) => to === suspect.control && sent.kind === 'ping' && sent.updates.length > 0,
+  );
+  t.true(contacts >= 1, `${contacts} contacts`);
+});
