Introduce a process to the whole fleet, whoever it has met

Two sources that were killed and came back together, with only each other as seeds, knew each other at once and everybody else after 3.3 to 5.2 s (real processes); a log that lost two more voters meanwhile never led again.

Causes: a process asked all seeds only while it knew nobody, and one in 15 to 45 s afterwards, even if all that it knew was as new as itself. A seed that still knew the former run of the process named nobody but itself. A message from an unknown process led to nothing, so regular probes of others were no help. The record of a restarted process was sent out too few times, mostly to its fellow.

Now each seed is asked until it answers, less and less often, and rarely by a large fleet. The sender of a message that is no live member is asked for an introduction, and so is the other end of a link that opens; a member whose link breaks is probed next. Each answer to such a request names others. The tables of those that an introduction named are compared at once. A table that has doubled is compared with members known before, and one in which a quarter of the records changed with some others. Suspected members are contacted as dead ones are, about four times a second by the whole fleet whatever its size (at 19,000 members it was 1,900 for a dead one, worked out). An update is sent ten times at least. No new message goes over the wire.

--- a/bench/member-fleet.ts
+++ b/bench/member-fleet.ts
@@ -17,6 +17,8 @@
   duplication: number;
   minDelayMs: number;
   maxDelayMs: number;
+  /** Returns whether the second has a link to the first, and learns that it breaks when the first is killed. */
+  isLinked: (node: FleetNode, peer: FleetNode) => boolean;
   /** Returns whether a partition drops everything between two nodes. */
   isCut: (from: FleetNode, to: FleetNode) => boolean;
   /** Called for every sent datagram. */
@@ -31,6 +33,9 @@
   readonly host: HostId;
   readonly dataCentre: DataCentreId;
   readonly control: Address;
+  /** The seeds of its next start. */
+  seeds: readonly Address[];
+  startedAt: Instant;
   filter: MembersFilter;
   state: MembersState;
   isUp: boolean;
@@ -56,6 +61,7 @@
     duplication: 0,
     minDelayMs: 0.2,
     maxDelayMs: 5,
+    isLinked: () => false,
     isCut: () => false,
   };
   /** Updates that replaced a member by an older incarnation; a correct fleet has none. */
@@ -65,9 +71,16 @@
   readonly #byAddress = new Map<Address, FleetNode>();
   #now = START;
 
-  constructor(size: number, seed: number, dataCentres = 1) {
+  /** `seedsOf` lists the indexes of the processes that are the seeds of one process. */
+  constructor(
+    size: number,
+    seed: number,
+    dataCentres = 1,
+    seedsOf: (index: number) => readonly number[] = () => DEFAULT_SEEDS,
+  ) {
     this.#random = new SeededRandom(seed);
-    for (let index = 0; index < size; index += 1) this.#addNode(index, dataCentres);
+    for (let index = 0; index < size; index += 1)
+      this.#addNode(index, dataCentres, MemberFleet.listControls(seedsOf(index)));
     for (const node of this.nodes) this.#startNode(node);
   }
 
@@ -110,6 +123,22 @@
   /** Kills a process, which sends nothing about it. */
   kill(node: FleetNode): void {
     node.isUp = false;
+    const { host, control: address } = node;
+    for (const peer of this.nodes) {
+      if (peer === node || !this.network.isLinked(node, peer)) continue;
+      this.post(peer, { kind: 'link-down', host, address });
+    }
+  }
+
+  /** Opens a link between two processes, `delayMs` from now. */
+  openLink(node: FleetNode, peer: FleetNode, delayMs: number): void {
+    for (const [from, { host, control: address }] of [
+      [node, peer],
+      [peer, node],
+    ] as const) {
+      const message = { kind: 'link-up', host, address } as const;
+      this.#queue.add(addMs(this.#now, delayMs), { node: from, state: from.state, message });
+    }
   }
 
   /** Restarts a killed process with an empty view; `clockSetBackMs` puts the clock of its start back. */
@@ -120,6 +149,12 @@
     this.#startNode(node, clockSetBackMs);
   }
 
+  /** Changes the seeds of a process, also while it runs. */
+  setSeeds(node: FleetNode, indexes: readonly number[]): void {
+    node.seeds = MemberFleet.listControls(indexes);
+    this.post(node, { kind: 'seeds', seeds: node.seeds });
+  }
+
   /** Pauses a process; messages that arrive meanwhile are delivered afterwards. */
   freeze(node: FleetNode, milliseconds: number): void {
     node.frozenUntil = addMs(this.#now, milliseconds);
@@ -135,11 +170,28 @@
     );
   }
 
+  /** Lists the pairs of running processes in which the first has no record of the second's current run. */
+  listOutdatedMembers(nodes: readonly FleetNode[] = this.nodes): string[] {
+    const up = nodes.filter((node) => node.isUp);
+    const isCurrent = (viewer: FleetNode, { host, startedAt }: FleetNode): boolean =>
+      (viewer.view.get(host)?.incarnation ?? 0) >= startedAt;
+    return up.flatMap((viewer) =>
+      up
+        .filter((node) => !isCurrent(viewer, node))
+        .map(({ host }) => `${viewer.host} lacks ${host}`),
+    );
+  }
+
   /** Counts the running processes whose view contains `host`. */
   countViewsWith(host: HostId): number {
     return this.nodes.filter((node) => node.isUp && node.view.has(host)).length;
   }
 
+  /** Lists the control addresses of processes. */
+  static listControls(indexes: readonly number[]): Address[] {
+    return indexes.map((index) => MemberFleet.buildMember(index).control);
+  }
+
   /** Returns the member record that the process with this index publishes. */
   static buildMember(index: number, dataCentres = 1): Member {
     const control = `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}:7000` as Address;
@@ -161,14 +213,16 @@
 
   // Internals.
 
-  #addNode(index: number, dataCentres: number): void {
+  #addNode(index: number, dataCentres: number, seeds: readonly Address[]): void {
     const { host, dataCentre, control } = MemberFleet.buildMember(index, dataCentres);
-    const filter = this.#createFilter(index, dataCentres);
+    const filter = this.#createFilter(index, dataCentres, seeds, this.#now);
     const node: FleetNode = {
       index,
       host,
       dataCentre,
       control,
+      seeds,
+      startedAt: this.#now,
       filter,
       state: filter.createState(),
       isUp: true,
@@ -181,17 +235,21 @@
     this.#byAddress.set(control, node);
   }
 
-  #createFilter(index: number, dataCentres: number, clockSetBackMs = 0): MembersFilter {
-    const seeds = [0, 1, 2].map((seed) => MemberFleet.buildMember(seed).control);
+  #createFilter(
+    index: number,
+    dataCentres: number,
+    seeds: readonly Address[],
+    startedAt: Instant,
+  ): MembersFilter {
     const random = new SeededRandom(this.#random.nextInt(2 ** 31));
     const self = MemberFleet.buildMember(index, dataCentres);
-    const startedAt = addMs(this.#now, -clockSetBackMs);
     return new MembersFilter({ self, startedAt, seeds, random });
   }
 
   #startNode(node: FleetNode, clockSetBackMs = 0): void {
     const dataCentres = new Set(this.nodes.map(({ dataCentre }) => dataCentre)).size;
-    node.filter = this.#createFilter(node.index, dataCentres, clockSetBackMs);
+    node.startedAt = addMs(this.#now, -clockSetBackMs);
+    node.filter = this.#createFilter(node.index, dataCentres, node.seeds, node.startedAt);
     node.state = node.filter.createState();
     node.wakeAt = NEVER;
     this.post(node, { kind: 'tick' });
@@ -271,4 +329,5 @@
 
 // Internals.
 
+const DEFAULT_SEEDS = [0, 1, 2];
 const START = 1_000_000_000 as Instant;
--- a/src/members/anti-entropy.ts
+++ b/src/members/anti-entropy.ts
@@ -1,11 +1,12 @@
 /** Anti-entropy: two members compare their tables and exchange the difference. */
 import { addMs } from '../clock.js';
-import type { Address, HostId, Incarnation } from '../ids.js';
+import type { Address, HostId, Incarnation, Instant } from '../ids.js';
 import type { MemberUpdate, SyncMessage } from '../messages/index.js';
 import { applyUpdates } from './apply-update.js';
 import { isLive } from './member-table.js';
 import type { MembersState } from './members-state.js';
 import {
+  INTRODUCTION_SYNC_INTERVAL_MS,
   MAX_SYNC_BUCKETS,
   SYNC_CATCH_UP_INTERVAL_MS,
   SYNC_CATCH_UP_UPDATES,
@@ -13,8 +14,9 @@
 } from './timing.js';
 import type { StepContext } from './step-context.js';
 
-/** Starts an exchange with a random member if one is due. */
+/** Starts an exchange with a member that an introduction named, or with a random member, if one is due. */
 export function runSync(state: MembersState, context: StepContext): void {
+  runIntroductionSync(state, context);
   if (context.now < state.syncAt) return;
   state.syncAt = addMs(context.now, state.syncIntervalMs * (0.5 + state.random.next()));
   const [peer] = state.table.pickRandom(state.random, 1);
@@ -22,6 +24,12 @@
   send(context, peer.control, { kind: 'sync-root', root: state.table.digest.root });
 }
 
+/** Returns when {@link runSync} must be called. */
+export function findSyncDeadline(state: MembersState): Instant {
+  if (state.syncPeers.size === 0) return state.syncAt;
+  return Math.min(state.syncAt, state.introductionSyncAt) as Instant;
+}
+
 /** Handles one message of an exchange. */
 export function handleSync(
   state: MembersState,
@@ -58,6 +66,27 @@
 const MAX_GOSSIPED_UPDATES = 200;
 /** The number of buckets that may differ at any time because of updates in flight. */
 const MAX_IN_FLIGHT_BUCKETS = 4;
+const INTRODUCTION_SYNC_PER_MEMBER_MS = 1;
+
+/** Starts an exchange with one of the members that introductions named. In a large fleet this is rarer. */
+function runIntroductionSync(state: MembersState, context: StepContext): void {
+  const { syncPeers, table } = state;
+  if (context.now < state.introductionSyncAt) return;
+  const [host] = syncPeers;
+  if (host === undefined) return;
+  syncPeers.delete(host);
+  const { size } = table.probeOrder;
+  const intervalMs = Math.max(
+    INTRODUCTION_SYNC_INTERVAL_MS,
+    size * INTRODUCTION_SYNC_PER_MEMBER_MS,
+  );
+  const delayMs = Math.min(intervalMs, SYNC_CATCH_UP_INTERVAL_MS);
+  state.introductionSyncAt = addMs(context.now, delayMs);
+  startCatchUp(state, context);
+  const peer = table.find(host)?.member;
+  if (peer === undefined) return;
+  send(context, peer.control, { kind: 'sync-root', root: table.digest.root });
+}
 
 function send(context: StepContext, to: Address, body: SyncMessage): void {
   context.add({ kind: 'send', to, body });
--- a/src/members/apply-update.ts
+++ b/src/members/apply-update.ts
@@ -39,8 +39,10 @@
   );
   if (!isChanged) return;
   if (isGossiped) state.updateQueue.add(buildStatusKey(status.host), status);
-  if (status.liveness === 'suspect') addSuspect(state, status, context.now);
-  else addTombstone(state, status, context.now);
+  if (status.liveness === 'suspect') {
+    state.reconnectCandidates.add(status.host);
+    addSuspect(state, status, context.now);
+  } else addTombstone(state, status, context.now);
 }
 
 /**
--- a/src/members/handle-datagram.ts
+++ b/src/members/handle-datagram.ts
@@ -5,7 +5,7 @@
 import { applyUpdates } from './apply-update.js';
 import { buildStatusOf, pickUpdates } from './gossip.js';
 import type { MembersState } from './members-state.js';
-import { handleIntroduction } from './join.js';
+import { addContact, handleIntroduction } from './join.js';
 import { notifyDataCentreUp } from './member-events.js';
 import { answerRecall, handleRecalled } from './run-recall.js';
 import { MAX_RELAYED_PROBES, INTRODUCTION_SAMPLE, PROBE_TIMEOUT_MS } from './timing.js';
@@ -19,15 +19,14 @@
   context: StepContext,
 ): void {
   if (message.from === state.self.host) return;
-  const isKnown = state.table.find(message.from)?.member !== undefined;
+  if (!isIntroduction(message)) addContact(state, message.from, from, context);
   updateReachability(state, message.from, context);
   switch (message.kind) {
     case 'ping':
-      answerPing(state, from, message, isKnown, context);
+      answerPing(state, from, message, context);
       return;
     case 'ack':
-      applyUpdates(state, message.updates, context);
-      handleIntroduction(state, message, context);
+      handleAckUpdates(state, message, context);
       handleAck(state, message.sequence, context);
       return;
     case 'nack':
@@ -50,6 +49,22 @@
 
 // Internals.
 
+/** Whether a message asks for an introduction or answers a request, so that its sender needs no request itself. */
+function isIntroduction(message: ProbeMessage): boolean {
+  if (message.kind === 'ping') return message.to === undefined;
+  return message.kind === 'ack' || message.kind === 'nack';
+}
+
+function handleAckUpdates(
+  state: MembersState,
+  message: Extract<ProbeMessage, { kind: 'ack' }>,
+  context: StepContext,
+): void {
+  const { root } = state.table.digest;
+  applyUpdates(state, message.updates, context);
+  handleIntroduction(state, message, root !== state.table.digest.root, context);
+}
+
 /** Marks a data centre as reachable, and emits its members again if it was unreachable. */
 function updateReachability(state: MembersState, host: HostId, context: StepContext): void {
   const dataCentre = state.table.find(host)?.member?.dataCentre;
@@ -63,13 +78,12 @@
   state: MembersState,
   from: Address,
   message: Extract<ProbeMessage, { kind: 'ping' }>,
-  isKnown: boolean,
   context: StepContext,
 ): void {
   const { host } = state.self;
   if (message.to !== undefined && message.to !== host) return;
   applyUpdates(state, message.updates, context);
-  const extra = message.to === undefined ? buildIntroduction(state, message.from, isKnown) : [];
+  const extra = message.to === undefined ? buildIntroduction(state, message.from) : [];
   const updates = pickUpdates(state, [...buildStatusOf(state, message.from), ...extra]);
   const to = findReplyAddress(state, message.from, from);
   context.send(to, { kind: 'ack', from: host, sequence: message.sequence, updates });
@@ -80,13 +94,12 @@
   return state.table.find(host)?.member?.control ?? from;
 }
 
-/** Returns the record of this member for a peer that knows only its address, and a few others for a new peer. */
-function buildIntroduction(
-  state: MembersState,
-  host: HostId,
-  isKnown: boolean,
-): readonly MemberUpdate[] {
-  const others = isKnown ? [] : state.table.pickRandom(state.random, INTRODUCTION_SAMPLE, host);
+/**
+ * Returns the record of this member for a peer that knows only its address, and a few others. The peer may need them
+ * although it is known: it may have been restarted, or an answer may have been lost.
+ */
+function buildIntroduction(state: MembersState, host: HostId): readonly MemberUpdate[] {
+  const others = state.table.pickRandom(state.random, INTRODUCTION_SAMPLE, host);
   return [state.self, ...others].map((member) => ({ kind: 'record', member }));
 }
 
--- a/src/members/member-table.ts
+++ b/src/members/member-table.ts
@@ -47,6 +47,8 @@
   readonly probeOrder = new ProbeOrder();
   /** Digests of the records of live members. */
   readonly digest = new BucketDigest();
+  /** The number of records that have changed since the start. */
+  records = 0;
 
   constructor(self: HostId) {
     this.#self = self;
@@ -87,6 +89,7 @@
       next.incarnation = record.incarnation;
       next.liveness = 'alive';
     }
+    this.records += 1;
     next.member = this.#internNames({ ...record, liveness: next.liveness });
     this.#toggleDigest(next);
     this.#updateIndexes(next);
--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -1,18 +1,18 @@
 /** The membership of processes in the mesh, and of their local backend servers. */
 import { addMs, NEVER } from '../clock.js';
-import type { InstanceId, Instant } from '../ids.js';
+import type { HostId, InstanceId, Instant } from '../ids.js';
 import type { Announcement } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import { handleDatagram } from './handle-datagram.js';
 import { addSuspect, applyBroadcast, applyStatus } from './apply-update.js';
 import { runGossip, sendLeave } from './gossip.js';
-import { runJoin, runReconnect } from './join.js';
+import { addContact, passOnGrowth, runJoin, runReconnect, updateSeeds } from './join.js';
 import type { MembersIn, MembersOptions, MembersOut, MembersState } from './members-state.js';
 import { createMembersState } from './members-state.js';
 import { publishSelf, notifyHeartbeat, updateLocalServers } from './own-record.js';
 import { needsHelpers, runProbes } from './failure-detector.js';
-import { handleSync, runSync } from './anti-entropy.js';
+import { findSyncDeadline, handleSync, runSync } from './anti-entropy.js';
 import { findRecallDeadline, runRecall } from './run-recall.js';
 import { buildBroadcastUpdate } from './seen-broadcasts.js';
 import { LEAVE_FANOUT, PAUSE_GRACE_MS, PAUSE_THRESHOLD_MS, RUN_LEFT_MS } from './timing.js';
@@ -46,6 +46,7 @@
     if (!state.isStarted) start(state, context);
     checkPause(state, context);
     handle(state, message, context);
+    passOnGrowth(state, context);
     state.expectedBy = findDeadline(state, now);
     context.add({ kind: 'wake', at: state.expectedBy });
     return { state, outputs: context.outputs };
@@ -54,6 +55,9 @@
 
 // Internals.
 
+/** Bounds the time for which broken links keep this process from probing other members in turn. */
+const MAX_LINK_TARGETS = 8;
+
 function start(state: MembersState, context: StepContext): void {
   state.isStarted = true;
   state.expectedBy = context.now;
@@ -87,9 +91,7 @@
       return;
     }
     case 'seeds':
-      state.seeds = message.seeds;
-      state.introductions.clear();
-      state.seedAt = context.now;
+      updateSeeds(state, message.seeds, context);
       runJoin(state, context);
       return;
     case 'broadcast':
@@ -109,6 +111,12 @@
     case 'datagram':
       handleDatagram(state, message.from, message.message, context);
       return;
+    case 'link-up':
+      addContact(state, message.host, message.address, context);
+      return;
+    case 'link-down':
+      handleLinkDown(state, message.host);
+      return;
     case 'received':
       handleSync(state, message.address, message.body, context);
       return;
@@ -117,6 +125,12 @@
   }
 }
 
+/** Probes a member soon whose link has broken: its process may have ended, or may already be back. */
+function handleLinkDown({ priorityTargets, table }: MembersState, host: HostId | undefined): void {
+  if (host === undefined || !table.probeOrder.has(host)) return;
+  if (priorityTargets.size < MAX_LINK_TARGETS) priorityTargets.add(host);
+}
+
 /** Publishes a changed announcement; a heartbeat without a change goes only to the pipes of this process. */
 function handleAnnouncement(
   state: MembersState,
@@ -204,7 +218,8 @@
     state.probeAt,
     probe !== undefined && needsHelpers(probe) ? probe.indirectAt : NEVER,
     state.updateQueue.size > 0 ? state.gossipAt : NEVER,
-    state.syncAt,
+    findSyncDeadline(state),
+    state.introductions.deadline,
     state.seedAt,
     state.reconnectAt,
     findRecallDeadline(state),
--- a/src/members/members-state.ts
+++ b/src/members/members-state.ts
@@ -4,6 +4,7 @@
 import type {
   Announcement,
   CrashSeen,
+  LinkEvent,
   Member,
   MembershipEvent,
   CallObservation,
@@ -16,6 +17,7 @@
 import { DataCentreContacts } from './data-centre-contacts.js';
 import { DeadlineQueue } from './deadline-queue.js';
 import { Introductions } from './introductions.js';
+import { listOtherSeeds } from './join.js';
 import { LocalHealth } from './local-health.js';
 import { MemberTable } from './member-table.js';
 import type { MemberStatus } from './member-table.js';
@@ -28,6 +30,7 @@
   JOIN_INTERVAL_MS,
   PROBE_INTERVAL_MS,
   RECONNECT_INTERVAL_MS,
+  SEED_INTERVAL_MS,
   SYNC_CATCH_UP_INTERVAL_MS,
   SYNC_INTERVAL_MS,
 } from './timing.js';
@@ -50,6 +53,8 @@
   /** Announces the end of this process to other members. Nothing is sent afterwards. */
   | { readonly kind: 'leave' }
   | { readonly kind: 'datagram'; readonly from: Address; readonly message: ProbeMessage }
+  /** A link to or from another process has opened, or has broken. */
+  | Extract<LinkEvent, { readonly kind: 'link-up' | 'link-down' }>
   | { readonly kind: 'received'; readonly address: Address; readonly body: SyncMessage }
   | Tick;
 
@@ -122,7 +127,7 @@
   readonly options: MembersOptions;
   readonly random: Random;
   self: Member;
-  /** Control addresses at which members can be found. */
+  /** Control addresses at which members can be found, without that of this process. */
   seeds: readonly Address[];
   isStarted: boolean;
   hasLeft: boolean;
@@ -137,7 +142,7 @@
   readonly suspects: DeadlineQueue<MemberStatus>;
   /** Members that are dead or have left, due at the instant when they are removed. */
   readonly tombstones: DeadlineQueue<MemberStatus>;
-  /** Dead members, which are contacted one per interval. */
+  /** Dead and suspected members, of which one at most is contacted per interval. */
   readonly reconnectCandidates: ProbeOrder;
   /** Members to probe next, ahead of the regular order. */
   readonly priorityTargets: Set<HostId>;
@@ -147,12 +152,17 @@
   readonly relayedProbes: Map<number, RelayedProbe>;
   readonly recall: Recall;
   readonly introductions: Introductions;
+  /** Members that introductions named, to compare the table with. */
+  readonly syncPeers: Set<HostId>;
+  /** The size of the table and its count of changed records when it was last passed on, and some members of then. */
+  settled: { size: number; records: number; sample: readonly Member[] };
   sequence: number;
   probeAt: Instant;
   gossipAt: Instant;
   syncAt: Instant;
   /** The current interval between anti-entropy exchanges, which increases while tables are nearly equal. */
   syncIntervalMs: number;
+  introductionSyncAt: Instant;
   seedAt: Instant;
   reconnectAt: Instant;
   /** No member is suspected or declared dead before this instant. */
@@ -164,13 +174,14 @@
 
 /** Returns the initial state. */
 export function createMembersState(options: MembersOptions): MembersState {
-  const { random, startedAt } = options;
+  const { random, self, startedAt } = options;
+  const seeds = listOtherSeeds(self, options.seeds);
   const delay = (milliseconds: number): Instant => addMs(startedAt, random.next() * milliseconds);
   return {
     options,
     random,
     self: { ...options.self, incarnation: Math.floor(startedAt) as Incarnation, servers: [] },
-    seeds: options.seeds,
+    seeds,
     isStarted: false,
     hasLeft: false,
     table: new MemberTable(options.self.host),
@@ -188,13 +199,16 @@
     probe: undefined,
     relayedProbes: new Map(),
     recall: new Recall(startedAt),
-    introductions: new Introductions(),
+    introductions: new Introductions(seeds, random, delay(JOIN_INTERVAL_MS / 10)),
+    syncPeers: new Set(),
+    settled: { size: 0, records: 0, sample: [] },
     sequence: 0,
     probeAt: delay(PROBE_INTERVAL_MS),
     gossipAt: delay(GOSSIP_INTERVAL_MS),
     syncAt: delay(SYNC_INTERVAL_MS),
     syncIntervalMs: SYNC_CATCH_UP_INTERVAL_MS,
-    seedAt: delay(JOIN_INTERVAL_MS / 10),
+    introductionSyncAt: startedAt,
+    seedAt: delay(SEED_INTERVAL_MS),
     reconnectAt: delay(RECONNECT_INTERVAL_MS),
     graceUntil: startedAt,
     expectedBy: startedAt,
--- a/src/members/timing.ts
+++ b/src/members/timing.ts
@@ -16,23 +16,29 @@
 export const RETRANSMIT_MULTIPLIER = 1.5;
 /** The factor for the transmissions of urgent updates, which every member must receive in time. */
 export const URGENT_RETRANSMIT_FACTOR = 2;
-export const MIN_RETRANSMITS = 4;
+/** With fewer, a small fleet would leave out one of its members too often. */
+export const MIN_RETRANSMITS = 10;
 /** The suspicion timeout in units of the probe interval times log10(members). */
 export const SUSPICION_MULTIPLIER = 3;
 /** How long a dead member is kept in the table, so that outdated updates cannot revive it. */
 export const TOMBSTONE_MS = 3_600_000;
-/** The interval between contacts to dead members; one is contacted per interval. */
+/** The longest interval between contacts to dead and suspected members; one at most is contacted per interval. */
 export const RECONNECT_INTERVAL_MS = 10_000;
-/** The interval at which a member that knows no other member contacts its seeds. */
+export const MIN_RECONNECT_INTERVAL_MS = 1_000;
+/** The contacts per second of the whole fleet to each dead or suspected member, so that one that is back is found. */
+export const DEAD_CONTACTS_PER_S = 4;
+/** The interval at which a seed that has not answered is asked first; it grows with the silence and the fleet. */
 export const JOIN_INTERVAL_MS = 1_000;
 /** The interval at which a member that knows others contacts one seed, so that separated groups merge. */
 export const SEED_INTERVAL_MS = 30_000;
-/** The number of random members in the answer to a new member. */
+/** The number of random members in the answer to a request for an introduction. */
 export const INTRODUCTION_SAMPLE = 6;
 export const SYNC_INTERVAL_MS = 30_000;
 /** The initial interval of anti-entropy, and the interval after an exchange that changed many records. */
 export const SYNC_CATCH_UP_INTERVAL_MS = 2_000;
 export const SYNC_CATCH_UP_UPDATES = 16;
+/** The interval between exchanges with the members that an introduction named, in a small fleet. */
+export const INTRODUCTION_SYNC_INTERVAL_MS = 250;
 export const MAX_SYNC_BUCKETS = 64;
 /** A wake-up that is late by more than this shows that the process was paused. */
 export const PAUSE_THRESHOLD_MS = 1_000;
--- a/src/program/create-membership.ts
+++ b/src/program/create-membership.ts
@@ -175,7 +175,8 @@
   event: LinkEvent,
   notifyDropped: (from: Address, reason: string) => void,
 ): MembersIn | undefined {
-  if (event.kind !== 'received' || event.channel !== 'members') return undefined;
+  if (event.kind !== 'received') return event;
+  if (event.channel !== 'members') return undefined;
   const { address } = event;
   const drop = (reason: string): void => {
     notifyDropped(address, reason);
