Wait for all logs of a repaired source in the test of the quorum

The lines of the failing run: the second source was killed 100 ms after the first one had started again, when ledger-0 had its vote back and the notes had not ("isVoter":false, "voters":2). The test took the last log-status line of any log for that of the source. With two voters and one of them dead, no quorum is left, as it should be.

--- a/test/source-quorum.test.ts
+++ b/test/source-quorum.test.ts
@@ -6,6 +6,7 @@
 import type { SourceHost } from '../bench/mesh-plan.js';
 import { NAPERNYO_PLAN, RunningMesh } from '../bench/mesh-plan.js';
 import { waitFor } from '../bench/mesh.js';
+import { LEDGER_GROUPS } from '../src/ledger/index.js';
 
 test('sources lose hosts and disks', async (t) => {
   const mesh = await RunningMesh.start({ ...NAPERNYO_PLAN, services: {} });
@@ -74,11 +75,13 @@
   await mesh.restartSource(source);
 }
 
-/** Returns whether the last `log-status` line of a source reports it as a voter among three. */
+/** Returns whether the last `log-status` line of each log of a source reports it as a voter among three. */
 function isRepaired({ process }: SourceHost): true | undefined {
-  const last = process
-    .output()
-    .split('\n')
-    .findLast((line) => line.includes('"log-status"'));
-  return last?.includes('"isVoter":true,"voters":3') === true || undefined;
+  const lines = process.output().split('\n');
+  const statuses = lines.filter((line) => line.includes('"log-status"'));
+  const last = new Map(statuses.map((line) => [/"group":"([^"]*)"/.exec(line)?.[1], line]));
+  const areRepaired = [...last.values()].every((line) => {
+    return line.includes('"isVoter":true,"voters":3');
+  });
+  return (last.size === 1 + LEDGER_GROUPS && areRepaired) || undefined;
 }
