--- a/src/log/progress.ts
+++ b/src/log/progress.ts
@@ -23,8 +23,6 @@
   lastAnswerAt: Instant;
   /** Whether the replica is known to run at its address: it has answered since it was added, for example. */
   isConfirmed = false;
-  /** The number of bytes of the current snapshot that the replica has received. */
-  snapshotOffset = 0;
   #sent: LogIndex;
   #batches: BatchInFlight[] = [];
   #batchLimit = MAX_BATCH_ENTRIES;
@@ -32,6 +30,11 @@
   #isProbing = true;
   /** When to send the current snapshot chunk again. */
   #chunkResendAt: Instant | undefined;
+  /** The snapshot that is being sent, and the number of its bytes that the replica has received. */
+  #snapshotIndex = 0 as LogIndex;
+  #snapshotOffset = 0;
+  /** Whether the replica may have fewer bytes than it had: it did not answer in time. */
+  #hasResentChunk = false;
 
   constructor(address: Address, replica: ReplicaId, sent: LogIndex, now: Instant) {
     this.address = address;
@@ -72,10 +75,29 @@
     this.#chunkResendAt = addMs(now, resendMs);
   }
 
-  /** Records how many bytes of the snapshot the replica has. */
-  handleChunk(received: number): void {
+  /** Returns the number of bytes of a snapshot that the replica has; none of one that was not sent before. */
+  findSnapshotOffset(index: LogIndex): number {
+    if (this.#snapshotIndex !== index) this.#snapshotOffset = 0;
+    this.#snapshotIndex = index;
+    return this.#snapshotOffset;
+  }
+
+  /**
+   * Records how many bytes of a snapshot the replica has. A repeated answer leads to no further chunk: each one would
+   * be answered in turn.
+   */
+  handleChunk(index: LogIndex, received: number): void {
+    if (index !== this.#snapshotIndex) return;
+    if (received <= this.#snapshotOffset && !this.#hasResentChunk) return;
+    this.#hasResentChunk = false;
     this.#chunkResendAt = undefined;
-    this.snapshotOffset = received;
+    this.#snapshotOffset = received;
+  }
+
+  /** Records that the replica has a whole snapshot. */
+  handleSnapshot(index: LogIndex): void {
+    if (index === this.#snapshotIndex) this.#chunkResendAt = undefined;
+    this.handleAccepted(index);
   }
 
   /** Records that the replica has synced the entries up to `through`. */
@@ -100,6 +122,7 @@
     this.#sent = this.matchIndex;
     this.#batches = [];
     this.#isProbing = true;
+    this.#hasResentChunk = this.#chunkResendAt !== undefined;
     this.#chunkResendAt = undefined;
     this.#batchLimit = Math.max(1, Math.floor(this.#batchLimit / 2));
   }
--- a/src/log/replicator.ts
+++ b/src/log/replicator.ts
@@ -105,10 +105,10 @@
     answer: Extract<ReplicationAnswer, { kind: 'chunk-answer' }>,
   ): void {
     const { snapshot } = this.#replica;
-    const isCurrent = snapshot?.index === answer.index;
-    const isComplete = isCurrent && answer.received >= snapshot.bytes.length;
-    if (isComplete) progress.handleAccepted(snapshot.index);
-    progress.handleChunk(isCurrent && !isComplete ? answer.received : 0);
+    const { index, received } = answer;
+    const isWhole = snapshot?.index === index && received >= snapshot.bytes.length;
+    if (isWhole) progress.handleSnapshot(index);
+    else progress.handleChunk(index, received);
   }
 
   /** Sends as much as the send window allows. Returns whether anything was sent. */
@@ -156,7 +156,7 @@
 
   #sendChunk(progress: PeerProgress, snapshot: LogSnapshot): void {
     const { bytes, ...metadata } = snapshot;
-    const offset = progress.snapshotOffset;
+    const offset = progress.findSnapshotOffset(snapshot.index);
     const size = this.#replica.options.snapshots?.chunkBytes ?? bytes.length;
     this.#replica.send(progress, {
       kind: 'chunk',
--- a/test/log-faults.test.ts
+++ b/test/log-faults.test.ts
@@ -1,5 +1,6 @@
 /** Tests of the replicated log under single faults. */
 import test from 'ava';
+import { START } from '../src/log/index.js';
 import type { ClusterNode } from './log-cluster.js';
 import { LogCluster } from './log-cluster.js';
 import { checkConvergence } from './log-fault-injector.js';
@@ -93,6 +94,38 @@
   t.true(rewrites > 10 && rewrites < 100, `${rewrites} snapshots`);
 });
 
+test('late answers to snapshot chunks: no further chunks', (t) => {
+  const cluster = new LogCluster({ seed: 1, replicas: 3, snapshotEvery: 12, delayMs: [5, 10] });
+  cluster.settle(() => cluster.leader !== undefined);
+  const { leader } = cluster;
+  if (leader === undefined) throw new Error('no leader');
+  const follower = findOther(cluster, leader);
+  cluster.kill(follower);
+  for (let count = 0; count < 30; count += 1) {
+    cluster.propose(leader, `${count}`.padEnd(100));
+    cluster.settle(() => leader.applied.length > count);
+  }
+  const sentBefore = cluster.sentCounts.get('chunk') ?? 0;
+  const countChunks = () => (cluster.sentCounts.get('chunk') ?? 0) - sentBefore;
+  cluster.start(follower);
+  cluster.settle(() => countChunks() === 10);
+  const index = leader.state?.replica.snapshot?.index ?? START.index;
+  const [to, from] = [leader, follower].map((node) => node.state?.replica.id);
+  const term = leader.state?.replica.term;
+  if (from === undefined || term === undefined) throw new Error('no replica runs');
+  for (let count = 0; count < 50; count += 1) {
+    const stale = [index, START.index][count % 2] ?? START.index;
+    const body = { kind: 'chunk-answer', index: stale, received: 64, round: 0 } as const;
+    const { host, address } = follower;
+    const message = { from, to, term, body };
+    cluster.feed(leader, { kind: 'received', from: host, address, message });
+  }
+  t.is(countChunks(), 10);
+  cluster.settle(() => follower.applied.length === leader.applied.length);
+  const chunks = Math.ceil((leader.state?.replica.snapshot?.bytes.length ?? 0) / 64);
+  t.true(countChunks() <= chunks, `${countChunks()} messages for ${chunks} chunks`);
+});
+
 function startWithLeader(replicas: number): { cluster: LogCluster; leader: ClusterNode } {
   const cluster = new LogCluster({ seed: 7, replicas });
   cluster.settle(() => {
