Take no late answer for a sign that a replica runs

A voter is removed for a lost disk once the learner at its address has answered since it was added. A late join makes a former identity of the host such a learner, and a late answer of it, held back on the same connection, then confirmed it: the present voter lost its vote. With two other voters lost, the removal cannot be committed and the log stays closed. The leader now opens a round as it adds a learner, which every answer names, and only an answer of that round or a later one counts.

--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -107,7 +107,7 @@
   #addProgress(peer: Voter, now: Instant): void {
     if (this.#isOwnVote(peer)) return;
     const sent = this.replica.entries.last.index;
-    this.#replicator.add(new PeerProgress(peer.address, peer.replica, sent, now));
+    this.#replicator.add(new PeerProgress(peer, sent, this.#reads.current, now));
   }
 
   #append(content: LogContent<Command>): LogIndex {
@@ -178,6 +178,7 @@
     if (voter?.replica === peer.replica) return;
     this.#learners.set(peer.address, peer);
     this.replica.events.notifyLearner(peer.address, voter !== undefined);
+    this.#reads.open();
     this.#addProgress(peer, now);
     this.#replicator.sendHeartbeats(now);
   }
--- a/src/log/progress.ts
+++ b/src/log/progress.ts
@@ -1,6 +1,7 @@
 /** The replication progress of one replica, as its leader knows it. */
 import { addMs } from '../clock.js';
 import type { Address, Instant, LogIndex, ReplicaId } from '../ids.js';
+import type { Voter } from '../messages/index.js';
 
 /** A batch that was sent and not yet acknowledged. */
 interface BatchInFlight {
@@ -21,7 +22,9 @@
   round = 0;
   /** When the replica last answered; when it was added, until it has answered. */
   lastAnswerAt: Instant;
-  /** Whether the replica is known to run at its address: it has answered since it was added, for example. */
+  /** The round that was opened when the replica was added; an earlier answer is late. */
+  readonly firstRound: number;
+  /** Whether the replica is known to run at its address: it has answered its first round, for example. */
   isConfirmed = false;
   #sent: LogIndex;
   #batches: BatchInFlight[] = [];
@@ -36,9 +39,10 @@
   /** Whether the replica may have fewer bytes than it had: it did not answer in time. */
   #hasResentChunk = false;
 
-  constructor(address: Address, replica: ReplicaId, sent: LogIndex, now: Instant) {
+  constructor({ address, replica }: Voter, sent: LogIndex, firstRound: number, now: Instant) {
     this.address = address;
     this.replica = replica;
+    this.firstRound = firstRound;
     this.#sent = sent;
     this.lastAnswerAt = now;
   }
--- a/src/log/read-rounds.ts
+++ b/src/log/read-rounds.ts
@@ -31,6 +31,12 @@
     return confirmed.map(({ id }) => id);
   }
 
+  /** Opens a round whether requests wait for it or not, and returns it. */
+  open(): number {
+    this.#newest += 1;
+    return this.#newest;
+  }
+
   /** Opens the next round if requests wait for it. Returns whether it did. */
   openNext(): boolean {
     if (this.#newest > this.#newestClosed || this.#pending.length === 0) return false;
--- a/src/log/replicator.ts
+++ b/src/log/replicator.ts
@@ -83,7 +83,7 @@
     const progress = this.find({ address, replica });
     if (progress === undefined) return;
     progress.lastAnswerAt = now;
-    progress.isConfirmed = true;
+    if (answer.round >= progress.firstRound) progress.isConfirmed = true;
     progress.round = Math.max(progress.round, answer.round);
     if (answer.kind === 'append-answer') this.#handleAppended(progress, answer);
     else this.#handleChunk(progress, answer);
--- a/test/log-join.test.ts
+++ b/test/log-join.test.ts
@@ -356,3 +356,24 @@
   }
   t.true(led > 0, 'the moved host never led');
 });
+
+test('delayed join and answer of a former identity: voter keeps its vote', (t) => {
+  for (const seed of SEEDS) {
+    const cluster = startCluster({ seed });
+    runFor(cluster, CATCH_UP_MS);
+    const { leader } = cluster;
+    const voter = pickFollower(cluster);
+    const { id: to, term } = leader?.state?.replica ?? {};
+    if (leader === undefined || term === undefined) throw new Error('no leader');
+    deliverFormerJoin(cluster, leader, voter);
+    const { host: from, address } = voter;
+    const body = { kind: 'append-answer', accepted: true, through: START.index, round: 0 } as const;
+    const message = { from: 'former' as ReplicaId, to, term, body };
+    cluster.feed(leader, { kind: 'received', from, address, message });
+    for (let elapsed = 0; elapsed < 500; elapsed += 5) {
+      runFor(cluster, 5);
+      if (!isVotingNow(cluster, voter)) break;
+    }
+    t.true(isVotingNow(cluster, voter), `seed ${seed}: the vote was lost`);
+  }
+});
