Send the first segment of a simulated dial again to a machine without power

A dial to a machine that lost power got no answer for its whole time, though the machine was back when TCP sent the segment again.

--- a/bench/fleet-links.ts
+++ b/bench/fleet-links.ts
@@ -12,6 +12,8 @@
   readonly link: FleetLink;
   /** The connections that it replaces once it is open. */
   readonly replaced: readonly FleetConnection[];
+  /** Whether the other machine has received the first segment. */
+  isAnswered: boolean;
   isDone: boolean;
 }
 
@@ -100,7 +102,7 @@
   #dial(link: FleetLink): void {
     link.cancelRetry?.();
     link.cancelRetry = undefined;
-    const dial: Dial = { link, replaced: link.connections, isDone: false };
+    const dial: Dial = { link, replaced: link.connections, isAnswered: false, isDone: false };
     link.dialling = dial;
     this.process.runAt(addMs(this.process.now, DIAL_TIMEOUT_MS), () => {
       this.#handleFailedDial(dial);
@@ -108,25 +110,25 @@
     this.#sendFirstSegment(dial, FIRST_SEGMENT_RETRY_MS);
   }
 
+  /** Sends the first segment again for as long as nobody answers, as a machine without power doesn't. */
   #sendFirstSegment(dial: Dial, retryMs: number): void {
     if (dial.isDone) return;
     const { network, address } = this.process;
-    if (network.isSegmentLost(address, dial.link.address)) {
-      network.runLater(retryMs, () => {
-        this.#sendFirstSegment(dial, 2 * retryMs);
-      });
-      return;
-    }
+    network.runLater(retryMs, () => {
+      if (!dial.isAnswered) this.#sendFirstSegment(dial, 2 * retryMs);
+    });
+    if (network.isSegmentLost(address, dial.link.address)) return;
     network.runLater(network.pickDelay(), () => {
       this.#handleFirstSegment(dial);
     });
   }
 
-  /** A machine without power leaves the dial unanswered; one without a process refuses it. */
+  /** A machine without a process refuses the dial. */
   #handleFirstSegment(dial: Dial): void {
     const { network } = this.process;
     const { address } = dial.link;
-    if (dial.isDone || !network.isPowered(address)) return;
+    if (dial.isDone || dial.isAnswered || !network.isPowered(address)) return;
+    dial.isAnswered = true;
     const listener = network.findProcess(address);
     if (listener === undefined) {
       network.runLater(network.pickDelay(), () => {
