Report each former identity once, also when a leader names two by turns

While a leader follows a voter and its successor it names two identities at one address. Only the last one was kept, so log-other-identity was written for each message, up to its rate limit. The last 64 are kept now. What a replica asked while it joined is forgotten once it votes.

--- a/src/log/join-requests.ts
+++ b/src/log/join-requests.ts
@@ -39,6 +39,7 @@
   /** Forgets what other replicas have named. */
   forgetVoters(): void {
     this.#namedVoters.clear();
+    this.#nextAnswerAt.clear();
   }
 
   /** Asks all possible replicas. */
--- a/src/log/replica-events.ts
+++ b/src/log/replica-events.ts
@@ -47,8 +47,8 @@
   readonly #report: (event: ReplicaEvent) => void;
   #joining: string | undefined;
   #failedElection: string | undefined;
-  /** The other identity that each sender named last. */
-  readonly #namedIdentities = new Map<Address, ReplicaId>();
+  /** The senders and the other identities that they named; the oldest are forgotten. */
+  readonly #namedIdentities = new Set<string>();
 
   constructor(report: (event: ReplicaEvent) => void) {
     this.#report = report;
@@ -74,8 +74,13 @@
     named: ReplicaId,
   ): void {
     const { host: from, address } = sender;
-    if (this.#namedIdentities.get(address) === named) return;
-    this.#namedIdentities.set(address, named);
+    const key = `${address} ${named}`;
+    if (this.#namedIdentities.has(key)) return;
+    this.#namedIdentities.add(key);
+    const [oldest] = this.#namedIdentities;
+    if (this.#namedIdentities.size > MAX_NAMED_IDENTITIES && oldest !== undefined) {
+      this.#namedIdentities.delete(oldest);
+    }
     this.#report({ kind: 'other-identity-named', from, address, message, named });
   }
 
@@ -110,3 +115,7 @@
     silent: listAddresses((replica) => !hasGranted(replica) && !hasRefused(replica)),
   };
 }
+
+// Internals.
+
+const MAX_NAMED_IDENTITIES = 64;
--- a/src/members/introductions.ts
+++ b/src/members/introductions.ts
@@ -150,7 +150,10 @@
 /** The interval of the first requests, any of which may be lost. */
 const QUICK_INTERVAL_MS = 200;
 const QUICK_ASKS = 6;
-/** Bounds the requests of a whole fleet to a silent seed to 50 a second at first, up to the interval of seeds. */
+/**
+ * Bounds the requests to a silent seed to 50 a second at first, for a fleet whose members know each other. A process
+ * that knows nobody asks once a second.
+ */
 const MIN_DELAY_PER_MEMBER_MS = 20;
 /** The same after several requests: two a second. */
 const MAX_DELAY_PER_MEMBER_MS = 500;
--- a/test/log-events.test.ts
+++ b/test/log-events.test.ts
@@ -75,6 +75,19 @@
   t.like(reports[0], { message: 'vote', named: FORMER_IDENTITY });
 });
 
+test('two former identities by turns: each is reported once', (t) => {
+  const cluster = startCluster();
+  const [{ host: from, address }, named] = cluster.nodes as [ClusterNode, ClusterNode];
+  named.events.length = 0;
+  const body = { kind: 'vote', last: START } as const;
+  for (const former of ['former', 'earlier', 'former', 'earlier']) {
+    const to = former as ReplicaId;
+    const message = { from: `${from}-0` as ReplicaId, to, term: START.term, body };
+    cluster.feed(named, { kind: 'received', from, address, message });
+  }
+  t.is(listEvents(named, 'other-identity-named').length, 2);
+});
+
 test('join: a change of the asked addresses is reported', (t) => {
   const cluster = startCluster();
   const lost = pickFollower(cluster);
