--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -284,6 +284,7 @@
         { method: 'POST', path: '/config/replace', headers, body },
         timeoutMs,
       );
+      this.last = answer;
       if (
         answer.status !== undefined &&
         answer.status < 500 &&
