--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -160,6 +160,7 @@
   }
 
   start(bootstrap = false) {
+    if (this.isRunning) return;
     this.writeSettings(bootstrap);
     const [program, ...rest] = START_ARGUMENTS;
     const words = rest.map((word) =>
