--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -5,6 +5,7 @@
 import type { VoterChange } from './log-messages.js';
 import type { ReceivedAnswer, RoleKind } from './log-role.js';
 import { LogRole } from './log-role.js';
+import { CatchUps } from './catch-ups.js';
 import { addVoter, findQuorumValue, findVoter, hasQuorum, removeVoter } from './membership.js';
 import { PeerProgress } from './progress.js';
 import { ReadRounds } from './read-rounds.js';
@@ -20,6 +21,7 @@
   readonly #replicator = new Replicator<Command>(this.replica, this.#reads);
   /** Replicas outside the membership that are catching up. */
   readonly #learners = new Map<Address, Voter>();
+  readonly #catchUps = new CatchUps();
   #firstIndexOfTerm = 0 as LogIndex;
   #isAnnounced = false;
   #heartbeatAt = 0 as Instant;
@@ -136,9 +138,18 @@
   #applyProgress(now: Instant): void {
     this.#commit(now);
     this.#confirmReads(now);
+    this.#reportCatchUps(now);
     this.#updateMembership(now);
   }
 
+  #reportCatchUps(now: Instant): void {
+    if (!this.#isAnnounced) return;
+    const { events } = this.replica;
+    for (const { address, since } of this.#catchUps.removeDone((peer) => this.#hasCaughtUp(peer))) {
+      events.notifyCaughtUp(address, Math.round(now - since));
+    }
+  }
+
   #commit(now: Instant): void {
     const { replica } = this;
     const index = findQuorumValue(this.#membership, (voter) =>
@@ -177,6 +188,7 @@
     this.#replicator.removeAt(peer.address, voter?.replica);
     if (voter?.replica === peer.replica) return;
     this.#learners.set(peer.address, peer);
+    this.#catchUps.add(peer, now);
     this.replica.events.notifyLearner(peer.address, voter !== undefined);
     this.#reads.open();
     this.#addProgress(peer, now);
--- a/src/log/replica-events.ts
+++ b/src/log/replica-events.ts
@@ -40,6 +40,13 @@
       /** Whether the present voter at the address has another identity, which is then lost. */
       readonly replacesVoter: boolean;
     }
+  /** A replica that this leader has sent its log to has all committed entries on its disk. */
+  | {
+      readonly kind: 'caught-up';
+      readonly learner: Address;
+      /** The milliseconds since this leader began to send. */
+      readonly afterMs: number;
+    }
   | ({ readonly kind: 'election-failed' } & FailedElection);
 
 /** Reports the events of a replica, and repeats none that has not changed. */
@@ -89,6 +96,11 @@
     this.#report({ kind: 'learner-added', learner, replacesVoter });
   }
 
+  /** Reports that a learner has caught up. */
+  notifyCaughtUp(learner: Address, afterMs: number): void {
+    this.#report({ kind: 'caught-up', learner, afterMs });
+  }
+
   /** Reports an election that ended without a majority. */
   notifyFailedElection(election: FailedElection): void {
     const content = JSON.stringify(election);
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -50,6 +50,7 @@
   'log-joining': LOW_RATE,
   'log-other-identity': LOW_RATE,
   'log-learner': HIGH_RATE,
+  'log-caught-up': HIGH_RATE,
   'log-election-failed': LOW_RATE,
   'log-sync-slow': LOW_RATE,
   'log-sync-ended': LOW_RATE,
--- a/src/program/log-event-lines.ts
+++ b/src/program/log-event-lines.ts
@@ -20,6 +20,7 @@
   joining: 'log-joining',
   'other-identity-named': 'log-other-identity',
   'learner-added': 'log-learner',
+  'caught-up': 'log-caught-up',
   'election-failed': 'log-election-failed',
   'sync-slow': 'log-sync-slow',
   'sync-ended': 'log-sync-ended',
--- a/test/log-events.test.ts
+++ b/test/log-events.test.ts
@@ -54,6 +54,11 @@
   t.is(joining?.addresses.length, 2);
   const learners = listEvents(leader, 'learner-added');
   t.like(learners.at(-1), { learner: lost.address, replacesVoter: true });
+  const caughtUp = listEvents(leader, 'caught-up').filter(
+    ({ learner }) => learner === lost.address,
+  );
+  t.is(caughtUp.length, 1);
+  t.true((caughtUp[0]?.afterMs ?? 0) > 0);
 });
 
 test('former identity: each sender is reported once', (t) => {
