Compare and hash resources without formatting them again and again

Cause: each change of 781 routes formatted every resource about ten times, with a replacer function that builds an object for each.

Change: the canonical text is built directly, resources are compared member by member, and a configuration keeps the digest of each resource for its removal. The digests are the same (property test against the former text).

--- a/src/notes/configuration-table.ts
+++ b/src/notes/configuration-table.ts
@@ -5,11 +5,13 @@
 import { buildKey } from '../messages/index.js';
 import type { AccountViolation } from './account-keys.js';
 import { AccountKeys } from './account-keys.js';
+import type { SetDigest } from './digest.js';
 import {
-  addToSetDigest,
+  addDigest,
+  buildResourceDigest,
   EMPTY_SET_DIGEST,
   formatSetDigest,
-  removeFromSetDigest,
+  removeDigest,
 } from './digest.js';
 import { addCount } from './key-counts.js';
 import { buildPattern, listProvided, listReferences } from './references.js';
@@ -38,6 +40,8 @@
   #version: Version = NO_VERSION;
   #setDigest = EMPTY_SET_DIGEST;
   readonly #resources = new Map<ResourceKey, Resource>();
+  /** The digest of each resource, which is needed again when it is removed. */
+  readonly #digests = new Map<ResourceKey, SetDigest>();
   /** The number of resources that provide each key. */
   readonly #provided = new Map<ResourceKey, number>();
   /** The resources that refer to each key. */
@@ -109,7 +113,9 @@
 
   #add(key: ResourceKey, resource: Resource): void {
     this.#resources.set(key, resource);
-    this.#setDigest = addToSetDigest(this.#setDigest, resource);
+    const digest = buildResourceDigest(resource);
+    this.#digests.set(key, digest);
+    this.#setDigest = addDigest(this.#setDigest, digest);
     for (const provided of listProvided(resource)) addCount(this.#provided, provided, 1);
     for (const { to } of listReferences(resource)) {
       const referrers = this.#referrers.get(to);
@@ -124,7 +130,8 @@
     const resource = this.#resources.get(key);
     if (resource === undefined) return;
     this.#resources.delete(key);
-    this.#setDigest = removeFromSetDigest(this.#setDigest, resource);
+    this.#setDigest = removeDigest(this.#setDigest, this.#digests.get(key) ?? EMPTY_SET_DIGEST);
+    this.#digests.delete(key);
     for (const provided of listProvided(resource)) addCount(this.#provided, provided, -1);
     for (const { to } of listReferences(resource)) {
       const referrers = this.#referrers.get(to);
--- a/src/notes/decide-edit.ts
+++ b/src/notes/decide-edit.ts
@@ -1,7 +1,7 @@
 /** Decides on adding, replacing or removing the effects of a note, without changing any state. */
 import type { NoteNumber, ResourceKey, Version } from '../ids.js';
 import type { Change, NoteDraft, NoteFault } from '../messages/index.js';
-import { formatCanonical } from './digest.js';
+import { isSameValue } from './digest.js';
 import { listRolloutEnds } from './decide-rollout.js';
 import type { Layer, LayerTable } from './layer-table.js';
 import type { NoteEntry, ResourceAction } from './note-entry.js';
@@ -150,7 +150,7 @@
 }
 
 function buildChange(key: ResourceKey, former?: Layer, next?: Layer): Change[] {
-  if (formatCanonical(former?.resource) === formatCanonical(next?.resource)) return [];
+  if (isSameValue(former?.resource, next?.resource)) return [];
   const resource = next?.resource;
   return [resource === undefined ? { op: 'remove', key } : { op: 'put', resource }];
 }
--- a/src/notes/decide-replace.ts
+++ b/src/notes/decide-replace.ts
@@ -10,7 +10,7 @@
 } from '../messages/index.js';
 import { buildKey } from '../messages/index.js';
 import type { NoteTables } from './decide-edit.js';
-import { formatCanonical } from './digest.js';
+import { isSameValue } from './digest.js';
 
 /** Builds the command of a replacement, with its changes relative to the current configuration. It keeps roll-outs. */
 export function buildReplaceCommand(
@@ -77,5 +77,5 @@
 // Internals.
 
 function isSameResource(former: Resource | undefined, next: Resource): boolean {
-  return former !== undefined && formatCanonical(former) === formatCanonical(next);
+  return former !== undefined && isSameValue(former, next);
 }
