End a request, not the process, when its bytes are not what a reader expects

Cause: isSameSecret compared lengths in characters, and timingSafeEqual throws when the numbers of bytes differ. Nothing above it caught that: reading had no boundary for errors that a reader doesn't expect.

Change: secrets are compared by digests of fixed length, in one place. HttpTask, the reading of heads and the links have a boundary each, which ends the request or the connection with a line (input-fault) and a count. Task.post reports an error in a decision as a failure of its task, which ends the process with its reason, so the boundaries do not swallow it. The end of an answer is parsed within the boundary of its connection.

--- a/src/edge/announce-task.ts
+++ b/src/edge/announce-task.ts
@@ -6,6 +6,7 @@
 import type { ReportFailure } from '../pipe/index.js';
 import type { AnnounceAnswer, AnnounceFront, AnnounceRequest } from './announce-front.js';
 import { readBodyText, sendJson } from './http-body.js';
+import type { ReportInputFault } from './http-task.js';
 import { HttpTask } from './http-task.js';
 
 /** Options of an {@link AnnounceTask}. */
@@ -14,6 +15,7 @@
   readonly clock: Clock;
   readonly front: AnnounceFront;
   readonly reportFailure: ReportFailure;
+  readonly reportInputFault?: ReportInputFault | undefined;
   /** Called with each valid request; the request must have taken effect when it returns. */
   readonly pass: (request: AnnounceRequest) => void;
   /** Called with the URL of each rejected request and its answer. */
--- a/src/edge/call-headers.ts
+++ b/src/edge/call-headers.ts
@@ -1,5 +1,4 @@
 /** Parses and formats the HTTP headers of calls. */
-import { timingSafeEqual } from 'node:crypto';
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { buildForwardedAttempt, buildSubject } from '../calls/index.js';
 import { addMs } from '../clock.js';
@@ -21,6 +20,7 @@
   ServerLoad,
   VerifiedAccount,
 } from '../messages/index.js';
+import { matchesSecret } from './secrets.js';
 
 /** Outcome of a refused call: certainly not run, or unknown. */
 export const OUTCOME_HEADER = 'bilberryswitch-outcome';
@@ -118,7 +118,7 @@
   const fields = (readHeader(headers, FORWARD_HEADER) ?? '').split(';');
   const [secret = '', server = '', kind = '', worth = '', suspect = ''] = fields;
   const [digest = '', aimMs = '', onlyIfFree = '', replyMs = ''] = fields.slice(5);
-  if (!isSameSecret(secret, pass)) {
+  if (!matchesSecret(secret, pass)) {
     return makeError({ reason: 'not-trusted', message: `${FORWARD_HEADER} is for proxies only` });
   }
   try {
@@ -359,11 +359,6 @@
   throw new IdError(`${ATTEMPT_HEADER} must be a whole number from 1 to ${MAX_ATTEMPT}`);
 }
 
-function isSameSecret(left: string, right: string): boolean {
-  if (left.length !== right.length || right === '') return false;
-  return timingSafeEqual(Buffer.from(left), Buffer.from(right));
-}
-
 function buildFault(message: string): Result<never, HeadFault> {
   return makeError({ reason: 'bad-request', message });
 }
--- a/src/edge/call-reader.ts
+++ b/src/edge/call-reader.ts
@@ -2,6 +2,8 @@
 import type { CallIn } from '../calls/index.js';
 import type { CancelTimer, Clock } from '../clock.js';
 import { addMs } from '../clock.js';
+import type { Result } from '../errors.js';
+import { makeError } from '../errors.js';
 import type { CallerId, Instant } from '../ids.js';
 import { sendGrant } from './body-grant.js';
 import { hasBody, readBody } from './call-body.js';
@@ -19,6 +21,8 @@
   readonly caller: CallerId | undefined;
   /** The secret that other proxies send with the calls that they forward; see `Member.pass`. */
   readonly pass: string;
+  /** Called with each unexpected error that reading a head led to. */
+  readonly reportInputFault?: ((error: unknown) => void) | undefined;
   /** Returns whether the caller still waits for the answer. */
   readonly isOpen: (call: OpenCall) => boolean;
   /** Whether bodies of other proxies need a permission, because the bandwidth of the link is configured. */
@@ -52,7 +56,7 @@
 
   #readCall(call: OpenCall, arrivedAt: Instant): void {
     const { front, post } = this.#options;
-    const head = front.parseHead(call.request, call.id, arrivedAt);
+    const head = this.#parseHead(() => front.parseHead(call.request, call.id, arrivedAt));
     if (!head.ok) {
       call.refuse(buildHeadRefusal(head.error));
       return;
@@ -71,6 +75,16 @@
     });
   }
 
+  /** Parses a head. An unexpected error refuses the call: whatever a client sends must not end the process. */
+  #parseHead<Head>(parse: () => Result<Head, HeadFault>): Result<Head, HeadFault> {
+    try {
+      return parse();
+    } catch (error) {
+      this.#options.reportInputFault?.(error);
+      return makeError({ reason: 'bad-request', message: 'the head cannot be read' });
+    }
+  }
+
   async #readBody(call: OpenCall, head: ParsedCallHead): Promise<void> {
     const cancelTimer = this.#limitBodyTime(call);
     try {
@@ -100,7 +114,9 @@
 
   #readForwarded(call: OpenCall, arrivedAt: Instant): void {
     const { pass, post } = this.#options;
-    const parsed = parseForwardedHead(call.request, call.id, pass, arrivedAt);
+    const parsed = this.#parseHead(() => {
+      return parseForwardedHead(call.request, call.id, pass, arrivedAt);
+    });
     if (!parsed.ok) {
       call.refuse(buildHeadRefusal(parsed.error));
       return;
--- a/src/edge/call-task.ts
+++ b/src/edge/call-task.ts
@@ -37,6 +37,7 @@
 import { ConnectionWatch } from './connection-watch.js';
 import { probeServer } from './call-probe.js';
 import type { Refusal } from './call-refusal.js';
+import type { ReportInputFault } from './http-task.js';
 import { HttpTask } from './http-task.js';
 import type { HeldAnswers } from './link-pacer.js';
 import { LinkPacer } from './link-pacer.js';
@@ -90,6 +91,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly reportFailure: ReportFailure;
+  readonly reportInputFault?: ReportInputFault | undefined;
   readonly send: (notice: CallNotice) => void;
   readonly tracer?: HopTracer;
   readonly observer?: CallObserver;
@@ -156,6 +158,9 @@
       ...options,
       front: this.#front,
       caller: options.caller,
+      reportInputFault: (error) => {
+        options.reportInputFault?.(this.name, error);
+      },
       isOpen: ({ id }) => this.#calls.has(id),
       admitsBodies: linkBytesPerSecond !== undefined,
       post: (message) => {
@@ -297,7 +302,9 @@
     const arrivedAt = addMs(this.#options.clock.read(), -lagMs);
     this.#intake.add({
       read: () => {
-        this.#reader.read(call, arrivedAt);
+        this.readGuarded(response, () => {
+          this.#reader.read(call, arrivedAt);
+        });
       },
       refuse: () => {
         call.refuse(HEAD_WAITED_TOO_LONG);
--- a/src/edge/default-operator-front.ts
+++ b/src/edge/default-operator-front.ts
@@ -1,5 +1,4 @@
 /** The default interface for operators: release notes in TOML or JSON, JSON answers, a bearer token. */
-import { createHash, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import type { Result } from '../errors.js';
 import { makeError } from '../errors.js';
@@ -18,19 +17,20 @@
 import { OperatorFront } from './operator-front.js';
 import type { OperatorHttpRequest, OperatorRequest } from './operator-request.js';
 import { readOperatorRequest } from './operator-request.js';
+import { matchesSecret } from './secrets.js';
 
 /** Parses release notes and builds the answers; each request must present the bearer token. */
 export class DefaultOperatorFront extends OperatorFront {
-  readonly #expectedDigest: Buffer;
+  readonly #expected: string;
 
   constructor(token: string) {
     super();
-    this.#expectedDigest = digestSecret(`Bearer ${token}`);
+    this.#expected = `Bearer ${token}`;
   }
 
   override checkAccess(request: IncomingMessage): OperatorAnswer | undefined {
-    const presentedDigest = digestSecret(request.headers.authorization ?? '');
-    return timingSafeEqual(presentedDigest, this.#expectedDigest) ? undefined : UNAUTHORIZED;
+    const presented = request.headers.authorization ?? '';
+    return matchesSecret(presented, this.#expected) ? undefined : UNAUTHORIZED;
   }
 
   override readRequest(request: OperatorHttpRequest): Result<OperatorRequest, OperatorAnswer> {
@@ -93,8 +93,3 @@
   const message = `there has been no order for a service ${service}`;
   return { status: NOT_FOUND, body: { kind: 'unknown-rollout', message } };
 }
-
-/** Hashes a secret to a fixed length, which the constant-time comparison requires. */
-function digestSecret(secret: string): Buffer {
-  return createHash('sha256').update(secret).digest();
-}
--- a/src/edge/hop-connection.ts
+++ b/src/edge/hop-connection.ts
@@ -217,10 +217,12 @@
 
   /** Handles the end of what the peer sends. */
   #readEnd(): void {
-    if (this.#exchange === undefined || this.#parser.isHeld) return;
-    this.#parser.readEnd();
-    if (this.#parser.isComplete) this.#complete(this.#exchange);
-    else this.close(OTHER_SIDE_CLOSED);
+    const exchange = this.#exchange;
+    if (exchange === undefined || this.#parser.isHeld) return;
+    this.#read(() => {
+      this.#parser.readEnd();
+    });
+    if (this.#exchange === exchange) this.close(OTHER_SIDE_CLOSED);
   }
 
   #complete(exchange: HopExchange): void {
--- a/src/edge/http-task.ts
+++ b/src/edge/http-task.ts
@@ -7,6 +7,9 @@
 import { Task } from '../pipe/index.js';
 import { runAfterPoll } from './after-poll.js';
 
+/** Called with the task and the error when a request could not be read for a reason that its reader did not expect. */
+export type ReportInputFault = (task: string, error: unknown) => void;
+
 /** Options of an {@link HttpTask}. */
 export interface HttpTaskOptions {
   readonly name: string;
@@ -15,6 +18,7 @@
   /** A second address that serves the same requests. */
   readonly secondAddress?: Address | undefined;
   readonly reportFailure: ReportFailure;
+  readonly reportInputFault?: ReportInputFault | undefined;
   /** Options of `http.createServer`, such as limits and timeouts. */
   readonly server?: ServerOptions;
 }
@@ -47,6 +51,17 @@
     server.closeAllConnections();
   }
 
+  /** Reads a request. An unexpected error ends this request alone, because others may be in progress. */
+  protected readGuarded(response: ServerResponse, read: () => void): void {
+    try {
+      read();
+    } catch (error) {
+      this.#options.reportInputFault?.(this.name, error);
+      if (response.headersSent) response.destroy();
+      else response.writeHead(BAD_REQUEST, { connection: 'close', 'content-length': 0 }).end();
+    }
+  }
+
   /** The open servers. */
   protected get servers(): readonly Server[] {
     return this.#servers;
@@ -66,7 +81,9 @@
 
   async #listen(address: Address): Promise<void> {
     const server = createServer(this.#options.server ?? {}, (request, response) => {
-      this.handle(request, response);
+      this.readGuarded(response, () => {
+        this.handle(request, response);
+      });
     });
     this.#servers.push(server);
     this.prepareServer(server);
@@ -92,6 +109,7 @@
 
 // Internals.
 
+const BAD_REQUEST = 400;
 /**
  * The length of the listen backlog. Connections beyond it are not lost, because TCP clients retransmit their
  * SYN. With a longer backlog, callers of a busy process time out before their connections are accepted.
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -13,6 +13,7 @@
 export type { FloorTaskOptions } from './floor-task.js';
 export type { CallNotice, CallTaskOptions } from './call-task.js';
 export { buildIdSchema } from './id-schema.js';
+export type { ReportInputFault } from './http-task.js';
 export { readLedgerMessage } from './ledger-codec.js';
 export { LinkTask } from './link-task.js';
 export { readLogMessage } from './log-codec.js';
--- a/src/edge/link-task.ts
+++ b/src/edge/link-task.ts
@@ -248,7 +248,8 @@
       const { channel, body } = frame;
       const address = dialled?.to ?? hello.control;
       this.#findLink(address).lastUsedAt = this.#options.clock.read();
-      this.#options.notify({ kind: 'received', from: hello.host, address, channel, body });
+      const event = { kind: 'received', from: hello.host, address, channel, body } as const;
+      if (!this.#notifyReceived(event)) socket.terminate();
     });
     socket.on('error', () => {
       // `ws` emits 'close' after every error; the close listener does the clean-up.
@@ -261,6 +262,17 @@
     });
   }
 
+  /** Passes a message to its readers; false if one of them met something that it did not expect. */
+  #notifyReceived(event: Extract<LinkEvent, { kind: 'received' }>): boolean {
+    try {
+      this.#options.notify(event);
+      return true;
+    } catch (error) {
+      this.#options.notifyRejected(event.address, (error as Error).message);
+      return false;
+    }
+  }
+
   /** Decodes a frame; undefined if it is malformed. */
   #readFrame(data: Buffer, from: Address): Frame | undefined {
     try {
--- a/src/edge/operator-task.ts
+++ b/src/edge/operator-task.ts
@@ -9,6 +9,7 @@
 import type { ReportFailure } from '../pipe/index.js';
 import { WakeTimer } from '../pipe/index.js';
 import { readBodyText, sendJson } from './http-body.js';
+import type { ReportInputFault } from './http-task.js';
 import { HttpTask } from './http-task.js';
 import type { FindOperator, OperatorAnswer } from './operator-answer.js';
 import type { OperatorFront, OperatorReply } from './operator-front.js';
@@ -29,6 +30,7 @@
   readonly waitLimitMs: number;
   readonly findOperator: FindOperator;
   readonly reportFailure: ReportFailure;
+  readonly reportInputFault?: ReportInputFault | undefined;
   /** Called with each request that is invalid, unauthorized or refused as too many, and its answer. */
   readonly notifyRejected: (url: string, answer: OperatorAnswer) => void;
   /** Sends a request to the notes pipe. */
--- a/src/edge/ready-task.ts
+++ b/src/edge/ready-task.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../clock.js';
 import type { Address, Instant } from '../ids.js';
 import type { ReportFailure } from '../pipe/index.js';
+import type { ReportInputFault } from './http-task.js';
 import { HttpTask } from './http-task.js';
 
 /** A message to a ready task. */
@@ -28,6 +29,7 @@
   readonly address: Address;
   readonly clock: Clock;
   readonly reportFailure: ReportFailure;
+  readonly reportInputFault?: ReportInputFault | undefined;
   /** Called when an answer has been sent or its connection has closed. */
   readonly notifyAnswered: (answer: ReadinessAnswer) => void;
 }
--- a/src/edge/status-task.ts
+++ b/src/edge/status-task.ts
@@ -9,6 +9,7 @@
 import { IdError } from '../ids.js';
 import { parseExplainQuery } from './explain-query.js';
 import { sendJson } from './http-body.js';
+import type { ReportInputFault } from './http-task.js';
 import { HttpTask } from './http-task.js';
 
 /** Messages of other tasks to the status task. */
@@ -27,6 +28,7 @@
   readonly clock: Clock;
   readonly registry: MetricsRegistry;
   readonly reportFailure: ReportFailure;
+  readonly reportInputFault?: ReportInputFault | undefined;
   /** Passes on a question about a call; returns false if this process has no proxy role. */
   readonly passQuery: (request: ExplainRequest) => boolean;
 }
--- a/src/pipe/task.ts
+++ b/src/pipe/task.ts
@@ -30,9 +30,16 @@
     this.#reportFailure = reportFailure;
   }
 
-  /** Sends a message to this task. */
+  /**
+   * Sends a message to this task. An error in handling it is a failure of this task, not of the sender, who may have a
+   * boundary of its own around what it reads.
+   */
   post(message: In): void {
-    this.#inbox.post(message);
+    try {
+      this.#inbox.post(message);
+    } catch (error) {
+      this.fail(error);
+    }
   }
 
   /** Opens the task's sockets, then starts to handle messages. */
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -67,6 +67,7 @@
   'members-left': HIGH_RATE,
   'member-update-dropped': HIGH_RATE,
   'frame-rejected': HIGH_RATE,
+  'input-fault': HIGH_RATE,
   'ledger-message-dropped': HIGH_RATE,
   'log-message-dropped': HIGH_RATE,
   'crash-seen': HIGH_RATE,
--- a/src/program/run-command.ts
+++ b/src/program/run-command.ts
@@ -22,6 +22,7 @@
 import { RecoveryLog } from './recovery-log.js';
 import { createMembership } from './create-membership.js';
 import { runProxy } from './run-proxy.js';
+import { createInputFaultReport } from './input-faults.js';
 import { runSource } from './run-source.js';
 import type { Settings } from './settings.js';
 import { SettingsWatcher } from './settings-watcher.js';
@@ -48,6 +49,7 @@
   const roles: RunningRole[] = [];
   const pass = randomBytes(PASS_BYTES).toString('base64url');
   const registry = new MetricsRegistry();
+  const reportInputFault = createInputFaultReport(log, registry);
   const membershipLog = new MembershipLog(host, log);
   const recovery = createRecoveryLog(settings, log, clock);
   const status = createStatusTask({
@@ -55,6 +57,7 @@
     clock,
     registry,
     reportFailure,
+    reportInputFault,
     passQuery: (request) => {
       const role = roles.find(({ explain }) => explain !== undefined);
       role?.explain?.(request);
@@ -132,7 +135,8 @@
     const { host, control, spread } = settings;
     const front = fronts.createOperatorFront(source);
     const shared = { host, settings: source, dataFolder, control, spread: spread.policy, front };
-    const dependencies = { clock, random, log, recovery, reportFailure, postLink, report };
+    const reports = { reportFailure, reportInputFault, report };
+    const dependencies = { clock, random, log, recovery, postLink, ...reports };
     roles.push(await runSource({ ...shared, ...dependencies }));
   }
   if (settings.roles.includes('ledger') && ledger && dataFolder !== undefined) {
@@ -145,6 +149,7 @@
     roles.push(
       await runProxy({
         ...shared,
+        reportInputFault,
         fronts,
         postLink,
         postMembers,
--- a/src/program/run-proxy.ts
+++ b/src/program/run-proxy.ts
@@ -3,7 +3,13 @@
 import type { CallObserver } from '../calls/index.js';
 import type { Clock } from '../clock.js';
 import { addMs } from '../clock.js';
-import type { AnnounceRequest, CallNotice, FloorTaskOptions, PlannedStop } from '../edge/index.js';
+import type {
+  AnnounceRequest,
+  CallNotice,
+  FloorTaskOptions,
+  PlannedStop,
+  ReportInputFault,
+} from '../edge/index.js';
 import {
   AnnounceTask,
   CallTask,
@@ -53,6 +59,7 @@
   readonly recovery: RecoveryLog;
   readonly registry: MetricsRegistry;
   readonly reportFailure: ReportFailure;
+  readonly reportInputFault: ReportInputFault;
   readonly postLink: (command: LinkCommand) => void;
   readonly postMembers: (message: MembersIn) => void;
   /** Random text that authenticates calls forwarded by other proxies; see {@link Member.pass}. */
@@ -67,7 +74,7 @@
 
 /** Creates and starts the tasks of the proxy role. */
 export async function runProxy(options: ProxyOptions): Promise<RunningRole> {
-  const { settings, proxy, clock, random, log, reportFailure } = options;
+  const { settings, proxy, clock, random, log, reportFailure, reportInputFault } = options;
   const { postLink, postMembers, recovery, report } = options;
   const calls = new CallTask({
     address: proxy.calls,
@@ -87,6 +94,7 @@
     tracer: options.tracer,
     observer: options.observer,
     reportFailure,
+    reportInputFault,
     send: routeCalls,
   });
   const distribution = new FilterTask<
@@ -144,6 +152,7 @@
     address: proxy.announce,
     clock,
     reportFailure,
+    reportInputFault,
     front: options.fronts.createAnnounceFront(),
     pass: routeAnnounceRequest,
     notifyRejected: (url, { status, body }) => {
@@ -425,12 +434,13 @@
 }
 
 function createReadyTask(address: Address, options: ProxyOptions): ReadyTask {
-  const { clock, log, registry, reportFailure } = options;
+  const { clock, log, registry, reportFailure, reportInputFault } = options;
   const answers = new ReadinessAnswers(log, registry);
   return new ReadyTask({
     address,
     clock,
     reportFailure,
+    reportInputFault,
     notifyAnswered: (answer) => {
       answers.handle(answer);
     },
--- a/src/program/run-source.ts
+++ b/src/program/run-source.ts
@@ -1,7 +1,7 @@
 /** Connects the tasks of the source role: log, notes, operator API and distribution. */
 import { join } from 'node:path';
 import type { Clock } from '../clock.js';
-import type { OperatorFront } from '../edge/index.js';
+import type { OperatorFront, ReportInputFault } from '../edge/index.js';
 import { LogTask, OperatorTask, readSourceDistributionMessage } from '../edge/index.js';
 import type { Address, HostId } from '../ids.js';
 import { DEFAULT_SNAPSHOTS, DEFAULT_TIMING } from '../log/index.js';
@@ -55,6 +55,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly reportFailure: ReportFailure;
+  readonly reportInputFault: ReportInputFault;
   readonly postLink: (command: LinkCommand) => void;
   readonly report: ReportStatus;
 }
@@ -136,6 +137,7 @@
       options.log('command-rejected', { url, status, body });
     },
     reportFailure,
+    reportInputFault: options.reportInputFault,
     request: (message) => {
       notes.post(message);
     },
--- a/src/program/status.ts
+++ b/src/program/status.ts
@@ -1,5 +1,6 @@
 /** The status of a process. Each role reports its own section. */
 import type { Clock } from '../clock.js';
+import type { ReportInputFault } from '../edge/index.js';
 import { StatusTask } from '../edge/index.js';
 import type { ExplainRequest } from '../messages/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
@@ -15,6 +16,7 @@
   readonly clock: Clock;
   readonly registry: MetricsRegistry;
   readonly reportFailure: ReportFailure;
+  readonly reportInputFault: ReportInputFault;
   /** Passes on a question about a call; returns false if this process has no proxy role. */
   readonly passQuery: (request: ExplainRequest) => boolean;
 }
