Keep on the sources' disks which runs have left, for a restart of all

Cause: run-left was held in memory alone, so after a restart of all nobody remembered it; and the recall of a starting process asks three members at random.

Change: processes with a data folder keep broadcast items (run-left, crash-seen) in broadcasts.log and read it before they start to talk. A run that leaves is told to eight sources besides eight members; a process that starts asks three sources besides three members. Announcements are believed at once, as before.

--- a/bench/member-fleet.ts
+++ b/bench/member-fleet.ts
@@ -5,7 +5,7 @@
 import { DeadlineQueue } from '../src/members/deadline-queue.js';
 import type { MembersIn, MembersOut, MembersState } from '../src/members/index.js';
 import { MembersFilter } from '../src/members/index.js';
-import type { CrashSeen, Member } from '../src/messages/index.js';
+import type { BroadcastUpdate, CrashSeen, Member } from '../src/messages/index.js';
 import { SeededRandom } from '../src/random.js';
 
 /**
@@ -44,6 +44,8 @@
   /** The members that the filter has reported to the other pipes of the process. */
   view: Map<HostId, Member>;
   broadcasts: CrashSeen[];
+  /** What a source keeps on disk, also while its process is down; undefined if the process has no disk. */
+  disk: BroadcastUpdate[] | undefined;
 }
 
 /** A message in flight, or a timer if `message` is undefined. */
@@ -69,16 +71,22 @@
   readonly #random: SeededRandom;
   readonly #queue = new DeadlineQueue<QueuedDelivery>();
   readonly #byAddress = new Map<Address, FleetNode>();
+  readonly #sources: ReadonlySet<number>;
   #now = START;
 
-  /** `seedsOf` lists the indexes of the processes that are the seeds of one process. */
+  /**
+   * `seedsOf` lists the indexes of the processes that are the seeds of one process; `sources` are the indexes of the
+   * sources, which have a disk.
+   */
   constructor(
     size: number,
     seed: number,
     dataCentres = 1,
     seedsOf: (index: number) => readonly number[] = () => DEFAULT_SEEDS,
+    sources: readonly number[] = [],
   ) {
     this.#random = new SeededRandom(seed);
+    this.#sources = new Set(sources);
     for (let index = 0; index < size; index += 1)
       this.#addNode(index, dataCentres, MemberFleet.listControls(seedsOf(index)));
     for (const node of this.nodes) this.#startNode(node);
@@ -230,6 +238,7 @@
       wakeAt: NEVER,
       view: new Map(),
       broadcasts: [],
+      disk: this.#sources.has(index) ? [] : undefined,
     };
     this.nodes.push(node);
     this.#byAddress.set(control, node);
@@ -242,7 +251,8 @@
     startedAt: Instant,
   ): MembersFilter {
     const random = new SeededRandom(this.#random.nextInt(2 ** 31));
-    const self = MemberFleet.buildMember(index, dataCentres);
+    const isSource = this.#sources.has(index);
+    const self = { ...MemberFleet.buildMember(index, dataCentres), isSource };
     return new MembersFilter({ self, startedAt, seeds, random });
   }
 
@@ -252,6 +262,7 @@
     node.filter = this.#createFilter(node.index, dataCentres, node.seeds, node.startedAt);
     node.state = node.filter.createState();
     node.wakeAt = NEVER;
+    if (node.disk !== undefined) this.post(node, { kind: 'remembered', updates: [...node.disk] });
     this.post(node, { kind: 'tick' });
   }
 
@@ -285,6 +296,9 @@
       case 'broadcast':
         node.broadcasts.push(output.item);
         return;
+      case 'remember':
+        node.disk?.push(output.update);
+        return;
       case 'introduction-answered':
       case 'introduction-unanswered':
         return;
--- a/src/edge/index.ts
+++ b/src/edge/index.ts
@@ -3,6 +3,7 @@
 export { AnnounceFront } from './announce-front.js';
 export type { AnnounceAnswer, AnnounceHttpRequest, AnnounceRequest } from './announce-front.js';
 export { AnnounceTask } from './announce-task.js';
+export { BroadcastTask } from './broadcast-task.js';
 export { CallFront } from './call-front.js';
 export type { ServerAttempt } from './call-front.js';
 export { parseHostName, readAccountKey, readEndToEndHeader, readHeader } from './call-headers.js';
--- a/src/members/apply-update.ts
+++ b/src/members/apply-update.ts
@@ -46,20 +46,19 @@
 }
 
 /**
- * Remembers a broadcast item, and queues it for gossip unless `isGossiped` is false. Returns `false` if
+ * Remembers a broadcast item, also on the disk of this process if it has one, and queues it for gossip unless `isGossiped` is false. Returns `false` if
  * `SeenBroadcasts` does not accept it.
  */
 export function applyBroadcast(
   state: MembersState,
   item: Broadcast,
-  now: Instant,
+  context: StepContext,
   isGossiped = true,
 ): boolean {
-  if (!state.seenBroadcasts.add(item, now)) return false;
-  if (isGossiped) {
-    const update = buildBroadcastUpdate(item, now);
-    state.updateQueue.add(`broadcast/${buildBroadcastKey(item)}`, update);
-  }
+  if (!state.seenBroadcasts.add(item, context.now)) return false;
+  const update = buildBroadcastUpdate(item, context.now);
+  context.add({ kind: 'remember', update });
+  if (isGossiped) state.updateQueue.add(`broadcast/${buildBroadcastKey(item)}`, update);
   return true;
 }
 
@@ -92,14 +91,14 @@
     case 'crash-seen': {
       const { kind, fingerprint, server, remainingMs } = update;
       const item = { kind, fingerprint, server, until: addMs(context.now, remainingMs) };
-      const isNew = applyBroadcast(state, item, context.now, isGossiped);
+      const isNew = applyBroadcast(state, item, context, isGossiped);
       if (isNew) context.add({ kind: 'broadcast', item });
       return;
     }
     case 'run-left': {
       const { kind, host, instance, life, remainingMs } = update;
       const item = { kind, host, instance, life, until: addMs(context.now, remainingMs) };
-      if (!applyBroadcast(state, item, context.now, isGossiped)) return;
+      if (!applyBroadcast(state, item, context, isGossiped)) return;
       state.servers.addLeftRun(instance, life);
       updateLocalServers(state, context);
     }
--- a/src/members/member-table.ts
+++ b/src/members/member-table.ts
@@ -45,6 +45,8 @@
   readonly #buckets: Set<HostId>[] = [];
   /** The live members except this one. */
   readonly probeOrder = new ProbeOrder();
+  /** The live members that are sources, except this one. */
+  readonly sources = new ProbeOrder();
   /** Digests of the records of live members. */
   readonly digest = new BucketDigest();
   /** The number of records that have changed since the start. */
@@ -79,6 +81,12 @@
     return hosts.flatMap((host) => this.#entries.get(host)?.member ?? []);
   }
 
+  /** Picks up to `count` distinct sources at random. */
+  pickSources(random: Random, count: number): Member[] {
+    const hosts = this.sources.pickRandom(random, count);
+    return hosts.flatMap((host) => this.#entries.get(host)?.member ?? []);
+  }
+
   /** Applies a record of a member. Returns `true` if the entry changed. */
   applyRecord(record: Member): boolean {
     const entry = this.#entries.get(record.host);
@@ -139,6 +147,8 @@
     else this.#buckets[bucket]?.delete(host);
     if (isMember && host !== this.#self) this.probeOrder.add(host);
     else this.probeOrder.remove(host);
+    if (isMember && member.isSource && host !== this.#self) this.sources.add(host);
+    else this.sources.remove(host);
   }
 
   /** Shares the string instances of names that many members have in common, to save memory. */
--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -5,7 +5,7 @@
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import { handleDatagram } from './handle-datagram.js';
-import { addSuspect, applyBroadcast, applyStatus } from './apply-update.js';
+import { addSuspect, applyBroadcast, applyStatus, applyUpdates } from './apply-update.js';
 import { runGossip, sendLeave } from './gossip.js';
 import { addContact, passOnGrowth, runJoin, runReconnect, updateSeeds } from './join.js';
 import type { MembersIn, MembersOptions, MembersOut, MembersState } from './members-state.js';
@@ -95,7 +95,10 @@
       runJoin(state, context);
       return;
     case 'broadcast':
-      applyBroadcast(state, message.item, context.now);
+      applyBroadcast(state, message.item, context);
+      return;
+    case 'remembered':
+      applyUpdates(state, message.updates, context, false);
       return;
     case 'held':
       state.self = { ...state.self, version: message.version };
@@ -150,7 +153,7 @@
 
 /**
  * Tells other members that a run takes no new calls. A few hear it at once, before the announcement is
- * acknowledged, so that it is not forgotten if this process ends.
+ * acknowledged, so that it is not forgotten if this process ends. Sources are among them, which keep it on disk.
  */
 function notifyRunLeft(
   state: MembersState,
@@ -162,9 +165,14 @@
   const { host } = state.self;
   const item = { kind: 'run-left', host, instance, life, until } as const;
   state.servers.addLeftRun(instance, life);
-  if (!applyBroadcast(state, item, context.now)) return;
+  if (!applyBroadcast(state, item, context)) return;
   const updates = [buildBroadcastUpdate(item, context.now)];
-  for (const { control } of state.table.pickRandom(state.random, LEAVE_FANOUT)) {
+  const { table, random } = state;
+  const told = [
+    ...table.pickSources(random, LEAVE_FANOUT),
+    ...table.pickRandom(random, LEAVE_FANOUT),
+  ];
+  for (const control of new Set(told.map((member) => member.control))) {
     context.send(control, { kind: 'gossip', from: host, updates });
   }
 }
--- a/src/members/members-state.ts
+++ b/src/members/members-state.ts
@@ -3,10 +3,12 @@
 import type { Address, HostId, Incarnation, InstanceId, Instant, Version } from '../ids.js';
 import type {
   Announcement,
+  BroadcastUpdate,
   CrashSeen,
   LinkEvent,
   Member,
   MembershipEvent,
+  MemberUpdate,
   CallObservation,
   ProbeMessage,
   SyncMessage,
@@ -44,6 +46,8 @@
   | { readonly kind: 'broadcast'; readonly item: CrashSeen }
   /** Marks the backend server with this instance id as leaving. */
   | { readonly kind: 'server-left'; readonly instance: InstanceId; readonly life?: number }
+  /** The broadcast items that this process held on disk when it started. */
+  | { readonly kind: 'remembered'; readonly updates: readonly MemberUpdate[] }
   /** Replaces the seeds. */
   | { readonly kind: 'seeds'; readonly seeds: readonly Address[] }
   /** Sets the configuration version that this process holds; published only with the next record. */
@@ -76,6 +80,8 @@
   | MembershipEvent
   | IntroductionReport
   | { readonly kind: 'datagram'; readonly to: Address; readonly message: ProbeMessage }
+  /** A new broadcast item, to be kept on disk by processes that have one. */
+  | { readonly kind: 'remember'; readonly update: BroadcastUpdate }
   /** A message to send over a link. */
   | { readonly kind: 'send'; readonly to: Address; readonly body: SyncMessage }
   | WakeRequest;
--- a/src/members/recall.ts
+++ b/src/members/recall.ts
@@ -1,6 +1,7 @@
 /** What this process has asked other members for, and who has answered. */
 import { addMs, NEVER } from '../clock.js';
 import type { HostId, Instant } from '../ids.js';
+import type { Member } from '../messages/index.js';
 
 /**
  * Tracks the requests for the broadcast items that this process has missed or forgotten. Asks again, less and less
@@ -12,6 +13,7 @@
   /** The parts received of each answer, by the sequence of its request. */
   readonly #receivedParts = new Map<number, Set<number>>();
   readonly #answeredBy = new Set<HostId>();
+  readonly #answeredBySources = new Set<HostId>();
 
   constructor(startAt: Instant) {
     this.#askAt = startAt;
@@ -23,11 +25,18 @@
     this.#asks = 0;
     this.#receivedParts.clear();
     this.#answeredBy.clear();
+    this.#answeredBySources.clear();
   }
 
-  /** Returns when members must be asked, in a fleet with this number of other members. */
-  findDeadline(others: number): Instant {
-    return this.#answeredBy.size < Math.min(ANSWERS_NEEDED, others) ? this.#askAt : NEVER;
+  /**
+   * Returns when members must be asked, in a fleet with these numbers of other members and of sources among them. The
+   * sources remember on disk, when all other members were restarted, too.
+   */
+  findDeadline(others: number, sources: number): Instant {
+    const isMissing =
+      this.#answeredBy.size < Math.min(ANSWERS_NEEDED, others) ||
+      this.#answeredBySources.size < Math.min(ANSWERS_NEEDED, sources);
+    return isMissing ? this.#askAt : NEVER;
   }
 
   /** Returns how many members to ask now, and schedules the next turn. */
@@ -53,12 +62,18 @@
   }
 
   /** Records one of the `parts` parts of an answer. */
-  handlePart(from: HostId, sequence: number, part: number, parts: number): void {
+  handlePart(
+    { host, isSource }: Pick<Member, 'host' | 'isSource'>,
+    sequence: number,
+    part: number,
+    parts: number,
+  ): void {
     const received = this.#receivedParts.get(sequence);
     received?.add(part);
     if (received?.size !== parts) return;
     this.#receivedParts.delete(sequence);
-    this.#answeredBy.add(from);
+    this.#answeredBy.add(host);
+    if (isSource) this.#answeredBySources.add(host);
   }
 }
 
--- a/src/members/run-recall.ts
+++ b/src/members/run-recall.ts
@@ -10,14 +10,16 @@
 
 /** Returns when {@link runRecall} must be called. */
 export function findRecallDeadline({ recall, table }: MembersState): Instant {
-  return recall.findDeadline(table.probeOrder.size);
+  return recall.findDeadline(table.probeOrder.size, table.sources.size);
 }
 
-/** Asks random members that have not answered yet, if this is due. */
+/** Asks random members and random sources that have not answered yet, if this is due. */
 export function runRecall(state: MembersState, context: StepContext): void {
   if (context.now < findRecallDeadline(state)) return;
   const { recall, table, random } = state;
-  for (const { host, control } of table.pickRandom(random, recall.decideAsk(context.now))) {
+  const count = recall.decideAsk(context.now);
+  const asked = [...table.pickRandom(random, count), ...table.pickSources(random, count)];
+  for (const [host, { control }] of new Map(asked.map((member) => [member.host, member]))) {
     if (recall.hasAnswerOf(host)) continue;
     state.sequence += 1;
     const { sequence } = state;
@@ -51,7 +53,8 @@
 ): void {
   const { from, sequence, part, parts, updates } = message;
   applyUpdates(state, updates, context, false);
-  state.recall.handlePart(from, sequence, part, parts);
+  const isSource = state.table.find(from)?.member?.isSource === true;
+  state.recall.handlePart({ host: from, isSource }, sequence, part, parts);
 }
 
 // Internals.
--- a/src/members/seen-broadcasts.ts
+++ b/src/members/seen-broadcasts.ts
@@ -1,7 +1,7 @@
 /** The broadcast items that this process remembers. */
 import { addMs } from '../clock.js';
 import type { Instant } from '../ids.js';
-import type { Broadcast, MemberUpdate } from '../messages/index.js';
+import type { Broadcast, BroadcastUpdate } from '../messages/index.js';
 import { DeadlineQueue } from './deadline-queue.js';
 import { MAX_BROADCASTS } from './timing.js';
 
@@ -16,7 +16,7 @@
 }
 
 /** Builds the update that carries a broadcast item to another member. */
-export function buildBroadcastUpdate({ until, ...item }: Broadcast, now: Instant): MemberUpdate {
+export function buildBroadcastUpdate({ until, ...item }: Broadcast, now: Instant): BroadcastUpdate {
   return { ...item, remainingMs: until - now };
 }
 
--- a/src/messages/probe.ts
+++ b/src/messages/probe.ts
@@ -32,6 +32,9 @@
       readonly remainingMs: number;
     };
 
+/** An update that carries a broadcast item. */
+export type BroadcastUpdate = Extract<MemberUpdate, { kind: 'crash-seen' | 'run-left' }>;
+
 /** One datagram. `sequence` matches an answer to its request, within one run of the requester. */
 export type ProbeMessage =
   /** Asks for an `ack`. Only the host `to` answers; without `to`, any receiver does. */
--- a/src/program/create-membership.ts
+++ b/src/program/create-membership.ts
@@ -1,11 +1,18 @@
 /** Connects the membership tasks. Every process is a member, independent of its roles. */
+import { join } from 'node:path';
 import type { Clock } from '../clock.js';
-import { decodeSync, encodeSync, ProbeTask } from '../edge/index.js';
+import { BroadcastTask, decodeSync, encodeSync, ProbeTask } from '../edge/index.js';
 import type { Address, HostId, Incarnation } from '../ids.js';
 import { NO_VERSION } from '../ids.js';
 import type { MembersIn, MembersOut, MembersState } from '../members/index.js';
 import { MembersFilter } from '../members/index.js';
-import type { LinkCommand, LinkEvent, Member, MembershipEvent } from '../messages/index.js';
+import type {
+  LinkCommand,
+  LinkEvent,
+  Member,
+  MembershipEvent,
+  MemberUpdate,
+} from '../messages/index.js';
 import type { MetricsRegistry } from '../metrics/index.js';
 import { Gauge } from '../metrics/index.js';
 import type { ReportFailure } from '../pipe/index.js';
@@ -57,6 +64,9 @@
     send: route,
     buildTick: () => ({ kind: 'tick' }),
   });
+  const broadcasts = createBroadcastTask(options, (updates) => {
+    members.post({ kind: 'remembered', updates });
+  });
   const probes = new ProbeTask({
     bind: settings.bind,
     reportFailure,
@@ -78,6 +88,7 @@
 
   function route(output: Exclude<MembersOut, { kind: 'wake' }>): void {
     if (output.kind === 'datagram') probes.post(output);
+    else if (output.kind === 'remember') broadcasts?.post(output.update);
     else if (output.kind === 'send') {
       postLink({ kind: 'send', to: output.to, channel: 'members', body: encodeSync(output.body) });
     } else if (output.kind === 'introduction-answered') {
@@ -105,6 +116,8 @@
       members.post({ kind: 'seeds', seeds: listSeeds(changed) });
     },
     start: async () => {
+      // What was remembered is handled first, and then told to whoever asks.
+      await broadcasts?.start();
       await probes.start();
       await members.start();
       members.post({ kind: 'tick' });
@@ -113,6 +126,7 @@
       members.post({ kind: 'leave' });
       await members.stop();
       await probes.stop();
+      await broadcasts?.stop();
       const uptimeMs = clock.read() - startedAt;
       log('members-left', { members: knownHosts.size, uptimeMs, ...probes.counts });
     },
@@ -121,6 +135,26 @@
 
 // Internals.
 
+/** Creates the task that keeps broadcast items; undefined without a data folder. */
+function createBroadcastTask(
+  { settings: { dataFolder }, clock, log, reportFailure }: MembershipOptions,
+  notifyLoaded: (updates: readonly MemberUpdate[]) => void,
+): BroadcastTask | undefined {
+  if (dataFolder === undefined) return undefined;
+  return new BroadcastTask({
+    path: join(dataFolder, 'broadcasts.log'),
+    clock,
+    reportFailure,
+    notifyLoaded: (updates) => {
+      if (updates.length > 0) log('broadcasts-remembered', { items: updates.length });
+      notifyLoaded(updates);
+    },
+    notifyDropped: (reason) => {
+      log('broadcasts-dropped', { reason });
+    },
+  });
+}
+
 function addMetrics(registry: MetricsRegistry, { counts }: ProbeTask): void {
   const datagrams = new Gauge('members_datagrams', 'Datagrams between members, by fate.', () => [
     { labels: { fate: 'sent' }, value: counts.sent },
--- a/src/program/event-rates.ts
+++ b/src/program/event-rates.ts
@@ -68,6 +68,8 @@
   'member-update-dropped': HIGH_RATE,
   'frame-rejected': HIGH_RATE,
   'input-fault': HIGH_RATE,
+  'broadcasts-remembered': HIGH_RATE,
+  'broadcasts-dropped': HIGH_RATE,
   'ledger-message-dropped': HIGH_RATE,
   'log-message-dropped': HIGH_RATE,
   'crash-seen': HIGH_RATE,
--- a/test/members-recall.test.ts
+++ b/test/members-recall.test.ts
@@ -96,6 +96,66 @@
   });
 }
 
+/** Restarts every process of a fleet in which only the sources have a disk. */
+function restartAll(fleet: MemberFleet, downMs = 1_200): void {
+  for (const node of fleet.nodes) fleet.kill(node);
+  fleet.run(downMs);
+  for (const node of fleet.nodes) fleet.restart(node);
+}
+
+function startSourceFleet(seed: number, size: number, sources: readonly number[], loss = 0.04) {
+  const fleet = new MemberFleet(size, seed, 3, undefined, sources);
+  fleet.network.loss = loss;
+  fleet.run(15_000);
+  const node = fleet.nodes[size - 1];
+  if (node === undefined) throw new Error('the fleet is empty');
+  announce(fleet, node, 'ready', 1);
+  fleet.run(2_000);
+  return { fleet, node };
+}
+
+// Guards against a late announcement that revives a server after a restart of all processes (review case 8).
+for (const end of ['draining', 'server-left'] as const) {
+  test(`late announcement after a restart of all, ${end}: server takes no calls`, (t) => {
+    for (const seed of SEEDS) {
+      for (const [size, sources, lostDisks, lateAfterMs] of [
+        [8, 5, 0, 4_500],
+        [18, 5, 2, 4_500],
+        [18, 5, 0, 5],
+        [60, 9, 2, 1_300],
+      ] as const) {
+        const indexes = Array.from({ length: sources }, (_, index) => index);
+        const { fleet, node } = startSourceFleet(seed, size, indexes);
+        if (end === 'draining') announce(fleet, node, 'draining', 3);
+        else fleet.post(node, { kind: 'server-left', instance: INSTANCE, life: LIFE });
+        fleet.run(300);
+        for (const { disk } of fleet.nodes.slice(0, lostDisks)) disk?.splice(0);
+        restartAll(fleet);
+        fleet.run(lateAfterMs);
+        announce(fleet, node, 'ready', 2);
+        fleet.run(2 * CONTACT_WINDOW_MS - lateAfterMs);
+        for (let passed = 0; passed < HEARTBEAT_LIFETIME_MS; passed += 100) {
+          t.is(countTaking(fleet, node), 0, `seed ${seed}, ${size} members, ${lateAfterMs} ms`);
+          fleet.run(100);
+        }
+      }
+    }
+  });
+}
+
+test('restart of all: a run that goes on takes calls at once', (t) => {
+  for (const seed of SEEDS) {
+    const { fleet, node } = startSourceFleet(seed, 18, [0, 1, 2, 3, 4]);
+    restartAll(fleet);
+    fleet.run(50);
+    announce(fleet, node, 'ready', 2);
+    t.is(node.view.get(node.host)?.servers[0]?.state, 'ready');
+    fleet.run(2 * CONTACT_WINDOW_MS);
+    announce(fleet, node, 'ready', 3);
+    t.is(countTaking(fleet, node), 18, `seed ${seed}`);
+  }
+});
+
 test('late announcement of a new run: server takes calls at once', (t) => {
   for (const seed of SEEDS) {
     const { fleet, node } = startFleet(seed, 0);
