--- a/bench/fleet-process.ts
+++ b/bench/fleet-process.ts
@@ -55,7 +55,7 @@
   }
 
   /** Lets the action that runs now take some time, in which the process does nothing else. */
-  spend(milliseconds: number): void {
+  addWork(milliseconds: number): void {
     if (milliseconds <= 0) return;
     const { now, queue } = this.network;
     this.#busyUntil = addMs(Math.max(now, this.#busyUntil) as Instant, milliseconds);
--- a/bench/source-process.ts
+++ b/bench/source-process.ts
@@ -105,7 +105,7 @@
   #post(message: LogIn<string>): void {
     const step = this.#filter.decide(this.#state, message, this.now);
     this.#state = step.state;
-    this.spend(this.#options.applyMsPerCharacter * countApplied(step.outputs));
+    this.addWork(this.#options.applyMsPerCharacter * countApplied(step.outputs));
     for (const output of step.outputs) this.#pass(output);
   }
 
