Don't write to disk what was read from it, and bound what waits for a full disk

Items of broadcasts.log that a start had read were written again, with a new time. Two comments say less and mean more.

--- a/src/edge/broadcast-task.ts
+++ b/src/edge/broadcast-task.ts
@@ -67,6 +67,7 @@
     return messages.tap((update) => {
       const writtenAt: Instant = this.#options.clock.read();
       this.#pending.push([Math.round(writtenAt), encodeUpdate(update)]);
+      if (this.#pending.length > MAX_ITEMS) this.#pending.shift();
       this.#syncing ??= this.#syncPending();
     });
   }
--- a/src/log/leader-role.ts
+++ b/src/log/leader-role.ts
@@ -263,8 +263,8 @@
   /**
    * Tells why a learner may vote now. One that has not caught up may do so where a quorum needs no more voters with it
    * than without it: it can then delay nothing, and its vote makes up for that of another voter that is lost. It
-   * cannot help to elect a replica without all committed entries, because any majority with it holds as many of the
-   * other voters as overlap with every majority that has committed an entry.
+   * cannot help to elect a replica that lacks a committed entry: any majority with it still shares another voter with
+   * every majority that has committed one.
    */
   #findAdmission(learner: Voter, extended: Membership): VoterChange['cause'] | undefined {
     if (this.#hasCaughtUp(learner)) return 'caught-up';
--- a/src/members/apply-update.ts
+++ b/src/members/apply-update.ts
@@ -46,8 +46,8 @@
 }
 
 /**
- * Remembers a broadcast item, also on the disk of this process if it has one, and queues it for gossip unless `isGossiped` is false. Returns `false` if
- * `SeenBroadcasts` does not accept it.
+ * Remembers a broadcast item, also on the disk of this process if it has one, and queues it for gossip unless
+ * `isGossiped` is false. Returns `false` if `SeenBroadcasts` does not accept it.
  */
 export function applyBroadcast(
   state: MembersState,
--- a/src/members/members-filter.ts
+++ b/src/members/members-filter.ts
@@ -1,7 +1,7 @@
 /** The membership of processes in the mesh, and of their local backend servers. */
 import { addMs, NEVER } from '../clock.js';
 import type { HostId, InstanceId, Instant } from '../ids.js';
-import type { Announcement } from '../messages/index.js';
+import type { Announcement, MemberUpdate } from '../messages/index.js';
 import { Filter } from '../pipe/index.js';
 import type { Step } from '../pipe/index.js';
 import { handleDatagram } from './handle-datagram.js';
@@ -98,7 +98,7 @@
       applyBroadcast(state, message.item, context);
       return;
     case 'remembered':
-      applyUpdates(state, message.updates, context, false);
+      applyRemembered(state, message.updates, context);
       return;
     case 'held':
       state.self = { ...state.self, version: message.version };
@@ -128,6 +128,17 @@
   }
 }
 
+/** Applies items that are on the disk of this process already. */
+function applyRemembered(
+  state: MembersState,
+  updates: readonly MemberUpdate[],
+  context: StepContext,
+): void {
+  const inner = new StepContext(context.now);
+  applyUpdates(state, updates, inner, false);
+  for (const output of inner.outputs) if (output.kind !== 'remember') context.add(output);
+}
+
 /** Probes a member soon whose link has broken: its process may have ended, or may already be back. */
 function handleLinkDown({ priorityTargets, table }: MembersState, host: HostId | undefined): void {
   if (host === undefined || !table.probeOrder.has(host)) return;
