--- a/test/log-large-entries.test.ts
+++ b/test/log-large-entries.test.ts
@@ -161,7 +161,7 @@
     cluster.loseDisk(first);
     runFor(cluster, 1_000);
     cluster.start(first);
-    // It receives what says that it votes, but no entries before: its disk is slow.
+    // It votes as soon as the lost identity is removed, long before it has the entries.
     cluster.settle(() => countVoters(cluster) === VOTERS - 1, CATCH_UP_MS);
     cluster.settle(() => countVoters(cluster) === VOTERS, CATCH_UP_MS);
     t.true((first.state?.replica.entries.last.index ?? 0) < leader.applied.length, `seed ${seed}`);
--- a/test/unexpected-input.test.ts
+++ b/test/unexpected-input.test.ts
@@ -6,7 +6,7 @@
 import fc from 'fast-check';
 import type { Stream } from 'most';
 import { WebSocket } from 'ws';
-import { findFreeAddress, waitFor } from '../bench/mesh.js';
+import { findFreeAddress } from '../bench/mesh.js';
 import { NAPERNYO_PLAN, RunningMesh } from '../bench/mesh-plan.js';
 import { PlatformCallFront } from '../platform/platform-call-front.js';
 import { SystemClock } from '../src/clock.js';
@@ -187,6 +187,5 @@
       t.regex(answer, /^HTTP\/1\.1 4\d\d /, `${name}: ${value}`);
     }
     t.is(process.child.exitCode, null, `${name}: ${process.output().slice(-1_000)}`);
-    await waitFor('a line of the proxy', () => process.output().includes('started'));
   }
 });
